--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The daemon: `clementinestepd entry` or `clementinestepd sidecar`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daemon::run()
+}
--- /dev/null
+++ b/crates/exchange/src/registry.rs
@@ -0,0 +1,107 @@
+//! Exchanges that a sidecar knows, and those that it has promised never to run.
+//!
+//! An entry whose connection broke can't tell whether its request arrived. It asks on a new
+//! connection. If the sidecar doesn't know the exchange, the request may still sit in a buffer of
+//! the old connection and arrive later; were the answer just "unknown here", the entry would run
+//! it elsewhere and the late arrival would run it again. So asking leaves a void mark: an
+//! exchange asked for before it arrived is refused when it does. The marks outlive any
+//! connection ([`VOID_LIFE`]); both kinds are bounded by time.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use model::Micros;
+
+/// How long an exchange stays void. A connection that stayed silent for longer is broken by its
+/// sender's own limits, minutes earlier.
+pub const VOID_LIFE: Micros = Micros::from_secs(600);
+
+/// Names an exchange; 128 random bits drawn by the entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Token(pub Bytes);
+
+/// What is known of a token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen<T> {
+    /// Nothing until now.
+    Fresh,
+    /// It is here.
+    Live(T),
+    /// It was asked for before it arrived, or ended without running, and won't run here.
+    Void,
+    /// It ran here and its answer is no longer kept.
+    Over,
+}
+
+/// All exchanges of one life of a sidecar.
+#[derive(Debug)]
+pub struct Registry<T> {
+    live: HashMap<Token, T>,
+    void: HashMap<Token, Micros>,
+    over: HashMap<Token, Micros>,
+}
+
+impl<T> Default for Registry<T> {
+    fn default() -> Self {
+        Self {
+            live: HashMap::new(),
+            void: HashMap::new(),
+        }
+    }
+}
+
+impl<T: Clone> Registry<T> {
+    /// A request arrives; it is kept if its token is fresh.
+    pub fn open(&mut self, token: Token, make: impl FnOnce() -> T) -> Seen<T> {
+        match self.live.get(&token) {
+            Some(t) => Seen::Live(t.clone()),
+            None if self.void.contains_key(&token) => Seen::Void,
+            None if self.over.contains_key(&token) => Seen::Over,
+            None => {
+                self.live.insert(token, make());
+                Seen::Fresh
+            }
+        }
+    }
+
+    /// An entry asks for an exchange; from now on it runs only if it has arrived already.
+    pub fn resume(&mut self, now: Micros, token: Token) -> Seen<T> {
+        match self.live.get(&token) {
+            Some(t) => Seen::Live(t.clone()),
+            None if self.over.contains_key(&token) => Seen::Over,
+            None => {
+                self.void.insert(token, now + VOID_LIFE);
+                Seen::Void
+            }
+        }
+    }
+
+    /// An exchange ended. A token that never ran stays void; one that ran must never be called
+    /// void, or its caller would hear "not run" of something that did.
+    pub fn close(&mut self, now: Micros, token: &Token, ran: bool) -> Option<T> {
+        let marks = if ran { &mut self.over } else { &mut self.void };
+        marks.insert(token.clone(), now + VOID_LIFE);
+        self.live.remove(token)
+    }
+
+    /// Drops marks that no connection can outlive.
+    pub fn expire(&mut self, now: Micros) {
+        self.void.retain(|_, at| *at > now);
+        self.over.retain(|_, at| *at > now);
+    }
+
+    /// Exchanges that are here.
+    pub fn live(&self) -> impl Iterator<Item = &T> {
+        self.live.values()
+    }
+
+    /// How many exchanges are here.
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Whether none is here.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/retain.rs
@@ -0,0 +1,100 @@
+//! What a sidecar has read from its target and the entry hasn't confirmed yet.
+//!
+//! A connection can break at any byte. The target must not compute its answer again for that, so
+//! the sidecar keeps each chunk until the entry confirms it and repeats from there. The memory
+//! is bounded: at [`LIMIT`] the sidecar stops reading from its target, which is what slows the
+//! target down to its caller's pace.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+/// Most bytes kept for one exchange. Half a second of the busiest stream is kilobytes; the rest is
+/// room for the large answers of plain services.
+pub const LIMIT: usize = 1 << 20;
+
+/// Why chunks can't be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RetainError {
+    /// The chunk was confirmed and dropped; asking for it again is a fault of the asker.
+    #[error("chunk {0} was confirmed and is no longer kept")]
+    Gone(u64),
+    /// No such chunk exists yet; the asker is ahead of the source.
+    #[error("chunk {0} does not exist yet")]
+    Ahead(u64),
+}
+
+/// Unconfirmed chunks of one answer.
+#[derive(Debug, Default)]
+pub struct Retain {
+    base: u64,
+    chunks: VecDeque<Bytes>,
+    bytes: usize,
+    hash: blake3::Hasher,
+    ended: bool,
+    keep: bool,
+}
+
+impl Retain {
+    /// Keeps the whole answer as long as it fits, so that a second attempt with the same
+    /// idempotency key can join it from the start.
+    pub fn keeping() -> Self {
+        Self {
+            keep: true,
+            ..Self::default()
+        }
+    }
+
+    /// Adds the next chunk; gives its position.
+    pub fn push(&mut self, data: Bytes) -> u64 {
+        self.hash.update(&data);
+        self.bytes += data.len();
+        self.chunks.push_back(data);
+        self.next() - 1
+    }
+
+    /// Position that the next chunk will have.
+    pub fn next(&self) -> u64 {
+        self.base + self.chunks.len() as u64
+    }
+
+    /// Drops the chunks before `next`.
+    pub fn confirm(&mut self, next: u64) {
+        if self.keep && !self.full() {
+            return;
+        }
+        while self.base < next {
+            let Some(c) = self.chunks.pop_front() else {
+                break;
+            };
+            self.bytes -= c.len();
+            self.base += 1;
+        }
+    }
+
+    /// Whether the source should wait.
+    pub fn full(&self) -> bool {
+        self.bytes >= LIMIT
+    }
+
+    /// The chunk at a position, if it exists already.
+    pub fn get(&self, seq: u64) -> Result<Option<Bytes>, RetainError> {
+        match seq {
+            s if s < self.base => Err(RetainError::Gone(s)),
+            s if s > self.next() => Err(RetainError::Ahead(s)),
+            s => Ok(self.chunks.get((s - self.base) as usize).cloned()),
+        }
+    }
+
+    /// The answer is whole.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// Count and hash of all chunks, once the answer is whole.
+    pub fn total(&self) -> Option<(u64, Bytes)> {
+        let hash = || Bytes::copy_from_slice(self.hash.finalize().as_bytes());
+        self.ended.then(|| (self.next(), hash()))
+    }
+}
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,112 @@
+//! A small HTTP client over `hyper-util`, with one time limit a call.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client as Legacy;
+use hyper_util::rt::TokioExecutor;
+use thiserror::Error;
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// The address or a header can't be used.
+    #[error("unusable call: {0}")]
+    Call(#[from] hyper::http::Error),
+    /// Nobody could be reached; nothing was sent.
+    #[error("can't connect: {0}")]
+    Connect(hyper_util::client::legacy::Error),
+    /// The connection broke after the call may have been sent.
+    #[error("connection lost: {0}")]
+    Lost(String),
+    /// No answer in time; the call may have been carried out.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Whole URI.
+    pub uri: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Longest wait for the whole answer.
+    pub limit: Duration,
+}
+
+impl Call {
+    /// A call without headers or body.
+    pub fn new(method: Method, uri: impl Into<String>, limit: Duration) -> Self {
+        Self {
+            method,
+            uri: uri.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            limit,
+        }
+    }
+
+    /// Adds a body.
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+}
+
+/// A pooled client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: Legacy<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut tcp = HttpConnector::new();
+        tcp.set_nodelay(true);
+        Self {
+            inner: Legacy::builder(TokioExecutor::new()).build(tcp),
+        }
+    }
+}
+
+impl Client {
+    /// Sends a call and reads the whole answer.
+    pub async fn call(&self, call: Call) -> Result<(StatusCode, Bytes), HttpError> {
+        let mut req = hyper::Request::builder().method(call.method).uri(call.uri);
+        for (name, value) in &call.headers {
+            req = req.header(name, value);
+        }
+        let req = req.body(Full::new(call.body))?;
+        let whole = async {
+            let res = self.inner.request(req).await.map_err(refused)?;
+            let status = res.status();
+            let body = res.into_body().collect().await;
+            let body = body.map_err(|e| HttpError::Lost(e.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::time::timeout(call.limit, whole)
+            .await
+            .unwrap_or(Err(HttpError::Timeout(call.limit)))
+    }
+}
+
+fn refused(e: hyper_util::client::legacy::Error) -> HttpError {
+    match e.is_connect() {
+        true => HttpError::Connect(e),
+        false => HttpError::Lost(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/seal.rs
@@ -0,0 +1,119 @@
+//! Seals: a keyed hash before each message.
+//!
+//! Datagrams are sealed with the fleet's key itself. Connections first agree on a key of their
+//! own from two nonces; each direction then counts its messages inside the seal, so that a
+//! message replayed, dropped or swapped within a connection is noticed at once.
+
+use std::fmt;
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::error::WireError;
+
+/// Bytes of a seal; 128 bits are beyond guessing.
+pub const SEAL: usize = 16;
+
+/// A secret shared by all processes of a fleet.
+#[derive(Clone)]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// Reads 64 hexadecimal digits; surrounding white space is ignored.
+    pub fn from_hex(text: impl AsRef<str>) -> Result<Self, WireError> {
+        blake3::Hash::from_hex(text.as_ref().trim())
+            .map(|h| Self(*h.as_bytes()))
+            .map_err(|_| WireError::BadKey)
+    }
+
+    /// The key's bytes.
+    pub fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    fn seal(&self, count: u64, payload: &[u8]) -> [u8; SEAL] {
+        let mut h = blake3::Hasher::new_keyed(&self.0);
+        h.update(&count.to_le_bytes()).update(payload);
+        let mut out = [0; SEAL];
+        h.finalize_xof().fill(&mut out);
+        out
+    }
+
+    /// A key for one direction of one connection.
+    pub(crate) fn derive(&self, label: &str, client: &[u8], server: &[u8]) -> Self {
+        let mut h = blake3::Hasher::new_keyed(&self.0);
+        h.update(label.as_bytes()).update(client).update(server);
+        Self(*h.finalize().as_bytes())
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+/// The keys a process accepts; it seals with the first. Two of them while keys are rotated.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    first: Key,
+    second: Option<Key>,
+}
+
+impl Keys {
+    /// Seals with `first` and also accepts `second`.
+    pub fn new(first: Key, second: Option<Key>) -> Self {
+        Self { first, second }
+    }
+
+    /// The key to seal with.
+    pub fn first(&self) -> &Key {
+        &self.first
+    }
+
+    /// Every accepted key.
+    pub fn all(&self) -> impl Iterator<Item = &Key> {
+        std::iter::once(&self.first).chain(&self.second)
+    }
+
+    /// Seals a message.
+    pub fn seal(&self, payload: &[u8]) -> Bytes {
+        sealed(&self.first, 0, payload)
+    }
+
+    /// Checks a message's seal; gives its payload and the key that fitted.
+    pub fn open(&self, message: &Bytes) -> Result<(Bytes, &Key), WireError> {
+        self.all()
+            .find_map(|k| Some((opened(k, 0, message).ok()?, k)))
+            .ok_or_else(|| short_or(message))
+    }
+}
+
+/// Puts a seal before a payload.
+pub(crate) fn sealed(key: &Key, count: u64, payload: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(SEAL + payload.len());
+    out.put_slice(&key.seal(count, payload));
+    out.put_slice(payload);
+    out.freeze()
+}
+
+/// Takes a seal off, if it fits.
+pub(crate) fn opened(key: &Key, count: u64, message: &Bytes) -> Result<Bytes, WireError> {
+    if message.len() < SEAL {
+        return Err(WireError::Short(message.len()));
+    }
+    let payload = message.slice(SEAL..);
+    let want = blake3_eq(&key.seal(count, &payload), &message[..SEAL]);
+    want.then_some(payload).ok_or(WireError::Seal)
+}
+
+/// Compares in constant time, so that a forger learns nothing from how long a refusal takes.
+fn blake3_eq(a: &[u8; SEAL], b: &[u8]) -> bool {
+    a.iter().zip(b).fold(0, |d, (x, y)| d | (x ^ y)) == 0
+}
+
+fn short_or(message: &Bytes) -> WireError {
+    match message.len() {
+        n if n < SEAL => WireError::Short(n),
+        _ => WireError::Seal,
+    }
+}
