--- /dev/null
+++ b/crates/prefix/src/chain.rs
@@ -0,0 +1,60 @@
+//! Chained hashes over fixed blocks of prompt bytes.
+//!
+//! Fixed blocks are what engines cache, and 64 bytes are about 16 tokens, the usual block of an
+//! engine. The chain needs speed, not secrecy: a collision within one scope would cost one bad
+//! placement, since the engine compares tokens itself. The seed separates scopes, so it is made
+//! with `blake3` over fields whose lengths are part of the input.
+
+use model::BlockHash;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes in a block.
+pub const BLOCK: usize = 64;
+/// Tokens in a block, at the usual four bytes a token.
+pub const TOKENS: u32 = 16;
+
+/// What the first block of a chain is hashed with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Seed(u64);
+
+impl Seed {
+    /// The seed of a cache scope, a model and a version of its weights.
+    pub fn new(scope: impl AsRef<str>, model: impl AsRef<str>, weights: impl AsRef<str>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in [scope.as_ref(), model.as_ref(), weights.as_ref()] {
+            // Without the length, ("ab", "c") and ("a", "bc") would share a cache.
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(first))
+    }
+}
+
+/// The hash before the first block.
+pub fn root(seed: Seed) -> BlockHash {
+    BlockHash(seed.0)
+}
+
+/// The hash of a block that follows `parent`.
+pub fn next(parent: BlockHash, block: &[u8]) -> BlockHash {
+    BlockHash(xxh3_64_with_seed(block, parent.0))
+}
+
+/// The hashes of a prompt's whole blocks.
+pub fn chain(seed: Seed, prompt: impl AsRef<[u8]>) -> Vec<BlockHash> {
+    prompt
+        .as_ref()
+        .chunks_exact(BLOCK)
+        .scan(root(seed), |parent, block| {
+            *parent = next(*parent, block);
+            Some(*parent)
+        })
+        .collect()
+}
+
+/// A target's weight for a prefix in rendezvous hashing; the highest ranks first.
+pub fn rank(prefix: BlockHash, target: u64) -> u64 {
+    xxh3_64_with_seed(&target.to_le_bytes(), prefix.0)
+}
--- /dev/null
+++ b/crates/prefix/tests/chain.rs
@@ -0,0 +1,91 @@
+//! Chains, marks and levels.
+
+use model::BlockHash;
+use prefix::{chain, grid, levels, next, root, Marks, Seed, BLOCK, MARKS};
+
+fn text(blocks: usize) -> Vec<u8> {
+    (0..blocks * BLOCK).map(|i| (i / 7 % 251) as u8).collect()
+}
+
+/// Two teams send the same prompt, or one team sends it before and after a change of weights. If
+/// any hash were equal, a team could learn from its latency what another has asked, or be
+/// counted on for blocks that older weights have computed.
+#[test]
+fn other_scope_model_or_weights_share_no_hash() {
+    struct Case {
+        name: &'static str,
+        seed: Seed,
+    }
+    let cases = [
+        Case {
+            name: "other team",
+            seed: Seed::new("b", "m", "1"),
+        },
+        Case {
+            name: "other model",
+            seed: Seed::new("a", "n", "1"),
+        },
+        Case {
+            name: "older weights",
+            seed: Seed::new("a", "m", "0"),
+        },
+        Case {
+            name: "moved boundary",
+            seed: Seed::new("am", "", "1"),
+        },
+        Case {
+            name: "nothing",
+            seed: Seed::new("", "", ""),
+        },
+    ];
+    let ours = chain(Seed::new("a", "m", "1"), text(40));
+    for case in cases {
+        let theirs = chain(case.seed, text(40));
+        assert!(ours.iter().all(|h| !theirs.contains(h)), "{}", case.name);
+    }
+}
+
+#[test]
+fn only_whole_blocks_are_hashed_each_on_the_one_before() {
+    let seed = Seed::new("a", "m", "1");
+    let prompt = text(3);
+    let hashes = chain(seed, &prompt[..3 * BLOCK - 1]);
+    let first = next(root(seed), &prompt[..BLOCK]);
+    assert_eq!(hashes, [first, next(first, &prompt[BLOCK..2 * BLOCK])]);
+    assert!(chain(seed, "short").is_empty());
+}
+
+#[test]
+fn marks_are_few_and_cover_end_and_beginning() {
+    for n in [0usize, 1, 2, 5, 16, 17, 100, 1_000, 1_012, 20_000] {
+        let hashes: Vec<BlockHash> = (1..=n as u64).map(BlockHash).collect();
+        let marks = Marks::with(&hashes, Some(n as u32 / 3));
+        let depths: Vec<u32> = marks.points().iter().map(|m| m.blocks).collect();
+        assert!(depths.len() <= MARKS, "{n}: {depths:?}");
+        assert!(depths.windows(2).all(|w| w[0] > w[1]), "{n}: {depths:?}");
+        assert!(marks
+            .points()
+            .iter()
+            .all(|m| m.hash.0 == u64::from(m.blocks)));
+        assert_eq!(marks.blocks(), n as u32);
+        assert_eq!(depths.contains(&(n as u32 / 3)), n >= 3, "{n}: {depths:?}");
+        let shallow = depths.last().copied().unwrap_or(0) as usize;
+        assert!(shallow <= n / 8 || n <= MARKS, "{n}: {depths:?}");
+    }
+}
+
+/// Prompts with a common beginning but questions of different lengths must be placed by the same
+/// hashes, or each would be computed at a replica of its own.
+#[test]
+fn levels_agree_between_prompts_of_different_lengths() {
+    let long: Vec<BlockHash> = (1..=1_012).map(BlockHash).collect();
+    let key = |n: usize| levels(&long[..n]).map(|m| m.blocks).collect::<Vec<_>>();
+    assert_eq!(key(1_012), [768, 320, 80]);
+    assert_eq!(key(1_012), key(1_001));
+    assert_eq!(key(1), [1]);
+    assert_eq!(key(0), []);
+    assert_eq!(
+        grid(21).collect::<Vec<_>>(),
+        [20, 16, 14, 12, 10, 8, 7, 6, 5, 4, 3, 2, 1]
+    );
+}
