--- a/crates/contract/src/claim.rs
+++ b/crates/contract/src/claim.rs
@@ -22,7 +22,7 @@
 /// Who claimed a request, as the row holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
-    /// The exchange, in hexadecimal.
+    /// The exchange, in hexadecimal; empty once the claim was given back.
     pub token: String,
     /// Address of the sidecar that holds the exchange.
     pub address: String,
@@ -51,6 +51,7 @@
     key: String,
     holder: Holder,
     reads: u32,
+    version: u64,
 }
 
 impl Claim {
@@ -60,25 +61,36 @@
             key: row_key(team.as_ref(), key.as_ref()),
             holder,
             reads: 0,
+            version: 0,
         }
     }
 
     /// The first call.
     pub fn start(&self) -> ClaimStep {
-        let value = serde_json::to_vec(&self.holder)
-            .map(Bytes::from)
-            .unwrap_or_default();
-        ClaimStep::Call(Request::Write {
+        self.write(0)
+    }
+
+    /// Gives a claim of ours back, for a request that was not handed over after all. It may fail
+    /// or be lost: then the claim stands, and nobody runs the request.
+    pub fn release(&self) -> Request {
+        let value = encode(&Holder {
+            token: String::new(),
+            ..self.holder.clone()
+        });
+        Request::Write {
             key: self.key.clone(),
-            version: 0,
+            version: self.version,
             value,
-        })
+        }
     }
 
     /// Takes the reply to the last call.
     pub fn step(&mut self, reply: Reply) -> ClaimStep {
         match reply {
-            Reply::Written(_) => ClaimStep::Ours,
+            Reply::Written(version) => {
+                self.version = version;
+                ClaimStep::Ours
+            }
             Reply::Row(Some(row)) => self.found(&row),
             Reply::Conflict => self.read(),
             // The insert was lost before it took effect, and it may still take effect later;
@@ -98,14 +110,32 @@
         })
     }
 
-    fn found(&self, row: &Row) -> ClaimStep {
+    fn write(&self, version: u64) -> ClaimStep {
+        let value = encode(&self.holder);
+        ClaimStep::Call(Request::Write {
+            key: self.key.clone(),
+            version,
+            value,
+        })
+    }
+
+    fn found(&mut self, row: &Row) -> ClaimStep {
+        self.version = row.version;
         match serde_json::from_slice::<Holder>(&row.value) {
             Ok(h) if h.token == self.holder.token => ClaimStep::Ours,
+            Ok(h) if h.token.is_empty() && self.reads < READS => self.write(row.version),
+            Ok(h) if h.token.is_empty() => ClaimStep::Refuse,
             other => ClaimStep::Theirs(other.ok()),
         }
     }
 }
 
+fn encode(holder: &Holder) -> Bytes {
+    serde_json::to_vec(holder)
+        .map(Bytes::from)
+        .unwrap_or_default()
+}
+
 /// The row's name. The caller's key is hashed: it may hold any bytes and be long.
 fn row_key(team: &str, key: &str) -> String {
     let mut h = blake3::Hasher::new();
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,62 @@
+//! What both roles' control threads share.
+
+use std::io;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Tries to find a port that is free for both TCP and UDP.
+const TRIES: u32 = 16;
+
+/// Binds the peer address for exchanges (TCP) and probes (UDP).
+pub async fn bind_peer(at: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut left = TRIES;
+    loop {
+        let tcp = TcpListener::bind(at).await?;
+        match UdpSocket::bind(tcp.local_addr()?).await {
+            Ok(udp) => return Ok((tcp, udp)),
+            Err(e) if at.port() != 0 || left == 0 => return Err(e),
+            Err(_) => left -= 1,
+        }
+    }
+}
+
+/// Waits for the signal to stop.
+pub async fn stopped() {
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+/// The addresses that a process listens on, printed as one JSON line once it does.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Ready {
+    /// For callers.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub callers: Option<SocketAddr>,
+    /// For other processes of the fleet.
+    pub peer: SocketAddr,
+    /// For health, metrics and operators.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub admin: Option<SocketAddr>,
+    /// For membership datagrams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub gossip: Option<SocketAddr>,
+}
+
+impl Ready {
+    /// Prints it.
+    pub fn print(&self) {
+        let text = serde_json::to_string(self).unwrap_or_default();
+        println!("{text}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/drive.rs
@@ -0,0 +1,523 @@
+//! Drives one request to its end: attempts, resumptions, the caller's stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use exchange::{Action, Event, Failed, Failure, NotRun, Owner, Relay};
+use model::{Code, Micros, Outcome, RequestId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout, Instant};
+use wire::{Ack, Body, Cancel, Head, Header, Open, Refuse, Resume, WireError};
+
+use crate::entry::answer::Problem;
+use crate::entry::ask::{Added, Completion};
+use crate::entry::pick::{Picked, Wanted};
+use crate::entry::Context;
+use crate::link::Link;
+use crate::log;
+
+/// Longest silence of a sidecar, four of its heartbeats.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Attempts at one request.
+const ATTEMPTS: u32 = 4;
+/// Chunks between confirmations.
+const CONFIRM: u64 = 16;
+/// Largest answer that is collected before its caller gets any of it.
+const WHOLE_MAX: usize = 16 << 20;
+
+/// A request with all that the rules made of it.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: RequestId,
+    /// What the choice of a replica depends on.
+    pub want: Wanted,
+    /// Weight of its team.
+    pub share: u32,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The caller's idempotency key.
+    pub key: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers for the target.
+    pub headers: Vec<Header>,
+    /// Body for the target.
+    pub body: Payload,
+    /// Cache scope.
+    pub scope: String,
+    /// When the answer is of no more use.
+    pub deadline: Instant,
+    /// Trace context.
+    pub trace: String,
+}
+
+/// What goes to the target.
+#[derive(Debug)]
+pub enum Payload {
+    /// Bytes as they came.
+    Plain(Bytes),
+    /// A completion, whose body says where to go on.
+    Completion(Box<Completion>),
+}
+
+/// What the caller gets first.
+#[derive(Debug)]
+pub enum Answer {
+    /// All of it.
+    Whole(Head, Bytes),
+    /// Its head, and then pieces.
+    Stream(Head, mpsc::Receiver<Piece>),
+    /// None.
+    None(Problem),
+}
+
+/// A piece of a stream.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The stream can't be completed.
+    Broken(Problem),
+}
+
+/// Runs a job; the answer comes through `out`.
+pub async fn drive(cx: Arc<Context>, job: Job, out: oneshot::Sender<Answer>) {
+    let stream = matches!(&job.body, Payload::Completion(c) if c.stream);
+    let out = Out {
+        first: Some(out),
+        head: None,
+        body: None,
+        whole: BytesMut::new(),
+        stream,
+    };
+    let relay = Relay::new(job.idempotent, stream);
+    Drive {
+        cx,
+        job,
+        relay,
+        out,
+        tried: Vec::new(),
+        attempt: 0,
+        opened: false,
+    }
+    .run()
+    .await;
+}
+
+struct Drive {
+    cx: Arc<Context>,
+    job: Job,
+    relay: Relay,
+    out: Out,
+    tried: Vec<model::TargetKey>,
+    attempt: u32,
+    opened: bool,
+}
+
+/// How one exchange ended, seen from the request.
+enum Ended {
+    /// The caller has its answer or knows why not.
+    Over,
+    /// Try another replica.
+    Elsewhere { delivered: u64, failure: Failure },
+}
+
+/// The exchange that is under way.
+struct Current {
+    address: SocketAddr,
+    life: u64,
+    token: Bytes,
+}
+
+impl Drive {
+    async fn run(mut self) {
+        let mut delivered = 0;
+        let mut failure = none();
+        while self.attempt < ATTEMPTS {
+            let view = self.cx.view.load_full();
+            let picked = self
+                .cx
+                .picker
+                .pick(&view, &self.job.want, &self.tried)
+                .await;
+            let Some(p) = picked.into_iter().next() else {
+                break;
+            };
+            self.tried.push(p.target);
+            self.attempt += 1;
+            match self.attempt(p, delivered).await {
+                Ended::Over => return,
+                Ended::Elsewhere {
+                    delivered: d,
+                    failure: f,
+                } => {
+                    delivered = d;
+                    failure = f;
+                    self.out.restart();
+                }
+            }
+        }
+        self.give(failure).await;
+    }
+
+    async fn attempt(&mut self, p: Picked, delivered: u64) -> Ended {
+        let token = Bytes::copy_from_slice(&rand::random::<[u8; 16]>());
+        let mut at = Current {
+            address: p.address,
+            life: p.life,
+            token,
+        };
+        let open = self.open(&at, delivered);
+        let mut link = self.cx.links.take(at.address).await.ok();
+        let mut event = match &mut link {
+            None => Some(Event::Unsent),
+            Some(l) => {
+                self.opened = true;
+                l.tx.send(open).await.err().map(|_| Event::Lost)
+            }
+        };
+        loop {
+            let now = match event.take() {
+                Some(e) => e,
+                None => match self.next(link.as_mut(), &mut at).await {
+                    Ok(e) => e,
+                    Err(stop) => {
+                        self.cancel(link).await;
+                        self.stop(stop).await;
+                        return Ended::Over;
+                    }
+                },
+            };
+            match self.relay.step(now) {
+                Action::Wait => {}
+                Action::Deliver(data) => {
+                    if !self.out.data(data).await {
+                        self.cancel(link).await;
+                        return Ended::Over;
+                    }
+                    self.confirm(link.as_mut(), false).await;
+                }
+                Action::Resume { next, pause } => {
+                    sleep(pause.into()).await;
+                    link = None;
+                    event = match self.resume(&at, next).await {
+                        Ok(l) => {
+                            link = Some(l);
+                            None
+                        }
+                        Err(e) => Some(e),
+                    };
+                }
+                Action::Join(owner) => {
+                    let Some(joined) = joined(owner) else {
+                        event = Some(Event::Claimed(None));
+                        continue;
+                    };
+                    if let Some(l) = link.take() {
+                        self.cx.links.give(at.address, l);
+                    }
+                    at = joined;
+                    event = self.resume(&at, 0).await.map(|l| link = Some(l)).err();
+                }
+                Action::Elsewhere { delivered, failure } => {
+                    return Ended::Elsewhere { delivered, failure };
+                }
+                Action::Finish => {
+                    self.confirm(link.as_mut(), true).await;
+                    if let Some(l) = link {
+                        self.cx.links.give(at.address, l);
+                    }
+                    self.out.finish();
+                    return Ended::Over;
+                }
+                Action::Give(f) => {
+                    self.give(f).await;
+                    return Ended::Over;
+                }
+            }
+        }
+    }
+
+    fn open(&self, at: &Current, delivered: u64) -> Open {
+        let j = &self.job;
+        let (body, output) = match &j.body {
+            Payload::Plain(b) => (b.clone(), 0),
+            Payload::Completion(c) => {
+                let add = Added {
+                    scope: &j.scope,
+                    class: j.want.class,
+                    delivered,
+                };
+                (c.render(add), c.output)
+            }
+        };
+        Open {
+            token: at.token.clone(),
+            request: j.id.as_str().to_owned(),
+            attempt: self.attempt,
+            incarnation: at.life,
+            team: j.want.team.clone(),
+            share: j.share,
+            class: j.want.class.index() as u32,
+            deadline: j.deadline.duration_since(Instant::now()).as_millis() as u64,
+            idempotent: j.idempotent,
+            key: j.key.clone(),
+            method: j.method.clone(),
+            path: j.path.clone(),
+            headers: j.headers.clone(),
+            body,
+            scope: j.scope.clone(),
+            chain: j.want.chain.iter().map(|h| h.0).collect(),
+            delivered,
+            fingerprint: j.want.fingerprint,
+            trace: j.trace.clone(),
+            stream: self.out.stream,
+            output,
+            strikes: self.relay.crashes(),
+        }
+    }
+
+    /// The next thing that happens to the exchange.
+    async fn next(&mut self, link: Option<&mut Link>, at: &mut Current) -> Result<Event, Stop> {
+        let Some(link) = link else {
+            return Ok(Event::Lost);
+        };
+        loop {
+            let until = match self.out.started() {
+                true => Instant::now() + SILENCE,
+                false => self.job.deadline,
+            };
+            let body = tokio::select! {
+                biased;
+                () = self.out.closed() => return Err(Stop::Gone),
+                b = timeout(SILENCE, link.rx.next()) => b,
+                () = tokio::time::sleep_until(until), if !self.out.started() => {
+                    return Err(Stop::Late);
+                }
+            };
+            match body {
+                Err(_) | Ok(Err(_)) => return Ok(Event::Lost),
+                Ok(Ok(Body::Beat(_))) => {}
+                Ok(Ok(Body::Accepted(a))) if a.token == at.token => at.life = a.incarnation,
+                Ok(Ok(Body::Head(h))) => self.out.head = Some(h),
+                Ok(Ok(body)) => return Ok(event(body)),
+            }
+        }
+    }
+
+    /// Goes on with an exchange on a new connection.
+    async fn resume(&self, at: &Current, next: u64) -> Result<Link, Event> {
+        let resume = Resume {
+            token: at.token.clone(),
+            next,
+            incarnation: at.life,
+        };
+        let mut link = self
+            .cx
+            .links
+            .fresh(at.address)
+            .await
+            .map_err(|e| gone(&e))?;
+        link.tx.send(resume).await.map_err(|_| Event::Lost)?;
+        Ok(link)
+    }
+
+    async fn confirm(&self, link: Option<&mut Link>, last: bool) {
+        let next = self.relay.next();
+        if let Some(l) = link.filter(|_| last || next.is_multiple_of(CONFIRM)) {
+            let _ = l.tx.send(Ack { next }).await;
+        }
+    }
+
+    /// Tells the sidecar that nobody wants the answer; its connection isn't used again.
+    async fn cancel(&self, link: Option<Link>) {
+        if let Some(mut l) = link {
+            let _ = l.tx.send(Cancel {}).await;
+        }
+    }
+
+    async fn stop(&mut self, stop: Stop) {
+        let outcome = if self.opened {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        match stop {
+            Stop::Gone => {
+                spdlog::info!(logger: log::entry(), "request {} cancelled by caller", self.job.id);
+            }
+            Stop::Late => {
+                self.give(Failure {
+                    code: Code::Deadline,
+                    outcome,
+                    retry: None,
+                })
+                .await;
+            }
+        }
+    }
+
+    async fn give(&mut self, f: Failure) {
+        let message = format!("no answer: {}", f.code);
+        let problem = Problem {
+            code: f.code,
+            outcome: f.outcome,
+            message,
+            retry: f.retry,
+        };
+        spdlog::warn!(
+            logger: log::entry(),
+            "request {} failed: {}, outcome {}", self.job.id, f.code, f.outcome
+        );
+        self.out.fail(problem).await;
+    }
+}
+
+/// Why an attempt is broken off.
+enum Stop {
+    /// The caller went away.
+    Gone,
+    /// The deadline passed.
+    Late,
+}
+
+/// The caller's side.
+struct Out {
+    first: Option<oneshot::Sender<Answer>>,
+    head: Option<Head>,
+    body: Option<mpsc::Sender<Piece>>,
+    whole: BytesMut,
+    stream: bool,
+}
+
+/// Pieces on their way to a caller.
+const PIECES: usize = 32;
+
+impl Out {
+    /// Whether the caller has seen anything.
+    fn started(&self) -> bool {
+        self.first.is_none()
+    }
+
+    /// Waits until the caller is gone.
+    async fn closed(&mut self) {
+        match (&mut self.first, &self.body) {
+            (Some(f), _) => f.closed().await,
+            (None, Some(b)) => b.closed().await,
+            (None, None) => std::future::pending().await,
+        }
+    }
+
+    /// Takes a piece of the answer; false if the caller is gone.
+    async fn data(&mut self, data: Bytes) -> bool {
+        if !self.stream {
+            self.whole.extend_from_slice(&data);
+            return self.whole.len() <= WHOLE_MAX;
+        }
+        if let Some(first) = self.first.take() {
+            let (tx, rx) = mpsc::channel(PIECES);
+            let head = self.head.take().unwrap_or_default();
+            if first.send(Answer::Stream(head, rx)).is_err() {
+                return false;
+            }
+            self.body = Some(tx);
+        }
+        match &self.body {
+            Some(b) => b.send(Piece::Data(data)).await.is_ok(),
+            None => false,
+        }
+    }
+
+    /// Forgets what the caller hasn't seen.
+    fn restart(&mut self) {
+        self.whole.clear();
+        self.head = None;
+    }
+
+    fn finish(&mut self) {
+        let head = self.head.take().unwrap_or_default();
+        if let Some(first) = self.first.take() {
+            let _ = first.send(Answer::Whole(head, self.whole.split().freeze()));
+        }
+        self.body = None;
+    }
+
+    async fn fail(&mut self, problem: Problem) {
+        match (self.first.take(), &self.body) {
+            (Some(first), _) => drop(first.send(Answer::None(problem))),
+            (None, Some(b)) => drop(b.send(Piece::Broken(problem)).await),
+            (None, None) => {}
+        }
+    }
+}
+
+fn event(body: Body) -> Event {
+    match body {
+        Body::Chunk(c) => {
+            let events = c.data.windows(2).filter(|w| w == b"\n\n").count() as u64;
+            Event::Chunk {
+                seq: c.seq,
+                data: c.data,
+                events,
+            }
+        }
+        Body::End(e) => Event::End {
+            count: e.count,
+            digest: e.digest,
+        },
+        Body::Refuse(r) if code(r.code) == Code::AlreadyAttempted => {
+            Event::Claimed(r.owner.map(|o| Owner {
+                token: o.token,
+                address: o.address,
+                incarnation: o.incarnation,
+            }))
+        }
+        Body::Refuse(r) => Event::Refused(heard(&r)),
+        Body::Fail(f) => Event::Failed(Failed {
+            code: code(f.code),
+            known: f.known,
+            crashed: f.crashed,
+        }),
+        // Nothing else belongs here; a peer that sends it can't be trusted with the rest.
+        _ => Event::Lost,
+    }
+}
+
+fn heard(r: &Refuse) -> NotRun {
+    let retry = (r.retry > 0).then(|| Micros::from_millis(r.retry));
+    NotRun::heard(code(r.code), retry)
+}
+
+fn code(n: u32) -> Code {
+    Code::from_number(n).unwrap_or(Code::Internal)
+}
+
+fn joined(o: Owner) -> Option<Current> {
+    let address = o.address.parse().ok()?;
+    Some(Current {
+        address,
+        life: o.incarnation,
+        token: o.token,
+    })
+}
+
+/// A refused connection means that the process is gone; anything else may pass.
+fn gone(e: &WireError) -> Event {
+    match e {
+        WireError::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => Event::Gone,
+        _ => Event::Lost,
+    }
+}
+
+fn none() -> Failure {
+    Failure {
+        code: Code::NoTarget,
+        outcome: Outcome::NotRun,
+        retry: Some(Micros::from_secs(1)),
+    }
+}
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock};
 
 use spdlog::formatter::{pattern, JsonFormatter, PatternFormatter};
-use spdlog::sink::{Sink, StdStreamSink};
+use spdlog::sink::{Sink, SinkPropAccess as _, StdStreamSink};
 use spdlog::{LevelFilter, Logger};
 
 use crate::settings::{LogFormat, Settings};
@@ -47,7 +47,9 @@
 }
 
 fn parts(format: LogFormat, level: LevelFilter) -> Parts {
-    let sink = StdStreamSink::builder().std_stream(spdlog::sink::StdStream::Stderr).build_arc();
+    let sink = StdStreamSink::builder()
+        .std_stream(spdlog::sink::StdStream::Stderr)
+        .build_arc();
     let sink: Arc<StdStreamSink> = sink.expect("a sink on stderr needs nothing that can fail");
     match format {
         LogFormat::Json => sink.set_formatter(Box::new(JsonFormatter::new())),
@@ -63,5 +65,10 @@
             .build()
             .expect("part names are constants without forbidden characters")
     };
-    Parts { main: part("main"), entry: part("entry"), sidecar: part("sidecar"), fleet: part("fleet") }
+    Parts {
+        main: part("main"),
+        entry: part("entry"),
+        sidecar: part("sidecar"),
+        fleet: part("fleet"),
+    }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -120,6 +120,8 @@
     max_body,
     /// file with the operators' key
     operator_key_file,
+    /// targets as pool@address, separated by commas
+    targets,
     /// how replicas are chosen: ours, round-robin, least-loaded or consistent-hash (default ours)
     policy,
 }
@@ -199,6 +201,8 @@
     pub operator_key: Option<String>,
     /// How replicas are chosen.
     pub policy: Policy,
+    /// Targets.
+    pub targets: Vec<(String, SocketAddr)>,
 }
 
 /// Settings of a sidecar.
@@ -291,9 +295,9 @@
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "settings: {} fault(s)", self.0.len())?;
-        self.0.iter().try_for_each(|w| {
-            writeln!(f, "  --{}: got `{}`, wanted {}", w.name, w.value, w.wanted)
-        })
+        self.0
+            .iter()
+            .try_for_each(|w| writeln!(f, "  --{}: got `{}`, wanted {}", w.name, w.value, w.wanted))
     }
 }
 
@@ -314,7 +318,12 @@
     print: bool,
     env: impl Fn(&str) -> Option<String>,
 ) -> Result<Parsed, SettingsError> {
-    let mut r = Reader { flags, env: &env, wrong: Vec::new(), seen: String::new() };
+    let mut r = Reader {
+        flags,
+        env: &env,
+        wrong: Vec::new(),
+        seen: String::new(),
+    };
     let settings = read(role, &mut r);
     match settings {
         Some(_) if print => Ok(Parsed::Print(r.seen)),
@@ -370,7 +379,11 @@
 
 impl Reader<'_> {
     fn text(&mut self, name: &str, default: &str) -> String {
-        let flag = self.flags.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.clone());
+        let flag = self
+            .flags
+            .iter()
+            .find(|(n, _)| *n == name)
+            .and_then(|(_, v)| v.clone());
         let value = flag.or_else(|| (self.env)(&name.to_uppercase()));
         let value = value.unwrap_or_else(|| default.to_owned());
         let _ = writeln!(self.seen, "{} = {value:?}", name.replace('_', "-"));
@@ -379,21 +392,26 @@
 
     fn value<T: FromStr>(&mut self, name: &str, default: &str, wanted: &str) -> Option<T> {
         let text = self.text(name, default);
-        text.parse().map_err(|_| self.fault(name, &text, wanted)).ok()
+        text.parse()
+            .map_err(|_| self.fault(name, &text, wanted))
+            .ok()
     }
 
     fn list(&mut self, name: &str) -> Option<Vec<SocketAddr>> {
         let text = self.text(name, "");
         let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
         let all: Result<Vec<_>, _> = parts.map(str::parse).collect();
-        all.map_err(|_| self.fault(name, &text, "addresses and ports, separated by commas")).ok()
+        all.map_err(|_| self.fault(name, &text, "addresses and ports, separated by commas"))
+            .ok()
     }
 
     fn level(&mut self) -> Option<LevelFilter> {
         use spdlog::Level;
         let text = self.text("log_level", "info");
         let level = Level::from_str(&text).map(LevelFilter::MoreSevereEqual);
-        level.map_err(|_| self.fault("log_level", &text, "a log level")).ok()
+        level
+            .map_err(|_| self.fault("log_level", &text, "a log level"))
+            .ok()
     }
 
     /// A secret from the environment, or else from the file that a setting names.
@@ -417,12 +435,17 @@
         let first = self.secret("KEY", "key_file");
         let old = self.secret("OLD_KEY", "old_key_file");
         let Some(first) = first else {
-            self.fault("key-file", "", "the fleet's key, here or in CLEMENTINESTEP_KEY");
+            self.fault(
+                "key-file",
+                "",
+                "the fleet's key, here or in CLEMENTINESTEP_KEY",
+            );
             return None;
         };
         let hex = "64 hexadecimal digits";
         let first = Key::from_hex(first).map_err(|_| self.fault("key-file", "(secret)", hex));
-        let old = old.map(|k| Key::from_hex(k).map_err(|_| self.fault("old-key-file", "(secret)", hex)));
+        let old =
+            old.map(|k| Key::from_hex(k).map_err(|_| self.fault("old-key-file", "(secret)", hex)));
         Some(Keys::new(first.ok()?, old.transpose().ok()?))
     }
 
@@ -431,14 +454,30 @@
         let max_body = self.value("max_body", "4194304", "a number of bytes");
         let policy = self.value("policy", "ours", "ours or a baseline");
         let operator_key = self.secret("OPERATOR_KEY", "operator_key_file");
-        Some(Entry { listen: listen?, max_body: max_body?, operator_key, policy: policy? })
+        let targets = self.text("targets", "");
+        let targets = targets.split(',').filter_map(|t| {
+            let (p, a) = t.split_once('@')?;
+            Some((p.to_owned(), a.parse().ok()?))
+        });
+        let targets = targets.collect();
+        Some(Entry {
+            listen: listen?,
+            max_body: max_body?,
+            operator_key,
+            policy: policy?,
+            targets,
+        })
     }
 
     fn sidecar(&mut self) -> Option<Sidecar> {
         let target = self.text("target", "");
-        let bare = target.trim_start_matches("http://").trim_end_matches('/').parse();
-        let target =
-            bare.map_err(|_| self.fault("target", &target, "http:// and an address and port")).ok();
+        let bare = target
+            .trim_start_matches("http://")
+            .trim_end_matches('/')
+            .parse();
+        let target = bare
+            .map_err(|_| self.fault("target", &target, "http:// and an address and port"))
+            .ok();
         let pool: Option<String> = self.value("pool", "", "a pool's name");
         let empty = pool.as_deref() == Some("");
         if empty {
--- /dev/null
+++ b/crates/daemon/src/sidecar/run.rs
@@ -0,0 +1,380 @@
+//! One exchange from its turn in the queue to the target's last byte.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use contract::{Claim, ClaimStep, Holder};
+use exchange::{Exchange, Handed, Queued};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::Response;
+use hyper_util::rt::TokioIo;
+use model::{Class, Code, Micros};
+use store::{Platform, Table};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::{timeout, timeout_at, Instant};
+use wire::{Head, Header, Join, Keys, Open, Pull, Text, WireError};
+
+use crate::clock;
+use crate::log;
+use crate::sidecar::control::{Ask, Asker, Finished, Refusal, Work};
+use crate::sidecar::live::{Last, Live};
+use crate::sidecar::serve::Exchanges;
+
+/// Longest silence of a target within an answer. A busy engine's longest pause between two bytes
+/// is its longest prefill, a few seconds.
+const SILENCE: Duration = Duration::from_secs(15);
+/// Longest time to connect to the target, which runs on this host.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Headers that belong to one connection and aren't passed on.
+const HOP: [&str; 6] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "te",
+    "upgrade",
+    "content-length",
+];
+
+/// What every exchange of this process shares.
+#[derive(Debug)]
+pub struct Context {
+    /// The fleet's keys.
+    pub keys: Keys,
+    /// This process's life.
+    pub life: u64,
+    /// Its peer address as others see it.
+    pub address: SocketAddr,
+    /// The target.
+    pub target: SocketAddr,
+    /// Whether the target streams server-sent events.
+    pub model: bool,
+    /// The platform's table, if there is one.
+    pub table: Option<Platform>,
+    /// All exchanges.
+    pub exchanges: Exchanges,
+    /// The control thread.
+    pub control: Asker,
+}
+
+impl Context {
+    /// Answers another member's question.
+    pub async fn pull(&self, p: Pull) -> Result<Text, WireError> {
+        self.control
+            .pull(p.data)
+            .await
+            .map(|data| Text { data })
+            .ok_or(WireError::Closed)
+    }
+}
+
+/// Why an exchange that was handed over has no answer.
+struct Broken {
+    code: Code,
+    known: bool,
+    crashed: bool,
+}
+
+/// Runs an exchange to its end.
+pub async fn run(cx: &Context, o: Open, live: &Live) {
+    let ex = Exchange::new();
+    let until = Instant::now() + Duration::from_millis(o.deadline);
+    let enqueued = clock::now();
+    let last = tokio::select! {
+        r = turn(cx, &o) => match r {
+            Ok(()) => admitted(cx, &o, live, ex, until, enqueued).await,
+            Err(r) => Last::NotRun(ex.refuse(r.code, r.retry), None),
+        },
+        () = live.cancel.cancelled() => Last::NotRun(ex.refuse(Code::Cancelled, None), None),
+    };
+    live.end(last);
+}
+
+/// Waits for the request's turn.
+async fn turn(cx: &Context, o: &Open) -> Result<(), Refusal> {
+    let (grant, granted) = oneshot::channel();
+    let work = Work {
+        team: o.team.clone(),
+        share: o.share,
+        class: Class::from_index(o.class as usize),
+        chain: o.chain.iter().copied().map(model::BlockHash).collect(),
+        output: o.output,
+        deadline: clock::now() + Micros::from_millis(o.deadline),
+        fingerprint: o.fingerprint,
+        strikes: o.strikes,
+    };
+    cx.control.send(Ask::Enqueue { work, grant });
+    let gone = Refusal {
+        code: Code::Draining,
+        retry: None,
+    };
+    granted.await.unwrap_or(Err(gone))
+}
+
+/// Has its turn: claims if it may run only once, then hands it over.
+async fn admitted(
+    cx: &Context,
+    o: &Open,
+    live: &Live,
+    ex: Exchange<Queued>,
+    until: Instant,
+    enqueued: Micros,
+) -> Last {
+    let started = clock::now();
+    let mut slot = Slot::new(cx, o);
+    // Connecting comes before claiming: a target that is down must not use the claim up.
+    let Ok(Ok(sender)) = timeout(CONNECT, connect(cx.target)).await else {
+        slot.finished.crashed = true;
+        return Last::NotRun(ex.refuse(Code::NoTarget, Some(Micros::from_secs(1))), None);
+    };
+    let claim = match claimed(cx, o, until).await {
+        Ok(c) => c,
+        Err((r, owner)) => return Last::NotRun(ex.refuse(r.code, r.retry), owner),
+    };
+    // A process that was paused wakes here with a request whose caller has given up.
+    if Instant::now() >= until || live.cancel.is_cancelled() {
+        release(cx, claim).await;
+        return Last::NotRun(ex.refuse(Code::Deadline, None), None);
+    }
+    let ex = ex.hand();
+    let waited = started.since(enqueued);
+    let answer = tokio::select! {
+        r = answer(o, live, sender, waited, &mut slot.finished) => r,
+        () = live.cancel.cancelled() => {
+            Err(Broken { code: Code::Cancelled, known: false, crashed: false })
+        }
+        () = cx.control.down() => {
+            Err(Broken { code: Code::TargetLost, known: false, crashed: true })
+        }
+    };
+    ended(ex, answer, o, &mut slot.finished)
+}
+
+fn ended(
+    ex: Exchange<Handed>,
+    answer: Result<(), Broken>,
+    o: &Open,
+    finished: &mut Finished,
+) -> Last {
+    match answer {
+        Ok(()) => {
+            finished.whole = true;
+            Last::Done(ex.complete())
+        }
+        Err(b) => {
+            finished.crashed = b.crashed;
+            spdlog::warn!(logger: log::sidecar(), "request {} ended: {}", o.request, b.code);
+            Last::Failed(ex.fail(b.code, b.known, b.crashed))
+        }
+    }
+}
+
+/// Tells control, however the exchange ends, that its slot is free.
+struct Slot<'a> {
+    cx: &'a Context,
+    finished: Finished,
+}
+
+impl<'a> Slot<'a> {
+    fn new(cx: &'a Context, o: &Open) -> Self {
+        let finished = Finished {
+            started: clock::now(),
+            first: None,
+            fingerprint: o.fingerprint,
+            whole: false,
+            crashed: false,
+        };
+        Self { cx, finished }
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.cx.control.send(Ask::Finished(self.finished.clone()));
+    }
+}
+
+/// Claims a request that may run only once; `None` if it needs no claim.
+async fn claimed(
+    cx: &Context,
+    o: &Open,
+    until: Instant,
+) -> Result<Option<Claim>, (Refusal, Option<Join>)> {
+    if o.idempotent || o.key.is_empty() {
+        return Ok(None);
+    }
+    let away = Refusal {
+        code: Code::PlatformDown,
+        retry: Some(Micros::from_secs(2)),
+    };
+    let Some(table) = &cx.table else {
+        return Err((away, None));
+    };
+    let token = hex(&o.token);
+    let address = cx.address.to_string();
+    let holder = Holder {
+        token,
+        address,
+        incarnation: cx.life,
+        since: clock::epoch(),
+    };
+    let mut claim = Claim::new(&o.team, &o.key, holder);
+    let mut step = claim.start();
+    loop {
+        step = match step {
+            ClaimStep::Call(r) => match timeout_at(until, table.call(r)).await {
+                Ok(reply) => claim.step(reply),
+                Err(_) => {
+                    return Err((
+                        Refusal {
+                            code: Code::Deadline,
+                            retry: None,
+                        },
+                        None,
+                    ))
+                }
+            },
+            ClaimStep::Ours => return Ok(Some(claim)),
+            ClaimStep::Theirs(h) => {
+                let r = Refusal {
+                    code: Code::AlreadyAttempted,
+                    retry: None,
+                };
+                return Err((r, h.and_then(join)));
+            }
+            ClaimStep::Refuse => return Err((away, None)),
+        };
+    }
+}
+
+async fn release(cx: &Context, claim: Option<Claim>) {
+    if let (Some(table), Some(claim)) = (&cx.table, claim) {
+        table.call(claim.release()).await;
+    }
+}
+
+fn join(h: Holder) -> Option<Join> {
+    let token = unhex(&h.token)?;
+    Some(Join {
+        token,
+        address: h.address,
+        incarnation: h.incarnation,
+    })
+}
+
+async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, WireError> {
+    let tcp = TcpStream::connect(to).await?;
+    tcp.set_nodelay(true)?;
+    let (sender, conn) = handshake(TokioIo::new(tcp))
+        .await
+        .map_err(|_| WireError::Closed)?;
+    tokio::spawn(conn);
+    Ok(sender)
+}
+
+async fn answer(
+    o: &Open,
+    live: &Live,
+    mut sender: SendRequest<Full<Bytes>>,
+    waited: Micros,
+    finished: &mut Finished,
+) -> Result<(), Broken> {
+    let lost = || Broken {
+        code: Code::TargetLost,
+        known: false,
+        crashed: true,
+    };
+    let mut req = hyper::Request::builder()
+        .method(o.method.as_str())
+        .uri(&o.path);
+    for h in o.headers.iter().filter(|h| !HOP.contains(&h.name.as_str())) {
+        req = req.header(&h.name, h.value.as_ref());
+    }
+    let req = req.header("host", "target").body(Full::new(o.body.clone()));
+    let req = req.map_err(|_| Broken {
+        code: Code::BadRequest,
+        known: true,
+        crashed: false,
+    })?;
+    let res = timeout(SILENCE, sender.send_request(req)).await;
+    let res = res.map_err(|_| lost())?.map_err(|_| lost())?;
+    live.begin(head(&res, waited));
+    let events = is_events(&res);
+    body(res.into_body(), live, events, finished).await
+}
+
+async fn body(
+    mut body: Incoming,
+    live: &Live,
+    events: bool,
+    finished: &mut Finished,
+) -> Result<(), Broken> {
+    let lost = || Broken {
+        code: Code::TargetLost,
+        known: false,
+        crashed: true,
+    };
+    let mut rest = BytesMut::new();
+    loop {
+        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| lost())?;
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.map_err(|_| lost())?.into_data() else {
+            continue;
+        };
+        finished.first.get_or_insert_with(clock::now);
+        if !events {
+            live.push(data).await;
+            continue;
+        }
+        rest.extend_from_slice(&data);
+        if let Some(n) = whole_events(&rest) {
+            live.push(rest.split_to(n).freeze()).await;
+        }
+    }
+    match rest.is_empty() {
+        true => Ok(()),
+        // The target closed in the middle of an event.
+        false => Err(lost()),
+    }
+}
+
+/// Bytes up to the end of the last whole event.
+fn whole_events(b: &[u8]) -> Option<usize> {
+    b.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2)
+}
+
+fn is_events(res: &Response<Incoming>) -> bool {
+    let kind = res
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok());
+    kind.is_some_and(|k| k.starts_with("text/event-stream"))
+}
+
+fn head(res: &Response<Incoming>, waited: Micros) -> Head {
+    let headers = res
+        .headers()
+        .iter()
+        .filter(|(n, _)| !HOP.contains(&n.as_str()));
+    let headers = headers.map(|(n, v)| Header {
+        name: n.as_str().to_owned(),
+        value: Bytes::copy_from_slice(v.as_bytes()),
+    });
+    Head {
+        status: u32::from(res.status().as_u16()),
+        headers: headers.collect(),
+        waited: waited.0,
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<Bytes> {
+    let pair = |i| u8::from_str_radix(text.get(i..i + 2)?, 16).ok();
+    (0..text.len()).step_by(2).map(pair).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -0,0 +1,207 @@
+//! The peer port: entries open, resume and join exchanges here, members pull.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use exchange::{Exchange, NotRun, Registry, Seen, Token};
+use model::{Code, Micros};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{interval, timeout};
+use wire::{Accepted, Beat, Body, Fail, Open, Resume, Rx, Tx, WireError};
+
+use crate::clock;
+use crate::log;
+use crate::sidecar::live::{refuse, Cursor, Live};
+use crate::sidecar::run::{self, Context};
+
+/// How often a silent exchange says that it lives; entries wait four times as long.
+pub const BEAT: Duration = Duration::from_millis(500);
+/// Longest handshake.
+const HANDSHAKE: Duration = Duration::from_secs(2);
+/// Longest time without an exchange on a connection.
+const IDLE: Duration = Duration::from_secs(60);
+/// How long an ended exchange is kept for an entry that lost its connection, or for a second
+/// attempt with the same idempotency key.
+const KEEP: Duration = Duration::from_secs(30);
+/// How long an idempotent exchange runs on without a connection.
+const ORPHAN: Duration = Duration::from_secs(10);
+
+/// All exchanges of this process.
+#[derive(Debug, Default)]
+pub struct Exchanges(Mutex<Registry<Arc<Live>>>);
+
+impl Exchanges {
+    /// The registry, locked.
+    pub fn lock(&self) -> MutexGuard<'_, Registry<Arc<Live>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Accepts connections for ever.
+pub async fn listen(listener: TcpListener, cx: Arc<Context>) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            // Out of descriptors; waiting lets some close.
+            tokio::time::sleep(BEAT).await;
+            continue;
+        };
+        let cx = Arc::clone(&cx);
+        tokio::spawn(async move {
+            if let Err(e) = connection(tcp, &cx).await {
+                fault(&e);
+            }
+        });
+    }
+}
+
+async fn connection(tcp: TcpStream, cx: &Arc<Context>) -> Result<(), WireError> {
+    let shake = wire::accept(tcp, &cx.keys, rand::random());
+    let (mut tx, mut rx) = timeout(HANDSHAKE, shake)
+        .await
+        .map_err(|_| WireError::Closed)??;
+    loop {
+        let Ok(body) = timeout(IDLE, rx.next()).await else {
+            return Ok(());
+        };
+        match body? {
+            Body::Open(o) => open(cx, o, &mut tx, &mut rx).await?,
+            Body::Resume(r) => resume(cx, r, &mut tx, &mut rx).await?,
+            Body::Pull(p) => tx.send(cx.pull(p).await?).await?,
+            // Confirmations of an exchange that has ended meanwhile.
+            Body::Ack(_) | Body::Cancel(_) => {}
+            _ => return Err(WireError::Unexpected),
+        }
+    }
+}
+
+async fn open(cx: &Arc<Context>, o: Open, tx: &mut Tx, rx: &mut Rx) -> Result<(), WireError> {
+    if o.incarnation != 0 && o.incarnation != cx.life {
+        // Meant for an earlier life; this one has never seen it.
+        return refused(tx, Code::NoTarget).await;
+    }
+    let token = Token(o.token.clone());
+    let live = Live::new(!o.key.is_empty());
+    let seen = cx
+        .exchanges
+        .lock()
+        .open(token.clone(), || Arc::clone(&live));
+    let live = match seen {
+        Seen::Fresh => {
+            tokio::spawn(lifetime(Arc::clone(cx), o, Arc::clone(&live)));
+            live
+        }
+        Seen::Live(l) => l,
+        Seen::Void => return refused(tx, Code::Cancelled).await,
+        Seen::Over => return lost(tx).await,
+    };
+    carry(cx, &token, &live, 0, tx, rx).await
+}
+
+async fn resume(cx: &Arc<Context>, r: Resume, tx: &mut Tx, rx: &mut Rx) -> Result<(), WireError> {
+    if r.incarnation != cx.life {
+        // An earlier life may have run it; nobody knows any more.
+        return lost(tx).await;
+    }
+    let token = Token(r.token);
+    let seen = cx.exchanges.lock().resume(clock::now(), token.clone());
+    match seen {
+        Seen::Live(l) => carry(cx, &token, &l, r.next, tx, rx).await,
+        Seen::Void | Seen::Fresh => refused(tx, Code::NoTarget).await,
+        Seen::Over => lost(tx).await,
+    }
+}
+
+/// Sends what there is and what comes, until the last frame or a fault.
+async fn carry(
+    cx: &Context,
+    token: &Token,
+    live: &Arc<Live>,
+    seq: u64,
+    tx: &mut Tx,
+    rx: &mut Rx,
+) -> Result<(), WireError> {
+    let _carrier = live.carry();
+    let mut changed = live.watch();
+    let mut beat = interval(BEAT);
+    let mut at = Cursor { head: false, seq };
+    tx.send(Accepted {
+        incarnation: cx.life,
+        token: token.0.clone(),
+    })
+    .await?;
+    loop {
+        while let Some((body, end)) = live.next(&mut at).map_err(|_| WireError::Unexpected)? {
+            tx.feed(body).await?;
+            if end {
+                return tx.flush().await;
+            }
+        }
+        tx.flush().await?;
+        tokio::select! {
+            _ = changed.changed() => {}
+            _ = beat.tick() => tx.send(Beat {}).await?,
+            body = rx.next() => match body? {
+                Body::Ack(a) => live.confirm(a.next),
+                Body::Cancel(_) => live.cancel.cancel(),
+                _ => return Err(WireError::Unexpected),
+            },
+        }
+    }
+}
+
+/// Runs an exchange and keeps it for a while after its end.
+async fn lifetime(cx: Arc<Context>, o: Open, live: Arc<Live>) {
+    let token = Token(o.token.clone());
+    let idempotent = o.idempotent;
+    let running = run::run(&cx, o, &live);
+    tokio::pin!(running);
+    let mut check = interval(ORPHAN / 4);
+    let mut alone = Micros::MAX;
+    loop {
+        tokio::select! {
+            () = &mut running => break,
+            _ = check.tick() => {}
+        }
+        // An entry that died can't cancel; without this check its requests would hold the
+        // target's slots until they are computed for nobody.
+        match live.orphaned() {
+            false => alone = Micros::MAX,
+            true if alone == Micros::MAX => alone = clock::now(),
+            true if idempotent && clock::now().since(alone) > Micros::from(ORPHAN) => {
+                live.cancel.cancel();
+            }
+            true => {}
+        }
+    }
+    let ran = live.ended().unwrap_or(true);
+    if ran {
+        tokio::time::sleep(KEEP).await;
+    }
+    let mut all = cx.exchanges.lock();
+    all.close(clock::now(), &token, ran);
+    all.expire(clock::now());
+}
+
+async fn refused(tx: &mut Tx, code: Code) -> Result<(), WireError> {
+    let n: NotRun = Exchange::new().refuse(code, None);
+    tx.send(refuse(&n, None)).await
+}
+
+async fn lost(tx: &mut Tx) -> Result<(), WireError> {
+    tx.send(Fail {
+        code: Code::TargetLost.number(),
+        known: false,
+        crashed: false,
+    })
+    .await
+}
+
+fn fault(e: &WireError) {
+    match e {
+        WireError::Closed | WireError::Io(_) => {}
+        e => {
+            metrics::counter!("clementinestep_peer_faults_total").increment(1);
+            spdlog::warn!(logger: log::sidecar(), "peer connection dropped: {e}");
+        }
+    }
+}
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -55,7 +55,11 @@
 
     fn add(&mut self, a: Announced) {
         let domain = self.place(&a.domain, &a.region);
-        let host = model::Host { name: a.host, domain, leaving: false };
+        let host = model::Host {
+            name: a.host,
+            domain,
+            leaving: false,
+        };
         let host = self.world.hosts.insert(host);
         let pool = self.pool(&a.pool);
         self.world.targets.insert(model::Target {
@@ -70,20 +74,36 @@
 
     fn place(&mut self, domain: &str, region: &str) -> DomainKey {
         let w = &mut self.world;
-        let found = w.regions.iter().find(|(_, r)| r.name == region).map(|(k, _)| k);
-        let region = found
-            .unwrap_or_else(|| w.regions.insert(model::Region { name: region.to_owned() }));
-        let found =
-            w.domains.iter().find(|(_, d)| d.name == domain && d.region == region).map(|(k, _)| k);
+        let found = w
+            .regions
+            .iter()
+            .find(|(_, r)| r.name == region)
+            .map(|(k, _)| k);
+        let region = found.unwrap_or_else(|| {
+            w.regions.insert(model::Region {
+                name: region.to_owned(),
+            })
+        });
+        let found = w
+            .domains
+            .iter()
+            .find(|(_, d)| d.name == domain && d.region == region)
+            .map(|(k, _)| k);
         found.unwrap_or_else(|| {
-            w.domains.insert(model::Domain { name: domain.to_owned(), region })
+            w.domains.insert(model::Domain {
+                name: domain.to_owned(),
+                region,
+            })
         })
     }
 
     fn pool(&mut self, name: &str) -> PoolKey {
         let found = self.world.pool(name);
         found.unwrap_or_else(|| {
-            self.world.pools.insert(model::Pool { name: name.to_owned(), kind: Kind::Model })
+            self.world.pools.insert(model::Pool {
+                name: name.to_owned(),
+                kind: Kind::Model,
+            })
         })
     }
 }
--- a/crates/exchange/src/registry.rs
+++ b/crates/exchange/src/registry.rs
@@ -46,6 +46,7 @@
         Self {
             live: HashMap::new(),
             void: HashMap::new(),
+            over: HashMap::new(),
         }
     }
 }
