standin: give engine, service and platform their faults and orders

Process tests and the load tool need more than the thin stand-ins gave: an engine queue that honours priorities, decode that slows with company, LRU eviction that also goes by age, load and events that lag, kept KV, orders with fencing, and switches for each failure. The engine is split into small modules; HTTP shapes that the daemon speaks are as before, with more fields.

Two faults of the thin engine went with it. `/events` answered `next` as the caller's own number when nothing newer was there, so that a feed could not see an engine that had started afresh with lower numbers; it now answers the highest number due. A chain's front was evicted before its end, which made the rest of it useless; blocks are now touched from the end.

Freezing works on connections, by a listener that swallows bytes, since that is how a lost connection looks; the connection that orders the freeze is spared.

Not run: `die_before` and `die_after` of the service, which end the process, have no test yet.

--- a/crates/standin/examples/engine.rs
+++ b/crates/standin/examples/engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use standin::engine::{Engine, Settings};
+use standin::engine::{Engine, Fencing, Settings};
 
 /// A model engine for development.
 #[derive(FromArgs)]
@@ -17,44 +17,88 @@
     /// weights it serves
     #[argh(option, default = "Settings::default().weights")]
     weights: String,
-    /// blocks its cache holds
+    /// blocks its cache holds (default 4096)
     #[argh(option, default = "Settings::default().blocks")]
     blocks: usize,
-    /// requests it computes at a time
+    /// milliseconds after which an unused block is evicted (default 8000)
+    #[argh(option, default = "millis(Settings::default().age)")]
+    age_ms: u64,
+    /// requests it computes at a time (default 8)
     #[argh(option, default = "Settings::default().slots")]
     slots: usize,
-    /// microseconds to compute one block of prompt
-    #[argh(option, default = "400")]
+    /// microseconds to compute one block of prompt (default 400)
+    #[argh(option, default = "micros(Settings::default().prefill)")]
     prefill_us: u64,
-    /// microseconds to compute one token of answer
-    #[argh(option, default = "5000")]
+    /// blocks of prompt computed in one go (default 32)
+    #[argh(option, default = "Settings::default().chunk")]
+    chunk: usize,
+    /// microseconds to compute one token of answer (default 5000)
+    #[argh(option, default = "micros(Settings::default().decode)")]
     decode_us: u64,
-    /// milliseconds by which cache events are late
-    #[argh(option, default = "50")]
+    /// per cent by which each other running request lengthens a token's time (default 3)
+    #[argh(option, default = "Settings::default().crowd")]
+    crowd: u32,
+    /// per cent by which a prompt being computed lengthens a token's time (default 50)
+    #[argh(option, default = "Settings::default().disturb")]
+    disturb: u32,
+    /// milliseconds by which cache events are late (default 50)
+    #[argh(option, default = "millis(Settings::default().lag)")]
     lag_ms: u64,
+    /// milliseconds by which load is reported late (default 200)
+    #[argh(option, default = "millis(Settings::default().load_lag)")]
+    load_lag_ms: u64,
     /// one in this many cache events is lost; 0 for none
     #[argh(option, default = "0")]
     lose: u64,
+    /// publish neighbouring cache events in the wrong order
+    #[argh(switch)]
+    reorder: bool,
+    /// microseconds to import one block of kept KV (default 20)
+    #[argh(option, default = "micros(Settings::default().import)")]
+    import_us: u64,
+    /// milliseconds to load weights (default 2000)
+    #[argh(option, default = "millis(Settings::default().loading)")]
+    load_ms: u64,
+    /// what it makes of old fencing numbers: honour or ignore (default honour)
+    #[argh(option, default = "Fencing::Honour")]
+    fencing: Fencing,
     /// a prompt with this text kills the process
     #[argh(option)]
     poison: Option<String>,
 }
 
-#[tokio::main]
+fn millis(d: Duration) -> u64 {
+    d.as_millis() as u64
+}
+
+fn micros(d: Duration) -> u64 {
+    d.as_micros() as u64
+}
+
+#[tokio::main(worker_threads = 2)]
 async fn main() -> std::io::Result<()> {
     let a: Args = argh::from_env();
     let engine = Engine::new(Settings {
         model: a.model,
         weights: a.weights,
         blocks: a.blocks,
+        age: Duration::from_millis(a.age_ms),
         slots: a.slots,
         prefill: Duration::from_micros(a.prefill_us),
+        chunk: a.chunk,
         decode: Duration::from_micros(a.decode_us),
+        crowd: a.crowd,
+        disturb: a.disturb,
         lag: Duration::from_millis(a.lag_ms),
+        load_lag: Duration::from_millis(a.load_lag_ms),
         lose: a.lose,
+        reorder: a.reorder,
+        import: Duration::from_micros(a.import_us),
+        loading: Duration::from_millis(a.load_ms),
+        fencing: a.fencing,
         poison: a.poison,
     });
-    let (addr, server) = standin::listen(&a.listen, engine.router()).await?;
+    let (addr, server) = standin::listen_gated(&a.listen, engine.router(), engine.gate()).await?;
     println!("listening {addr}");
     server.await
 }
--- a/crates/standin/examples/platform.rs
+++ b/crates/standin/examples/platform.rs
@@ -1,7 +1,7 @@
 //! The platform stand-in as a program; prints its address once it listens.
 
 use argh::FromArgs;
-use standin::platform::Platform;
+use standin::platform::{Budget, Platform};
 
 /// The platform's services for development.
 #[derive(FromArgs)]
@@ -9,12 +9,23 @@
     /// address to listen on (default 127.0.0.1:0)
     #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
     listen: String,
+    /// reads it answers in a second (default 2000)
+    #[argh(option, default = "Budget::default().reads")]
+    reads: u64,
+    /// writes it answers in a second (default 400)
+    #[argh(option, default = "Budget::default().writes")]
+    writes: u64,
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> std::io::Result<()> {
     let a: Args = argh::from_env();
-    let (addr, server) = standin::listen(&a.listen, Platform::new().router()).await?;
+    let budget = Budget {
+        reads: a.reads,
+        writes: a.writes,
+    };
+    let platform = Platform::with_budget(budget);
+    let (addr, server) = standin::listen(&a.listen, platform.router()).await?;
     println!("listening {addr}");
     server.await
 }
--- a/crates/standin/examples/service.rs
+++ b/crates/standin/examples/service.rs
@@ -16,7 +16,7 @@
     delay_ms: u64,
 }
 
-#[tokio::main]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> std::io::Result<()> {
     let a: Args = argh::from_env();
     let service = Service::new(Duration::from_millis(a.delay_ms));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,7 +6,10 @@
 //! `scripts/try` and the load tool.
 
 pub mod cache;
+pub mod call;
 pub mod engine;
+pub mod gate;
+pub mod lagged;
 pub mod platform;
 pub mod reply;
 pub mod service;
@@ -14,19 +17,42 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::SystemTime;
 
 use tokio::net::TcpListener;
 use viz::Router;
 
+use crate::gate::{Gate, Gated};
+
 /// Listens and gives the address together with the server to be awaited.
 pub async fn listen(
     at: impl tokio::net::ToSocketAddrs,
     router: Router,
+) -> io::Result<(SocketAddr, impl Future<Output = io::Result<()>>)> {
+    listen_gated(at, router, Arc::default()).await
+}
+
+/// Listens behind a gate.
+pub async fn listen_gated(
+    at: impl tokio::net::ToSocketAddrs,
+    router: Router,
+    gate: Arc<Gate>,
 ) -> io::Result<(SocketAddr, impl Future<Output = io::Result<()>>)> {
     let listener = TcpListener::bind(at).await?;
     let addr = listener.local_addr()?;
-    Ok((
-        addr,
-        std::future::IntoFuture::into_future(viz::serve(listener, router)),
-    ))
+    let server = viz::serve(Gated::new(listener, gate), router);
+    Ok((addr, std::future::IntoFuture::into_future(server)))
+}
+
+/// Microseconds since 1970; the clock that logs of several processes share.
+pub fn micros() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |t| t.as_micros() as u64)
+}
+
+/// Locks, also after another holder has panicked.
+pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -18,3 +18,8 @@
         .body(Body::Full(body.into().into()))
         .map_err(viz::Error::boxed)
 }
+
+/// An answer that says what was wrong.
+pub fn refused(status: StatusCode, why: &impl std::fmt::Display) -> Result<Response> {
+    json(status, &serde_json::json!({"error": why.to_string()}))
+}
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,52 @@
+//! Shared by the tests: an engine in this process, and waiting for what is to come.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use standin::call::Call;
+use standin::engine::{Engine, Settings};
+use viz::Router;
+
+/// Longest wait for an event; only a failing test comes near it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) async fn start(set: Settings) -> (Arc<Engine>, SocketAddr) {
+    let engine = Engine::new(set);
+    let listening = standin::listen_gated("127.0.0.1:0", engine.router(), engine.gate()).await;
+    let (at, server) = listening.unwrap();
+    tokio::spawn(server);
+    (engine, at)
+}
+
+pub(crate) async fn serve(router: Router) -> SocketAddr {
+    let (at, server) = standin::listen("127.0.0.1:0", router).await.unwrap();
+    tokio::spawn(server);
+    at
+}
+
+pub(crate) fn completion(at: SocketAddr, id: &str, body: &Value) -> Call {
+    Call::post(at, "/v1/completions", body.to_string()).header("x-request-id", id)
+}
+
+pub(crate) async fn eventually(mut holds: impl FnMut() -> bool) {
+    let all = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, all)
+        .await
+        .expect("never came");
+}
+
+/// The words of a stream.
+pub(crate) fn words(stream: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(stream);
+    let data = text.lines().filter_map(|l| l.strip_prefix("data: "));
+    data.filter_map(|d| serde_json::from_str::<Value>(d).ok())
+        .filter_map(|v| Some(v["choices"].get(0)?["text"].as_str()?.to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,379 @@
+//! The engine stand-in: schedule, cache, cancel, resume, faults, orders, kept KV.
+
+mod common;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use http_body_util::BodyExt;
+use serde_json::{json, Value};
+use standin::call::{Call, CallError};
+use standin::engine::{word, Engine, Fate, Faults, Fencing, Given, Line, Place, Settings};
+
+use common::{completion, eventually, start, words};
+
+fn quick() -> Settings {
+    Settings {
+        prefill: Duration::from_micros(10),
+        decode: Duration::from_micros(100),
+        lag: Duration::ZERO,
+        load_lag: Duration::ZERO,
+        loading: Duration::ZERO,
+        age: Duration::from_secs(3_600),
+        ..Settings::default()
+    }
+}
+
+#[tokio::test]
+async fn streams_the_words_after_those_that_the_caller_has() {
+    struct Case {
+        resume: usize,
+        tokens: usize,
+    }
+    let cases = [
+        Case {
+            resume: 0,
+            tokens: 5,
+        },
+        Case {
+            resume: 3,
+            tokens: 5,
+        },
+        Case {
+            resume: 5,
+            tokens: 5,
+        },
+    ];
+    let (engine, at) = start(quick()).await;
+    for c in cases {
+        let body =
+            json!({"prompt": "p", "max_tokens": c.tokens, "stream": true, "resume": c.resume});
+        let (_, text) = completion(at, "a", &body).whole().await.unwrap();
+        let want: Vec<_> = (c.resume..c.tokens).map(|i| word("p", i)).collect();
+        assert_eq!(words(&text), want);
+        assert!(text.ends_with(b"data: [DONE]\n\n"));
+    }
+    assert!(engine.ran().iter().all(|r| r.whole));
+}
+
+#[tokio::test]
+async fn finds_blocks_of_the_same_scope_only() {
+    struct Case {
+        scope: &'static str,
+        prompt: String,
+        cached: usize,
+    }
+    let long = "x".repeat(640);
+    let fork = format!("{}{}", "x".repeat(320), "y".repeat(320));
+    let cases = [
+        Case {
+            scope: "a",
+            prompt: long.clone(),
+            cached: 0,
+        },
+        Case {
+            scope: "a",
+            prompt: long.clone(),
+            cached: 160,
+        },
+        Case {
+            scope: "b",
+            prompt: long.clone(),
+            cached: 0,
+        },
+        Case {
+            scope: "a",
+            prompt: fork,
+            cached: 80,
+        },
+    ];
+    let (_, at) = start(quick()).await;
+    for c in cases {
+        let body = json!({"prompt": c.prompt, "max_tokens": 1, "cache_salt": c.scope});
+        let (_, v) = completion(at, "a", &body).json::<Value>().await.unwrap();
+        let cached = &v["usage"]["prompt_tokens_details"]["cached_tokens"];
+        assert_eq!(cached, &json!(c.cached));
+    }
+}
+
+#[tokio::test]
+async fn the_line_seats_by_priority_then_arrival() {
+    let line = Line::new(1);
+    let first = line
+        .seat(Place {
+            priority: 0,
+            arrival: 0,
+        })
+        .await;
+    let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
+    let places = [(5, 1), (0, 2), (5, 3), (-1, 4)];
+    for (n, (priority, arrival)) in places.into_iter().enumerate() {
+        let (line, tx) = (line.clone(), tx.clone());
+        tokio::spawn(async move {
+            let _seat = line.seat(Place { priority, arrival }).await;
+            let _ = tx.send(n);
+        });
+    }
+    eventually(|| line.waiting() == places.len()).await;
+    drop(first);
+    let mut got = Vec::new();
+    for _ in places {
+        got.extend(rx.recv().await);
+    }
+    assert_eq!(got, [3, 1, 0, 2]);
+}
+
+/// A caller gives up while its answer is computed. If the engine went on, its slot would be lost
+/// to callers who still wait; they would notice a full engine that answers nobody.
+#[tokio::test]
+async fn a_caller_who_goes_frees_the_slot() {
+    let set = Settings {
+        slots: 1,
+        decode: Duration::from_millis(5),
+        ..quick()
+    };
+    for stream in [true, false] {
+        let (engine, at) = start(set.clone()).await;
+        let long = json!({"prompt": "p", "max_tokens": 1_000_000, "stream": stream});
+        let call = tokio::spawn(completion(at, "gone", &long).whole());
+        eventually(|| engine.running() == 1).await;
+        call.abort();
+        let body = json!({"prompt": "q", "max_tokens": 1});
+        completion(at, "next", &body).whole().await.unwrap();
+        let ran = engine.ran();
+        assert_matches!(ran.as_slice(), [a, b] if a.request == "gone" && !a.whole
+            && b.request == "next" && b.whole);
+    }
+}
+
+/// Something between sidecar and engine loses track of a connection. Its stream stands still
+/// without an end or an error, while new connections work and can fetch the rest.
+#[tokio::test]
+async fn a_frozen_connection_says_nothing_while_new_ones_work() {
+    let set = Settings {
+        decode: Duration::from_millis(5),
+        ..quick()
+    };
+    let (engine, at) = start(set).await;
+    let body = json!({"prompt": "p", "max_tokens": 200, "stream": true});
+    let mut res = completion(at, "a", &body).open().await.unwrap();
+    res.body_mut().frame().await.unwrap().unwrap();
+    let (status, _) = Call::post(at, "/faults", r#"{"freeze":true}"#)
+        .whole()
+        .await
+        .unwrap();
+    assert_eq!(status, 200);
+    let rest = json!({"prompt": "p", "max_tokens": 200, "stream": true, "resume": 199});
+    let (_, text) = completion(at, "a", &rest).whole().await.unwrap();
+    assert_eq!(words(&text), [word("p", 199)]);
+    eventually(|| engine.ran().iter().filter(|r| r.whole).count() == 2).await;
+    let silent = async {
+        // What was on its way before the freeze may still come; the end never does.
+        let whole = res.into_body().collect().await;
+        panic!("ended: {whole:?}");
+    };
+    let ping = Call::get(at, "/load").whole();
+    tokio::select! {
+        () = silent => (),
+        r = ping => assert_eq!(r.unwrap().0, 200),
+    }
+}
+
+/// The connection to an engine breaks in mid-stream. Whoever relays it must not take the broken
+/// end for the end of the answer; here the stand-in breaks as many as were asked for.
+#[tokio::test]
+async fn streams_are_cut_as_often_as_asked() {
+    let (engine, at) = start(quick()).await;
+    engine.misbehave(Faults {
+        drop: 1,
+        after: 2,
+        ..Faults::default()
+    });
+    let body = json!({"prompt": "p", "max_tokens": 5, "stream": true});
+    let cut = completion(at, "a", &body).whole().await;
+    assert_matches!(cut, Err(CallError::Broken(_)));
+    let (_, text) = completion(at, "b", &body).whole().await.unwrap();
+    assert_eq!(words(&text).len(), 5);
+    let ran: Vec<_> = engine.ran().iter().map(|r| (r.tokens, r.whole)).collect();
+    assert_eq!(ran, [(2, false), (5, true)]);
+}
+
+#[tokio::test]
+async fn requests_are_refused_as_often_as_asked() {
+    let (engine, at) = start(quick()).await;
+    let set = Call::post(at, "/faults", r#"{"errors":2,"status":500}"#);
+    set.whole().await.unwrap();
+    let body = json!({"prompt": "p", "max_tokens": 1});
+    let mut got = Vec::new();
+    for _ in 0..3 {
+        got.push(completion(at, "a", &body).whole().await.unwrap().0.as_u16());
+    }
+    assert_eq!(got, [500, 500, 200]);
+    assert_eq!(engine.ran().len(), 1);
+}
+
+#[tokio::test]
+async fn cache_events_come_with_the_gaps_and_order_that_are_set() {
+    struct Case {
+        lose: u64,
+        reorder: bool,
+        want: &'static [u64],
+    }
+    let cases = [
+        Case {
+            lose: 0,
+            reorder: false,
+            want: &[1, 2, 3, 4],
+        },
+        Case {
+            lose: 3,
+            reorder: false,
+            want: &[1, 2, 4],
+        },
+        Case {
+            lose: 0,
+            reorder: true,
+            want: &[2, 1, 4, 3],
+        },
+    ];
+    for c in cases {
+        let set = Settings {
+            lose: c.lose,
+            reorder: c.reorder,
+            ..quick()
+        };
+        let (_, at) = start(set).await;
+        let body = json!({"prompt": "x".repeat(256), "max_tokens": 1});
+        completion(at, "a", &body).whole().await.unwrap();
+        let (_, v) = Call::get(at, "/events?after=0")
+            .json::<Value>()
+            .await
+            .unwrap();
+        let seqs: Vec<_> = v["events"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|e| &e["seq"])
+            .collect();
+        assert_eq!(seqs, c.want);
+        assert_eq!(v["next"], 4);
+    }
+}
+
+#[tokio::test]
+async fn orders_are_fenced_where_the_engine_checks_numbers() {
+    struct Case {
+        fencing: Fencing,
+        late: Fate,
+        weights: &'static str,
+    }
+    let cases = [
+        Case {
+            fencing: Fencing::Honour,
+            late: Fate::Fenced,
+            weights: "w2",
+        },
+        Case {
+            fencing: Fencing::Ignore,
+            late: Fate::Done,
+            weights: "w0",
+        },
+    ];
+    for c in cases {
+        let (engine, at) = start(Settings {
+            fencing: c.fencing,
+            ..quick()
+        })
+        .await;
+        for (fence, weights) in [(7, "w2"), (6, "w0")] {
+            let order = json!({"fence": fence, "order": "load", "weights": weights}).to_string();
+            Call::post(at, "/orders", order).whole().await.unwrap();
+            eventually(|| engine.orders().iter().all(|g| g.fate != Fate::Running)).await;
+        }
+        let (_, given) = Call::get(at, "/orders").json::<Vec<Given>>().await.unwrap();
+        let fates: Vec<_> = given.iter().map(|g| g.fate).collect();
+        assert_eq!(fates, [Fate::Done, c.late]);
+        let (_, load) = Call::get(at, "/load").json::<Value>().await.unwrap();
+        assert_eq!(load["weights"], c.weights);
+    }
+}
+
+/// New weights are ordered while a request runs. Blocks of the old ones must not be found by
+/// anyone afterwards; a caller would get words that neither version would have said.
+#[tokio::test]
+async fn loading_weights_cuts_what_runs_and_empties_the_cache() {
+    let set = Settings {
+        decode: Duration::from_millis(5),
+        loading: Duration::from_millis(50),
+        ..quick()
+    };
+    let (engine, at) = start(set).await;
+    let long = json!({"prompt": "x".repeat(640), "max_tokens": 1_000_000, "stream": true});
+    let call = tokio::spawn(completion(at, "old", &long).whole());
+    eventually(|| engine.running() == 1).await;
+    let order = r#"{"fence":1,"order":"load","weights":"w2"}"#;
+    let (status, _) = Call::post(at, "/orders", order).whole().await.unwrap();
+    assert_eq!(status, 202);
+    assert_matches!(call.await.unwrap(), Err(CallError::Broken(_)));
+    eventually(|| engine.orders()[0].fate == Fate::Done).await;
+    let body = json!({"prompt": "x".repeat(640), "max_tokens": 1});
+    completion(at, "new", &body).whole().await.unwrap();
+    let ran = engine.ran();
+    let seen: Vec<_> = ran
+        .iter()
+        .map(|r| (&*r.weights, r.cached, r.whole))
+        .collect();
+    assert_eq!(seen, [("w1", 0, false), ("w2", 0, true)]);
+}
+
+#[tokio::test]
+async fn kept_kv_is_imported_for_the_same_weights_only() {
+    struct Case {
+        weights: &'static str,
+        status: u16,
+        cached: u64,
+    }
+    let cases = [
+        Case {
+            weights: "w1",
+            status: 200,
+            cached: 160,
+        },
+        Case {
+            weights: "w2",
+            status: 409,
+            cached: 0,
+        },
+    ];
+    let (_, from) = start(quick()).await;
+    let body = json!({"prompt": "x".repeat(640), "max_tokens": 1, "cache_salt": "s"});
+    completion(from, "a", &body).whole().await.unwrap();
+    let (_, v) = Call::get(from, "/cache").json::<Value>().await.unwrap();
+    let last = v["blocks"].as_array().unwrap().last().unwrap()["hash"]
+        .as_u64()
+        .unwrap();
+    let (_, kept) = Call::get(from, format!("/kv/{last}"))
+        .whole()
+        .await
+        .unwrap();
+    for c in cases {
+        let (_, to) = start(Settings {
+            weights: c.weights.to_owned(),
+            ..quick()
+        })
+        .await;
+        let (status, _) = Call::post(to, "/kv", kept.clone()).whole().await.unwrap();
+        assert_eq!(status, c.status);
+        let (_, v) = completion(to, "a", &body).json::<Value>().await.unwrap();
+        assert_eq!(
+            v["usage"]["prompt_tokens_details"]["cached_tokens"],
+            c.cached
+        );
+    }
+}
+
+#[test]
+fn each_life_has_its_own_incarnation() {
+    let lives = [(); 3].map(|()| Engine::new(quick()).incarnation());
+    assert!(lives[0] < lives[1] && lives[1] < lives[2]);
+}
--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,75 @@
+//! The plain service stand-in: what it ran, and where it fails.
+
+mod common;
+
+use std::time::Duration;
+
+use standin::call::Call;
+use standin::service::{Faults, Service};
+
+use common::{eventually, serve};
+
+/// A service hangs before or after it has run a call. Its caller sees the same silence both
+/// times; only the service's log tells whether the record was made.
+#[tokio::test]
+async fn a_call_hangs_before_or_after_it_ran() {
+    struct Case {
+        faults: Faults,
+        records: usize,
+        answered: bool,
+    }
+    let cases = [
+        Case {
+            faults: Faults::default(),
+            records: 1,
+            answered: true,
+        },
+        Case {
+            faults: Faults {
+                hang_before: 1,
+                ..Faults::default()
+            },
+            records: 0,
+            answered: false,
+        },
+        Case {
+            faults: Faults {
+                hang_after: 1,
+                ..Faults::default()
+            },
+            records: 1,
+            answered: false,
+        },
+    ];
+    for c in cases {
+        let service = Service::new(Duration::ZERO);
+        let at = serve(service.router()).await;
+        service.misbehave(c.faults.clone());
+        let call = Call::post(at, "/records", "yes").header("idempotency-key", "k");
+        let call = tokio::spawn(call.header("x-request-id", "r").whole());
+        if c.answered {
+            assert_eq!(call.await.unwrap().unwrap().0, 201);
+        } else {
+            eventually(|| service.faults() != c.faults).await;
+            eventually(|| service.runs().len() == c.records).await;
+            assert!(!call.is_finished());
+        }
+        let runs = service.runs();
+        assert_eq!(runs.len(), c.records);
+        assert!(runs
+            .iter()
+            .all(|r| (&*r.request, &*r.idempotency) == ("r", "k")));
+    }
+}
+
+#[tokio::test]
+async fn only_records_stand_in_the_log() {
+    let service = Service::new(Duration::ZERO);
+    let at = serve(service.router()).await;
+    Call::get(at, "/quota/anand").whole().await.unwrap();
+    Call::post(at, "/records", "yes").whole().await.unwrap();
+    let (_, log) = Call::get(at, "/log").whole().await.unwrap();
+    assert_eq!(log, r#"["yes"]"#);
+    let paths: Vec<_> = service.runs().into_iter().map(|r| r.path).collect();
+    assert_eq!(paths, ["/quota/anand", "/records"]);
+}
