standin: add the load tool

Replays a trace or made-up traffic against a running fleet, or against one that it starts itself, and judges answers, reuse and use of processes.

--- /dev/null
+++ b/crates/standin/examples/load.rs
@@ -0,0 +1,252 @@
+//! Replays a trace against a fleet and prints what the callers received.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use standin::cache::chain;
+use standin::call::Call;
+use standin::load::drive::{drive, Drive};
+use standin::load::fleet::{self, byte_counters, Fleet};
+use standin::load::generate::{generate, Plan, User};
+use standin::load::report::{Evidence, Process, Report, Run};
+use standin::load::reuse::{reuse, Logs};
+use standin::load::trace::{read, write, Arrival, Texts};
+use standin::load::usage::Usage;
+use standin::load::LoadError;
+
+/// Replay a trace against a fleet; see docs/STANDINS.md.
+#[derive(FromArgs)]
+struct Args {
+    /// trace to replay, JSON lines
+    #[argh(option)]
+    trace: Option<PathBuf>,
+    /// whose traffic to make up without a trace: association, alpen or hops (default association)
+    #[argh(option, default = "User::Association")]
+    user: User,
+    /// seed of made-up traffic (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// made-up requests a second (default 40)
+    #[argh(option, default = "40.0")]
+    rate: f64,
+    /// seconds of made-up traffic, at most 600 (default 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// write the trace to this file
+    #[argh(option)]
+    write_trace: Option<PathBuf>,
+    /// start a fleet
+    #[argh(switch)]
+    fleet: bool,
+    /// engines of the fleet to start (default 4)
+    #[argh(option, default = "4")]
+    engine_count: usize,
+    /// entries of the fleet to start (default 2)
+    #[argh(option, default = "2")]
+    entry_count: usize,
+    /// how entries choose: ours, round-robin, least-loaded, consistent-hash (default ours)
+    #[argh(option, default = "String::from(\"ours\")")]
+    policy: String,
+    /// flags of the engines to start, separated by blanks
+    #[argh(option, default = "String::new()")]
+    engine_args: String,
+    /// directory for the logs of the fleet to start
+    #[argh(option)]
+    log_dir: Option<PathBuf>,
+    /// callers' addresses of a running fleet, separated by commas
+    #[argh(option, default = "String::new()")]
+    entries: String,
+    /// addresses of its engines, for their logs
+    #[argh(option, default = "String::new()")]
+    engines: String,
+    /// addresses of its plain services, for their logs
+    #[argh(option, default = "String::new()")]
+    services: String,
+    /// API key of a team by pattern (default sample-key-{{team}})
+    #[argh(option, default = "String::from(\"sample-key-{team}\")")]
+    key: String,
+    /// API keys of single teams as team=key, separated by commas
+    #[argh(option, default = "String::new()")]
+    keys: String,
+    /// send every other completion to an engine directly
+    #[argh(switch)]
+    direct: bool,
+    /// seconds to wait for an answer (default 60)
+    #[argh(option, default = "60")]
+    patience: u64,
+    /// milliseconds to a first token that count as in time (default 1500)
+    #[argh(option, default = "1500")]
+    limit_ms: u64,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> Result<(), LoadError> {
+    let a: Args = argh::from_env();
+    let trace = arrivals(&a)?;
+    if let Some(path) = &a.write_trace {
+        write(path, &trace)?;
+    }
+    let fleet = match a.fleet {
+        true => fleet::start(&started(&a)).await?,
+        false => running(&a),
+    };
+    if fleet.entries.is_empty() {
+        return Err(LoadError::Nowhere);
+    }
+    let report = run(&a, &trace, &fleet).await?;
+    match a.json {
+        true => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+        false => println!("{report}"),
+    }
+    Ok(())
+}
+
+fn arrivals(a: &Args) -> Result<Vec<Arrival>, LoadError> {
+    match &a.trace {
+        Some(path) => read(path),
+        None => Ok(generate(&Plan {
+            user: a.user,
+            seed: a.seed,
+            rate: a.rate.clamp(0.1, 5_000.0),
+            seconds: a.seconds.min(600),
+        })),
+    }
+}
+
+fn started(a: &Args) -> fleet::Plan {
+    fleet::Plan {
+        engines: a.engine_count.clamp(1, 32),
+        entries: a.entry_count.clamp(1, 16),
+        policy: a.policy.clone(),
+        engine_args: a
+            .engine_args
+            .split_whitespace()
+            .map(str::to_owned)
+            .collect(),
+        key: a.key.clone(),
+        logs: a.log_dir.clone(),
+    }
+}
+
+fn running(a: &Args) -> Fleet {
+    Fleet {
+        entries: addresses(&a.entries),
+        engines: addresses(&a.engines),
+        services: addresses(&a.services),
+        ..Fleet::default()
+    }
+}
+
+fn addresses(list: &str) -> Vec<SocketAddr> {
+    list.split(',')
+        .filter_map(|a| a.trim().parse().ok())
+        .collect()
+}
+
+async fn run(a: &Args, trace: &[Arrival], fleet: &Fleet) -> Result<Report, LoadError> {
+    let pairs = a.keys.split(',').filter_map(|p| p.split_once('='));
+    let set = Drive {
+        entries: fleet.entries.clone(),
+        direct: if a.direct {
+            fleet.engines.clone()
+        } else {
+            Vec::new()
+        },
+        key: a.key.clone(),
+        keys: pairs.map(|(t, k)| (t.to_owned(), k.to_owned())).collect(),
+        patience: Duration::from_secs(a.patience.clamp(1, 600)),
+        run: format!("load-{:x}", standin::micros()),
+    };
+    let before = usage(fleet);
+    let clock = std::time::Instant::now();
+    let done = drive(&set, trace).await;
+    let took = clock.elapsed().as_secs_f64();
+    let after = usage(fleet);
+    let logs = engines(fleet).await?;
+    let ran: Vec<_> = logs.iter().flat_map(|l| l.ran.iter().cloned()).collect();
+    let calls = services(fleet).await?;
+    let evidence = Evidence {
+        done: &done,
+        completes: &trace.iter().map(Arrival::completes).collect::<Vec<_>>(),
+        idempotent: &trace.iter().map(|a| a.idempotent).collect::<Vec<_>>(),
+        ran: &ran,
+        calls: &calls,
+        limit: Duration::from_millis(a.limit_ms),
+    };
+    let mut report = Report::new(described(a, trace, fleet), &evidence);
+    if !logs.is_empty() {
+        report.reuse = Some(reuse(&logs, |id| blocks(&set.run, id, trace)));
+    }
+    let ours = fleet.processes.iter().zip(before.iter().zip(after));
+    for (p, (before, after)) in ours.filter(|(p, _)| p.ours) {
+        let usage = after.since(*before);
+        report.processes.push(Process {
+            name: p.name.clone(),
+            usage,
+            cpu_share: usage.cpu_ms as f64 / 1_000.0 / took,
+            bytes: match p.admin {
+                Some(at) => byte_counters(at).await,
+                None => serde_json::Map::new(),
+            },
+        });
+    }
+    Ok(report)
+}
+
+fn described(a: &Args, trace: &[Arrival], fleet: &Fleet) -> Run {
+    let name = || format!("{:?}", a.user).to_lowercase();
+    Run {
+        source: a
+            .trace
+            .as_ref()
+            .map_or_else(name, |t| t.display().to_string()),
+        seed: a.seed,
+        policy: a.policy.clone(),
+        seconds: trace.last().map_or(0.0, |a| a.at_ms as f64 / 1_000.0),
+        engines: fleet.engines.len(),
+        entries: fleet.entries.len(),
+    }
+}
+
+fn usage(fleet: &Fleet) -> Vec<Usage> {
+    fleet.processes.iter().map(|p| Usage::of(p.pid)).collect()
+}
+
+async fn engines(fleet: &Fleet) -> Result<Vec<Logs>, LoadError> {
+    let mut out = Vec::new();
+    for &at in &fleet.engines {
+        out.push(Logs {
+            ran: fetch(at, "/log").await?,
+            history: fetch(at, "/history").await?,
+        });
+    }
+    Ok(out)
+}
+
+async fn services(fleet: &Fleet) -> Result<Vec<standin::service::Call>, LoadError> {
+    let mut out = Vec::new();
+    for &at in &fleet.services {
+        out.extend(fetch::<Vec<_>>(at, "/runs").await?);
+    }
+    Ok(out)
+}
+
+async fn fetch<T: serde::de::DeserializeOwned>(at: SocketAddr, path: &str) -> Result<T, LoadError> {
+    match Call::get(at, path).json().await {
+        Ok((_, value)) => Ok(value),
+        Err(error) => Err(LoadError::Log { at, error }),
+    }
+}
+
+/// The blocks of a request of this run; a team's name is its cache scope.
+fn blocks(run: &str, id: &str, trace: &[Arrival]) -> Option<Vec<u64>> {
+    let n: usize = id.strip_prefix(run)?.strip_prefix('-')?.parse().ok()?;
+    let arrival = trace.get(n)?;
+    let prompt = Texts::default().prompt(n, arrival);
+    Some(chain(&arrival.team, prompt.as_bytes()))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod gate;
 pub mod lagged;
+pub mod load;
 pub mod platform;
 pub mod reply;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/load/generate.rs
@@ -0,0 +1,264 @@
+//! Made-up traffic like that of the two users, the same for the same seed.
+//!
+//! Prompts nest: a system text, a long document, a short one within it, a tail of its own. Which
+//! document is asked about follows Zipf's law; the hot ones change every few seconds. Arrivals
+//! are a Poisson process that bursts. Two of the eight teams send most of the traffic.
+
+use std::str::FromStr;
+
+use model::Class;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::load::trace::Arrival;
+
+/// Whose traffic is made up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum User {
+    /// Short answers while a respondent waits, many codebooks of a few thousand tokens.
+    Association,
+    /// Long regulation texts, few but dear; reports that nobody waits for.
+    Alpen,
+    /// Tiny prompts at an even rate, to measure what lies between caller and engine.
+    Hops,
+}
+
+/// A word that names no user.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is none of association, alpen, hops")]
+pub struct UserError(String);
+
+impl FromStr for User {
+    type Err = UserError;
+
+    fn from_str(s: &str) -> Result<Self, UserError> {
+        match s {
+            "association" => Ok(Self::Association),
+            "alpen" => Ok(Self::Alpen),
+            "hops" => Ok(Self::Hops),
+            _ => Err(UserError(s.to_owned())),
+        }
+    }
+}
+
+/// How much is made up.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Whose traffic.
+    pub user: User,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// Requests a second on the average.
+    pub rate: f64,
+    /// Seconds.
+    pub seconds: u64,
+}
+
+/// Shares of the teams; a few are large.
+const TEAMS: [f64; 8] = [0.35, 0.25, 0.10, 0.08, 0.07, 0.06, 0.05, 0.04];
+/// Exponent of Zipf's law; measured popularity of shared texts lies near one.
+const ZIPF: f64 = 1.1;
+/// Seconds after which other documents are hot.
+const SHIFT: f64 = 10.0;
+/// Ranks by which the hot documents move on.
+const STRIDE: usize = 7;
+/// Seconds from burst to burst.
+const PERIOD: f64 = 5.0;
+/// Seconds that a burst lasts.
+const BURST: f64 = 0.5;
+/// Rate in a burst over the rate outside.
+const HEIGHT: f64 = 3.0;
+/// Most arrivals of one run.
+const MOST: usize = 200_000;
+
+/// One user's mix.
+#[derive(Clone, Copy, Debug)]
+struct Mix {
+    system: usize,
+    documents: usize,
+    document: (usize, usize),
+    sections: usize,
+    section: usize,
+    tail: (usize, usize),
+    output: (usize, usize),
+    call: f64,
+    normal: f64,
+    plain: f64,
+}
+
+const ASSOCIATION: Mix = Mix {
+    system: 1_000,
+    documents: 40,
+    document: (2_000, 6_000),
+    sections: 12,
+    section: 400,
+    tail: (40, 150),
+    output: (8, 32),
+    call: 0.7,
+    normal: 0.2,
+    plain: 0.2,
+};
+
+const ALPEN: Mix = Mix {
+    system: 2_000,
+    documents: 12,
+    document: (8_000, 12_000),
+    sections: 50,
+    section: 2_000,
+    tail: (60, 200),
+    output: (48, 128),
+    call: 0.2,
+    normal: 0.4,
+    plain: 0.1,
+};
+
+/// Arrivals in order of time.
+pub fn generate(plan: &Plan) -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let mix = match plan.user {
+        User::Association => ASSOCIATION,
+        User::Alpen => ALPEN,
+        User::Hops => return even(plan),
+    };
+    let mut maker = Maker {
+        mix,
+        documents: zipf(mix.documents),
+        sections: zipf(mix.sections),
+        teams: cumulate(TEAMS.iter().copied()),
+    };
+    times(plan, &mut rng)
+        .into_iter()
+        .map(|t| maker.arrival(t, &mut rng))
+        .collect()
+}
+
+fn even(plan: &Plan) -> Vec<Arrival> {
+    let count = (plan.rate * plan.seconds as f64) as usize;
+    let arrival = |i: usize| Arrival {
+        at_ms: (i as f64 * 1_000.0 / plan.rate) as u64,
+        team: "t1".to_owned(),
+        class: Class::Call,
+        path: "/v1/completions".to_owned(),
+        prefix: Vec::new(),
+        tail: 8,
+        output: 4,
+        idempotent: true,
+    };
+    (0..count.min(MOST)).map(arrival).collect()
+}
+
+/// Times of arrival in seconds: a Poisson process thinned outside the bursts.
+fn times(plan: &Plan, rng: &mut StdRng) -> Vec<f64> {
+    let share = BURST / PERIOD;
+    let base = plan.rate / (1.0 - share + share * HEIGHT);
+    let peak = base * HEIGHT;
+    let mut out = Vec::new();
+    let mut t = 0.0;
+    while out.len() < MOST {
+        t += -(1.0 - rng.random::<f64>()).ln() / peak;
+        if t >= plan.seconds as f64 {
+            break;
+        }
+        let bursts = t % PERIOD < BURST;
+        if bursts || rng.random::<f64>() < 1.0 / HEIGHT {
+            out.push(t);
+        }
+    }
+    out
+}
+
+struct Maker {
+    mix: Mix,
+    documents: Vec<f64>,
+    sections: Vec<f64>,
+    teams: Vec<f64>,
+}
+
+impl Maker {
+    fn arrival(&mut self, t: f64, rng: &mut StdRng) -> Arrival {
+        let at_ms = (t * 1_000.0) as u64;
+        let team = format!("t{}", draw(&self.teams, rng) + 1);
+        if rng.random::<f64>() < self.mix.plain {
+            return plain(at_ms, team, rng);
+        }
+        let shift = (t / SHIFT) as usize * STRIDE;
+        let document = (draw(&self.documents, rng) + shift) % self.mix.documents;
+        let section = draw(&self.sections, rng);
+        let name = format!("doc-{document}");
+        let within = format!("doc-{document}-{section}");
+        Arrival {
+            at_ms,
+            team,
+            class: self.class(rng),
+            path: "/v1/completions".to_owned(),
+            prefix: vec![
+                ("sys".to_owned(), self.mix.system),
+                (name, self.length(document)),
+                (within, self.mix.section),
+            ],
+            tail: between(self.mix.tail, rng),
+            output: between(self.mix.output, rng),
+            idempotent: true,
+        }
+    }
+
+    fn class(&self, rng: &mut StdRng) -> Class {
+        let x = rng.random::<f64>();
+        match () {
+            () if x < self.mix.call => Class::Call,
+            () if x < self.mix.call + self.mix.normal => Class::Normal,
+            () => Class::Batch,
+        }
+    }
+
+    /// A document's length, the same each time.
+    fn length(&self, document: usize) -> usize {
+        let (low, high) = self.mix.document;
+        let h = xxhash_rust::xxh3::xxh3_64(&document.to_le_bytes());
+        low + (h % (high - low) as u64) as usize
+    }
+}
+
+/// A quota check, or more rarely a record that may be made only once.
+fn plain(at_ms: u64, team: String, rng: &mut StdRng) -> Arrival {
+    let record = rng.random::<f64>() < 0.25;
+    let path = match record {
+        true => "/records".to_owned(),
+        false => format!("/quota/district-{}", rng.random_range(0..33)),
+    };
+    Arrival {
+        at_ms,
+        team,
+        class: Class::Call,
+        path,
+        prefix: Vec::new(),
+        tail: 16,
+        output: 0,
+        idempotent: !record,
+    }
+}
+
+fn zipf(n: usize) -> Vec<f64> {
+    cumulate((1..=n).map(|rank| (rank as f64).powf(-ZIPF)))
+}
+
+fn cumulate(weights: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sum = 0.0;
+    weights
+        .map(|w| {
+            sum += w;
+            sum
+        })
+        .collect()
+}
+
+fn draw(cumulated: &[f64], rng: &mut StdRng) -> usize {
+    let x = rng.random::<f64>() * cumulated.last().copied().unwrap_or(0.0);
+    cumulated
+        .partition_point(|c| *c <= x)
+        .min(cumulated.len() - 1)
+}
+
+fn between((low, high): (usize, usize), rng: &mut StdRng) -> usize {
+    rng.random_range(low..=high)
+}
