standin: test the load tool's judgement; seeds, hops from the sending on

An engine with no decode time seemed to take a millisecond a token, since the timer rounds moments that have passed up to its next tick; it no longer sleeps for them. The hops are now counted from the sending on: the tool's own lateness (p99 5 ms on the busy machine) stood on both sides of the difference and blurred it.

--- a/crates/standin/examples/load.rs
+++ b/crates/standin/examples/load.rs
@@ -15,6 +15,7 @@
 use standin::load::trace::{read, write, Arrival, Texts};
 use standin::load::usage::Usage;
 use standin::load::LoadError;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Replay a trace against a fleet; see docs/STANDINS.md.
 #[derive(FromArgs)]
@@ -52,6 +53,12 @@
     /// flags of the engines to start, separated by blanks
     #[argh(option, default = "String::new()")]
     engine_args: String,
+    /// flags of the sidecars to start, separated by blanks
+    #[argh(option, default = "String::new()")]
+    sidecar_args: String,
+    /// flags of the entries to start, separated by blanks
+    #[argh(option, default = "String::new()")]
+    entry_args: String,
     /// directory for the logs of the fleet to start
     #[argh(option)]
     log_dir: Option<PathBuf>,
@@ -91,14 +98,11 @@
     if let Some(path) = &a.write_trace {
         write(path, &trace)?;
     }
-    let fleet = match a.fleet {
-        true => fleet::start(&started(&a)).await?,
-        false => running(&a),
+    // Told to stop, the tool drops the fleet that it started and leaves no process behind.
+    let report = tokio::select! {
+        r = all(&a, &trace) => r?,
+        () = stopped() => return Err(LoadError::Stopped),
     };
-    if fleet.entries.is_empty() {
-        return Err(LoadError::Nowhere);
-    }
-    let report = run(&a, &trace, &fleet).await?;
     match a.json {
         true => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
         false => println!("{report}"),
@@ -106,6 +110,27 @@
     Ok(())
 }
 
+async fn all(a: &Args, trace: &[Arrival]) -> Result<Report, LoadError> {
+    let fleet = match a.fleet {
+        true => fleet::start(&started(a)).await?,
+        false => running(a),
+    };
+    if fleet.entries.is_empty() {
+        return Err(LoadError::Nowhere);
+    }
+    run(a, trace, &fleet).await
+}
+
+async fn stopped() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => (),
+        _ = tokio::signal::ctrl_c() => (),
+    }
+}
+
 fn arrivals(a: &Args) -> Result<Vec<Arrival>, LoadError> {
     match &a.trace {
         Some(path) => read(path),
@@ -123,16 +148,18 @@
         engines: a.engine_count.clamp(1, 32),
         entries: a.entry_count.clamp(1, 16),
         policy: a.policy.clone(),
-        engine_args: a
-            .engine_args
-            .split_whitespace()
-            .map(str::to_owned)
-            .collect(),
+        engine_args: flags(&a.engine_args),
+        sidecar_args: flags(&a.sidecar_args),
+        entry_args: flags(&a.entry_args),
         key: a.key.clone(),
         logs: a.log_dir.clone(),
     }
 }
 
+fn flags(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
 fn running(a: &Args) -> Fleet {
     Fleet {
         entries: addresses(&a.entries),
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -148,7 +148,7 @@
             turn = self.prefill.pass(turn, place).await;
             let to = chain.len().min(from + self.set.chunk.max(1));
             let time = self.set.prefill * (to - from) as u32;
-            sleep_until(Instant::now() + self.faults.slowed(time)).await;
+            pause(Instant::now() + self.faults.slowed(time)).await;
             let piece = Piece {
                 scope: &job.ask.cache_salt,
                 prompt,
@@ -174,7 +174,7 @@
                 return false;
             }
             due += self.gap();
-            sleep_until(due).await;
+            pause(due).await;
             if tx.send(Out::Word(word(&job.prompt, i))).await.is_err() {
                 return false;
             }
@@ -250,6 +250,14 @@
     }
 }
 
+/// Waits until a moment. The timer rounds up to a millisecond, also for moments that have passed;
+/// an engine that computes in no time would seem to take one for each token.
+async fn pause(until: Instant) {
+    if until > Instant::now() {
+        sleep_until(until).await;
+    }
+}
+
 fn token(job: &Job, text: &str) -> Bytes {
     let data = json!({"id": job.id, "object": "text_completion",
         "choices": [{"index": 0, "text": text}]});
--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -39,6 +39,10 @@
     pub policy: String,
     /// Flags of the engines.
     pub engine_args: Vec<String>,
+    /// Flags of the sidecars.
+    pub sidecar_args: Vec<String>,
+    /// Flags of the entries.
+    pub entry_args: Vec<String>,
     /// API keys of the teams by pattern.
     pub key: String,
     /// Directory for what the processes log; nothing is kept without one.
@@ -78,23 +82,24 @@
     callers: Option<SocketAddr>,
     peer: Option<SocketAddr>,
     admin: Option<SocketAddr>,
+    gossip: Option<SocketAddr>,
 }
 
 /// Starts a fleet; its programs lie beside this one.
 pub async fn start(plan: &Plan) -> Result<Fleet, LoadError> {
     let mut s = Starter::new(plan)?;
     let platform = s.standin("platform", &[]).await?;
-    let mut members = Vec::new();
     for n in 0..plan.engines {
         let at = s.standin(&format!("engine-{n}"), &plan.engine_args).await?;
         s.fleet.engines.push(at);
-        members.push(s.sidecar(platform, at, "lekha-llm", "model", n).await?);
+        s.sidecar(platform, at, ["lekha-llm", "model"], n).await?;
     }
     let service = s.standin("service-0", &[]).await?;
     s.fleet.services.push(service);
-    members.push(s.sidecar(platform, service, "fieldops", "plain", 0).await?);
+    s.sidecar(platform, service, ["fieldops", "plain"], 0)
+        .await?;
     for n in 0..plan.entries {
-        s.entry(platform, &members, n).await?;
+        s.entry(platform, n).await?;
     }
     s.apply().await?;
     s.served().await?;
@@ -105,6 +110,7 @@
     plan: &'a Plan,
     bin: PathBuf,
     fleet: Fleet,
+    members: Vec<Member>,
 }
 
 impl<'a> Starter<'a> {
@@ -115,8 +121,12 @@
         })?;
         // This program is an example and lies in a directory below the others.
         let bin = own.ancestors().nth(2).unwrap_or(Path::new(".")).to_owned();
-        let fleet = Fleet::default();
-        Ok(Self { plan, bin, fleet })
+        Ok(Self {
+            plan,
+            bin,
+            fleet: Fleet::default(),
+            members: Vec::new(),
+        })
     }
 
     async fn standin(&mut self, name: &str, args: &[String]) -> Result<SocketAddr, LoadError> {
@@ -135,41 +145,47 @@
         &mut self,
         platform: SocketAddr,
         target: SocketAddr,
-        pool: &str,
-        kind: &str,
+        [pool, kind]: [&str; 2],
         n: usize,
-    ) -> Result<Member, LoadError> {
+    ) -> Result<(), LoadError> {
         let name = format!("sidecar-{kind}-{n}");
-        let mut command = self.ours("sidecar", platform);
+        let mut command = self.ours("sidecar", &name, platform);
         command.args(["--target", &format!("http://{target}")]);
         command.args(["--pool", pool, "--kind", kind]);
+        command.args(&self.plan.sidecar_args);
         let ready = self.ready(&name, &mut command).await?;
-        let peer = ready.peer.ok_or_else(|| failed(&name, "no peer address"))?;
-        let pool = pool.to_owned();
-        Ok(Member { pool, peer })
+        self.join(Some(pool), &ready);
+        Ok(())
     }
 
-    async fn entry(
-        &mut self,
-        platform: SocketAddr,
-        members: &[Member],
-        n: usize,
-    ) -> Result<(), LoadError> {
+    async fn entry(&mut self, platform: SocketAddr, n: usize) -> Result<(), LoadError> {
         let name = format!("entry-{n}");
-        let mut command = self.ours("entry", platform);
+        let mut command = self.ours("entry", &name, platform);
         command.args(["--policy", &self.plan.policy]);
-        command.args(joining(members));
+        command.args(&self.plan.entry_args);
         let ready = self.ready(&name, &mut command).await?;
         let callers = ready
             .callers
             .ok_or_else(|| failed(&name, "no callers' address"))?;
         self.fleet.entries.push(callers);
+        self.join(None, &ready);
         Ok(())
     }
 
-    fn ours(&self, role: &str, platform: SocketAddr) -> Command {
+    /// Remembers a process for those that start after it.
+    fn join(&mut self, pool: Option<&str>, ready: &Ready) {
+        self.members.push(Member {
+            pool: pool.map(str::to_owned),
+            peer: ready.peer,
+            gossip: ready.gossip,
+        });
+    }
+
+    fn ours(&self, role: &str, name: &str, platform: SocketAddr) -> Command {
         let mut c = Command::new(self.bin.join("clementinestepd"));
         c.args([role, "--platform", &format!("http://{platform}")])
+            .args(["--host", name])
+            .args(joining(role, &self.members))
             .env("CLEMENTINESTEP_KEY", KEY)
             .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR);
         c
@@ -288,20 +304,29 @@
     }
 }
 
-/// A sidecar as others find it.
+/// A process of ours as others find it.
 #[derive(Clone, Debug)]
 struct Member {
-    pool: String,
-    peer: SocketAddr,
+    pool: Option<String>,
+    peer: Option<SocketAddr>,
+    gossip: Option<SocketAddr>,
 }
 
-/// How an entry is told of the sidecars; the one place to change when that changes.
-fn joining(members: &[Member]) -> [String; 2] {
-    let targets = members.iter().map(|m| format!("{}@{}", m.pool, m.peer));
-    [
-        "--targets".to_owned(),
-        targets.collect::<Vec<_>>().join(","),
-    ]
+/// Members that a new one is told of; each tells it of all others.
+const SEEDS: usize = 3;
+
+/// How a process is told of those before it: by membership addresses if they have any, else each
+/// entry by a list of targets.
+fn joining(role: &str, members: &[Member]) -> Vec<String> {
+    let gossip = members.iter().filter_map(|m| m.gossip).take(SEEDS);
+    let seeds: Vec<_> = gossip.map(|g| g.to_string()).collect();
+    let target = |m: &Member| Some(format!("{}@{}", m.pool.as_ref()?, m.peer?));
+    let targets: Vec<_> = members.iter().filter_map(target).collect();
+    match role {
+        _ if !seeds.is_empty() => vec!["--seeds".to_owned(), seeds.join(",")],
+        "entry" => vec!["--targets".to_owned(), targets.join(",")],
+        _ => Vec::new(),
+    }
 }
 
 /// The configuration: two pools, the teams, and rules that take class and repeatability from the
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -52,6 +52,9 @@
         /// Why.
         error: CallError,
     },
+    /// It was told to stop.
+    #[error("stopped before the end")]
+    Stopped,
     /// Nothing to send to.
     #[error("neither entries nor a fleet to send to")]
     Nowhere,
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -194,8 +194,10 @@
         let plain = e.done.iter().filter(|d| !e.completes[d.n]);
         self.plain = Times::of(plain.filter_map(|d| d.first));
         if e.done.iter().any(|d| d.direct) {
-            let direct = Times::of(words().filter(|d| d.direct).filter_map(|d| d.first));
-            let routed = Times::of(routed().filter_map(|d| d.first));
+            // From the sending on: the tool's own lateness is no part of the way.
+            let sent = |d: &Done| d.first.map(|t| t.saturating_sub(d.late));
+            let direct = Times::of(words().filter(|d| d.direct).filter_map(sent));
+            let routed = Times::of(routed().filter_map(sent));
             self.hops = Some(Hops {
                 routed,
                 direct,
@@ -287,8 +289,8 @@
         if let Some(u) = &self.reuse {
             writeln!(
                 f,
-                "reuse: hit rate {:.3} oracle {:.3} wasted {:.4} of {} prompt tokens",
-                u.hit_rate, u.oracle_rate, u.waste_rate, u.prompt_tokens
+                "reuse: hit rate {:.3} oracle {:.3} seen {:.3} wasted {:.4} of {} prompt tokens",
+                u.hit_rate, u.oracle_rate, u.seen_rate, u.waste_rate, u.prompt_tokens
             )?;
         }
         self.table(f)?;
--- a/crates/standin/src/load/reuse.rs
+++ b/crates/standin/src/load/reuse.rs
@@ -36,12 +36,16 @@
     pub wasted_tokens: u64,
     /// Held by all live replicas together.
     pub oracle_tokens: u64,
+    /// Seen earlier in the run; what one cache that never evicts would give.
+    pub seen_tokens: u64,
     /// Cached over all.
     pub hit_rate: f64,
     /// Wasted over all.
     pub waste_rate: f64,
     /// The oracle's over all.
     pub oracle_rate: f64,
+    /// Seen over all.
+    pub seen_rate: f64,
 }
 
 /// What happened at a moment.
@@ -54,12 +58,15 @@
 pub fn reuse(logs: &[Logs], chain: impl Fn(&str) -> Option<Vec<u64>>) -> Reuse {
     let mut caches = vec![HashSet::new(); logs.len()];
     let mut all = Union::default();
+    let mut seen = HashSet::new();
     let mut out = Reuse::default();
     for (_, engine, step) in steps(logs) {
         match step {
             Step::Change(c) => apply(&mut caches[engine], &mut all, c),
             Step::Look(r) => {
                 if let Some(chain) = chain(&r.request) {
+                    out.seen_tokens += front(&chain, |h| seen.contains(h)) as u64 * TOKENS;
+                    seen.extend(chain.iter().copied());
                     out.look(&caches, &all, engine, r, &chain);
                 }
             }
@@ -70,6 +77,7 @@
         hit_rate: rate(out.cached_tokens),
         waste_rate: rate(out.wasted_tokens),
         oracle_rate: rate(out.oracle_tokens),
+        seen_rate: rate(out.seen_tokens),
         ..out
     }
 }
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -50,3 +50,35 @@
         .filter_map(|v| Some(v["choices"].get(0)?["text"].as_str()?.to_owned()))
         .collect()
 }
+
+/// An example program that runs until it is dropped.
+pub(crate) struct Example {
+    pub(crate) child: std::process::Child,
+    pub(crate) at: SocketAddr,
+}
+
+impl Drop for Example {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts an example program, which `cargo test` has built.
+pub(crate) fn example(name: &str, args: &[&str]) -> Example {
+    use std::io::BufRead;
+    let own = std::env::current_exe().unwrap();
+    let program = own.ancestors().nth(2).unwrap().join("examples").join(name);
+    let mut child = std::process::Command::new(program)
+        .args(args)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("`cargo test` builds the examples, unless it was told to build one test only");
+    let mut line = String::new();
+    let out = child.stdout.take().unwrap();
+    std::io::BufReader::new(out).read_line(&mut line).unwrap();
+    let at = line.trim().strip_prefix("listening ").unwrap();
+    let at = at.parse().unwrap();
+    Example { child, at }
+}
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -377,3 +377,59 @@
     let lives = [(); 3].map(|()| Engine::new(quick()).incarnation());
     assert!(lives[0] < lives[1] && lives[1] < lives[2]);
 }
+
+/// A prompt crashes whatever engine runs it. Its caller sees a broken connection, like any other
+/// caller of that engine, and sends it again.
+#[tokio::test]
+async fn a_poisonous_prompt_kills_the_process() {
+    let mut engine = common::example("engine", &["--poison", "hemlock"]);
+    let good = json!({"prompt": "parsley", "max_tokens": 1});
+    let (status, _) = completion(engine.at, "a", &good).whole().await.unwrap();
+    assert_eq!(status, 200);
+    let bad = json!({"prompt": "some hemlock", "max_tokens": 1});
+    assert!(completion(engine.at, "b", &bad).whole().await.is_err());
+    assert!(!engine.child.wait().unwrap().success());
+}
+
+#[tokio::test]
+async fn a_seat_is_passed_only_to_those_who_come_before() {
+    struct Case {
+        waiting: i64,
+        passed: bool,
+    }
+    let cases = [
+        Case {
+            waiting: -1,
+            passed: true,
+        },
+        Case {
+            waiting: 1,
+            passed: false,
+        },
+    ];
+    for c in cases {
+        let line = Line::new(1);
+        let own = Place {
+            priority: 0,
+            arrival: 0,
+        };
+        let seat = line.seat(own).await;
+        let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
+        let other = Place {
+            priority: c.waiting,
+            arrival: 1,
+        };
+        let task = tokio::spawn({
+            let line = line.clone();
+            async move {
+                let _seat = line.seat(other).await;
+                let _ = tx.send(());
+            }
+        });
+        eventually(|| line.waiting() == 1).await;
+        let seat = line.pass(seat, own).await;
+        assert_eq!(rx.try_recv().is_ok(), c.passed);
+        drop(seat);
+        task.await.unwrap();
+    }
+}
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -73,3 +73,19 @@
     let paths: Vec<_> = service.runs().into_iter().map(|r| r.path).collect();
     assert_eq!(paths, ["/quota/anand", "/records"]);
 }
+
+/// A service dies before or after it has run a call. Both times its caller's connection breaks.
+#[tokio::test]
+async fn a_call_kills_the_process() {
+    for fault in ["die_before", "die_after"] {
+        let mut service = common::example("service", &[]);
+        let body = format!("{{\"{fault}\":1}}");
+        Call::post(service.at, "/faults", body)
+            .whole()
+            .await
+            .unwrap();
+        let got = Call::post(service.at, "/records", "yes").whole().await;
+        assert!(got.is_err());
+        assert!(!service.child.wait().unwrap().success());
+    }
+}
