--- a/crates/standin/src/load/generate.rs
+++ b/crates/standin/src/load/generate.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::load::trace::Arrival;
+use crate::load::trace::{Arrival, MOST};
 
 /// Whose traffic is made up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,8 +68,6 @@
 const BURST: f64 = 0.5;
 /// Rate in a burst over the rate outside.
 const HEIGHT: f64 = 3.0;
-/// Most arrivals of one run.
-const MOST: usize = 200_000;
 
 /// One user's mix.
 #[derive(Clone, Copy, Debug)]
--- a/crates/standin/src/load/trace.rs
+++ b/crates/standin/src/load/trace.rs
@@ -13,6 +13,11 @@
 /// Bytes that stand for a token.
 pub const TOKEN: usize = 4;
 
+/// Most arrivals of one run.
+pub const MOST: usize = 200_000;
+/// Milliseconds after which arrivals of a trace are left out.
+pub const LONGEST: u64 = 3_600_000;
+
 /// One request of a trace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Arrival {
@@ -69,6 +74,8 @@
         })
         .collect::<Result<Vec<_>, _>>()?;
     all.sort_by_key(|a| a.at_ms);
+    all.retain(|a| a.at_ms <= LONGEST);
+    all.truncate(MOST);
     Ok(all)
 }
 
