--- a/crates/standin/examples/engine.rs
+++ b/crates/standin/examples/engine.rs
@@ -36,11 +36,11 @@
     #[argh(option, default = "micros(Settings::default().decode)")]
     decode_us: u64,
     /// per cent by which each other running request lengthens a token's time (default 3)
-    #[argh(option, default = "Settings::default().crowd")]
-    crowd: u32,
+    #[argh(option, default = "Settings::default().batch_penalty")]
+    batch_penalty: u32,
     /// per cent by which a prompt being computed lengthens a token's time (default 50)
-    #[argh(option, default = "Settings::default().disturb")]
-    disturb: u32,
+    #[argh(option, default = "Settings::default().prefill_penalty")]
+    prefill_penalty: u32,
     /// milliseconds by which cache events are late (default 50)
     #[argh(option, default = "millis(Settings::default().lag)")]
     lag_ms: u64,
@@ -87,8 +87,8 @@
         prefill: Duration::from_micros(a.prefill_us),
         chunk: a.chunk,
         decode: Duration::from_micros(a.decode_us),
-        crowd: a.crowd,
-        disturb: a.disturb,
+        batch_penalty: a.batch_penalty,
+        prefill_penalty: a.prefill_penalty,
         lag: Duration::from_millis(a.lag_ms),
         load_lag: Duration::from_millis(a.load_lag_ms),
         lose: a.lose,
--- a/crates/standin/examples/load.rs
+++ b/crates/standin/examples/load.rs
@@ -82,7 +82,7 @@
     direct: bool,
     /// seconds to wait for an answer (default 60)
     #[argh(option, default = "60")]
-    patience: u64,
+    timeout: u64,
     /// milliseconds to a first token that count as in time (default 1500)
     #[argh(option, default = "1500")]
     limit_ms: u64,
@@ -186,7 +186,7 @@
         },
         key: a.key.clone(),
         keys: pairs.map(|(t, k)| (t.to_owned(), k.to_owned())).collect(),
-        patience: Duration::from_secs(a.patience.clamp(1, 600)),
+        timeout: Duration::from_secs(a.timeout.clamp(1, 600)),
         run: format!("load-{:x}", standin::micros()),
     };
     let before = usage(fleet);
@@ -205,7 +205,13 @@
         calls: &calls,
         limit: Duration::from_millis(a.limit_ms),
     };
-    let mut report = Report::new(described(a, trace, fleet), &evidence);
+    let mut report = Report::new(
+        Run {
+            elapsed: took,
+            ..described(a, trace, fleet)
+        },
+        &evidence,
+    );
     if !logs.is_empty() {
         report.reuse = Some(reuse(&logs, |id| blocks(&set.run, id, trace)));
     }
@@ -235,6 +241,7 @@
         seed: a.seed,
         policy: a.policy.clone(),
         seconds: trace.last().map_or(0.0, |a| a.at_ms as f64 / 1_000.0),
+        elapsed: 0.0,
         engines: fleet.engines.len(),
         entries: fleet.entries.len(),
     }
--- a/crates/standin/src/engine/feed.rs
+++ b/crates/standin/src/engine/feed.rs
@@ -59,14 +59,14 @@
 
 /// How events are published.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Manner {
+pub(super) struct Publishing {
     pub(super) lag: Duration,
     pub(super) lose: u64,
     pub(super) reorder: bool,
 }
 
 impl Feed {
-    pub(super) fn publish(&self, how: Manner, events: Vec<Event>) {
+    pub(super) fn publish(&self, how: Publishing, events: Vec<Event>) {
         let due = Instant::now() + how.lag;
         let at = micros();
         let mut s = lock(&self.state);
@@ -84,7 +84,7 @@
     }
 
     /// Events due after a number, and the highest number due.
-    pub(super) fn after(&self, how: Manner, after: u64) -> (u64, Vec<Published>) {
+    pub(super) fn after(&self, how: Publishing, after: u64) -> (u64, Vec<Published>) {
         let now = Instant::now();
         let s = lock(&self.state);
         let due = s.events.partition_point(|p| p.due <= now);
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -106,7 +106,7 @@
     fn events(&self, query: &str) -> Result<Response> {
         let after = query.strip_prefix("after=").and_then(|n| n.parse().ok());
         self.change(|_, _| ());
-        let (next, events) = self.feed.after(self.manner(), after.unwrap_or(0));
+        let (next, events) = self.feed.after(self.publishing(), after.unwrap_or(0));
         reply::json(
             StatusCode::OK,
             &json!({"incarnation": self.incarnation, "next": next, "events": events}),
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -16,7 +16,7 @@
 
 /// A prompt's front, exported.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Kept {
+pub struct KvExport {
     /// The model that computed it.
     pub model: String,
     /// The weights that computed it.
@@ -36,7 +36,7 @@
         let Some(path) = path else {
             return reply::json(StatusCode::NOT_FOUND, &json!({"error": "not cached"}));
         };
-        let kept = Kept {
+        let kept = KvExport {
             model: served.model.clone(),
             weights: served.weights.clone(),
             incarnation: self.incarnation,
@@ -47,7 +47,7 @@
     }
 
     pub(super) async fn import(self: Arc<Self>, body: &[u8]) -> Result<Response> {
-        let kept = match serde_json::from_slice::<Kept>(body) {
+        let kept = match serde_json::from_slice::<KvExport>(body) {
             Ok(k) => k,
             Err(e) => return reply::refused(StatusCode::BAD_REQUEST, &e),
         };
@@ -60,7 +60,7 @@
         self.add(&kept)
     }
 
-    fn add(&self, kept: &Kept) -> Result<Response> {
+    fn add(&self, kept: &KvExport) -> Result<Response> {
         // Held until the blocks are in, so that no load order comes between check and import.
         let served = lock(&self.served);
         if served.loading || served.weights != kept.weights || served.model != kept.model {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -29,9 +29,9 @@
 pub use ask::word;
 pub use faults::Faults;
 pub use feed::Change;
-pub use kv::Kept;
-pub use orders::{Fate, Given, Order, What};
-pub use schedule::{Line, Place, Seat};
+pub use kv::KvExport;
+pub use orders::{Order, OrderKind, OrderRecord, Status};
+pub use schedule::{Permit, Queue, Rank};
 pub use settings::{Fencing, FencingError, Settings};
 
 use std::net::SocketAddr;
@@ -47,8 +47,8 @@
 use crate::{lock, micros};
 
 use self::faults::Switch;
-use self::feed::{Feed, Manner};
-use self::orders::Served;
+use self::feed::{Feed, Publishing};
+use self::orders::Serving;
 
 /// One request that the engine ran; times are microseconds since 1970, 0 if not reached.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,11 +88,11 @@
     incarnation: u64,
     cache: Mutex<Cache>,
     feed: Feed,
-    slots: Arc<Line>,
-    prefill: Arc<Line>,
+    slots: Arc<Queue>,
+    prefill: Arc<Queue>,
     arrivals: AtomicU64,
     cuts: watch::Sender<u64>,
-    served: Mutex<Served>,
+    served: Mutex<Serving>,
     faults: Switch,
     gate: Arc<Gate>,
     log: Mutex<Vec<Ran>>,
@@ -108,11 +108,11 @@
             incarnation: micros() + LIVES.fetch_add(1, Ordering::Relaxed),
             cache: Mutex::new(Cache::new(set.blocks, set.age)),
             feed: Feed::default(),
-            slots: Line::new(set.slots.max(1)),
-            prefill: Line::new(1),
+            slots: Queue::new(set.slots.max(1)),
+            prefill: Queue::new(1),
             arrivals: AtomicU64::new(0),
             cuts: watch::Sender::new(0),
-            served: Mutex::new(Served::new(&set.model, &set.weights)),
+            served: Mutex::new(Serving::new(&set.model, &set.weights)),
             faults: Switch::default(),
             gate: Arc::default(),
             log: Mutex::default(),
@@ -126,8 +126,8 @@
     }
 
     /// Orders that came.
-    pub fn orders(&self) -> Vec<Given> {
-        lock(&self.served).given.clone()
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        lock(&self.served).orders.clone()
     }
 
     /// Requests that it computes at this moment.
@@ -146,9 +146,9 @@
     }
 
     /// Sets how it misbehaves, and spares one peer's connection if connections freeze.
-    fn misbehave_but(&self, faults: Faults, spared: Option<SocketAddr>) {
+    fn misbehave_but(&self, faults: Faults, except: Option<SocketAddr>) {
         if faults.freeze {
-            self.gate.freeze(spared);
+            self.gate.freeze(except);
         }
         self.faults.set(faults);
     }
@@ -158,9 +158,9 @@
         Arc::clone(&self.gate)
     }
 
-    fn place(&self, priority: i64) -> Place {
+    fn rank(&self, priority: i64) -> Rank {
         let arrival = self.arrivals.fetch_add(1, Ordering::Relaxed);
-        Place { priority, arrival }
+        Rank { priority, arrival }
     }
 
     fn cut_all(&self) {
@@ -179,11 +179,11 @@
     }
 
     fn publish(&self, events: Vec<Event>) {
-        self.feed.publish(self.manner(), events);
+        self.feed.publish(self.publishing(), events);
     }
 
-    fn manner(&self) -> Manner {
-        Manner {
+    fn publishing(&self) -> Publishing {
+        Publishing {
             lag: self.set.lag,
             lose: self.set.lose,
             reorder: self.set.reorder,
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -26,13 +26,13 @@
     pub fence: u64,
     /// What is to be done.
     #[serde(flatten)]
-    pub what: What,
+    pub what: OrderKind,
 }
 
 /// What an engine can be ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "order", rename_all = "lowercase")]
-pub enum What {
+pub enum OrderKind {
     /// Load weights, and another model if one is named.
     Load {
         /// Their name.
@@ -56,7 +56,7 @@
 /// What became of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Fate {
+pub enum Status {
     /// It is being carried out.
     Running,
     /// It was carried out.
@@ -69,29 +69,29 @@
 
 /// An order that arrived.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Given {
+pub struct OrderRecord {
     /// Microseconds since 1970 when it arrived.
     pub at: u64,
     /// What arrived.
     #[serde(flatten)]
     pub order: Order,
     /// What became of it.
-    pub fate: Fate,
+    pub status: Status,
 }
 
 /// What the orders have made of an engine.
 #[derive(Clone, Debug)]
-pub(super) struct Served {
+pub(super) struct Serving {
     pub(super) model: String,
     pub(super) weights: String,
     pub(super) adapters: Vec<String>,
     pub(super) role: String,
     pub(super) loading: bool,
     pub(super) fence: u64,
-    pub(super) given: Vec<Given>,
+    pub(super) orders: Vec<OrderRecord>,
 }
 
-impl Served {
+impl Serving {
     pub(super) fn new(model: &str, weights: &str) -> Self {
         Self {
             model: model.to_owned(),
@@ -100,7 +100,7 @@
             role: "mixed".to_owned(),
             loading: false,
             fence: 0,
-            given: Vec::new(),
+            orders: Vec::new(),
         }
     }
 }
@@ -111,55 +111,55 @@
             Ok(o) => o,
             Err(e) => return reply::refused(StatusCode::BAD_REQUEST, &e),
         };
-        let (fate, at, seen) = self.receive(&order);
-        let status = match fate {
-            Fate::Fenced => StatusCode::CONFLICT,
-            Fate::Busy => StatusCode::SERVICE_UNAVAILABLE,
-            Fate::Running | Fate::Done => StatusCode::ACCEPTED,
+        let (status, at, seen) = self.receive(&order);
+        let code = match status {
+            Status::Fenced => StatusCode::CONFLICT,
+            Status::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Status::Running | Status::Done => StatusCode::ACCEPTED,
         };
-        if fate == Fate::Running {
+        if status == Status::Running {
             let this = Arc::clone(self);
             tokio::spawn(async move { this.carry_out(order.what, at).await });
         }
-        reply::json(status, &json!({"fate": fate, "fence": seen}))
+        reply::json(code, &json!({"status": status, "fence": seen}))
     }
 
-    fn receive(&self, order: &Order) -> (Fate, usize, u64) {
+    fn receive(&self, order: &Order) -> (Status, usize, u64) {
         let mut s = lock(&self.served);
         let old = order.fence < s.fence && self.set.fencing == Fencing::Honour;
-        let fate = match () {
-            () if old => Fate::Fenced,
-            () if s.loading => Fate::Busy,
-            () => Fate::Running,
+        let status = match () {
+            () if old => Status::Fenced,
+            () if s.loading => Status::Busy,
+            () => Status::Running,
         };
         s.fence = s.fence.max(order.fence);
-        s.loading |= fate == Fate::Running;
-        if fate == Fate::Running && matches!(order.what, What::Load { .. }) {
+        s.loading |= status == Status::Running;
+        if status == Status::Running && matches!(order.what, OrderKind::Load { .. }) {
             self.cut_all();
         }
-        s.given.push(Given {
+        s.orders.push(OrderRecord {
             at: micros(),
             order: order.clone(),
-            fate,
+            status,
         });
-        (fate, s.given.len() - 1, s.fence)
+        (status, s.orders.len() - 1, s.fence)
     }
 
-    async fn carry_out(&self, what: What, at: usize) {
+    async fn carry_out(&self, what: OrderKind, at: usize) {
         match what {
-            What::Load { weights, model } => {
+            OrderKind::Load { weights, model } => {
                 tokio::time::sleep(self.loading(1)).await;
                 self.reload(weights, model);
             }
-            What::Adapter { adapter } => {
+            OrderKind::Adapter { adapter } => {
                 tokio::time::sleep(self.loading(ADAPTER)).await;
                 lock(&self.served).adapters.push(adapter);
             }
-            What::Role { role } => lock(&self.served).role = role,
+            OrderKind::Role { role } => lock(&self.served).role = role,
         }
         let mut s = lock(&self.served);
         s.loading = false;
-        s.given[at].fate = Fate::Done;
+        s.orders[at].status = Status::Done;
     }
 
     fn loading(&self, part: u32) -> Duration {
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -10,7 +10,7 @@
 
 use crate::cache::{chain, Piece, BLOCK};
 use crate::engine::ask::{word, Ask};
-use crate::engine::schedule::{Place, Seat};
+use crate::engine::schedule::{Permit, Rank};
 use crate::engine::{Engine, Ran};
 use crate::{lock, micros, reply};
 
@@ -118,14 +118,14 @@
         let Some(ran) = entry.ran.as_mut() else {
             return;
         };
-        let place = self.place(job.ask.priority);
+        let rank = self.rank(job.ask.priority);
         let waiting = Counted::waiting(self);
-        let _seat = self.slots.seat(place).await;
+        let _permit = self.slots.acquire(rank).await;
         ran.started = micros();
-        let turn = self.prefill.seat(place).await;
+        let turn = self.prefill.acquire(rank).await;
         drop(waiting);
         let _running = Counted::running(self);
-        self.prompt(job, place, turn, ran).await;
+        self.prompt(job, rank, turn, ran).await;
         ran.computed = micros();
         let whole = self.words(job, tx, ran).await;
         let cached = ran.cached;
@@ -136,7 +136,7 @@
     }
 
     /// Computes the prompt in chunks; between two of them a more urgent prompt may come first.
-    async fn prompt(&self, job: &Job, place: Place, turn: Seat, ran: &mut Ran) {
+    async fn prompt(&self, job: &Job, rank: Rank, turn: Permit, ran: &mut Ran) {
         let prompt = job.prompt.as_bytes();
         let chain = chain(&job.ask.cache_salt, prompt);
         let found = self.change(|c, _| c.find(std::time::Instant::now(), &chain));
@@ -145,7 +145,7 @@
         let mut from = found;
         let mut turn = turn;
         while from < chain.len() {
-            turn = self.prefill.pass(turn, place).await;
+            turn = self.prefill.yield_to(turn, rank).await;
             let to = chain.len().min(from + self.set.chunk.max(1));
             let time = self.set.prefill * (to - from) as u32;
             pause(Instant::now() + self.faults.slowed(time)).await;
@@ -186,12 +186,12 @@
     /// Time to the next token: longer with others beside it and while a prompt is computed.
     fn gap(&self) -> Duration {
         let others = self.feed.running().saturating_sub(1) as u32;
-        let disturbed = if self.prefill.taken() {
-            self.set.disturb
+        let disturbed = if self.prefill.is_busy() {
+            self.set.prefill_penalty
         } else {
             0
         };
-        let percent = 100 + self.set.crowd * others + disturbed;
+        let percent = 100 + self.set.batch_penalty * others + disturbed;
         self.faults.slowed(self.set.decode * percent / 100)
     }
 }
--- a/crates/standin/src/engine/schedule.rs
+++ b/crates/standin/src/engine/schedule.rs
@@ -1,4 +1,4 @@
-//! Waiting lines that honour priorities: the lowest number goes first, equals in order of arrival.
+//! Queues that honour priorities: the lowest number goes first, equals in order of arrival.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -8,18 +8,18 @@
 
 use crate::lock;
 
-/// Where a request stands: its priority, then its arrival.
+/// A request's rank in a queue: its priority, then its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place {
+pub struct Rank {
     /// Lower goes first.
     pub priority: i64,
     /// Number of arrival.
     pub arrival: u64,
 }
 
-/// A number of seats and the line of those who wait for one.
+/// A number of permits and the line of those who wait for one.
 #[derive(Debug)]
-pub struct Line {
+pub struct Queue {
     state: Mutex<State>,
 }
 
@@ -30,30 +30,30 @@
 }
 
 impl State {
-    fn wait(&mut self, place: Place) -> oneshot::Receiver<Seat> {
+    fn wait(&mut self, rank: Rank) -> oneshot::Receiver<Permit> {
         let (grant, granted) = oneshot::channel();
-        self.waiting.push(Reverse(Waiter { place, grant }));
+        self.waiting.push(Reverse(Waiter { rank, grant }));
         granted
     }
 }
 
 #[derive(Debug)]
 struct Waiter {
-    place: Place,
-    grant: oneshot::Sender<Seat>,
+    rank: Rank,
+    grant: oneshot::Sender<Permit>,
 }
 
-/// A seat; given to the next in line when it is dropped.
+/// A permit; given to the next in line when it is dropped.
 #[derive(Debug)]
-pub struct Seat {
-    line: Option<Arc<Line>>,
+pub struct Permit {
+    line: Option<Arc<Queue>>,
 }
 
-impl Line {
-    /// A line for `seats` seats.
-    pub fn new(seats: usize) -> Arc<Self> {
+impl Queue {
+    /// A line for `permits` permits.
+    pub fn new(permits: usize) -> Arc<Self> {
         let state = State {
-            free: seats,
+            free: permits,
             waiting: BinaryHeap::new(),
         };
         Arc::new(Self {
@@ -61,31 +61,31 @@
         })
     }
 
-    /// Waits for a seat. A waiter that is dropped leaves the line.
-    pub async fn seat(self: &Arc<Self>, place: Place) -> Seat {
+    /// Waits for a permit. A waiter that is dropped leaves the line.
+    pub async fn acquire(self: &Arc<Self>, rank: Rank) -> Permit {
         let granted = {
             let mut s = lock(&self.state);
             if s.free > 0 {
                 s.free -= 1;
                 return self.granted();
             }
-            s.wait(place)
+            s.wait(rank)
         };
         // The sender stays in the line until it grants, so that an error can't come.
-        granted.await.unwrap_or(Seat { line: None })
+        granted.await.unwrap_or(Permit { line: None })
     }
 
-    /// Gives the seat up if somebody in line comes before `place`, and waits for it again.
-    pub async fn pass(self: &Arc<Self>, seat: Seat, place: Place) -> Seat {
+    /// Gives the permit up if somebody in line comes before `rank`, and waits for it again.
+    pub async fn yield_to(self: &Arc<Self>, permit: Permit, rank: Rank) -> Permit {
         let granted = {
             let mut s = lock(&self.state);
-            if s.waiting.peek().is_none_or(|w| place < w.0.place) {
-                return seat;
+            if s.waiting.peek().is_none_or(|w| rank < w.0.rank) {
+                return permit;
             }
-            s.wait(place)
+            s.wait(rank)
         };
-        drop(seat);
-        granted.await.unwrap_or(Seat { line: None })
+        drop(permit);
+        granted.await.unwrap_or(Permit { line: None })
     }
 
     /// How many wait.
@@ -93,13 +93,13 @@
         lock(&self.state).waiting.len()
     }
 
-    /// Whether no seat is free.
-    pub fn taken(&self) -> bool {
+    /// Whether no permit is free.
+    pub fn is_busy(&self) -> bool {
         lock(&self.state).free == 0
     }
 
-    fn granted(self: &Arc<Self>) -> Seat {
-        Seat {
+    fn granted(self: &Arc<Self>) -> Permit {
+        Permit {
             line: Some(Arc::clone(self)),
         }
     }
@@ -119,13 +119,13 @@
             let Err(mut back) = next.send(self.granted()) else {
                 return;
             };
-            // The waiter has gone; its seat isn't released a second time by the drop.
+            // The waiter has gone; its permit isn't released a second time by the drop.
             back.line = None;
         }
     }
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
         if let Some(line) = self.line.take() {
             line.release();
@@ -135,7 +135,7 @@
 
 impl PartialEq for Waiter {
     fn eq(&self, other: &Self) -> bool {
-        self.place == other.place
+        self.rank == other.rank
     }
 }
 
@@ -149,6 +149,6 @@
 
 impl Ord for Waiter {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.place.cmp(&other.place)
+        self.rank.cmp(&other.rank)
     }
 }
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -22,9 +22,9 @@
     /// Time to compute one token of answer.
     pub decode: Duration,
     /// Per cent by which each other running request lengthens a token's time.
-    pub crowd: u32,
+    pub batch_penalty: u32,
     /// Per cent by which a prompt that is being computed lengthens a token's time.
-    pub disturb: u32,
+    pub prefill_penalty: u32,
     /// How late cache events are published.
     pub lag: Duration,
     /// How late load is reported.
@@ -80,8 +80,8 @@
             prefill: Duration::from_micros(400),
             chunk: 32,
             decode: Duration::from_millis(5),
-            crowd: 3,
-            disturb: 50,
+            batch_penalty: 3,
+            prefill_penalty: 50,
             lag: Duration::from_millis(50),
             load_lag: Duration::from_millis(200),
             lose: 0,
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/gate.rs
@@ -17,20 +17,20 @@
 use crate::lock;
 
 /// Bytes that a frozen connection throws away at a time.
-const SCRAP: usize = 4_096;
+const DISCARD: usize = 4_096;
 
 /// The switch that freezes connections.
 #[derive(Debug, Default)]
 pub struct Gate {
     freezes: AtomicU64,
-    spared: Mutex<Option<SocketAddr>>,
+    except: Mutex<Option<SocketAddr>>,
 }
 
 impl Gate {
-    /// Freezes every connection that is open now, but for that of a peer who is spared: whoever
+    /// Freezes every connection that is open now, but for that of one peer: whoever
     /// orders the freeze waits for an answer.
-    pub fn freeze(&self, spared: Option<SocketAddr>) {
-        *lock(&self.spared) = spared;
+    pub fn freeze(&self, except: Option<SocketAddr>) {
+        *lock(&self.except) = except;
         self.freezes.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -87,7 +87,7 @@
 
 impl GatedStream {
     fn frozen(&self) -> bool {
-        self.gate.freezes() > self.born && *lock(&self.gate.spared) != Some(self.peer)
+        self.gate.freezes() > self.born && *lock(&self.gate.except) != Some(self.peer)
     }
 }
 
@@ -98,8 +98,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         while self.frozen() {
-            let mut scrap = [0; SCRAP];
-            let mut into = ReadBuf::new(&mut scrap);
+            let mut discard = [0; DISCARD];
+            let mut into = ReadBuf::new(&mut discard);
             ready!(Pin::new(&mut self.inner).poll_read(cx, &mut into))?;
             if into.filled().is_empty() {
                 return Poll::Ready(Ok(()));
--- a/crates/standin/src/load/drive.rs
+++ b/crates/standin/src/load/drive.rs
@@ -21,7 +21,7 @@
 use crate::load::trace::{Arrival, Texts};
 
 /// Requests on their way at a time; beyond it the tool itself would be what is measured.
-const FLYING: usize = 4_096;
+const IN_FLIGHT: usize = 4_096;
 
 /// Where and how a trace is sent.
 #[derive(Clone, Debug)]
@@ -35,7 +35,7 @@
     /// Keys of single teams.
     pub keys: Vec<(String, String)>,
     /// Longest wait for an answer.
-    pub patience: Duration,
+    pub timeout: Duration,
     /// Begins each request id, so that one run's ids differ from another's.
     pub run: String,
 }
@@ -57,7 +57,7 @@
     /// The answer broke off, and openly so.
     Cut,
     /// The answer ended as if it were whole, but wasn't.
-    Torn,
+    Truncated,
     /// What came belongs to another request.
     Crossed,
     /// The tool had too many on their way and didn't send it.
@@ -86,7 +86,7 @@
 }
 
 /// A request ready to be sent.
-struct Shot {
+struct Attempt {
     arrival: Arrival,
     prompt: String,
     done: Done,
@@ -98,24 +98,24 @@
 /// Sends all of a trace; ends when the last answer is in or given up.
 pub async fn drive(set: &Drive, trace: &[Arrival]) -> Vec<Done> {
     let start = Instant::now() + Duration::from_millis(50);
-    let free = Arc::new(Semaphore::new(FLYING));
+    let free = Arc::new(Semaphore::new(IN_FLIGHT));
     let mut texts = Texts::default();
     let mut tasks = Vec::with_capacity(trace.len());
     let mut done = Vec::with_capacity(trace.len());
     for (n, arrival) in trace.iter().enumerate() {
         let due = start + Duration::from_millis(arrival.at_ms);
-        let shot = set.aim(n, arrival, texts.prompt(n, arrival), due);
+        let attempt = set.prepare(n, arrival, texts.prompt(n, arrival), due);
         sleep_until(due).await;
         match Arc::clone(&free).try_acquire_owned() {
             Err(_) => done.push(Done {
                 ending: Ending::Unsent,
-                ..shot.done
+                ..attempt.done
             }),
             Ok(permit) => {
-                let patience = set.patience;
+                let limit = set.timeout;
                 tasks.push(tokio::spawn(async move {
                     let _permit = permit;
-                    shot.run(patience).await
+                    attempt.run(limit).await
                 }));
             }
         }
@@ -127,7 +127,7 @@
 }
 
 impl Drive {
-    fn aim(&self, n: usize, arrival: &Arrival, prompt: String, due: Instant) -> Shot {
+    fn prepare(&self, n: usize, arrival: &Arrival, prompt: String, due: Instant) -> Attempt {
         let direct = !self.direct.is_empty() && arrival.completes() && n % 2 == 1;
         let to = match direct {
             true => self.direct[n / 2 % self.direct.len()],
@@ -143,7 +143,7 @@
             gaps: Vec::new(),
             ending: Ending::Lost,
         };
-        Shot {
+        Attempt {
             arrival: arrival.clone(),
             prompt,
             done,
@@ -160,11 +160,11 @@
     }
 }
 
-impl Shot {
-    async fn run(mut self, patience: Duration) -> Done {
+impl Attempt {
+    async fn run(mut self, limit: Duration) -> Done {
         self.done.late = self.due.elapsed();
         // Given up, it keeps the times it has and counts as lost.
-        let ending = match timeout(patience, self.answer()).await {
+        let ending = match timeout(limit, self.answer()).await {
             Ok(Ok(e)) => e,
             Ok(Err(_)) | Err(_) => Ending::Lost,
         };
@@ -314,7 +314,7 @@
             () if self.crossed => Ending::Crossed,
             () if broken || self.error => Ending::Cut,
             () if self.done && self.words == output => Ending::Whole,
-            () => Ending::Torn,
+            () => Ending::Truncated,
         }
     }
 }
--- a/crates/standin/src/load/generate.rs
+++ b/crates/standin/src/load/generate.rs
@@ -63,11 +63,11 @@
 /// Ranks by which the hot documents move on.
 const STRIDE: usize = 7;
 /// Seconds from burst to burst.
-const PERIOD: f64 = 5.0;
+const BURST_PERIOD: f64 = 5.0;
 /// Seconds that a burst lasts.
 const BURST: f64 = 0.5;
 /// Rate in a burst over the rate outside.
-const HEIGHT: f64 = 3.0;
+const BURST_FACTOR: f64 = 3.0;
 
 /// One user's mix.
 #[derive(Clone, Copy, Debug)]
@@ -118,7 +118,7 @@
         User::Alpen => ALPEN,
         User::Hops => return even(plan),
     };
-    let mut maker = Maker {
+    let mut generator = Generator {
         mix,
         documents: zipf(mix.documents),
         sections: zipf(mix.sections),
@@ -126,7 +126,7 @@
     };
     times(plan, &mut rng)
         .into_iter()
-        .map(|t| maker.arrival(t, &mut rng))
+        .map(|t| generator.arrival(t, &mut rng))
         .collect()
 }
 
@@ -147,9 +147,9 @@
 
 /// Times of arrival in seconds: a Poisson process thinned outside the bursts.
 fn times(plan: &Plan, rng: &mut StdRng) -> Vec<f64> {
-    let share = BURST / PERIOD;
-    let base = plan.rate / (1.0 - share + share * HEIGHT);
-    let peak = base * HEIGHT;
+    let share = BURST / BURST_PERIOD;
+    let base = plan.rate / (1.0 - share + share * BURST_FACTOR);
+    let peak = base * BURST_FACTOR;
     let mut out = Vec::new();
     let mut t = 0.0;
     while out.len() < MOST {
@@ -157,22 +157,22 @@
         if t >= plan.seconds as f64 {
             break;
         }
-        let bursts = t % PERIOD < BURST;
-        if bursts || rng.random::<f64>() < 1.0 / HEIGHT {
+        let bursts = t % BURST_PERIOD < BURST;
+        if bursts || rng.random::<f64>() < 1.0 / BURST_FACTOR {
             out.push(t);
         }
     }
     out
 }
 
-struct Maker {
+struct Generator {
     mix: Mix,
     documents: Vec<f64>,
     sections: Vec<f64>,
     teams: Vec<f64>,
 }
 
-impl Maker {
+impl Generator {
     fn arrival(&mut self, t: f64, rng: &mut StdRng) -> Arrival {
         let at_ms = (t * 1_000.0) as u64;
         let team = format!("t{}", draw(&self.teams, rng) + 1);
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -28,6 +28,8 @@
     pub policy: String,
     /// Seconds from the first arrival to the last.
     pub seconds: f64,
+    /// Seconds from the first arrival to the last answer.
+    pub elapsed: f64,
     /// Engines.
     pub engines: usize,
     /// Entries.
@@ -89,9 +91,9 @@
     pub served: usize,
     /// Of these, with a first token within the limit.
     pub in_time: usize,
-    /// Served a second.
+    /// Served a second, until the last answer.
     pub goodput: f64,
-    /// Served in time a second.
+    /// Served in time a second, until the last arrival.
     pub goodput_in_time: f64,
     /// Refused or failed, by code.
     pub refused: BTreeMap<String, usize>,
@@ -102,7 +104,7 @@
     /// Broken off openly.
     pub cut: usize,
     /// Ended as if whole, but weren't.
-    pub torn: usize,
+    pub truncated: usize,
     /// Answered with what belongs to another.
     pub crossed: usize,
     /// Run to the end more than once.
@@ -156,7 +158,7 @@
             ..Self::default()
         };
         e.done.iter().for_each(|d| r.count(d, e.limit));
-        r.goodput = r.served as f64 / r.run.seconds.max(1e-3);
+        r.goodput = r.served as f64 / r.run.elapsed.max(1e-3);
         r.goodput_in_time = r.in_time as f64 / r.run.seconds.max(1e-3);
         r.times(e);
         r.repeats(e);
@@ -175,7 +177,7 @@
             }
             Ending::Lost => self.lost += 1,
             Ending::Cut => self.cut += 1,
-            Ending::Torn => self.torn += 1,
+            Ending::Truncated => self.truncated += 1,
             Ending::Crossed => self.crossed += 1,
             Ending::Unsent => self.unsent += 1,
         }
@@ -281,8 +283,8 @@
         )?;
         writeln!(
             f,
-            "lost {} cut {} torn {} crossed {} doubled {} ({} of those once only) falsely not run {} unsent {}",
-            self.lost, self.cut, self.torn, self.crossed, self.doubled, self.doubled_once,
+            "lost {} cut {} truncated {} crossed {} doubled {} ({} of those once only) falsely not run {} unsent {}",
+            self.lost, self.cut, self.truncated, self.crossed, self.doubled, self.doubled_once,
             self.falsely_not_run, self.unsent
         )?;
         writeln!(f, "refused {:?} outcomes {:?}", self.refused, self.outcomes)?;
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use viz::Router;
 
 /// Longest wait for an event; only a failing test comes near it.
-const PATIENCE: Duration = Duration::from_secs(20);
+const LIMIT: Duration = Duration::from_secs(20);
 
 pub(crate) async fn start(set: Settings) -> (Arc<Engine>, SocketAddr) {
     let engine = Engine::new(set);
@@ -37,9 +37,7 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, all)
-        .await
-        .expect("never came");
+    tokio::time::timeout(LIMIT, all).await.expect("never came");
 }
 
 /// The words of a stream.
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use serde_json::{json, Value};
 use standin::call::{Call, CallError};
-use standin::engine::{word, Engine, Fate, Faults, Fencing, Given, Line, Place, Settings};
+use standin::engine::{word, Engine, Faults, Fencing, OrderRecord, Queue, Rank, Settings, Status};
 
 use common::{completion, eventually, start, words};
 
@@ -98,9 +98,9 @@
 
 #[tokio::test]
 async fn the_line_seats_by_priority_then_arrival() {
-    let line = Line::new(1);
+    let line = Queue::new(1);
     let first = line
-        .seat(Place {
+        .acquire(Rank {
             priority: 0,
             arrival: 0,
         })
@@ -110,7 +110,7 @@
     for (n, (priority, arrival)) in places.into_iter().enumerate() {
         let (line, tx) = (line.clone(), tx.clone());
         tokio::spawn(async move {
-            let _seat = line.seat(Place { priority, arrival }).await;
+            let _permit = line.acquire(Rank { priority, arrival }).await;
             let _ = tx.send(n);
         });
     }
@@ -264,18 +264,18 @@
 async fn orders_are_fenced_where_the_engine_checks_numbers() {
     struct Case {
         fencing: Fencing,
-        late: Fate,
+        late: Status,
         weights: &'static str,
     }
     let cases = [
         Case {
             fencing: Fencing::Honour,
-            late: Fate::Fenced,
+            late: Status::Fenced,
             weights: "w2",
         },
         Case {
             fencing: Fencing::Ignore,
-            late: Fate::Done,
+            late: Status::Done,
             weights: "w0",
         },
     ];
@@ -288,11 +288,14 @@
         for (fence, weights) in [(7, "w2"), (6, "w0")] {
             let order = json!({"fence": fence, "order": "load", "weights": weights}).to_string();
             Call::post(at, "/orders", order).whole().await.unwrap();
-            eventually(|| engine.orders().iter().all(|g| g.fate != Fate::Running)).await;
+            eventually(|| engine.orders().iter().all(|g| g.status != Status::Running)).await;
         }
-        let (_, given) = Call::get(at, "/orders").json::<Vec<Given>>().await.unwrap();
-        let fates: Vec<_> = given.iter().map(|g| g.fate).collect();
-        assert_eq!(fates, [Fate::Done, c.late]);
+        let (_, orders) = Call::get(at, "/orders")
+            .json::<Vec<OrderRecord>>()
+            .await
+            .unwrap();
+        let fates: Vec<_> = orders.iter().map(|g| g.status).collect();
+        assert_eq!(fates, [Status::Done, c.late]);
         let (_, load) = Call::get(at, "/load").json::<Value>().await.unwrap();
         assert_eq!(load["weights"], c.weights);
     }
@@ -315,7 +318,7 @@
     let (status, _) = Call::post(at, "/orders", order).whole().await.unwrap();
     assert_eq!(status, 202);
     assert_matches!(call.await.unwrap(), Err(CallError::Broken(_)));
-    eventually(|| engine.orders()[0].fate == Fate::Done).await;
+    eventually(|| engine.orders()[0].status == Status::Done).await;
     let body = json!({"prompt": "x".repeat(640), "max_tokens": 1});
     completion(at, "new", &body).whole().await.unwrap();
     let ran = engine.ran();
@@ -408,28 +411,28 @@
         },
     ];
     for c in cases {
-        let line = Line::new(1);
-        let own = Place {
+        let line = Queue::new(1);
+        let own = Rank {
             priority: 0,
             arrival: 0,
         };
-        let seat = line.seat(own).await;
+        let permit = line.acquire(own).await;
         let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
-        let other = Place {
+        let other = Rank {
             priority: c.waiting,
             arrival: 1,
         };
         let task = tokio::spawn({
             let line = line.clone();
             async move {
-                let _seat = line.seat(other).await;
+                let _permit = line.acquire(other).await;
                 let _ = tx.send(());
             }
         });
         eventually(|| line.waiting() == 1).await;
-        let seat = line.pass(seat, own).await;
+        let permit = line.yield_to(permit, own).await;
         assert_eq!(rx.try_recv().is_ok(), c.passed);
-        drop(seat);
+        drop(permit);
         task.await.unwrap();
     }
 }
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -136,12 +136,12 @@
         Case {
             stream: event(0) + done,
             broken: false,
-            ending: Ending::Torn,
+            ending: Ending::Truncated,
         },
         Case {
             stream: event(0) + &event(1),
             broken: false,
-            ending: Ending::Torn,
+            ending: Ending::Truncated,
         },
         Case {
             stream: event(1) + &event(0) + done,
