Read rules with their places, report every fault at once, index the match

The first version stopped at the first fault, knew no place of it, and scanned every key digest and every rule for each request. Tables are now declared once (struct, defaults, reader, printer and documentation from one list), read from the spanned tree of the toml crate, and checked as a whole. Serde's own reading was ruled out: it ends at the first fault.

--- /dev/null
+++ b/crates/rules/examples/digest.rs
@@ -0,0 +1,7 @@
+//! Prints the digests of the API keys given as arguments, as a configuration holds them.
+
+fn main() {
+    std::env::args()
+        .skip(1)
+        .for_each(|key| println!("{}", rules::digest(key)));
+}
--- /dev/null
+++ b/crates/rules/src/check.rs
@@ -0,0 +1,191 @@
+//! Whether a configuration holds together: names, limits, keys and places.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::config::{Config, Kind, Limits, Pool, Team};
+use crate::fault::{FaultKind, Noun};
+use crate::keys::Digest;
+use crate::read::{nearest, Reader};
+use crate::rulecheck;
+
+/// Longest name of a pool, team, region, failure domain or rule; they become labels of metrics.
+const NAME_MAX: usize = 64;
+
+/// Notes every fault that reading the values alone doesn't show.
+pub(crate) fn run(reader: &mut Reader, config: &Config) {
+    regions(reader, config);
+    pools(reader, &config.pool);
+    teams(reader, config);
+    features(reader, config);
+    rulecheck::run(reader, config);
+}
+
+/// Notes a name that can't stand in metrics and logs.
+pub(crate) fn name(reader: &mut Reader, path: &str, name: &str) {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty() || name.len() > NAME_MAX || !name.chars().all(plain) {
+        reader.note(path, FaultKind::BadName(name.to_owned()));
+    }
+}
+
+/// Notes a name that nothing declares.
+pub(crate) fn declared<T>(
+    reader: &mut Reader,
+    path: impl Into<String>,
+    noun: Noun,
+    name: &str,
+    known: &BTreeMap<String, T>,
+) {
+    if !known.contains_key(name) {
+        let kind = FaultKind::UnknownName {
+            noun,
+            name: name.to_owned(),
+            hint: nearest(name, known.keys().map(String::as_str)),
+        };
+        reader.note(path, kind);
+    }
+}
+
+fn regions(reader: &mut Reader, config: &Config) {
+    let mut homes: HashMap<&str, &str> = HashMap::new();
+    for (region, r) in &config.region {
+        let path = format!("region.{region}");
+        name(reader, &path, region);
+        if r.domains.is_empty() && !reader.is_faulty(&path) {
+            reader.note(&path, FaultKind::EmptyRegion(region.clone()));
+        }
+        for (i, domain) in r.domains.iter().enumerate() {
+            let path = format!("{path}.domains[{i}]");
+            name(reader, &path, domain);
+            if let Some(first) = homes.get(domain.as_str()) {
+                let kind = FaultKind::SharedDomain {
+                    domain: domain.clone(),
+                    region: (*first).to_owned(),
+                };
+                reader.note(path, kind);
+                continue;
+            }
+            homes.insert(domain, region);
+        }
+    }
+}
+
+fn pools(reader: &mut Reader, pools: &BTreeMap<String, Pool>) {
+    for (pool, p) in pools {
+        let path = format!("pool.{pool}");
+        name(reader, &path, pool);
+        zero(reader, &path, "permits", Some(p.permits));
+        zero(reader, &path, "concurrency", p.concurrency);
+        kept(reader, &path, p, pools);
+        match p.kind {
+            Kind::Model if p.model.is_empty() => {
+                reader.note(path, FaultKind::NoModel(pool.clone()));
+            }
+            Kind::Plain => plain(reader, &path, p),
+            Kind::Model => {}
+        }
+    }
+}
+
+/// Notes a store of kept KV cache that isn't there or isn't one.
+fn kept(reader: &mut Reader, path: &str, pool: &Pool, pools: &BTreeMap<String, Pool>) {
+    let Some(name) = &pool.kept else {
+        return;
+    };
+    let path = format!("{path}.kept");
+    match pools.get(name) {
+        Some(p) if p.kind == Kind::Model => reader.note(path, FaultKind::KeptModel(name.clone())),
+        _ => declared(reader, path, Noun::Pool, name, pools),
+    }
+}
+
+/// Notes what only model engines heed.
+fn plain(reader: &mut Reader, path: &str, pool: &Pool) {
+    let d = Pool::default();
+    let set = [
+        ("model", pool.model != d.model),
+        ("weights", pool.weights != d.weights),
+        ("fencing", pool.fencing != d.fencing),
+        ("kept", pool.kept != d.kept),
+        ("permits", pool.permits != d.permits),
+    ];
+    for (key, _) in set.into_iter().filter(|(_, set)| *set) {
+        let beside = "in a pool of kind `plain`";
+        reader.note(format!("{path}.{key}"), FaultKind::IdleKey { key, beside });
+    }
+}
+
+fn teams(reader: &mut Reader, config: &Config) {
+    let mut holders: HashMap<Digest, &str> = HashMap::new();
+    limits(reader, "limits", &config.limits);
+    for (team, t) in &config.team {
+        let path = format!("team.{team}");
+        name(reader, &path, team);
+        zero(reader, &path, "share", Some(t.share));
+        if t.keys.is_empty() && !reader.is_faulty(&path) {
+            reader.note(&path, FaultKind::EmptyTeam(team.clone()));
+        }
+        for (i, key) in t.keys.iter().enumerate() {
+            let path = format!("{path}.keys[{i}]");
+            match Digest::parse(key) {
+                None => reader.note(path, FaultKind::BadDigest),
+                Some(d) => {
+                    if let Some(other) = holders.insert(d, team) {
+                        reader.note(path, FaultKind::SharedKey(other.to_owned()));
+                    }
+                }
+            }
+        }
+        let inner = format!("{path}.limits");
+        limits(reader, &inner, &t.limits);
+        borrowed(reader, config, team, t);
+    }
+}
+
+/// Notes a team that takes another's scope while that one believes it to be its own. Otherwise one
+/// team could read what another left in the caches just by naming it; sharing has to be written in
+/// both tables.
+fn borrowed(reader: &mut Reader, config: &Config, team: &str, t: &Team) {
+    let owner = config.team.get(&t.scope);
+    if t.scope != team && owner.is_some_and(|o| o.scope.is_empty()) {
+        let kind = FaultKind::ForeignScope {
+            scope: t.scope.clone(),
+            owner: t.scope.clone(),
+            team: team.to_owned(),
+        };
+        reader.note(format!("team.{team}.scope"), kind);
+    }
+}
+
+fn zero(reader: &mut Reader, path: &str, key: &'static str, value: Option<u32>) {
+    if value == Some(0) {
+        reader.note(format!("{path}.{key}"), FaultKind::Zero(key));
+    }
+}
+
+/// Notes limits that let nothing through.
+pub(crate) fn limits(reader: &mut Reader, path: &str, limits: &Limits) {
+    for (key, value) in limits.each() {
+        if value == Some(0) {
+            reader.note(format!("{path}.{key}"), FaultKind::Zero(key));
+        }
+    }
+}
+
+fn features(reader: &mut Reader, c: &Config) {
+    zero(reader, "probe", "fanout", Some(c.probe.fanout));
+    zero(reader, "queue", "depth", Some(c.queue.depth));
+    zero(reader, "retry", "attempts", Some(c.retry.attempts));
+    zero(reader, "health", "slow", Some(c.health.slow));
+    zero(reader, "quarantine", "strikes", Some(c.quarantine.strikes));
+    let spans = [
+        ("probe", "timeout", c.probe.timeout),
+        ("quarantine", "release", c.quarantine.release),
+        ("drain", "timeout", c.drain.timeout),
+    ];
+    for (table, key, span) in spans {
+        if span.0 == model::Micros::ZERO {
+            reader.note(format!("{table}.{key}"), FaultKind::Zero(key));
+        }
+    }
+}
--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -3,128 +3,285 @@
 use std::collections::BTreeMap;
 
 use model::Class;
-use serde::{Deserialize, Serialize};
-
-/// The whole text.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Config {
-    /// Regions by name, each with its failure domains.
-    #[serde(default)]
-    pub region: BTreeMap<String, Region>,
-    /// Pools by name.
-    #[serde(default)]
-    pub pool: BTreeMap<String, Pool>,
-    /// Teams by name.
-    #[serde(default)]
-    pub team: BTreeMap<String, Team>,
-    /// Rules; the first that matches decides.
-    #[serde(default)]
-    pub rule: Vec<Rule>,
+use toml::de::DeValue;
+use toml::Spanned;
+
+use crate::features;
+use crate::read::{Read, Reader};
+use crate::table::{table, word, words, Field};
+use crate::units::{Duration, Glob, Size, Window};
+
+/// Loads of weights at once in one pool; both users' weight stores slow down beyond two.
+pub const PERMITS: u32 = 2;
+
+table! {
+    /// The whole text.
+    Config in "" {
+        /// Regions by name, each with its failure domains.
+        "region" region: BTreeMap<String, Region> = BTreeMap::new();
+        /// Pools by name.
+        "pool" pool: BTreeMap<String, Pool> = BTreeMap::new();
+        /// Teams by name.
+        "team" team: BTreeMap<String, Team> = BTreeMap::new();
+        /// Limits of each team that sets none of its own.
+        "limits" limits: Limits = Limits::default();
+        /// How replicas are asked before one is chosen.
+        "probe" probe: features::Probe = features::Probe::default();
+        /// How requests wait at a target.
+        "queue" queue: features::Queue = features::Queue::default();
+        /// What is turned away before it waits.
+        "admit" admit: features::Admit = features::Admit::default();
+        /// How often a request is tried again.
+        "retry" retry: features::Retry = features::Retry::default();
+        /// When a target is taken out for a while.
+        "health" health: features::Health = features::Health::default();
+        /// What becomes of a request that crashes its targets.
+        "quarantine" quarantine: features::Quarantine = features::Quarantine::default();
+        /// How a planned stop goes.
+        "drain" drain: features::Drain = features::Drain::default();
+        /// Rules; the first that matches decides.
+        "rule" rule: Vec<Rule> = Vec::new();
+    }
 }
 
-/// Failure domains near one another.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Region {
-    /// Names of its failure domains.
-    pub domains: Vec<String>,
+table! {
+    /// Failure domains near one another.
+    Region in "region.NAME" {
+        /// Names of its failure domains.
+        "domains" domains: Vec<String> = Vec::new();
+    }
 }
 
-/// What stands behind a pool.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Kind {
-    /// Model engines with a prefix cache.
-    #[default]
-    Model,
-    /// Plain services.
-    Plain,
+words! {
+    /// What stands behind a pool.
+    Kind {
+        /// Model engines with a prefix cache.
+        #[default]
+        Model "model",
+        /// Plain services.
+        Plain "plain",
+    }
 }
 
-/// Targets that can stand in for one another.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Pool {
-    /// What stands behind it.
-    #[serde(default)]
-    pub kind: Kind,
-    /// The model its engines serve.
-    #[serde(default)]
-    pub model: String,
-    /// The weights its engines should serve.
-    #[serde(default)]
-    pub weights: String,
+table! {
+    /// Targets that can stand in for one another.
+    Pool in "pool.NAME" {
+        /// What stands behind it: `model` engines with a prefix cache, or `plain` services.
+        "kind" kind: Kind = Kind::Model;
+        /// The model its engines serve.
+        "model" model: String = String::new();
+        /// The version of the weights its engines should serve.
+        "weights" weights: String = String::new();
+        /// Whether its targets refuse an order with an old fencing number. If not, a new holder
+        /// of the lease waits until no order of the old one can still arrive.
+        "fencing" fencing: bool = false;
+        /// The plain pool that holds kept KV cache for these engines, if there is one.
+        "kept" kept: Option<String> = None;
+        /// Loads of weights at once.
+        "permits" permits: u32 = PERMITS;
+        /// Requests that one target should run at once at most; measured if absent.
+        "concurrency" concurrency: Option<u32> = None;
+    }
 }
 
-/// A customer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Team {
-    /// API key digests, `blake3:` and 64 hexadecimal digits each.
-    #[serde(default)]
-    pub keys: Vec<String>,
-    /// Cache scope; teams of one scope share cache entries. The team's own name if empty.
-    #[serde(default)]
-    pub scope: String,
-    /// Weight in fair sharing.
-    #[serde(default = "one")]
-    pub share: u32,
+table! {
+    /// A customer.
+    Team in "team.NAME" {
+        /// API key digests, `blake3:` and 64 hexadecimal digits each.
+        "keys" keys: Vec<String> = Vec::new();
+        /// Cache scope; teams of one scope share cache entries. The team's own name if empty.
+        "scope" scope: String = String::new();
+        /// Weight in fair sharing.
+        "share" share: u32 = 1;
+        /// Limits on all that this team sends.
+        "limits" limits: Limits = Limits::default();
+    }
 }
 
-fn one() -> u32 {
-    1
+table! {
+    #[derive(Copy)]
+    /// What one team may send. A limit of the team and one of the rule hold at once.
+    Limits in "limits" {
+        /// Requests a second.
+        "requests" requests: Option<u32> = None;
+        /// Prompt tokens a second.
+        "tokens" tokens: Option<u32> = None;
+        /// Bytes of one request's body.
+        "body" body: Option<Size> = None;
+    }
 }
 
-/// One when-then rule.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Rule {
-    /// Name in logs and explanations.
-    pub name: String,
-    /// All of it must hold.
-    #[serde(default)]
-    pub when: When,
-    /// What happens then.
-    pub then: Then,
+table! {
+    /// One when-then rule.
+    Rule in "rule" {
+        /// Name in logs and explanations.
+        "name" name: String = String::new();
+        /// All of it must hold.
+        "when" when: When = When::default();
+        /// None of it may hold.
+        "not" not: When = When::default();
+        /// What happens then.
+        "then" then: Then = Then::default();
+    }
 }
 
-/// Conditions; an empty one always holds.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct When {
-    /// One of these teams.
-    #[serde(default)]
-    pub team: Vec<String>,
-    /// This path; a trailing `*` stands for any rest.
-    #[serde(default)]
-    pub path: Option<String>,
-    /// This model.
-    #[serde(default)]
-    pub model: Option<String>,
-    /// All of these headers with these values.
-    #[serde(default)]
-    pub header: BTreeMap<String, String>,
+table! {
+    /// Conditions; an empty one always holds.
+    When in "rule.when" {
+        /// One of these teams.
+        "team" team: Vec<String> = Vec::new();
+        /// One of these paths, without query; a trailing `*` stands for any rest.
+        "path" path: Vec<Glob> = Vec::new();
+        /// One of these HTTP methods.
+        "method" method: Vec<String> = Vec::new();
+        /// One of these models; a trailing `*` stands for any rest.
+        "model" model: Vec<Glob> = Vec::new();
+        /// One of these classes, as asked for in the `x-class` header.
+        "class" class: Vec<Class> = Vec::new();
+        /// One of these windows of the day in UTC, as `06:00-18:30`.
+        "hours" hours: Vec<Window> = Vec::new();
+        /// One of these days of the week in UTC.
+        "days" days: Vec<Weekday> = Vec::new();
+        /// Size of the prompt.
+        "prompt" prompt: Range = Range::default();
+        /// All of these headers, names in lower case; a trailing `*` stands for any rest, so that
+        /// `*` alone asks that the header be there.
+        "header" header: BTreeMap<String, Glob> = BTreeMap::new();
+    }
 }
 
-/// Consequences.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub struct Then {
-    /// Where it goes.
-    #[serde(default)]
-    pub pool: Option<String>,
-    /// How urgent it is.
-    #[serde(default)]
-    pub class: Class,
-    /// Milliseconds until the answer is of no use.
-    #[serde(default)]
-    pub deadline_ms: Option<u64>,
-    /// Whether it may run more than once; by default as its HTTP method says, and for a model
-    /// pool yes.
-    #[serde(default)]
-    pub idempotent: Option<bool>,
-    /// Refuse it, with this reason.
-    #[serde(default)]
-    pub refuse: Option<String>,
+table! {
+    #[derive(Copy)]
+    /// Sizes from a least to a greatest, both included.
+    Range in "rule.when.prompt" {
+        /// The least size.
+        "min" min: Option<Size> = None;
+        /// The greatest size.
+        "max" max: Option<Size> = None;
+    }
+}
+
+words! {
+    /// A day of the week.
+    Weekday {
+        /// Monday.
+        #[default]
+        Mon "mon",
+        /// Tuesday.
+        Tue "tue",
+        /// Wednesday.
+        Wed "wed",
+        /// Thursday.
+        Thu "thu",
+        /// Friday.
+        Fri "fri",
+        /// Saturday.
+        Sat "sat",
+        /// Sunday.
+        Sun "sun",
+    }
+}
+
+table! {
+    /// Consequences.
+    Then in "rule.then" {
+        /// Where it goes.
+        "pool" pool: Option<String> = None;
+        /// How urgent it is.
+        "class" class: Class = Class::Normal;
+        /// How long until the answer is of no use.
+        "deadline" deadline: Option<Duration> = None;
+        /// Whether it may run more than once; by default as its HTTP method says, and for a model
+        /// pool yes.
+        "idempotent" idempotent: Option<bool> = None;
+        /// Cache scope in place of the team's.
+        "scope" scope: Option<String> = None;
+        /// Refuse it, with this reason.
+        "refuse" refuse: Option<String> = None;
+        /// When a refused caller may come back.
+        "retry-after" retry_after: Option<Duration> = None;
+        /// Limits on what each team sends under this rule.
+        "limits" limits: Limits = Limits::default();
+        /// Headers to set on the request before it goes to its target.
+        "set" set: BTreeMap<String, String> = BTreeMap::new();
+    }
+}
+
+impl Limits {
+    /// Each limit by its key, as plain numbers.
+    pub fn each(&self) -> [(&'static str, Option<u64>); 3] {
+        [
+            ("requests", self.requests.map(u64::from)),
+            ("tokens", self.tokens.map(u64::from)),
+            ("body", self.body.map(|s| s.0)),
+        ]
+    }
+
+    /// These, and others where none is set.
+    pub fn or(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.or(other.requests),
+            tokens: self.tokens.or(other.tokens),
+            body: self.body.or(other.body),
+        }
+    }
+}
+
+impl Config {
+    /// The configuration in canonical form: parsing it gives the same configuration, and printing
+    /// that the same text. Comments are lost.
+    pub fn print(&self) -> String {
+        // Every type here prints as TOML; the property test over arbitrary configurations would
+        // show one that doesn't.
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    /// The cache scope of a team: its own name unless it shares one.
+    pub fn scope<'a>(&'a self, team: &'a str) -> &'a str {
+        match self.team.get(team) {
+            Some(t) if !t.scope.is_empty() => &t.scope,
+            _ => team,
+        }
+    }
+
+    /// The limits on all that a team sends.
+    pub fn limits(&self, team: &str) -> Limits {
+        match self.team.get(team) {
+            Some(t) => t.limits.or(self.limits),
+            None => self.limits,
+        }
+    }
+
+    /// Every key of every table, for documentation.
+    pub fn options() -> Vec<Field> {
+        [
+            Region::fields(),
+            Pool::fields(),
+            Team::fields(),
+            Limits::fields(),
+            Rule::fields(),
+            When::fields(),
+            Range::fields(),
+            Then::fields(),
+            features::fields(),
+        ]
+        .concat()
+    }
+}
+
+impl Read for Class {
+    fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
+        r.text::<ClassWord>(path, value).map(|w| w.0)
+    }
+}
+
+/// A class as the reader wants it, with a fault that suggests one.
+struct ClassWord(Class);
+
+impl std::str::FromStr for ClassWord {
+    type Err = crate::fault::FaultKind;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        word(s, Class::ALL.iter().map(|c| c.as_str())).map(|i| Self(Class::ALL[i]))
+    }
 }
--- a/crates/rules/src/decide.rs
+++ b/crates/rules/src/decide.rs
@@ -2,21 +2,35 @@
 
 use std::collections::BTreeMap;
 
-use model::Class;
-use subtle::ConstantTimeEq;
+use model::{Class, Micros};
 
-use crate::config::{Config, Kind, Pool, Rule, Team, When};
+use crate::check;
+use crate::cond::{self, Cond};
+use crate::config::{Config, Kind, Limits, Pool, Rule, Team, Weekday};
 use crate::fault::{Fault, Faults};
+use crate::index::Index;
+use crate::keys::Keys;
+use crate::read::Reader;
+use crate::units::Size;
+
+/// Seconds of a day.
+const DAY: u64 = 86_400;
 
 /// A checked configuration, ready to decide.
 #[derive(Clone, Debug, Default)]
 pub struct RuleSet {
     config: Config,
-    digests: Vec<([u8; 32], String)>,
+    warnings: Vec<Fault>,
+    keys: Keys,
+    index: Index,
+    /// All conditions of each rule.
+    conds: Vec<Vec<Cond>>,
+    /// Those of each rule that the index leaves open.
+    rest: Vec<Vec<Cond>>,
 }
 
 /// What the rules may ask of a request.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Facts {
     /// The team that sent it.
     pub team: String,
@@ -32,6 +46,23 @@
     pub prompt: usize,
     /// Minutes since midnight, UTC.
     pub minute: u16,
+    /// Day of the week, UTC.
+    pub weekday: Weekday,
+}
+
+impl Facts {
+    /// The class that the caller asks for, if it is one.
+    pub fn asked(&self) -> Option<Class> {
+        self.headers.get(cond::CLASS)?.parse().ok()
+    }
+
+    /// The same facts at a time, in seconds since the beginning of 1970, UTC.
+    pub fn at(mut self, unix: u64) -> Self {
+        self.minute = (unix % DAY / 60) as u16;
+        // The first day of 1970 was a Thursday.
+        self.weekday = Weekday::ALL[((unix / DAY + 3) % 7) as usize];
+        self
+    }
 }
 
 /// What a rule makes of a request.
@@ -45,28 +76,46 @@
     pub class: Class,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// How long until the answer is of no use.
+    pub deadline: Option<Micros>,
+    /// Cache scope: the rule's, or else the team's. Absent for a team that isn't declared.
+    pub scope: Option<&'a str>,
+    /// Limits on all that the team sends; those on what it sends under this rule stand in the
+    /// rule and hold as well.
+    pub limits: Limits,
+    /// The largest body that both allow.
+    pub body: Option<Size>,
 }
 
 impl RuleSet {
-    /// Parses and checks a text; all faults at once.
+    /// Parses and checks a text; all faults at once if there is an error among them.
     pub fn compile(text: impl AsRef<str>) -> Result<Self, Faults> {
-        let config: Config = toml::from_str(text.as_ref()).map_err(|e| {
-            Faults(vec![Fault {
-                line: 1,
-                column: 1,
-                message: e.message().to_owned(),
-            }])
-        })?;
-        let digests = config
-            .team
-            .iter()
-            .flat_map(|(name, t)| {
-                t.keys
-                    .iter()
-                    .filter_map(|k| Some((digest(k)?, name.clone())))
-            })
-            .collect();
-        Ok(Self { config, digests })
+        Self::compile_file("", text)
+    }
+
+    /// The same for the text of a file, whose name the faults then bear.
+    pub fn compile_file(file: impl AsRef<str>, text: impl AsRef<str>) -> Result<Self, Faults> {
+        let (config, faults) = parse(file.as_ref(), text.as_ref());
+        match faults.has_errors() {
+            true => Err(faults),
+            false => Ok(Self::build(config, faults.0)),
+        }
+    }
+
+    fn build(config: Config, warnings: Vec<Fault>) -> Self {
+        let conds: Vec<_> = config.rule.iter().map(cond::of).collect();
+        let open = |conds: &Vec<Cond>| {
+            let open = conds.iter().filter(|c| !Index::answers(c));
+            open.cloned().collect()
+        };
+        Self {
+            warnings,
+            keys: Keys::new(&config),
+            index: Index::new(&conds),
+            rest: conds.iter().map(open).collect(),
+            conds,
+            config,
+        }
     }
 
     /// The configuration itself.
@@ -74,55 +123,58 @@
         &self.config
     }
 
-    /// The team with this API key. Every digest is compared, so that the time taken says nothing
-    /// of how near a guess came.
+    /// What is allowed in it, but hardly meant.
+    pub fn warnings(&self) -> &[Fault] {
+        &self.warnings
+    }
+
+    /// The team with this API key. The time taken doesn't tell how near a guess came; see the head
+    /// of the module `keys`.
     pub fn team(&self, key: impl AsRef<[u8]>) -> Option<(&str, &Team)> {
-        let want = blake3::hash(key.as_ref());
-        let mut found = None;
-        for (d, name) in &self.digests {
-            if bool::from(d.ct_eq(want.as_bytes())) {
-                found = Some(name);
-            }
-        }
-        found.and_then(|n| Some((n.as_str(), self.config.team.get(n)?)))
+        let name = self.keys.team(key)?;
+        Some((name, self.config.team.get(name)?))
     }
 
     /// The first rule that matches, with its consequences.
     pub fn decide(&self, facts: &Facts) -> Option<Decision<'_>> {
-        let rule = self.config.rule.iter().find(|r| matches(&r.when, facts))?;
-        let pool = rule
-            .then
+        let first = self.first(facts)?;
+        let rule = &self.config.rule[first];
+        let then = &rule.then;
+        let pool = then
             .pool
             .as_deref()
             .and_then(|n| Some((n, self.config.pool.get(n)?)));
         let safe = matches!(facts.method.as_str(), "GET" | "HEAD" | "OPTIONS");
         let model = pool.is_some_and(|(_, p)| p.kind == Kind::Model);
+        let team = self.config.team.get_key_value(&facts.team);
+        let own = team.map(|(name, _)| self.config.scope(name));
+        let limits = team.map_or(self.config.limits, |(_, t)| t.limits.or(self.config.limits));
         Some(Decision {
             rule,
-            pool: pool.filter(|_| rule.then.refuse.is_none()),
-            class: rule.then.class,
-            idempotent: rule.then.idempotent.unwrap_or(safe || model),
+            pool: pool.filter(|_| then.refuse.is_none()),
+            class: then.class,
+            idempotent: then.idempotent.unwrap_or(safe || model),
+            deadline: then.deadline.map(|d| d.0),
+            scope: then.scope.as_deref().or(own),
+            limits,
+            body: [limits.body, then.limits.body].into_iter().flatten().min(),
         })
     }
-}
 
-fn digest(text: &str) -> Option<[u8; 32]> {
-    let hex = text.strip_prefix("blake3:")?;
-    blake3::Hash::from_hex(hex).ok().map(|h| *h.as_bytes())
+    /// The position of the first rule that matches.
+    pub fn first(&self, facts: &Facts) -> Option<usize> {
+        let pass = |rule: usize| self.rest[rule].iter().all(|c| c.holds(facts));
+        self.index.find(facts, pass)
+    }
+
+    pub(crate) fn conds(&self) -> &[Vec<Cond>] {
+        &self.conds
+    }
 }
 
-fn matches(when: &When, facts: &Facts) -> bool {
-    let path = when
-        .path
-        .as_deref()
-        .is_none_or(|p| match p.strip_suffix('*') {
-            Some(head) => facts.path.starts_with(head),
-            None => facts.path == p,
-        });
-    path && (when.team.is_empty() || when.team.contains(&facts.team))
-        && (when.model.is_none() || when.model == facts.model)
-        && when
-            .header
-            .iter()
-            .all(|(k, v)| facts.headers.get(k) == Some(v))
+/// Reads and checks a text: what could be read, and all that is wrong with it.
+pub fn parse(file: &str, text: &str) -> (Config, Faults) {
+    let (mut reader, config) = Reader::parse::<Config>(text);
+    check::run(&mut reader, &config);
+    (config, Faults(reader.finish(file, text)))
 }
--- /dev/null
+++ b/crates/rules/src/explain.rs
@@ -0,0 +1,125 @@
+//! Why a request is decided as it is: the rule that decides and what kept each earlier one from it.
+
+use std::fmt;
+
+use crate::cond::Cond;
+use crate::config::Then;
+use crate::decide::{Decision, Facts, RuleSet};
+
+/// What the rules make of a request, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Explanation<'a> {
+    /// The earlier rules, each with the first condition that failed.
+    pub passed: Vec<Passed<'a>>,
+    /// The rule's position and its consequences; absent if no rule matches.
+    pub decision: Option<(usize, Decision<'a>)>,
+}
+
+/// A rule that doesn't match.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Passed<'a> {
+    /// Its position.
+    pub index: usize,
+    /// Its name.
+    pub rule: &'a str,
+    /// The first of its conditions that fails.
+    pub failed: &'a Cond,
+    /// What the request has instead.
+    pub found: String,
+}
+
+impl RuleSet {
+    /// Which rule decides a request, and why each earlier one doesn't.
+    pub fn explain(&self, facts: &Facts) -> Explanation<'_> {
+        let decision = self.first(facts).zip(self.decide(facts));
+        let end = decision.as_ref().map_or(self.conds().len(), |(i, _)| *i);
+        let conds = self.conds().iter().take(end).enumerate();
+        let passed = conds.filter_map(|(index, conds)| {
+            let failed = conds.iter().find(|c| !c.holds(facts))?;
+            Some(Passed {
+                index,
+                rule: &self.config().rule[index].name,
+                failed,
+                found: found(failed, facts),
+            })
+        });
+        Explanation {
+            passed: passed.collect(),
+            decision,
+        }
+    }
+}
+
+/// What a request has where a condition asks for something.
+fn found(cond: &Cond, facts: &Facts) -> String {
+    let none = || "none".to_owned();
+    match cond {
+        Cond::Team(_) => facts.team.clone(),
+        Cond::Path(_) => facts.path.clone(),
+        Cond::Method(_) => facts.method.clone(),
+        Cond::Model(_) => facts.model.clone().unwrap_or_else(none),
+        Cond::Class(_) => facts.asked().map_or_else(none, |c| c.to_string()),
+        Cond::Hours(_) => format!("{:02}:{:02}", facts.minute / 60, facts.minute % 60),
+        Cond::Days(_) => facts.weekday.to_string(),
+        Cond::Prompt(_) => format!("{}B", facts.prompt),
+        Cond::Header(name, _) => facts.headers.get(name).cloned().unwrap_or_else(none),
+        Cond::Not(inner) => found(inner, facts),
+    }
+}
+
+impl fmt::Display for Explanation<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for p in &self.passed {
+            writeln!(f, "{p}")?;
+        }
+        match &self.decision {
+            Some((i, d)) => write!(f, "{}. {}: matches; {}", i + 1, d.rule.name, Outcome(d)),
+            None => f.write_str("no rule matches"),
+        }
+    }
+}
+
+impl fmt::Display for Passed<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { rule, failed, .. } = self;
+        let found = self.found.escape_debug();
+        write!(
+            f,
+            "{}. {rule}: wants {failed}, found `{found}`",
+            self.index + 1
+        )
+    }
+}
+
+/// A decision in one line.
+struct Outcome<'a>(&'a Decision<'a>);
+
+impl fmt::Display for Outcome<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let d = self.0;
+        let Then {
+            refuse,
+            retry_after,
+            deadline,
+            ..
+        } = &d.rule.then;
+        match (refuse, d.pool) {
+            (Some(why), _) => write!(f, "refused: {why}")?,
+            (None, Some((pool, _))) => write!(f, "pool `{pool}`, class `{}`", d.class)?,
+            (None, None) => f.write_str("no pool")?,
+        }
+        match (refuse, retry_after, deadline) {
+            (Some(_), Some(after), _) => write!(f, ", retry after {after}"),
+            (Some(_), None, _) => Ok(()),
+            (None, _, Some(span)) => write!(f, ", deadline {span}{}", once(d)),
+            (None, _, None) => f.write_str(once(d)),
+        }
+    }
+}
+
+fn once(d: &Decision<'_>) -> &'static str {
+    match d.idempotent {
+        true => ", idempotent",
+        false => ", at most once",
+    }
+}
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -3,11 +3,29 @@
 //! A configuration is one TOML text: places, pools, teams and ordered when-then rules. It is
 //! parsed and checked as a whole ([`RuleSet::compile`]), and a [`RuleSet`] answers the two
 //! questions that each request raises: which team sent it, and which rule matches it first.
+//! `docs/RULES.md` is the operators' page of all this.
 
+pub mod cond;
 pub mod config;
 pub mod decide;
+pub mod diff;
+pub mod explain;
 pub mod fault;
+pub mod features;
+pub mod table;
+pub mod units;
 
-pub use config::{Config, Pool, Rule, Team, Then, When};
-pub use decide::{Decision, Facts, RuleSet};
-pub use fault::{Fault, Faults};
+mod check;
+mod index;
+mod keys;
+mod read;
+mod rulecheck;
+
+pub use cond::Cond;
+pub use config::{Config, Limits, Pool, Rule, Team, Then, Weekday, When};
+pub use decide::{parse, Decision, Facts, RuleSet};
+pub use diff::{diff, Change, Changes, Edit, Item};
+pub use explain::{Explanation, Passed};
+pub use fault::{Fault, FaultKind, Faults, Noun, Severity};
+pub use keys::digest;
+pub use table::Field;
