--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -51,7 +51,7 @@
     for (region, r) in &config.region {
         let path = format!("region.{region}");
         name(reader, &path, region);
-        if r.domains.is_empty() && !reader.is_faulty(&path) {
+        if r.domains.is_empty() && !reader.is_faulty(format!("{path}.domains")) {
             reader.note(&path, FaultKind::EmptyRegion(region.clone()));
         }
         for (i, domain) in r.domains.iter().enumerate() {
@@ -122,7 +122,7 @@
         let path = format!("team.{team}");
         name(reader, &path, team);
         zero(reader, &path, "share", Some(t.share));
-        if t.keys.is_empty() && !reader.is_faulty(&path) {
+        if t.keys.is_empty() && !reader.is_faulty(format!("{path}.keys")) {
             reader.note(&path, FaultKind::EmptyTeam(team.clone()));
         }
         for (i, key) in t.keys.iter().enumerate() {
--- a/crates/rules/src/units.rs
+++ b/crates/rules/src/units.rs
@@ -141,7 +141,7 @@
 
 /// The value in the largest unit that divides it; zero in the one given.
 fn spell(value: u64, units: &[(&str, u64)], zero: &str) -> String {
-    match units.iter().find(|(_, scale)| value % scale == 0) {
+    match units.iter().find(|(_, scale)| value.is_multiple_of(*scale)) {
         Some((unit, scale)) if value > 0 => format!("{}{unit}", value / scale),
         _ => format!("{value}{zero}"),
     }
