Add the fleet's membership and configuration spread, still untuned

A SWIM-like state machine without input or output, its datagram codec and seal, and a loop that drives it in virtual time (tests/net).

--- /dev/null
+++ b/crates/fleet/examples/slopes.rs
@@ -0,0 +1,235 @@
+//! Slopes of membership and spread: 10, 100 and 1,180 members in virtual time.
+//!
+//! Prints a table for each size. Links take 5 ms one way, up to a fifth more at random, and lose
+//! 1% of all datagrams and pulls. CPU is the wall time spent in `Fleet::step` alone, so it grows
+//! when the machine is busy. Arguments: the sizes to run, and `hour` for the virtual hour without
+//! faults that counts false deaths.
+
+#[path = "../tests/net/mod.rs"]
+mod net;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hdrhistogram::Histogram;
+use model::Micros;
+use net::{row, Net};
+
+/// Counts bytes in use, to give the memory of a view.
+struct Counting;
+
+static USED: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: Both calls go to the system's allocator unchanged; the counter doesn't touch memory
+// that they hand out.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, l: Layout) -> *mut u8 {
+        USED.fetch_add(l.size() as u64, Ordering::Relaxed);
+        // SAFETY: The caller's promises are passed on.
+        unsafe { System.alloc(l) }
+    }
+
+    unsafe fn dealloc(&self, p: *mut u8, l: Layout) {
+        USED.fetch_sub(l.size() as u64, Ordering::Relaxed);
+        // SAFETY: The caller's promises are passed on.
+        unsafe { System.dealloc(p, l) }
+    }
+}
+
+#[global_allocator]
+static ALLOC: Counting = Counting;
+
+/// Configuration changes measured at each size.
+const CHANGES: u64 = 20;
+/// Bytes of a configuration's text.
+const TEXT: usize = 8_000;
+/// Bytes of IP and UDP headers.
+const HEADERS: u64 = 28;
+
+/// Sums over all members at one time.
+#[derive(Clone, Copy, Default)]
+struct Totals {
+    sent: u64,
+    bytes: u64,
+    pulled: u64,
+    micros: u64,
+    reads: u64,
+}
+
+fn totals(net: &Net) -> Totals {
+    let mut t = Totals::default();
+    for n in net.up() {
+        let c = n.fleet.counters();
+        t.sent += c.sent;
+        t.bytes += c.sent_bytes + HEADERS * c.sent;
+        t.pulled += n.pulled;
+        t.micros += n.spent.as_micros() as u64;
+        t.reads += n.reads;
+    }
+    t
+}
+
+fn print_rates(label: impl AsRef<str>, a: Totals, b: Totals, span: Micros, n: usize) {
+    let per = |x: u64| x as f64 / span.as_secs_f64() / n as f64;
+    println!(
+        "| {} | {:.2} messages/s, {:.0} B/s sent, {:.0} B/s pulled, {:.0} us CPU/s a member; {:.1} table reads/s in all |",
+        label.as_ref(),
+        per(b.sent - a.sent),
+        per(b.bytes - a.bytes),
+        per(b.pulled - a.pulled),
+        per(b.micros - a.micros),
+        (b.reads - a.reads) as f64 / span.as_secs_f64(),
+    );
+}
+
+fn settle(n: usize, seed: u64) -> Net {
+    let before = USED.load(Ordering::Relaxed);
+    let mut net = Net::new(seed, 0.01);
+    net.domains = if n > 100 { 11 } else { 3 };
+    net.row = Some(row(1, "x".repeat(TEXT)));
+    net.timed = true;
+    net.grow(n);
+    let whole = net.until(Micros::from_secs(300), Net::is_whole);
+    let ms = whole.map(Micros::as_millis);
+    println!("| cold start of all, until everyone knows everyone | {ms:?} ms |");
+    net.run(Micros::from_secs(60));
+    let used = USED.load(Ordering::Relaxed) - before;
+    let entries = (n * (n - 1)) as u64;
+    println!("| memory | {} B a member entry |", used / entries);
+    net
+}
+
+fn steady(net: &mut Net, n: usize) {
+    let span = Micros::from_secs(60);
+    let a = totals(net);
+    net.run(span);
+    print_rates("steady state", a, totals(net), span, n);
+}
+
+fn changes(net: &mut Net, n: usize) {
+    let mut h = Histogram::<u64>::new(3).expect("three digits are supported");
+    let mut told = Histogram::<u64>::new(3).expect("three digits are supported");
+    for v in 0..CHANGES {
+        let r = row(v + 2, format!("{v}{}", "x".repeat(TEXT)));
+        let start = net.now;
+        let writer = (v as usize * 7) % n;
+        net.accept(writer, r.clone());
+        let known = net.until(Micros::from_secs(10), |net| {
+            net.nodes[writer].fleet.in_force().lagging.is_empty()
+        });
+        told.saturating_record(known.map_or(u64::MAX, Micros::as_millis));
+        net.run(Micros::from_secs(5));
+        for x in net.up() {
+            let at = x.adopted.iter().find(|a| a.1 == r.version).map(|a| a.0);
+            h.saturating_record(at.map_or(10_000, |at| at.since(start).as_millis()));
+        }
+    }
+    print_times("change in force, over members and changes", &h);
+    print_times("writer knows that it is in force", &told);
+}
+
+fn print_times(label: impl AsRef<str>, h: &Histogram<u64>) {
+    println!(
+        "| {} | p50 {} ms, p99 {} ms, max {} ms |",
+        label.as_ref(),
+        h.value_at_quantile(0.5),
+        h.value_at_quantile(0.99),
+        h.max(),
+    );
+}
+
+fn herd(net: &mut Net, n: usize) {
+    let some = n * 470 / 1_180;
+    let span = Micros::from_secs(30);
+    let a = totals(net);
+    let start = net.now;
+    for i in 0..some {
+        net.restart(n - 1 - i);
+    }
+    let last = row(CHANGES + 1, format!("{}{}", CHANGES - 1, "x".repeat(TEXT)));
+    let ready = net.until(Micros::from_secs(60), |net| net.all_have(&last));
+    let whole = net.until(Micros::from_secs(240), Net::is_whole);
+    if let Some(rest) = (start + span).0.checked_sub(net.now.0) {
+        net.run(Micros(rest));
+    }
+    let took = net.now.since(start);
+    let mut b = totals(net);
+    b.sent = b.sent.max(a.sent);
+    let ms = |t: Option<Micros>| t.map(Micros::as_millis);
+    println!(
+        "| {some} restart: all have the configuration | {:?} ms |",
+        ms(ready)
+    );
+    let whole = whole.zip(ready).map(|(w, r)| w + r);
+    println!(
+        "| {some} restart: everyone knows everyone | {:?} ms |",
+        ms(whole)
+    );
+    print_rates(format!("{some} restart"), lost(a, n, some), b, took, n);
+}
+
+/// Totals before a restart, less what the restarted had counted.
+fn lost(a: Totals, n: usize, some: usize) -> Totals {
+    let keep = |x: u64| x * (n - some) as u64 / n as u64;
+    Totals {
+        sent: keep(a.sent),
+        bytes: keep(a.bytes),
+        ..a
+    }
+}
+
+fn domain(net: &mut Net, n: usize) {
+    net.run(Micros::from_secs(60));
+    let start = net.now;
+    let hit: Vec<usize> = (0..n).filter(|i| i % net.domains == 1).collect();
+    hit.iter().for_each(|&i| net.kill(i));
+    let out = net.until(Micros::from_secs(240), Net::is_whole);
+    let ms = out.map(Micros::as_millis);
+    println!(
+        "| domain of {} dead, until out of every view | {ms:?} ms |",
+        hit.len()
+    );
+    let mut h = Histogram::<u64>::new(3).expect("three digits are supported");
+    for x in net.up() {
+        let gone = x.gone.iter().filter(|g| g.0 >= start);
+        gone.for_each(|g| h.saturating_record(g.0.since(start).as_millis()));
+    }
+    print_times("each dead member out of each view", &h);
+}
+
+fn hour(n: usize) {
+    let mut net = settle(n, 99);
+    net.timed = false;
+    let before: Vec<usize> = net.up().map(|x| x.gone.len()).collect();
+    let sum = |net: &Net| net.up().map(|x| x.fleet.counters().suspected).sum::<u64>();
+    let suspected = sum(&net);
+    net.run(Micros::from_secs(3_600));
+    let gone: usize = net.up().zip(before).map(|(x, b)| x.gone.len() - b).sum();
+    println!("| false deaths in a virtual hour | {gone} |");
+    println!(
+        "| false suspicions in a virtual hour | {} |",
+        sum(&net) - suspected
+    );
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let sizes: Vec<usize> = args.iter().filter_map(|a| a.parse().ok()).collect();
+    let sizes = if sizes.is_empty() {
+        vec![10, 100, 1_180]
+    } else {
+        sizes
+    };
+    for n in sizes {
+        println!("\n{n} members\n\n| what | figure |\n| --- | --- |");
+        if args.iter().any(|a| a == "hour") {
+            hour(n);
+            continue;
+        }
+        let mut net = settle(n, 7);
+        steady(&mut net, n);
+        changes(&mut net, n);
+        herd(&mut net, n);
+        domain(&mut net, n);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/join.rs
@@ -0,0 +1,194 @@
+//! How a process finds the others, and finds them again after a split.
+//!
+//! Hundreds of members may start together. Each asks a few seeds, which answer with their own
+//! description and some others', and then pulls everything from one of all those it heard of; so
+//! the pulls spread over the fleet although all know the same seeds. Later, views are compared by
+//! a digest that rides on each answer, and a whole list is pulled only if they differ. Now and
+//! then a dead member or a seed nobody knows is tried: without that, regions that lost each
+//! other for longer than a suspicion would never look for each other again.
+
+use std::net::SocketAddr;
+
+use model::Micros;
+use prost::Message;
+use rand::seq::IndexedRandom;
+
+use crate::packet::{Kind, Packet, Update, BODY_MAX};
+use crate::view::MemberKey;
+use crate::{Action, Fleet, MemberState, What};
+
+/// Seeds asked in one round.
+const ASKED: usize = 3;
+/// Others that a seed describes in its answer; what doesn't fit is left out.
+const SHOWN: usize = 12;
+/// Wait for more answers before one member is chosen for the pull.
+const PICK_WAIT: Micros = Micros::from_millis(100);
+/// Size up to which views are compared at the plain interval.
+const SMALL: f64 = 32.0;
+/// Wait before views are compared when something hints that they differ.
+const HURRY: Micros = Micros::from_secs(6);
+/// Wait before views are compared after a start.
+const FRESH: Micros = Micros::from_secs(2);
+/// Tag and length in front of an update in a datagram.
+const FRAME: usize = 3;
+
+/// State of joining and comparing.
+pub(crate) struct Join {
+    seeds: Vec<SocketAddr>,
+    join_at: Micros,
+    tries: u32,
+    sync_at: Micros,
+    heal_at: Micros,
+    open: bool,
+}
+
+impl Default for Join {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            join_at: Micros::MAX,
+            tries: 0,
+            sync_at: Micros::MAX,
+            heal_at: Micros::MAX,
+            open: true,
+        }
+    }
+}
+
+impl Join {
+    pub(crate) fn due(&self) -> Micros {
+        self.join_at.min(self.heal_at)
+    }
+
+    /// Whether the first whole list is still to come.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open
+    }
+}
+
+impl Fleet {
+    pub(crate) fn start_join(&mut self) {
+        self.join.heal_at = self.now + self.set.heal_every;
+        self.join.sync_at = self.now + FRESH;
+    }
+
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        let me = self.me.udp;
+        self.join.seeds = seeds.into_iter().filter(|&s| s != me).collect();
+        if self.join.open && !self.join.seeds.is_empty() {
+            self.join.join_at = self.now;
+            self.delay_reads();
+        }
+    }
+
+    pub(crate) fn run_join(&mut self, out: &mut Vec<Action>) {
+        if self.join.join_at <= self.now {
+            self.try_join(out);
+        }
+        if self.join.heal_at <= self.now {
+            let span = self.set.heal_every;
+            self.join.heal_at = self.now + self.jitter(span);
+            self.try_heal(out);
+            self.forget_gone();
+        }
+    }
+
+    /// The first whole list came in.
+    pub(crate) fn joined(&mut self) {
+        if self.join.open {
+            self.join.open = false;
+            self.join.join_at = Micros::MAX;
+            self.join.sync_at = self.now + self.jitter(FRESH);
+        }
+    }
+
+    /// Answers a process that joins: who this is, and some others to pull from.
+    pub(crate) fn welcome(&mut self, to: SocketAddr, seq: u32, out: &mut Vec<Action>) {
+        let mut p = Packet::new(Kind::Ack, seq);
+        p.updates.push(Update::full(&self.me));
+        let mut room = BODY_MAX / 2;
+        for k in self.view.sample(SHOWN, &mut self.rng) {
+            let Some(m) = self
+                .view
+                .member(k)
+                .filter(|m| m.state == MemberState::Alive)
+            else {
+                continue;
+            };
+            let u = Update::full(m);
+            let len = u.encoded_len() + FRAME;
+            if m.udp != to && len <= room {
+                room -= len;
+                p.updates.push(u);
+            }
+        }
+        self.send(to, p, out);
+    }
+
+    /// Compares views on an answer, if it is time to.
+    pub(crate) fn compare(&mut self, k: MemberKey, theirs: u64, out: &mut Vec<Action>) {
+        if self.join.open {
+            let soon = self.now + self.within(PICK_WAIT);
+            self.join.join_at = self.join.join_at.min(soon);
+            return;
+        }
+        if self.join.sync_at > self.now || !self.spread.is_idle(self.now) {
+            return;
+        }
+        let large = (self.size() as f64 / SMALL).log2().max(1.0);
+        let every = Micros((self.set.sync_every.0 as f64 * large) as u64);
+        self.join.sync_at = self.now + self.jitter(every);
+        let differs = theirs != self.view_hash();
+        if let Some(id) = self.view.member(k).filter(|_| differs).map(|m| m.id) {
+            self.pull(id, What::All, out);
+        }
+    }
+
+    /// Compares views soon, as when a member came back from the dead.
+    pub(crate) fn hurry_sync(&mut self) {
+        let soon = self.now + self.jitter(HURRY);
+        self.join.sync_at = self.join.sync_at.min(soon);
+    }
+
+    fn try_join(&mut self, out: &mut Vec<Action>) {
+        let wait = Micros(self.set.join_retry.0 << self.join.tries.min(8));
+        let wait = self.jitter(wait.min(self.set.heal_every));
+        self.join.join_at = self.now + wait;
+        self.join.tries += 1;
+        let known = self.view.sample(1, &mut self.rng).first().copied();
+        match known.and_then(|k| self.view.member(k)).map(|m| m.id) {
+            Some(id) if self.spread.is_idle(self.now) => self.pull(id, What::All, out),
+            Some(_) => {}
+            None => self.ask_seeds(ASKED, out),
+        }
+    }
+
+    fn ask_seeds(&mut self, n: usize, out: &mut Vec<Action>) {
+        let view = &self.view;
+        let live = |s: &SocketAddr| view.at(*s).is_some_and(|k| view.is_live(k));
+        let strange: Vec<_> = self
+            .join
+            .seeds
+            .iter()
+            .filter(|s| !live(s))
+            .copied()
+            .collect();
+        let some: Vec<_> = strange.choose_multiple(&mut self.rng, n).copied().collect();
+        for to in some {
+            let mut p = Packet::new(Kind::Join, self.next_seq());
+            p.updates.push(Update::full(&self.me));
+            self.send(to, p, out);
+        }
+    }
+
+    fn try_heal(&mut self, out: &mut Vec<Action>) {
+        self.ask_seeds(1, out);
+        let dead = self.view.iter();
+        let dead = dead.filter(|(_, e)| e.member.state == MemberState::Dead);
+        let dead: Vec<_> = dead.map(|(k, _)| k).collect();
+        if let Some(&k) = dead.choose(&mut self.rng) {
+            let charge = self.charge(k);
+            self.poke(k, charge, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/merge.rs
@@ -0,0 +1,287 @@
+//! Reports of other members, weighed against what is known.
+//!
+//! A report wins if its incarnation is higher or, within one incarnation, its state is later in
+//! [`MemberState`]. Only a member itself raises its incarnation. So the order in which reports
+//! come in doesn't matter, and a replayed one changes nothing.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use model::{Incarnation, MemberId, Micros};
+
+use crate::packet::{Kind, Packet, Update};
+use crate::suspicion::Suspicion;
+use crate::view::{Claim, MemberKey};
+use crate::{Action, Conviction, Fleet, Member, MemberState};
+
+impl Fleet {
+    /// Takes a good datagram in: what it reports, then what it asks for.
+    pub(crate) fn merge_packet(&mut self, from: SocketAddr, p: Packet, out: &mut Vec<Action>) {
+        for u in &p.updates {
+            self.rumors.heard(u);
+            self.learn(claim(u), true, out);
+        }
+        self.learn(claim(&p.header()), true, out);
+        for m in &p.marks {
+            self.convict(m.read(), out);
+        }
+        let sender = self.view.key(MemberId(p.from));
+        if let Some(k) = sender {
+            self.hear_config(k, &p);
+        }
+        if p.ask {
+            self.introduce(from, out);
+        }
+        self.reply(from, sender, &p, out);
+    }
+
+    /// Weighs one report; `pass` hands it on if it is news.
+    pub(crate) fn learn(&mut self, c: Claim, pass: bool, out: &mut Vec<Action>) {
+        let udp = c.detail.as_ref().map(|m| m.udp);
+        match self.view.key(c.id) {
+            _ if c.id == self.me.id => self.refute(&c),
+            _ if udp == Some(self.me.udp) => self.outlive(&c),
+            Some(k) => self.amend(k, c, pass, out),
+            None => self.admit(c, pass, out),
+        }
+    }
+
+    /// Passes on and reports a conviction if it is news here; its expiry is on the wall clock.
+    pub(crate) fn convict(&mut self, c: Conviction, out: &mut Vec<Action>) {
+        let until = c.until - self.set.epoch;
+        let c = Conviction { until, ..c };
+        if self.convictions.add(self.now, c) {
+            out.push(Action::Convict(c));
+        }
+    }
+
+    /// What is held against a member that may not know it.
+    pub(crate) fn charge(&self, k: MemberKey) -> Option<Update> {
+        let m = self.view.member(k)?;
+        match m.state {
+            MemberState::Alive | MemberState::Leaving => None,
+            _ => Some(Update::brief(m, self.me.id)),
+        }
+    }
+
+    /// Refutes a report about this process by a higher incarnation.
+    fn refute(&mut self, c: &Claim) {
+        let accused = !matches!(c.state, MemberState::Alive | MemberState::Leaving);
+        let newer = c.incarnation > self.me.incarnation;
+        if self.me.state == MemberState::Left {
+            return;
+        }
+        let stale = c.incarnation < self.me.incarnation;
+        if newer || (accused && !stale) {
+            self.me.incarnation = Incarnation(c.incarnation.0.saturating_add(1));
+            self.rumors.push(Update::brief(&self.me, MemberId(0)));
+        }
+        if accused && !stale {
+            self.counters.refuted += 1;
+        }
+    }
+
+    /// Supersedes an earlier life at this address.
+    ///
+    /// If the wall clock was set back between the two lives, the dead one has the higher
+    /// incarnation and would keep the address; one would notice that a restarted process is in
+    /// nobody's view. Going above it settles that.
+    fn outlive(&mut self, c: &Claim) {
+        if c.incarnation >= self.me.incarnation {
+            self.me.incarnation = Incarnation(c.incarnation.0.saturating_add(1));
+            self.rumors.push(Update::full(&self.me));
+        }
+    }
+
+    /// Takes in a member that wasn't known.
+    fn admit(&mut self, c: Claim, pass: bool, out: &mut Vec<Action>) {
+        let Some(detail) = c.detail else {
+            return;
+        };
+        let m = *detail;
+        if let Some(k) = self.view.at(m.udp) {
+            let old = self.view.member(k);
+            let later = |o: &Member| (m.incarnation, m.id) > (o.incarnation, o.id);
+            match old.is_none_or(later) {
+                true => self.supersede(k, out),
+                false => {
+                    self.counters.stale += 1;
+                    return;
+                }
+            }
+        }
+        let live = m.state.is_live();
+        let suspect = m.state == MemberState::Suspect;
+        let Some(k) = self.view.insert(m.clone(), self.now, &mut self.rng) else {
+            return;
+        };
+        if suspect {
+            self.doubt(k, c.by);
+        }
+        if live && pass {
+            self.rumors.push(Update::full(&m));
+        }
+        if live {
+            out.push(Action::Joined(m));
+        }
+    }
+
+    /// Ends a life whose address a later one has taken.
+    fn supersede(&mut self, k: MemberKey, out: &mut Vec<Action>) {
+        let Some(m) = self.view.member(k).cloned() else {
+            return;
+        };
+        let c = Claim {
+            id: m.id,
+            incarnation: m.incarnation,
+            state: MemberState::Left,
+            by: self.me.id,
+            detail: None,
+        };
+        self.view.amend(k, &c, self.now, &mut self.rng);
+        if m.state.is_live() {
+            out.push(Action::Gone(m.id));
+        }
+    }
+
+    /// Weighs a report about a known member.
+    fn amend(&mut self, k: MemberKey, c: Claim, pass: bool, out: &mut Vec<Action>) {
+        let Some(known) = self.view.member(k).map(Member::rank) else {
+            return;
+        };
+        match c.rank().cmp(&known) {
+            Ordering::Less => self.counters.stale += 1,
+            Ordering::Equal => self.confirm(k, &c),
+            Ordering::Greater => self.replace(k, c, pass, out),
+        }
+    }
+
+    fn replace(&mut self, k: MemberKey, c: Claim, pass: bool, out: &mut Vec<Action>) {
+        let Some(old) = self.view.member(k).cloned() else {
+            return;
+        };
+        self.view.amend(k, &c, self.now, &mut self.rng);
+        if c.state == MemberState::Suspect {
+            self.doubt(k, c.by);
+        }
+        let Some(m) = self.view.member(k).cloned() else {
+            return;
+        };
+        if pass {
+            self.rumors.push(match c.detail {
+                Some(_) => Update::full(&m),
+                None => Update::brief(&m, c.by),
+            });
+        }
+        match (old.state.is_live(), m.state.is_live()) {
+            (true, false) => out.push(Action::Gone(m.id)),
+            (false, true) => {
+                self.hurry_sync();
+                out.push(Action::Joined(m));
+            }
+            (true, true) if worth(&old, &m) => out.push(Action::Changed(m)),
+            _ => {}
+        }
+    }
+
+    /// Counts one more accuser of a suspected member.
+    fn confirm(&mut self, k: MemberKey, c: &Claim) {
+        let set = &self.set;
+        let Some(e) = self.view.get_mut(k) else {
+            return;
+        };
+        let news = e.suspicion.as_mut().is_some_and(|s| s.confirm(c.by, set));
+        if news {
+            let update = Update::brief(&e.member, c.by);
+            self.rumors.push(update);
+            self.arm_doubt(k);
+        }
+    }
+
+    /// Starts the time in which a suspicion can be refuted.
+    fn doubt(&mut self, k: MemberKey, by: MemberId) {
+        if let Some(e) = self.view.get_mut(k) {
+            e.suspicion = Some(Suspicion::new(self.now, by, e.announced));
+            self.arm_doubt(k);
+        }
+    }
+
+    /// Answers a datagram according to its kind.
+    fn reply(
+        &mut self,
+        from: SocketAddr,
+        sender: Option<MemberKey>,
+        p: &Packet,
+        out: &mut Vec<Action>,
+    ) {
+        match Kind::try_from(p.kind) {
+            // Meant for an earlier life at this address, which mustn't look alive.
+            Ok(Kind::Ping) if p.to != 0 && p.to != self.me.id.0 => self.introduce(from, out),
+            Ok(Kind::Ping) => self.ack(from, sender, p.seq, out),
+            Ok(Kind::Join) => self.welcome(from, p.seq, out),
+            Ok(Kind::PingReq) => self.relay(from, p, out),
+            Ok(Kind::Ack) => self.acked(sender, p, out),
+            Ok(Kind::Nack) => self.nacked(p.seq),
+            _ => {}
+        }
+        if sender.is_none() && p.kind != Kind::Ping as i32 {
+            self.ask(from, out);
+        }
+    }
+
+    fn ack(&mut self, from: SocketAddr, k: Option<MemberKey>, seq: u32, out: &mut Vec<Action>) {
+        let mut p = Packet::new(Kind::Ack, seq);
+        p.ask = k.is_none();
+        p.updates = k.and_then(|k| self.charge(k)).into_iter().collect();
+        self.send(from, p, out);
+    }
+
+    fn ask(&mut self, from: SocketAddr, out: &mut Vec<Action>) {
+        let mut p = Packet::new(Kind::Gossip, 0);
+        p.ask = true;
+        self.send(from, p, out);
+    }
+
+    /// Describes this process to one that doesn't know it.
+    fn introduce(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+        let mut p = Packet::new(Kind::Gossip, 0);
+        p.updates.push(Update::full(&self.me));
+        self.send(to, p, out);
+    }
+
+    /// Whether the time since a member went has passed a limit.
+    pub(crate) fn forget_gone(&mut self) {
+        let before = self.now - self.set.forget_after;
+        if before > Micros::ZERO {
+            self.view.forget(before);
+        }
+    }
+}
+
+/// Whether a driver would act on the difference; a refutation alone isn't worth a word.
+fn worth(old: &Member, new: &Member) -> bool {
+    let mut same = new.clone();
+    same.incarnation = old.incarnation;
+    same != *old
+}
+
+fn claim(u: &Update) -> Claim {
+    Claim {
+        id: MemberId(u.id),
+        incarnation: Incarnation(u.incarnation),
+        state: u.member_state(),
+        by: MemberId(u.by),
+        detail: u.member().ok().map(Box::new),
+    }
+}
+
+/// A report from a pulled list.
+pub(crate) fn listed(m: Member, by: MemberId) -> Claim {
+    Claim {
+        id: m.id,
+        incarnation: m.incarnation,
+        state: m.state,
+        by,
+        detail: Some(Box::new(m)),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,258 @@
+//! All other members as this process knows them.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use model::{Incarnation, MemberId, Micros, Version};
+use rand::seq::SliceRandom;
+use rand::Rng;
+use slotmap::{new_key_type, SlotMap};
+
+use crate::suspicion::Suspicion;
+use crate::{Member, MemberState};
+
+new_key_type! {
+    pub(crate) struct MemberKey;
+}
+
+/// Bound on members that wait for a ping out of turn.
+const URGENT_MAX: usize = 64;
+/// Bound on dead and departed members, beyond four for each live one.
+const GONE_MAX: usize = 1_024;
+
+/// A report about a member, from whatever source.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub(crate) id: MemberId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) state: MemberState,
+    pub(crate) by: MemberId,
+    pub(crate) detail: Option<Box<Member>>,
+}
+
+impl Claim {
+    pub(crate) const fn rank(&self) -> (u64, MemberState) {
+        (self.incarnation.0, self.state)
+    }
+}
+
+/// A member with what only this process notes about it.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) member: Member,
+    /// The configuration it last reported; zero if none.
+    pub(crate) version: Version,
+    pub(crate) suspicion: Option<Suspicion>,
+    /// Since when it is gone.
+    pub(crate) gone: Micros,
+    /// The platform has announced that its host goes.
+    pub(crate) announced: bool,
+}
+
+/// The members in an arena, with indices and the order of pings.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    arena: SlotMap<MemberKey, Entry>,
+    ids: HashMap<MemberId, MemberKey>,
+    addrs: HashMap<SocketAddr, MemberKey>,
+    order: Vec<MemberKey>,
+    cursor: usize,
+    live: usize,
+    hash: u64,
+    /// Members to ping before their turn, each with what is claimed of it.
+    pub(crate) urgent: VecDeque<(MemberKey, Claim)>,
+}
+
+impl View {
+    pub(crate) fn key(&self, id: MemberId) -> Option<MemberKey> {
+        self.ids.get(&id).copied()
+    }
+
+    pub(crate) fn at(&self, addr: SocketAddr) -> Option<MemberKey> {
+        self.addrs.get(&addr).copied()
+    }
+
+    pub(crate) fn get(&self, k: MemberKey) -> Option<&Entry> {
+        self.arena.get(k)
+    }
+
+    pub(crate) fn get_mut(&mut self, k: MemberKey) -> Option<&mut Entry> {
+        self.arena.get_mut(k)
+    }
+
+    pub(crate) fn member(&self, k: MemberKey) -> Option<&Member> {
+        self.arena.get(k).map(|e| &e.member)
+    }
+
+    pub(crate) fn is_live(&self, k: MemberKey) -> bool {
+        self.member(k).is_some_and(|m| m.state.is_live())
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (MemberKey, &Entry)> {
+        self.arena.iter()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (MemberKey, &mut Entry)> {
+        self.arena.iter_mut()
+    }
+
+    /// Live members other than this process.
+    pub(crate) fn live(&self) -> usize {
+        self.live
+    }
+
+    /// Digest of the live members and their incarnations, the same whatever the order.
+    pub(crate) fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Adds a member at a random place in the order of pings.
+    pub(crate) fn insert(
+        &mut self,
+        m: Member,
+        now: Micros,
+        rng: &mut impl Rng,
+    ) -> Option<MemberKey> {
+        let live = m.state.is_live();
+        if !live && self.arena.len() > 4 * self.live + GONE_MAX {
+            return None;
+        }
+        let (id, udp) = (m.id, m.udp);
+        self.count(m.id, m.rank(), true);
+        let k = self.arena.insert(Entry {
+            member: m,
+            version: Version(0),
+            suspicion: None,
+            gone: now,
+            announced: false,
+        });
+        self.ids.insert(id, k);
+        self.addrs.insert(udp, k);
+        if live {
+            self.enlist(k, rng);
+        }
+        Some(k)
+    }
+
+    /// Overwrites incarnation, state and, if given, description.
+    pub(crate) fn amend(&mut self, k: MemberKey, c: &Claim, now: Micros, rng: &mut impl Rng) {
+        let Some(e) = self.arena.get_mut(k) else {
+            return;
+        };
+        let (id, old, from) = (e.member.id, e.member.rank(), e.member.udp);
+        if let Some(m) = &c.detail {
+            e.member = (**m).clone();
+        }
+        e.member.incarnation = c.incarnation;
+        e.member.state = c.state;
+        e.suspicion = None;
+        e.gone = now;
+        let to = e.member.udp;
+        if from != to {
+            self.addrs.remove(&from);
+            self.addrs.insert(to, k);
+        }
+        self.count(id, old, false);
+        self.count(id, c.rank(), true);
+        if !old.1.is_live() && c.state.is_live() {
+            self.enlist(k, rng);
+        }
+    }
+
+    /// Forgets members that went before a time.
+    pub(crate) fn forget(&mut self, before: Micros) {
+        let old = self.arena.iter();
+        let old = old.filter(|(_, e)| !e.member.state.is_live() && e.gone < before);
+        let old: Vec<_> = old.map(|(k, _)| k).collect();
+        for k in old {
+            if let Some(e) = self.arena.remove(k) {
+                self.ids.remove(&e.member.id);
+                self.release(&e.member);
+            }
+        }
+    }
+
+    /// The next member to ping, each live one once a round.
+    pub(crate) fn next(&mut self, rng: &mut impl Rng) -> Option<MemberKey> {
+        for _ in 0..=self.order.len() {
+            if self.cursor >= self.order.len() {
+                self.reshuffle(rng);
+            }
+            let k = *self.order.get(self.cursor)?;
+            self.cursor += 1;
+            if self.is_live(k) {
+                return Some(k);
+            }
+        }
+        None
+    }
+
+    /// Up to `n` different live members at random.
+    pub(crate) fn sample(&self, n: usize, rng: &mut impl Rng) -> Vec<MemberKey> {
+        if self.order.len() <= 4 * n {
+            let mut all = self.order.clone();
+            all.retain(|&k| self.is_live(k));
+            all.shuffle(rng);
+            all.truncate(n);
+            return all;
+        }
+        let mut some = Vec::with_capacity(n);
+        for _ in 0..4 * n {
+            let k = self.order[rng.random_range(0..self.order.len())];
+            if some.len() < n && self.is_live(k) && !some.contains(&k) {
+                some.push(k);
+            }
+        }
+        some
+    }
+
+    /// Pings a member before its turn, with a claim it may want to refute.
+    pub(crate) fn hurry(&mut self, k: MemberKey, c: Claim) {
+        let known = self.urgent.iter().any(|(u, _)| *u == k);
+        if !known && self.urgent.len() < URGENT_MAX {
+            self.urgent.push_back((k, c));
+        }
+    }
+
+    fn enlist(&mut self, k: MemberKey, rng: &mut impl Rng) {
+        // A member that died and came back within one round is still listed.
+        if self.order.contains(&k) {
+            return;
+        }
+        let i = rng.random_range(0..=self.order.len());
+        self.order.push(k);
+        let last = self.order.len() - 1;
+        self.order.swap(i, last);
+    }
+
+    fn reshuffle(&mut self, rng: &mut impl Rng) {
+        let mut order = std::mem::take(&mut self.order);
+        order.retain(|&k| self.is_live(k));
+        order.shuffle(rng);
+        self.order = order;
+        self.cursor = 0;
+    }
+
+    fn count(&mut self, id: MemberId, rank: (u64, MemberState), add: bool) {
+        if !rank.1.is_live() {
+            return;
+        }
+        self.hash ^= mix(id.0, rank.0);
+        self.live = if add { self.live + 1 } else { self.live - 1 };
+    }
+
+    fn release(&mut self, m: &Member) {
+        let holder = self.addrs.get(&m.udp).copied();
+        if holder.is_some_and(|k| !self.arena.contains_key(k)) {
+            self.addrs.remove(&m.udp);
+        }
+    }
+}
+
+/// Spreads two numbers over 64 bits (the finalizer of SplitMix64).
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
