policy: placement, queue, admission, and the memories they need

place asks at most four replicas and takes the least of wait, recomputation and way; recent keeps whom an entry used per prefix; reserve holds places against herds; queue orders by class, team and length with deadlines; admit refuses at once with a time to come back. Table tests of each.

--- /dev/null
+++ b/crates/policy/src/admit.rs
@@ -0,0 +1,152 @@
+//! Whether a sidecar takes a request or refuses it at once.
+//!
+//! Load pattern: twice the load that the engine can serve, for minutes. A queue without a bound
+//! then grows until every request is answered after its caller has left: the engine works at full
+//! speed and nobody receives anything, and clients that send again make it worse. A bound on the
+//! number alone doesn't help where one request takes a hundred times as long as another.
+//!
+//! A request is refused when the wait that it would have exceeds its class's limit or its own
+//! deadline. A refusal is final and given on arrival, while the caller can still try elsewhere;
+//! nothing is kept until shortly before its deadline and then refused. The refusal tells when to
+//! come back, from the rate at which the queue has been draining, spread a little so that the
+//! refused don't come back together.
+//!
+//! Grounds: callers on the line hang up after some 10 s, so that a longer queue of calls is of no
+//! use; of those, 8 s may be waiting. Normal work gets the same, so that its wait doesn't add to
+//! that of later calls through the assured share, and batch a minute. The slots kept for calls,
+//! an eighth of the places, are for the burst after a pause in which others filled the queue.
+
+use model::{Class, Code, Micros};
+
+/// How much may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// The longest expected wait of each class; 8 s for calls and normal, 60 s for batch.
+    pub wait: [Micros; 3],
+    /// Most requests that wait at once; 1,024, which bounds the sidecar's memory.
+    pub places: usize,
+    /// The part of the places that only calls may take; 0.125.
+    pub reserve: f64,
+    /// Shortest time told to a refused caller; 250 ms.
+    pub soonest: Micros,
+    /// Longest time told to a refused caller; 30 s, since the load will have changed by then.
+    pub latest: Micros,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            wait: [8, 8, 60].map(Micros::from_secs),
+            places: 1_024,
+            reserve: 0.125,
+            soonest: Micros::from_millis(250),
+            latest: Micros::from_secs(30),
+        }
+    }
+}
+
+/// What is known of a request and of the queue when it comes.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Its urgency.
+    pub class: Class,
+    /// How long it would wait.
+    pub wait: Micros,
+    /// Engine time that it is expected to take to its first token.
+    pub work: Micros,
+    /// When its caller gives up.
+    pub deadline: Micros,
+    /// Requests that wait already.
+    pub waiting: usize,
+}
+
+/// A refusal: the request was not run and waits nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// When it may come again.
+    pub after: Micros,
+}
+
+/// Takes or refuses a request; `spread` is a random number from 0 to 1.
+pub fn admit(config: &Config, now: Micros, arrival: &Arrival, spread: f64) -> Result<(), Refusal> {
+    let limit = config.wait[arrival.class.index()];
+    let kept = match arrival.class {
+        Class::Call => 0,
+        _ => (config.places as f64 * config.reserve) as usize,
+    };
+    let code = match arrival {
+        a if a.waiting + kept >= config.places => Code::Overloaded,
+        a if a.wait > limit => Code::Overloaded,
+        a if now + a.work > a.deadline => Code::Deadline,
+        a if now + a.wait + a.work > a.deadline => Code::Overloaded,
+        _ => return Ok(()),
+    };
+    let slack = arrival.deadline.since(now + arrival.work);
+    let after = after(config, arrival.wait, limit.min(slack), spread);
+    Err(Refusal { code, after })
+}
+
+/// When the wait will have fallen to half of what the request can bear, if nothing more came.
+fn after(config: &Config, wait: Micros, limit: Micros, spread: f64) -> Micros {
+    let excess = wait.since(Micros(limit.0 / 2));
+    let spread = 1.0 + spread.clamp(0.0, 1.0) / 2.0;
+    let after = Micros((excess.0 as f64 * spread) as u64);
+    after.clamp(config.soonest, config.latest)
+}
+
+/// How fast the engine gets through its work, as measured.
+///
+/// Expected engine time is an estimate, and engines slow down when they share their machine. The
+/// ratio of the work done to the time it took corrects the waits that callers are told.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    rate: f64,
+    done: Micros,
+    since: Option<Micros>,
+}
+
+/// Least busy time behind one measurement of the rate.
+const SPAN: Micros = Micros::from_millis(500);
+/// Weight of a new measurement.
+const NEW: f64 = 0.2;
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            rate: 1.0,
+            done: Micros::ZERO,
+            since: None,
+        }
+    }
+}
+
+impl Drain {
+    /// Notes that work was finished while requests were waiting or not.
+    pub fn finished(&mut self, now: Micros, work: Micros, waiting: bool) {
+        let since = *self.since.get_or_insert(now);
+        self.done = self.done + work;
+        let span = now.since(since);
+        if !waiting {
+            // An engine that isn't full says nothing about how fast it could be.
+            self.since = None;
+            self.done = Micros::ZERO;
+        } else if span >= SPAN {
+            let new = self.done.0 as f64 / span.0 as f64;
+            self.rate += (new.clamp(0.05, 64.0) - self.rate) * NEW;
+            self.since = Some(now);
+            self.done = Micros::ZERO;
+        }
+    }
+
+    /// Engine time done in a unit of time.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// How long this much work will take.
+    pub fn wait(&self, work: Micros) -> Micros {
+        Micros((work.0 as f64 / self.rate) as u64)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,17 @@
-//! placeholder
+//! Decisions under load: whom the system serves, where, who waits and who is refused.
+//!
+//! Nothing here reads a clock, opens a socket or spawns a task: time, random numbers and what was
+//! measured come in as arguments, decisions go out as values. The daemon, the table tests and the
+//! replay of traces run the same code. Each module heads with the load pattern it answers, what
+//! happens without it, and the grounds of its figures.
+//!
+//! At an entry: [`limit`] and [`quarantine`] may refuse a request, [`place`] chooses the replicas
+//! to ask and the one to use, [`health`] leaves slow ones out, [`retry`] allows a second attempt.
+//! At a sidecar: [`admit`] takes or refuses a request at once, [`queue`] orders those taken,
+//! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
+
+pub mod admit;
+pub mod place;
+pub mod queue;
+pub mod recent;
+pub mod reserve;
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,203 @@
+//! Which replica gets a request.
+//!
+//! Load pattern: prompts share long prefixes nested in several levels, a few of them very hot, and
+//! engines evict within seconds. Spreading requests evenly recomputes each prefix at each replica;
+//! pinning each prefix to one replica overloads that replica as soon as the prefix is hot.
+//!
+//! An entry asks at most [`Config::probes`] sidecars, which know their engine's cache and queue
+//! exactly, and takes the least sum of expected wait, prefill of what isn't cached, and way there.
+//! A hot prefix thus spreads by itself: once the wait at its holder exceeds the cost of computing
+//! it anew, the next replica in its rendezvous order gets it, and is found there from then on.
+//! When the heat is over, the first in the order is idle enough again and the copies are evicted.
+//!
+//! Grounds: whom to ask. The replicas that this entry used lately for the longest known prefix
+//! hold it most probably. The first two in rendezvous order of the deep, middle and shallow level
+//! are the same at every entry, so that an entry without a memory, such as one just restarted,
+//! finds the copies that others have had made. One more, drawn as the less loaded of two, lets
+//! load escape from all of them. Four probes of some 250 bytes at the target size cost an entry
+//! 8 KB/s, a third of its allowance for control.
+
+use model::{BlockHash, Incarnation, Micros, TargetKey};
+use prefix::{levels, rank};
+use rand::Rng;
+
+use crate::recent::Recent;
+
+/// How replicas are chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Most replicas asked for one request; 4.
+    pub probes: usize,
+    /// How many of them may come from the memory of recent use; 2, which leaves room for the
+    /// rendezvous order and the drawn one.
+    pub recent: usize,
+    /// Part of a replica's prefill cost that a cached block is worth beyond its own request; 0.5.
+    /// A copy made elsewhere also evicts something there, which the sum of times leaves out.
+    pub evict: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            probes: 4,
+            recent: 2,
+            evict: 0.5,
+        }
+    }
+}
+
+/// A live target of the pool, as an entry knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer {
+    /// The target.
+    pub target: TargetKey,
+    /// A number that is the same for this target at every entry and over restarts.
+    pub id: u64,
+    /// The wait that it told last; zero if it never did.
+    pub wait: Micros,
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Serving,
+    /// It is stopping.
+    Leaving,
+    /// It loads a model and will serve later.
+    Loading,
+    /// Its queue is full for this class.
+    Full,
+}
+
+/// A sidecar's answer to a probe.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Who answers.
+    pub target: TargetKey,
+    /// The life of its engine.
+    pub incarnation: Incarnation,
+    /// Blocks of the prompt that its engine holds or is computing.
+    pub matched: u32,
+    /// How long the request would wait before its prefill begins.
+    pub wait: Micros,
+    /// Measured time to prefill one block.
+    pub prefill: Micros,
+    /// Whether it takes the request.
+    pub state: State,
+    /// Requests waiting or running there.
+    pub load: u32,
+}
+
+/// A replica to try, with what it is expected to cost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetKey,
+    /// Expected time to the first token; [`Micros::MAX`] for one that didn't answer.
+    pub cost: Micros,
+    /// Blocks that needn't be computed.
+    pub matched: u32,
+}
+
+/// Chooses whom to ask, the most promising first.
+pub fn candidates(
+    config: &Config,
+    chain: &[BlockHash],
+    peers: &[Peer],
+    recent: &Recent,
+    rng: &mut impl Rng,
+) -> Vec<TargetKey> {
+    let mut chosen = Vec::with_capacity(config.probes);
+    let known = recent.longest(chain);
+    let holders = known.into_iter().flat_map(|(_, holders)| holders);
+    let live = holders.filter(|t| peers.iter().any(|p| p.target == *t));
+    chosen.extend(live.take(config.recent));
+
+    let ranked: Vec<_> = levels(chain).map(|m| top(m.hash, peers)).collect();
+    let firsts = ranked.iter().filter_map(|r| r.0);
+    let seconds = ranked.iter().filter_map(|r| r.1);
+    let drawn = draw(peers, &chosen, rng);
+    // The last place is for the drawn one; an order without cached levels is all drawn.
+    let room = config.probes.saturating_sub(usize::from(drawn.is_some()));
+    for target in firsts.chain(seconds) {
+        if chosen.len() < room && !chosen.contains(&target) {
+            chosen.push(target);
+        }
+    }
+    for target in drawn.into_iter().chain(draw(peers, &chosen, rng)) {
+        if chosen.len() < config.probes && !chosen.contains(&target) {
+            chosen.push(target);
+        }
+    }
+    chosen
+}
+
+/// Orders the replicas that answered by expected time, the best first.
+///
+/// If none can take the request, the list is empty; if none answered at all, [`fallback`] helps.
+pub fn choose(
+    config: &Config,
+    blocks: u32,
+    offers: &[Offer],
+    delay: impl Fn(TargetKey) -> Micros,
+) -> Vec<Choice> {
+    let serving = offers.iter().filter(|o| o.state == State::Serving);
+    let mut choices: Vec<Choice> = serving
+        .map(|o| Choice {
+            target: o.target,
+            cost: cost(config, blocks, o, delay(o.target)),
+            matched: o.matched.min(blocks),
+        })
+        .collect();
+    choices.sort_by_key(|c| c.cost);
+    choices
+}
+
+/// The order in which to try replicas when no probe was answered in time.
+///
+/// It is the rendezvous order of the deep level: the first of it most probably holds the prefix,
+/// and entries that can't reach anyone's sidecar still agree.
+pub fn fallback(chain: &[BlockHash], peers: &[Peer]) -> Vec<TargetKey> {
+    let key = levels(chain).next().map_or(BlockHash(0), |m| m.hash);
+    let mut order: Vec<(u64, TargetKey)> =
+        peers.iter().map(|p| (rank(key, p.id), p.target)).collect();
+    order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    order.into_iter().map(|(_, target)| target).collect()
+}
+
+fn cost(config: &Config, blocks: u32, offer: &Offer, delay: Micros) -> Micros {
+    let missing = u64::from(blocks.saturating_sub(offer.matched));
+    let prefill = missing * offer.prefill.0;
+    let evicted = (prefill as f64 * config.evict) as u64;
+    // There and back; the connection is open already.
+    offer.wait + Micros(prefill) + Micros(evicted) + delay + delay
+}
+
+/// The first two of the rendezvous order.
+fn top(key: BlockHash, peers: &[Peer]) -> (Option<TargetKey>, Option<TargetKey>) {
+    let mut best = [(0, None), (0, None)];
+    for peer in peers {
+        let weight = rank(key, peer.id);
+        match weight {
+            w if best[0].1.is_none() || w > best[0].0 => {
+                best[1] = best[0];
+                best[0] = (w, Some(peer.target));
+            }
+            w if best[1].1.is_none() || w > best[1].0 => best[1] = (w, Some(peer.target)),
+            _ => {}
+        }
+    }
+    (best[0].1, best[1].1)
+}
+
+/// The less loaded of two drawn replicas that aren't chosen yet.
+fn draw(peers: &[Peer], chosen: &[TargetKey], rng: &mut impl Rng) -> Option<TargetKey> {
+    let mut pick = || match peers.len() {
+        0 => None,
+        n => Some(&peers[rng.random_range(0..n)]),
+    };
+    let drawn = [pick(), pick()].into_iter().flatten();
+    let fresh = drawn.filter(|p| !chosen.contains(&p.target));
+    fresh.min_by_key(|p| p.wait).map(|p| p.target)
+}
--- /dev/null
+++ b/crates/policy/tests/place.rs
@@ -0,0 +1,142 @@
+//! Whom an entry asks and whom it chooses.
+
+use model::{BlockHash, Incarnation, Micros, TargetKey};
+use policy::place::{candidates, choose, fallback, Config, Offer, Peer, State};
+use policy::recent::{self, Recent};
+use prefix::{chain, Seed, BLOCK};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use slotmap::SlotMap;
+
+fn peers(n: u64) -> Vec<Peer> {
+    let mut map: SlotMap<TargetKey, ()> = SlotMap::with_key();
+    let mut peer = |id| Peer {
+        target: map.insert(()),
+        id,
+        wait: Micros::ZERO,
+    };
+    (0..n).map(&mut peer).collect()
+}
+
+fn hashes(blocks: usize, fill: u8) -> Vec<BlockHash> {
+    chain(Seed::new("a", "m", "1"), vec![fill; blocks * BLOCK])
+}
+
+fn offer(target: TargetKey, matched: u32, wait_ms: u64) -> Offer {
+    Offer {
+        target,
+        incarnation: Incarnation(1),
+        matched,
+        wait: Micros::from_millis(wait_ms),
+        prefill: Micros::from_millis(1),
+        state: State::Serving,
+        load: 0,
+    }
+}
+
+#[test]
+fn entries_without_a_memory_ask_the_same_replicas() {
+    let (peers, chain, config) = (peers(200), hashes(1_000, 1), Config::default());
+    let memory = Recent::new(recent::Config::default());
+    let ask = |seed| {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        candidates(&config, &chain, &peers, &memory, &mut rng)
+    };
+    let (one, two) = (ask(1), ask(2));
+    assert_eq!((one.len(), two.len()), (4, 4));
+    assert_eq!(one[..3], two[..3]);
+    assert!(fallback(&chain, &peers).starts_with(&one[..1]));
+}
+
+#[test]
+fn the_replicas_used_lately_are_asked_first_while_they_live() {
+    let (peers, long, config) = (peers(50), hashes(1_000, 1), Config::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut memory = Recent::new(recent::Config::default());
+    memory.used(&long, peers[7].target);
+    memory.used(&long[..600], peers[8].target);
+    let asked = candidates(&config, &long[..520], &peers, &memory, &mut rng);
+    assert_eq!(asked[..2], [peers[8].target, peers[7].target]);
+    let asked = candidates(&config, &long, &peers, &memory, &mut rng);
+    assert_eq!(asked[0], peers[7].target);
+    let asked = candidates(&config, &long, &peers[..7], &memory, &mut rng);
+    assert!(!asked.contains(&peers[7].target));
+    assert!(candidates(&config, &long, &[], &memory, &mut rng).is_empty());
+    let alone = candidates(&config, &[], &peers[..1], &memory, &mut rng);
+    assert_eq!(alone, [peers[0].target]);
+}
+
+#[test]
+fn the_memory_is_bounded_and_forgets_what_it_is_told_to() {
+    let peers = peers(2);
+    let mut memory = Recent::new(recent::Config { prefixes: 100 });
+    for fill in 0..50 {
+        memory.used(&hashes(40, fill), peers[0].target);
+    }
+    assert!(memory.len() <= 200, "{}", memory.len());
+    let chain = hashes(40, 49);
+    let (mark, _) = memory.longest(&chain).expect("the last prefix is known");
+    assert_eq!(mark.blocks, 40);
+    memory.missed(mark.hash, peers[0].target);
+    assert_eq!(memory.longest(&chain).map(|(m, _)| m.blocks), Some(32));
+    assert!(memory.longest(&hashes(40, 0)).is_none());
+}
+
+#[test]
+fn the_least_of_wait_recomputation_and_way_is_chosen() {
+    struct Case {
+        name: &'static str,
+        offers: Vec<Offer>,
+        order: Vec<usize>,
+    }
+    let peers = peers(4);
+    let at = |i: usize, matched, wait| offer(peers[i].target, matched, wait);
+    let cases = [
+        Case {
+            name: "the holder, though it is a little busier",
+            offers: vec![at(0, 0, 0), at(1, 1_000, 700)],
+            order: vec![1, 0],
+        },
+        Case {
+            name: "a hot prefix spreads once its holder's wait costs more than a copy",
+            offers: vec![at(0, 0, 0), at(1, 1_000, 1_600)],
+            order: vec![0, 1],
+        },
+        Case {
+            name: "the nearer of two equals",
+            offers: vec![at(3, 500, 0), at(2, 500, 0)],
+            order: vec![2, 3],
+        },
+        Case {
+            name: "only those that serve",
+            offers: vec![
+                Offer {
+                    state: State::Leaving,
+                    ..at(0, 1_000, 0)
+                },
+                Offer {
+                    state: State::Full,
+                    ..at(1, 1_000, 0)
+                },
+                Offer {
+                    state: State::Loading,
+                    ..at(2, 1_000, 0)
+                },
+                at(3, 0, 5_000),
+            ],
+            order: vec![3],
+        },
+        Case {
+            name: "nobody answered",
+            offers: vec![],
+            order: vec![],
+        },
+    ];
+    for case in cases {
+        let delay = |t| Micros(if t == peers[3].target { 1_000 } else { 100 });
+        let choices = choose(&Config::default(), 1_000, &case.offers, delay);
+        let order: Vec<TargetKey> = choices.iter().map(|c| c.target).collect();
+        let expected: Vec<TargetKey> = case.order.iter().map(|i| peers[*i].target).collect();
+        assert_eq!(order, expected, "{}", case.name);
+    }
+}
