policy: concurrency, retry, health, quarantine, drain, limit

Each with a table test of its pattern. The limit follows the stretch of a latency, so that one form serves time to first token and the gap between tokens. Ejection, conviction and retries are bounded by share, time and number.

--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,226 @@
+//! Leaving out a target that is much slower than its peers, or fails more.
+//!
+//! Load pattern: one target of a pool answers, but at a fraction of its speed, because of a hot
+//! accelerator, a neighbour or a bad disk. Heartbeats don't notice. Its share of the requests,
+//! one in nine, becomes everyone's p99. A fixed threshold doesn't help: under load all are slow,
+//! and leaving them all out would end the service.
+//!
+//! A target is compared with the median of its pool. Beyond [`Config::slow`] times the median it
+//! is ejected, if no more than [`Config::ejected`] of the pool is out already. After a time
+//! that doubles with each ejection it is on trial: one request at a time, and the first bad one
+//! ejects it again, while [`Config::trials`] good ones bring it back.
+//!
+//! Samples are stretches (time taken over time expected), so that a target isn't called slow for
+//! long requests, and a failure counts as one at [`FAILED`].
+//!
+//! Grounds: replicas under the same load differ by up to a factor of two through their queues, so
+//! that three times the median is none of that; with a quarter of the pool out, the others have a
+//! third more to do, which they can do below 75% load.
+
+use std::collections::HashMap;
+
+use model::{Micros, TargetKey};
+
+/// What counts as slow, and for how long a slow target is out.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Multiple of the median that is too slow; 3.
+    pub slow: f64,
+    /// Samples before a target is judged; 8.
+    pub samples: u32,
+    /// Weight of a new sample; 0.2.
+    pub smooth: f64,
+    /// Largest part of a pool that may be out; 0.25, and one target of a small pool.
+    pub ejected: f64,
+    /// First time out; 5 s.
+    pub out: Micros,
+    /// Longest time out; 5 min.
+    pub longest: Micros,
+    /// Good requests in a row that end a trial; 3.
+    pub trials: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            slow: 3.0,
+            samples: 8,
+            smooth: 0.2,
+            ejected: 0.25,
+            out: Micros::from_secs(5),
+            longest: Micros::from_secs(300),
+            trials: 3,
+        }
+    }
+}
+
+/// The stretch that a failure counts as.
+pub const FAILED: f64 = 20.0;
+
+/// How one request at a target went.
+#[derive(Clone, Copy, Debug)]
+pub enum Sample {
+    /// It was answered.
+    Answered {
+        /// Time to the first token at an idle target.
+        expected: Micros,
+        /// Time to the first token.
+        took: Micros,
+    },
+    /// The target failed.
+    Failed,
+}
+
+/// Whether a target may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Like any other.
+    Normal,
+    /// For one request, to see whether it has recovered.
+    Trial,
+    /// Not now.
+    Out,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    In,
+    Out { until: Micros },
+    Trial { good: u32, asked: bool },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    stretch: f64,
+    samples: u32,
+    state: State,
+    /// Ejections in a row.
+    strikes: u32,
+}
+
+/// The targets of one pool, as one entry has found them.
+#[derive(Debug)]
+pub struct Health {
+    config: Config,
+    records: HashMap<TargetKey, Record>,
+}
+
+impl Health {
+    /// Knows nothing of any target.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            records: HashMap::new(),
+        }
+    }
+
+    /// Whether a target may be used now.
+    pub fn usable(&self, now: Micros, target: TargetKey) -> Use {
+        match self.records.get(&target).map(|r| r.state) {
+            None | Some(State::In) => Use::Normal,
+            Some(State::Out { until }) if now < until => Use::Out,
+            Some(State::Trial { asked: true, .. }) => Use::Out,
+            Some(State::Out { .. } | State::Trial { .. }) => Use::Trial,
+        }
+    }
+
+    /// Notes that a target on trial was given its request.
+    pub fn tried(&mut self, now: Micros, target: TargetKey) {
+        if let Some(record) = self.records.get_mut(&target) {
+            record.state = match record.state {
+                State::Out { until } if until <= now => State::Trial {
+                    good: 0,
+                    asked: true,
+                },
+                State::Trial { good, .. } => State::Trial { good, asked: true },
+                state => state,
+            };
+        }
+    }
+
+    /// Notes that a request at a target ended without telling anything of the target.
+    pub fn cancelled(&mut self, target: TargetKey) {
+        if let Some(Record {
+            state: State::Trial { asked, .. },
+            ..
+        }) = self.records.get_mut(&target)
+        {
+            *asked = false;
+        }
+    }
+
+    /// Notes how a request went.
+    pub fn measured(&mut self, now: Micros, target: TargetKey, sample: Sample) {
+        let stretch = match sample {
+            Sample::Answered { expected, took } => {
+                (took.0.max(1) as f64 / expected.0.max(1) as f64).min(FAILED)
+            }
+            Sample::Failed => FAILED,
+        };
+        let config = self.config;
+        let slow = self.median(target).map(|m| m * config.slow);
+        let room = self.room();
+        let record = self.records.entry(target).or_insert(Record {
+            stretch,
+            samples: 0,
+            state: State::In,
+            strikes: 0,
+        });
+        record.samples += 1;
+        record.stretch += (stretch - record.stretch) * config.smooth;
+        let is_slow = |stretch: f64| slow.is_some_and(|limit| stretch > limit);
+        match record.state {
+            State::In if record.samples < config.samples => {}
+            State::In if is_slow(record.stretch) && room => eject(&config, record, now),
+            State::Trial { .. } if is_slow(stretch) => eject(&config, record, now),
+            State::Trial { good, .. } if good + 1 >= config.trials => restore(record, stretch),
+            State::Trial { good, .. } => {
+                record.state = State::Trial {
+                    good: good + 1,
+                    asked: false,
+                }
+            }
+            // In and well for as long again as it takes to be judged: earlier strikes are over.
+            State::In if record.samples > 4 * config.samples => record.strikes = 0,
+            State::In | State::Out { .. } => {}
+        }
+    }
+
+    /// Forgets a target that is gone or has a new life.
+    pub fn forget(&mut self, target: TargetKey) {
+        self.records.remove(&target);
+    }
+
+    /// Targets that are out or on trial.
+    pub fn ejected(&self) -> usize {
+        let out = self.records.values();
+        out.filter(|r| !matches!(r.state, State::In)).count()
+    }
+
+    /// The median stretch of the target's judged peers; none if there are fewer than two.
+    fn median(&self, target: TargetKey) -> Option<f64> {
+        let peers = self.records.iter().filter(|(t, _)| **t != target);
+        let judged =
+            peers.filter(|(_, r)| r.samples >= self.config.samples && matches!(r.state, State::In));
+        let mut all: Vec<f64> = judged.map(|(_, r)| r.stretch).collect();
+        all.sort_by(f64::total_cmp);
+        (all.len() >= 2).then(|| all[all.len() / 2])
+    }
+
+    fn room(&self) -> bool {
+        let most = (self.records.len() as f64 * self.config.ejected) as usize;
+        self.ejected() < most.max(1)
+    }
+}
+
+fn eject(config: &Config, record: &mut Record, now: Micros) {
+    let out = Micros(config.out.0 << record.strikes.min(16)).min(config.longest);
+    record.state = State::Out { until: now + out };
+    record.strikes += 1;
+}
+
+fn restore(record: &mut Record, stretch: f64) {
+    record.state = State::In;
+    record.stretch = stretch;
+    record.samples = 0;
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,13 @@
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 
 pub mod admit;
+pub mod concurrency;
+pub mod drain;
+pub mod health;
+pub mod limit;
 pub mod place;
+pub mod quarantine;
 pub mod queue;
 pub mod recent;
 pub mod reserve;
+pub mod retry;
--- /dev/null
+++ b/crates/policy/tests/control.rs
@@ -0,0 +1,388 @@
+//! Limits, retries, ejection, quarantine, concurrency and planned stops.
+
+use model::{Attempt, Incarnation, MemberId, Micros, Outcome, TargetKey};
+use policy::concurrency::{self, Limit};
+use policy::drain::{self, Action, Drain, Event, Role};
+use policy::health::{self, Health, Use};
+use policy::limit::{self, share, Bucket, Rate};
+use policy::quarantine::{self, Crash, Fingerprint, Quarantine, Verdict};
+use policy::retry::{self, Budget, Denied, Failure};
+use slotmap::SlotMap;
+
+const fn ms(n: u64) -> Micros {
+    Micros::from_millis(n)
+}
+
+const fn secs(n: u64) -> Micros {
+    Micros::from_secs(n)
+}
+
+/// Half of the fleet fails. If every failure were tried again, the other half would get twice its
+/// load; and a payment tried again after it may have run would be made twice.
+#[test]
+fn retries_are_bounded_and_never_unsafe() {
+    struct Case {
+        name: &'static str,
+        failure: Failure,
+        verdict: Result<(), Denied>,
+    }
+    let base = Failure {
+        attempt: Attempt(0),
+        outcome: Outcome::Unknown,
+        idempotent: true,
+        deadline: secs(10),
+        least: ms(100),
+    };
+    let cases = [
+        Case {
+            name: "idempotent",
+            failure: base,
+            verdict: Ok(()),
+        },
+        Case {
+            name: "may have run",
+            failure: Failure {
+                idempotent: false,
+                ..base
+            },
+            verdict: Err(Denied::Unsafe),
+        },
+        Case {
+            name: "truly not run",
+            failure: Failure {
+                idempotent: false,
+                outcome: Outcome::NotRun,
+                ..base
+            },
+            verdict: Ok(()),
+        },
+        Case {
+            name: "third attempt",
+            failure: Failure {
+                attempt: Attempt(2),
+                ..base
+            },
+            verdict: Err(Denied::Attempts),
+        },
+        Case {
+            name: "too late",
+            failure: Failure {
+                deadline: ms(99),
+                ..base
+            },
+            verdict: Err(Denied::Deadline),
+        },
+    ];
+    for case in cases {
+        let mut budget = Budget::new(retry::Config::default());
+        assert_eq!(
+            budget.again(Micros::ZERO, &case.failure),
+            case.verdict,
+            "{}",
+            case.name
+        );
+    }
+    let mut budget = Budget::new(retry::Config::default());
+    let mut again = 0;
+    for _ in 0..10_000 {
+        budget.sent();
+        again += u32::from(budget.again(Micros::ZERO, &base).is_ok());
+    }
+    assert!((1_000..=1_010).contains(&again), "{again}");
+}
+
+fn targets(n: usize) -> Vec<TargetKey> {
+    let mut map: SlotMap<TargetKey, ()> = SlotMap::with_key();
+    (0..n).map(|_| map.insert(())).collect()
+}
+
+fn answered(stretch: u64) -> health::Sample {
+    health::Sample::Answered {
+        expected: ms(100),
+        took: ms(100 * stretch),
+    }
+}
+
+/// One target runs at a tenth of its speed, and a ninth of all callers wait ten times as long.
+#[test]
+fn a_slow_target_is_out_until_it_has_shown_that_it_recovered() {
+    let all = targets(9);
+    let mut health = Health::new(health::Config::default());
+    for _ in 0..20 {
+        for (i, target) in all.iter().enumerate() {
+            health.measured(ms(0), *target, answered(if i == 4 { 10 } else { 1 }));
+        }
+    }
+    assert_eq!(health.usable(ms(4_999), all[4]), Use::Out);
+    assert_eq!(health.usable(ms(4_999), all[3]), Use::Normal);
+    assert_eq!(health.usable(secs(5), all[4]), Use::Trial);
+    health.tried(secs(5), all[4]);
+    assert_eq!(health.usable(secs(5), all[4]), Use::Out);
+    // Still slow: out for twice the time.
+    health.measured(secs(6), all[4], answered(10));
+    assert_eq!(health.usable(secs(15), all[4]), Use::Out);
+    for _ in 0..3 {
+        assert_eq!(health.usable(secs(16), all[4]), Use::Trial);
+        health.tried(secs(16), all[4]);
+        health.measured(secs(16), all[4], answered(1));
+    }
+    assert_eq!(health.usable(secs(16), all[4]), Use::Normal);
+}
+
+/// Everything is slow under overload, or most of the pool fails. Leaving all of it out would turn
+/// a slow service into none.
+#[test]
+fn ejection_is_bounded_and_by_comparison() {
+    struct Case {
+        name: &'static str,
+        slow: usize,
+        ejected: usize,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            slow: 0,
+            ejected: 0,
+        },
+        Case {
+            name: "one",
+            slow: 1,
+            ejected: 1,
+        },
+        Case {
+            name: "four",
+            slow: 4,
+            ejected: 3,
+        },
+        Case {
+            name: "all",
+            slow: 12,
+            ejected: 0,
+        },
+    ];
+    let all = targets(12);
+    for case in cases {
+        let mut health = Health::new(health::Config::default());
+        for round in 0..40 {
+            for (i, target) in all.iter().enumerate() {
+                let sample = match i < case.slow {
+                    true if i % 2 == 0 => answered(15),
+                    true => health::Sample::Failed,
+                    false => answered(1 + round % 2),
+                };
+                health.measured(ms(round), *target, sample);
+            }
+        }
+        assert_eq!(health.ejected(), case.ejected, "{}", case.name);
+    }
+}
+
+/// A request crashes each engine that runs it and is sent again. Its neighbours at the first crash
+/// are suspects as well and must not be refused for it.
+#[test]
+fn the_second_crash_convicts_the_culprit_only() {
+    let mut quarantine = Quarantine::new(quarantine::Config::default());
+    let print = |body| Fingerprint { body, weights: 1 };
+    let crash = |member, life| Crash {
+        member: MemberId(member),
+        life: Incarnation(life),
+    };
+    for body in 1..=5 {
+        assert_eq!(
+            quarantine.strike(ms(0), print(body), crash(1, 1)),
+            Verdict::Suspect
+        );
+    }
+    // Another process reports the same crash.
+    assert_eq!(
+        quarantine.strike(ms(1), print(2), crash(1, 1)),
+        Verdict::Suspect
+    );
+    assert_eq!(
+        quarantine.strike(ms(2), print(1), crash(2, 1)),
+        Verdict::Convicted
+    );
+    assert_eq!(quarantine.verdict(ms(3), print(2)), Verdict::Suspect);
+    assert_eq!(
+        quarantine.verdict(
+            ms(3),
+            Fingerprint {
+                body: 1,
+                weights: 2
+            }
+        ),
+        Verdict::Clear
+    );
+    assert_eq!(quarantine.convicted(ms(3)).count(), 1);
+    assert_eq!(quarantine.verdict(secs(601), print(1)), Verdict::Clear);
+    quarantine.retain_weights(|w| w == 2);
+    assert!(quarantine.is_empty());
+    let few = quarantine::Config {
+        kept: 10,
+        ..quarantine::Config::default()
+    };
+    let mut quarantine = Quarantine::new(few);
+    for body in 0..100 {
+        quarantine.strike(ms(body as u64), print(body), crash(1, body as u64));
+    }
+    assert_eq!(quarantine.len(), 10);
+}
+
+/// The engine queues what it is given beyond its capacity, out of reach of class and deadline.
+#[test]
+fn the_limit_settles_near_the_engines_capacity() {
+    struct Case {
+        name: &'static str,
+        capacity: u32,
+        demand: u32,
+        settles: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            name: "small",
+            capacity: 4,
+            demand: 500,
+            settles: 5..=12,
+        },
+        Case {
+            name: "large",
+            capacity: 40,
+            demand: 500,
+            settles: 50..=110,
+        },
+        Case {
+            name: "little demand",
+            capacity: 40,
+            demand: 2,
+            settles: 4..=5,
+        },
+    ];
+    for case in cases {
+        let mut limit = Limit::new(concurrency::Config::default());
+        for i in 0..5_000u64 {
+            let running = limit.get().min(case.demand);
+            // Every now and then the engine is nearly idle and shows its best.
+            let running = if i % 100 == 0 { 1 } else { running };
+            let stretch = f64::from(running.max(case.capacity)) / f64::from(case.capacity);
+            let took = Micros((100_000.0 * stretch) as u64);
+            let sample = concurrency::Sample {
+                expected: ms(100),
+                took,
+                running,
+            };
+            limit.measured(ms(i * 10), sample);
+        }
+        assert!(
+            case.settles.contains(&limit.get()),
+            "{}: {}",
+            case.name,
+            limit.get()
+        );
+    }
+}
+
+/// Processes are replaced under load, all day. Each must leave without cutting a stream, and
+/// without refusing what the balancer still sends.
+#[test]
+fn a_planned_stop_finishes_what_runs() {
+    use Action::{Announce, Close, Exit, GiveBack};
+    struct Case {
+        name: &'static str,
+        role: Role,
+        events: Vec<(u64, Event)>,
+        actions: Vec<Action>,
+        accepts: bool,
+    }
+    let cases = [
+        Case {
+            name: "an entry takes late arrivals and finishes them",
+            role: Role::Entry,
+            events: vec![
+                (0, Event::Taken),
+                (1_000, Event::Stop),
+                (1_100, Event::Taken),
+                (1_200, Event::Stop),
+                (1_300, Event::Ended),
+            ],
+            actions: vec![Announce, GiveBack],
+            accepts: true,
+        },
+        Case {
+            name: "a sidecar refuses them",
+            role: Role::Sidecar,
+            events: vec![(0, Event::Taken), (1_000, Event::Stop)],
+            actions: vec![Announce, GiveBack],
+            accepts: false,
+        },
+        Case {
+            name: "a long stream holds the exit up",
+            role: Role::Sidecar,
+            events: vec![
+                (0, Event::Taken),
+                (1_000, Event::Stop),
+                (600_000, Event::Tick),
+            ],
+            actions: vec![Announce, GiveBack, Close],
+            accepts: false,
+        },
+        Case {
+            name: "then it exits, once",
+            role: Role::Sidecar,
+            events: vec![
+                (0, Event::Taken),
+                (1_000, Event::Stop),
+                (600_000, Event::Ended),
+                (600_001, Event::Tick),
+            ],
+            actions: vec![Announce, GiveBack, Close, Exit],
+            accepts: false,
+        },
+    ];
+    for case in cases {
+        let mut drain = Drain::new(drain::Config::default(), case.role);
+        let mut actions = Vec::new();
+        for (at, event) in case.events {
+            drain.step(ms(at), event, &mut actions);
+        }
+        assert_eq!(actions, case.actions, "{}", case.name);
+        assert_eq!(drain.accepts(), case.accepts, "{}", case.name);
+        assert!(!drain.is_ready(), "{}", case.name);
+    }
+}
+
+/// A team's client goes wrong and sends many times its rate through some of the entries.
+#[test]
+fn a_team_gets_its_rate_over_all_entries() {
+    let rate = Rate {
+        rate: 100.0,
+        burst: 20.0,
+    };
+    let config = limit::Config::default();
+    let uses = [0.0, 30.0, 270.0];
+    let parts: Vec<Rate> = (0..3)
+        .map(|i| {
+            let others = uses.iter().enumerate().filter(|(j, _)| *j != i);
+            share(&config, rate, uses[i], others.map(|(_, u)| *u))
+        })
+        .collect();
+    let sum: f64 = parts.iter().map(|p| p.rate).sum();
+    assert!((sum - 100.0).abs() < 1e-9, "{parts:?}");
+    assert!(parts[0].rate > 3.0 && parts[2].rate > 80.0, "{parts:?}");
+    assert_eq!(share(&config, rate, 0.0, [0.0]).rate, 50.0);
+
+    let mut bucket = Bucket::new(ms(0), rate);
+    let passed = (0..10_000u64)
+        .filter(|i| bucket.take(ms(*i), 1.0).is_ok())
+        .count();
+    assert!((1_010..=1_021).contains(&passed), "{passed}");
+    assert!(bucket.used(secs(10)) > 500.0);
+    let wait = bucket
+        .take(secs(10), 10.0)
+        .expect_err("the bucket is empty");
+    assert!((ms(80)..=ms(101)).contains(&wait), "{wait:?}");
+    // One request larger than the burst passes, and the next waits for the debt.
+    let mut bucket = Bucket::new(ms(0), rate);
+    assert_eq!(bucket.take(ms(0), 100.0), Ok(()));
+    let wait = bucket.take(ms(0), 1.0).expect_err("the bucket is in debt");
+    assert!((ms(800)..=ms(820)).contains(&wait), "{wait:?}");
+}
