--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -31,7 +31,9 @@
     let text = read(&a.file)?;
     RuleSet::compile(&text).map_err(Failure::Faults)?;
     let path = "/admin/configuration";
-    let body = send(Method::PUT, &a.entry, path, text, LIMIT).await?;
+    let change =
+        serde_json::json!({"text": text, "operation": format!("{:x}", std::process::id())});
+    let body = send(Method::PUT, &a.entry, path, change.to_string(), LIMIT).await?;
     println!("{}", String::from_utf8_lossy(&body));
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,60 @@
+//! Operators' HTTP that both roles have: health and metrics.
+
+use std::future::IntoFuture;
+use std::io;
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+use viz::{Body, Request, RequestExt, Response, Router};
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Health and metrics of a process that is ready while `ready` says so.
+pub fn router(ready: impl Fn() -> bool + Clone + Send + Sync + 'static) -> Router {
+    install();
+    Router::new()
+        .get("/health/*", move |r: Request| {
+            let res = health(r.path(), ready());
+            async move { Ok::<_, viz::Error>(res) }
+        })
+        .get("/metrics", |_: Request| async {
+            let text = METRICS.get().map(PrometheusHandle::render);
+            Ok::<_, viz::Error>(answer(200, "text/plain", text.unwrap_or_default()))
+        })
+}
+
+/// Serves a router for ever.
+pub async fn serve(listener: TcpListener, router: Router) -> io::Result<()> {
+    viz::serve(listener, router).into_future().await
+}
+
+/// Answers a health question.
+pub fn health(path: &str, ready: bool) -> Response {
+    let (status, text) = match path {
+        "/health/live" => (200, "live\n"),
+        "/health/ready" if ready => (200, "ready\n"),
+        "/health/ready" => (503, "not ready\n"),
+        _ => (404, "no such question\n"),
+    };
+    answer(status, "text/plain", text)
+}
+
+/// A whole answer.
+pub fn answer(status: u16, kind: &str, body: impl Into<bytes::Bytes>) -> Response {
+    let res = Response::builder()
+        .status(status)
+        .header("content-type", kind)
+        .body(Body::Full(body.into().into()));
+    res.unwrap_or_default()
+}
+
+/// Collects metrics from now on; later calls have no effect.
+fn install() {
+    METRICS.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    });
+}
--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -1,57 +1,236 @@
-//! Operators' HTTP: health, metrics, configuration.
+//! Operators' HTTP of an entry: the configuration and the fleet's state.
+//!
+//! Every call but health and metrics needs the operators' key. Answers are JSON; errors have the
+//! shape `{"error":{"code":…}}`.
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+use contract::apply::{Apply, ApplyStep, Change, Head, KEY};
+use contract::{Reply, Request as Call};
+use fleet::{Member, MemberState, Role, TableRow};
+use model::Version;
 use rules::RuleSet;
-use viz::{Body, Request, RequestExt, Response, Router};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use store::Table;
+use tokio::sync::oneshot;
+use viz::{Request, RequestExt, Response, Router};
 
+use crate::admin::answer;
+use crate::clock;
 use crate::entry::Context;
-use crate::view::View;
+use crate::member::{Ask, Status};
+
+#[derive(Deserialize)]
+struct ChangeBody {
+    text: String,
+    #[serde(default)]
+    base: Option<u64>,
+    operation: String,
+    #[serde(default)]
+    author: String,
+}
 
 /// The operators' interface.
-pub fn router(cx: Arc<Context>) -> Router {
-    let [a, b] = std::array::from_fn(|_| Arc::clone(&cx));
-    Router::new()
-        .get("/health/*", move |r: Request| {
-            let res = health(&a, r.path());
-            async move { Ok::<_, viz::Error>(res) }
-        })
+pub fn router(cx: &Arc<Context>) -> Router {
+    let [a, b, c, d, e] = std::array::from_fn(|_| Arc::clone(cx));
+    crate::admin::router(move || ready(&a))
         .put("/admin/configuration", move |r: Request| {
-            apply(Arc::clone(&b), r)
+            guard(Arc::clone(&b), r, Method::Apply)
+        })
+        .get("/admin/configuration", move |r: Request| {
+            guard(Arc::clone(&c), r, Method::Show)
+        })
+        .get("/admin/history", move |r: Request| {
+            guard(Arc::clone(&d), r, Method::History)
         })
+        .get("/admin/status", move |r: Request| {
+            guard(Arc::clone(&e), r, Method::Status)
+        })
+}
+
+/// Whether the balancer may send requests here.
+pub fn ready(cx: &Context) -> bool {
+    cx.stop.is_ready() && cx.view.load().rules.is_some()
+}
+
+#[derive(Clone, Copy)]
+enum Method {
+    Apply,
+    Show,
+    History,
+    Status,
+}
+
+async fn guard(cx: Arc<Context>, mut req: Request, method: Method) -> viz::Result<Response> {
+    if !allowed(&cx, &req) {
+        return Ok(error(401, "unauthorized", json!({})));
+    }
+    Ok(match method {
+        Method::Apply => match req.bytes().await {
+            Ok(body) => apply(&cx, &body).await,
+            Err(e) => error(400, "bad_request", json!({"message": e.to_string()})),
+        },
+        Method::Show => show(&cx).await,
+        Method::History => history(&cx).await,
+        Method::Status => status(&cx).await,
+    })
+}
+
+fn allowed(cx: &Context, req: &Request) -> bool {
+    let given = req.headers().get("authorization").map(|v| v.as_bytes());
+    let given = given.and_then(|v| v.strip_prefix(b"Bearer "));
+    match (&cx.role.operator_key, given) {
+        // Hashes compare in constant time, whatever the lengths.
+        (Some(key), Some(given)) => blake3::hash(key.as_bytes()) == blake3::hash(given),
+        _ => false,
+    }
 }
 
-/// Answers a health question.
-pub fn health(cx: &Context, path: &str) -> Response {
-    let ready = cx.view.load().rules.is_some();
-    let status = match path {
-        "/health/live" => 200,
-        "/health/ready" if ready => 200,
-        "/health/ready" => 503,
-        _ => 404,
+async fn apply(cx: &Context, body: &[u8]) -> Response {
+    let change: ChangeBody = match serde_json::from_slice(body) {
+        Ok(c) => c,
+        Err(e) => return error(400, "bad_request", json!({"message": e.to_string()})),
     };
-    Response::builder()
-        .status(status)
-        .body(Body::empty())
-        .unwrap_or_default()
-}
-
-async fn apply(cx: Arc<Context>, mut req: Request) -> viz::Result<Response> {
-    let text = req.text().await.map_err(viz::Error::boxed)?;
-    let (status, body) = match RuleSet::compile(&text) {
-        Err(f) => (400, f.to_string()),
-        Ok(rules) => {
-            let old = cx.view.load_full();
-            let view = View {
-                rules: Some(Arc::new(rules)),
-                ..(*old).clone()
-            };
-            cx.view.store(Arc::new(view));
-            (200, String::new())
-        }
+    if let Err(faults) = RuleSet::compile(&change.text) {
+        let all: Vec<_> = faults.0.iter().map(ToString::to_string).collect();
+        return error(
+            400,
+            "faults",
+            json!({"message": faults.to_string(), "faults": all}),
+        );
+    }
+    let Some(table) = &cx.table else {
+        return error(
+            503,
+            "platform_down",
+            json!({"message": "no platform is set"}),
+        );
+    };
+    let text = change.text.clone();
+    let mut apply = Apply::new(Change {
+        text: change.text,
+        base: change.base,
+        operation: change.operation,
+        author: change.author,
+        at: clock::epoch(),
+    });
+    let mut step = apply.start();
+    while let ApplyStep::Call(call) = step {
+        step = apply.step(table.call(call).await);
+    }
+    match step {
+        ApplyStep::Accepted(version) => accepted(cx, version, text),
+        ApplyStep::Stale(s) => error(
+            409,
+            "conflict",
+            json!({"message": s.to_string(), "version": s.version, "author": s.author,
+                "operation": s.operation}),
+        ),
+        ApplyStep::Down => error(503, "platform_down", json!({})),
+        ApplyStep::Corrupt => error(500, "corrupt", json!({"message": "unreadable row"})),
+        ApplyStep::Unknown | ApplyStep::Call(_) => error(504, "unknown_outcome", json!({})),
+    }
+}
+
+fn accepted(cx: &Context, version: u64, text: String) -> Response {
+    let _ = cx.members.send(Ask::Accepted(TableRow {
+        version: Version(version),
+        digest: fleet::Digest::of(&text),
+        text: Bytes::from(text),
+    }));
+    reply(200, &json!({"version": version}))
+}
+
+async fn show(cx: &Context) -> Response {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.members.send(Ask::Text(tx));
+    match rx.await {
+        Ok(row) => reply(
+            200,
+            &json!({"version": row.version.0, "digest": row.digest.to_string(),
+                "text": String::from_utf8_lossy(&row.text)}),
+        ),
+        Err(_) => error(503, "draining", json!({})),
+    }
+}
+
+async fn history(cx: &Context) -> Response {
+    let Some(table) = &cx.table else {
+        return error(
+            503,
+            "platform_down",
+            json!({"message": "no platform is set"}),
+        );
     };
-    let res = Response::builder()
-        .status(status)
-        .body(Body::Full(body.into()));
-    Ok(res.unwrap_or_default())
+    let key = KEY.to_owned();
+    match table.call(Call::Read { key }).await {
+        Reply::Row(None) => reply(200, &json!({"current": null, "past": []})),
+        Reply::Row(Some(row)) => match serde_json::from_slice::<Head>(&row.value) {
+            Ok(h) => {
+                let current = json!({"version": h.version, "digest": h.digest, "author": h.author,
+                    "operation": h.operation, "at": h.at});
+                reply(200, &json!({"current": current, "past": h.past}))
+            }
+            Err(_) => error(500, "corrupt", json!({"message": "unreadable row"})),
+        },
+        _ => error(503, "platform_down", json!({})),
+    }
+}
+
+async fn status(cx: &Context) -> Response {
+    let (tx, rx) = oneshot::channel();
+    let _ = cx.members.send(Ask::Status(tx));
+    match rx.await {
+        Ok(s) => reply(200, &status_body(&s)),
+        Err(_) => error(503, "draining", json!({})),
+    }
+}
+
+fn status_body(s: &Status) -> Value {
+    let lagging = |m: &Member| s.force.lagging.iter().find(|l| l.id == m.id);
+    let members: Vec<_> = s
+        .members
+        .iter()
+        .map(|m| {
+            let version = match lagging(m) {
+                Some(l) => l.version.unwrap_or_default().0,
+                None => s.version.0,
+            };
+            json!({"id": format!("{:016x}", m.id.0), "role": role(m.role), "host": m.host,
+                "domain": m.domain, "region": m.region, "pool": m.pool, "state": state(m.state),
+                "version": version, "peer": m.tcp.to_string(), "tags": m.tags})
+        })
+        .collect();
+    json!({"version": s.version.0, "digest": s.digest.to_string(), "members": members})
+}
+
+fn role(r: Role) -> &'static str {
+    match r {
+        Role::Entry => "entry",
+        Role::Sidecar => "sidecar",
+    }
+}
+
+fn state(s: MemberState) -> &'static str {
+    match s {
+        MemberState::Alive => "alive",
+        MemberState::Leaving => "leaving",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    }
+}
+
+fn error(status: u16, code: &str, more: Value) -> Response {
+    let mut inner = json!({"code": code});
+    if let (Value::Object(inner), Value::Object(more)) = (&mut inner, more) {
+        inner.extend(more);
+    }
+    reply(status, &json!({"error": inner}))
+}
+
+fn reply(status: u16, body: &Value) -> Response {
+    answer(status, "application/json", body.to_string())
 }
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -7,21 +7,29 @@
 use bytes::{Bytes, BytesMut};
 use exchange::{Action, Event, Failed, Failure, NotRun, Owner, Relay};
 use model::{Code, Micros, Outcome, RequestId};
+use policy::health;
+use policy::quarantine::Verdict;
+use policy::retry;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
 use wire::{Ack, Body, Cancel, Head, Header, Open, Refuse, Resume, WireError};
 
+use crate::clock;
 use crate::entry::answer::Problem;
 use crate::entry::ask::{Added, Completion};
-use crate::entry::pick::{Picked, Wanted};
+use crate::entry::pick::{pick, Picked};
+use crate::entry::probe::Wanted;
+use crate::entry::stop::Taken;
 use crate::entry::Context;
 use crate::link::Link;
 use crate::log;
 
 /// Longest silence of a sidecar, four of its heartbeats.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Attempts at one request.
-const ATTEMPTS: u32 = 4;
+/// Attempts at a request that planned stops send from one sidecar to the next.
+const DRAINED: u32 = 8;
+/// How long after the deadline the sidecar may still say what became of the request.
+const GRACE: Duration = Duration::from_millis(30);
 /// Chunks between confirmations.
 const CONFIRM: u64 = 16;
 /// Largest answer that is collected before its caller gets any of it.
@@ -96,6 +104,7 @@
         stream,
     };
     let relay = Relay::new(job.idempotent, stream);
+    let _taken = Taken::new(&cx);
     Drive {
         cx,
         job,
@@ -104,6 +113,10 @@
         tried: Vec::new(),
         attempt: 0,
         opened: false,
+        suspect: false,
+        cost: None,
+        sent: Instant::now(),
+        at: None,
     }
     .run()
     .await;
@@ -117,6 +130,14 @@
     tried: Vec<model::TargetKey>,
     attempt: u32,
     opened: bool,
+    /// Another process found that a target died under this request.
+    suspect: bool,
+    /// Expected time to the first token at the current replica.
+    cost: Option<Micros>,
+    /// When the current attempt began.
+    sent: Instant,
+    /// The replica of the current attempt.
+    at: Option<model::TargetKey>,
 }
 
 /// How one exchange ended, seen from the request.
@@ -136,20 +157,22 @@
 
 impl Drive {
     async fn run(mut self) {
+        if let Some(failure) = self.begin() {
+            return self.give(failure).await;
+        }
         let mut delivered = 0;
         let mut failure = none();
-        while self.attempt < ATTEMPTS {
+        loop {
             let view = self.cx.view.load_full();
-            let picked = self
-                .cx
-                .picker
-                .pick(&view, &self.job.want, &self.tried)
-                .await;
+            let picked = match pick(&self.cx, &view, &self.job.want, &self.tried).await {
+                Ok(p) => p,
+                // What happened before says more than that nobody is left.
+                Err(f) if self.attempt == 0 => return self.give(f).await,
+                Err(_) => break,
+            };
             let Some(p) = picked.into_iter().next() else {
                 break;
             };
-            self.tried.push(p.target);
-            self.attempt += 1;
             match self.attempt(p, delivered).await {
                 Ended::Over => return,
                 Ended::Elsewhere {
@@ -161,18 +184,74 @@
                     self.out.restart();
                 }
             }
+            if !self.again(&failure) {
+                break;
+            }
         }
         self.give(failure).await;
     }
 
+    /// Counts the request; a convicted one ends here.
+    fn begin(&mut self) -> Option<Failure> {
+        let mut memory = self.cx.memory.lock();
+        memory.budget.sent();
+        let verdict = memory.verdict(clock::now(), self.job.want.fingerprint);
+        self.suspect = verdict == Verdict::Suspect;
+        (verdict == Verdict::Convicted).then_some(Failure {
+            code: Code::Quarantined,
+            outcome: Outcome::NotRun,
+            retry: None,
+        })
+    }
+
+    /// Whether another attempt may be made after this failure.
+    fn again(&mut self, failure: &Failure) -> bool {
+        if failure.code == Code::Draining {
+            // A planned stop is no failure: its requests go elsewhere whatever the budget says.
+            return self.attempt < DRAINED;
+        }
+        let now = clock::now();
+        let left = self.job.deadline.saturating_duration_since(Instant::now());
+        let f = retry::Failure {
+            attempt: model::Attempt(self.attempt - 1),
+            outcome: failure.outcome,
+            idempotent: self.job.idempotent,
+            deadline: now + Micros::from(left),
+            least: Micros::ZERO,
+        };
+        let again = self.cx.memory.lock().budget.again(now, &f);
+        again.is_ok()
+    }
+
+    /// Notes how the current replica answered, for comparison with its peers.
+    fn measured(&self, failed: bool) {
+        let Some(target) = self.at else { return };
+        let sample = match (failed, self.cost) {
+            (true, _) => health::Sample::Failed,
+            (false, Some(expected)) => health::Sample::Answered {
+                expected: expected.max(Micros(1)),
+                took: self.sent.elapsed().into(),
+            },
+            (false, None) => return,
+        };
+        let mut memory = self.cx.memory.lock();
+        memory.health.measured(clock::now(), target, sample);
+    }
+
     async fn attempt(&mut self, p: Picked, delivered: u64) -> Ended {
+        self.tried.push(p.target);
+        self.attempt += 1;
+        self.cost = p.cost;
+        self.sent = Instant::now();
+        self.at = Some(p.target);
+        self.note(&p);
         let token = Bytes::copy_from_slice(&rand::random::<[u8; 16]>());
         let mut at = Current {
             address: p.address,
             life: p.life,
             token,
         };
-        let open = self.open(&at, delivered);
+        let open = self.open(&at, p.probe, delivered);
         let mut link = self.cx.links.take(at.address).await.ok();
         let mut event = match &mut link {
             None => Some(Event::Unsent),
@@ -196,6 +275,9 @@
             match self.relay.step(now) {
                 Action::Wait => {}
                 Action::Deliver(data) => {
+                    if self.relay.next() == 1 && self.out.stream {
+                        self.measured(false);
+                    }
                     if !self.out.data(data).await {
                         self.cancel(link).await;
                         return Ended::Over;
@@ -225,6 +307,9 @@
                     event = self.resume(&at, 0).await.map(|l| link = Some(l)).err();
                 }
                 Action::Elsewhere { delivered, failure } => {
+                    if failure.outcome == Outcome::Unknown {
+                        self.measured(true);
+                    }
                     return Ended::Elsewhere { delivered, failure };
                 }
                 Action::Finish => {
@@ -243,7 +328,16 @@
         }
     }
 
-    fn open(&self, at: &Current, delivered: u64) -> Open {
+    /// Remembers who gets the prompt, and that a slow target is on trial.
+    fn note(&self, p: &Picked) {
+        let mut memory = self.cx.memory.lock();
+        memory.recent.used(&self.job.want.chain, p.target);
+        if memory.health.usable(clock::now(), p.target) == health::Use::Trial {
+            memory.health.tried(clock::now(), p.target);
+        }
+    }
+
+    fn open(&self, at: &Current, probe: u64, delivered: u64) -> Open {
         let j = &self.job;
         let (body, output) = match &j.body {
             Payload::Plain(b) => (b.clone(), 0),
@@ -278,7 +372,8 @@
             trace: j.trace.clone(),
             stream: self.out.stream,
             output,
-            strikes: self.relay.crashes(),
+            strikes: self.relay.crashes() + u32::from(self.suspect),
+            probe,
         }
     }
 
@@ -290,7 +385,7 @@
         loop {
             let until = match self.out.started() {
                 true => Instant::now() + SILENCE,
-                false => self.job.deadline,
+                false => self.job.deadline + GRACE,
             };
             let body = tokio::select! {
                 biased;
--- /dev/null
+++ b/crates/daemon/src/entry/memory.rs
@@ -0,0 +1,89 @@
+//! What an entry remembers from request to request: who holds which prefix, who is slow, how much
+//! may be retried, which requests crash targets. All of it may be lost; a restarted entry serves
+//! at once and learns it anew.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use model::{Micros, TargetKey};
+use policy::health::{self, Health};
+use policy::quarantine::{self, Crash, Fingerprint, Quarantine};
+use policy::recent::{self, Recent};
+use policy::retry::{self, Budget};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+/// Stands for crashes of which only the mark is known.
+const ELSEWHERE: Crash = Crash {
+    member: model::MemberId(0),
+    life: model::Incarnation(0),
+};
+
+/// The memory of one entry.
+#[derive(Debug)]
+pub struct Memory {
+    /// Who got which prefix lately.
+    pub recent: Recent,
+    /// How each target has served.
+    pub health: Health,
+    /// Retries that may still be made.
+    pub budget: Budget,
+    /// Suspects and convicted.
+    pub quarantine: Quarantine,
+    /// The wait that each target told last.
+    pub waits: HashMap<TargetKey, Micros>,
+    /// Turns of the round-robin baseline.
+    pub turn: usize,
+    /// Random choices.
+    pub rng: SmallRng,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self {
+            recent: Recent::new(recent::Config::default()),
+            health: Health::new(health::Config::default()),
+            budget: Budget::new(retry::Config::default()),
+            quarantine: Quarantine::new(quarantine::Config::default()),
+            waits: HashMap::new(),
+            turn: 0,
+            rng: SmallRng::from_os_rng(),
+        }
+    }
+}
+
+impl Memory {
+    /// Another process found that a request crashed a target, or two.
+    pub fn told(&mut self, now: Micros, fingerprint: u64, convicted: bool, until: Micros) {
+        let p = print(fingerprint);
+        match convicted {
+            true => self.quarantine.convict(p, [ELSEWHERE, ELSEWHERE], until),
+            false => {
+                self.quarantine.strike(now, p, ELSEWHERE);
+            }
+        }
+    }
+
+    /// What is held against a request.
+    pub fn verdict(&self, now: Micros, fingerprint: u64) -> quarantine::Verdict {
+        self.quarantine.verdict(now, print(fingerprint))
+    }
+}
+
+/// The memory, shared by all traffic threads.
+#[derive(Debug, Default)]
+pub struct Shared(Mutex<Memory>);
+
+impl Shared {
+    /// The memory, locked; held for microseconds only.
+    pub fn lock(&self) -> MutexGuard<'_, Memory> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn print(fingerprint: u64) -> Fingerprint {
+    Fingerprint {
+        body: u128::from(fingerprint),
+        weights: 0,
+    }
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,21 +4,30 @@
 pub mod answer;
 pub mod ask;
 pub mod drive;
+pub mod memory;
 pub mod pick;
+pub mod prepare;
+pub mod probe;
 pub mod serve;
+pub mod stop;
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 
-use arc_swap::ArcSwap;
+use policy::drain;
+use store::{Client, Platform};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
 use viz::{Request, Router};
 
-use crate::control::{stopped, Ready};
 use crate::link::Pool;
+use crate::member::{self, Me, Membership};
+use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Entry, Settings};
-use crate::view::{Shared, View};
+use crate::view::Shared;
+use crate::{clock, log, mark, peer};
 
 /// What every request of this process shares.
 #[derive(Debug)]
@@ -28,12 +37,20 @@
     /// Connections to sidecars.
     pub links: Pool,
     /// Probes to sidecars.
-    pub picker: pick::Picker,
+    pub probes: Arc<probe::Prober>,
+    /// What is remembered from request to request.
+    pub memory: Arc<memory::Shared>,
     /// Settings of the role.
     pub role: Entry,
+    /// The way to membership.
+    pub members: member::Asker,
+    /// The platform's table, if there is one.
+    pub table: Option<Platform>,
+    /// Planned stop.
+    pub stop: stop::Stop,
 }
 
-/// Runs until told to stop.
+/// Runs until told to stop and all that runs has ended.
 pub fn run(settings: &Settings, role: &Entry) -> io::Result<()> {
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.workers)
@@ -45,46 +62,103 @@
 async fn start(settings: Settings, role: Entry) -> io::Result<()> {
     let callers = TcpListener::bind(role.listen).await?;
     let admin = TcpListener::bind(settings.admin).await?;
+    let gossip = UdpSocket::bind(settings.gossip).await?;
+    let (tcp, _) = bind_peer(settings.peer).await?;
     let probes = UdpSocket::bind(SocketAddr::new(settings.peer.ip(), 0)).await?;
-    let view: Shared = Arc::new(ArcSwap::from_pointee(View::new(
-        &settings.domain,
-        &settings.region,
-        role.targets
-            .iter()
-            .enumerate()
-            .map(|(i, (pool, peer))| crate::view::Announced {
-                member: model::MemberId(i as u64),
-                incarnation: model::Incarnation(0),
-                peer: *peer,
-                pool: pool.clone(),
-                host: peer.to_string(),
-                domain: settings.domain.clone(),
-                region: settings.region.clone(),
-            }),
-    )));
+    let ready = Ready {
+        callers: Some(callers.local_addr()?),
+        peer: tcp.local_addr()?,
+        admin: admin.local_addr()?,
+        gossip: gossip.local_addr()?,
+    };
+    let view = member::empty_view();
+    let memory = Arc::new(memory::Shared::default());
+    let (members, asked) = mpsc::unbounded_channel();
+    let thread = control(
+        &settings,
+        &ready,
+        &gossip.into_std()?,
+        &view,
+        &memory,
+        asked,
+    )?;
+    let notice = settings.notice.into();
     let cx = Arc::new(Context {
         view,
         links: Pool::new(settings.keys.clone()),
-        picker: pick::Picker::new(probes, settings.keys.clone()),
+        probes: probe::Prober::new(probes, settings.keys.clone()),
+        memory,
         role,
+        members: members.clone(),
+        table: settings
+            .platform
+            .clone()
+            .map(|p| Platform::new(p, Client::default())),
+        stop: stop::Stop::new(drain::Config { notice }),
     });
-    let addresses = Ready {
-        callers: Some(callers.local_addr()?),
-        peer: settings.peer,
-        admin: Some(admin.local_addr()?),
-        gossip: None,
-    };
-    pick::listen(&cx);
+    tokio::spawn(Arc::clone(&cx.probes).listen());
+    let keys = settings.keys.clone();
+    tokio::spawn(peer::listen(
+        tcp,
+        keys,
+        members.clone(),
+        Arc::new(peer::PullsOnly),
+    ));
+    tokio::spawn(crate::admin::serve(admin, admin::router(&cx)));
     let serve = Arc::clone(&cx);
     let router = Router::new().any("/*", move |r: Request| serve::handle(Arc::clone(&serve), r));
-    tokio::spawn(std::future::IntoFuture::into_future(viz::serve(
-        callers, router,
-    )));
-    let router = admin::router(Arc::clone(&cx));
-    tokio::spawn(std::future::IntoFuture::into_future(viz::serve(
-        admin, router,
-    )));
-    addresses.print();
+    let closed = Arc::clone(&cx);
+    let server = viz::serve(callers, router).signal(async move { closed.stop.closed().await });
+    let server = tokio::spawn(std::future::IntoFuture::into_future(server));
+    ready.print();
+    spdlog::info!(logger: log::entry(), "serving callers at {:?}", ready.callers);
+
     stopped().await;
-    Ok(())
+    spdlog::info!(logger: log::entry(), "leaving, late requests are still served");
+    cx.stop.run(&members).await;
+    let _ = server.await;
+    let _ = members.send(member::Ask::Quit);
+    let ended = tokio::task::spawn_blocking(move || thread.join()).await;
+    spdlog::info!(logger: log::main(), "stopped");
+    match ended {
+        Ok(Ok(r)) => r,
+        _ => Err(io::Error::other("the control thread panicked")),
+    }
+}
+
+/// Starts the control thread.
+fn control(
+    settings: &Settings,
+    ready: &Ready,
+    gossip: &std::net::UdpSocket,
+    view: &Shared,
+    memory: &Arc<memory::Shared>,
+    asked: mpsc::UnboundedReceiver<member::Ask>,
+) -> io::Result<JoinHandle<io::Result<()>>> {
+    let me = Me {
+        role: fleet::Role::Entry,
+        peer: ready.peer,
+        admin: Some(ready.admin),
+        pool: None,
+        life: clock::life(),
+    };
+    let (settings, gossip) = (settings.clone(), gossip.try_clone()?);
+    let (view, memory) = (Arc::clone(view), Arc::clone(memory));
+    let name = "control".to_owned();
+    std::thread::Builder::new().name(name).spawn(move || {
+        let run = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        run.block_on(async move {
+            let gossip = UdpSocket::from_std(gossip)?;
+            let mut members = Membership::new(&settings, me, gossip, view, asked)?;
+            while members.run_once().await {
+                while let Some(c) = members.convicted() {
+                    let (print, convicted) = mark::decode(c.fingerprint);
+                    memory.lock().told(clock::now(), print, convicted, c.until);
+                }
+            }
+            Ok(())
+        })
+    })
 }
--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -1,40 +1,26 @@
-//! Which sidecars a request is offered to, in order.
+//! Which sidecars a request is offered to, in order: `policy::place` with its probes.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
-use bytes::Bytes;
-use model::{BlockHash, Class, PoolKey, TargetKey};
-use prefix::Marks;
-use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
-use wire::{Keys, Message, Offer, Packet, Probe, State, PACKET_MAX};
+use exchange::Failure;
+use futures::future::join_all;
+use model::{BlockHash, Code, Micros, Outcome, TargetKey};
+use policy::health::Use;
+use policy::place::{self, Choice, Peer};
+use prefix::{rank, Marks};
+use rand::Rng;
+use wire::Offer;
 
+use crate::clock;
+use crate::entry::probe::Wanted;
 use crate::entry::Context;
+use crate::settings::Policy;
 use crate::view::View;
 
-/// Longest wait for offers. A round trip between failure domains takes two or three milliseconds.
-const WAIT: Duration = Duration::from_millis(8);
-/// Sidecars probed at once.
-const PROBES: usize = 4;
-
-/// What the choice depends on.
-#[derive(Clone, Debug)]
-pub struct Wanted {
-    /// Pool.
-    pub pool: PoolKey,
-    /// How urgent it is.
-    pub class: Class,
-    /// Blocks of the prompt.
-    pub chain: Vec<BlockHash>,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Team.
-    pub team: String,
-}
+/// Rounds of probes; the second asks others if all of the first are full.
+const ROUNDS: usize = 2;
+/// Blocks by which the consistent-hash baseline places a prompt: its first 256 tokens.
+const OPENING: usize = 16;
 
 /// A sidecar to offer a request to.
 #[derive(Clone, Debug)]
@@ -45,127 +31,243 @@
     pub address: SocketAddr,
     /// Its life, if it said so; else 0.
     pub life: u64,
+    /// The probe that it answered; else 0.
+    pub probe: u64,
+    /// Expected time to the first token, if it said so.
+    pub cost: Option<Micros>,
 }
 
-/// Sends probes and matches offers to them.
-#[derive(Debug)]
-pub struct Picker {
-    udp: UdpSocket,
-    keys: Keys,
-    pending: Mutex<HashMap<u64, oneshot::Sender<Offer>>>,
+/// One target with the answer to its probe.
+type Answered = (TargetKey, Option<Offer>);
+
+/// Sidecars for a request, the best first, or why there is none. Those tried before are left out.
+pub async fn pick(
+    cx: &Context,
+    view: &View,
+    want: &Wanted,
+    tried: &[TargetKey],
+) -> Result<Vec<Picked>, Failure> {
+    let peers = peers(cx, view, want, tried);
+    if peers.is_empty() {
+        return Err(failure(Code::NoTarget, Some(Micros::from_secs(1))));
+    }
+    match cx.role.policy {
+        Policy::Ours => ours(cx, view, want, peers).await,
+        Policy::LeastLoaded => least_loaded(cx, view, want, &peers).await,
+        Policy::RoundRobin => Ok(turns(cx, view, &peers)),
+        Policy::ConsistentHash => Ok(hashed(view, want, &peers)),
+    }
 }
 
-impl Picker {
-    /// Probes from this socket.
-    pub fn new(udp: UdpSocket, keys: Keys) -> Self {
-        Self {
-            udp,
-            keys,
-            pending: Mutex::default(),
-        }
+fn peers(cx: &Context, view: &View, want: &Wanted, tried: &[TargetKey]) -> Vec<Peer> {
+    let now = clock::now();
+    let memory = cx.memory.lock();
+    let all: Vec<_> = view
+        .world
+        .pool_targets(want.pool)
+        .filter(|(k, _)| !tried.contains(k))
+        .map(|(target, t)| Peer {
+            target,
+            id: t.rank,
+            wait: memory.waits.get(&target).copied().unwrap_or_default(),
+        })
+        .collect();
+    if cx.role.policy != Policy::Ours {
+        return all;
+    }
+    let usable = |p: &&Peer| memory.health.usable(now, p.target) != Use::Out;
+    let good: Vec<_> = all.iter().filter(usable).copied().collect();
+    // Slow targets are better than none.
+    if good.is_empty() {
+        all
+    } else {
+        good
     }
+}
 
-    /// Sidecars for a request, the best first; those tried before are left out.
-    pub async fn pick(&self, view: &View, want: &Wanted, tried: &[TargetKey]) -> Vec<Picked> {
-        let front = want
-            .chain
-            .first()
-            .copied()
-            .unwrap_or(BlockHash(rand::random()));
-        let mut all: Vec<_> = view
-            .world
-            .pool_targets(want.pool)
-            .filter(|(k, _)| !tried.contains(k))
-            .map(|(k, t)| (prefix::rank(front, t.member.0), k, t.probe, t.exchange))
-            .collect();
-        all.sort_unstable_by_key(|t| std::cmp::Reverse(t.0));
-        all.truncate(PROBES);
-        let marks = Marks::new(&want.chain);
-        let asked = all.iter().map(|t| self.probe(t.2, want, &marks));
-        let offers = futures::future::join_all(asked).await;
-        let mut out: Vec<_> = all
+async fn ours(
+    cx: &Context,
+    view: &View,
+    want: &Wanted,
+    mut peers: Vec<Peer>,
+) -> Result<Vec<Picked>, Failure> {
+    let config = place::Config::default();
+    let marks = marks(cx, want);
+    let all = peers.clone();
+    let mut retry = None;
+    let mut answered = 0;
+    for _ in 0..ROUNDS {
+        let asked = {
+            let mut m = cx.memory.lock();
+            let m = &mut *m;
+            place::candidates(&config, &want.chain, &peers, &m.recent, &mut m.rng)
+        };
+        if asked.is_empty() {
+            break;
+        }
+        peers.retain(|p| !asked.contains(&p.target));
+        let offers = probe(cx, view, want, &marks, &asked).await;
+        if offers
             .iter()
-            .zip(offers)
-            .filter(|(_, o)| o.as_ref().is_none_or(|o| o.state() == State::Serving))
-            .map(|((_, target, _, address), o)| {
-                let life = o.as_ref().map_or(0, |o| o.incarnation);
-                (
-                    cost(o.as_ref(), marks.blocks()),
-                    Picked {
-                        target: *target,
-                        address: *address,
-                        life,
-                    },
-                )
-            })
-            .collect();
-        out.sort_by_key(|(cost, _)| *cost);
-        out.into_iter().map(|(_, p)| p).collect()
+            .any(|(_, o)| o.as_ref().is_some_and(|o| o.convicted))
+        {
+            return Err(failure(Code::Quarantined, None));
+        }
+        let heard: Vec<_> = offers.iter().filter_map(placed).collect();
+        answered += heard.len();
+        let delay = |t| delay(view, t);
+        let choices = place::choose(&config, marks.blocks(), &heard, delay);
+        if !choices.is_empty() {
+            return Ok(choices
+                .iter()
+                .filter_map(|c| picked(view, c, &offers))
+                .collect());
+        }
+        let told = offers.iter().filter_map(|(_, o)| o.as_ref());
+        let told = told
+            .filter(|o| o.retry > 0)
+            .map(|o| Micros::from_millis(o.retry))
+            .min();
+        retry = [retry, told].into_iter().flatten().min();
     }
+    if answered > 0 {
+        return Err(failure(
+            Code::Overloaded,
+            retry.or(Some(Micros::from_secs(1))),
+        ));
+    }
+    let order = place::fallback(&want.chain, &all);
+    Ok(order
+        .into_iter()
+        .filter_map(|t| unprobed(view, t))
+        .collect())
+}
 
-    async fn probe(&self, to: SocketAddr, want: &Wanted, marks: &Marks) -> Option<Offer> {
-        let id = rand::random();
-        let (tx, rx) = oneshot::channel();
-        self.lock().insert(id, tx);
-        let offer = match self.send(id, to, want, marks).await {
-            Some(()) => timeout(WAIT, rx).await.ok().and_then(Result::ok),
-            None => None,
-        };
-        self.lock().remove(&id);
-        offer
+async fn least_loaded(
+    cx: &Context,
+    view: &View,
+    want: &Wanted,
+    peers: &[Peer],
+) -> Result<Vec<Picked>, Failure> {
+    let asked: Vec<_> = peers.iter().map(|p| p.target).collect();
+    let mut offers = probe(cx, view, want, &marks(cx, want), &asked).await;
+    offers.retain(|(_, o)| {
+        o.as_ref()
+            .is_some_and(|o| o.state() == wire::State::Serving)
+    });
+    offers.sort_by_key(|(_, o)| o.as_ref().map_or(u64::MAX, |o| o.wait));
+    if offers.is_empty() {
+        return Err(failure(Code::Overloaded, Some(Micros::from_secs(1))));
     }
+    Ok(offers
+        .iter()
+        .filter_map(|(t, _)| unprobed(view, *t))
+        .collect())
+}
 
-    async fn send(&self, id: u64, to: SocketAddr, want: &Wanted, marks: &Marks) -> Option<()> {
-        let points = marks.points().iter();
-        let probe = Probe {
-            id,
-            class: want.class.index() as u32,
-            marks: points
-                .map(|m| wire::Mark {
-                    blocks: m.blocks,
-                    hash: m.hash.0,
-                })
-                .collect(),
-            blocks: marks.blocks(),
-            fingerprint: want.fingerprint,
-            team: want.team.clone(),
+fn turns(cx: &Context, view: &View, peers: &[Peer]) -> Vec<Picked> {
+    let mut m = cx.memory.lock();
+    m.turn += 1;
+    let first = m.turn % peers.len();
+    let order = peers[first..].iter().chain(&peers[..first]);
+    order.filter_map(|p| unprobed(view, p.target)).collect()
+}
+
+fn hashed(view: &View, want: &Wanted, peers: &[Peer]) -> Vec<Picked> {
+    let opening = want.chain.get(OPENING - 1).or(want.chain.last());
+    let key = opening.copied().unwrap_or(BlockHash(want.fingerprint));
+    let mut order: Vec<_> = peers.iter().map(|p| (rank(key, p.id), p.target)).collect();
+    order.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    order
+        .into_iter()
+        .filter_map(|(_, t)| unprobed(view, t))
+        .collect()
+}
+
+/// The points to ask about, among them the deepest that this entry knows to be shared.
+fn marks(cx: &Context, want: &Wanted) -> Marks {
+    let memory = cx.memory.lock();
+    let known = memory.recent.longest(&want.chain).map(|(m, _)| m.blocks);
+    Marks::with(&want.chain, known)
+}
+
+async fn probe(
+    cx: &Context,
+    view: &View,
+    want: &Wanted,
+    marks: &Marks,
+    asked: &[TargetKey],
+) -> Vec<Answered> {
+    let asks = asked.iter().map(|t| async {
+        let offer = match view.world.targets.get(*t) {
+            Some(target) => cx.probes.ask(target.probe, want, marks).await,
+            None => None,
         };
-        let bytes = Packet::seal(probe, &self.keys).ok()?;
-        self.udp.send_to(&bytes, to).await.ok().map(|_| ())
+        (*t, offer)
+    });
+    let offers = join_all(asks).await;
+    let mut m = cx.memory.lock();
+    for (t, o) in &offers {
+        if let Some(o) = o {
+            m.waits.insert(*t, Micros(o.wait));
+        }
     }
+    offers
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Offer>>> {
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn placed((target, offer): &Answered) -> Option<place::Offer> {
+    let o = offer.as_ref()?;
+    let state = match o.state() {
+        wire::State::Serving => place::State::Serving,
+        wire::State::Loading => place::State::Loading,
+        wire::State::Full => place::State::Full,
+        wire::State::Leaving | wire::State::Down => place::State::Leaving,
+    };
+    Some(place::Offer {
+        target: *target,
+        incarnation: model::Incarnation(o.engine),
+        matched: o.matched,
+        wait: Micros(o.wait),
+        prefill: Micros(o.prefill / 1_000),
+        state,
+        load: 0,
+    })
 }
 
-/// Receives offers for ever.
-pub fn listen(cx: &Arc<Context>) {
-    let cx = Arc::clone(cx);
-    tokio::spawn(async move {
-        let mut buf = vec![0; PACKET_MAX + 1];
-        loop {
-            let Ok((n, _)) = cx.picker.udp.recv_from(&mut buf).await else {
-                continue;
-            };
-            let bytes = Bytes::copy_from_slice(&buf[..n]);
-            let Ok(Message::Offer(o)) = Packet::open(&bytes, &cx.picker.keys) else {
-                metrics::counter!("clementinestep_offer_faults_total").increment(1);
-                continue;
-            };
-            // An offer that comes after its probe was given up has nobody to go to.
-            if let Some(tx) = cx.picker.lock().remove(&o.id) {
-                let _ = tx.send(o);
-            }
-        }
-    });
+fn picked(view: &View, c: &Choice, offers: &[Answered]) -> Option<Picked> {
+    let (_, offer) = offers.iter().find(|(t, _)| *t == c.target)?;
+    let o = offer.as_ref()?;
+    Some(Picked {
+        life: o.incarnation,
+        probe: o.id,
+        cost: Some(c.cost),
+        ..unprobed(view, c.target)?
+    })
 }
 
-/// Nanoseconds until a first token; a sidecar that didn't answer comes last.
-fn cost(offer: Option<&Offer>, blocks: u32) -> u64 {
-    let Some(o) = offer else { return u64::MAX };
-    let missing = u64::from(blocks.saturating_sub(o.matched));
-    o.wait
-        .saturating_mul(1_000)
-        .saturating_add(missing.saturating_mul(o.prefill))
+fn unprobed(view: &View, target: TargetKey) -> Option<Picked> {
+    let t = view.world.targets.get(target)?;
+    Some(Picked {
+        target,
+        address: t.exchange,
+        life: 0,
+        probe: 0,
+        cost: None,
+    })
+}
+
+fn delay(view: &View, target: TargetKey) -> Micros {
+    let w = &view.world;
+    let host = w.targets.get(target).and_then(|t| w.hosts.get(t.host));
+    host.map_or(model::world::FAR, |h| w.link(view.domain, h.domain).delay)
+}
+
+fn failure(code: Code, retry: Option<Micros>) -> Failure {
+    // Spread, so that those refused together don't come back together.
+    let spread = 1.0 + rand::rng().random::<f64>() / 4.0;
+    Failure {
+        code,
+        outcome: Outcome::NotRun,
+        retry: retry.map(|t| Micros((t.0 as f64 * spread) as u64)),
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/entry/probe.rs
@@ -0,0 +1,105 @@
+//! Probes to sidecars and the offers that come back.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{BlockHash, Class, PoolKey};
+use prefix::Marks;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use wire::{Keys, Message, Offer, Packet, Probe, PACKET_MAX};
+
+/// Longest wait for offers. A round trip between failure domains takes two or three milliseconds.
+const WAIT: Duration = Duration::from_millis(8);
+
+/// What the choice of a replica depends on.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    /// Pool.
+    pub pool: PoolKey,
+    /// How urgent it is.
+    pub class: Class,
+    /// Blocks of the prompt.
+    pub chain: Vec<BlockHash>,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Team.
+    pub team: String,
+}
+
+/// Sends probes and matches offers to them.
+#[derive(Debug)]
+pub struct Prober {
+    udp: UdpSocket,
+    keys: Keys,
+    pending: Mutex<HashMap<u64, oneshot::Sender<Offer>>>,
+}
+
+impl Prober {
+    /// Probes from this socket.
+    pub fn new(udp: UdpSocket, keys: Keys) -> Arc<Self> {
+        Arc::new(Self {
+            udp,
+            keys,
+            pending: Mutex::default(),
+        })
+    }
+
+    /// Receives offers for ever.
+    pub async fn listen(self: Arc<Self>) {
+        let mut buf = vec![0; PACKET_MAX + 1];
+        loop {
+            let Ok((n, _)) = self.udp.recv_from(&mut buf).await else {
+                continue;
+            };
+            let bytes = Bytes::copy_from_slice(&buf[..n]);
+            let Ok(Message::Offer(o)) = Packet::open(&bytes, &self.keys) else {
+                metrics::counter!("clementinestep_offer_faults_total").increment(1);
+                continue;
+            };
+            // An offer that comes after its probe was given up has nobody to go to.
+            if let Some(tx) = self.lock().remove(&o.id) {
+                let _ = tx.send(o);
+            }
+        }
+    }
+
+    /// Asks one sidecar.
+    pub async fn ask(&self, to: SocketAddr, want: &Wanted, marks: &Marks) -> Option<Offer> {
+        let id = rand::random();
+        let (tx, rx) = oneshot::channel();
+        self.lock().insert(id, tx);
+        let offer = match self.send(id, to, want, marks).await {
+            Some(()) => timeout(WAIT, rx).await.ok().and_then(Result::ok),
+            None => None,
+        };
+        self.lock().remove(&id);
+        offer
+    }
+
+    async fn send(&self, id: u64, to: SocketAddr, want: &Wanted, marks: &Marks) -> Option<()> {
+        let points = marks.points().iter().map(|m| wire::Mark {
+            blocks: m.blocks,
+            hash: m.hash.0,
+        });
+        let probe = Probe {
+            id,
+            class: want.class.index() as u32,
+            marks: points.collect(),
+            blocks: marks.blocks(),
+            fingerprint: want.fingerprint,
+            team: want.team.clone(),
+        };
+        let bytes = Packet::seal(probe, &self.keys).ok()?;
+        metrics::counter!("clementinestep_probe_bytes_total").increment(bytes.len() as u64);
+        self.udp.send_to(&bytes, to).await.ok().map(|_| ())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Offer>>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,11 +4,15 @@
 //! threads. Control publishes immutable [`view::View`]s; traffic reads them and sends messages.
 //! [`entry`] faces callers and operators, [`sidecar`] faces one target.
 
+pub mod admin;
 pub mod clock;
-pub mod control;
 pub mod entry;
 pub mod link;
 pub mod log;
+pub mod mark;
+pub mod member;
+pub mod peer;
+pub mod process;
 pub mod settings;
 pub mod sidecar;
 pub mod view;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/process.rs
@@ -1,4 +1,4 @@
-//! What both roles' control threads share.
+//! What both roles need of the operating system: ports, signals, the ready line.
 
 use std::io;
 use std::net::SocketAddr;
@@ -46,11 +46,9 @@
     /// For other processes of the fleet.
     pub peer: SocketAddr,
     /// For health, metrics and operators.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub admin: Option<SocketAddr>,
+    pub admin: SocketAddr,
     /// For membership datagrams.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub gossip: Option<SocketAddr>,
+    pub gossip: SocketAddr,
 }
 
 impl Ready {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,6 +7,7 @@
 use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::Duration;
 
 use argh::FromArgs;
 use spdlog::LevelFilter;
@@ -81,6 +82,9 @@
             /// file for trace spans, one JSON object a line
             #[argh(option)]
             trace_file: Option<String>,
+            /// how long late requests are awaited at a planned stop, in milliseconds (default 5000)
+            #[argh(option)]
+            notice_ms: Option<String>,
             /// print the settings in force and exit
             #[argh(switch)]
             print_settings: bool,
@@ -104,6 +108,7 @@
                     ("log_level", self.log_level.clone()),
                     ("log_format", self.log_format.clone()),
                     ("trace_file", self.trace_file.clone()),
+                    ("notice_ms", self.notice_ms.clone()),
                     $((stringify!($field), self.$field.clone()),)*
                 ]
             }
@@ -120,8 +125,6 @@
     max_body,
     /// file with the operators' key
     operator_key_file,
-    /// targets as pool@address, separated by commas
-    targets,
     /// how replicas are chosen: ours, round-robin, least-loaded or consistent-hash (default ours)
     policy,
 }
@@ -177,6 +180,8 @@
     pub log_format: LogFormat,
     /// Where spans go.
     pub trace_file: Option<String>,
+    /// How long late requests are awaited at a planned stop.
+    pub notice: Duration,
     /// What the process does.
     pub role: Role,
 }
@@ -201,8 +206,6 @@
     pub operator_key: Option<String>,
     /// How replicas are chosen.
     pub policy: Policy,
-    /// Targets.
-    pub targets: Vec<(String, SocketAddr)>,
 }
 
 /// Settings of a sidecar.
@@ -348,6 +351,7 @@
     let level = r.level();
     let format = r.value("log_format", "text", "text or json");
     let trace = r.text("trace_file", "");
+    let notice = r.value("notice_ms", "5000", "a number of milliseconds");
     let role = match role {
         "entry" => r.entry().map(Role::Entry),
         _ => r.sidecar().map(Role::Sidecar),
@@ -366,6 +370,7 @@
         log_level: level?,
         log_format: format?,
         trace_file: Some(trace).filter(|t| !t.is_empty()),
+        notice: Duration::from_millis(notice?),
         role: role?,
     })
 }
@@ -454,18 +459,11 @@
         let max_body = self.value("max_body", "4194304", "a number of bytes");
         let policy = self.value("policy", "ours", "ours or a baseline");
         let operator_key = self.secret("OPERATOR_KEY", "operator_key_file");
-        let targets = self.text("targets", "");
-        let targets = targets.split(',').filter_map(|t| {
-            let (p, a) = t.split_once('@')?;
-            Some((p.to_owned(), a.parse().ok()?))
-        });
-        let targets = targets.collect();
         Some(Entry {
             listen: listen?,
             max_body: max_body?,
             operator_key,
             policy: policy?,
-            targets,
         })
     }
 
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -1,63 +1,33 @@
-//! The control thread of a sidecar: the queue, the cache index, probes.
+//! The control thread of a sidecar: decisions, probes, membership, planned stop.
 
-use std::collections::VecDeque;
 use std::io;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use bytes::Bytes;
-use model::{BlockHash, Class, Code, Incarnation, Micros};
-use prefix::{Index, Marks, Need};
+use fleet::Conviction;
+use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros};
+use policy::drain::{self, Drain};
+use policy::quarantine::Verdict;
+use prefix::{Marks, Need};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
-use wire::{Keys, Message, Offer, Packet, Probe, State, PACKET_MAX};
+use wire::{Keys, Message, Offer, Packet, Probe, PACKET_MAX};
 
 use crate::clock;
+use crate::log;
+use crate::mark;
+use crate::member::{self, Me, Membership};
 use crate::settings::{Settings, Sidecar};
+use crate::sidecar::decide::{Decide, Question, Refusal, RunKey, State, Work};
 
-/// What a request asks of the target.
-#[derive(Clone, Debug)]
-pub struct Work {
-    /// Team.
-    pub team: String,
-    /// Weight of the team.
-    pub share: u32,
-    /// How urgent it is.
-    pub class: Class,
-    /// Blocks of its prompt.
-    pub chain: Vec<BlockHash>,
-    /// Tokens that the answer may have.
-    pub output: u32,
-    /// When the answer is of no more use.
-    pub deadline: Micros,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Targets that died under it before.
-    pub strikes: u32,
-}
+/// Told when a request's turn comes, or that it doesn't.
+pub type Grant = oneshot::Sender<Result<RunKey, Refusal>>;
 
-/// Why a request doesn't get its turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub code: Code,
-    /// When to come back.
-    pub retry: Option<Micros>,
-}
-
-/// How an exchange that had its turn went.
-#[derive(Clone, Debug)]
-pub struct Finished {
-    /// When it had its turn.
-    pub started: Micros,
-    /// When its first byte came.
-    pub first: Option<Micros>,
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Whether the answer is whole.
-    pub whole: bool,
-    /// Whether the target died under it.
-    pub crashed: bool,
-}
+/// Longest sleep of the control thread.
+const SLEEP: Duration = Duration::from_millis(250);
 
 /// What traffic tells control.
 #[derive(Debug)]
@@ -67,18 +37,26 @@
         /// What it asks.
         work: Work,
         /// Told when its turn comes.
-        grant: oneshot::Sender<Result<(), Refusal>>,
+        grant: Grant,
     },
-    /// An exchange gave its slot back.
-    Finished(Finished),
+    /// The target sent a first byte.
+    First(RunKey),
+    /// The target died under a request.
+    Crashed(RunKey),
+    /// A request that had its turn has ended.
+    Finished(RunKey),
+    /// An exchange began.
+    Taken,
+    /// An exchange has ended and its entry knows.
+    Ended,
     /// The target's load; `None` if it doesn't answer.
     Load(Option<Load>),
     /// Cache events.
     Events(Vec<prefix::Event>),
     /// The whole cache.
     Cache(Incarnation, u64, Vec<prefix::Block>),
-    /// Another member's question.
-    Pull(Bytes, oneshot::Sender<Bytes>),
+    /// The process is told to stop.
+    Stop,
 }
 
 /// What a target reports of itself.
@@ -92,20 +70,31 @@
     pub weights: String,
 }
 
+/// What the target was found to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Health {
+    /// Whether it answers.
+    pub up: bool,
+    /// Its life.
+    pub life: Incarnation,
+}
+
 /// Traffic's way to the control thread.
 #[derive(Clone, Debug)]
 pub struct Asker {
     ask: mpsc::UnboundedSender<Ask>,
-    up: watch::Receiver<bool>,
+    health: watch::Receiver<Health>,
     need: watch::Receiver<u64>,
+    gone: watch::Receiver<bool>,
 }
 
 /// Control's end of it.
 #[derive(Debug)]
 pub struct Asked {
     ask: mpsc::UnboundedReceiver<Ask>,
-    up: watch::Sender<bool>,
+    health: watch::Sender<Health>,
     need: watch::Sender<u64>,
+    gone: watch::Sender<bool>,
 }
 
 impl Asker {
@@ -114,10 +103,16 @@
         let _ = self.ask.send(ask);
     }
 
-    /// Waits until the target is found to be down.
-    pub async fn down(&self) {
-        let mut up = self.up.clone();
-        if up.wait_for(|up| !up).await.is_err() {
+    /// What the target was last found to be.
+    pub fn health(&self) -> Health {
+        *self.health.borrow()
+    }
+
+    /// Waits until the target is found to be down or in another life.
+    pub async fn lost(&self, life: Incarnation) {
+        let mut health = self.health.clone();
+        let changed = health.wait_for(|h| !h.up || h.life != life).await.is_err();
+        if changed {
             std::future::pending::<()>().await;
         }
     }
@@ -129,81 +124,109 @@
         }
     }
 
-    /// Answers another member's question.
-    pub async fn pull(&self, data: Bytes) -> Option<Bytes> {
-        let (tx, rx) = oneshot::channel();
-        self.send(Ask::Pull(data, tx));
-        rx.await.ok()
+    /// Waits until the process may exit.
+    pub async fn exit(&mut self) {
+        let _ = self.gone.wait_for(|g| *g).await;
     }
 }
 
 /// A new way to a control thread.
 pub fn channel() -> (Asker, Asked) {
     let (tx, rx) = mpsc::unbounded_channel();
-    let (up, is_up) = watch::channel(true);
+    let first = Health {
+        up: true,
+        life: Incarnation(0),
+    };
+    let (health, is_healthy) = watch::channel(first);
     let (need, needed) = watch::channel(0);
-    (
-        Asker {
-            ask: tx,
-            up: is_up,
-            need: needed,
-        },
-        Asked { ask: rx, up, need },
-    )
+    let (gone, is_gone) = watch::channel(false);
+    let asker = Asker {
+        ask: tx,
+        health: is_healthy,
+        need: needed,
+        gone: is_gone,
+    };
+    let asked = Asked {
+        ask: rx,
+        health,
+        need,
+        gone,
+    };
+    (asker, asked)
+}
+
+/// What the control thread is given.
+#[derive(Debug)]
+pub struct Start {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Settings of the role.
+    pub role: Sidecar,
+    /// What the fleet is told of this process.
+    pub me: Me,
+    /// Socket for probes.
+    pub probes: std::net::UdpSocket,
+    /// Socket for membership.
+    pub gossip: std::net::UdpSocket,
+    /// Messages from traffic.
+    pub asked: Asked,
+    /// Messages for membership.
+    pub members: mpsc::UnboundedReceiver<member::Ask>,
+    /// Convictions for membership.
+    pub convict: member::Asker,
 }
 
 /// Starts the control thread.
-pub fn spawn(
-    settings: &Settings,
-    role: &Sidecar,
-    udp: UdpSocket,
-    life: u64,
-    asked: Asked,
-) -> io::Result<JoinHandle<()>> {
-    let udp = udp.into_std()?;
-    let keys = settings.keys.clone();
-    let slots = role.slots;
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            let run = tokio::runtime::Builder::new_current_thread()
-                .enable_all()
-                .build();
-            let Ok(run) = run else { return };
-            run.block_on(async move {
-                let Ok(udp) = UdpSocket::from_std(udp) else {
-                    return;
-                };
-                let state = Control {
-                    keys,
-                    life,
-                    slots,
-                    running: 0,
-                    queue: VecDeque::new(),
-                    index: Index::new(prefix::Config::default(), "", ""),
-                    engine: Incarnation(0),
-                    asked,
-                };
-                state.run(udp).await;
-            });
-        })
+pub fn spawn(start: Start) -> io::Result<JoinHandle<io::Result<()>>> {
+    let name = "control".to_owned();
+    std::thread::Builder::new().name(name).spawn(move || {
+        let run = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        run.block_on(control(start))
+    })
+}
+
+async fn control(start: Start) -> io::Result<()> {
+    let s = start;
+    let udp = UdpSocket::from_std(s.probes)?;
+    let gossip = UdpSocket::from_std(s.gossip)?;
+    let life = s.me.life;
+    let notice = s.settings.notice.into();
+    let view = member::empty_view();
+    let members = Membership::new(&s.settings, s.me, gossip, view, s.members)?;
+    let state = Control {
+        keys: s.settings.keys.clone(),
+        life,
+        decide: Decide::new(s.role.kind, s.role.slots, MemberId(life)),
+        drain: Drain::new(drain::Config { notice }, drain::Role::Sidecar),
+        members,
+        convict: s.convict,
+        asked: s.asked,
+        rng: SmallRng::from_os_rng(),
+    };
+    state.run(udp).await;
+    Ok(())
 }
 
 struct Control {
     keys: Keys,
     life: u64,
-    slots: usize,
-    running: usize,
-    queue: VecDeque<(Work, oneshot::Sender<Result<(), Refusal>>)>,
-    index: Index,
-    engine: Incarnation,
+    decide: Decide<Grant>,
+    drain: Drain,
+    members: Membership,
+    convict: member::Asker,
     asked: Asked,
+    rng: SmallRng,
 }
 
 impl Control {
     async fn run(mut self, udp: UdpSocket) {
         let mut buf = vec![0; PACKET_MAX + 1];
         loop {
+            let wake = [self.decide.wake(), self.drain.wake()];
+            let wake = wake.into_iter().flatten().min();
+            let wait = wake.map(|w| Duration::from(w.since(clock::now())));
             tokio::select! {
                 ask = self.asked.ask.recv() => match ask {
                     Some(a) => self.ask(a),
@@ -215,51 +238,131 @@
                         let _ = udp.send_to(&offer, from).await;
                     }
                 },
+                on = self.members.run_once() => if !on {
+                    return;
+                },
+                () = tokio::time::sleep(wait.unwrap_or(SLEEP).min(SLEEP)) => {}
             }
+            self.marks();
+            self.grant();
+            self.step(drain::Event::Tick);
         }
     }
 
     fn ask(&mut self, ask: Ask) {
         let now = clock::now();
         match ask {
-            Ask::Enqueue { work, grant } => self.queue.push_back((work, grant)),
-            Ask::Finished(_) => self.running -= 1,
+            Ask::Enqueue { work, grant } => {
+                let taken = self.decide.open(now, work, grant, &mut self.rng);
+                if let Err((grant, r)) = taken {
+                    let _ = grant.send(Err(r));
+                }
+            }
+            Ask::First(run) => self.decide.first(now, run),
+            Ask::Crashed(run) => self.crashed(now, run),
+            Ask::Finished(run) => self.decide.finished(now, run),
+            Ask::Taken => self.step(drain::Event::Taken),
+            Ask::Ended => self.step(drain::Event::Ended),
             Ask::Load(load) => self.load(load),
             Ask::Events(events) => {
                 for e in events {
-                    let need = self.index.apply(now, e);
+                    let need = self.decide.index().apply(now, e);
                     self.want(need);
                 }
             }
             Ask::Cache(life, seq, blocks) => {
-                let need = self.index.reset(now, life, seq, blocks);
+                let need = self.decide.index().reset(now, life, seq, blocks);
                 self.want(need);
             }
-            Ask::Pull(..) => {}
+            Ask::Stop => self.step(drain::Event::Stop),
         }
-        self.admit(now);
     }
 
-    fn admit(&mut self, now: Micros) {
-        while self.running < self.slots {
-            let Some((work, grant)) = self.queue.pop_front() else {
-                break;
-            };
-            if grant.send(Ok(())).is_ok() {
-                self.running += 1;
-                self.index.expect(now, &work.chain);
+    /// Gives turns to whoever may have one, and back what is too late.
+    fn grant(&mut self) {
+        let now = clock::now();
+        let late = self.decide.expire(now);
+        refuse(late, Code::Deadline, None);
+        while let Some(g) = self.decide.next(now) {
+            // Its caller may have gone while it waited.
+            if g.grant.send(Ok(g.run)).is_err() {
+                self.decide.finished(now, g.run);
+            }
+        }
+        let need = self.decide.index().tick(now);
+        self.want(need);
+        metrics::gauge!("clementinestep_queue_length").set(self.decide.waiting() as f64);
+        metrics::gauge!("clementinestep_target_running").set(self.decide.running() as f64);
+    }
+
+    fn step(&mut self, event: drain::Event) {
+        let mut out = Vec::new();
+        self.drain.step(clock::now(), event, &mut out);
+        for action in out {
+            match action {
+                drain::Action::Announce => {
+                    spdlog::info!(logger: log::sidecar(), "leaving, taking nothing new");
+                    let _ = self.convict.send(member::Ask::Leave);
+                }
+                drain::Action::GiveBack => {
+                    let back = self.decide.leave();
+                    refuse(back, Code::Draining, None);
+                }
+                drain::Action::Close => {}
+                drain::Action::Exit => {
+                    self.asked.gone.send_replace(true);
+                }
             }
         }
     }
 
     fn load(&mut self, load: Option<Load>) {
-        self.asked.up.send_replace(load.is_some());
-        if let Some(l) = load {
-            if l.weights != self.index.weights() {
-                self.index = Index::new(prefix::Config::default(), l.model, l.weights);
-                self.asked.need.send_modify(|n| *n += 1);
+        let Some(l) = load else {
+            if self.asked.health.borrow().up {
+                spdlog::warn!(logger: log::sidecar(), "target doesn't answer");
+                let life = self.decide.life();
+                self.asked.health.send_replace(Health { up: false, life });
             }
-            self.engine = l.incarnation;
+            let back = self.decide.down();
+            return refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
+        };
+        let now = Health {
+            up: true,
+            life: l.incarnation,
+        };
+        let before = *self.asked.health.borrow();
+        if before != now {
+            spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
+            self.asked.health.send_replace(now);
+        }
+        if self.decide.engine(l.incarnation, &l.model, &l.weights) {
+            self.members.set_tags(l.weights);
+            self.want(Need::Snapshot);
+        }
+    }
+
+    fn crashed(&mut self, now: Micros, run: RunKey) {
+        let Some((print, verdict)) = self.decide.crashed(now, run) else {
+            return;
+        };
+        let convicted = verdict == Verdict::Convicted;
+        spdlog::warn!(
+            logger: log::sidecar(),
+            "target died under request {print:016x}, convicted: {convicted}"
+        );
+        let until = now + policy::quarantine::Config::default().lasts;
+        let fingerprint = mark::encode(print, convicted);
+        let _ = self
+            .convict
+            .send(member::Ask::Convict(Conviction { fingerprint, until }));
+    }
+
+    /// Takes over what other processes found of requests.
+    fn marks(&mut self) {
+        let now = clock::now();
+        while let Some(c) = self.members.convicted() {
+            let (print, convicted) = mark::decode(c.fingerprint);
+            self.decide.told(now, print, convicted, c.until);
         }
     }
 
@@ -271,7 +374,7 @@
 
     fn packet(&mut self, bytes: &Bytes) -> Option<Bytes> {
         match Packet::open(bytes, &self.keys) {
-            Ok(Message::Probe(p)) => Packet::seal(self.offer(&p), &self.keys).ok(),
+            Ok(Message::Probe(p)) => Packet::seal(self.offer(p), &self.keys).ok(),
             _ => {
                 metrics::counter!("clementinestep_probe_faults_total").increment(1);
                 None
@@ -279,21 +382,44 @@
         }
     }
 
-    fn offer(&self, p: &Probe) -> Offer {
+    fn offer(&mut self, p: Probe) -> Offer {
         let points = p.marks.iter().map(|m| prefix::Mark {
             blocks: m.blocks,
             hash: BlockHash(m.hash),
         });
+        let question = Question {
+            probe: p.id,
+            team: p.team,
+            class: Class::from_index(p.class as usize),
+            marks: Marks::from_points(points),
+            blocks: p.blocks,
+            fingerprint: p.fingerprint,
+        };
+        let told = self.decide.offer(clock::now(), &question);
+        let state = match self.decide.state() {
+            State::Serving if told.refusal.is_some() => wire::State::Full,
+            State::Serving => wire::State::Serving,
+            State::Loading => wire::State::Loading,
+            State::Leaving => wire::State::Leaving,
+            State::Down => wire::State::Down,
+        };
+        let retry = told.refusal.and_then(|r| r.retry);
         Offer {
             id: p.id,
             incarnation: self.life,
-            engine: self.engine.0,
-            matched: self.index.matched(&Marks::from_points(points)),
-            wait: 1_000 * (self.running + self.queue.len()) as u64,
-            prefill: 400_000,
-            state: State::Serving.into(),
-            convicted: false,
-            retry: 0,
+            engine: self.decide.life().0,
+            matched: told.matched,
+            wait: told.wait.0,
+            prefill: told.prefill.0.saturating_mul(1_000),
+            state: state.into(),
+            convicted: told.convicted,
+            retry: retry.map_or(0, Micros::as_millis),
         }
     }
 }
+
+fn refuse(grants: Vec<Grant>, code: Code, retry: Option<Micros>) {
+    for g in grants {
+        let _ = g.send(Err(Refusal { code, retry }));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -0,0 +1,549 @@
+//! The sidecar's decisions: the modules of `policy` and `prefix` wired together, without I/O.
+//!
+//! Time and events come in, grants and refusals go out through the jobs' payloads. The control
+//! thread drives it; tests drive it without one.
+
+use std::collections::{HashMap, VecDeque};
+
+use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, TeamKey};
+use policy::admit::{self, admit, Arrival};
+use policy::concurrency::{self, Limit, Sample};
+use policy::cost::{self, Cost};
+use policy::quarantine::{self, Crash, Fingerprint, Quarantine, Verdict};
+use policy::queue::{self, Job, JobKey, Queue};
+use policy::reserve::{self, Reserve};
+use prefix::{Index, Marks};
+use rand::Rng;
+use slab::Slab;
+use slotmap::SlotMap;
+
+use crate::settings::Kind;
+
+/// What a request asks of the target.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Team.
+    pub team: String,
+    /// Weight of the team.
+    pub share: u32,
+    /// How urgent it is.
+    pub class: Class,
+    /// Blocks of its prompt.
+    pub chain: Vec<BlockHash>,
+    /// Tokens that the answer may have.
+    pub output: u32,
+    /// When the answer is of no more use.
+    pub deadline: Micros,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Targets that died under it before.
+    pub strikes: u32,
+    /// The probe whose offer it takes up.
+    pub probe: u64,
+    /// Whether its first byte comes before its last.
+    pub stream: bool,
+}
+
+/// Why a request doesn't get its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// When to come back.
+    pub retry: Option<Micros>,
+}
+
+/// Names a request that was handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RunKey(usize);
+
+/// Whether the target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It does.
+    Serving,
+    /// Its weights are being loaded.
+    Loading,
+    /// This process is stopping.
+    Leaving,
+    /// It doesn't answer.
+    Down,
+}
+
+/// What a probe asks.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// The probe.
+    pub probe: u64,
+    /// Team.
+    pub team: String,
+    /// How urgent the request is.
+    pub class: Class,
+    /// Points of its prompt.
+    pub marks: Marks,
+    /// Blocks of its prompt.
+    pub blocks: u32,
+    /// Its fingerprint.
+    pub fingerprint: u64,
+}
+
+/// What a probe is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Blocks that needn't be computed.
+    pub matched: u32,
+    /// How long the request would wait.
+    pub wait: Micros,
+    /// Time to prefill one block.
+    pub prefill: Micros,
+    /// Whether the target takes it; the refusal if not.
+    pub refusal: Option<Refusal>,
+    /// Whether the request is known to crash targets.
+    pub convicted: bool,
+}
+
+#[derive(Debug)]
+struct Waiting<G> {
+    work: Work,
+    suspect: bool,
+    grant: G,
+}
+
+#[derive(Debug)]
+struct Running {
+    work: Micros,
+    prefill: Micros,
+    blocks: u32,
+    handed: Micros,
+    prefilling: bool,
+    suspect: bool,
+    stream: bool,
+    print: Fingerprint,
+}
+
+/// A request's turn has come.
+#[derive(Debug)]
+pub struct Granted<G> {
+    /// Names it from now on.
+    pub run: RunKey,
+    /// Whoever waits for it.
+    pub grant: G,
+}
+
+/// The decisions beside one target; `G` is what the driver keeps with a waiting request.
+#[derive(Debug)]
+pub struct Decide<G> {
+    kind: Kind,
+    slots: usize,
+    state: State,
+    member: MemberId,
+    engine: Incarnation,
+    index: Index,
+    queue: Queue<Waiting<G>>,
+    /// Suspects that wait for another suspect to end.
+    held: VecDeque<Job<Waiting<G>>>,
+    running: Slab<Running>,
+    cost: Cost,
+    /// Mean time that a plain call takes.
+    call: Micros,
+    admit: admit::Config,
+    rate: admit::Drain,
+    reserve: Reserve<u64>,
+    prefills: Limit,
+    busy: Micros,
+    /// When the engine last sent a first token.
+    last: Micros,
+    teams: HashMap<String, TeamKey>,
+    names: SlotMap<TeamKey, ()>,
+    quarantine: Quarantine,
+}
+
+/// First guess of a plain call's time.
+const CALL: Micros = Micros::from_millis(5);
+/// Weight of a new sample of a plain call's time.
+const CALL_SMOOTH: f64 = 0.1;
+/// Stands for crashes elsewhere, of which only the mark is known.
+const ELSEWHERE: Crash = Crash {
+    member: MemberId(0),
+    life: Incarnation(0),
+};
+
+impl<G> Decide<G> {
+    /// Decisions beside a target that runs at most `slots` requests at a time.
+    pub fn new(kind: Kind, slots: usize, member: MemberId) -> Self {
+        let limit = concurrency::Config {
+            first: 2,
+            ..concurrency::Config::default()
+        };
+        Self {
+            kind,
+            slots,
+            state: State::Serving,
+            member,
+            engine: Incarnation(0),
+            index: Index::new(prefix::Config::default(), "", ""),
+            queue: Queue::new(queue::Config::default()),
+            held: VecDeque::new(),
+            running: Slab::new(),
+            cost: Cost::new(cost::Config::default()),
+            call: CALL,
+            admit: admit::Config::default(),
+            rate: admit::Drain::default(),
+            reserve: Reserve::new(reserve::Config::default()),
+            prefills: Limit::new(limit),
+            busy: Micros::ZERO,
+            last: Micros::ZERO,
+            teams: HashMap::new(),
+            names: SlotMap::with_key(),
+            quarantine: Quarantine::new(quarantine::Config::default()),
+        }
+    }
+
+    /// Answers a probe and holds a place for the request.
+    pub fn offer(&mut self, now: Micros, q: &Question) -> Told {
+        let matched = self.index.matched(&q.marks);
+        let missing = q.blocks.saturating_sub(matched);
+        let work = self.work(missing, 0);
+        let team = self.team(&q.team);
+        let wait = self.wait(now, q.class, team, 1, work);
+        let prefill = self.cost.prefill(missing);
+        let refusal = self.closed().or_else(|| {
+            let arrival = Arrival {
+                class: q.class,
+                wait,
+                work: prefill,
+                deadline: Micros::MAX,
+                waiting: self.queue.len(),
+            };
+            admit(&self.admit, now, &arrival, 0.5).err().map(refusal)
+        });
+        let convicted = self.verdict(now, q.fingerprint) == Verdict::Convicted;
+        if refusal.is_none() && !convicted {
+            self.reserve.hold(now, q.probe, work);
+        }
+        Told {
+            matched,
+            wait,
+            prefill: self.cost.block(),
+            refusal,
+            convicted,
+        }
+    }
+
+    /// Takes a request in, or refuses it at once.
+    pub fn open(
+        &mut self,
+        now: Micros,
+        work: Work,
+        grant: G,
+        rng: &mut impl Rng,
+    ) -> Result<JobKey, (G, Refusal)> {
+        self.reserve.settle(work.probe);
+        if let Some(r) = self.closed() {
+            return Err((grant, r));
+        }
+        let verdict = self.verdict(now, work.fingerprint);
+        if verdict == Verdict::Convicted {
+            let code = Code::Quarantined;
+            return Err((grant, Refusal { code, retry: None }));
+        }
+        let blocks = self.missing(&work.chain);
+        let engine = self.work(blocks, work.output);
+        let team = self.team(&work.team);
+        let arrival = Arrival {
+            class: work.class,
+            wait: self.wait(now, work.class, team, work.share, engine),
+            work: self.cost.prefill(blocks),
+            deadline: work.deadline,
+            waiting: self.queue.len(),
+        };
+        if let Err(r) = admit(&self.admit, now, &arrival, rng.random()) {
+            return Err((grant, refusal(r)));
+        }
+        self.index.expect(now, &work.chain);
+        Ok(self.queue.push(Job {
+            team,
+            weight: work.share,
+            class: work.class,
+            work: engine,
+            arrived: now,
+            deadline: work.deadline,
+            payload: Waiting {
+                suspect: work.strikes > 0 || verdict == Verdict::Suspect,
+                work,
+                grant,
+            },
+        }))
+    }
+
+    /// The next request whose turn has come.
+    pub fn next(&mut self, now: Micros) -> Option<Granted<G>> {
+        if !self.has_room(now) {
+            return None;
+        }
+        let job = self.pop()?;
+        let w = job.payload;
+        // Blocks may have been computed or evicted while it waited.
+        let blocks = self.missing(&w.work.chain);
+        let prefill = self.cost.prefill(blocks);
+        let run = self.running.insert(Running {
+            work: job.work,
+            prefill,
+            blocks,
+            handed: now,
+            prefilling: self.kind == Kind::Model,
+            suspect: w.suspect,
+            stream: w.work.stream,
+            print: print(w.work.fingerprint),
+        });
+        self.busy = self.busy.max(now) + prefill;
+        Some(Granted {
+            run: RunKey(run),
+            grant: w.grant,
+        })
+    }
+
+    /// Gives back the requests that can't be answered in time any more.
+    pub fn expire(&mut self, now: Micros) -> Vec<G> {
+        let late = self.queue.expire(now);
+        late.into_iter().map(|j| j.payload.grant).collect()
+    }
+
+    /// Takes out a request whose caller went away.
+    pub fn abandon(&mut self, key: JobKey) {
+        self.queue.remove(key);
+    }
+
+    /// The target sent a first byte.
+    pub fn first(&mut self, now: Micros, key: RunKey) {
+        let Some(r) = self.running.get_mut(key.0) else {
+            return;
+        };
+        if !std::mem::take(&mut r.prefilling) || !r.stream {
+            return;
+        }
+        let (blocks, handed, expected) = (r.blocks, r.handed, r.prefill);
+        // Engines prefill one prompt after another: this one began when the one before ended.
+        let took = now.since(handed.max(self.last));
+        self.last = now;
+        self.cost.measured(blocks, took);
+        let running = self.prefilling() + 1;
+        self.prefills.measured(
+            now,
+            Sample {
+                expected: expected.max(self.cost.block()),
+                took: now.since(handed),
+                running,
+            },
+        );
+        if self.prefilling() == 0 {
+            self.busy = now;
+        }
+    }
+
+    /// A request that had its turn has ended, in whatever way.
+    pub fn finished(&mut self, now: Micros, key: RunKey) {
+        let Some(r) = self.running.try_remove(key.0) else {
+            return;
+        };
+        if self.kind == Kind::Plain {
+            let took = now.since(r.handed).0 as f64;
+            let mean = self.call.0 as f64;
+            self.call = Micros((mean + (took - mean) * CALL_SMOOTH) as u64);
+        }
+        if self.running.is_empty() {
+            self.busy = now;
+        }
+        self.rate.finished(now, r.work, !self.queue.is_empty());
+    }
+
+    /// The target died under a request; says what that makes of it.
+    pub fn crashed(&mut self, now: Micros, key: RunKey) -> Option<(u64, Verdict)> {
+        let print = self.running.get(key.0)?.print;
+        let crash = Crash {
+            member: self.member,
+            life: self.engine,
+        };
+        Some((print.body as u64, self.quarantine.strike(now, print, crash)))
+    }
+
+    /// Another process found that a request crashed a target, or two.
+    pub fn told(&mut self, now: Micros, fingerprint: u64, convicted: bool, until: Micros) {
+        let p = print(fingerprint);
+        match convicted {
+            true => self.quarantine.convict(p, [ELSEWHERE, ELSEWHERE], until),
+            false => {
+                self.quarantine.strike(now, p, ELSEWHERE);
+            }
+        }
+    }
+
+    /// The target's life and what it serves.
+    pub fn engine(&mut self, life: Incarnation, model: &str, weights: &str) -> bool {
+        if self.state == State::Down {
+            self.state = State::Serving;
+        }
+        if life != self.engine {
+            self.engine = life;
+            self.prefills.reset();
+            self.busy = Micros::ZERO;
+        }
+        let same = self.index.weights() == weights;
+        if !same {
+            self.index = Index::new(prefix::Config::default(), model, weights);
+            self.quarantine = Quarantine::new(quarantine::Config::default());
+        }
+        !same
+    }
+
+    /// The target doesn't answer; gives back what was not handed over.
+    pub fn down(&mut self) -> Vec<G> {
+        if self.state != State::Leaving {
+            self.state = State::Down;
+        }
+        self.give_back()
+    }
+
+    /// The process stops; gives back what was not handed over.
+    pub fn leave(&mut self) -> Vec<G> {
+        self.state = State::Leaving;
+        self.give_back()
+    }
+
+    /// Whether the target takes new work.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// The engine's life.
+    pub fn life(&self) -> Incarnation {
+        self.engine
+    }
+
+    /// The cache index, for the driver's events.
+    pub fn index(&mut self) -> &mut Index {
+        &mut self.index
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len() + self.held.len()
+    }
+
+    /// Requests at the target.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// When [`Self::expire`] or [`Self::next`] may have something to do.
+    pub fn wake(&self) -> Option<Micros> {
+        let unseen = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.prefilling && !r.stream);
+        let soonest = unseen.map(|(_, r)| r.handed + r.prefill).min();
+        [self.queue.wake(), soonest].into_iter().flatten().min()
+    }
+
+    fn pop(&mut self) -> Option<Job<Waiting<G>>> {
+        let alone = !self.running.iter().any(|(_, r)| r.suspect);
+        if let Some(job) = self.held.pop_front_if(|_| alone) {
+            return Some(job);
+        }
+        // Two suspects beside one another would both be convicted by one's crash.
+        loop {
+            let job = self.queue.pop()?;
+            if !job.payload.suspect || alone {
+                return Some(job);
+            }
+            self.held.push_back(job);
+        }
+    }
+
+    fn has_room(&mut self, now: Micros) -> bool {
+        // The first byte of an answer that isn't streamed says nothing of its prefill, which is
+        // taken to end when it should.
+        for (_, r) in &mut self.running {
+            r.prefilling &= r.stream || now < r.handed + r.prefill;
+        }
+        let prefills = self.kind == Kind::Plain || self.prefills.allows(self.prefilling());
+        self.state == State::Serving && self.running.len() < self.slots && prefills
+    }
+
+    fn prefilling(&self) -> u32 {
+        self.running.iter().filter(|(_, r)| r.prefilling).count() as u32
+    }
+
+    fn missing(&self, chain: &[BlockHash]) -> u32 {
+        (chain.len() as u32).saturating_sub(self.index.matched_chain(chain))
+    }
+
+    fn work(&self, blocks: u32, output: u32) -> Micros {
+        match self.kind {
+            Kind::Model => self.cost.work(blocks, output),
+            Kind::Plain => Micros(self.call.0 / self.slots.max(1) as u64),
+        }
+    }
+
+    fn wait(
+        &mut self,
+        now: Micros,
+        class: Class,
+        team: TeamKey,
+        share: u32,
+        work: Micros,
+    ) -> Micros {
+        let queued = self.queue.ahead(class, team, share, work);
+        let ahead = self.rate.wait(queued + self.reserve.sum(now));
+        match self.kind {
+            Kind::Model => ahead + self.busy.since(now),
+            Kind::Plain => ahead,
+        }
+    }
+
+    fn closed(&self) -> Option<Refusal> {
+        let soon = Some(Micros::from_secs(1));
+        let code = match self.state {
+            State::Serving => return None,
+            State::Leaving => Code::Draining,
+            State::Loading | State::Down => Code::NoTarget,
+        };
+        Some(Refusal { code, retry: soon })
+    }
+
+    fn verdict(&self, now: Micros, fingerprint: u64) -> Verdict {
+        self.quarantine.verdict(now, print(fingerprint))
+    }
+
+    fn team(&mut self, name: &str) -> TeamKey {
+        match self.teams.get(name) {
+            Some(k) => *k,
+            None => {
+                let key = self.names.insert(());
+                self.teams.insert(name.to_owned(), key);
+                key
+            }
+        }
+    }
+
+    fn give_back(&mut self) -> Vec<G> {
+        let held = self.held.drain(..).collect::<Vec<_>>();
+        let all = self.queue.drain().into_iter().chain(held);
+        all.map(|j| j.payload.grant).collect()
+    }
+}
+
+fn refusal(r: admit::Refusal) -> Refusal {
+    Refusal {
+        code: r.code,
+        retry: Some(r.after),
+    }
+}
+
+/// The fingerprint holds the weights already.
+fn print(fingerprint: u64) -> Fingerprint {
+    Fingerprint {
+        body: u128::from(fingerprint),
+        weights: 0,
+    }
+}
--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -9,8 +9,10 @@
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use store::{Call, Client};
-use tokio::time::interval;
+use tokio::net::TcpStream;
+use tokio::time::{interval, timeout};
 
+use crate::settings::Kind;
 use crate::sidecar::control::{Ask, Asker, Load};
 
 /// How often load and events are fetched; below the engines' own delay.
@@ -67,12 +69,41 @@
     blocks: Vec<BlockBody>,
 }
 
-/// Fetches for ever.
-pub async fn run(target: SocketAddr, mut control: Asker) {
+/// Fetches for ever. A plain service publishes nothing; whether it takes connections is all that
+/// is known of its health.
+pub async fn run(target: SocketAddr, kind: Kind, control: Asker) {
+    match kind {
+        Kind::Model => engine(target, control).await,
+        Kind::Plain => plain(target, control).await,
+    }
+}
+
+async fn plain(target: SocketAddr, control: Asker) {
+    let mut tick = interval(PERIOD);
+    let mut misses = 0;
+    loop {
+        tick.tick().await;
+        let up = timeout(LIMIT, TcpStream::connect(target)).await;
+        misses = if matches!(up, Ok(Ok(_))) {
+            0
+        } else {
+            misses + 1
+        };
+        let load = Load {
+            incarnation: Incarnation(0),
+            model: String::new(),
+            weights: String::new(),
+        };
+        control.send(Ask::Load((misses < MISSES).then_some(load)));
+    }
+}
+
+async fn engine(target: SocketAddr, mut control: Asker) {
     let mut feed = Feed {
         base: format!("http://{target}"),
         client: Client::default(),
         after: 0,
+        life: 0,
     };
     let mut tick = interval(PERIOD);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -89,6 +120,7 @@
     base: String,
     client: Client,
     after: u64,
+    life: u64,
 }
 
 impl Feed {
@@ -114,10 +146,14 @@
         let Some(e) = self.get::<EventsBody>(&path).await else {
             return;
         };
-        if e.next < self.after {
-            // The engine started afresh; its numbers begin anew.
+        if e.incarnation != self.life {
+            // Another life's numbers begin anew; what came behind the old place is fetched next.
+            let behind = self.after > 0;
+            self.life = e.incarnation;
             self.after = 0;
-            return;
+            if behind {
+                return;
+            }
         }
         self.after = e.next;
         let incarnation = Incarnation(e.incarnation);
--- a/crates/daemon/src/sidecar/live.rs
+++ b/crates/daemon/src/sidecar/live.rs
@@ -37,6 +37,7 @@
     carriers: AtomicUsize,
     /// Set when nobody wants the answer any more.
     pub cancel: CancellationToken,
+    done: CancellationToken,
 }
 
 impl Live {
@@ -57,6 +58,7 @@
             room: Notify::new(),
             carriers: AtomicUsize::new(0),
             cancel: CancellationToken::new(),
+            done: CancellationToken::new(),
         })
     }
 
@@ -106,6 +108,16 @@
         self.changed.send_replace(());
     }
 
+    /// The entry was sent the last frame.
+    pub fn delivered(&self) {
+        self.done.cancel();
+    }
+
+    /// Waits until the entry was sent the last frame.
+    pub async fn until_delivered(&self) {
+        self.done.cancelled().await;
+    }
+
     /// Whether it ended, and if so whether the target saw it.
     pub fn ended(&self) -> Option<bool> {
         self.lock()
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside one target: the only door to it.
 
 pub mod control;
+pub mod decide;
 pub mod feed;
 pub mod live;
 pub mod run;
@@ -10,26 +11,57 @@
 use std::sync::Arc;
 
 use store::{Client, Platform};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
 
-use crate::control::{bind_peer, stopped, Ready};
+use crate::member::{self, Me};
+use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Kind, Settings, Sidecar};
-use crate::{clock, log};
+use crate::{admin, clock, log, peer};
+use control::{Ask, Start};
 use run::Context;
 
-/// Runs until told to stop.
+/// Runs until told to stop and all that runs has ended.
 pub fn run(settings: &Settings, role: &Sidecar) -> io::Result<()> {
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.workers)
         .enable_all()
         .build()?;
+    traffic.block_on(start(settings.clone(), role.clone()))
+}
+
+async fn start(settings: Settings, role: Sidecar) -> io::Result<()> {
     let life = clock::life();
-    let (tcp, udp) = traffic.block_on(bind_peer(settings.peer))?;
-    let address = tcp.local_addr()?;
-    let (asker, asked) = control::channel();
+    let (tcp, probes) = bind_peer(settings.peer).await?;
+    let gossip = UdpSocket::bind(settings.gossip).await?;
+    let admin = TcpListener::bind(settings.admin).await?;
+    let ready = Ready {
+        callers: None,
+        peer: tcp.local_addr()?,
+        admin: admin.local_addr()?,
+        gossip: gossip.local_addr()?,
+    };
+    let (mut asker, asked) = control::channel();
+    let (members, from_members) = mpsc::unbounded_channel();
+    let thread = control::spawn(Start {
+        me: Me {
+            role: fleet::Role::Sidecar,
+            peer: ready.peer,
+            admin: Some(ready.admin),
+            pool: Some(role.pool.clone()),
+            life,
+        },
+        settings: settings.clone(),
+        role: role.clone(),
+        probes: probes.into_std()?,
+        gossip: gossip.into_std()?,
+        asked,
+        members: from_members,
+        convict: members.clone(),
+    })?;
     let cx = Arc::new(Context {
-        keys: settings.keys.clone(),
         life,
-        address,
+        address: ready.peer,
         target: role.target,
         model: role.kind == Kind::Model,
         table: settings
@@ -39,20 +71,26 @@
         exchanges: serve::Exchanges::default(),
         control: asker.clone(),
     });
-    let thread = control::spawn(settings, role, udp, life, asked)?;
-    traffic.spawn(serve::listen(tcp, Arc::clone(&cx)));
-    if role.kind == Kind::Model {
-        traffic.spawn(feed::run(role.target, asker.clone()));
-    }
-    Ready {
-        callers: None,
-        peer: address,
-        admin: None,
-        gossip: None,
+    tokio::spawn(peer::listen(
+        tcp,
+        settings.keys.clone(),
+        members.clone(),
+        cx,
+    ));
+    tokio::spawn(feed::run(role.target, role.kind, asker.clone()));
+    let up = asker.clone();
+    tokio::spawn(admin::serve(admin, admin::router(move || up.health().up)));
+    ready.print();
+    spdlog::info!(logger: log::sidecar(), "serving pool {} at {}", role.pool, ready.peer);
+
+    stopped().await;
+    asker.send(Ask::Stop);
+    asker.exit().await;
+    let _ = members.send(member::Ask::Quit);
+    let ended = tokio::task::spawn_blocking(move || thread.join()).await;
+    spdlog::info!(logger: log::main(), "stopped");
+    match ended {
+        Ok(Ok(r)) => r,
+        _ => Err(io::Error::other("the control thread panicked")),
     }
-    .print();
-    spdlog::info!(logger: log::sidecar(), "serving pool {} at {address}", role.pool);
-    traffic.block_on(stopped());
-    drop(thread);
-    Ok(())
 }
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -5,22 +5,23 @@
 
 use bytes::{Bytes, BytesMut};
 use contract::{Claim, ClaimStep, Holder};
-use exchange::{Exchange, Handed, Queued};
+use exchange::{Exchange, Queued};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::Response;
 use hyper_util::rt::TokioIo;
-use model::{Class, Code, Micros};
+use model::{Class, Code, Incarnation, Micros};
 use store::{Platform, Table};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{timeout, timeout_at, Instant};
-use wire::{Head, Header, Join, Keys, Open, Pull, Text, WireError};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use wire::{Head, Header, Join, Open, WireError};
 
 use crate::clock;
 use crate::log;
-use crate::sidecar::control::{Ask, Asker, Finished, Refusal, Work};
+use crate::sidecar::control::{Ask, Asker};
+use crate::sidecar::decide::{Refusal, RunKey, Work};
 use crate::sidecar::live::{Last, Live};
 use crate::sidecar::serve::Exchanges;
 
@@ -29,6 +30,8 @@
 const SILENCE: Duration = Duration::from_secs(15);
 /// Longest time to connect to the target, which runs on this host.
 const CONNECT: Duration = Duration::from_millis(500);
+/// Longest wait to learn whether an engine died: two failed calls of its feed.
+const VERDICT: Duration = Duration::from_millis(400);
 /// Headers that belong to one connection and aren't passed on.
 const HOP: [&str; 6] = [
     "connection",
@@ -42,8 +45,6 @@
 /// What every exchange of this process shares.
 #[derive(Debug)]
 pub struct Context {
-    /// The fleet's keys.
-    pub keys: Keys,
     /// This process's life.
     pub life: u64,
     /// Its peer address as others see it.
@@ -60,24 +61,6 @@
     pub control: Asker,
 }
 
-impl Context {
-    /// Answers another member's question.
-    pub async fn pull(&self, p: Pull) -> Result<Text, WireError> {
-        self.control
-            .pull(p.data)
-            .await
-            .map(|data| Text { data })
-            .ok_or(WireError::Closed)
-    }
-}
-
-/// Why an exchange that was handed over has no answer.
-struct Broken {
-    code: Code,
-    known: bool,
-    crashed: bool,
-}
-
 /// Runs an exchange to its end.
 pub async fn run(cx: &Context, o: Open, live: &Live) {
     let ex = Exchange::new();
@@ -85,16 +68,20 @@
     let enqueued = clock::now();
     let last = tokio::select! {
         r = turn(cx, &o) => match r {
-            Ok(()) => admitted(cx, &o, live, ex, until, enqueued).await,
+            Ok(run) => {
+                let slot = Slot { cx, run };
+                admitted(&slot, &o, live, ex, until, enqueued).await
+            }
             Err(r) => Last::NotRun(ex.refuse(r.code, r.retry), None),
         },
+        () = sleep_until(until) => Last::NotRun(ex.refuse(Code::Deadline, None), None),
         () = live.cancel.cancelled() => Last::NotRun(ex.refuse(Code::Cancelled, None), None),
     };
     live.end(last);
 }
 
 /// Waits for the request's turn.
-async fn turn(cx: &Context, o: &Open) -> Result<(), Refusal> {
+async fn turn(cx: &Context, o: &Open) -> Result<RunKey, Refusal> {
     let (grant, granted) = oneshot::channel();
     let work = Work {
         team: o.team.clone(),
@@ -105,6 +92,8 @@
         deadline: clock::now() + Micros::from_millis(o.deadline),
         fingerprint: o.fingerprint,
         strikes: o.strikes,
+        probe: o.probe,
+        stream: o.stream,
     };
     cx.control.send(Ask::Enqueue { work, grant });
     let gone = Refusal {
@@ -116,19 +105,19 @@
 
 /// Has its turn: claims if it may run only once, then hands it over.
 async fn admitted(
-    cx: &Context,
+    slot: &Slot<'_>,
     o: &Open,
     live: &Live,
     ex: Exchange<Queued>,
     until: Instant,
     enqueued: Micros,
 ) -> Last {
-    let started = clock::now();
-    let mut slot = Slot::new(cx, o);
+    let cx = slot.cx;
+    let waited = clock::now().since(enqueued);
     // Connecting comes before claiming: a target that is down must not use the claim up.
     let Ok(Ok(sender)) = timeout(CONNECT, connect(cx.target)).await else {
-        slot.finished.crashed = true;
-        return Last::NotRun(ex.refuse(Code::NoTarget, Some(Micros::from_secs(1))), None);
+        let soon = Some(Micros::from_secs(1));
+        return Last::NotRun(ex.refuse(Code::NoTarget, soon), None);
     };
     let claim = match claimed(cx, o, until).await {
         Ok(c) => c,
@@ -139,61 +128,47 @@
         release(cx, claim).await;
         return Last::NotRun(ex.refuse(Code::Deadline, None), None);
     }
+    let life = cx.control.health().life;
     let ex = ex.hand();
-    let waited = started.since(enqueued);
     let answer = tokio::select! {
-        r = answer(o, live, sender, waited, &mut slot.finished) => r,
-        () = live.cancel.cancelled() => {
-            Err(Broken { code: Code::Cancelled, known: false, crashed: false })
-        }
-        () = cx.control.down() => {
-            Err(Broken { code: Code::TargetLost, known: false, crashed: true })
-        }
+        r = answer(slot, o, live, sender, waited) => r,
+        () = live.cancel.cancelled() => Err(Code::Cancelled),
+        () = cx.control.lost(life) => Err(Code::TargetLost),
     };
-    ended(ex, answer, o, &mut slot.finished)
-}
-
-fn ended(
-    ex: Exchange<Handed>,
-    answer: Result<(), Broken>,
-    o: &Open,
-    finished: &mut Finished,
-) -> Last {
     match answer {
-        Ok(()) => {
-            finished.whole = true;
-            Last::Done(ex.complete())
-        }
-        Err(b) => {
-            finished.crashed = b.crashed;
-            spdlog::warn!(logger: log::sidecar(), "request {} ended: {}", o.request, b.code);
-            Last::Failed(ex.fail(b.code, b.known, b.crashed))
+        Ok(()) => Last::Done(ex.complete()),
+        Err(code) => {
+            let crashed = code == Code::TargetLost && died(cx, life).await;
+            if crashed {
+                cx.control.send(Ask::Crashed(slot.run));
+            }
+            spdlog::warn!(
+                logger: log::sidecar(),
+                "request {} ended: {code}, target died: {crashed}", o.request
+            );
+            Last::Failed(ex.fail(code, false, crashed))
         }
     }
 }
 
+/// Whether an engine died, rather than one connection to it. Only then does the request count as
+/// one that may have killed it.
+async fn died(cx: &Context, life: Incarnation) -> bool {
+    if !cx.model {
+        return false;
+    }
+    timeout(VERDICT, cx.control.lost(life)).await.is_ok()
+}
+
 /// Tells control, however the exchange ends, that its slot is free.
 struct Slot<'a> {
     cx: &'a Context,
-    finished: Finished,
-}
-
-impl<'a> Slot<'a> {
-    fn new(cx: &'a Context, o: &Open) -> Self {
-        let finished = Finished {
-            started: clock::now(),
-            first: None,
-            fingerprint: o.fingerprint,
-            whole: false,
-            crashed: false,
-        };
-        Self { cx, finished }
-    }
+    run: RunKey,
 }
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        self.cx.control.send(Ask::Finished(self.finished.clone()));
+        self.cx.control.send(Ask::Finished(self.run));
     }
 }
 
@@ -276,55 +251,40 @@
 }
 
 async fn answer(
+    slot: &Slot<'_>,
     o: &Open,
     live: &Live,
     mut sender: SendRequest<Full<Bytes>>,
     waited: Micros,
-    finished: &mut Finished,
-) -> Result<(), Broken> {
-    let lost = || Broken {
-        code: Code::TargetLost,
-        known: false,
-        crashed: true,
-    };
+) -> Result<(), Code> {
     let mut req = hyper::Request::builder()
         .method(o.method.as_str())
-        .uri(&o.path);
+        .uri(&o.path)
+        .header("host", "target");
     for h in o.headers.iter().filter(|h| !HOP.contains(&h.name.as_str())) {
         req = req.header(&h.name, h.value.as_ref());
     }
-    let req = req.header("host", "target").body(Full::new(o.body.clone()));
-    let req = req.map_err(|_| Broken {
-        code: Code::BadRequest,
-        known: true,
-        crashed: false,
-    })?;
+    let req = req.body(Full::new(o.body.clone()));
+    let req = req.map_err(|_| Code::BadRequest)?;
     let res = timeout(SILENCE, sender.send_request(req)).await;
-    let res = res.map_err(|_| lost())?.map_err(|_| lost())?;
+    let res = res.map_err(lost)?.map_err(lost)?;
     live.begin(head(&res, waited));
     let events = is_events(&res);
-    body(res.into_body(), live, events, finished).await
+    body(slot, res.into_body(), live, events).await
 }
 
-async fn body(
-    mut body: Incoming,
-    live: &Live,
-    events: bool,
-    finished: &mut Finished,
-) -> Result<(), Broken> {
-    let lost = || Broken {
-        code: Code::TargetLost,
-        known: false,
-        crashed: true,
-    };
+async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
     let mut rest = BytesMut::new();
+    let mut begun = false;
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| lost())?;
+        let frame = timeout(SILENCE, body.frame()).await.map_err(lost)?;
         let Some(frame) = frame else { break };
-        let Ok(data) = frame.map_err(|_| lost())?.into_data() else {
+        let Ok(data) = frame.map_err(lost)?.into_data() else {
             continue;
         };
-        finished.first.get_or_insert_with(clock::now);
+        if !std::mem::replace(&mut begun, true) {
+            slot.cx.control.send(Ask::First(slot.run));
+        }
         if !events {
             live.push(data).await;
             continue;
@@ -337,10 +297,14 @@
     match rest.is_empty() {
         true => Ok(()),
         // The target closed in the middle of an event.
-        false => Err(lost()),
+        false => Err(Code::TargetLost),
     }
 }
 
+fn lost<E>(_: E) -> Code {
+    Code::TargetLost
+}
+
 /// Bytes up to the end of the last whole event.
 fn whole_events(b: &[u8]) -> Option<usize> {
     b.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2)
--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -1,25 +1,21 @@
-//! The peer port: entries open, resume and join exchanges here, members pull.
+//! Exchanges on the peer port: entries open, resume and join them here.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use exchange::{Exchange, NotRun, Registry, Seen, Token};
 use model::{Code, Micros};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{interval, timeout};
 use wire::{Accepted, Beat, Body, Fail, Open, Resume, Rx, Tx, WireError};
 
 use crate::clock;
-use crate::log;
+use crate::peer::Peer;
+use crate::sidecar::control::Ask;
 use crate::sidecar::live::{refuse, Cursor, Live};
 use crate::sidecar::run::{self, Context};
 
 /// How often a silent exchange says that it lives; entries wait four times as long.
 pub const BEAT: Duration = Duration::from_millis(500);
-/// Longest handshake.
-const HANDSHAKE: Duration = Duration::from_secs(2);
-/// Longest time without an exchange on a connection.
-const IDLE: Duration = Duration::from_secs(60);
 /// How long an ended exchange is kept for an entry that lost its connection, or for a second
 /// attempt with the same idempotency key.
 const KEEP: Duration = Duration::from_secs(30);
@@ -37,39 +33,17 @@
     }
 }
 
-/// Accepts connections for ever.
-pub async fn listen(listener: TcpListener, cx: Arc<Context>) {
-    loop {
-        let Ok((tcp, _)) = listener.accept().await else {
-            // Out of descriptors; waiting lets some close.
-            tokio::time::sleep(BEAT).await;
-            continue;
-        };
-        let cx = Arc::clone(&cx);
-        tokio::spawn(async move {
-            if let Err(e) = connection(tcp, &cx).await {
-                fault(&e);
-            }
-        });
-    }
-}
-
-async fn connection(tcp: TcpStream, cx: &Arc<Context>) -> Result<(), WireError> {
-    let shake = wire::accept(tcp, &cx.keys, rand::random());
-    let (mut tx, mut rx) = timeout(HANDSHAKE, shake)
-        .await
-        .map_err(|_| WireError::Closed)??;
-    loop {
-        let Ok(body) = timeout(IDLE, rx.next()).await else {
-            return Ok(());
-        };
-        match body? {
-            Body::Open(o) => open(cx, o, &mut tx, &mut rx).await?,
-            Body::Resume(r) => resume(cx, r, &mut tx, &mut rx).await?,
-            Body::Pull(p) => tx.send(cx.pull(p).await?).await?,
-            // Confirmations of an exchange that has ended meanwhile.
-            Body::Ack(_) | Body::Cancel(_) => {}
-            _ => return Err(WireError::Unexpected),
+impl Peer for Context {
+    async fn exchange(
+        self: &Arc<Self>,
+        body: Body,
+        tx: &mut Tx,
+        rx: &mut Rx,
+    ) -> Result<(), WireError> {
+        match body {
+            Body::Open(o) => open(self, o, tx, rx).await,
+            Body::Resume(r) => resume(self, r, tx, rx).await,
+            _ => Err(WireError::Unexpected),
         }
     }
 }
@@ -133,7 +107,9 @@
         while let Some((body, end)) = live.next(&mut at).map_err(|_| WireError::Unexpected)? {
             tx.feed(body).await?;
             if end {
-                return tx.flush().await;
+                tx.flush().await?;
+                live.delivered();
+                return Ok(());
             }
         }
         tx.flush().await?;
@@ -151,6 +127,7 @@
 
 /// Runs an exchange and keeps it for a while after its end.
 async fn lifetime(cx: Arc<Context>, o: Open, live: Arc<Live>) {
+    cx.control.send(Ask::Taken);
     let token = Token(o.token.clone());
     let idempotent = o.idempotent;
     let running = run::run(&cx, o, &live);
@@ -173,6 +150,9 @@
             true => {}
         }
     }
+    // At a planned stop the process waits for the entry to have the answer.
+    let _ = timeout(ORPHAN, live.until_delivered()).await;
+    cx.control.send(Ask::Ended);
     let ran = live.ended().unwrap_or(true);
     if ran {
         tokio::time::sleep(KEEP).await;
@@ -195,13 +175,3 @@
     })
     .await
 }
-
-fn fault(e: &WireError) {
-    match e {
-        WireError::Closed | WireError::Io(_) => {}
-        e => {
-            metrics::counter!("clementinestep_peer_faults_total").increment(1);
-            spdlog::warn!(logger: log::sidecar(), "peer connection dropped: {e}");
-        }
-    }
-}
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -1,11 +1,16 @@
 //! What traffic threads know of the fleet: an immutable snapshot, replaced as a whole.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use model::{DomainKey, Incarnation, Kind, MemberId, PoolKey, Version, World};
+use model::{
+    Domain, DomainKey, Host, HostKey, Incarnation, Kind, MemberId, Pool, PoolKey, Region, Target,
+    TargetKey, Version, World,
+};
 use rules::RuleSet;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A snapshot of configuration and places.
 #[derive(Clone, Debug, Default)]
@@ -14,16 +19,19 @@
     pub version: Version,
     /// The configuration in force.
     pub rules: Option<Arc<RuleSet>>,
-    /// Places and targets.
+    /// Places and targets. A target keeps its key for as long as its sidecar lives.
     pub world: World,
     /// Failure domain of this process.
     pub domain: DomainKey,
+    /// Live entries, this process included if it is one.
+    pub entries: usize,
+    targets: HashMap<MemberId, TargetKey>,
 }
 
 /// The snapshot that all threads share.
 pub type Shared = Arc<ArcSwap<View>>;
 
-/// A target as the fleet announces it.
+/// A target as its sidecar announces it.
 #[derive(Clone, Debug)]
 pub struct Announced {
     /// The sidecar.
@@ -43,64 +51,82 @@
 }
 
 impl View {
-    /// A view of these targets, seen from a failure domain.
-    pub fn new(domain: &str, region: &str, targets: impl IntoIterator<Item = Announced>) -> Self {
+    /// A view without targets, seen from a failure domain.
+    pub fn new(domain: &str, region: &str) -> Self {
         let mut view = Self::default();
-        view.domain = view.place(domain, region);
-        for t in targets {
-            view.add(t);
-        }
+        view.domain = view.domain_key(domain, region);
         view
     }
 
-    fn add(&mut self, a: Announced) {
-        let domain = self.place(&a.domain, &a.region);
-        let host = model::Host {
-            name: a.host,
-            domain,
-            leaving: false,
-        };
-        let host = self.world.hosts.insert(host);
-        let pool = self.pool(&a.pool);
-        self.world.targets.insert(model::Target {
+    /// Adds or replaces a sidecar's target; false if nothing changed.
+    pub fn put(&mut self, a: Announced) -> bool {
+        let pool = self.pool_key(&a.pool);
+        let old = self
+            .targets
+            .get(&a.member)
+            .and_then(|k| self.world.targets.get_mut(*k));
+        if let Some(t) = old {
+            let same = t.exchange == a.peer && t.pool == pool;
+            (t.exchange, t.probe, t.pool, t.incarnation) = (a.peer, a.peer, pool, a.incarnation);
+            return !same;
+        }
+        let target = Target {
             pool,
-            host,
+            host: self.host_key(&a),
             member: a.member,
             incarnation: a.incarnation,
+            rank: xxh3_64(format!("{}@{}", a.pool, a.peer).as_bytes()),
             probe: a.peer,
             exchange: a.peer,
-        });
+        };
+        let key = self.world.targets.insert(target);
+        self.targets.insert(a.member, key);
+        true
     }
 
-    fn place(&mut self, domain: &str, region: &str) -> DomainKey {
-        let w = &mut self.world;
-        let found = w
-            .regions
-            .iter()
-            .find(|(_, r)| r.name == region)
-            .map(|(k, _)| k);
-        let region = found.unwrap_or_else(|| {
-            w.regions.insert(model::Region {
-                name: region.to_owned(),
-            })
-        });
-        let found = w
-            .domains
+    /// Removes a sidecar's target; false if there was none.
+    pub fn remove(&mut self, member: MemberId) -> bool {
+        let key = self.targets.remove(&member);
+        key.and_then(|k| self.world.targets.remove(k)).is_some()
+    }
+
+    fn host_key(&mut self, a: &Announced) -> HostKey {
+        let domain = self.domain_key(&a.domain, &a.region);
+        let hosts = &mut self.world.hosts;
+        let found = hosts
             .iter()
-            .find(|(_, d)| d.name == domain && d.region == region)
-            .map(|(k, _)| k);
+            .find(|(_, h)| h.name == a.host && h.domain == domain);
+        let found = found.map(|(k, _)| k);
         found.unwrap_or_else(|| {
-            w.domains.insert(model::Domain {
-                name: domain.to_owned(),
-                region,
+            hosts.insert(Host {
+                name: a.host.clone(),
+                domain,
+                leaving: false,
             })
         })
     }
 
-    fn pool(&mut self, name: &str) -> PoolKey {
+    fn domain_key(&mut self, domain: &str, region: &str) -> DomainKey {
+        let name = region.to_owned();
+        let regions = &mut self.world.regions;
+        let found = regions
+            .iter()
+            .find(|(_, r)| r.name == region)
+            .map(|(k, _)| k);
+        let region = found.unwrap_or_else(|| regions.insert(Region { name }));
+        let name = domain.to_owned();
+        let domains = &mut self.world.domains;
+        let found = domains
+            .iter()
+            .find(|(_, d)| d.name == domain && d.region == region);
+        let found = found.map(|(k, _)| k);
+        found.unwrap_or_else(|| domains.insert(Domain { name, region }))
+    }
+
+    fn pool_key(&mut self, name: &str) -> PoolKey {
         let found = self.world.pool(name);
         found.unwrap_or_else(|| {
-            self.world.pools.insert(model::Pool {
+            self.world.pools.insert(Pool {
                 name: name.to_owned(),
                 kind: Kind::Model,
             })
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -88,6 +88,8 @@
     pub member: MemberId,
     /// The life of the sidecar.
     pub incarnation: Incarnation,
+    /// The same for this target at every entry and over restarts, for rendezvous hashing.
+    pub rank: u64,
     /// Where the sidecar answers probes.
     pub probe: SocketAddr,
     /// Where the sidecar takes exchanges.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admit;
 pub mod concurrency;
+pub mod cost;
 pub mod drain;
 pub mod health;
 pub mod limit;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -38,7 +38,7 @@
             .get("/quota/:district", move |r: Request| {
                 Arc::clone(&a).quota(r)
             })
-            .post("/records", move |r: Request| Arc::clone(&b).record(r))
+            .post("/records/*", move |r: Request| Arc::clone(&b).record(r))
             .get("/log", move |_: Request| {
                 let log = c.bodies();
                 async move { reply::json(StatusCode::OK, &log) }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -130,6 +130,9 @@
     /// Earlier attempts whose target died under the request.
     #[prost(uint32, tag = "22")]
     pub strikes: u32,
+    /// The probe whose offer this takes up; 0 if none was answered.
+    #[prost(fixed64, tag = "23")]
+    pub probe: u64,
 }
 
 /// Sidecar to entry: the request waits for its turn.
