--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -191,8 +191,8 @@
         "class" class: Class = Class::Normal;
         /// How long until the answer is of no use.
         "deadline" deadline: Option<Duration> = None;
-        /// Whether it may run more than once; by default as its HTTP method says, and for a model
-        /// pool yes.
+        /// Whether it may run more than once; by default yes for a model pool and for the methods
+        /// GET, HEAD and OPTIONS, otherwise no.
         "idempotent" idempotent: Option<bool> = None;
         /// Cache scope in place of the team's.
         "scope" scope: Option<String> = None;
@@ -270,6 +270,10 @@
 }
 
 impl Read for Class {
+    fn kind() -> String {
+        "word".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         r.text::<ClassWord>(path, value).map(|w| w.0)
     }
--- a/crates/rules/src/read.rs
+++ b/crates/rules/src/read.rs
@@ -19,6 +19,9 @@
 
 /// A value that can be read from the text.
 pub(crate) trait Read: Sized {
+    /// What it is called in documentation.
+    fn kind() -> String;
+
     /// Reads it; absent if it can't be read, which the reader has noted then.
     fn read(reader: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self>;
 }
@@ -240,8 +243,12 @@
 }
 
 macro_rules! read_text {
-    ($($name:ty)*) => {$(
+    ($($name:ty: $kind:literal)*) => {$(
         impl Read for $name {
+            fn kind() -> String {
+                $kind.to_owned()
+            }
+
             fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
                 r.text(path, value)
             }
@@ -251,9 +258,19 @@
 
 pub(crate) use read_text;
 
-read_text!(Duration Size Percent Window Glob);
+read_text!(
+    Duration: "duration"
+    Size: "size"
+    Percent: "percentage"
+    Window: "window"
+    Glob: "pattern"
+);
 
 impl Read for String {
+    fn kind() -> String {
+        "text".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::String(s) => Some(s.to_string()),
@@ -266,6 +283,10 @@
 }
 
 impl Read for bool {
+    fn kind() -> String {
+        "boolean".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::Boolean(b) => Some(*b),
@@ -278,6 +299,10 @@
 }
 
 impl Read for u32 {
+    fn kind() -> String {
+        "integer".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::Integer(i) => Self::from_str_radix(i.as_str(), i.radix())
@@ -292,6 +317,10 @@
 }
 
 impl<T: Read> Read for Option<T> {
+    fn kind() -> String {
+        T::kind()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         T::read(r, path, value).map(Some)
     }
@@ -299,6 +328,10 @@
 
 /// A list of one may be written without brackets.
 impl<T: Read> Read for Vec<T> {
+    fn kind() -> String {
+        format!("list: {}", T::kind())
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         let DeValue::Array(items) = value.get_ref() else {
             return T::read(r, path, value).map(|one| vec![one]);
@@ -314,6 +347,10 @@
 }
 
 impl<T: Read> Read for BTreeMap<String, T> {
+    fn kind() -> String {
+        format!("table: {}", T::kind())
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         let DeValue::Table(table) = value.get_ref() else {
             r.wrong(path, "table", value.get_ref());
--- a/crates/rules/src/table.rs
+++ b/crates/rules/src/table.rs
@@ -1,9 +1,11 @@
 //! Declares the tables of a configuration: one list of keys gives the struct, its defaults, its
 //! reader, its printer and its rows in the documentation, so that these can't drift apart.
 
+use std::fmt;
+
 use serde::Serialize;
 
-/// One key of a table, for documentation.
+/// One key of a table, for documentation; shown as a row of its options table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Field {
     /// The table it stands in.
@@ -11,13 +13,24 @@
     /// The key.
     pub key: &'static str,
     /// The type of its value.
-    pub kind: &'static str,
+    pub kind: String,
     /// The value when it isn't written; empty if there is none.
     pub default: String,
     /// What it means.
     pub meaning: String,
 }
 
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let default = match self.default.as_str() {
+            "" => String::new(),
+            d => format!("`{d}`"),
+        };
+        let Self { key, kind, .. } = self;
+        write!(f, "| `{key}` | {kind} | {default} | {} |", self.meaning)
+    }
+}
+
 /// A value as the text spells it; nothing for what can't stand after a key.
 pub(crate) fn spell(value: &impl Serialize) -> String {
     match toml::Value::try_from(value) {
@@ -56,7 +69,7 @@
                 vec![$($crate::table::Field {
                     table: $table,
                     key: $key,
-                    kind: stringify!($kind),
+                    kind: <$kind as $crate::read::Read>::kind(),
                     default: $crate::table::spell(&d.$field),
                     meaning: concat!($($doc),+).trim().to_owned(),
                 },)*]
@@ -64,6 +77,10 @@
         }
 
         impl $crate::read::Read for $name {
+            fn kind() -> String {
+                "table".to_owned()
+            }
+
             fn read(
                 r: &mut $crate::read::Reader,
                 path: &str,
@@ -135,7 +152,7 @@
             }
         }
 
-        $crate::read::read_text!($name);
+        $crate::read::read_text!($name: "word");
     };
 }
 
