--- a/crates/rules/tests/samples.rs
+++ b/crates/rules/tests/samples.rs
@@ -5,35 +5,10 @@
 struct Case {
     file: &'static str,
     text: &'static str,
+    /// Keys and the teams that hold them.
     keys: &'static [(&'static str, &'static str)],
-    decided: &'static [Decided],
-}
-
-struct Decided {
-    team: &'static str,
-    method: &'static str,
-    path: &'static str,
-    class: &'static str,
-    rule: &'static str,
-    pool: Option<&'static str>,
-    idempotent: bool,
-}
-
-const fn decided(
-    (team, method, path, class): (&'static str, &'static str, &'static str, &'static str),
-    rule: &'static str,
-    pool: Option<&'static str>,
-    idempotent: bool,
-) -> Decided {
-    Decided {
-        team,
-        method,
-        path,
-        class,
-        rule,
-        pool,
-        idempotent,
-    }
+    /// Team, method, path and class asked for; rule, pool and whether it may run twice.
+    decided: &'static [(&'static str, &'static str)],
 }
 
 const CASES: &[Case] = &[
@@ -45,41 +20,31 @@
             ("sample-key-agency-8", "agency-8"),
         ],
         decided: &[
-            decided(
-                ("agency-1", "POST", "/v1/completions", "call"),
-                "coding-on-call",
-                Some("lekha-llm"),
-                true,
+            (
+                "agency-1 POST /v1/completions call",
+                "coding-on-call lekha-llm repeatable",
             ),
-            decided(
-                ("agency-3", "POST", "/quota/surat", ""),
-                "quota-check",
-                Some("fieldops"),
-                false,
+            (
+                "agency-2 POST /v1/completions batch",
+                "write-up lekha-llm repeatable",
             ),
-            decided(
-                ("agency-3", "POST", "/records/7", "call"),
-                "record-write",
-                Some("fieldops"),
-                false,
+            (
+                "agency-2 POST /v1/completions -",
+                "coding-at-desk lekha-llm repeatable",
             ),
-            decided(
-                ("agency-3", "DELETE", "/records/7", ""),
-                "record-delete",
-                None,
-                false,
+            ("agency-3 POST /quota/surat -", "quota-check fieldops once"),
+            (
+                "agency-3 GET /quota/surat -",
+                "quota-read fieldops repeatable",
             ),
-            decided(
-                ("agency-8", "POST", "/v1/completions", "batch"),
-                "training-hours",
-                None,
-                false,
+            (
+                "agency-3 POST /records/7 call",
+                "record-write fieldops once",
             ),
-            decided(
-                ("agency-2", "POST", "/v1/completions", "batch"),
-                "write-up",
-                Some("lekha-llm"),
-                true,
+            ("agency-3 DELETE /records/7 -", "record-delete refused once"),
+            (
+                "agency-8 POST /v1/completions batch",
+                "training-hours refused once",
             ),
         ],
     },
@@ -91,47 +56,35 @@
             ("sample-key-inspectors", "inspectors"),
         ],
         decided: &[
-            decided(
-                ("inspectors", "POST", "/v1/chat/completions", "batch"),
-                "roadside-check",
-                Some("modell-fleet"),
-                true,
+            (
+                "inspectors POST /v1/completions batch",
+                "roadside-check modell-fleet repeatable",
             ),
-            decided(
-                ("inspectors", "POST", "/infringements/1", ""),
-                "roadside-fine",
-                Some("tacho-core"),
-                false,
+            (
+                "inspectors POST /infringements/1 -",
+                "roadside-fine tacho-core once",
             ),
-            decided(
-                ("haulier-graz", "POST", "/infringements/1", ""),
-                "foreign-fine",
-                None,
-                false,
+            (
+                "haulier-graz POST /infringements/1 -",
+                "foreign-fine refused once",
             ),
-            decided(
-                ("billing", "POST", "/bills/1", ""),
-                "bill",
-                Some("tacho-core"),
-                false,
+            (
+                "haulier-graz PUT /cards/1 -",
+                "card-download tacho-core repeatable",
             ),
-            decided(
-                ("haulier-graz", "GET", "/bills/1", ""),
-                "foreign-bill",
-                None,
-                true,
+            (
+                "haulier-graz GET /bills/1 -",
+                "foreign-bill refused repeatable",
             ),
-            decided(
-                ("audit", "GET", "/bills/1", ""),
-                "read",
-                Some("tacho-core"),
-                true,
+            ("billing POST /bills/1 -", "bill tacho-core once"),
+            ("audit GET /bills/1 -", "read tacho-core repeatable"),
+            (
+                "training POST /v1/completions -",
+                "training-hours refused once",
             ),
-            decided(
-                ("dispatch", "POST", "/v1/completions", "batch"),
-                "week-write-up",
-                Some("modell-fleet"),
-                true,
+            (
+                "dispatch POST /v1/completions batch",
+                "week-write-up modell-fleet repeatable",
             ),
         ],
     },
@@ -143,24 +96,16 @@
             ("sample-key-two", "team-two"),
         ],
         decided: &[
-            decided(
-                ("team-one", "POST", "/v1/completions", ""),
-                "completions",
-                Some("lekha-llm"),
-                true,
-            ),
-            decided(
-                ("team-two", "POST", "/records/1", ""),
-                "record-write",
-                Some("fieldops"),
-                false,
+            (
+                "team-one POST /v1/completions -",
+                "completions lekha-llm repeatable",
             ),
-            decided(
-                ("team-two", "GET", "/quota/north", ""),
-                "quota",
-                Some("fieldops"),
-                true,
+            (
+                "team-one POST /v1/completions call",
+                "on-call lekha-llm repeatable",
             ),
+            ("team-two POST /records/1 -", "record-write fieldops once"),
+            ("team-two GET /quota/north -", "quota fieldops repeatable"),
         ],
     },
 ];
@@ -168,6 +113,26 @@
 /// Wednesday, 2 December 2026, 06:00 UTC.
 const MORNING: u64 = 1_796_191_200;
 
+fn facts(request: &str) -> Facts {
+    let words: Vec<_> = request.split(' ').map(str::to_owned).collect();
+    let [team, method, path, class] = <[String; 4]>::try_from(words).unwrap();
+    Facts {
+        team,
+        method,
+        path,
+        headers: [("x-class".to_owned(), class)].into(),
+        ..Facts::default()
+    }
+    .at(MORNING)
+}
+
+fn decide(rules: &RuleSet, facts: &Facts) -> String {
+    let d = rules.decide(facts).unwrap();
+    let pool = d.pool.map_or("refused", |(name, _)| name);
+    let again = if d.idempotent { "repeatable" } else { "once" };
+    format!("{} {pool} {again}", d.rule.name)
+}
+
 #[test]
 fn samples_compile_and_decide() {
     for case in CASES {
@@ -177,21 +142,9 @@
             assert_eq!(rules.team(key).map(|(n, _)| n), Some(*team), "{key}");
         }
         assert_eq!(rules.team("sample-key-none"), None);
-        for d in case.decided {
-            let mut facts = Facts {
-                team: d.team.to_owned(),
-                method: d.method.to_owned(),
-                path: d.path.to_owned(),
-                ..Facts::default()
-            }
-            .at(MORNING);
-            facts.headers.insert("x-class".into(), d.class.into());
-            let found = rules.decide(&facts).map(|found| {
-                let pool = found.pool.map(|(name, _)| name);
-                (found.rule.name.as_str(), pool, found.idempotent)
-            });
-            let want = Some((d.rule, d.pool, d.idempotent));
-            assert_eq!(found, want, "{}: {facts:?}", case.file);
+        for (request, decision) in case.decided {
+            let found = decide(&rules, &facts(request));
+            assert_eq!(found, *decision, "{}: {request}", case.file);
         }
     }
 }
