Name the features' tables, keys and defaults as the policy modules do

The first tables were laid down before those modules existed and named a probe timeout and a retry budget that nothing has. Percentages take one decimal, since a module's default is 12.5%; crossed bounds are one kind of fault for all tables.

--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -173,19 +173,48 @@
 }
 
 fn features(reader: &mut Reader, c: &Config) {
-    zero(reader, "probe", "fanout", Some(c.probe.fanout));
-    zero(reader, "queue", "depth", Some(c.queue.depth));
-    zero(reader, "retry", "attempts", Some(c.retry.attempts));
-    zero(reader, "health", "slow", Some(c.health.slow));
-    zero(reader, "quarantine", "strikes", Some(c.quarantine.strikes));
-    let spans = [
-        ("probe", "timeout", c.probe.timeout),
-        ("quarantine", "release", c.quarantine.release),
-        ("drain", "timeout", c.drain.timeout),
+    let counts = [
+        ("place", "probes", c.place.probes),
+        ("admit", "places", c.admit.places),
+        ("concurrency", "least", c.concurrency.least),
+        ("retry", "attempts", c.retry.attempts),
+        ("health", "slow", c.health.slow),
+        ("health", "samples", c.health.samples),
+        ("health", "trials", c.health.trials),
+        ("quarantine", "strikes", c.quarantine.strikes),
     ];
-    for (table, key, span) in spans {
-        if span.0 == model::Micros::ZERO {
-            reader.note(format!("{table}.{key}"), FaultKind::Zero(key));
-        }
+    for (table, key, count) in counts {
+        zero(reader, table, key, Some(count));
+    }
+    let (con, health) = (&c.concurrency, &c.health);
+    crossed(
+        reader,
+        "concurrency",
+        ("least", con.least),
+        ("first", con.first),
+    );
+    crossed(
+        reader,
+        "concurrency",
+        ("first", con.first),
+        ("most", con.most),
+    );
+    crossed(
+        reader,
+        "health",
+        ("out", health.out),
+        ("longest", health.longest),
+    );
+}
+
+/// Notes a lower bound that lies above the upper one.
+fn crossed<T: PartialOrd>(
+    reader: &mut Reader,
+    table: &str,
+    (low, a): (&'static str, T),
+    (high, b): (&'static str, T),
+) {
+    if a > b {
+        reader.note(format!("{table}.{low}"), FaultKind::Crossed { low, high });
     }
 }
--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -25,12 +25,16 @@
         "team" team: BTreeMap<String, Team> = BTreeMap::new();
         /// Limits of each team that sets none of its own.
         "limits" limits: Limits = Limits::default();
-        /// How replicas are asked before one is chosen.
-        "probe" probe: features::Probe = features::Probe::default();
-        /// How requests wait at a target.
-        "queue" queue: features::Queue = features::Queue::default();
+        /// Which replicas are asked for a request.
+        "place" place: features::Place = features::Place::default();
+        /// Places held at replicas for requests that may come.
+        "reserve" reserve: features::Reserve = features::Reserve::default();
         /// What is turned away before it waits.
         "admit" admit: features::Admit = features::Admit::default();
+        /// In which order requests leave a target's queue.
+        "queue" queue: features::Queue = features::Queue::default();
+        /// How many requests a target runs at once.
+        "concurrency" concurrency: features::Concurrency = features::Concurrency::default();
         /// How often a request is tried again.
         "retry" retry: features::Retry = features::Retry::default();
         /// When a target is taken out for a while.
--- a/crates/rules/src/fault.rs
+++ b/crates/rules/src/fault.rs
@@ -88,7 +88,9 @@
     #[error("`{0}` is no size; write a whole number and B, KiB, MiB or GiB")]
     BadSize(String),
     /// Not a percentage.
-    #[error("`{0}` is no percentage; write a whole number from 0 to 100 and %")]
+    #[error(
+        "`{0}` is no percentage; write a number from 0 to 100, with at most one decimal, and %"
+    )]
     BadPercent(String),
     /// Not a window of the day.
     #[error("`{0}` is no window; write two different times of day as `06:00-18:30`")]
@@ -147,9 +149,14 @@
     /// Conditions that exclude one another.
     #[error("rule `{0}` can't match: its conditions exclude one another")]
     NeverMatches(String),
-    /// The least size is above the greatest.
-    #[error("`min` is above `max`")]
-    EmptyRange,
+    /// A lower bound above the upper one.
+    #[error("`{low}` is above `{high}`")]
+    Crossed {
+        /// Key of the lower bound.
+        low: &'static str,
+        /// Key of the upper bound.
+        high: &'static str,
+    },
     /// A pool that nothing is sent to.
     #[error("no rule sends anything to pool `{0}`")]
     UnusedPool(String),
--- a/crates/rules/src/features.rs
+++ b/crates/rules/src/features.rs
@@ -1,59 +1,96 @@
-//! Tables of the features that act under load; each has the name of the feature it sets.
+//! Tables of the features that act under load; each has the name of the module in `policy` that it
+//! sets, and its keys the names of that module's settings.
 //!
-//! The defaults are starting values for a fleet of today's size. The module of each feature holds
-//! the grounds of its own figures; a table here exists so that an operator can change them without
-//! a new release.
+//! The defaults are that module's, which also holds their grounds. A table here exists so that an
+//! operator can change a figure without a new release; what only a developer could judge, such as
+//! the weight of a new sample, has no key.
 
 use crate::table::{table, Field};
 use crate::units::{Duration, Percent};
 
 table! {
-    /// How replicas are asked before one is chosen.
-    Probe in "probe" {
-        /// Replicas asked for one request at most.
-        "fanout" fanout: u32 = 4;
-        /// How long an answer is waited for.
-        "timeout" timeout: Duration = Duration::from_millis(5);
+    /// Which replicas are asked for a request.
+    Place in "place" {
+        /// Most replicas asked for one request.
+        "probes" probes: u32 = 4;
     }
 }
 
 table! {
-    /// How requests wait at a target.
-    Queue in "queue" {
-        /// Requests that wait at one target at most.
-        "depth" depth: u32 = 256;
-        /// Wait after which a long request goes before short ones of its class.
-        "age" age: Duration = Duration::from_secs(2);
+    /// Places held at replicas for requests that may come.
+    Reserve in "reserve" {
+        /// How long a place is held for a request that doesn't come.
+        "hold" hold: Duration = Duration::from_millis(50);
     }
 }
 
 table! {
     /// What is turned away before it waits.
     Admit in "admit" {
-        /// Part of each target's capacity that is kept for class `call`.
-        "reserve" reserve: Percent = Percent::of(20);
+        /// Most requests that wait at one target.
+        "places" places: u32 = 1_024;
+        /// Part of the places that only class `call` may take.
+        "reserve" reserve: Percent = Percent::permille(125);
+        /// Longest expected wait of class `call`.
+        "call" call: Duration = Duration::from_secs(8);
+        /// Longest expected wait of class `normal`.
+        "normal" normal: Duration = Duration::from_secs(8);
+        /// Longest expected wait of class `batch`.
+        "batch" batch: Duration = Duration::from_secs(60);
+    }
+}
+
+table! {
+    /// In which order requests leave a target's queue.
+    Queue in "queue" {
+        /// Part of the work assured to class `normal` while calls wait too.
+        "normal" normal: Percent = Percent::permille(100);
+        /// Part of the work assured to class `batch` while more urgent requests wait too.
+        "batch" batch: Percent = Percent::permille(50);
+        /// By how many times its own work a long request falls back behind later ones.
+        "ageing" ageing: u32 = 4;
+    }
+}
+
+table! {
+    /// How many requests a target runs at once.
+    Concurrency in "concurrency" {
+        /// Smallest limit.
+        "least" least: u32 = 1;
+        /// Limit before anything was measured.
+        "first" first: u32 = 4;
+        /// Largest limit.
+        "most" most: u32 = 256;
     }
 }
 
 table! {
     /// How often a request is tried again.
     Retry in "retry" {
-        /// Tries of one request at most, the first included.
+        /// Most attempts for one request, the first included.
         "attempts" attempts: u32 = 3;
-        /// Retries as a part of all requests.
-        "budget" budget: Percent = Percent::of(10);
+        /// Retries earned by each request.
+        "share" share: Percent = Percent::permille(100);
+        /// Most retries saved up.
+        "saved" saved: u32 = 10;
     }
 }
 
 table! {
     /// When a target is taken out for a while.
     Health in "health" {
-        /// Times as slow as its peers' median before a target is taken out.
+        /// Multiple of its peers' median that is too slow.
         "slow" slow: u32 = 3;
-        /// Part of a pool's targets that may be out at once.
-        "eject" eject: Percent = Percent::of(30);
-        /// How long a target stays out before it is tried again.
-        "trial" trial: Duration = Duration::from_secs(5);
+        /// Samples before a target is judged.
+        "samples" samples: u32 = 8;
+        /// Largest part of a pool that may be out; always at least one target of a small pool.
+        "ejected" ejected: Percent = Percent::permille(250);
+        /// First time out.
+        "out" out: Duration = Duration::from_secs(5);
+        /// Longest time out.
+        "longest" longest: Duration = Duration::from_secs(300);
+        /// Good requests in a row that end a trial.
+        "trials" trials: u32 = 3;
     }
 }
 
@@ -62,25 +99,29 @@
     Quarantine in "quarantine" {
         /// Crashes after which it is refused.
         "strikes" strikes: u32 = 2;
-        /// How long it is refused.
-        "release" release: Duration = Duration::from_secs(600);
+        /// How long a crash counts and a refusal lasts.
+        "lasts" lasts: Duration = Duration::from_secs(600);
+        /// Most requests remembered by their fingerprints; the oldest go first.
+        "kept" kept: u32 = 4_096;
     }
 }
 
 table! {
     /// How a planned stop goes.
     Drain in "drain" {
-        /// How long running requests may take to end before the stop is reported as late.
-        "timeout" timeout: Duration = Duration::from_secs(30);
+        /// How long late arrivals are expected after readiness is withdrawn.
+        "notice" notice: Duration = Duration::from_secs(5);
     }
 }
 
 /// Every key of these tables.
 pub(crate) fn fields() -> Vec<Field> {
     [
-        Probe::fields(),
-        Queue::fields(),
+        Place::fields(),
+        Reserve::fields(),
         Admit::fields(),
+        Queue::fields(),
+        Concurrency::fields(),
         Retry::fields(),
         Health::fields(),
         Quarantine::fields(),
--- a/crates/rules/src/rulecheck.rs
+++ b/crates/rules/src/rulecheck.rs
@@ -84,7 +84,11 @@
         .zip(when.prompt.max)
         .is_some_and(|(a, b)| a > b)
     {
-        reader.note(format!("{path}.prompt"), FaultKind::EmptyRange);
+        let (low, high) = ("min", "max");
+        reader.note(
+            format!("{path}.prompt.min"),
+            FaultKind::Crossed { low, high },
+        );
     }
 }
 
--- a/crates/rules/src/units.rs
+++ b/crates/rules/src/units.rs
@@ -41,9 +41,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Size(pub u64);
 
-/// A part of a whole, written as `20%`.
+/// A part of a whole in thousandths, written as `20%` or `12.5%`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Percent(u8);
+pub struct Percent(u16);
 
 /// A part of each day in UTC, from its first minute up to, but not including, its last; one that
 /// ends before it starts goes on past midnight.
@@ -70,17 +70,17 @@
 }
 
 impl Percent {
-    /// So many hundredths, at most all of them.
-    pub const fn of(hundredths: u8) -> Self {
-        match hundredths {
-            0..=100 => Self(hundredths),
-            _ => Self(100),
+    /// So many thousandths, at most all of them.
+    pub const fn permille(n: u16) -> Self {
+        match n {
+            0..=1000 => Self(n),
+            _ => Self(1000),
         }
     }
 
     /// As a fraction of one.
     pub fn fraction(self) -> f64 {
-        f64::from(self.0) / 100.0
+        f64::from(self.0) / 1e3
     }
 }
 
@@ -152,6 +152,14 @@
     text.len() == n && text.bytes().all(|b| b.is_ascii_digit())
 }
 
+/// Thousandths of a percentage with at most one decimal.
+fn permille(text: &str) -> Option<u16> {
+    let (whole, tenth) = text.split_once('.').unwrap_or((text, "0"));
+    let plain = (1..=3).any(|n| digits(whole, n)) && digits(tenth, 1);
+    let value = |s: &str| s.parse::<u16>().ok();
+    plain.then_some(value(whole)? * 10 + value(tenth)?)
+}
+
 /// Minutes since midnight of `hh:mm`.
 fn minutes(text: &str) -> Option<u16> {
     let (h, m) = text.split_once(':')?;
@@ -185,9 +193,8 @@
 
     fn from_str(s: &str) -> Result<Self, Self::Err> {
         s.strip_suffix('%')
-            .filter(|n| (1..=3).any(|len| digits(n, len)))
-            .and_then(|n| n.parse().ok())
-            .filter(|n| *n <= 100)
+            .and_then(permille)
+            .filter(|n| *n <= 1000)
             .map(Self)
             .ok_or_else(|| FaultKind::BadPercent(s.to_owned()))
     }
@@ -228,7 +235,10 @@
 
 impl fmt::Display for Percent {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}%", self.0)
+        match (self.0 / 10, self.0 % 10) {
+            (whole, 0) => write!(f, "{whole}%"),
+            (whole, tenth) => write!(f, "{whole}.{tenth}%"),
+        }
     }
 }
 
--- a/crates/rules/tests/faults.rs
+++ b/crates/rules/tests/faults.rs
@@ -57,12 +57,12 @@
     Case {
         text: r#"limits = { requests = "many", body = 4 }
 region = 1
-drain = { timeout = [] }"#,
+drain = { notice = [] }"#,
         faults: &[
             "1:23: error: limits.requests: expected integer, found string",
             "1:38: error: limits.body: expected string, found integer",
             "2:10: error: region: expected table, found integer",
-            "3:21: error: drain.timeout: expected string, found array",
+            "3:20: error: drain.notice: expected string, found array",
         ],
     },
     Case {
@@ -76,13 +76,13 @@
         text: r#"[limits]
 body = "4MB"
 [drain]
-timeout = "8 s"
+notice = "8 s"
 [admit]
 reserve = "101%""#,
         faults: &[
             "2:8: error: limits.body: `4MB` is no size; write a whole number and B, KiB, MiB or GiB",
-            "4:11: error: drain.timeout: `8 s` is no duration; write a whole number and us, ms, s, m, h or d",
-            "6:11: error: admit.reserve: `101%` is no percentage; write a whole number from 0 to 100 and %",
+            "4:10: error: drain.notice: `8 s` is no duration; write a whole number and us, ms, s, m, h or d",
+            "6:11: error: admit.reserve: `101%` is no percentage; write a number from 0 to 100, with at most one decimal, and %",
         ],
     },
     Case {
@@ -116,6 +116,18 @@
             "3:47: error: rule[0].when.header.X-Kind: `X-Kind` is no header name; names are written in lower case",
         ],
     },
+    Case {
+        text: r#"[concurrency]
+least = 8
+[health]
+out = "1h"
+slow = 0"#,
+        faults: &[
+            "2:9: error: concurrency.least: `least` is above `first`",
+            "4:7: error: health.out: `out` is above `longest`",
+            "5:8: error: health.slow: `slow` can't be zero",
+        ],
+    },
     Case {
         text: r#"[region.east]
 domains = ["a", "b"]
@@ -292,7 +304,7 @@
 when.prompt = { min = "2KiB", max = "1KiB" }
 then.pool = "desk""#,
         faults: &[
-            "3:6: error: rule[0].when.prompt: `min` is above `max`",
+            "3:23: error: rule[0].when.prompt.min: `min` is above `max`",
         ],
     },
     Case {
--- a/crates/rules/tests/properties.rs
+++ b/crates/rules/tests/properties.rs
@@ -206,9 +206,9 @@
         btree_map(name(), pool(), 0..3),
         btree_map(name(), team(), 0..3),
     );
-    let features = (limits(), any::<u32>(), any::<u64>(), 0u8..=100);
+    let features = (limits(), any::<u32>(), any::<u64>(), 0u16..=1000);
     (tables, features, vec(rule(), 0..4)).prop_map(
-        |((region, pool, team), (limits, fanout, span, part), rule)| {
+        |((region, pool, team), (limits, probes, span, part), rule)| {
             let mut c = Config {
                 region,
                 pool,
@@ -217,9 +217,9 @@
                 rule,
                 ..Config::default()
             };
-            c.probe.fanout = fanout;
-            c.drain.timeout = Duration(model::Micros(span));
-            c.retry.budget = Percent::of(part);
+            c.place.probes = probes;
+            c.drain.notice = Duration(model::Micros(span));
+            c.retry.share = Percent::permille(part);
             c
         },
     )
--- a/crates/rules/tests/tables.rs
+++ b/crates/rules/tests/tables.rs
@@ -94,9 +94,12 @@
     assert_eq!(Size(1 << 40).to_string(), "1024GiB");
     assert_matches!("4MB".parse::<Size>(), Err(_));
     assert_matches!("17179869184GiB".parse::<Size>(), Err(_));
-    assert_eq!("20%".parse(), Ok(Percent::of(20)));
-    assert_matches!("+2%".parse::<Percent>(), Err(_));
-    assert_matches!("%".parse::<Percent>(), Err(_));
+    assert_eq!("20%".parse(), Ok(Percent::permille(200)));
+    assert_eq!("12.5%".parse(), Ok(Percent::permille(125)));
+    assert_eq!(Percent::permille(125).to_string(), "12.5%");
+    for bad in ["+2%", "%", "1.25%", ".5%", "5.%", "100.1%", "65536%"] {
+        assert_matches!(bad.parse::<Percent>(), Err(_), "{bad}");
+    }
 
     let night: Window = "22:00-06:00".parse().unwrap();
     let minutes = [1319, 1320, 1439, 0, 359, 360].map(|m| night.contains(m));
