Let printing fail with its error instead of an empty text

An empty text in place of a configuration that can't be printed would be taken for an empty configuration. No configuration that the property test draws fails to print. Deeply nested texts are faults too, tested at 100,000 levels.

--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -234,10 +234,8 @@
 impl Config {
     /// The configuration in canonical form: parsing it gives the same configuration, and printing
     /// that the same text. Comments are lost.
-    pub fn print(&self) -> String {
-        // Every type here prints as TOML; the property test over arbitrary configurations would
-        // show one that doesn't.
-        toml::to_string(self).unwrap_or_default()
+    pub fn print(&self) -> Result<String, toml::ser::Error> {
+        toml::to_string(self)
     }
 
     /// The cache scope of a team: its own name unless it shares one.
--- a/crates/rules/src/read.rs
+++ b/crates/rules/src/read.rs
@@ -14,7 +14,7 @@
 use crate::units::{Duration, Glob, Percent, Size, Window};
 
 /// How alike two words must be for one to be suggested in place of the other; `strsim` gives 1 to
-/// equal words. Two swapped letters in a word of four still pass.
+/// equal words. Words that are one edit apart are suggested whatever this says.
 const ALIKE: f64 = 0.7;
 
 /// A value that can be read from the text.
@@ -103,6 +103,41 @@
         }
     }
 
+    /// Remembers where a key stands: a table at its name, anything else at its value.
+    fn enter<K: AsRef<str>>(
+        &mut self,
+        path: &str,
+        key: &Spanned<K>,
+        value: &Spanned<DeValue<'_>>,
+    ) -> String {
+        let name = key.get_ref().as_ref();
+        let path = match path.is_empty() {
+            true => name.to_owned(),
+            false => format!("{path}.{name}"),
+        };
+        let Range { start, .. } = match value.get_ref() {
+            DeValue::Table(_) => key.span(),
+            _ => value.span(),
+        };
+        self.spots.insert(path.clone(), start);
+        path
+    }
+
+    /// Reads a word or a value written as text.
+    pub(crate) fn text<T: FromStr<Err = FaultKind>>(
+        &mut self,
+        path: &str,
+        value: &Spanned<DeValue<'_>>,
+    ) -> Option<T> {
+        match value.get_ref() {
+            DeValue::String(s) => s.parse().map_err(|kind| self.note(path, kind)).ok(),
+            other => {
+                self.wrong(path, "string", other);
+                None
+            }
+        }
+    }
+
     fn wrong(&mut self, path: &str, want: &'static str, value: &DeValue<'_>) {
         let found = value.type_str();
         self.note(path, FaultKind::WrongType { want, found });
@@ -189,43 +224,6 @@
     }
 }
 
-impl Reader {
-    /// Remembers where a key stands: a table at its name, anything else at its value.
-    fn enter<K: AsRef<str>>(
-        &mut self,
-        path: &str,
-        key: &Spanned<K>,
-        value: &Spanned<DeValue<'_>>,
-    ) -> String {
-        let name = key.get_ref().as_ref();
-        let path = match path.is_empty() {
-            true => name.to_owned(),
-            false => format!("{path}.{name}"),
-        };
-        let Range { start, .. } = match value.get_ref() {
-            DeValue::Table(_) => key.span(),
-            _ => value.span(),
-        };
-        self.spots.insert(path.clone(), start);
-        path
-    }
-
-    /// Reads a word or a value written as text.
-    pub(crate) fn text<T: FromStr<Err = FaultKind>>(
-        &mut self,
-        path: &str,
-        value: &Spanned<DeValue<'_>>,
-    ) -> Option<T> {
-        match value.get_ref() {
-            DeValue::String(s) => s.parse().map_err(|kind| self.note(path, kind)).ok(),
-            other => {
-                self.wrong(path, "string", other);
-                None
-            }
-        }
-    }
-}
-
 /// The name most like another one, if any is like it.
 pub(crate) fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<String> {
     known
--- a/crates/rules/tests/properties.rs
+++ b/crates/rules/tests/properties.rs
@@ -287,7 +287,7 @@
     let rule = (sparse(), sparse(), then);
     vec(rule, 1..90).prop_map(|rules| {
         let mut config = around(rules);
-        match RuleSet::compile(config.print()) {
+        match RuleSet::compile(config.print().unwrap()) {
             Ok(rules) => rules,
             Err(faults) => {
                 let bad = |i| format!("rule[{i}]");
@@ -299,7 +299,7 @@
                 };
                 let kept = config.rule.drain(..).enumerate().filter(|(i, _)| clean(*i));
                 config.rule = kept.map(|(_, r)| r).collect();
-                RuleSet::compile(config.print()).unwrap_or_else(|e| panic!("{e}"))
+                RuleSet::compile(config.print().unwrap()).unwrap_or_else(|e| panic!("{e}"))
             }
         }
     })
@@ -377,10 +377,10 @@
 
     #[test]
     fn printing_and_parsing_is_the_identity(config in config()) {
-        let text = config.print();
+        let text = config.print().unwrap();
         let (again, _) = rules::parse("", &text);
         prop_assert_eq!(&again, &config);
-        prop_assert_eq!(again.print(), text);
+        prop_assert_eq!(again.print().unwrap(), text);
     }
 
     #[test]
@@ -411,7 +411,7 @@
         facts in vec(facts(), 64),
     ) {
         let rules = pairs.into_iter().map(|(when, not)| (when, not, Then::default()));
-        let (config, faults) = rules::parse("", &around(rules.collect()).print());
+        let (config, faults) = rules::parse("", &around(rules.collect()).print().unwrap());
         let matches = |name: &str, f: &Facts| {
             let rule = config.rule.iter().filter(|r| r.name == name).cloned().collect();
             oracle(&Config { rule, ..Config::default() }, f).is_some()
@@ -454,6 +454,14 @@
     }
 }
 
+#[test]
+fn deep_nesting_is_faulted() {
+    for open in ["[", "{a=", "a."] {
+        let faults = RuleSet::compile(format!("a = {}", open.repeat(100_000))).unwrap_err();
+        assert!(faults.has_errors());
+    }
+}
+
 #[test]
 fn truncated_samples_are_read_or_faulted() {
     let samples = [
