--- a/crates/rules/src/read.rs
+++ b/crates/rules/src/read.rs
@@ -14,11 +14,14 @@
 use crate::units::{Duration, Glob, Percent, Size, Window};
 
 /// How alike two words must be for one to be suggested in place of the other; `strsim` gives 1 to
-/// equal words. Two swapped letters in a word of four still pass.
+/// equal words. Words that are one edit apart are suggested whatever this says.
 const ALIKE: f64 = 0.7;
 
 /// A value that can be read from the text.
 pub(crate) trait Read: Sized {
+    /// What it is called in documentation.
+    fn kind() -> String;
+
     /// Reads it; absent if it can't be read, which the reader has noted then.
     fn read(reader: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self>;
 }
@@ -100,6 +103,41 @@
         }
     }
 
+    /// Remembers where a key stands: a table at its name, anything else at its value.
+    fn enter<K: AsRef<str>>(
+        &mut self,
+        path: &str,
+        key: &Spanned<K>,
+        value: &Spanned<DeValue<'_>>,
+    ) -> String {
+        let name = key.get_ref().as_ref();
+        let path = match path.is_empty() {
+            true => name.to_owned(),
+            false => format!("{path}.{name}"),
+        };
+        let Range { start, .. } = match value.get_ref() {
+            DeValue::Table(_) => key.span(),
+            _ => value.span(),
+        };
+        self.spots.insert(path.clone(), start);
+        path
+    }
+
+    /// Reads a word or a value written as text.
+    pub(crate) fn text<T: FromStr<Err = FaultKind>>(
+        &mut self,
+        path: &str,
+        value: &Spanned<DeValue<'_>>,
+    ) -> Option<T> {
+        match value.get_ref() {
+            DeValue::String(s) => s.parse().map_err(|kind| self.note(path, kind)).ok(),
+            other => {
+                self.wrong(path, "string", other);
+                None
+            }
+        }
+    }
+
     fn wrong(&mut self, path: &str, want: &'static str, value: &DeValue<'_>) {
         let found = value.type_str();
         self.note(path, FaultKind::WrongType { want, found });
@@ -186,43 +224,6 @@
     }
 }
 
-impl Reader {
-    /// Remembers where a key stands: a table at its name, anything else at its value.
-    fn enter<K: AsRef<str>>(
-        &mut self,
-        path: &str,
-        key: &Spanned<K>,
-        value: &Spanned<DeValue<'_>>,
-    ) -> String {
-        let name = key.get_ref().as_ref();
-        let path = match path.is_empty() {
-            true => name.to_owned(),
-            false => format!("{path}.{name}"),
-        };
-        let Range { start, .. } = match value.get_ref() {
-            DeValue::Table(_) => key.span(),
-            _ => value.span(),
-        };
-        self.spots.insert(path.clone(), start);
-        path
-    }
-
-    /// Reads a word or a value written as text.
-    pub(crate) fn text<T: FromStr<Err = FaultKind>>(
-        &mut self,
-        path: &str,
-        value: &Spanned<DeValue<'_>>,
-    ) -> Option<T> {
-        match value.get_ref() {
-            DeValue::String(s) => s.parse().map_err(|kind| self.note(path, kind)).ok(),
-            other => {
-                self.wrong(path, "string", other);
-                None
-            }
-        }
-    }
-}
-
 /// The name most like another one, if any is like it.
 pub(crate) fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<String> {
     known
@@ -240,8 +241,12 @@
 }
 
 macro_rules! read_text {
-    ($($name:ty)*) => {$(
+    ($($name:ty: $kind:literal)*) => {$(
         impl Read for $name {
+            fn kind() -> String {
+                $kind.to_owned()
+            }
+
             fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
                 r.text(path, value)
             }
@@ -251,9 +256,19 @@
 
 pub(crate) use read_text;
 
-read_text!(Duration Size Percent Window Glob);
+read_text!(
+    Duration: "duration"
+    Size: "size"
+    Percent: "percentage"
+    Window: "window"
+    Glob: "pattern"
+);
 
 impl Read for String {
+    fn kind() -> String {
+        "text".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::String(s) => Some(s.to_string()),
@@ -266,6 +281,10 @@
 }
 
 impl Read for bool {
+    fn kind() -> String {
+        "boolean".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::Boolean(b) => Some(*b),
@@ -278,6 +297,10 @@
 }
 
 impl Read for u32 {
+    fn kind() -> String {
+        "integer".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         match value.get_ref() {
             DeValue::Integer(i) => Self::from_str_radix(i.as_str(), i.radix())
@@ -292,6 +315,10 @@
 }
 
 impl<T: Read> Read for Option<T> {
+    fn kind() -> String {
+        T::kind()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         T::read(r, path, value).map(Some)
     }
@@ -299,6 +326,10 @@
 
 /// A list of one may be written without brackets.
 impl<T: Read> Read for Vec<T> {
+    fn kind() -> String {
+        format!("list: {}", T::kind())
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         let DeValue::Array(items) = value.get_ref() else {
             return T::read(r, path, value).map(|one| vec![one]);
@@ -314,6 +345,10 @@
 }
 
 impl<T: Read> Read for BTreeMap<String, T> {
+    fn kind() -> String {
+        format!("table: {}", T::kind())
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         let DeValue::Table(table) = value.get_ref() else {
             r.wrong(path, "table", value.get_ref());
