Test the whole path with the real binaries

tests/common starts the daemon as child processes before stand-ins of this process; two tests: a stream is whole and word for word through each entry, and what can't be used is refused as not run with nothing sent on.

--- /dev/null
+++ b/crates/daemon/tests/common/child.rs
@@ -0,0 +1,133 @@
+//! The real binary as a child process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+
+use serde_json::Value;
+
+use super::OPERATOR;
+
+/// A fleet key for tests.
+pub const FLEET_KEY: &str = "00000000000000000000000000000000000000000000000000000000000000aa";
+
+/// One process; it is killed when dropped.
+pub struct Child {
+    child: std::process::Child,
+    ready: Value,
+    args: Vec<String>,
+}
+
+impl Child {
+    /// A sidecar before a target.
+    pub fn sidecar(
+        platform: &str,
+        seeds: &str,
+        target: SocketAddr,
+        pool: &str,
+        kind: &str,
+    ) -> Self {
+        let target = format!("http://{target}");
+        Self::run(&[
+            "sidecar",
+            "--platform",
+            platform,
+            "--seeds",
+            seeds,
+            "--target",
+            &target,
+            "--pool",
+            pool,
+            "--kind",
+            kind,
+            "--notice-ms",
+            "200",
+        ])
+    }
+
+    /// An entry.
+    pub fn entry(platform: &str, seeds: &str) -> Self {
+        Self::run(&[
+            "entry",
+            "--platform",
+            platform,
+            "--seeds",
+            seeds,
+            "--notice-ms",
+            "200",
+        ])
+    }
+
+    /// Any process of ours, once it listens.
+    pub fn run(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_clementinestepd"))
+            .args(args)
+            .env("CLEMENTINESTEP_KEY", FLEET_KEY)
+            .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR)
+            .env("CLEMENTINESTEP_LOG_LEVEL", "warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("start of the daemon");
+        let out = child.stdout.take().expect("its output");
+        let mut line = String::new();
+        BufReader::new(out)
+            .read_line(&mut line)
+            .expect("its ready line");
+        let ready = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"));
+        let args = args.iter().map(ToString::to_string).collect();
+        Self { child, ready, args }
+    }
+
+    /// One of the addresses it listens on: callers, peer, admin or gossip.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let text = self.ready[name].as_str().expect("such an address");
+        text.parse().expect("an address")
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Tells it to stop.
+    pub fn stop(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits for its end; true if it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|s| s.success())
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Kills it and starts it anew with the same settings and more of them.
+    pub fn restart(&mut self, more: &[&str]) {
+        self.kill();
+        let mut args: Vec<&str> = self.args.iter().map(String::as_str).collect();
+        args.extend(more);
+        *self = Self::run(&args);
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,232 @@
+//! A small fleet for process tests: stand-ins in this process, the real binary as children.
+//!
+//! Waiting is for events, with a limit so generous that only a fault reaches it.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses its own part"
+)]
+
+pub mod caller;
+pub mod child;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use standin::engine::{Engine, Settings};
+use standin::platform::Platform;
+use standin::service::Service;
+use viz::Router;
+
+pub use caller::Caller;
+pub use child::Child;
+
+/// Longest wait for anything.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// A caller's key in the sample configuration.
+pub const KEY: &str = "sample-key-one";
+/// The operators' key.
+pub const OPERATOR: &str = "sample-operator-key";
+/// The configuration of most tests.
+pub const QUICKSTART: &str = include_str!("../../../../examples/quickstart.toml");
+
+/// A stand-in on a runtime of its own, so that it can be killed with all its connections.
+pub struct StandIn {
+    run: Option<tokio::runtime::Runtime>,
+    pub at: SocketAddr,
+}
+
+impl StandIn {
+    /// Starts one at an address; port 0 for any.
+    pub fn start(at: SocketAddr, router: Router) -> Self {
+        let run = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("runtime");
+        let (at, server) = run.block_on(standin::listen(at, router)).expect("listen");
+        run.spawn(server);
+        Self { run: Some(run), at }
+    }
+
+    /// Ends it at once; its connections break.
+    pub fn kill(&mut self) {
+        if let Some(run) = self.run.take() {
+            run.shutdown_timeout(Duration::from_secs(5));
+        }
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Any free port.
+pub fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("constant")
+}
+
+/// A model engine with its sidecar.
+pub struct Replica {
+    pub engine: Arc<Engine>,
+    pub standin: StandIn,
+    pub sidecar: Child,
+}
+
+/// A fleet of the quickstart configuration.
+pub struct Fleet {
+    pub platform: Arc<Platform>,
+    pub platform_at: StandIn,
+    pub service: Arc<Service>,
+    pub service_at: StandIn,
+    pub fieldops: Child,
+    pub replicas: Vec<Replica>,
+    pub entries: Vec<Child>,
+}
+
+/// Settings of an engine that fits the quickstart configuration and answers quickly.
+pub fn quick() -> Settings {
+    Settings {
+        weights: "1".to_owned(),
+        decode: Duration::from_millis(2),
+        prefill: Duration::from_micros(100),
+        lag: Duration::from_millis(10),
+        ..Settings::default()
+    }
+}
+
+impl Fleet {
+    /// Starts so many entries and engines and puts the quickstart configuration in force.
+    pub fn start(entries: usize, engines: usize, set: &Settings) -> Self {
+        let platform = Platform::new();
+        let platform_at = StandIn::start(any(), platform.router());
+        let service = Service::new(Duration::from_millis(1));
+        let service_at = StandIn::start(any(), service.router());
+        let url = format!("http://{}", platform_at.at);
+        let fieldops = Child::sidecar(&url, "", service_at.at, "fieldops", "plain");
+        let mut fleet = Self {
+            platform,
+            platform_at,
+            service,
+            service_at,
+            fieldops,
+            replicas: Vec::new(),
+            entries: Vec::new(),
+        };
+        for _ in 0..engines {
+            fleet.add_replica(set);
+        }
+        for _ in 0..entries {
+            fleet.add_entry();
+        }
+        fleet.wait_members();
+        fleet.apply(QUICKSTART);
+        fleet
+    }
+
+    /// The platform's URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.platform_at.at)
+    }
+
+    /// A membership address to start from.
+    pub fn seed(&self) -> String {
+        self.fieldops.address("gossip").to_string()
+    }
+
+    /// Adds an engine and its sidecar.
+    pub fn add_replica(&mut self, set: &Settings) {
+        let engine = Engine::new(set.clone());
+        let standin = StandIn::start(any(), engine.router());
+        let (url, seed) = (self.url(), self.seed());
+        let sidecar = Child::sidecar(&url, &seed, standin.at, "lekha-llm", "model");
+        self.replicas.push(Replica {
+            engine,
+            standin,
+            sidecar,
+        });
+    }
+
+    /// Adds an entry.
+    pub fn add_entry(&mut self) {
+        let entry = Child::entry(&self.url(), &self.seed());
+        self.entries.push(entry);
+    }
+
+    /// A caller of an entry.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].address("callers"), KEY)
+    }
+
+    /// An operator at an entry.
+    pub fn operator(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].address("admin"), OPERATOR)
+    }
+
+    /// Waits until every entry sees all processes.
+    pub fn wait_members(&self) {
+        let all = 1 + self.replicas.len() + self.entries.len();
+        for n in 0..self.entries.len() {
+            wait_for("all members to be seen", || self.live(n) == all);
+        }
+    }
+
+    /// Live members as an entry sees them.
+    pub fn live(&self, entry: usize) -> usize {
+        let status = self.operator(entry).get("/admin/status").json();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let live = |m: &&Value| m["state"] == "alive" || m["state"] == "suspect";
+        members.iter().filter(live).count()
+    }
+
+    /// Puts a configuration in force at all entries; gives its version.
+    pub fn apply(&self, text: &str) -> u64 {
+        let operation = format!("{:032x}", rand::random::<u128>());
+        let body = serde_json::json!({"text": text, "operation": operation, "author": "test"});
+        let answer = self
+            .operator(0)
+            .put("/admin/configuration", &body.to_string());
+        assert_eq!(answer.status, 200, "apply: {}", answer.text());
+        let version = answer.json()["version"].as_u64().expect("version");
+        for n in 0..self.entries.len() {
+            self.wait_version(n, version);
+        }
+        version
+    }
+
+    /// Waits until an entry has a version or a later one in force.
+    pub fn wait_version(&self, entry: usize, version: u64) {
+        let operator = self.operator(entry);
+        wait_for("the version to be in force", || {
+            let v = operator.get("/admin/configuration").json();
+            v["version"].as_u64() >= Some(version)
+        });
+    }
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < until, "waited in vain for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A completion request.
+pub fn completion(prompt: &str, tokens: usize, stream: bool) -> String {
+    serde_json::json!({"model": "lekha", "prompt": prompt, "max_tokens": tokens, "stream": stream})
+        .to_string()
+}
+
+/// The words that an engine answers.
+pub fn words(prompt: &str, tokens: usize) -> Vec<String> {
+    (0..tokens)
+        .map(|i| standin::engine::word(prompt, i))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/tests/path.rs
@@ -0,0 +1,55 @@
+//! The whole path with the real binaries: what a caller gets.
+
+mod common;
+
+use common::{completion, quick, words, Fleet};
+
+/// A caller may get the answer of an engine only as the engine gave it.
+#[test]
+fn stream_is_whole_through_each_entry() {
+    let fleet = Fleet::start(2, 2, &quick());
+    for entry in 0..2 {
+        let prompt = format!("{} question {entry}", "a shared opening. ".repeat(40));
+        let answer = fleet
+            .caller(entry)
+            .post("/v1/completions", &completion(&prompt, 20, true));
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert!(answer.whole(), "{}", answer.text());
+        assert_eq!(answer.words(), words(&prompt, 20));
+    }
+}
+
+/// One way to be refused before anything is sent on.
+struct Refused {
+    what: &'static str,
+    method: &'static str,
+    path: &'static str,
+    key: &'static str,
+    body: &'static str,
+    status: u16,
+    code: &'static str,
+}
+
+#[test]
+fn unusable_requests_are_refused_as_not_run() {
+    let fleet = Fleet::start(1, 1, &quick());
+    let good = common::KEY;
+    #[rustfmt::skip]
+    let cases = [
+        Refused { what: "unknown key", method: "POST", path: "/v1/completions", key: "x", body: "{}", status: 401, code: "unknown_team" },
+        Refused { what: "broken JSON", method: "POST", path: "/v1/completions", key: good, body: "{", status: 400, code: "bad_request" },
+        Refused { what: "no prompt", method: "POST", path: "/v1/completions", key: good, body: "{}", status: 400, code: "bad_request" },
+        Refused { what: "wrong method", method: "GET", path: "/v1/completions", key: good, body: "", status: 405, code: "bad_method" },
+        Refused { what: "no rule", method: "POST", path: "/elsewhere", key: good, body: "", status: 404, code: "no_rule" },
+    ];
+    for c in cases {
+        let to = fleet.entries[0].address("callers");
+        let answer = common::Caller::new(to, c.key).send(c.method, c.path, &[], c.body);
+        assert_eq!(answer.status, c.status, "{}: {}", c.what, answer.text());
+        assert_eq!(answer.code(), c.code, "{}", c.what);
+        assert_eq!(answer.header("x-outcome"), Some("not-run"), "{}", c.what);
+        assert!(answer.header("x-request-id").is_some(), "{}", c.what);
+    }
+    let log = fleet.replicas[0].engine.ran();
+    assert!(log.is_empty(), "{log:?}");
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -164,6 +164,11 @@
             })
     }
 
+    /// What it has run.
+    pub fn ran(&self) -> Vec<Ran> {
+        lock(&self.log).clone()
+    }
+
     async fn complete(self: Arc<Self>, mut req: Request) -> Result<Response> {
         let id = req.header::<_, String>("x-request-id").unwrap_or_default();
         let body = req.bytes().await.map_err(viz::Error::boxed)?;
@@ -205,7 +210,7 @@
             let _ = tx
                 .send(Ok(format!("data: {end}\n\ndata: [DONE]\n\n").into()))
                 .await;
-            self.ran(&job, cached, whole);
+            self.note(&job, cached, whole);
             drop(slot);
         });
         let body = futures::stream::unfold(rx, |mut rx| async { Some((rx.recv().await?, rx)) });
@@ -221,7 +226,7 @@
         let seat = Seat::new(&self.running);
         tokio::time::sleep(self.set.decode * job.ask.max_tokens as u32).await;
         drop((seat, slot));
-        self.ran(&job, cached, true);
+        self.note(&job, cached, true);
         let text: String = (0..job.ask.max_tokens)
             .map(|i| word(&job.prompt, i))
             .collect();
@@ -302,7 +307,7 @@
             "prompt_tokens_details": {"cached_tokens": cached * BLOCK / 4}})
     }
 
-    fn ran(&self, job: &Job, cached: usize, whole: bool) {
+    fn note(&self, job: &Job, cached: usize, whole: bool) {
         let blocks = job.prompt.len() / BLOCK;
         lock(&self.log).push(Ran {
             request: job.id.clone(),
