--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -12,6 +12,7 @@
 use policy::retry;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
+use tracing::Instrument;
 use wire::{Ack, Body, Cancel, Head, Header, Open, Refuse, Resume, WireError};
 
 use crate::clock;
@@ -23,6 +24,7 @@
 use crate::entry::Context;
 use crate::link::Link;
 use crate::log;
+use crate::{hop, trace};
 
 /// Longest silence of a sidecar, four of its heartbeats.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -61,7 +63,7 @@
     /// When the answer is of no more use.
     pub deadline: Instant,
     /// Trace context.
-    pub trace: String,
+    pub trace: trace::Context,
 }
 
 /// What goes to the target.
@@ -105,6 +107,8 @@
     };
     let relay = Relay::new(job.idempotent, stream);
     let _taken = Taken::new(&cx);
+    let hop = job.trace.child();
+    let span = hop!("entry", job.trace, hop, request = job.id);
     Drive {
         cx,
         job,
@@ -117,8 +121,10 @@
         cost: None,
         sent: Instant::now(),
         at: None,
+        hop,
     }
     .run()
+    .instrument(span)
     .await;
 }
 
@@ -138,6 +144,8 @@
     sent: Instant,
     /// The replica of the current attempt.
     at: Option<model::TargetKey>,
+    /// The span of the whole request.
+    hop: trace::Context,
 }
 
 /// How one exchange ended, seen from the request.
@@ -164,7 +172,10 @@
         let mut failure = none();
         loop {
             let view = self.cx.view.load_full();
-            let picked = match pick(&self.cx, &view, &self.job.want, &self.tried).await {
+            let probe = self.hop.child();
+            let span = hop!("probe", self.hop, probe);
+            let picking = pick(&self.cx, &view, &self.job.want, &self.tried);
+            let picked = match picking.instrument(span).await {
                 Ok(p) => p,
                 // What happened before says more than that nobody is left.
                 Err(f) if self.attempt == 0 => return self.give(f).await,
@@ -369,7 +380,7 @@
             chain: j.want.chain.iter().map(|h| h.0).collect(),
             delivered,
             fingerprint: j.want.fingerprint,
-            trace: j.trace.clone(),
+            trace: self.hop.to_string(),
             stream: self.out.stream,
             output,
             strikes: self.relay.crashes() + u32::from(self.suspect),
--- a/crates/daemon/src/entry/prepare.rs
+++ b/crates/daemon/src/entry/prepare.rs
@@ -15,11 +15,12 @@
 use wire::Header;
 
 use crate::clock;
+use crate::entry;
 use crate::entry::answer::{Problem, REQUEST_ID};
 use crate::entry::ask::{Completion, CHAT, COMPLETIONS};
 use crate::entry::drive::{Job, Payload};
 use crate::entry::probe::Wanted;
-use crate::entry::Context;
+use crate::trace::{self, Context};
 
 /// Time to answer if neither rule nor caller says.
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -28,13 +29,14 @@
 /// The caller's name for a request that must not run twice.
 const KEY_HEADER: &str = "idempotency-key";
 /// Headers that stay at the entry.
-const OURS: [&str; 6] = [
+const OURS: [&str; 7] = [
     "authorization",
     "host",
     "content-length",
     "connection",
     DEADLINE_HEADER,
     REQUEST_ID,
+    trace::HEADER,
 ];
 
 /// A request that goes to a target, and the rule that sent it there.
@@ -61,7 +63,7 @@
 
 /// Makes a job of a request, or says why it goes nowhere.
 pub async fn prepare(
-    cx: &Context,
+    cx: &entry::Context,
     id: &RequestId,
     given: bool,
     req: Request,
@@ -109,7 +111,7 @@
         },
         scope,
         deadline: Instant::now() + asked(&head.headers).map_or(limit, |a| a.min(limit)),
-        trace: String::new(),
+        trace: context(&head.headers),
     };
     let rule = decision.rule.name.clone();
     Ok(Prepared { job, rule })
@@ -209,6 +211,14 @@
         .to_owned()
 }
 
+/// The caller's trace, or a new one.
+fn context(headers: &HeaderMap) -> Context {
+    let given = headers.get(trace::HEADER).and_then(|v| v.to_str().ok());
+    given
+        .and_then(Context::parse)
+        .unwrap_or_else(Context::fresh)
+}
+
 fn asked(headers: &HeaderMap) -> Option<Duration> {
     let ms = headers.get(DEADLINE_HEADER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_millis(ms))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod process;
 pub mod settings;
 pub mod sidecar;
+pub mod trace;
 pub mod view;
 
 use std::process::ExitCode;
@@ -35,10 +36,10 @@
         }
     };
     log::init(&settings);
-    let done = match &settings.role {
+    let done = trace::init(&settings).and_then(|()| match &settings.role {
         Role::Entry(e) => entry::run(&settings, e),
         Role::Sidecar(s) => sidecar::run(&settings, s),
-    };
+    });
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tracing::Instrument;
 use wire::{Head, Header, Join, Open, WireError};
 
 use crate::clock;
@@ -24,6 +25,7 @@
 use crate::sidecar::decide::{Refusal, RunKey, Work};
 use crate::sidecar::live::{Last, Live};
 use crate::sidecar::serve::Exchanges;
+use crate::{hop, trace};
 
 /// Longest silence of a target within an answer. A busy engine's longest pause between two bytes
 /// is its longest prefill, a few seconds.
@@ -66,11 +68,16 @@
     let ex = Exchange::new();
     let until = Instant::now() + Duration::from_millis(o.deadline);
     let enqueued = clock::now();
+    let above = trace::Context::parse(&o.trace).unwrap_or_else(trace::Context::fresh);
+    let queue = hop!("queue", above, above.child(), request = o.request);
     let last = tokio::select! {
-        r = turn(cx, &o) => match r {
+        r = turn(cx, &o).instrument(queue) => match r {
             Ok(run) => {
                 let slot = Slot { cx, run };
-                admitted(&slot, &o, live, ex, until, enqueued).await
+                let hop = above.child();
+                let span = hop!("target", above, hop, request = o.request);
+                let running = admitted(&slot, &o, live, ex, until, enqueued, hop);
+                running.instrument(span).await
             }
             Err(r) => Last::NotRun(ex.refuse(r.code, r.retry), None),
         },
@@ -111,6 +118,7 @@
     ex: Exchange<Queued>,
     until: Instant,
     enqueued: Micros,
+    hop: trace::Context,
 ) -> Last {
     let cx = slot.cx;
     let waited = clock::now().since(enqueued);
@@ -131,7 +139,7 @@
     let life = cx.control.health().life;
     let ex = ex.hand();
     let answer = tokio::select! {
-        r = answer(slot, o, live, sender, waited) => r,
+        r = answer(slot, o, live, sender, waited, hop) => r,
         () = live.cancel.cancelled() => Err(Code::Cancelled),
         () = cx.control.lost(life) => Err(Code::TargetLost),
     };
@@ -256,11 +264,13 @@
     live: &Live,
     mut sender: SendRequest<Full<Bytes>>,
     waited: Micros,
+    hop: trace::Context,
 ) -> Result<(), Code> {
     let mut req = hyper::Request::builder()
         .method(o.method.as_str())
         .uri(&o.path)
-        .header("host", "target");
+        .header("host", "target")
+        .header(trace::HEADER, hop.to_string());
     for h in o.headers.iter().filter(|h| !HOP.contains(&h.name.as_str())) {
         req = req.header(&h.name, h.value.as_ref());
     }
