Give operators the whole client: show, history, diff, status, explain, sure apply

Cause: the thin client had check, apply and digest, sent a bare text and took any answer but success as a refusal. An answer lost after the platform accepted the change looked like a failure, two operators could overwrite one another, and nobody learnt which member lags.

Now apply sends text, base version, operation id and author; repeats an uncertain call under the same operation id, through any entry, for a bounded time; and waits until every live member has the version. After one uncertain call only an acceptance or a conflict counts as certain: a refusal of a later call says nothing of the earlier one. Reads go to the first entry that answers. Failures are one type with the exit codes 0 to 8. A usage error is 2, not argh's 1, which would look like faults in the file.

Ruled out: looking up the history after a conflict. The entry does so already before it reports one.

--- a/crates/cli/src/digest.rs
+++ b/crates/cli/src/digest.rs
@@ -2,22 +2,24 @@
 
 use argh::FromArgs;
 
-use crate::exit::Failure;
+use crate::exit::{Failure, Usage};
 
 /// print the digest of an API key, read from standard input
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "digest")]
-pub(crate) struct Digest {}
+pub struct Digest {}
 
-/// Prints the digest.
-pub(crate) fn run(_: &Digest) -> Result<(), Failure> {
+/// Makes the digest. The key comes from standard input, since arguments show in process lists and
+/// shell histories.
+pub fn run(_: &Digest) -> Result<String, Failure> {
     let mut key = String::new();
-    std::io::stdin()
-        .read_line(&mut key)
-        .map_err(|error| Failure::File {
-            path: "standard input".into(),
-            error,
-        })?;
-    println!("blake3:{}", blake3::hash(key.trim().as_bytes()).to_hex());
-    Ok(())
+    let done = std::io::stdin().read_line(&mut key);
+    done.map_err(|error| Failure::File {
+        path: "standard input".into(),
+        error,
+    })?;
+    match key.trim() {
+        "" => Err(Usage::EmptyKey.into()),
+        key => Ok(rules::digest(key)),
+    }
 }
--- /dev/null
+++ b/crates/cli/src/show.rs
@@ -0,0 +1,42 @@
+//! `show`: the configuration in force.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::admin::{InForce, CONFIGURATION};
+use crate::exit::{note, Failure};
+use crate::fleet::Fleet;
+
+/// print the configuration in force
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "show")]
+pub struct Show {
+    /// operators' address of an entry as HOST:PORT; may be repeated, tried in order (default:
+    /// CLEMENTINESTEP_ENTRIES)
+    #[argh(option)]
+    entry: Vec<String>,
+    /// file with the operators' key (default: CLEMENTINESTEP_OPERATOR_KEY)
+    #[argh(option)]
+    operator_key_file: Option<PathBuf>,
+    /// print its version and digest instead of its text
+    #[argh(switch)]
+    version: bool,
+}
+
+/// Shows. The text goes to standard output alone, so that a file made from it is the same text.
+pub async fn run(s: &Show) -> Result<String, Failure> {
+    let fleet = Fleet::open(&s.entry, &s.operator_key_file)?;
+    let now: InForce = fleet.get(CONFIGURATION).await?;
+    let InForce {
+        version,
+        digest,
+        text,
+    } = now;
+    let title = format!("version {version}, digest {digest}");
+    if s.version {
+        return Ok(title);
+    }
+    note(title);
+    Ok(text)
+}
--- /dev/null
+++ b/crates/cli/tests/client/local.rs
@@ -0,0 +1,165 @@
+//! The commands that ask nobody, and command lines that can't be followed.
+
+use crate::fake::{self, KEY};
+
+const TEXT: &str = r#"
+[pool.desk]
+model = "m"
+[pool.spare]
+model = "m"
+[team.north]
+keys = ["blake3:69521577388302cd6d436d81fb0def866bed3c48f2d3210f215a300432c260c0"]
+[[rule]]
+name = "night"
+when = { hours = ["22:00-06:00"], days = ["mon"] }
+then = { refuse = "closed", retry-after = "1h" }
+[[rule]]
+name = "long"
+when = { prompt = { min = "1KiB" } }
+then = { pool = "desk", class = "batch" }
+[[rule]]
+name = "urgent"
+when = { header = { x-class = "call" }, model = ["m*"] }
+then = { pool = "desk", class = "call" }
+[[rule]]
+name = "rest"
+then = { pool = "desk" }
+"#;
+
+/// One run; `FILE` and `FAULTY` in the arguments stand for files.
+struct Case<'a> {
+    args: &'a str,
+    code: i32,
+    /// Parts of standard output.
+    out: &'a [&'a str],
+    /// Parts of standard error.
+    err: &'a [&'a str],
+}
+
+const CASE: Case<'static> = Case {
+    args: "",
+    code: 0,
+    out: &[],
+    err: &[],
+};
+
+/// Runs cases with an environment and standard input.
+async fn check(name: &str, env: &[(&str, &str)], stdin: &str, cases: &[Case<'_>]) {
+    let file = fake::file(&format!("{name}.toml"), TEXT);
+    let faulty = fake::file(&format!("{name}-faulty.toml"), "rule = 1\npoll = 2\n");
+    let empty = fake::file(&format!("{name}.key"), "\n");
+    let files = [("FILE", file), ("FAULTY", faulty), ("EMPTY", empty)];
+    for case in cases {
+        let run = fake::run(case.args, &files, env, stdin).await;
+        assert_eq!(run.code, Some(case.code), "{}: {run:?}", case.args);
+        run.says(case.args, case.out, case.err);
+    }
+}
+
+#[tokio::test]
+async fn checks() {
+    let cases = [
+        Case {
+            args: "check FILE",
+            out: &["2 pools, 1 teams, 4 rules, no errors, 1 warnings"],
+            err: &["checks.toml:4:", "warning: pool.spare: "],
+            ..CASE
+        },
+        Case {
+            args: "check FAULTY",
+            code: 1,
+            err: &["checks-faulty.toml:1:", "error", "did you mean `pool`?"],
+            ..CASE
+        },
+        Case {
+            args: "check nowhere.toml",
+            code: 2,
+            err: &["nowhere.toml: "],
+            ..CASE
+        },
+    ];
+    check("checks", &[], "", &cases).await;
+}
+
+#[tokio::test]
+async fn explains() {
+    let cases = [
+        Case {
+            args: "explain FILE --team north --path /v1/completions?x=1 --at 2026-03-02T23:10:00Z",
+            out: &["1. night: matches; refused: closed, retry after 1h"],
+            ..CASE
+        },
+        Case {
+            args: "explain FILE --team north --path /v1 --at 2026-03-02T14:30:00Z --model m1 \
+                   --header X-Class=call --prompt-bytes 1000",
+            out: &[
+                "1. night: wants hours `22:00-06:00`, found `14:30`\n",
+                "2. long: wants prompt from 1KiB, found `1000B`\n",
+                "3. urgent: matches; pool `desk`, class `call`",
+            ],
+            ..CASE
+        },
+        Case {
+            args: "explain FILE --team south --path /v1 --at 2026-03-03T14:30:00+01:00",
+            out: &["4. rest: matches"],
+            err: &["no team is named `south`"],
+            ..CASE
+        },
+    ];
+    check("explains", &[], "", &cases).await;
+}
+
+#[tokio::test]
+async fn digests() {
+    let case = Case {
+        args: "digest",
+        out: &["blake3:69521577388302cd6d436d81fb0def866bed3c48f2d3210f215a300432c260c0\n"],
+        ..CASE
+    };
+    check("digests", &[], "sample-key-one\n", &[case]).await;
+}
+
+#[tokio::test]
+async fn command_line_cannot_be_followed() {
+    // A slip on the command line. It must never look like a fault of the configuration, whose
+    // exit code a script may take for the file's verdict, and nobody is asked anything.
+    let slips = [
+        ("aply FILE", "--help"),
+        ("apply FILE --wait 10", "`10` is no duration"),
+        ("digest", "standard input has no key"),
+        ("explain FILE --team a --path v1", "`v1` doesn't begin"),
+        ("explain FILE --team a --path / --at x", "`x` is no time"),
+        ("explain FILE --team a --path / --header x", "is no header"),
+        ("status", "no entry is named"),
+        ("status --entry localhost", "`localhost` is no HOST:PORT"),
+        ("status --entry a:1 --operator-key-file EMPTY", "no operat"),
+        ("status --entry a:1 --operator-key-file none", "none: "),
+        ("apply FILE --entry a:1 --base 1 --force", "exclude one an"),
+        (
+            "apply FILE --entry a:1 --force --operation 1",
+            "no operation",
+        ),
+    ];
+    let env = [("CLEMENTINESTEP_OPERATOR_KEY", KEY)];
+    for (args, err) in slips {
+        let case = Case {
+            args,
+            code: 2,
+            err: &[err],
+            ..CASE
+        };
+        check("slips", &env, "", &[case]).await;
+    }
+    let keyless = Case {
+        args: "status --entry a:1",
+        code: 2,
+        err: &["no operators' key"],
+        ..CASE
+    };
+    let help = Case {
+        args: "apply --help",
+        out: &["--base", "--force", "--wait"],
+        ..CASE
+    };
+    check("help", &[], "", &[keyless, help]).await;
+}
--- /dev/null
+++ b/crates/cli/tests/client/main.rs
@@ -0,0 +1,5 @@
+//! The real client, run as an operator runs it.
+
+mod fake;
+mod fleet;
+mod local;
