--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -114,7 +114,9 @@
             (&Method::GET, p) if p.starts_with("/quota/") => {
                 self.run(call(&req, &body), quota).await
             }
-            (&Method::POST, p) if p.starts_with("/records") => self.run(call(&req, &body), record).await,
+            (&Method::POST, p) if p.starts_with("/records") => {
+                self.run(call(&req, &body), record).await
+            }
             _ => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
@@ -163,7 +165,10 @@
 }
 
 fn record(_: &Call, runs: &[Call]) -> Answer {
-    let n = runs.iter().filter(|c| c.path.starts_with("/records")).count();
+    let n = runs
+        .iter()
+        .filter(|c| c.path.starts_with("/records"))
+        .count();
     (StatusCode::CREATED, json!({ "record": n }))
 }
 
