--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -11,17 +11,18 @@
 //! come back, from the rate at which the queue has been draining, spread a little so that the
 //! refused don't come back together.
 //!
-//! Grounds: callers on the line hang up after some 10 s, so that a longer queue of calls is of no
-//! use; of those, 8 s may be waiting. Normal work gets the same, so that its wait doesn't add to
-//! that of later calls through the assured share, and batch a minute. The slots kept for calls,
-//! an eighth of the places, are for the burst after a pause in which others filled the queue.
+//! Grounds: callers on the line hang up after some 10 s. The estimate of the wait leaves out those
+//! that come later and go first, and prefixes that are evicted meanwhile, which doubles it at
+//! full load; so 4 s may be waiting. Normal work may wait for 8 s and batch for a minute. The
+//! places kept for calls, an eighth, are for the burst after a pause in which others filled the
+//! queue.
 
 use model::{Class, Code, Micros};
 
 /// How much may wait.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
-    /// The longest expected wait of each class; 8 s for calls and normal, 60 s for batch.
+    /// The longest expected wait of each class; 4 s for calls, 8 s for normal, 60 s for batch.
     pub wait: [Micros; 3],
     /// Most requests that wait at once; 1,024, which bounds the sidecar's memory.
     pub places: usize,
@@ -36,7 +37,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            wait: [8, 8, 60].map(Micros::from_secs),
+            wait: [4, 8, 60].map(Micros::from_secs),
             places: 1_024,
             reserve: 0.125,
             soonest: Micros::from_millis(250),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,9 @@
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 
 pub mod admit;
+pub mod busy;
 pub mod concurrency;
+pub mod cost;
 pub mod drain;
 pub mod health;
 pub mod limit;
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -31,9 +31,11 @@
     /// How many of them may come from the memory of recent use; 2, which leaves room for the
     /// rendezvous order and the drawn one.
     pub recent: usize,
-    /// Part of a replica's prefill cost that a cached block is worth beyond its own request; 0.5.
-    /// A copy made elsewhere also evicts something there, which the sum of times leaves out.
+    /// What a recomputed block counts for at an idle replica; 2, for the block itself and for the
+    /// one that it evicts, which most probably will be asked for again.
     pub evict: f64,
+    /// Most that the others' delay multiplies this by as replicas are busy; 20.
+    pub most: f64,
 }
 
 impl Default for Config {
@@ -41,7 +43,8 @@
         Self {
             probes: 4,
             recent: 2,
-            evict: 0.5,
+            evict: 2.0,
+            most: 20.0,
         }
     }
 }
@@ -87,6 +90,8 @@
     pub state: State,
     /// Requests waiting or running there.
     pub load: u32,
+    /// The part of the last seconds in which its engine computed prompts.
+    pub busy: f64,
 }
 
 /// A replica to try, with what it is expected to cost.
@@ -135,21 +140,31 @@
 
 /// Orders the replicas that answered by expected time, the best first.
 ///
-/// If none can take the request, the list is empty; if none answered at all, [`fallback`] helps.
+/// A full replica that holds more of the prompt keeps those out that would cost more than waiting
+/// for it. Otherwise, once all are full, each refused request would go to whichever has room at
+/// the moment and be computed anew there; hits vanish just when the fleet can least afford it.
+///
+/// If none can take the request, the list is empty and the request is refused; if none answered
+/// at all, [`fallback`] helps.
 pub fn choose(
     config: &Config,
     blocks: u32,
     offers: &[Offer],
     delay: impl Fn(TargetKey) -> Micros,
 ) -> Vec<Choice> {
-    let serving = offers.iter().filter(|o| o.state == State::Serving);
-    let mut choices: Vec<Choice> = serving
-        .map(|o| Choice {
-            target: o.target,
-            cost: cost(config, blocks, o, delay(o.target)),
-            matched: o.matched.min(blocks),
-        })
-        .collect();
+    let weight = weight(config, offers);
+    let choice = |o: &Offer| Choice {
+        target: o.target,
+        cost: cost(blocks, o, weight, delay(o.target)),
+        matched: o.matched.min(blocks),
+    };
+    let of = |state| offers.iter().filter(move |o| o.state == state).map(choice);
+    let full: Vec<Choice> = of(State::Full).collect();
+    let better = |c: &Choice| {
+        full.iter()
+            .any(|f| f.matched > c.matched && f.cost < c.cost)
+    };
+    let mut choices: Vec<Choice> = of(State::Serving).filter(|c| !better(c)).collect();
     choices.sort_by_key(|c| c.cost);
     choices
 }
@@ -166,12 +181,22 @@
     order.into_iter().map(|(_, target)| target).collect()
 }
 
-fn cost(config: &Config, blocks: u32, offer: &Offer, delay: Micros) -> Micros {
-    let missing = u64::from(blocks.saturating_sub(offer.matched));
-    let prefill = missing * offer.prefill.0;
-    let evicted = (prefill as f64 * config.evict) as u64;
+/// What a recomputation counts for, as a multiple of the time that it takes its own request.
+///
+/// It evicts as much as it computes, and it delays whoever comes while the replica is busy: at a
+/// use of r, 1 / (1 - r) times its length in sum over all of them.
+fn weight(config: &Config, offers: &[Offer]) -> f64 {
+    let busy: f64 = offers.iter().map(|o| o.busy).sum();
+    let mean = busy / offers.len().max(1) as f64;
+    let others = 1.0 / (1.0 - mean).max(1.0 / config.most);
+    config.evict * others
+}
+
+fn cost(blocks: u32, offer: &Offer, weight: f64, delay: Micros) -> Micros {
+    let missing = f64::from(blocks.saturating_sub(offer.matched));
+    let prefill = missing * offer.prefill.0 as f64 * weight;
     // There and back; the connection is open already.
-    offer.wait + Micros(prefill) + Micros(evicted) + delay + delay
+    offer.wait + Micros(prefill as u64) + delay + delay
 }
 
 /// The first two of the rendezvous order.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -16,8 +16,8 @@
 //!   [`Queue::expire`]. It would waste the engine's time, and its caller can still act.
 //!
 //! Work is expected engine time. Grounds: 10% for normal and 5% for batch keep their queues moving
-//! at a cost of at most 18% (0.15/0.85) more wait for calls; ageing 4 lets a request of
-//! one second pass those of ten that came up to 36 s before it.
+//! at a cost of at most 18% (0.15/0.85) more wait for calls; ageing 2 lets a request of
+//! one second pass those of ten that came up to 18 s before it.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -30,7 +30,7 @@
     /// The part of the work assured to each class while more urgent ones wait too; none for
     /// calls, 0.10 for normal, 0.05 for batch.
     pub assured: [f64; 3],
-    /// By how much of its own work a request falls back behind later ones; 4.
+    /// By how much of its own work a request falls back behind later ones; 2.
     pub ageing: u64,
 }
 
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             assured: [0.0, 0.10, 0.05],
-            ageing: 4,
+            ageing: 2,
         }
     }
 }
