--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 
 pub mod admit;
+pub mod busy;
 pub mod concurrency;
 pub mod cost;
 pub mod drain;
