--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -120,7 +120,7 @@
         if !choices.is_empty() {
             return Ok(choices
                 .iter()
-                .filter_map(|c| picked(view, c, &offers))
+                .filter_map(|c| picked(view, c, &offers, marks.blocks()))
                 .collect());
         }
         let told = offers.iter().filter_map(|(_, o)| o.as_ref());
@@ -231,16 +231,19 @@
         prefill: Micros(o.prefill / 1_000),
         state,
         load: 0,
+        busy: f64::from(o.busy) / 1e3,
     })
 }
 
-fn picked(view: &View, c: &Choice, offers: &[Answered]) -> Option<Picked> {
+fn picked(view: &View, c: &Choice, offers: &[Answered], blocks: u32) -> Option<Picked> {
     let (_, offer) = offers.iter().find(|(t, _)| *t == c.target)?;
     let o = offer.as_ref()?;
+    let missing = u64::from(blocks.saturating_sub(o.matched));
+    let delay = delay(view, c.target);
     Some(Picked {
         life: o.incarnation,
         probe: o.id,
-        cost: Some(c.cost),
+        cost: Some(Micros(o.wait + missing * o.prefill / 1_000) + delay + delay),
         ..unprobed(view, c.target)?
     })
 }
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -414,6 +414,7 @@
             state: state.into(),
             convicted: told.convicted,
             retry: retry.map_or(0, Micros::as_millis),
+            busy: (told.busy * 1e3) as u32,
         }
     }
 }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -7,6 +7,7 @@
 
 use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, TeamKey};
 use policy::admit::{self, admit, Arrival};
+use policy::busy::Busy;
 use policy::concurrency::{self, Limit, Sample};
 use policy::cost::{self, Cost};
 use policy::quarantine::{self, Crash, Fingerprint, Quarantine, Verdict};
@@ -88,7 +89,7 @@
 }
 
 /// What a probe is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Told {
     /// Blocks that needn't be computed.
     pub matched: u32,
@@ -96,6 +97,8 @@
     pub wait: Micros,
     /// Time to prefill one block.
     pub prefill: Micros,
+    /// The part of the last seconds in which the engine computed prompts.
+    pub busy: f64,
     /// Whether the target takes it; the refusal if not.
     pub refusal: Option<Refusal>,
     /// Whether the request is known to crash targets.
@@ -150,7 +153,9 @@
     rate: admit::Drain,
     reserve: Reserve<u64>,
     prefills: Limit,
-    busy: Micros,
+    busy: Busy,
+    /// When the prefills handed over should be done.
+    until: Micros,
     /// When the engine last sent a first token.
     last: Micros,
     teams: HashMap<String, TeamKey>,
@@ -171,10 +176,6 @@
 impl<G> Decide<G> {
     /// Decisions beside a target that runs at most `slots` requests at a time.
     pub fn new(kind: Kind, slots: usize, member: MemberId) -> Self {
-        let limit = concurrency::Config {
-            first: 2,
-            ..concurrency::Config::default()
-        };
         Self {
             kind,
             slots,
@@ -190,8 +191,9 @@
             admit: admit::Config::default(),
             rate: admit::Drain::default(),
             reserve: Reserve::new(reserve::Config::default()),
-            prefills: Limit::new(limit),
-            busy: Micros::ZERO,
+            prefills: Limit::new(concurrency::Config::prefill()),
+            busy: Busy::default(),
+            until: Micros::ZERO,
             last: Micros::ZERO,
             teams: HashMap::new(),
             names: SlotMap::with_key(),
@@ -225,6 +227,7 @@
             matched,
             wait,
             prefill: self.cost.block(),
+            busy: self.busy.get(now),
             refusal,
             convicted,
         }
@@ -296,7 +299,8 @@
             stream: w.work.stream,
             print: print(w.work.fingerprint),
         });
-        self.busy = self.busy.max(now) + prefill;
+        self.until = self.until.max(now) + prefill;
+        self.busy.set(now, self.prefilling() > 0);
         Some(Granted {
             run: RunKey(run),
             grant: w.grant,
@@ -336,9 +340,7 @@
                 running,
             },
         );
-        if self.prefilling() == 0 {
-            self.busy = now;
-        }
+        self.rest(now);
     }
 
     /// A request that had its turn has ended, in whatever way.
@@ -351,9 +353,7 @@
             let mean = self.call.0 as f64;
             self.call = Micros((mean + (took - mean) * CALL_SMOOTH) as u64);
         }
-        if self.running.is_empty() {
-            self.busy = now;
-        }
+        self.rest(now);
         self.rate.finished(now, r.work, !self.queue.is_empty());
     }
 
@@ -386,7 +386,7 @@
         if life != self.engine {
             self.engine = life;
             self.prefills.reset();
-            self.busy = Micros::ZERO;
+            self.until = Micros::ZERO;
         }
         let same = self.index.weights() == weights;
         if !same {
@@ -445,6 +445,14 @@
         [self.queue.wake(), soonest].into_iter().flatten().min()
     }
 
+    /// Notes that the engine computes no prompt, if so.
+    fn rest(&mut self, now: Micros) {
+        if self.prefilling() == 0 {
+            self.until = now;
+            self.busy.set(now, false);
+        }
+    }
+
     fn pop(&mut self) -> Option<Job<Waiting<G>>> {
         let alone = !self.running.iter().any(|(_, r)| r.suspect);
         if let Some(job) = self.held.pop_front_if(|_| alone) {
@@ -466,6 +474,7 @@
         for (_, r) in &mut self.running {
             r.prefilling &= r.stream || now < r.handed + r.prefill;
         }
+        self.rest(now);
         let prefills = self.kind == Kind::Plain || self.prefills.allows(self.prefilling());
         self.state == State::Serving && self.running.len() < self.slots && prefills
     }
@@ -496,7 +505,7 @@
         let queued = self.queue.ahead(class, team, share, work);
         let ahead = self.rate.wait(queued + self.reserve.sum(now));
         match self.kind {
-            Kind::Model => ahead + self.busy.since(now),
+            Kind::Model => ahead + self.until.since(now),
             Kind::Plain => ahead,
         }
     }
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -106,6 +106,9 @@
     /// Milliseconds until it is worth coming back, if full.
     #[prost(uint64, tag = "9")]
     pub retry: u64,
+    /// Thousandths of the last seconds in which the engine computed prompts.
+    #[prost(uint32, tag = "10")]
+    pub busy: u32,
 }
 
 impl Packet {
