Follow the configuration's feature tables, count team limits, bound what an engine runs

Every [feature] table now reaches its policy module on adoption, at entries and sidecars; team and rule limits are enforced as equal parts by the live entries; the number of requests at an engine follows the measured gap between tokens. Not measured yet.

--- a/crates/daemon/src/entry/memory.rs
+++ b/crates/daemon/src/entry/memory.rs
@@ -7,12 +7,16 @@
 
 use model::{Micros, TargetKey};
 use policy::health::{self, Health};
+use policy::place;
 use policy::quarantine::{self, Crash, Fingerprint, Quarantine};
 use policy::recent::{self, Recent};
 use policy::retry::{self, Budget};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::entry::limits::Limits;
+use crate::tune::Tuning;
+
 /// Stands for crashes of which only the mark is known.
 const ELSEWHERE: Crash = Crash {
     member: model::MemberId(0),
@@ -34,6 +38,10 @@
     pub waits: HashMap<TargetKey, Micros>,
     /// Turns of the round-robin baseline.
     pub turn: usize,
+    /// How replicas are chosen.
+    pub place: place::Config,
+    /// What each team has sent.
+    pub limits: Limits,
     /// Random choices.
     pub rng: SmallRng,
 }
@@ -47,12 +55,22 @@
             quarantine: Quarantine::new(quarantine::Config::default()),
             waits: HashMap::new(),
             turn: 0,
+            place: place::Config::default(),
+            limits: Limits::default(),
             rng: SmallRng::from_os_rng(),
         }
     }
 }
 
 impl Memory {
+    /// Follows another configuration from now on.
+    pub fn tune(&mut self, t: &Tuning) {
+        self.place = t.place;
+        self.health.set_config(t.health);
+        self.budget.set_config(t.retry);
+        self.quarantine.set_config(t.quarantine);
+    }
+
     /// Another process found that a request crashed a target, or two.
     pub fn told(&mut self, now: Micros, fingerprint: u64, convicted: bool, until: Micros) {
         let p = print(fingerprint);
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod ask;
 pub mod drive;
+pub mod limits;
 pub mod memory;
 pub mod pick;
 pub mod prepare;
@@ -16,6 +17,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use model::Version;
 use policy::drain;
 use store::{Client, Platform};
 use tokio::net::{TcpListener, UdpSocket};
@@ -26,6 +28,7 @@
 use crate::member::{self, Me, Membership};
 use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Entry, Settings};
+use crate::tune::Tuning;
 use crate::view::Shared;
 use crate::{clock, log, mark, peer};
 
@@ -151,8 +154,17 @@
             .build()?;
         run.block_on(async move {
             let gossip = UdpSocket::from_std(gossip)?;
-            let mut members = Membership::new(&settings, me, gossip, view, asked)?;
+            let shared = Arc::clone(&view);
+            let mut members = Membership::new(&settings, me, gossip, shared, asked)?;
+            let mut version = Version(0);
             while members.run_once().await {
+                let seen = view.load();
+                if seen.version != version {
+                    version = seen.version;
+                    if let Some(rules) = &seen.rules {
+                        memory.lock().tune(&Tuning::from(rules.config()));
+                    }
+                }
                 while let Some(c) = members.convicted() {
                     let (print, convicted) = mark::decode(c.fingerprint);
                     memory.lock().told(clock::now(), print, convicted, c.until);
--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -91,7 +91,7 @@
     want: &Wanted,
     mut peers: Vec<Peer>,
 ) -> Result<Vec<Picked>, Failure> {
-    let config = place::Config::default();
+    let config = cx.memory.lock().place;
     let marks = marks(cx, want);
     let all = peers.clone();
     let mut retry = None;
--- a/crates/daemon/src/entry/prepare.rs
+++ b/crates/daemon/src/entry/prepare.rs
@@ -19,6 +19,7 @@
 use crate::entry::answer::{Problem, REQUEST_ID};
 use crate::entry::ask::{Completion, CHAT, COMPLETIONS};
 use crate::entry::drive::{Job, Payload};
+use crate::entry::limits::Sent;
 use crate::entry::probe::Wanted;
 use crate::trace::{self, Context};
 
@@ -86,6 +87,13 @@
     let Some(key) = view.world.pool(name) else {
         return Err(no_target(name));
     };
+    let sent = Sent {
+        team: &facts.team,
+        rule: &decision.rule.name,
+        prompt: facts.prompt,
+        entries: view.entries,
+    };
+    limited(cx, sent, &decision)?;
     let scope = decision.scope.unwrap_or(team.0).to_owned();
     let seed = Seed::new(&scope, &pool.model, &pool.weights);
     let chain = completion.as_ref().map(|c| prefix::chain(seed, &c.prompt));
@@ -176,6 +184,17 @@
     }
 }
 
+fn limited(cx: &entry::Context, sent: Sent<'_>, d: &Decision<'_>) -> Result<(), Problem> {
+    let limits = &mut cx.memory.lock().limits;
+    let taken = limits.take(clock::now(), sent, &d.limits, &d.rule.then.limits);
+    taken.map_err(|wait| {
+        let m = format!("team {} is over its limit", sent.team);
+        let mut p = Problem::unsent(Code::Limited, m);
+        p.retry = Some(wait);
+        p
+    })
+}
+
 async fn collect(body: Body, max: usize) -> Result<Bytes, Problem> {
     match Limited::new(body, max).collect().await {
         Ok(b) => Ok(b.to_bytes()),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 pub mod sidecar;
 pub mod trace;
+pub mod tune;
 pub mod view;
 
 use std::process::ExitCode;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -138,7 +138,7 @@
     pool,
     /// what the target is: model or plain (default model)
     kind,
-    /// most requests handed to the target at a time (default 8)
+    /// most requests handed to the target at a time (default 64)
     slots,
 }
 
@@ -482,7 +482,7 @@
             self.fault("pool", "", "a pool's name");
         }
         let kind = self.value("kind", "model", "model or plain");
-        let slots = self.value("slots", "8", "a number");
+        let slots = self.value("slots", "64", "a number");
         Some(Sidecar {
             target: target?,
             pool: pool.filter(|_| !empty)?,
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -1,12 +1,13 @@
 //! The control thread of a sidecar: decisions, probes, membership, planned stop.
 
 use std::io;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fleet::Conviction;
-use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros};
+use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, Version};
 use policy::drain::{self, Drain};
 use policy::quarantine::Verdict;
 use prefix::{Marks, Need};
@@ -22,6 +23,8 @@
 use crate::member::{self, Me, Membership};
 use crate::settings::{Settings, Sidecar};
 use crate::sidecar::decide::{Decide, Question, Refusal, RunKey, State, Work};
+use crate::tune::Tuning;
+use crate::view::Shared;
 
 /// Told when a request's turn comes, or that it doesn't.
 pub type Grant = oneshot::Sender<Result<RunKey, Refusal>>;
@@ -43,8 +46,8 @@
     First(RunKey),
     /// The target died under a request.
     Crashed(RunKey),
-    /// A request that had its turn has ended.
-    Finished(RunKey),
+    /// A request that had its turn has ended, after so many events of its stream.
+    Finished(RunKey, u64),
     /// An exchange began.
     Taken,
     /// An exchange has ended and its entry knows.
@@ -194,7 +197,8 @@
     let life = s.me.life;
     let notice = s.settings.notice.into();
     let view = member::empty_view();
-    let members = Membership::new(&s.settings, s.me, gossip, view, s.members)?;
+    let shared = Arc::clone(&view);
+    let members = Membership::new(&s.settings, s.me, gossip, shared, s.members)?;
     let state = Control {
         keys: s.settings.keys.clone(),
         life,
@@ -204,6 +208,9 @@
         convict: s.convict,
         asked: s.asked,
         rng: SmallRng::from_os_rng(),
+        pool: s.role.pool,
+        view,
+        version: Version(0),
     };
     state.run(udp).await;
     Ok(())
@@ -218,6 +225,10 @@
     convict: member::Asker,
     asked: Asked,
     rng: SmallRng,
+    pool: String,
+    view: Shared,
+    /// Version that the decisions follow.
+    version: Version,
 }
 
 impl Control {
@@ -244,6 +255,7 @@
                 () = tokio::time::sleep(wait.unwrap_or(SLEEP).min(SLEEP)) => {}
             }
             self.marks();
+            self.tune();
             self.grant();
             self.step(drain::Event::Tick);
         }
@@ -260,7 +272,7 @@
             }
             Ask::First(run) => self.decide.first(now, run),
             Ask::Crashed(run) => self.crashed(now, run),
-            Ask::Finished(run) => self.decide.finished(now, run),
+            Ask::Finished(run, events) => self.decide.finished(now, run, events),
             Ask::Taken => self.step(drain::Event::Taken),
             Ask::Ended => self.step(drain::Event::Ended),
             Ask::Load(load) => self.load(load),
@@ -286,7 +298,7 @@
         while let Some(g) = self.decide.next(now) {
             // Its caller may have gone while it waited.
             if g.grant.send(Ok(g.run)).is_err() {
-                self.decide.finished(now, g.run);
+                self.decide.finished(now, g.run, 0);
             }
         }
         let need = self.decide.index().tick(now);
@@ -366,6 +378,20 @@
         }
     }
 
+    /// Follows a configuration that has come into force.
+    fn tune(&mut self) {
+        let view = self.view.load();
+        if view.version == self.version {
+            return;
+        }
+        self.version = view.version;
+        if let Some(rules) = &view.rules {
+            let config = rules.config();
+            let most = config.pool.get(&self.pool).and_then(|p| p.concurrency);
+            self.decide.tune(&Tuning::from(config), most);
+        }
+    }
+
     fn want(&mut self, need: Need) {
         if need == Need::Snapshot {
             self.asked.need.send_modify(|n| *n += 1);
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -19,6 +19,7 @@
 use slotmap::SlotMap;
 
 use crate::settings::Kind;
+use crate::tune::Tuning;
 
 /// What a request asks of the target.
 #[derive(Clone, Debug)]
@@ -121,6 +122,8 @@
     prefilling: bool,
     suspect: bool,
     stream: bool,
+    /// When its first byte came.
+    first: Option<Micros>,
     print: Fingerprint,
 }
 
@@ -137,7 +140,10 @@
 #[derive(Debug)]
 pub struct Decide<G> {
     kind: Kind,
+    /// Most requests at the target at a time, by settings and configuration.
     slots: usize,
+    /// The same by settings alone.
+    most: usize,
     state: State,
     member: MemberId,
     engine: Incarnation,
@@ -153,6 +159,7 @@
     rate: admit::Drain,
     reserve: Reserve<u64>,
     prefills: Limit,
+    runs: Limit,
     busy: Busy,
     /// When the prefills handed over should be done.
     until: Micros,
@@ -161,10 +168,13 @@
     teams: HashMap<String, TeamKey>,
     names: SlotMap<TeamKey, ()>,
     quarantine: Quarantine,
+    tuned: quarantine::Config,
 }
 
 /// First guess of a plain call's time.
 const CALL: Micros = Micros::from_millis(5);
+/// Stands for the gap between two tokens of an idle engine; only its multiples are compared.
+const GAP: Micros = Micros::from_millis(1);
 /// Weight of a new sample of a plain call's time.
 const CALL_SMOOTH: f64 = 0.1;
 /// Stands for crashes elsewhere, of which only the mark is known.
@@ -179,6 +189,7 @@
         Self {
             kind,
             slots,
+            most: slots,
             state: State::Serving,
             member,
             engine: Incarnation(0),
@@ -192,15 +203,28 @@
             rate: admit::Drain::default(),
             reserve: Reserve::new(reserve::Config::default()),
             prefills: Limit::new(concurrency::Config::prefill()),
+            runs: Limit::new(concurrency::Config::running()),
             busy: Busy::default(),
             until: Micros::ZERO,
             last: Micros::ZERO,
             teams: HashMap::new(),
             names: SlotMap::with_key(),
             quarantine: Quarantine::new(quarantine::Config::default()),
+            tuned: quarantine::Config::default(),
         }
     }
 
+    /// Follows another configuration from now on; `most` is the pool's bound on requests at once.
+    pub fn tune(&mut self, t: &Tuning, most: Option<u32>) {
+        self.slots = most.map_or(self.most, |m| self.most.min(m as usize));
+        self.runs.set_config(t.concurrency);
+        self.admit = t.admit;
+        self.queue.set_config(t.queue);
+        self.reserve.set_config(t.reserve);
+        self.quarantine.set_config(t.quarantine);
+        self.tuned = t.quarantine;
+    }
+
     /// Answers a probe and holds a place for the request.
     pub fn offer(&mut self, now: Micros, q: &Question) -> Told {
         let matched = self.index.matched(&q.marks);
@@ -297,6 +321,7 @@
             prefilling: self.kind == Kind::Model,
             suspect: w.suspect,
             stream: w.work.stream,
+            first: None,
             print: print(w.work.fingerprint),
         });
         self.until = self.until.max(now) + prefill;
@@ -323,6 +348,7 @@
         let Some(r) = self.running.get_mut(key.0) else {
             return;
         };
+        r.first = Some(now);
         if !std::mem::take(&mut r.prefilling) || !r.stream {
             return;
         }
@@ -343,11 +369,22 @@
         self.rest(now);
     }
 
-    /// A request that had its turn has ended, in whatever way.
-    pub fn finished(&mut self, now: Micros, key: RunKey) {
+    /// A request that had its turn has ended, in whatever way, after so many events of its stream.
+    pub fn finished(&mut self, now: Micros, key: RunKey, events: u64) {
+        let running = self.running.len() as u32;
         let Some(r) = self.running.try_remove(key.0) else {
             return;
         };
+        if let Some(first) = r.first.filter(|_| events > 1) {
+            self.runs.measured(
+                now,
+                Sample {
+                    expected: Micros(GAP.0 * events),
+                    took: now.since(first),
+                    running,
+                },
+            );
+        }
         if self.kind == Kind::Plain {
             let took = now.since(r.handed).0 as f64;
             let mean = self.call.0 as f64;
@@ -386,12 +423,13 @@
         if life != self.engine {
             self.engine = life;
             self.prefills.reset();
+            self.runs.reset();
             self.until = Micros::ZERO;
         }
         let same = self.index.weights() == weights;
         if !same {
             self.index = Index::new(prefix::Config::default(), model, weights);
-            self.quarantine = Quarantine::new(quarantine::Config::default());
+            self.quarantine = Quarantine::new(self.tuned);
         }
         !same
     }
@@ -475,8 +513,14 @@
             r.prefilling &= r.stream || now < r.handed + r.prefill;
         }
         self.rest(now);
-        let prefills = self.kind == Kind::Plain || self.prefills.allows(self.prefilling());
-        self.state == State::Serving && self.running.len() < self.slots && prefills
+        let running = self.running.len();
+        let free = match self.kind {
+            Kind::Plain => true,
+            Kind::Model => {
+                self.prefills.allows(self.prefilling()) && self.runs.allows(running as u32)
+            }
+        };
+        self.state == State::Serving && running < self.slots && free
     }
 
     fn prefilling(&self) -> u32 {
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -1,6 +1,7 @@
 //! One exchange from its turn in the queue to the target's last byte.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -73,7 +74,11 @@
     let last = tokio::select! {
         r = turn(cx, &o).instrument(queue) => match r {
             Ok(run) => {
-                let slot = Slot { cx, run };
+                let slot = Slot {
+                    cx,
+                    run,
+                    events: AtomicU64::new(0),
+                };
                 let hop = above.child();
                 let span = hop!("target", above, hop, request = o.request);
                 let running = admitted(&slot, &o, live, ex, until, enqueued, hop);
@@ -172,11 +177,13 @@
 struct Slot<'a> {
     cx: &'a Context,
     run: RunKey,
+    events: AtomicU64,
 }
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        self.cx.control.send(Ask::Finished(self.run));
+        let events = self.events.load(Ordering::Relaxed);
+        self.cx.control.send(Ask::Finished(self.run, events));
     }
 }
 
@@ -301,6 +308,7 @@
         }
         rest.extend_from_slice(&data);
         if let Some(n) = whole_events(&rest) {
+            slot.events.fetch_add(1, Ordering::Relaxed);
             live.push(rest.split_to(n).freeze()).await;
         }
     }
--- /dev/null
+++ b/crates/daemon/src/tune.rs
@@ -0,0 +1,103 @@
+//! From the configuration's feature tables to the settings of the policy modules.
+//!
+//! Each table of a feature has the name of its module; this is the one place where the two meet.
+
+use model::Class;
+use policy::{admit, concurrency, health, place, quarantine, queue, reserve, retry};
+use rules::Config;
+
+/// Settings of every policy module.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Which replicas are asked.
+    pub place: place::Config,
+    /// Places held for requests that may come.
+    pub reserve: reserve::Config,
+    /// What is turned away before it waits.
+    pub admit: admit::Config,
+    /// The order of waiting requests.
+    pub queue: queue::Config,
+    /// How many requests a target runs.
+    pub concurrency: concurrency::Config,
+    /// How often a request is tried again.
+    pub retry: retry::Config,
+    /// When a slow target is left out.
+    pub health: health::Config,
+    /// When a request is refused for crashing its targets.
+    pub quarantine: quarantine::Config,
+}
+
+impl From<&Config> for Tuning {
+    fn from(c: &Config) -> Self {
+        Self {
+            place: place::Config {
+                probes: c.place.probes as usize,
+                ..place::Config::default()
+            },
+            reserve: reserve::Config {
+                hold: c.reserve.hold.0,
+                ..reserve::Config::default()
+            },
+            admit: admit(c),
+            queue: queue(c),
+            concurrency: concurrency::Config {
+                least: c.concurrency.least,
+                first: c.concurrency.first,
+                most: c.concurrency.most,
+                ..concurrency::Config::running()
+            },
+            retry: retry::Config {
+                share: c.retry.share.fraction(),
+                saved: f64::from(c.retry.saved),
+                attempts: c.retry.attempts,
+            },
+            health: health(c),
+            quarantine: quarantine::Config {
+                strikes: c.quarantine.strikes as usize,
+                lasts: c.quarantine.lasts.0,
+                kept: c.quarantine.kept as usize,
+            },
+        }
+    }
+}
+
+fn admit(c: &Config) -> admit::Config {
+    let a = &c.admit;
+    let mut wait = admit::Config::default().wait;
+    for (class, limit) in [
+        (Class::Call, a.call),
+        (Class::Normal, a.normal),
+        (Class::Batch, a.batch),
+    ] {
+        wait[class.index()] = limit.0;
+    }
+    admit::Config {
+        wait,
+        places: a.places as usize,
+        reserve: a.reserve.fraction(),
+        ..admit::Config::default()
+    }
+}
+
+fn queue(c: &Config) -> queue::Config {
+    let mut assured = queue::Config::default().assured;
+    assured[Class::Normal.index()] = c.queue.normal.fraction();
+    assured[Class::Batch.index()] = c.queue.batch.fraction();
+    queue::Config {
+        assured,
+        ageing: u64::from(c.queue.ageing),
+    }
+}
+
+fn health(c: &Config) -> health::Config {
+    let h = &c.health;
+    health::Config {
+        slow: f64::from(h.slow),
+        samples: h.samples,
+        ejected: h.ejected.fraction(),
+        out: h.out.0,
+        longest: h.longest.0,
+        trials: h.trials,
+        ..health::Config::default()
+    }
+}
--- a/crates/policy/src/concurrency.rs
+++ b/crates/policy/src/concurrency.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Requests that the engine may have now.
     pub fn get(&self) -> u32 {
         self.limit as u32
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Whether a target may be used now.
     pub fn usable(&self, now: Micros, target: TargetKey) -> Use {
         match self.records.get(&target).map(|r| r.state) {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Counts a crash against a request that ran there; the same crash counts once.
     pub fn strike(&mut self, now: Micros, print: Fingerprint, crash: Crash) -> Verdict {
         let until = now + self.config.lasts;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -66,6 +66,13 @@
     pub payload: T,
 }
 
+/// A waiting request with its place in the order, which later settings don't change.
+#[derive(Debug)]
+struct Kept<T> {
+    job: Job<T>,
+    order: u64,
+}
+
 /// Requests of one team in one class.
 #[derive(Debug, Default)]
 struct Lane {
@@ -93,7 +100,7 @@
 #[derive(Debug)]
 pub struct Queue<T> {
     config: Config,
-    jobs: Slab<Job<T>>,
+    jobs: Slab<Kept<T>>,
     bands: [Band; 3],
     /// By the last time at which each can still be started.
     latest: BTreeSet<(Micros, JobKey)>,
@@ -110,12 +117,17 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Takes a request in.
     pub fn push(&mut self, job: Job<T>) -> JobKey {
         let order = job.arrived.0 + self.config.ageing * job.work.0;
         let latest = job.deadline - job.work;
         let (team, class, work, weight) = (job.team, job.class, job.work, job.weight.max(1));
-        let key = JobKey(self.jobs.insert(job));
+        let key = JobKey(self.jobs.insert(Kept { job, order }));
         self.latest.insert((latest, key));
 
         let band = &mut self.bands[class.index()];
@@ -146,9 +158,8 @@
 
     /// Takes out a request whose caller went away.
     pub fn remove(&mut self, key: JobKey) -> Option<Job<T>> {
-        let job = self.jobs.try_remove(key.0)?;
+        let Kept { job, order } = self.jobs.try_remove(key.0)?;
         self.latest.remove(&(job.deadline - job.work, key));
-        let order = job.arrived.0 + self.config.ageing * job.work.0;
         self.bands[job.class.index()].remove(job.team, (order, key), job.work);
         Some(job)
     }
@@ -238,9 +249,9 @@
 
 impl Band {
     /// Whether the class has saved up for its next request.
-    fn is_due<T>(&self, jobs: &Slab<Job<T>>) -> bool {
+    fn is_due<T>(&self, jobs: &Slab<Kept<T>>) -> bool {
         let next = self.next().and_then(|(_, key)| jobs.get(key.0));
-        next.is_some_and(|job| self.credit >= job.work.0 as f64)
+        next.is_some_and(|k| self.credit >= k.job.work.0 as f64)
     }
 
     /// The team with the earliest virtual start, and its next request.
--- a/crates/policy/src/reserve.rs
+++ b/crates/policy/src/reserve.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Holds a place for a request that has asked; asking again renews it.
     pub fn hold(&mut self, now: Micros, key: K, work: Micros) {
         self.settle(key);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Follows other settings from now on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// Notes a request's first attempt.
     pub fn sent(&mut self) {
         self.saved = (self.saved + self.config.share).min(self.config.saved);
