Add leases with fencing numbers as rows of the table

One machine for one holder (an engine) or a few (loads of a pool): beats observed on each contender's own clock, a margin before each use, a wait for engines that ignore numbers.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod apply;
 pub mod claim;
+pub mod lease;
 pub mod table;
 
 pub use apply::{Apply, ApplyStep, Head, Stale};
 pub use claim::{Claim, ClaimStep, Holder};
+pub use lease::{Lease, LeaseStep};
 pub use table::{Reply, Request, Row};
