Claim nothing of a dead engine's cache, and leave an engine that loads weights alone

Cause, found by the new tests against the code as it was: - An engine that comes back empty publishes no event, so that the index kept its dead life's blocks (offer: matched 32, expected 0). A new life now resets the index. - The load's `loading` was not read, so that callers got the engine's 503 while it loaded weights. It is now a state of its own, and a 503 before that state is seen sends an idempotent request to another replica. Ruled out: two teams share no block, also if one sets cache_salt, priority and resume itself; late, swapped and missing events leave no claim behind.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -21,7 +21,7 @@
 use crate::mark;
 use crate::member::{self, Me, Membership};
 use crate::settings::{Settings, Sidecar};
-use crate::sidecar::decide::{Decide, Question, Refusal, RunKey, State, Work};
+use crate::sidecar::decide::{Decide, Found, Question, Refusal, RunKey, State, Work};
 
 /// Told when a request's turn comes, or that it doesn't.
 pub type Grant = oneshot::Sender<Result<RunKey, Refusal>>;
@@ -68,6 +68,8 @@
     pub model: String,
     /// Weights it serves.
     pub weights: String,
+    /// Whether it is loading others.
+    pub loading: bool,
 }
 
 /// What the target was found to be.
@@ -335,7 +337,13 @@
             spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
             self.asked.health.send_replace(now);
         }
-        if self.decide.engine(l.incarnation, &l.model, &l.weights) {
+        let found = Found {
+            life: l.incarnation,
+            model: &l.model,
+            weights: &l.weights,
+            loading: l.loading,
+        };
+        if self.decide.engine(clock::now(), &found) {
             self.members.set_tags(l.weights);
             self.want(Need::Snapshot);
         }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -70,6 +70,19 @@
     Down,
 }
 
+/// What the target was found to be.
+#[derive(Clone, Copy, Debug)]
+pub struct Found<'a> {
+    /// Its life.
+    pub life: Incarnation,
+    /// Model it serves.
+    pub model: &'a str,
+    /// Weights it serves.
+    pub weights: &'a str,
+    /// Whether it is loading others and refuses work meanwhile.
+    pub loading: bool,
+}
+
 /// What a probe asks.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -378,19 +391,25 @@
         }
     }
 
-    /// The target's life and what it serves.
-    pub fn engine(&mut self, life: Incarnation, model: &str, weights: &str) -> bool {
-        if self.state == State::Down {
-            self.state = State::Serving;
-        }
+    /// The target's life and what it serves; true if its whole cache has to be fetched.
+    pub fn engine(&mut self, now: Micros, found: &Found<'_>) -> bool {
+        let Found { life, weights, .. } = *found;
+        self.state = match self.state {
+            State::Leaving => State::Leaving,
+            _ if found.loading => State::Loading,
+            _ => State::Serving,
+        };
         if life != self.engine {
             self.engine = life;
             self.prefills.reset();
             self.busy = Micros::ZERO;
+            // An engine that came back empty has no event to publish, so that nothing else would
+            // end the claims on its dead life's blocks.
+            let _ = self.index.reset(now, life, 0, []);
         }
         let same = self.index.weights() == weights;
         if !same {
-            self.index = Index::new(prefix::Config::default(), model, weights);
+            self.index = Index::new(prefix::Config::default(), found.model, weights);
             self.quarantine = Quarantine::new(quarantine::Config::default());
         }
         !same
--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -28,6 +28,8 @@
     incarnation: u64,
     model: String,
     weights: String,
+    #[serde(default)]
+    loading: bool,
 }
 
 #[derive(Deserialize)]
@@ -93,6 +95,7 @@
             incarnation: Incarnation(0),
             model: String::new(),
             weights: String::new(),
+            loading: false,
         };
         control.send(Ask::Load((misses < MISSES).then_some(load)));
     }
@@ -136,6 +139,7 @@
             incarnation,
             model: l.model,
             weights: l.weights,
+            loading: l.loading,
         })));
         self.events(control).await;
         0
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use model::{Class, Code, Incarnation, Micros};
 use store::{Platform, Table};
@@ -278,11 +278,20 @@
     let req = req.map_err(|_| Code::BadRequest)?;
     let res = timeout(SILENCE, sender.send_request(req)).await;
     let res = res.map_err(lost)?.map_err(lost)?;
+    if is_busy(slot.cx, o, &res) {
+        return Err(Code::NoTarget);
+    }
     live.begin(head(&res, waited));
     let events = is_events(&res);
     body(slot, res.into_body(), live, events).await
 }
 
+/// Whether an engine refuses for a while what another one may take, as it does when it has just
+/// begun to load other weights and its load doesn't say so yet.
+fn is_busy(cx: &Context, o: &Open, res: &Response<Incoming>) -> bool {
+    cx.model && o.idempotent && res.status() == StatusCode::SERVICE_UNAVAILABLE
+}
+
 async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
     let mut rest = BytesMut::new();
     let mut begun = false;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,12 +4,15 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     unreachable_pub,
     reason = "each test file uses its own part"
 )]
 
 pub mod caller;
 pub mod child;
+pub mod probe;
+pub mod program;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,12 +20,15 @@
 
 use serde_json::Value;
 use standin::engine::{Engine, Settings};
+use standin::gate::Gate;
 use standin::platform::Platform;
 use standin::service::Service;
 use viz::Router;
 
 pub use caller::Caller;
 pub use child::Child;
+pub use probe::{probe, Prompt};
+pub use program::Program;
 
 /// Longest wait for anything.
 pub const LIMIT: Duration = Duration::from_secs(30);
@@ -42,12 +48,19 @@
 impl StandIn {
     /// Starts one at an address; port 0 for any.
     pub fn start(at: SocketAddr, router: Router) -> Self {
+        Self::gated(at, router, Arc::default())
+    }
+
+    /// Starts one whose open connections can be frozen.
+    pub fn gated(at: SocketAddr, router: Router, gate: Arc<Gate>) -> Self {
         let run = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .expect("runtime");
-        let (at, server) = run.block_on(standin::listen(at, router)).expect("listen");
+        let (at, server) = run
+            .block_on(standin::listen_gated(at, router, gate))
+            .expect("listen");
         run.spawn(server);
         Self { run: Some(run), at }
     }
@@ -142,7 +155,7 @@
     /// Adds an engine and its sidecar.
     pub fn add_replica(&mut self, set: &Settings) {
         let engine = Engine::new(set.clone());
-        let standin = StandIn::start(any(), engine.router());
+        let standin = StandIn::gated(any(), engine.router(), engine.gate());
         let (url, seed) = (self.url(), self.seed());
         let sidecar = Child::sidecar(&url, &seed, standin.at, "lekha-llm", "model");
         self.replicas.push(Replica {
@@ -152,6 +165,27 @@
         });
     }
 
+    /// Kills an engine with all its connections and brings it back at the same address, in a new
+    /// life and with an empty cache.
+    pub fn revive(&mut self, replica: usize, set: &Settings) {
+        let r = &mut self.replicas[replica];
+        r.standin.kill();
+        r.engine = Engine::new(set.clone());
+        r.standin = StandIn::gated(r.standin.at, r.engine.router(), r.engine.gate());
+    }
+
+    /// What a replica's sidecar would tell an entry.
+    pub fn offer(&self, replica: usize, prompt: Prompt<'_>) -> wire::Offer {
+        probe(self.replicas[replica].sidecar.address("peer"), prompt)
+    }
+
+    /// The replica that runs a request at this moment, once one does.
+    pub fn runner(&self) -> usize {
+        let running = || self.replicas.iter().position(|r| r.engine.running() > 0);
+        wait_for("a replica to run the request", || running().is_some());
+        running().expect("it was there")
+    }
+
     /// Adds an entry.
     pub fn add_entry(&mut self) {
         let entry = Child::entry(&self.url(), &self.seed());
--- /dev/null
+++ b/crates/daemon/tests/common/program.rs
@@ -0,0 +1,56 @@
+//! A stand-in as a process of its own, for failures that take the whole process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A running example program of the stand-in package; it is killed when dropped.
+pub struct Program {
+    child: Child,
+    pub at: SocketAddr,
+}
+
+impl Program {
+    /// Starts one, once it listens.
+    pub fn start(name: &str, args: &[&str]) -> Self {
+        let path = path(name);
+        assert!(
+            path.exists(),
+            "{} is missing; `cargo test --workspace` or `cargo build --examples` builds it",
+            path.display()
+        );
+        let mut child = Command::new(path)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("start of the stand-in");
+        let out = child.stdout.take().expect("its output");
+        let mut line = String::new();
+        BufReader::new(out)
+            .read_line(&mut line)
+            .expect("its first line");
+        let at = line.trim().strip_prefix("listening ").expect(&line);
+        let at = at.parse().expect("an address");
+        Self { child, at }
+    }
+
+    /// Whether it runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Examples are built beside the binaries.
+fn path(name: &str) -> PathBuf {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_clementinestepd"));
+    daemon.with_file_name("examples").join(name)
+}
