--- a/crates/fleet/examples/slopes.rs
+++ b/crates/fleet/examples/slopes.rs
@@ -84,6 +84,7 @@
 
 fn settle(n: usize, seed: u64) -> Net {
     let before = USED.load(Ordering::Relaxed);
+    let clock = std::time::Instant::now();
     let mut net = Net::new(seed, 0.01);
     net.domains = if n > 100 { 11 } else { 3 };
     net.row = Some(row(1, "x".repeat(TEXT)));
@@ -95,6 +96,7 @@
     net.run(Micros::from_secs(60));
     let used = USED.load(Ordering::Relaxed) - before;
     let entries = (n * (n - 1)) as u64;
+    eprintln!("settled after {:?}", clock.elapsed());
     println!("| memory | {} B a member entry |", used / entries);
     net
 }
@@ -117,11 +119,13 @@
         let known = net.until(Micros::from_secs(10), |net| {
             net.nodes[writer].fleet.in_force().lagging.is_empty()
         });
-        told.saturating_record(known.map_or(u64::MAX, Micros::as_millis));
+        told.record(known.map_or(10_000, Micros::as_millis))
+            .expect("it resizes");
         net.run(Micros::from_secs(5));
         for x in net.up() {
             let at = x.adopted.iter().find(|a| a.1 == r.version).map(|a| a.0);
-            h.saturating_record(at.map_or(10_000, |at| at.since(start).as_millis()));
+            h.record(at.map_or(10_000, |at| at.since(start).as_millis()))
+                .expect("it resizes");
         }
     }
     print_times("change in force, over members and changes", &h);
@@ -192,7 +196,7 @@
     let mut h = Histogram::<u64>::new(3).expect("three digits are supported");
     for x in net.up() {
         let gone = x.gone.iter().filter(|g| g.0 >= start);
-        gone.for_each(|g| h.saturating_record(g.0.since(start).as_millis()));
+        gone.for_each(|g| h.record(g.0.since(start).as_millis()).expect("it resizes"));
     }
     print_times("each dead member out of each view", &h);
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -132,6 +132,11 @@
         self.everyone().filter(|m| m.state.is_live())
     }
 
+    /// How many live members there are, this process included.
+    pub fn live(&self) -> usize {
+        self.size()
+    }
+
     /// All members other than this process that are remembered, the dead included.
     pub fn everyone(&self) -> impl Iterator<Item = &Member> {
         self.view.iter().map(|(_, e)| &e.member)
--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -29,6 +29,13 @@
 const HURRY: Micros = Micros::from_secs(6);
 /// Wait before views are compared after a start.
 const FRESH: Micros = Micros::from_secs(2);
+/// Answers in a row that differ, with no news on its way here, before views are compared at
+/// once. One that misses an update differs from all; all others differ from it alone.
+const STREAK: u32 = 3;
+/// Wait before that, so that many who missed it don't pull in step.
+const STREAK_WAIT: Micros = Micros::from_secs(1);
+/// Shortest time between two pulls of a whole list: 118 KB at 1,180 members.
+const SYNC_MIN: Micros = Micros::from_secs(4);
 /// Tag and length in front of an update in a datagram.
 const FRAME: usize = 3;
 
@@ -40,6 +47,8 @@
     sync_at: Micros,
     heal_at: Micros,
     open: bool,
+    streak: u32,
+    last: Micros,
 }
 
 impl Default for Join {
@@ -51,6 +60,8 @@
             sync_at: Micros::MAX,
             heal_at: Micros::MAX,
             open: true,
+            streak: 0,
+            last: Micros::ZERO,
         }
     }
 }
@@ -60,6 +71,11 @@
         self.join_at.min(self.heal_at)
     }
 
+    /// Whether a whole list will be asked for soon.
+    pub(crate) fn is_trying(&self) -> bool {
+        self.open && self.join_at < Micros::MAX
+    }
+
     /// Whether the first whole list is still to come.
     pub(crate) fn is_open(&self) -> bool {
         self.open
@@ -93,6 +109,13 @@
         }
     }
 
+    /// Asks another member for the whole list after a failed pull.
+    pub(crate) fn retry_join(&mut self, wait: Micros) {
+        if self.join.is_trying() {
+            self.join.join_at = self.join.join_at.min(self.now + wait);
+        }
+    }
+
     /// The first whole list came in.
     pub(crate) fn joined(&mut self) {
         if self.join.open {
@@ -132,14 +155,17 @@
             self.join.join_at = self.join.join_at.min(soon);
             return;
         }
+        let differs = theirs != self.view_hash();
+        self.count_streak(differs);
         if self.join.sync_at > self.now || !self.spread.is_idle(self.now) {
             return;
         }
         let large = (self.size() as f64 / SMALL).log2().max(1.0);
         let every = Micros((self.set.sync_every.0 as f64 * large) as u64);
         self.join.sync_at = self.now + self.jitter(every);
-        let differs = theirs != self.view_hash();
         if let Some(id) = self.view.member(k).filter(|_| differs).map(|m| m.id) {
+            self.join.last = self.now;
+            self.join.streak = 0;
             self.pull(id, What::All, out);
         }
     }
@@ -150,6 +176,19 @@
         self.join.sync_at = self.join.sync_at.min(soon);
     }
 
+    fn count_streak(&mut self, differs: bool) {
+        self.join.streak = match differs && self.rumors.is_empty() {
+            true => self.join.streak + 1,
+            false => 0,
+        };
+        if self.join.streak >= STREAK {
+            self.join.streak = 0;
+            let soon = self.now + self.within(STREAK_WAIT);
+            let soon = soon.max(self.join.last + SYNC_MIN);
+            self.join.sync_at = self.join.sync_at.min(soon);
+        }
+    }
+
     fn try_join(&mut self, out: &mut Vec<Action>) {
         let wait = Micros(self.set.join_retry.0 << self.join.tries.min(8));
         let wait = self.jitter(wait.min(self.set.heal_every));
--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -17,11 +17,14 @@
 impl Fleet {
     /// Takes a good datagram in: what it reports, then what it asks for.
     pub(crate) fn merge_packet(&mut self, from: SocketAddr, p: Packet, out: &mut Vec<Action>) {
+        let limit = self.limit();
         for u in &p.updates {
-            self.rumors.heard(u);
-            self.learn(claim(u), true, out);
+            self.rumors.heard(u, limit);
+            let c = self.claim(u);
+            self.learn(c, true, out);
         }
-        self.learn(claim(&p.header()), true, out);
+        let own = self.claim(&p.header());
+        self.learn(own, true, out);
         for m in &p.marks {
             self.convict(m.read(), out);
         }
@@ -35,6 +38,22 @@
         self.reply(from, sender, &p, out);
     }
 
+    /// Reads a report; its description only if that is news, as most are heard many times.
+    fn claim(&self, u: &Update) -> Claim {
+        let mut c = Claim {
+            id: MemberId(u.id),
+            incarnation: Incarnation(u.incarnation),
+            state: u.member_state(),
+            by: MemberId(u.by),
+            detail: None,
+        };
+        let known = self.view.key(c.id).and_then(|k| self.view.member(k));
+        if known.is_none_or(|m| m.rank() < c.rank()) {
+            c.detail = u.member().ok().map(Box::new);
+        }
+        c
+    }
+
     /// Weighs one report; `pass` hands it on if it is news.
     pub(crate) fn learn(&mut self, c: Claim, pass: bool, out: &mut Vec<Action>) {
         let udp = c.detail.as_ref().map(|m| m.udp);
@@ -265,16 +284,6 @@
     same != *old
 }
 
-fn claim(u: &Update) -> Claim {
-    Claim {
-        id: MemberId(u.id),
-        incarnation: Incarnation(u.incarnation),
-        state: u.member_state(),
-        by: MemberId(u.by),
-        detail: u.member().ok().map(Box::new),
-    }
-}
-
 /// A report from a pulled list.
 pub(crate) fn listed(m: Member, by: MemberId) -> Claim {
     Claim {
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -299,15 +299,7 @@
     /// The member it describes, if it does.
     pub(crate) fn member(&self) -> Result<Member, PacketError> {
         let d = self.detail.as_ref().ok_or(PacketError::Detail)?;
-        let pool = d.pool.as_ref();
-        for t in [&d.host, &d.domain, &d.region, &d.tags]
-            .into_iter()
-            .chain(pool)
-        {
-            if t.len() > TEXT_MAX {
-                return Err(PacketError::Text(t.len()));
-            }
-        }
+        d.check()?;
         Ok(Member {
             id: MemberId(self.id),
             role: if d.sidecar {
@@ -330,10 +322,20 @@
 
     fn check(&self) -> Result<(), PacketError> {
         state(self.state)?;
-        match self.detail {
-            Some(_) => self.member().map(drop),
-            None => Ok(()),
+        self.detail.as_ref().map_or(Ok(()), Detail::check)
+    }
+}
+
+impl Detail {
+    fn check(&self) -> Result<(), PacketError> {
+        let texts = [&self.host, &self.domain, &self.region, &self.tags];
+        let texts = texts.into_iter().chain(&self.pool);
+        let long = texts.map(String::len).find(|&n| n > TEXT_MAX);
+        if let Some(n) = long {
+            return Err(PacketError::Text(n));
         }
+        let addrs = [&self.udp, &self.tcp].into_iter().chain(&self.http);
+        addrs.map(addr).try_for_each(|a| a.map(drop))
     }
 }
 
--- a/crates/fleet/src/rumor.rs
+++ b/crates/fleet/src/rumor.rs
@@ -4,46 +4,57 @@
 //! least told first. Hearing an update again counts as a time, since it shows that others tell
 //! it. Without the bound, a burst of changes would fill every datagram for good.
 
-use crate::packet::{Packet, Update};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+
 use prost::Message;
 
+use crate::packet::{Packet, Update};
+
 /// Bound on the updates that wait; some more than a whole fleet that restarts.
 const WAIT_MAX: usize = 4_096;
 /// Tag and length in front of an update in a datagram.
 const FRAME: usize = 3;
 
+/// Place in the queue: the least told first, then the newest.
+type Place = (u32, Reverse<u64>);
+
 struct Rumor {
     update: Update,
     len: usize,
-    told: u32,
 }
 
 /// A bounded queue with one update per member.
 #[derive(Default)]
 pub(crate) struct Rumors {
-    wait: Vec<Rumor>,
+    wait: BTreeMap<Place, Rumor>,
+    places: HashMap<u64, Place>,
+    count: u64,
 }
 
 impl Rumors {
     /// Queues an update in place of an older one of the same member.
     pub(crate) fn push(&mut self, update: Update) {
-        self.wait.retain(|r| r.update.id != update.id);
+        if let Some(old) = self.places.remove(&update.id) {
+            self.wait.remove(&old);
+        }
         if self.wait.len() >= WAIT_MAX {
-            self.wait.pop();
+            let last = self.wait.pop_last();
+            last.and_then(|(_, r)| self.places.remove(&r.update.id));
         }
         let len = update.encoded_len() + FRAME;
-        let rumor = Rumor {
-            update,
-            len,
-            told: 0,
-        };
-        self.wait.insert(0, rumor);
+        self.put(0, Rumor { update, len });
     }
 
     /// Counts an update that came back.
-    pub(crate) fn heard(&mut self, update: &Update) {
-        if let Some(r) = self.wait.iter_mut().find(|r| r.update.same(update)) {
-            r.told += 1;
+    pub(crate) fn heard(&mut self, update: &Update, limit: u32) {
+        let Some(&place) = self.places.get(&update.id) else {
+            return;
+        };
+        match self.wait.remove(&place) {
+            Some(r) if r.update.same(update) => self.again(place.0 + 1, r, limit),
+            Some(r) => drop(self.wait.insert(place, r)),
+            None => {}
         }
     }
 
@@ -54,15 +65,33 @@
 
     /// Moves what fits into a datagram, the least told first.
     pub(crate) fn fill(&mut self, p: &mut Packet, mut room: usize, limit: u32) {
-        self.wait.sort_by_key(|r| r.told);
-        for r in &mut self.wait {
-            if r.len > room {
+        let mut told = Vec::new();
+        while let Some(e) = self.wait.first_entry() {
+            if e.get().len > room {
                 break;
             }
+            let (place, r) = e.remove_entry();
             room -= r.len;
-            r.told += 1;
+            told.push((place, r));
+        }
+        for (place, r) in told {
             p.updates.push(r.update.clone());
+            self.again(place.0 + 1, r, limit);
         }
-        self.wait.retain(|r| r.told < limit);
+    }
+
+    /// Puts an update back unless it was told often enough.
+    fn again(&mut self, told: u32, r: Rumor, limit: u32) {
+        match told < limit {
+            true => self.put(told, r),
+            false => drop(self.places.remove(&r.update.id)),
+        }
+    }
+
+    fn put(&mut self, told: u32, r: Rumor) {
+        self.count += 1;
+        let place = (told, Reverse(self.count));
+        self.places.insert(r.update.id, place);
+        self.wait.insert(place, r);
     }
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -55,6 +55,9 @@
     pub read_max: Micros,
     /// How long a pull may take.
     pub pull_wait: Micros,
+    /// How long a pull of the text alone may take at first; doubles with each failure. Kilobytes
+    /// take two round trips, so this is ten times what they need within a region.
+    pub text_wait: Micros,
     /// First wait after a failed pull; doubles.
     pub pull_retry: Micros,
     /// Longest wait after failed pulls.
@@ -87,6 +90,7 @@
             read_every: Micros::from_secs(1),
             read_max: Micros::from_secs(30),
             pull_wait: Micros::from_secs(3),
+            text_wait: Micros::from_millis(250),
             pull_retry: Micros::from_millis(50),
             pull_max: Micros::from_secs(5),
             join_retry: Micros::from_millis(200),
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -169,6 +169,11 @@
         self.pull.is_none() && self.retry_at <= now
     }
 
+    /// Asks a member again only if nobody else is ahead.
+    fn put_last(&mut self, from: MemberId) {
+        self.sources.sort_by_key(|s| s.id != from);
+    }
+
     fn note(&mut self, s: Source) {
         self.sources.retain(|o| o.id != s.id);
         if self.sources.len() >= SOURCES_MAX {
@@ -204,7 +209,8 @@
             let from = p.from;
             self.pull_failed(from);
         }
-        if self.spread.is_idle(self.now) {
+        // A process that joins gets the text with the whole list.
+        if self.spread.is_idle(self.now) && !self.join.is_trying() {
             self.pull_text(out);
         }
         if self.spread.watch_at <= self.now {
@@ -289,7 +295,7 @@
         let source = self.spread.sources.iter().find(|s| s.id == from).copied();
         self.spread.pull = Some(Pull {
             from,
-            until: self.now + self.set.pull_wait,
+            until: self.now + self.pull_wait(what),
             source,
         });
         self.counters.pulls += 1;
@@ -305,6 +311,7 @@
             return self.back_off();
         }
         let joining = self.join.is_open();
+        let whole = !answer.members.is_empty();
         self.merge_list(from, answer.members, joining, out);
         for c in answer.convictions {
             self.convict(c, out);
@@ -315,23 +322,35 @@
             text: answer.text,
         };
         self.take_row(row, source, joining, out);
-        self.joined();
+        if whole {
+            self.joined();
+        }
     }
 
     /// A pull came to nothing: another member is asked, later and later.
     pub(crate) fn pull_failed(&mut self, from: MemberId) {
         if self.spread.pull.take_if(|p| p.from == from).is_some() {
             self.counters.pull_failures += 1;
-            self.spread.sources.retain(|s| s.id != from);
+            self.spread.put_last(from);
             self.back_off();
         }
     }
 
+    /// A text comes from the next member sooner than a lost connection is noticed.
+    fn pull_wait(&self, what: What) -> Micros {
+        let text = Micros(self.set.text_wait.0 << self.spread.fails.min(8));
+        match what {
+            What::All => self.set.pull_wait,
+            What::Config => text.min(self.set.pull_wait),
+        }
+    }
+
     fn back_off(&mut self) {
         self.spread.fails += 1;
         let wait = self.set.pull_retry.0 << self.spread.fails.min(16);
         let wait = self.jitter(Micros(wait).min(self.set.pull_max));
         self.spread.retry_at = self.now + wait;
+        self.retry_join(wait);
         if self.spread.fails >= TABLE_AFTER {
             self.read_soon(wait);
         }
@@ -419,9 +438,8 @@
         let Some(top) = spread.sources.iter().map(|s| s.version).max() else {
             return;
         };
-        let ahead: Vec<_> = spread.sources.iter().filter(|s| s.version == top).collect();
-        let from = ahead.choose(&mut self.rng).map(|s| s.id);
-        if let Some(from) = from {
+        let from = spread.sources.iter().rfind(|s| s.version == top);
+        if let Some(from) = from.map(|s| s.id) {
             self.pull(from, What::Config, out);
         }
     }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -55,6 +55,8 @@
     pub(crate) settings: Settings,
     pub(crate) domains: usize,
     pub(crate) timed: bool,
+    /// These two don't reach each other.
+    pub(crate) broken: Option<(usize, usize)>,
     posts: HashMap<u64, Post>,
     heap: BinaryHeap<Reverse<(Micros, u64, usize)>>,
     count: u64,
@@ -98,6 +100,7 @@
             settings: settings(),
             domains: 3,
             timed: false,
+            broken: None,
             posts: HashMap::new(),
             heap: BinaryHeap::new(),
             count: 0,
@@ -175,8 +178,15 @@
 
     /// Ends a process without a word and starts a new one in its place.
     pub(crate) fn restart(&mut self, i: usize) {
+        self.restart_back(i, Micros::ZERO);
+    }
+
+    /// The same, with the wall clock set back meanwhile.
+    pub(crate) fn restart_back(&mut self, i: usize, back: Micros) {
         let life = self.nodes[i].life + 1;
-        let fleet = self.birth(i, life);
+        let mut me = self.member(i, life);
+        me.incarnation.0 -= back.0;
+        let fleet = Fleet::new(self.settings.clone(), me, self.rng.random());
         let n = &mut self.nodes[i];
         n.fleet = fleet;
         n.life = life;
@@ -212,6 +222,18 @@
         self.hand(i, Event::Accepted(r));
     }
 
+    /// Gives a process a text that nobody has checked against the table.
+    pub(crate) fn plant(&mut self, i: usize, r: TableRow) {
+        let from = MemberId(1);
+        let answer = Answer {
+            version: r.version,
+            digest: r.digest,
+            text: r.text,
+            ..Answer::default()
+        };
+        self.hand(i, Event::Pulled { from, answer });
+    }
+
     pub(crate) fn up(&self) -> impl Iterator<Item = &Node> {
         self.nodes.iter().filter(|n| n.up)
     }
@@ -219,7 +241,7 @@
     /// Whether each process knows exactly the others.
     pub(crate) fn is_whole(&self) -> bool {
         let n = self.up().count();
-        self.up().all(|x| x.fleet.members().count() == n - 1)
+        self.up().all(|x| x.fleet.live() == n)
     }
 
     pub(crate) fn all_have(&self, r: &TableRow) -> bool {
@@ -290,7 +312,10 @@
     }
 
     pub(crate) fn reach(&self, a: usize, b: usize) -> bool {
-        self.nodes[a].group == self.nodes[b].group
+        let cut = self
+            .broken
+            .is_some_and(|(x, y)| (x, y) == (a, b) || (y, x) == (a, b));
+        !cut && self.nodes[a].group == self.nodes[b].group
     }
 
     pub(crate) fn post(&mut self, at: Micros, i: usize, p: Post) {
