Don't take a newborn's answer for an empty fleet; encode updates once

A process that joins may pull from an address where another one has just restarted. Retrying a failed join pull sooner had changed nothing.

Updates wait encoded and are decoded only if they are news: in a perf record of a cold start of 1,180 members their cloning and decoding had been most of the time.

--- a/crates/fleet/src/convict.rs
+++ b/crates/fleet/src/convict.rs
@@ -71,14 +71,8 @@
         !self.hot.is_empty()
     }
 
-    /// Adds a few to a datagram; gives the room left.
-    pub(crate) fn fill(
-        &mut self,
-        p: &mut Packet,
-        mut room: usize,
-        limit: u32,
-        epoch: Micros,
-    ) -> usize {
+    /// Adds a few to a datagram.
+    pub(crate) fn fill(&mut self, p: &mut Packet, mut room: usize, limit: u32, epoch: Micros) {
         let n = self.hot.len().min(RIDE_MAX);
         self.hot.rotate_left(n);
         for f in self.hot.iter().rev().take(n) {
@@ -97,7 +91,6 @@
         let kept = &self.kept;
         self.hot
             .retain(|f| kept.get(f).is_some_and(|k| k.told < limit));
-        room
     }
 
     fn bound(&mut self) {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -256,10 +256,11 @@
         p.view = self.view_hash();
         let limit = self.limit();
         let room = BODY_MAX.saturating_sub(p.encoded_len());
-        let room = self.convictions.fill(&mut p, room, limit, self.set.epoch);
-        self.rumors.fill(&mut p, room, limit);
+        self.convictions.fill(&mut p, room, limit, self.set.epoch);
+        let mut body = p.encode_to_vec();
+        self.rumors.fill(&mut body, limit);
         self.spread.hot = self.spread.hot.saturating_sub(1);
-        let bytes = p.seal(&self.set.keys);
+        let bytes = self.set.keys.seal(&body);
         self.counters.sent += 1;
         self.counters.sent_bytes += bytes.len() as u64;
         out.push(Action::Send { to, bytes });
--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -9,7 +9,7 @@
 
 use model::{Incarnation, MemberId, Micros};
 
-use crate::packet::{Kind, Packet, Update};
+use crate::packet::{Kind, Packet, PacketError, Update};
 use crate::suspicion::Suspicion;
 use crate::view::{Claim, MemberKey};
 use crate::{Action, Conviction, Fleet, Member, MemberState};
@@ -20,11 +20,14 @@
         let limit = self.limit();
         for u in &p.updates {
             self.rumors.heard(u, limit);
-            let c = self.claim(u);
-            self.learn(c, true, out);
+            match self.claim(u) {
+                Ok(c) => self.learn(c, true, out),
+                Err(_) => self.counters.bad_packet += 1,
+            }
+        }
+        if let Ok(own) = self.claim(&p.header()) {
+            self.learn(own, true, out);
         }
-        let own = self.claim(&p.header());
-        self.learn(own, true, out);
         for m in &p.marks {
             self.convict(m.read(), out);
         }
@@ -39,7 +42,7 @@
     }
 
     /// Reads a report; its description only if that is news, as most are heard many times.
-    fn claim(&self, u: &Update) -> Claim {
+    fn claim(&self, u: &Update) -> Result<Claim, PacketError> {
         let mut c = Claim {
             id: MemberId(u.id),
             incarnation: Incarnation(u.incarnation),
@@ -48,10 +51,11 @@
             detail: None,
         };
         let known = self.view.key(c.id).and_then(|k| self.view.member(k));
-        if known.is_none_or(|m| m.rank() < c.rank()) {
-            c.detail = u.member().ok().map(Box::new);
+        let news = known.is_none_or(|m| m.rank() < c.rank());
+        if news && u.detail.is_some() {
+            c.detail = Some(Box::new(u.member()?));
         }
-        c
+        Ok(c)
     }
 
     /// Weighs one report; `pass` hands it on if it is news.
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use model::{Incarnation, MemberId, Micros, Version};
+use prost::encoding::WireType;
 use prost::Message;
 use thiserror::Error;
 
@@ -148,13 +149,14 @@
     /// Who suspects it.
     #[prost(fixed64, tag = "4")]
     pub by: u64,
-    /// Its description, for those that don't know it.
-    #[prost(message, optional, tag = "5")]
-    pub(crate) detail: Option<Detail>,
+    /// Its description, for those that don't know it; decoded only if it is news, since most
+    /// updates are heard many times.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub(crate) detail: Option<Bytes>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct Detail {
+struct Detail {
     #[prost(bool, tag = "1")]
     sidecar: bool,
     #[prost(string, tag = "2")]
@@ -230,6 +232,13 @@
         keys.seal(&self.encode_to_vec())
     }
 
+    /// Adds an update that is encoded already to an encoded datagram.
+    pub(crate) fn append(body: &mut Vec<u8>, update: &[u8]) {
+        prost::encoding::encode_key(14, WireType::LengthDelimited, body);
+        prost::encoding::encode_varint(update.len() as u64, body);
+        body.extend_from_slice(update);
+    }
+
     /// Opens and checks what came in.
     pub fn open(keys: &Keyring, bytes: Bytes) -> Result<Self, PacketError> {
         if bytes.len() > DATAGRAM_MAX {
@@ -239,7 +248,9 @@
         Kind::try_from(p.kind).map_err(|_| PacketError::Number(p.kind))?;
         state(p.state)?;
         Digest::from_wire(&p.digest)?;
-        p.updates.iter().try_for_each(Update::check)?;
+        p.updates
+            .iter()
+            .try_for_each(|u| state(u.state).map(drop))?;
         Ok(p)
     }
 
@@ -269,7 +280,7 @@
 
     /// A report with the member's description.
     pub(crate) fn full(m: &Member) -> Self {
-        let detail = Some(Detail {
+        let detail = Detail {
             sidecar: m.role == Role::Sidecar,
             host: m.host.clone(),
             domain: m.domain.clone(),
@@ -279,9 +290,9 @@
             http: m.http.map(put_addr),
             pool: m.pool.clone(),
             tags: m.tags.clone(),
-        });
+        };
         Self {
-            detail,
+            detail: Some(detail.encode_to_vec().into()),
             ..Self::brief(m, MemberId(0))
         }
     }
@@ -298,7 +309,8 @@
 
     /// The member it describes, if it does.
     pub(crate) fn member(&self) -> Result<Member, PacketError> {
-        let d = self.detail.as_ref().ok_or(PacketError::Detail)?;
+        let detail = self.detail.clone().ok_or(PacketError::Detail)?;
+        let d = Detail::decode(detail)?;
         d.check()?;
         Ok(Member {
             id: MemberId(self.id),
@@ -307,23 +319,18 @@
             } else {
                 Role::Entry
             },
-            host: d.host.clone(),
-            domain: d.domain.clone(),
-            region: d.region.clone(),
+            host: d.host,
+            domain: d.domain,
+            region: d.region,
             udp: addr(&d.udp)?,
             tcp: addr(&d.tcp)?,
             http: d.http.as_ref().map(addr).transpose()?,
-            pool: d.pool.clone(),
-            tags: d.tags.clone(),
+            pool: d.pool,
+            tags: d.tags,
             incarnation: Incarnation(self.incarnation),
             state: state(self.state)?,
         })
     }
-
-    fn check(&self) -> Result<(), PacketError> {
-        state(self.state)?;
-        self.detail.as_ref().map_or(Ok(()), Detail::check)
-    }
 }
 
 impl Detail {
@@ -334,8 +341,7 @@
         if let Some(n) = long {
             return Err(PacketError::Text(n));
         }
-        let addrs = [&self.udp, &self.tcp].into_iter().chain(&self.http);
-        addrs.map(addr).try_for_each(|a| a.map(drop))
+        Ok(())
     }
 }
 
--- a/crates/fleet/src/rumor.rs
+++ b/crates/fleet/src/rumor.rs
@@ -9,7 +9,7 @@
 
 use prost::Message;
 
-use crate::packet::{Packet, Update};
+use crate::packet::{Packet, Update, BODY_MAX};
 
 /// Bound on the updates that wait; some more than a whole fleet that restarts.
 const WAIT_MAX: usize = 4_096;
@@ -21,7 +21,7 @@
 
 struct Rumor {
     update: Update,
-    len: usize,
+    bytes: Vec<u8>,
 }
 
 /// A bounded queue with one update per member.
@@ -42,8 +42,8 @@
             let last = self.wait.pop_last();
             last.and_then(|(_, r)| self.places.remove(&r.update.id));
         }
-        let len = update.encoded_len() + FRAME;
-        self.put(0, Rumor { update, len });
+        let bytes = update.encode_to_vec();
+        self.put(0, Rumor { update, bytes });
     }
 
     /// Counts an update that came back.
@@ -63,19 +63,18 @@
         self.wait.is_empty()
     }
 
-    /// Moves what fits into a datagram, the least told first.
-    pub(crate) fn fill(&mut self, p: &mut Packet, mut room: usize, limit: u32) {
+    /// Adds what fits to an encoded datagram, the least told first.
+    pub(crate) fn fill(&mut self, body: &mut Vec<u8>, limit: u32) {
         let mut told = Vec::new();
         while let Some(e) = self.wait.first_entry() {
-            if e.get().len > room {
+            if body.len() + e.get().bytes.len() + FRAME > BODY_MAX {
                 break;
             }
             let (place, r) = e.remove_entry();
-            room -= r.len;
+            Packet::append(body, &r.bytes);
             told.push((place, r));
         }
         for (place, r) in told {
-            p.updates.push(r.update.clone());
             self.again(place.0 + 1, r, limit);
         }
     }
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -312,6 +312,13 @@
         }
         let joining = self.join.is_open();
         let whole = !answer.members.is_empty();
+        // A later life at the same address knows nothing yet and would look like an empty fleet.
+        let other = whole && answer.members.iter().all(|m| m.id != from);
+        let behind = source.is_some_and(|s| answer.version < s.version);
+        if other || behind {
+            self.counters.pull_failures += 1;
+            return self.back_off();
+        }
         self.merge_list(from, answer.members, joining, out);
         for c in answer.convictions {
             self.convict(c, out);
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -20,7 +20,12 @@
     Wake(u32),
     Hand(u32, Event),
     Mail(Event),
-    Serve { asker: usize, life: u32, what: What },
+    Serve {
+        asker: usize,
+        life: u32,
+        from: MemberId,
+        what: What,
+    },
 }
 
 pub(crate) struct Node {
@@ -289,16 +294,20 @@
             Post::Hand(life, e) if self.nodes[i].life == life => self.hand(i, e),
             Post::Hand(..) => {}
             Post::Mail(e) => self.hand(i, e),
-            Post::Serve { asker, life, what } => self.serve(i, asker, life, what),
+            Post::Serve {
+                asker,
+                life,
+                from,
+                what,
+            } => self.serve(i, asker, life, from, what),
         }
         true
     }
 
-    fn serve(&mut self, i: usize, asker: usize, life: u32, what: What) {
+    fn serve(&mut self, i: usize, asker: usize, life: u32, from: MemberId, what: What) {
         let n = &self.nodes[i];
         let ok = n.up && !n.paused && self.reach(i, asker);
         let ok = ok && !self.rng.random_bool(self.loss);
-        let from = self.nodes[i].fleet.me().id;
         let (wait, event) = match ok {
             true => {
                 let bytes = self.nodes[i].fleet.answer(what).encode();
@@ -350,10 +359,19 @@
         let now = self.now;
         match a {
             Action::Send { to, bytes } => self.carry(i, to, bytes),
-            Action::Pull { tcp, what, .. } => {
+            Action::Pull { tcp, what, from } => {
                 let asker = i;
                 let at = now + Micros(self.delay.0 * 3);
-                self.post(at, index(tcp), Post::Serve { asker, life, what });
+                self.post(
+                    at,
+                    index(tcp),
+                    Post::Serve {
+                        asker,
+                        life,
+                        from,
+                        what,
+                    },
+                );
             }
             Action::ReadTable => {
                 self.nodes[i].reads += 1;
