--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,7 +35,7 @@
 pub use event::{Action, Event, HostEntry, TableAway, TableRead, TableRow, What};
 pub use fleet::{Counters, Fleet};
 pub use member::{Member, MemberState, Role};
-pub use packet::{Answer, Kind, Packet, PacketError, Update, DATAGRAM_MAX};
+pub use packet::{Answer, Kind, Mark, Packet, PacketError, Update, DATAGRAM_MAX};
 pub use seal::{Key, Keyring, SealError};
 pub use settings::Settings;
 pub use spread::{Digest, InForce, Lag};
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -131,7 +131,7 @@
     pub updates: Vec<Update>,
     /// Convictions.
     #[prost(message, repeated, tag = "15")]
-    pub(crate) marks: Vec<Mark>,
+    pub marks: Vec<Mark>,
 }
 
 /// A report about one member.
@@ -145,14 +145,14 @@
     pub incarnation: u64,
     /// What is reported.
     #[prost(enumeration = "State", tag = "3")]
-    pub(crate) state: i32,
+    pub state: i32,
     /// Who suspects it.
     #[prost(fixed64, tag = "4")]
     pub by: u64,
     /// Its description, for those that don't know it; decoded only if it is news, since most
     /// updates are heard many times.
     #[prost(bytes = "bytes", optional, tag = "5")]
-    pub(crate) detail: Option<Bytes>,
+    pub detail: Option<Bytes>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -179,13 +179,16 @@
 
 /// A conviction, with its expiry on the wall clock.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct Mark {
+pub struct Mark {
+    /// Upper half of the fingerprint.
     #[prost(fixed64, tag = "1")]
-    high: u64,
+    pub high: u64,
+    /// Lower half of the fingerprint.
     #[prost(fixed64, tag = "2")]
-    low: u64,
+    pub low: u64,
+    /// Microseconds since 1970.
     #[prost(uint64, tag = "3")]
-    until: u64,
+    pub until: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
