--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -132,6 +132,11 @@
         self.everyone().filter(|m| m.state.is_live())
     }
 
+    /// How many live members there are, this process included.
+    pub fn live(&self) -> usize {
+        self.size()
+    }
+
     /// All members other than this process that are remembered, the dead included.
     pub fn everyone(&self) -> impl Iterator<Item = &Member> {
         self.view.iter().map(|(_, e)| &e.member)
@@ -251,10 +256,11 @@
         p.view = self.view_hash();
         let limit = self.limit();
         let room = BODY_MAX.saturating_sub(p.encoded_len());
-        let room = self.convictions.fill(&mut p, room, limit, self.set.epoch);
-        self.rumors.fill(&mut p, room, limit);
+        self.convictions.fill(&mut p, room, limit, self.set.epoch);
+        let mut body = p.encode_to_vec();
+        self.rumors.fill(&mut body, limit);
         self.spread.hot = self.spread.hot.saturating_sub(1);
-        let bytes = p.seal(&self.set.keys);
+        let bytes = self.set.keys.seal(&body);
         self.counters.sent += 1;
         self.counters.sent_bytes += bytes.len() as u64;
         out.push(Action::Send { to, bytes });
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use model::{Incarnation, MemberId, Micros, Version};
+use prost::encoding::WireType;
 use prost::Message;
 use thiserror::Error;
 
@@ -130,7 +131,7 @@
     pub updates: Vec<Update>,
     /// Convictions.
     #[prost(message, repeated, tag = "15")]
-    pub(crate) marks: Vec<Mark>,
+    pub marks: Vec<Mark>,
 }
 
 /// A report about one member.
@@ -144,17 +145,18 @@
     pub incarnation: u64,
     /// What is reported.
     #[prost(enumeration = "State", tag = "3")]
-    pub(crate) state: i32,
+    pub state: i32,
     /// Who suspects it.
     #[prost(fixed64, tag = "4")]
     pub by: u64,
-    /// Its description, for those that don't know it.
-    #[prost(message, optional, tag = "5")]
-    pub(crate) detail: Option<Detail>,
+    /// Its description, for those that don't know it; decoded only if it is news, since most
+    /// updates are heard many times.
+    #[prost(bytes = "bytes", optional, tag = "5")]
+    pub detail: Option<Bytes>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct Detail {
+struct Detail {
     #[prost(bool, tag = "1")]
     sidecar: bool,
     #[prost(string, tag = "2")]
@@ -177,13 +179,16 @@
 
 /// A conviction, with its expiry on the wall clock.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct Mark {
+pub struct Mark {
+    /// Upper half of the fingerprint.
     #[prost(fixed64, tag = "1")]
-    high: u64,
+    pub high: u64,
+    /// Lower half of the fingerprint.
     #[prost(fixed64, tag = "2")]
-    low: u64,
+    pub low: u64,
+    /// Microseconds since 1970.
     #[prost(uint64, tag = "3")]
-    until: u64,
+    pub until: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -230,6 +235,13 @@
         keys.seal(&self.encode_to_vec())
     }
 
+    /// Adds an update that is encoded already to an encoded datagram.
+    pub(crate) fn append(body: &mut Vec<u8>, update: &[u8]) {
+        prost::encoding::encode_key(14, WireType::LengthDelimited, body);
+        prost::encoding::encode_varint(update.len() as u64, body);
+        body.extend_from_slice(update);
+    }
+
     /// Opens and checks what came in.
     pub fn open(keys: &Keyring, bytes: Bytes) -> Result<Self, PacketError> {
         if bytes.len() > DATAGRAM_MAX {
@@ -239,7 +251,9 @@
         Kind::try_from(p.kind).map_err(|_| PacketError::Number(p.kind))?;
         state(p.state)?;
         Digest::from_wire(&p.digest)?;
-        p.updates.iter().try_for_each(Update::check)?;
+        p.updates
+            .iter()
+            .try_for_each(|u| state(u.state).map(drop))?;
         Ok(p)
     }
 
@@ -269,7 +283,7 @@
 
     /// A report with the member's description.
     pub(crate) fn full(m: &Member) -> Self {
-        let detail = Some(Detail {
+        let detail = Detail {
             sidecar: m.role == Role::Sidecar,
             host: m.host.clone(),
             domain: m.domain.clone(),
@@ -279,9 +293,9 @@
             http: m.http.map(put_addr),
             pool: m.pool.clone(),
             tags: m.tags.clone(),
-        });
+        };
         Self {
-            detail,
+            detail: Some(detail.encode_to_vec().into()),
             ..Self::brief(m, MemberId(0))
         }
     }
@@ -298,16 +312,9 @@
 
     /// The member it describes, if it does.
     pub(crate) fn member(&self) -> Result<Member, PacketError> {
-        let d = self.detail.as_ref().ok_or(PacketError::Detail)?;
-        let pool = d.pool.as_ref();
-        for t in [&d.host, &d.domain, &d.region, &d.tags]
-            .into_iter()
-            .chain(pool)
-        {
-            if t.len() > TEXT_MAX {
-                return Err(PacketError::Text(t.len()));
-            }
-        }
+        let detail = self.detail.clone().ok_or(PacketError::Detail)?;
+        let d = Detail::decode(detail)?;
+        d.check()?;
         Ok(Member {
             id: MemberId(self.id),
             role: if d.sidecar {
@@ -315,25 +322,29 @@
             } else {
                 Role::Entry
             },
-            host: d.host.clone(),
-            domain: d.domain.clone(),
-            region: d.region.clone(),
+            host: d.host,
+            domain: d.domain,
+            region: d.region,
             udp: addr(&d.udp)?,
             tcp: addr(&d.tcp)?,
             http: d.http.as_ref().map(addr).transpose()?,
-            pool: d.pool.clone(),
-            tags: d.tags.clone(),
+            pool: d.pool,
+            tags: d.tags,
             incarnation: Incarnation(self.incarnation),
             state: state(self.state)?,
         })
     }
+}
 
+impl Detail {
     fn check(&self) -> Result<(), PacketError> {
-        state(self.state)?;
-        match self.detail {
-            Some(_) => self.member().map(drop),
-            None => Ok(()),
+        let texts = [&self.host, &self.domain, &self.region, &self.tags];
+        let texts = texts.into_iter().chain(&self.pool);
+        let long = texts.map(String::len).find(|&n| n > TEXT_MAX);
+        if let Some(n) = long {
+            return Err(PacketError::Text(n));
         }
+        Ok(())
     }
 }
 
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -20,7 +20,12 @@
     Wake(u32),
     Hand(u32, Event),
     Mail(Event),
-    Serve { asker: usize, life: u32, what: What },
+    Serve {
+        asker: usize,
+        life: u32,
+        from: MemberId,
+        what: What,
+    },
 }
 
 pub(crate) struct Node {
@@ -55,6 +60,8 @@
     pub(crate) settings: Settings,
     pub(crate) domains: usize,
     pub(crate) timed: bool,
+    /// These two don't reach each other.
+    pub(crate) broken: Option<(usize, usize)>,
     posts: HashMap<u64, Post>,
     heap: BinaryHeap<Reverse<(Micros, u64, usize)>>,
     count: u64,
@@ -98,6 +105,7 @@
             settings: settings(),
             domains: 3,
             timed: false,
+            broken: None,
             posts: HashMap::new(),
             heap: BinaryHeap::new(),
             count: 0,
@@ -175,8 +183,15 @@
 
     /// Ends a process without a word and starts a new one in its place.
     pub(crate) fn restart(&mut self, i: usize) {
+        self.restart_back(i, Micros::ZERO);
+    }
+
+    /// The same, with the wall clock set back meanwhile.
+    pub(crate) fn restart_back(&mut self, i: usize, back: Micros) {
         let life = self.nodes[i].life + 1;
-        let fleet = self.birth(i, life);
+        let mut me = self.member(i, life);
+        me.incarnation.0 -= back.0;
+        let fleet = Fleet::new(self.settings.clone(), me, self.rng.random());
         let n = &mut self.nodes[i];
         n.fleet = fleet;
         n.life = life;
@@ -212,6 +227,18 @@
         self.hand(i, Event::Accepted(r));
     }
 
+    /// Gives a process a text that nobody has checked against the table.
+    pub(crate) fn plant(&mut self, i: usize, r: TableRow) {
+        let from = MemberId(1);
+        let answer = Answer {
+            version: r.version,
+            digest: r.digest,
+            text: r.text,
+            ..Answer::default()
+        };
+        self.hand(i, Event::Pulled { from, answer });
+    }
+
     pub(crate) fn up(&self) -> impl Iterator<Item = &Node> {
         self.nodes.iter().filter(|n| n.up)
     }
@@ -219,7 +246,7 @@
     /// Whether each process knows exactly the others.
     pub(crate) fn is_whole(&self) -> bool {
         let n = self.up().count();
-        self.up().all(|x| x.fleet.members().count() == n - 1)
+        self.up().all(|x| x.fleet.live() == n)
     }
 
     pub(crate) fn all_have(&self, r: &TableRow) -> bool {
@@ -267,16 +294,20 @@
             Post::Hand(life, e) if self.nodes[i].life == life => self.hand(i, e),
             Post::Hand(..) => {}
             Post::Mail(e) => self.hand(i, e),
-            Post::Serve { asker, life, what } => self.serve(i, asker, life, what),
+            Post::Serve {
+                asker,
+                life,
+                from,
+                what,
+            } => self.serve(i, asker, life, from, what),
         }
         true
     }
 
-    fn serve(&mut self, i: usize, asker: usize, life: u32, what: What) {
+    fn serve(&mut self, i: usize, asker: usize, life: u32, from: MemberId, what: What) {
         let n = &self.nodes[i];
         let ok = n.up && !n.paused && self.reach(i, asker);
         let ok = ok && !self.rng.random_bool(self.loss);
-        let from = self.nodes[i].fleet.me().id;
         let (wait, event) = match ok {
             true => {
                 let bytes = self.nodes[i].fleet.answer(what).encode();
@@ -290,7 +321,10 @@
     }
 
     pub(crate) fn reach(&self, a: usize, b: usize) -> bool {
-        self.nodes[a].group == self.nodes[b].group
+        let cut = self
+            .broken
+            .is_some_and(|(x, y)| (x, y) == (a, b) || (y, x) == (a, b));
+        !cut && self.nodes[a].group == self.nodes[b].group
     }
 
     pub(crate) fn post(&mut self, at: Micros, i: usize, p: Post) {
@@ -325,10 +359,19 @@
         let now = self.now;
         match a {
             Action::Send { to, bytes } => self.carry(i, to, bytes),
-            Action::Pull { tcp, what, .. } => {
+            Action::Pull { tcp, what, from } => {
                 let asker = i;
                 let at = now + Micros(self.delay.0 * 3);
-                self.post(at, index(tcp), Post::Serve { asker, life, what });
+                self.post(
+                    at,
+                    index(tcp),
+                    Post::Serve {
+                        asker,
+                        life,
+                        from,
+                        what,
+                    },
+                );
             }
             Action::ReadTable => {
                 self.nodes[i].reads += 1;
