--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -58,6 +58,11 @@
     Events(Vec<prefix::Event>),
     /// The whole cache.
     Cache(Incarnation, u64, Vec<prefix::Block>),
+    /// Leave the target alone for an order; told once nothing runs there. The engine's own
+    /// report of what runs lags and can't be used for this.
+    Quiet(oneshot::Sender<()>),
+    /// The order is over.
+    Unquiet,
     /// The process is told to stop.
     Stop,
 }
@@ -175,6 +180,8 @@
     pub gossip: std::net::UdpSocket,
     /// Messages from traffic.
     pub asked: Asked,
+    /// Where the fleet's view goes.
+    pub view: Shared,
     /// Messages for membership.
     pub members: mpsc::UnboundedReceiver<member::Ask>,
     /// Convictions for membership.
@@ -198,7 +205,7 @@
     let gossip = UdpSocket::from_std(s.gossip)?;
     let life = s.me.life;
     let notice = s.settings.notice.into();
-    let view = member::empty_view();
+    let view = s.view;
     let shared = Arc::clone(&view);
     let members = Membership::new(&s.settings, s.me, gossip, shared, s.members)?;
     let state = Control {
@@ -211,6 +218,7 @@
         asked: s.asked,
         rng: SmallRng::from_os_rng(),
         pool: s.role.pool,
+        quiet: None,
         view,
         version: Version(0),
     };
@@ -228,6 +236,8 @@
     asked: Asked,
     rng: SmallRng,
     pool: String,
+    /// Told once nothing runs at the target.
+    quiet: Option<oneshot::Sender<()>>,
     view: Shared,
     /// Version that the decisions follow.
     version: Version,
@@ -288,6 +298,15 @@
                 let need = self.decide.index().reset(now, life, seq, blocks);
                 self.want(need);
             }
+            Ask::Quiet(done) => {
+                let back = self.decide.quiet(true);
+                refuse(back, Code::Draining, None);
+                self.quiet = Some(done);
+            }
+            Ask::Unquiet => {
+                self.decide.quiet(false);
+                self.quiet = None;
+            }
             Ask::Stop => self.step(drain::Event::Stop),
         }
     }
@@ -303,6 +322,11 @@
                 self.decide.finished(now, g.run, 0);
             }
         }
+        if self.decide.running() == 0 {
+            if let Some(done) = self.quiet.take() {
+                let _ = done.send(());
+            }
+        }
         let need = self.decide.index().tick(now);
         self.want(need);
         metrics::gauge!("clementinestep_queue_length").set(self.decide.waiting() as f64);
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -158,6 +158,8 @@
     /// The same by settings alone.
     most: usize,
     state: State,
+    /// Whether the target is to be left alone for an order.
+    quiet: bool,
     member: MemberId,
     engine: Incarnation,
     index: Index,
@@ -204,6 +206,7 @@
             slots,
             most: slots,
             state: State::Serving,
+            quiet: false,
             member,
             engine: Incarnation(0),
             index: Index::new(prefix::Config::default(), "", ""),
@@ -433,7 +436,7 @@
         let Found { life, weights, .. } = *found;
         self.state = match self.state {
             State::Leaving => State::Leaving,
-            _ if found.loading => State::Loading,
+            _ if found.loading || self.quiet => State::Loading,
             _ => State::Serving,
         };
         if life != self.engine {
@@ -461,6 +464,18 @@
         self.give_back()
     }
 
+    /// Leaves the target alone for an order, or ends that; gives back what was not handed over.
+    pub fn quiet(&mut self, on: bool) -> Vec<G> {
+        self.quiet = on;
+        match (on, self.state) {
+            (true, State::Serving) => {
+                self.state = State::Loading;
+                self.give_back()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// The process stops; gives back what was not handed over.
     pub fn leave(&mut self) -> Vec<G> {
         self.state = State::Leaving;
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 pub mod decide;
 pub mod feed;
 pub mod live;
+pub mod orders;
 pub mod run;
 pub mod serve;
 
@@ -19,6 +20,7 @@
 use crate::settings::{Kind, Settings, Sidecar};
 use crate::{admin, clock, log, peer};
 use control::{Ask, Start};
+use orders::Orders;
 use run::Context;
 
 /// Runs until told to stop and all that runs has ended.
@@ -43,6 +45,7 @@
     };
     let (mut asker, asked) = control::channel();
     let (members, from_members) = mpsc::unbounded_channel();
+    let view = member::empty_view();
     let thread = control::spawn(Start {
         me: Me {
             role: fleet::Role::Sidecar,
@@ -56,18 +59,29 @@
         probes: probes.into_std()?,
         gossip: gossip.into_std()?,
         asked,
+        view: Arc::clone(&view),
         members: from_members,
         convict: members.clone(),
     })?;
+    let table = settings.platform.clone();
+    let table = table.map(|p| Platform::new(p, Client::default()));
+    if let (Kind::Model, Some(table)) = (role.kind, table.clone()) {
+        let orders = Orders {
+            target: role.target,
+            pool: role.pool.clone(),
+            view,
+            control: asker.clone(),
+            table,
+            who: format!("{life:x}-{:016x}", rand::random::<u64>()),
+        };
+        tokio::spawn(orders.run());
+    }
     let cx = Arc::new(Context {
         life,
         address: ready.peer,
         target: role.target,
         model: role.kind == Kind::Model,
-        table: settings
-            .platform
-            .clone()
-            .map(|p| Platform::new(p, Client::default())),
+        table,
         exchanges: serve::Exchanges::default(),
         control: asker.clone(),
     });
--- /dev/null
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -0,0 +1,228 @@
+//! Orders to the engine: other weights when the configuration names others.
+//!
+//! Loading takes the engine out of service and slows down when more than a few of a pool load at
+//! once, so that a sidecar first takes one of the pool's permits, then the engine's lease, lets
+//! what runs end, and only then orders, with the lease's fencing number. Both are rows of the
+//! platform's table (`contract::lease`); without the table nothing is loaded and the engine goes
+//! on serving what it has.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use contract::lease::Config;
+use contract::{Lease, LeaseStep};
+use hyper::{Method, StatusCode};
+use model::Micros;
+use serde::Deserialize;
+use serde_json::json;
+use store::{Call, Client, Platform, Table};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::clock;
+use crate::log;
+use crate::sidecar::control::{Ask, Asker};
+use crate::view::Shared;
+
+/// How often what the engine serves is compared with the configuration.
+const PERIOD: Duration = Duration::from_secs(1);
+/// How often a state that is waited for is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+/// Longest call to the engine.
+const LIMIT: Duration = Duration::from_secs(1);
+/// Longest time for what runs to end and for weights to load; then others get the permit.
+const LONGEST: Duration = Duration::from_secs(180);
+/// How long an order may stay on its way to an engine that doesn't check fencing numbers.
+const SETTLE: Micros = Micros::from_secs(5);
+
+/// What the driver needs.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    /// The engine.
+    pub target: SocketAddr,
+    /// Its pool.
+    pub pool: String,
+    /// The configuration.
+    pub view: Shared,
+    /// The control thread.
+    pub control: Asker,
+    /// The platform's table.
+    pub table: Platform,
+    /// Names this process, differently in each life.
+    pub who: String,
+}
+
+#[derive(Deserialize)]
+struct LoadBody {
+    weights: String,
+    #[serde(default)]
+    loading: bool,
+}
+
+/// What the configuration says of the pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Wanted {
+    weights: String,
+    fencing: bool,
+    permits: usize,
+}
+
+/// Why a load didn't come about; the next round tries again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Missed {
+    #[error("the lease ran out before the order")]
+    Lease,
+    #[error("the engine refused the order as old")]
+    Fenced,
+    #[error("the engine didn't take the order")]
+    Refused,
+    #[error("it took too long")]
+    Late,
+}
+
+impl Orders {
+    /// Compares and orders for ever.
+    pub async fn run(self) {
+        let client = Client::default();
+        loop {
+            sleep(PERIOD).await;
+            let (Some(want), Some(load)) = (self.wanted(), self.load(&client).await) else {
+                continue;
+            };
+            if want.weights.is_empty() || want.weights == load.weights || load.loading {
+                continue;
+            }
+            let text = &want.weights;
+            spdlog::info!(logger: log::sidecar(), "weights {text} wanted, has {}", load.weights);
+            let done = timeout(LONGEST, self.reload(&client, &want)).await;
+            self.control.send(Ask::Unquiet);
+            match done.unwrap_or(Err(Missed::Late)) {
+                Ok(()) => spdlog::info!(logger: log::sidecar(), "weights {text} loaded"),
+                Err(e) => spdlog::warn!(logger: log::sidecar(), "weights {text} not loaded: {e}"),
+            }
+        }
+    }
+
+    async fn reload(&self, client: &Client, want: &Wanted) -> Result<(), Missed> {
+        let permit = Config {
+            size: want.permits.max(1),
+            ..Config::default()
+        };
+        let settle = if want.fencing { Micros::ZERO } else { SETTLE };
+        let engine = Config {
+            settle,
+            ..Config::default()
+        };
+        let permit = self.keep(permit, format!("permit/{}", self.pool));
+        permit.until_valid().await;
+        let lease = self.keep(engine, format!("lease/{}", self.target));
+        lease.until_valid().await;
+        let (quiet, is_quiet) = oneshot::channel();
+        self.control.send(Ask::Quiet(quiet));
+        is_quiet.await.map_err(|_| Missed::Late)?;
+        // The last look before the order: a process that was paused up to here finds it invalid.
+        let now = clock::now();
+        let (Some(fence), Some(_)) = (lease.valid(now), permit.valid(now)) else {
+            return Err(Missed::Lease);
+        };
+        self.order(client, fence, &want.weights).await?;
+        while self
+            .load(client)
+            .await
+            .is_none_or(|l| l.weights != want.weights)
+        {
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    async fn order(&self, client: &Client, fence: u64, weights: &str) -> Result<(), Missed> {
+        let body = json!({"fence": fence, "order": "load", "weights": weights}).to_string();
+        let uri = format!("http://{}/orders", self.target);
+        let call = Call::new(Method::POST, uri, LIMIT).body(body);
+        match client.call(call).await {
+            Ok((s, _)) if s.is_success() => Ok(()),
+            Ok((StatusCode::CONFLICT, _)) => Err(Missed::Fenced),
+            _ => Err(Missed::Refused),
+        }
+    }
+
+    async fn load(&self, client: &Client) -> Option<LoadBody> {
+        let call = Call::new(Method::GET, format!("http://{}/load", self.target), LIMIT);
+        match client.call(call).await {
+            Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).ok(),
+            _ => None,
+        }
+    }
+
+    fn wanted(&self) -> Option<Wanted> {
+        let view = self.view.load();
+        let pool = view.rules.as_ref()?.config().pool.get(&self.pool)?;
+        Some(Wanted {
+            weights: pool.weights.clone(),
+            fencing: pool.fencing,
+            permits: pool.permits as usize,
+        })
+    }
+
+    fn keep(&self, config: Config, key: String) -> Keeper {
+        let lease = Lease::new(config, key, self.who.clone());
+        Keeper::start(lease, self.table.clone())
+    }
+}
+
+/// Holds a lease until it is dropped.
+struct Keeper {
+    lease: Arc<Mutex<Lease>>,
+    changed: watch::Receiver<()>,
+}
+
+impl Keeper {
+    fn start(lease: Lease, table: Platform) -> Self {
+        let lease = Arc::new(Mutex::new(lease));
+        let (tx, changed) = watch::channel(());
+        tokio::spawn(keep(Arc::clone(&lease), table, tx));
+        Self { lease, changed }
+    }
+
+    fn valid(&self, now: Micros) -> Option<u64> {
+        lock(&self.lease).valid(now)
+    }
+
+    async fn until_valid(&self) {
+        let mut changed = self.changed.clone();
+        while self.valid(clock::now()).is_none() {
+            // A right may also begin by the passing of time.
+            let _ = timeout(LOOK, changed.changed()).await;
+        }
+    }
+}
+
+impl Drop for Keeper {
+    fn drop(&mut self) {
+        // The task goes on until the row says so, or the term is over anyway.
+        lock(&self.lease).release();
+    }
+}
+
+async fn keep(lease: Arc<Mutex<Lease>>, table: Platform, changed: watch::Sender<()>) {
+    let mut step = lock(&lease).tick(clock::now());
+    while !lock(&lease).is_released() {
+        step = match step {
+            LeaseStep::Call(request) => {
+                let reply = table.call(request).await;
+                lock(&lease).step(clock::now(), reply)
+            }
+            LeaseStep::Sleep(until) => {
+                sleep(until.since(clock::now()).into()).await;
+                lock(&lease).tick(clock::now())
+            }
+        };
+        changed.send_replace(());
+    }
+}
+
+fn lock(lease: &Mutex<Lease>) -> MutexGuard<'_, Lease> {
+    lease.lock().unwrap_or_else(PoisonError::into_inner)
+}
