--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,13 +4,19 @@
 //! threads. Control publishes immutable [`view::View`]s; traffic reads them and sends messages.
 //! [`entry`] faces callers and operators, [`sidecar`] faces one target.
 
+pub mod admin;
 pub mod clock;
-pub mod control;
 pub mod entry;
 pub mod link;
 pub mod log;
+pub mod mark;
+pub mod member;
+pub mod peer;
+pub mod process;
 pub mod settings;
 pub mod sidecar;
+pub mod trace;
+pub mod tune;
 pub mod view;
 
 use std::process::ExitCode;
@@ -31,10 +37,10 @@
         }
     };
     log::init(&settings);
-    let done = match &settings.role {
+    let done = trace::init(&settings).and_then(|()| match &settings.role {
         Role::Entry(e) => entry::run(&settings, e),
         Role::Sidecar(s) => sidecar::run(&settings, s),
-    };
+    });
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,7 +3,7 @@
 //! | call | answer |
 //! | --- | --- |
 //! | `GET /quota/{district}` | `{"district","left"}` |
-//! | `POST /records` | 201 `{"record":n}`; each call adds one |
+//! | `POST /records/{poll}` | 201 `{"record":n}`; each call adds one |
 //! | `GET /log` | bodies of all records, in order |
 //! | `GET /runs` | every call that was run |
 //! | `GET /load` | `{"incarnation","running"}` |
@@ -83,7 +83,7 @@
     /// Bodies of all records.
     pub fn bodies(&self) -> Vec<String> {
         let runs = lock(&self.runs);
-        let records = runs.iter().filter(|c| c.path == "/records");
+        let records = runs.iter().filter(|c| c.path.starts_with("/records"));
         records.map(|c| c.body.clone()).collect()
     }
 
@@ -114,7 +114,9 @@
             (&Method::GET, p) if p.starts_with("/quota/") => {
                 self.run(call(&req, &body), quota).await
             }
-            (&Method::POST, "/records") => self.run(call(&req, &body), record).await,
+            (&Method::POST, p) if p.starts_with("/records") => {
+                self.run(call(&req, &body), record).await
+            }
             _ => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
@@ -163,7 +165,10 @@
 }
 
 fn record(_: &Call, runs: &[Call]) -> Answer {
-    let n = runs.iter().filter(|c| c.path == "/records").count();
+    let n = runs
+        .iter()
+        .filter(|c| c.path.starts_with("/records"))
+        .count();
     (StatusCode::CREATED, json!({ "record": n }))
 }
 
