--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -80,7 +80,6 @@
 #[derive(Debug, Default, Deserialize)]
 struct Ready {
     callers: Option<SocketAddr>,
-    peer: Option<SocketAddr>,
     admin: Option<SocketAddr>,
     gossip: Option<SocketAddr>,
 }
@@ -154,7 +153,7 @@
         command.args(["--pool", pool, "--kind", kind]);
         command.args(&self.plan.sidecar_args);
         let ready = self.ready(&name, &mut command).await?;
-        self.join(Some(pool), &ready);
+        self.join(&ready);
         Ok(())
     }
 
@@ -168,15 +167,13 @@
             .callers
             .ok_or_else(|| failed(&name, "no callers' address"))?;
         self.fleet.entries.push(callers);
-        self.join(None, &ready);
+        self.join(&ready);
         Ok(())
     }
 
     /// Remembers a process for those that start after it.
-    fn join(&mut self, pool: Option<&str>, ready: &Ready) {
+    fn join(&mut self, ready: &Ready) {
         self.members.push(Member {
-            pool: pool.map(str::to_owned),
-            peer: ready.peer,
             gossip: ready.gossip,
         });
     }
@@ -185,7 +182,7 @@
         let mut c = Command::new(self.bin.join("clementinestepd"));
         c.args([role, "--platform", &format!("http://{platform}")])
             .args(["--host", name])
-            .args(joining(role, &self.members))
+            .args(joining(&self.members))
             .env("CLEMENTINESTEP_KEY", KEY)
             .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR);
         c
@@ -254,12 +251,13 @@
             path: path.display().to_string(),
             error,
         })?;
-        let mut outcome = Ok(());
-        for admin in self.fleet.processes.iter().filter_map(|p| p.admin) {
-            if outcome.is_ok() {
-                outcome = self.apply_at(&path, admin).await;
-            }
-        }
+        let entries = self.fleet.processes.iter();
+        let mut entries = entries.filter(|p| p.name.starts_with("entry"));
+        let admin = entries.find_map(|p| p.admin);
+        let outcome = match admin {
+            Some(admin) => self.apply_at(&path, admin).await,
+            None => Err(failed("apply", "no entry has an operators' address")),
+        };
         let _ = std::fs::remove_file(&path);
         outcome
     }
@@ -307,29 +305,21 @@
 /// A process of ours as others find it.
 #[derive(Clone, Debug)]
 struct Member {
-    pool: Option<String>,
-    peer: Option<SocketAddr>,
     gossip: Option<SocketAddr>,
 }
 
 /// Members that a new one is told of; each tells it of all others.
 const SEEDS: usize = 3;
 
-/// How a process is told of those before it: by membership addresses if they have any, else each
-/// entry by a list of targets.
-fn joining(role: &str, members: &[Member]) -> Vec<String> {
+/// How a process is told of those before it.
+fn joining(members: &[Member]) -> Vec<String> {
     let gossip = members.iter().filter_map(|m| m.gossip).take(SEEDS);
     let seeds: Vec<_> = gossip.map(|g| g.to_string()).collect();
-    let target = |m: &Member| Some(format!("{}@{}", m.pool.as_ref()?, m.peer?));
-    let targets: Vec<_> = members.iter().filter_map(target).collect();
-    match role {
-        _ if !seeds.is_empty() => vec!["--seeds".to_owned(), seeds.join(",")],
-        "entry" => vec!["--targets".to_owned(), targets.join(",")],
-        _ => Vec::new(),
+    match seeds.is_empty() {
+        true => Vec::new(),
+        false => vec!["--seeds".to_owned(), seeds.join(",")],
     }
 }
-
-/// The configuration: two pools, the teams, and rules that take class and repeatability from the
 /// load tool's headers.
 pub fn configuration(key: &str) -> String {
     let mut out = String::from(
