--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -133,9 +133,9 @@
 pub enum Problem {
     /// The configuration has faults.
     Faults {
-        /// All of them.
+        /// All of them, each as a line with its place.
         #[serde(default)]
-        faults: Vec<RemoteFault>,
+        faults: Vec<String>,
     },
     /// The operators' key is missing or wrong.
     Unauthorized,
@@ -161,23 +161,6 @@
     pub operation: String,
 }
 
-/// A fault that an entry found.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(untagged)]
-pub enum RemoteFault {
-    /// With its place.
-    Placed {
-        /// Line, from 1.
-        line: usize,
-        /// Column, from 1.
-        column: usize,
-        /// What is wrong.
-        message: String,
-    },
-    /// As a line of text.
-    Text(String),
-}
-
 impl fmt::Display for Role {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -217,16 +200,3 @@
         )
     }
 }
-
-impl fmt::Display for RemoteFault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Placed {
-                line,
-                column,
-                message,
-            } => write!(f, "{line}:{column}: {message}"),
-            Self::Text(text) => f.write_str(text),
-        }
-    }
-}
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -10,7 +10,7 @@
 use rules::Faults;
 use thiserror::Error;
 
-use crate::admin::{Member, RemoteFault, Winner};
+use crate::admin::{Member, Winner};
 use crate::fleet::Miss;
 use crate::page::List;
 use crate::{fleet, NAME};
@@ -23,7 +23,7 @@
     Faults(Faults),
     /// An entry found faults that this client doesn't know of.
     #[error("the fleet finds faults that this client doesn't know; is the client older?{}", List(.0))]
-    Rejected(Vec<RemoteFault>),
+    Rejected(Vec<String>),
     /// The command line doesn't say what to do.
     #[error("{0}")]
     Usage(#[from] Usage),
--- a/crates/cli/tests/client/fleet.rs
+++ b/crates/cli/tests/client/fleet.rs
@@ -54,7 +54,7 @@
 const WRONG: Answer = Say(
     400,
     r#"{"error":{"code":"faults","message":"m","faults":[
-        {"line":3,"column":1,"message":"a key of the future","severity":"error"},
+        "3:1: error: a key of the future",
         "a second fault"]}}"#,
 );
 
@@ -396,7 +396,7 @@
     // The key isn't the fleet's, or the entries find faults that this client doesn't know of.
     // Another entry would say the same, so nothing is asked twice.
     const KEYLESS: &str = "the operators' key is not the fleet's";
-    const FUTURE: &str = "3:1: a key of the future\n  a second fault";
+    const FUTURE: &str = "3:1: error: a key of the future\n  a second fault";
     let shut = Up(Script {
         configuration: &[STRANGER],
         ..WELL
--- a/crates/rules/src/config.rs
+++ b/crates/rules/src/config.rs
@@ -25,12 +25,16 @@
         "team" team: BTreeMap<String, Team> = BTreeMap::new();
         /// Limits of each team that sets none of its own.
         "limits" limits: Limits = Limits::default();
-        /// How replicas are asked before one is chosen.
-        "probe" probe: features::Probe = features::Probe::default();
-        /// How requests wait at a target.
-        "queue" queue: features::Queue = features::Queue::default();
+        /// Which replicas are asked for a request.
+        "place" place: features::Place = features::Place::default();
+        /// Places held at replicas for requests that may come.
+        "reserve" reserve: features::Reserve = features::Reserve::default();
         /// What is turned away before it waits.
         "admit" admit: features::Admit = features::Admit::default();
+        /// In which order requests leave a target's queue.
+        "queue" queue: features::Queue = features::Queue::default();
+        /// How many requests a target runs at once.
+        "concurrency" concurrency: features::Concurrency = features::Concurrency::default();
         /// How often a request is tried again.
         "retry" retry: features::Retry = features::Retry::default();
         /// When a target is taken out for a while.
@@ -191,8 +195,8 @@
         "class" class: Class = Class::Normal;
         /// How long until the answer is of no use.
         "deadline" deadline: Option<Duration> = None;
-        /// Whether it may run more than once; by default as its HTTP method says, and for a model
-        /// pool yes.
+        /// Whether it may run more than once; by default yes for a model pool and for the methods
+        /// GET, HEAD and OPTIONS, otherwise no.
         "idempotent" idempotent: Option<bool> = None;
         /// Cache scope in place of the team's.
         "scope" scope: Option<String> = None;
@@ -230,10 +234,8 @@
 impl Config {
     /// The configuration in canonical form: parsing it gives the same configuration, and printing
     /// that the same text. Comments are lost.
-    pub fn print(&self) -> String {
-        // Every type here prints as TOML; the property test over arbitrary configurations would
-        // show one that doesn't.
-        toml::to_string(self).unwrap_or_default()
+    pub fn print(&self) -> Result<String, toml::ser::Error> {
+        toml::to_string(self)
     }
 
     /// The cache scope of a team: its own name unless it shares one.
@@ -270,6 +272,10 @@
 }
 
 impl Read for Class {
+    fn kind() -> String {
+        "word".to_owned()
+    }
+
     fn read(r: &mut Reader, path: &str, value: &Spanned<DeValue<'_>>) -> Option<Self> {
         r.text::<ClassWord>(path, value).map(|w| w.0)
     }
