--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -21,7 +21,7 @@
     let (_, rules) = load(&c.file)?;
     let conf = rules.config();
     Ok(format!(
-        "{}: {} pools, {} teams, {} rules, no errors, {} warnings",
+        "{}: no errors (pools: {}, teams: {}, rules: {}, warnings: {})",
         c.file.display(),
         conf.pool.len(),
         conf.team.len(),
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,7 +1,9 @@
 //! Calls to the fleet, through whichever entry answers.
 
+use std::error::Error as _;
 use std::fmt;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -31,6 +33,8 @@
     entries: Vec<String>,
     key: Key,
     client: Client,
+    /// Position of the entry that was of help last.
+    first: AtomicUsize,
 }
 
 /// Why one entry is of no help; another one may be.
@@ -47,7 +51,7 @@
 #[derive(Debug, Error)]
 pub enum Cause {
     /// No answer.
-    #[error("{0}")]
+    #[error("{}", Rooted(.0))]
     Http(#[from] HttpError),
     /// The platform is away.
     #[error("the platform is away")]
@@ -94,12 +98,22 @@
             entries,
             key: key_of(key.as_deref())?,
             client: Client::default(),
+            first: AtomicUsize::new(0),
         })
     }
 
-    /// The entries, in the order in which they are asked.
-    pub fn entries(&self) -> &[String] {
-        &self.entries
+    /// The entries in the order in which to ask them: as they were named, but from the one that
+    /// was of help last. An entry behind a silent link costs a whole time limit; a command that
+    /// waits for a change to spread would pay it at every look.
+    pub fn order(&self) -> impl Iterator<Item = (usize, &str)> {
+        let n = self.entries.len();
+        let first = self.first.load(Ordering::Relaxed);
+        (first..first + n).map(move |i| (i % n, self.entries[i % n].as_str()))
+    }
+
+    /// Notes that this entry was of help.
+    pub fn prefer(&self, place: usize) {
+        self.first.store(place, Ordering::Relaxed);
     }
 
     /// Reads something from the first entry that has it.
@@ -110,14 +124,17 @@
     /// The same, along with the answer's own text.
     pub async fn text<T: DeserializeOwned>(&self, path: &str) -> Result<(T, Bytes), Failure> {
         let mut misses = Vec::new();
-        for entry in &self.entries {
+        for (place, entry) in self.order() {
             let answer = self.send(entry, Method::GET, path, "", LIMIT).await;
             match answer.map_err(Cause::from) {
                 Ok((status, body)) if status.is_client_error() => {
                     return Err(refused(entry, status, &body));
                 }
                 Ok((status, body)) => match value(status, &body) {
-                    Ok(v) => return Ok((v, body)),
+                    Ok(v) => {
+                        self.prefer(place);
+                        return Ok((v, body));
+                    }
                     Err(cause) => misses.push(Miss::new(entry, cause)),
                 },
                 Err(cause) => misses.push(Miss::new(entry, cause)),
@@ -156,6 +173,22 @@
     }
 }
 
+/// A failed call with the innermost reason, such as a refused connection.
+struct Rooted<'a>(&'a HttpError);
+
+impl fmt::Display for Rooted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let HttpError::Connect(e) = self.0 else {
+            return write!(f, "{}", self.0);
+        };
+        let root = std::iter::successors(e.source(), |&e| e.source()).last();
+        match root {
+            Some(root) => write!(f, "can't connect: {root}"),
+            None => write!(f, "{}", self.0),
+        }
+    }
+}
+
 /// The problem that an answer names.
 pub fn problem(body: &[u8]) -> Problem {
     match serde_json::from_slice::<Refusal>(body) {
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -42,9 +42,12 @@
     let mut unsure = false;
     loop {
         let mut misses = Vec::new();
-        for entry in fleet.entries() {
+        for (place, entry) in fleet.order() {
             match call(fleet, entry, proposal).await {
-                Heard::Accepted(version) => return Ok(version),
+                Heard::Accepted(version) => {
+                    fleet.prefer(place);
+                    return Ok(version);
+                }
                 Heard::Conflict(w) if w.operation == proposal.operation => return Ok(w.version),
                 Heard::Conflict(w) => return Err(Failure::Conflict(w)),
                 Heard::Refused(f) if !unsure => return Err(f),
--- a/crates/cli/tests/client/fleet.rs
+++ b/crates/cli/tests/client/fleet.rs
@@ -203,6 +203,7 @@
     ] {
         let case = Case {
             name,
+            args: "apply FILE --retry 90s",
             entries: &[entries],
             code: 5,
             err: &["version 9 by bob came first (operation b0b); nothing was changed"],
@@ -233,7 +234,7 @@
     for (name, entries, puts) in cases {
         let case = Case {
             name,
-            args: "apply FILE --operation 00112233445566778899aabbccddeeff",
+            args: "apply FILE --retry 90s --operation 00112233445566778899aabbccddeeff",
             entries,
             out: &["version 8 is in force"],
             puts,
@@ -366,7 +367,12 @@
     // reason, so that the operator sees which of both it is; one that answers is enough.
     let garbled = status(&[Say(200, "[]")]);
     let cases: [(_, &[Entry], _, _); 5] = [
-        ("apply FILE", &[Away], "can't connect", 3),
+        (
+            "apply FILE",
+            &[Away],
+            "can't connect: Connection refused",
+            3,
+        ),
         ("apply FILE --base 7", &[Away, Away], "can't connect", 3),
         ("status", &[Away], "no entry answers\n  127.0.0.1:", 3),
         ("status", &[garbled, Away], "unreadable answer", 3),
--- a/crates/cli/tests/client/local.rs
+++ b/crates/cli/tests/client/local.rs
@@ -61,7 +61,7 @@
     let cases = [
         Case {
             args: "check FILE",
-            out: &["2 pools, 1 teams, 4 rules, no errors, 1 warnings"],
+            out: &["no errors (pools: 2, teams: 1, rules: 4, warnings: 1)"],
             err: &["checks.toml:4:", "warning: pool.spare: "],
             ..CASE
         },
