--- a/crates/daemon/src/entry/prepare.rs
+++ b/crates/daemon/src/entry/prepare.rs
@@ -15,11 +15,13 @@
 use wire::Header;
 
 use crate::clock;
+use crate::entry;
 use crate::entry::answer::{Problem, REQUEST_ID};
 use crate::entry::ask::{Completion, CHAT, COMPLETIONS};
 use crate::entry::drive::{Job, Payload};
+use crate::entry::limits::Sent;
 use crate::entry::probe::Wanted;
-use crate::entry::Context;
+use crate::trace::{self, Context};
 
 /// Time to answer if neither rule nor caller says.
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -28,13 +30,14 @@
 /// The caller's name for a request that must not run twice.
 const KEY_HEADER: &str = "idempotency-key";
 /// Headers that stay at the entry.
-const OURS: [&str; 6] = [
+const OURS: [&str; 7] = [
     "authorization",
     "host",
     "content-length",
     "connection",
     DEADLINE_HEADER,
     REQUEST_ID,
+    trace::HEADER,
 ];
 
 /// A request that goes to a target, and the rule that sent it there.
@@ -61,7 +64,7 @@
 
 /// Makes a job of a request, or says why it goes nowhere.
 pub async fn prepare(
-    cx: &Context,
+    cx: &entry::Context,
     id: &RequestId,
     given: bool,
     req: Request,
@@ -84,6 +87,13 @@
     let Some(key) = view.world.pool(name) else {
         return Err(no_target(name));
     };
+    let sent = Sent {
+        team: &facts.team,
+        rule: &decision.rule.name,
+        prompt: facts.prompt,
+        entries: view.entries,
+    };
+    limited(cx, sent, &decision)?;
     let scope = decision.scope.unwrap_or(team.0).to_owned();
     let seed = Seed::new(&scope, &pool.model, &pool.weights);
     let chain = completion.as_ref().map(|c| prefix::chain(seed, &c.prompt));
@@ -109,7 +119,7 @@
         },
         scope,
         deadline: Instant::now() + asked(&head.headers).map_or(limit, |a| a.min(limit)),
-        trace: String::new(),
+        trace: context(&head.headers),
     };
     let rule = decision.rule.name.clone();
     Ok(Prepared { job, rule })
@@ -174,6 +184,17 @@
     }
 }
 
+fn limited(cx: &entry::Context, sent: Sent<'_>, d: &Decision<'_>) -> Result<(), Problem> {
+    let limits = &mut cx.memory.lock().limits;
+    let taken = limits.take(clock::now(), sent, &d.limits, &d.rule.then.limits);
+    taken.map_err(|wait| {
+        let m = format!("team {} is over its limit", sent.team);
+        let mut p = Problem::unsent(Code::Limited, m);
+        p.retry = Some(wait);
+        p
+    })
+}
+
 async fn collect(body: Body, max: usize) -> Result<Bytes, Problem> {
     match Limited::new(body, max).collect().await {
         Ok(b) => Ok(b.to_bytes()),
@@ -209,6 +230,14 @@
         .to_owned()
 }
 
+/// The caller's trace, or a new one.
+fn context(headers: &HeaderMap) -> Context {
+    let given = headers.get(trace::HEADER).and_then(|v| v.to_str().ok());
+    given
+        .and_then(Context::parse)
+        .unwrap_or_else(Context::fresh)
+}
+
 fn asked(headers: &HeaderMap) -> Option<Duration> {
     let ms = headers.get(DEADLINE_HEADER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_millis(ms))
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -1,12 +1,13 @@
 //! The control thread of a sidecar: decisions, probes, membership, planned stop.
 
 use std::io;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fleet::Conviction;
-use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros};
+use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, Version};
 use policy::drain::{self, Drain};
 use policy::quarantine::Verdict;
 use prefix::{Marks, Need};
@@ -21,7 +22,9 @@
 use crate::mark;
 use crate::member::{self, Me, Membership};
 use crate::settings::{Settings, Sidecar};
-use crate::sidecar::decide::{Decide, Question, Refusal, RunKey, State, Work};
+use crate::sidecar::decide::{Decide, Found, Question, Refusal, RunKey, State, Work};
+use crate::tune::Tuning;
+use crate::view::Shared;
 
 /// Told when a request's turn comes, or that it doesn't.
 pub type Grant = oneshot::Sender<Result<RunKey, Refusal>>;
@@ -43,8 +46,8 @@
     First(RunKey),
     /// The target died under a request.
     Crashed(RunKey),
-    /// A request that had its turn has ended.
-    Finished(RunKey),
+    /// A request that had its turn has ended, after so many events of its stream.
+    Finished(RunKey, u64),
     /// An exchange began.
     Taken,
     /// An exchange has ended and its entry knows.
@@ -55,6 +58,11 @@
     Events(Vec<prefix::Event>),
     /// The whole cache.
     Cache(Incarnation, u64, Vec<prefix::Block>),
+    /// Leave the target alone for an order; told once nothing runs there. The engine's own
+    /// report of what runs lags and can't be used for this.
+    Quiet(oneshot::Sender<()>),
+    /// The order is over.
+    Unquiet,
     /// The process is told to stop.
     Stop,
 }
@@ -68,6 +76,8 @@
     pub model: String,
     /// Weights it serves.
     pub weights: String,
+    /// Whether it is loading others.
+    pub loading: bool,
 }
 
 /// What the target was found to be.
@@ -170,6 +180,8 @@
     pub gossip: std::net::UdpSocket,
     /// Messages from traffic.
     pub asked: Asked,
+    /// Where the fleet's view goes.
+    pub view: Shared,
     /// Messages for membership.
     pub members: mpsc::UnboundedReceiver<member::Ask>,
     /// Convictions for membership.
@@ -193,8 +205,9 @@
     let gossip = UdpSocket::from_std(s.gossip)?;
     let life = s.me.life;
     let notice = s.settings.notice.into();
-    let view = member::empty_view();
-    let members = Membership::new(&s.settings, s.me, gossip, view, s.members)?;
+    let view = s.view;
+    let shared = Arc::clone(&view);
+    let members = Membership::new(&s.settings, s.me, gossip, shared, s.members)?;
     let state = Control {
         keys: s.settings.keys.clone(),
         life,
@@ -204,6 +217,10 @@
         convict: s.convict,
         asked: s.asked,
         rng: SmallRng::from_os_rng(),
+        pool: s.role.pool,
+        quiet: None,
+        view,
+        version: Version(0),
     };
     state.run(udp).await;
     Ok(())
@@ -218,6 +235,12 @@
     convict: member::Asker,
     asked: Asked,
     rng: SmallRng,
+    pool: String,
+    /// Told once nothing runs at the target.
+    quiet: Option<oneshot::Sender<()>>,
+    view: Shared,
+    /// Version that the decisions follow.
+    version: Version,
 }
 
 impl Control {
@@ -244,6 +267,7 @@
                 () = tokio::time::sleep(wait.unwrap_or(SLEEP).min(SLEEP)) => {}
             }
             self.marks();
+            self.tune();
             self.grant();
             self.step(drain::Event::Tick);
         }
@@ -260,7 +284,7 @@
             }
             Ask::First(run) => self.decide.first(now, run),
             Ask::Crashed(run) => self.crashed(now, run),
-            Ask::Finished(run) => self.decide.finished(now, run),
+            Ask::Finished(run, events) => self.decide.finished(now, run, events),
             Ask::Taken => self.step(drain::Event::Taken),
             Ask::Ended => self.step(drain::Event::Ended),
             Ask::Load(load) => self.load(load),
@@ -274,6 +298,15 @@
                 let need = self.decide.index().reset(now, life, seq, blocks);
                 self.want(need);
             }
+            Ask::Quiet(done) => {
+                let back = self.decide.quiet(true);
+                refuse(back, Code::Draining, None);
+                self.quiet = Some(done);
+            }
+            Ask::Unquiet => {
+                self.decide.quiet(false);
+                self.quiet = None;
+            }
             Ask::Stop => self.step(drain::Event::Stop),
         }
     }
@@ -286,7 +319,12 @@
         while let Some(g) = self.decide.next(now) {
             // Its caller may have gone while it waited.
             if g.grant.send(Ok(g.run)).is_err() {
-                self.decide.finished(now, g.run);
+                self.decide.finished(now, g.run, 0);
+            }
+        }
+        if self.decide.running() == 0 {
+            if let Some(done) = self.quiet.take() {
+                let _ = done.send(());
             }
         }
         let need = self.decide.index().tick(now);
@@ -335,7 +373,13 @@
             spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
             self.asked.health.send_replace(now);
         }
-        if self.decide.engine(l.incarnation, &l.model, &l.weights) {
+        let found = Found {
+            life: l.incarnation,
+            model: &l.model,
+            weights: &l.weights,
+            loading: l.loading,
+        };
+        if self.decide.engine(clock::now(), &found) {
             self.members.set_tags(l.weights);
             self.want(Need::Snapshot);
         }
@@ -366,6 +410,20 @@
         }
     }
 
+    /// Follows a configuration that has come into force.
+    fn tune(&mut self) {
+        let view = self.view.load();
+        if view.version == self.version {
+            return;
+        }
+        self.version = view.version;
+        if let Some(rules) = &view.rules {
+            let config = rules.config();
+            let most = config.pool.get(&self.pool).and_then(|p| p.concurrency);
+            self.decide.tune(&Tuning::from(config), most);
+        }
+    }
+
     fn want(&mut self, need: Need) {
         if need == Need::Snapshot {
             self.asked.need.send_modify(|n| *n += 1);
@@ -414,6 +472,7 @@
             state: state.into(),
             convicted: told.convicted,
             retry: retry.map_or(0, Micros::as_millis),
+            busy: (told.busy * 1e3) as u32,
         }
     }
 }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -7,6 +7,7 @@
 
 use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, TeamKey};
 use policy::admit::{self, admit, Arrival};
+use policy::busy::Busy;
 use policy::concurrency::{self, Limit, Sample};
 use policy::cost::{self, Cost};
 use policy::quarantine::{self, Crash, Fingerprint, Quarantine, Verdict};
@@ -18,6 +19,7 @@
 use slotmap::SlotMap;
 
 use crate::settings::Kind;
+use crate::tune::Tuning;
 
 /// What a request asks of the target.
 #[derive(Clone, Debug)]
@@ -70,6 +72,19 @@
     Down,
 }
 
+/// What the target was found to be.
+#[derive(Clone, Copy, Debug)]
+pub struct Found<'a> {
+    /// Its life.
+    pub life: Incarnation,
+    /// Model it serves.
+    pub model: &'a str,
+    /// Weights it serves.
+    pub weights: &'a str,
+    /// Whether it is loading others and refuses work meanwhile.
+    pub loading: bool,
+}
+
 /// What a probe asks.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -88,7 +103,7 @@
 }
 
 /// What a probe is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Told {
     /// Blocks that needn't be computed.
     pub matched: u32,
@@ -96,6 +111,8 @@
     pub wait: Micros,
     /// Time to prefill one block.
     pub prefill: Micros,
+    /// The part of the last seconds in which the engine computed prompts.
+    pub busy: f64,
     /// Whether the target takes it; the refusal if not.
     pub refusal: Option<Refusal>,
     /// Whether the request is known to crash targets.
@@ -118,6 +135,8 @@
     prefilling: bool,
     suspect: bool,
     stream: bool,
+    /// When its first byte came.
+    first: Option<Micros>,
     print: Fingerprint,
 }
 
@@ -134,8 +153,13 @@
 #[derive(Debug)]
 pub struct Decide<G> {
     kind: Kind,
+    /// Most requests at the target at a time, by settings and configuration.
     slots: usize,
+    /// The same by settings alone.
+    most: usize,
     state: State,
+    /// Whether the target is to be left alone for an order.
+    quiet: bool,
     member: MemberId,
     engine: Incarnation,
     index: Index,
@@ -150,16 +174,22 @@
     rate: admit::Drain,
     reserve: Reserve<u64>,
     prefills: Limit,
-    busy: Micros,
+    runs: Limit,
+    busy: Busy,
+    /// When the prefills handed over should be done.
+    until: Micros,
     /// When the engine last sent a first token.
     last: Micros,
     teams: HashMap<String, TeamKey>,
     names: SlotMap<TeamKey, ()>,
     quarantine: Quarantine,
+    tuned: quarantine::Config,
 }
 
 /// First guess of a plain call's time.
 const CALL: Micros = Micros::from_millis(5);
+/// Stands for the gap between two tokens of an idle engine; only its multiples are compared.
+const GAP: Micros = Micros::from_millis(1);
 /// Weight of a new sample of a plain call's time.
 const CALL_SMOOTH: f64 = 0.1;
 /// Stands for crashes elsewhere, of which only the mark is known.
@@ -171,14 +201,12 @@
 impl<G> Decide<G> {
     /// Decisions beside a target that runs at most `slots` requests at a time.
     pub fn new(kind: Kind, slots: usize, member: MemberId) -> Self {
-        let limit = concurrency::Config {
-            first: 2,
-            ..concurrency::Config::default()
-        };
         Self {
             kind,
             slots,
+            most: slots,
             state: State::Serving,
+            quiet: false,
             member,
             engine: Incarnation(0),
             index: Index::new(prefix::Config::default(), "", ""),
@@ -190,15 +218,29 @@
             admit: admit::Config::default(),
             rate: admit::Drain::default(),
             reserve: Reserve::new(reserve::Config::default()),
-            prefills: Limit::new(limit),
-            busy: Micros::ZERO,
+            prefills: Limit::new(concurrency::Config::prefill()),
+            runs: Limit::new(concurrency::Config::running()),
+            busy: Busy::default(),
+            until: Micros::ZERO,
             last: Micros::ZERO,
             teams: HashMap::new(),
             names: SlotMap::with_key(),
             quarantine: Quarantine::new(quarantine::Config::default()),
+            tuned: quarantine::Config::default(),
         }
     }
 
+    /// Follows another configuration from now on; `most` is the pool's bound on requests at once.
+    pub fn tune(&mut self, t: &Tuning, most: Option<u32>) {
+        self.slots = most.map_or(self.most, |m| self.most.min(m as usize));
+        self.runs.set_config(t.concurrency);
+        self.admit = t.admit;
+        self.queue.set_config(t.queue);
+        self.reserve.set_config(t.reserve);
+        self.quarantine.set_config(t.quarantine);
+        self.tuned = t.quarantine;
+    }
+
     /// Answers a probe and holds a place for the request.
     pub fn offer(&mut self, now: Micros, q: &Question) -> Told {
         let matched = self.index.matched(&q.marks);
@@ -225,6 +267,7 @@
             matched,
             wait,
             prefill: self.cost.block(),
+            busy: self.busy.get(now),
             refusal,
             convicted,
         }
@@ -294,9 +337,11 @@
             prefilling: self.kind == Kind::Model,
             suspect: w.suspect,
             stream: w.work.stream,
+            first: None,
             print: print(w.work.fingerprint),
         });
-        self.busy = self.busy.max(now) + prefill;
+        self.until = self.until.max(now) + prefill;
+        self.busy.set(now, self.prefilling() > 0);
         Some(Granted {
             run: RunKey(run),
             grant: w.grant,
@@ -319,6 +364,7 @@
         let Some(r) = self.running.get_mut(key.0) else {
             return;
         };
+        r.first = Some(now);
         if !std::mem::take(&mut r.prefilling) || !r.stream {
             return;
         }
@@ -336,24 +382,31 @@
                 running,
             },
         );
-        if self.prefilling() == 0 {
-            self.busy = now;
-        }
+        self.rest(now);
     }
 
-    /// A request that had its turn has ended, in whatever way.
-    pub fn finished(&mut self, now: Micros, key: RunKey) {
+    /// A request that had its turn has ended, in whatever way, after so many events of its stream.
+    pub fn finished(&mut self, now: Micros, key: RunKey, events: u64) {
+        let running = self.running.len() as u32;
         let Some(r) = self.running.try_remove(key.0) else {
             return;
         };
+        if let Some(first) = r.first.filter(|_| events > 1) {
+            self.runs.measured(
+                now,
+                Sample {
+                    expected: Micros(GAP.0 * events),
+                    took: now.since(first),
+                    running,
+                },
+            );
+        }
         if self.kind == Kind::Plain {
             let took = now.since(r.handed).0 as f64;
             let mean = self.call.0 as f64;
             self.call = Micros((mean + (took - mean) * CALL_SMOOTH) as u64);
         }
-        if self.running.is_empty() {
-            self.busy = now;
-        }
+        self.rest(now);
         self.rate.finished(now, r.work, !self.queue.is_empty());
     }
 
@@ -378,20 +431,27 @@
         }
     }
 
-    /// The target's life and what it serves.
-    pub fn engine(&mut self, life: Incarnation, model: &str, weights: &str) -> bool {
-        if self.state == State::Down {
-            self.state = State::Serving;
-        }
+    /// The target's life and what it serves; true if its whole cache has to be fetched.
+    pub fn engine(&mut self, now: Micros, found: &Found<'_>) -> bool {
+        let Found { life, weights, .. } = *found;
+        self.state = match self.state {
+            State::Leaving => State::Leaving,
+            _ if found.loading || self.quiet => State::Loading,
+            _ => State::Serving,
+        };
         if life != self.engine {
             self.engine = life;
             self.prefills.reset();
-            self.busy = Micros::ZERO;
+            self.runs.reset();
+            self.until = Micros::ZERO;
+            // An engine that came back empty has no event to publish, so that nothing else would
+            // end the claims on its dead life's blocks.
+            let _ = self.index.reset(now, life, 0, []);
         }
         let same = self.index.weights() == weights;
         if !same {
-            self.index = Index::new(prefix::Config::default(), model, weights);
-            self.quarantine = Quarantine::new(quarantine::Config::default());
+            self.index = Index::new(prefix::Config::default(), found.model, weights);
+            self.quarantine = Quarantine::new(self.tuned);
         }
         !same
     }
@@ -404,6 +464,18 @@
         self.give_back()
     }
 
+    /// Leaves the target alone for an order, or ends that; gives back what was not handed over.
+    pub fn quiet(&mut self, on: bool) -> Vec<G> {
+        self.quiet = on;
+        match (on, self.state) {
+            (true, State::Serving) => {
+                self.state = State::Loading;
+                self.give_back()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// The process stops; gives back what was not handed over.
     pub fn leave(&mut self) -> Vec<G> {
         self.state = State::Leaving;
@@ -445,6 +517,14 @@
         [self.queue.wake(), soonest].into_iter().flatten().min()
     }
 
+    /// Notes that the engine computes no prompt, if so.
+    fn rest(&mut self, now: Micros) {
+        if self.prefilling() == 0 {
+            self.until = now;
+            self.busy.set(now, false);
+        }
+    }
+
     fn pop(&mut self) -> Option<Job<Waiting<G>>> {
         let alone = !self.running.iter().any(|(_, r)| r.suspect);
         if let Some(job) = self.held.pop_front_if(|_| alone) {
@@ -466,8 +546,15 @@
         for (_, r) in &mut self.running {
             r.prefilling &= r.stream || now < r.handed + r.prefill;
         }
-        let prefills = self.kind == Kind::Plain || self.prefills.allows(self.prefilling());
-        self.state == State::Serving && self.running.len() < self.slots && prefills
+        self.rest(now);
+        let running = self.running.len();
+        let free = match self.kind {
+            Kind::Plain => true,
+            Kind::Model => {
+                self.prefills.allows(self.prefilling()) && self.runs.allows(running as u32)
+            }
+        };
+        self.state == State::Serving && running < self.slots && free
     }
 
     fn prefilling(&self) -> u32 {
@@ -496,7 +583,7 @@
         let queued = self.queue.ahead(class, team, share, work);
         let ahead = self.rate.wait(queued + self.reserve.sum(now));
         match self.kind {
-            Kind::Model => ahead + self.busy.since(now),
+            Kind::Model => ahead + self.until.since(now),
             Kind::Plain => ahead,
         }
     }
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -1,6 +1,7 @@
 //! One exchange from its turn in the queue to the target's last byte.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,13 +10,14 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use model::{Class, Code, Incarnation, Micros};
 use store::{Platform, Table};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tracing::Instrument;
 use wire::{Head, Header, Join, Open, WireError};
 
 use crate::clock;
@@ -24,6 +26,7 @@
 use crate::sidecar::decide::{Refusal, RunKey, Work};
 use crate::sidecar::live::{Last, Live};
 use crate::sidecar::serve::Exchanges;
+use crate::{hop, trace};
 
 /// Longest silence of a target within an answer. A busy engine's longest pause between two bytes
 /// is its longest prefill, a few seconds.
@@ -66,11 +69,20 @@
     let ex = Exchange::new();
     let until = Instant::now() + Duration::from_millis(o.deadline);
     let enqueued = clock::now();
+    let above = trace::Context::parse(&o.trace).unwrap_or_else(trace::Context::fresh);
+    let queue = hop!("queue", above, above.child(), request = o.request);
     let last = tokio::select! {
-        r = turn(cx, &o) => match r {
+        r = turn(cx, &o).instrument(queue) => match r {
             Ok(run) => {
-                let slot = Slot { cx, run };
-                admitted(&slot, &o, live, ex, until, enqueued).await
+                let slot = Slot {
+                    cx,
+                    run,
+                    events: AtomicU64::new(0),
+                };
+                let hop = above.child();
+                let span = hop!("target", above, hop, request = o.request);
+                let running = admitted(&slot, &o, live, ex, until, enqueued, hop);
+                running.instrument(span).await
             }
             Err(r) => Last::NotRun(ex.refuse(r.code, r.retry), None),
         },
@@ -111,6 +123,7 @@
     ex: Exchange<Queued>,
     until: Instant,
     enqueued: Micros,
+    hop: trace::Context,
 ) -> Last {
     let cx = slot.cx;
     let waited = clock::now().since(enqueued);
@@ -131,7 +144,7 @@
     let life = cx.control.health().life;
     let ex = ex.hand();
     let answer = tokio::select! {
-        r = answer(slot, o, live, sender, waited) => r,
+        r = answer(slot, o, live, sender, waited, hop) => r,
         () = live.cancel.cancelled() => Err(Code::Cancelled),
         () = cx.control.lost(life) => Err(Code::TargetLost),
     };
@@ -164,11 +177,13 @@
 struct Slot<'a> {
     cx: &'a Context,
     run: RunKey,
+    events: AtomicU64,
 }
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        self.cx.control.send(Ask::Finished(self.run));
+        let events = self.events.load(Ordering::Relaxed);
+        self.cx.control.send(Ask::Finished(self.run, events));
     }
 }
 
@@ -256,11 +271,13 @@
     live: &Live,
     mut sender: SendRequest<Full<Bytes>>,
     waited: Micros,
+    hop: trace::Context,
 ) -> Result<(), Code> {
     let mut req = hyper::Request::builder()
         .method(o.method.as_str())
         .uri(&o.path)
-        .header("host", "target");
+        .header("host", "target")
+        .header(trace::HEADER, hop.to_string());
     for h in o.headers.iter().filter(|h| !HOP.contains(&h.name.as_str())) {
         req = req.header(&h.name, h.value.as_ref());
     }
@@ -268,11 +285,20 @@
     let req = req.map_err(|_| Code::BadRequest)?;
     let res = timeout(SILENCE, sender.send_request(req)).await;
     let res = res.map_err(lost)?.map_err(lost)?;
+    if is_busy(slot.cx, o, &res) {
+        return Err(Code::NoTarget);
+    }
     live.begin(head(&res, waited));
     let events = is_events(&res);
     body(slot, res.into_body(), live, events).await
 }
 
+/// Whether an engine refuses for a while what another one may take, as it does when it has just
+/// begun to load other weights and its load doesn't say so yet.
+fn is_busy(cx: &Context, o: &Open, res: &Response<Incoming>) -> bool {
+    cx.model && o.idempotent && res.status() == StatusCode::SERVICE_UNAVAILABLE
+}
+
 async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
     let mut rest = BytesMut::new();
     let mut begun = false;
@@ -291,6 +317,7 @@
         }
         rest.extend_from_slice(&data);
         if let Some(n) = whole_events(&rest) {
+            slot.events.fetch_add(1, Ordering::Relaxed);
             live.push(rest.split_to(n).freeze()).await;
         }
     }
