--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -4,6 +4,7 @@
 //! shape `{"error":{"code":…}}`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use contract::apply::{Apply, ApplyStep, Change, Head, KEY};
@@ -22,6 +23,10 @@
 use crate::entry::Context;
 use crate::member::{Ask, Status};
 
+/// How often it is looked whether the members are known, and how long between.
+const JOIN_LOOKS: u32 = 50;
+const JOIN_LOOK: Duration = Duration::from_millis(100);
+
 #[derive(Deserialize)]
 struct ChangeBody {
     text: String,
@@ -108,6 +113,10 @@
             json!({"message": "no platform is set"}),
         );
     };
+    if !joined(cx).await {
+        let m = "this entry has found no other member yet";
+        return error(503, "not_joined", json!({"message": m}));
+    }
     let text = change.text.clone();
     let mut apply = Apply::new(Change {
         text: change.text,
@@ -134,6 +143,20 @@
     }
 }
 
+/// Waits until this entry knows the members. Before that its status names itself alone, and an
+/// operator would read a change as in force everywhere when nobody else has it.
+async fn joined(cx: &Context) -> bool {
+    for _ in 0..JOIN_LOOKS {
+        let (tx, rx) = oneshot::channel();
+        let _ = cx.members.send(Ask::Status(tx));
+        if rx.await.is_ok_and(|s| s.joined) {
+            return true;
+        }
+        tokio::time::sleep(JOIN_LOOK).await;
+    }
+    false
+}
+
 fn accepted(cx: &Context, version: u64, text: String) -> Response {
     let _ = cx.members.send(Ask::Accepted(TableRow {
         version: Version(version),
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -63,6 +63,8 @@
     pub digest: Digest,
     /// This process and all members that are remembered.
     pub members: Vec<Member>,
+    /// Whether the members are known; a process that has just started knows only itself.
+    pub joined: bool,
     /// How far the version is in force.
     pub force: InForce,
     /// What has happened since the start.
@@ -222,6 +224,7 @@
             version: self.fleet.version(),
             digest: self.fleet.digest(),
             members: me.chain(self.fleet.everyone()).cloned().collect(),
+            joined: self.fleet.has_joined(),
             force: self.fleet.in_force(),
             counters: self.fleet.counters(),
         }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -142,6 +142,11 @@
         self.view.iter().map(|(_, e)| &e.member)
     }
 
+    /// Whether some member's whole list came in, or there was nobody to ask for one.
+    pub fn has_joined(&self) -> bool {
+        !self.join.is_awaited()
+    }
+
     /// A member by its id.
     pub fn member(&self, id: MemberId) -> Option<&Member> {
         self.view.key(id).and_then(|k| self.view.member(k))
--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -76,6 +76,11 @@
         self.open && self.join_at < Micros::MAX
     }
 
+    /// Whether the first whole list is still to come from seeds that were given.
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.open && !self.seeds.is_empty()
+    }
+
     /// Whether the first whole list is still to come.
     pub(crate) fn is_open(&self) -> bool {
         self.open
--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -320,6 +320,8 @@
         false => vec!["--seeds".to_owned(), seeds.join(",")],
     }
 }
+
+/// A configuration of both pools, whose rules tell classes and idempotence by the
 /// load tool's headers.
 pub fn configuration(key: &str) -> String {
     let mut out = String::from(
@@ -335,16 +337,16 @@
         for (once, idempotent) in [("yes", false), ("no", true)] {
             out += &format!(
                 "[[rule]]\nname = \"completions-{class}-once-{once}\"\n\
-                 when = {{ path = \"/v1/*\", header = {{ x-class = \"{class}\", x-once = \"{once}\" }} }}\n\
+                 when = {{ path = [\"/v1/*\"], header = {{ x-class = \"{class}\", x-once = \"{once}\" }} }}\n\
                  then = {{ pool = \"lekha-llm\", class = \"{class}\", idempotent = {idempotent} }}\n",
             );
         }
     }
-    out += "[[rule]]\nname = \"completions\"\nwhen = { path = \"/v1/*\" }\n\
+    out += "[[rule]]\nname = \"completions\"\nwhen = { path = [\"/v1/*\"] }\n\
             then = { pool = \"lekha-llm\" }\n\
-            [[rule]]\nname = \"records\"\nwhen = { path = \"/records\" }\n\
+            [[rule]]\nname = \"records\"\nwhen = { path = [\"/records\"] }\n\
             then = { pool = \"fieldops\", class = \"call\", idempotent = false }\n\
-            [[rule]]\nname = \"quota\"\nwhen = { path = \"/quota/*\" }\n\
+            [[rule]]\nname = \"quota\"\nwhen = { path = [\"/quota/*\"] }\n\
             then = { pool = \"fieldops\", class = \"call\" }\n";
     out
 }
