Run a non-idempotent request at most once, and answer no other with its answer

Cause, found by the new tests against the code as it was: - Two different records under one key: the second got the first one's 201 and was never written. The claim's row now holds the request's hash, and another request under the key is told already_attempted. - Sent again after its first attempt's target died, a request was told target_lost, as if it had run now; it is told already_attempted. By reading, without a test of their own: a request that ended in the moment of its turn left its slot taken for good; the first life found of a target was taken for a second one, so that a sidecar's first requests were broken off. Ruled out: same key through two entries, pause around the claim in eight steps, lost answer of the claim, platform down.

--- a/crates/contract/src/claim.rs
+++ b/crates/contract/src/claim.rs
@@ -30,6 +30,10 @@
     pub incarnation: u64,
     /// Seconds since the epoch, for sweeping old rows.
     pub since: u64,
+    /// Hash of the request, in hexadecimal. One key on two requests would else give the second
+    /// the first one's answer, and its caller would believe that it ran.
+    #[serde(default)]
+    pub body: String,
 }
 
 /// What to do next.
@@ -39,7 +43,8 @@
     Call(Request),
     /// Run it.
     Ours,
-    /// Somebody claimed it before; `None` if the row can't be read as a holder.
+    /// Somebody claimed it before; `None` if the row can't be read as a holder, or is that of
+    /// another request under the same key.
     Theirs(Option<Holder>),
     /// The table is away; refuse it as not run.
     Refuse,
@@ -125,6 +130,7 @@
             Ok(h) if h.token == self.holder.token => ClaimStep::Ours,
             Ok(h) if h.token.is_empty() && self.reads < READS => self.write(row.version),
             Ok(h) if h.token.is_empty() => ClaimStep::Refuse,
+            Ok(h) if h.body != self.holder.body => ClaimStep::Theirs(None),
             other => ClaimStep::Theirs(other.ok()),
         }
     }
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -110,11 +110,19 @@
         *self.health.borrow()
     }
 
-    /// Waits until the target is found to be down or in another life.
-    pub async fn lost(&self, life: Incarnation) {
+    /// Waits until the target is found to be down or in another life. The first life found is not
+    /// another one than that which wasn't known yet: a sidecar that serves as soon as it starts
+    /// would else break off its first requests, and hold a crash against them.
+    pub async fn lost(&self, mut life: Incarnation) {
         let mut health = self.health.clone();
-        let changed = health.wait_for(|h| !h.up || h.life != life).await.is_err();
-        if changed {
+        let is_lost = |h: &Health| {
+            if life == Incarnation(0) {
+                life = h.life;
+            }
+            !h.up || h.life != life
+        };
+        let stopped = health.wait_for(is_lost).await.is_err();
+        if stopped {
             std::future::pending::<()>().await;
         }
     }
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -113,7 +113,24 @@
         code: Code::Draining,
         retry: None,
     };
-    granted.await.unwrap_or(Err(gone))
+    let mut place = Place { cx, granted };
+    (&mut place.granted).await.unwrap_or(Err(gone))
+}
+
+/// A place in the queue. Its request may end in the moment in which its turn comes; without this
+/// the turn would be nobody's, and the target would have one slot less for good.
+struct Place<'a> {
+    cx: &'a Context,
+    granted: oneshot::Receiver<Result<RunKey, Refusal>>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.granted.close();
+        if let Ok(Ok(run)) = self.granted.try_recv() {
+            self.cx.control.send(Ask::Finished(run));
+        }
+    }
 }
 
 /// Has its turn: claims if it may run only once, then hands it over.
@@ -209,6 +226,7 @@
         address,
         incarnation: cx.life,
         since: clock::epoch(),
+        body: digest(o),
     };
     let mut claim = Claim::new(&o.team, &o.key, holder);
     let mut step = claim.start();
@@ -239,6 +257,15 @@
     }
 }
 
+/// What tells two requests with the same key apart.
+fn digest(o: &Open) -> String {
+    let mut h = blake3::Hasher::new();
+    for part in [o.method.as_bytes(), o.path.as_bytes(), &o.body] {
+        h.update(&(part.len() as u64).to_le_bytes()).update(part);
+    }
+    hex(&h.finalize().as_bytes()[..16])
+}
+
 async fn release(cx: &Context, claim: Option<Claim>) {
     if let (Some(table), Some(claim)) = (&cx.table, claim) {
         table.call(claim.release()).await;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -98,6 +98,8 @@
     pub service: Arc<Service>,
     pub service_at: StandIn,
     pub fieldops: Child,
+    /// More sidecars before the same service.
+    pub spares: Vec<Child>,
     pub replicas: Vec<Replica>,
     pub entries: Vec<Child>,
 }
@@ -128,6 +130,7 @@
             service,
             service_at,
             fieldops,
+            spares: Vec::new(),
             replicas: Vec::new(),
             entries: Vec::new(),
         };
@@ -192,6 +195,30 @@
         running().expect("it was there")
     }
 
+    /// Adds a sidecar before the plain service, and waits until the entries know it.
+    pub fn add_spare(&mut self) {
+        let spare = Child::sidecar(
+            &self.url(),
+            &self.seed(),
+            self.service_at.at,
+            "fieldops",
+            "plain",
+        );
+        self.spares.push(spare);
+        self.wait_members();
+    }
+
+    /// Kills the plain service with all its connections and starts it again; its log is kept.
+    pub fn revive_service(&mut self) {
+        self.service_at.kill();
+        self.service_at = StandIn::start(self.service_at.at, self.service.router());
+    }
+
+    /// How often the service ran a record.
+    pub fn times(&self, body: &str) -> usize {
+        self.service.bodies().iter().filter(|b| *b == body).count()
+    }
+
     /// Adds an entry.
     pub fn add_entry(&mut self) {
         let entry = Child::entry(&self.url(), &self.seed());
@@ -210,7 +237,7 @@
 
     /// Waits until every entry sees all processes.
     pub fn wait_members(&self) {
-        let all = 1 + self.replicas.len() + self.entries.len();
+        let all = 1 + self.spares.len() + self.replicas.len() + self.entries.len();
         for n in 0..self.entries.len() {
             wait_for("all members to be seen", || self.live(n) == all);
         }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -253,7 +253,12 @@
     fn lost(&mut self, code: Code) -> Action {
         self.touched = true;
         let failure = Failure {
-            code,
+            // What became of an earlier attempt's answer is no failure of this one.
+            code: if self.joined {
+                Code::AlreadyAttempted
+            } else {
+                code
+            },
             outcome: Outcome::Unknown,
             retry: None,
         };
