--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -31,6 +31,12 @@
 /// Longest silence of a target within an answer. A busy engine's longest pause between two bytes
 /// is its longest prefill, a few seconds.
 const SILENCE: Duration = Duration::from_secs(15);
+/// Longest silence within a stream that has begun. An engine that prefills others meanwhile does so
+/// in pieces, between which it decodes; a connection that fell silent for good would otherwise
+/// keep a caller on the line until he hangs up.
+const PAUSE: Duration = Duration::from_secs(4);
+/// The event with which an engine ends a stream that is whole.
+const DONE: &[u8] = b"data: [DONE]\n\n";
 /// Longest time to connect to the target, which runs on this host.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Longest wait to learn whether an engine died: two failed calls of its feed.
@@ -112,7 +118,24 @@
         code: Code::Draining,
         retry: None,
     };
-    granted.await.unwrap_or(Err(gone))
+    let mut place = Place { cx, granted };
+    (&mut place.granted).await.unwrap_or(Err(gone))
+}
+
+/// A place in the queue. Its request may end in the moment in which its turn comes; without this
+/// the turn would be nobody's, and the target would have one slot less for good.
+struct Place<'a> {
+    cx: &'a Context,
+    granted: oneshot::Receiver<Result<RunKey, Refusal>>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.granted.close();
+        if let Ok(Ok(run)) = self.granted.try_recv() {
+            self.cx.control.send(Ask::Finished(run));
+        }
+    }
 }
 
 /// Has its turn: claims if it may run only once, then hands it over.
@@ -210,6 +233,7 @@
         address,
         incarnation: cx.life,
         since: clock::epoch(),
+        body: digest(o),
     };
     let mut claim = Claim::new(&o.team, &o.key, holder);
     let mut step = claim.start();
@@ -240,6 +264,15 @@
     }
 }
 
+/// What tells two requests with the same key apart.
+fn digest(o: &Open) -> String {
+    let mut h = blake3::Hasher::new();
+    for part in [o.method.as_bytes(), o.path.as_bytes(), &o.body] {
+        h.update(&(part.len() as u64).to_le_bytes()).update(part);
+    }
+    hex(&h.finalize().as_bytes()[..16])
+}
+
 async fn release(cx: &Context, claim: Option<Claim>) {
     if let (Some(table), Some(claim)) = (&cx.table, claim) {
         table.call(claim.release()).await;
@@ -302,8 +335,10 @@
 async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
     let mut rest = BytesMut::new();
     let mut begun = false;
+    let mut done = false;
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(lost)?;
+        let limit = if begun && events { PAUSE } else { SILENCE };
+        let frame = timeout(limit, body.frame()).await.map_err(lost)?;
         let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(lost)?.into_data() else {
             continue;
@@ -318,14 +353,20 @@
         rest.extend_from_slice(&data);
         if let Some(n) = whole_events(&rest) {
             slot.events.fetch_add(1, Ordering::Relaxed);
-            live.push(rest.split_to(n).freeze()).await;
+            let whole = rest.split_to(n).freeze();
+            done = whole.ends_with(DONE);
+            live.push(whole).await;
         }
     }
-    match rest.is_empty() {
-        true => Ok(()),
-        // The target closed in the middle of an event.
-        false => Err(Code::TargetLost),
-    }
+    // A good end of the transfer doesn't say that the answer is whole: without a length it also
+    // comes when the target's process goes away or something between closes the connection. The
+    // caller would take half an answer for all of it.
+    let whole = match events {
+        true if slot.cx.model => done && rest.is_empty(),
+        true => rest.is_empty(),
+        false => true,
+    };
+    whole.then_some(()).ok_or(Code::TargetLost)
 }
 
 fn lost<E>(_: E) -> Code {
