Give digest, answers, counters and reports of force their own files

A report of a version now counts for the life that made it, so a member restarted under its old id isn't taken to have what it had before; and a writer whose change a reader found first still watches for it.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -10,6 +10,7 @@
 
 use crate::convict::Convictions;
 use crate::detect::Detect;
+use crate::force::Watch;
 use crate::join::Join;
 use crate::packet::{wire_state, Kind, Packet, PacketError, Update, BODY_MAX};
 use crate::rumor::Rumors;
@@ -18,47 +19,10 @@
 use crate::table::Reader;
 use crate::view::{mix, MemberKey, View};
 use crate::{
-    Action, Answer, Conviction, Digest, Event, HostEntry, Keyring, Member, MemberState, Settings,
-    What,
+    Action, Answer, Conviction, Counters, Digest, Event, HostEntry, Keyring, Member, MemberState,
+    Settings, What,
 };
 
-/// What has happened since the start; for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes in them.
-    pub sent_bytes: u64,
-    /// Datagrams that came in, good or bad.
-    pub received: u64,
-    /// Datagrams whose seal didn't hold.
-    pub bad_seal: u64,
-    /// Datagrams that couldn't be decoded or were too large.
-    pub bad_packet: u64,
-    /// Reports and answers that were older than what was known, as in replayed datagrams.
-    pub stale: u64,
-    /// Members that this process began to suspect by itself.
-    pub suspected: u64,
-    /// Members that this process declared dead.
-    pub declared: u64,
-    /// Accusations of this process that it refuted.
-    pub refuted: u64,
-    /// Times that this process was found to have been paused.
-    pub paused: u64,
-    /// Pulls asked for.
-    pub pulls: u64,
-    /// Pulls that failed.
-    pub pull_failures: u64,
-    /// Reads of the table asked for.
-    pub reads: u64,
-    /// Reads of the table that failed.
-    pub read_failures: u64,
-    /// Reads that gave an older version than is in force, as after a restored backup.
-    pub table_behind: u64,
-    /// Times that another text of the same version was seen.
-    pub forks: u64,
-}
-
 /// Membership and configuration as one process sees them.
 pub struct Fleet {
     pub(crate) set: Settings,
@@ -70,6 +34,7 @@
     pub(crate) rumors: Rumors,
     pub(crate) convictions: Convictions,
     pub(crate) spread: Spread,
+    pub(crate) watch: Watch,
     pub(crate) reader: Reader,
     pub(crate) join: Join,
     pub(crate) counters: Counters,
@@ -97,6 +62,7 @@
             rumors: Rumors::default(),
             convictions: Convictions::default(),
             spread: Spread::default(),
+            watch: Watch::default(),
             reader: Reader::default(),
             join: Join::default(),
             counters: Counters::default(),
@@ -292,7 +258,7 @@
             Event::Convicted(c) => {
                 self.convictions.add(self.now, c);
             }
-            Event::Watch => self.watch(),
+            Event::Watch => self.watch_now(),
             Event::Leave => self.announce(MemberState::Leaving),
             Event::Quit => self.quit(out),
         }
@@ -320,6 +286,7 @@
         self.run_detect(out);
         self.run_join(out);
         self.run_spread(out);
+        self.run_watch(out);
         self.run_reads(out);
         if self.gossip_at <= self.now {
             self.gossip(out);
@@ -351,6 +318,7 @@
             self.detect.due(),
             self.join.due(),
             self.spread.due(),
+            self.watch.due(),
             self.reader.due(),
             self.gossip_at,
         ];
--- /dev/null
+++ b/crates/fleet/src/force.rs
@@ -0,0 +1,126 @@
+//! How far the configuration is in force.
+//!
+//! The operator's `apply` returns when every live member reports the change and names those that
+//! don't. With two pings a second it would take this process minutes to hear from 1,180 members,
+//! so each member tells the one that wrote the change as soon as it has it, once, and only those
+//! that haven't reported within a second are asked.
+
+use model::{MemberId, Micros, Version};
+use rand::seq::IndexedRandom;
+
+use crate::{Action, Fleet};
+
+/// Members asked in one round for the version they have.
+const ASK_MAX: usize = 64;
+/// Time that members have to report a change by themselves.
+const REPORT_WAIT: Micros = Micros::from_secs(1);
+/// Time between two rounds of asking.
+const ASK_EVERY: Micros = Micros::from_millis(500);
+/// How long to go on asking.
+const WATCH_MAX: Micros = Micros::from_secs(60);
+
+/// A live member without the newest configuration, as far as is known here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lag {
+    /// Which member.
+    pub id: MemberId,
+    /// Where it runs.
+    pub host: String,
+    /// What it last reported; none if nothing was heard.
+    pub version: Option<Version>,
+}
+
+/// How far the configuration here is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// The version asked about.
+    pub version: Version,
+    /// Live members, this process included.
+    pub live: usize,
+    /// Those that report it or a later one, this process included.
+    pub current: usize,
+    /// The others.
+    pub lagging: Vec<Lag>,
+}
+
+/// When to ask members that haven't reported.
+pub(crate) struct Watch {
+    at: Micros,
+    until: Micros,
+}
+
+impl Default for Watch {
+    fn default() -> Self {
+        Self {
+            at: Micros::MAX,
+            until: Micros::ZERO,
+        }
+    }
+}
+
+impl Watch {
+    pub(crate) fn due(&self) -> Micros {
+        self.at
+    }
+}
+
+impl Fleet {
+    /// Who among the live members has the configuration that is in force here.
+    pub fn in_force(&self) -> InForce {
+        let version = self.version();
+        let live = self.view.iter().filter(|(_, e)| e.member.state.is_live());
+        let behind = live.filter(|(_, e)| e.version < version);
+        let lagging: Vec<Lag> = behind
+            .map(|(_, e)| Lag {
+                id: e.member.id,
+                host: e.member.host.clone(),
+                version: Some(e.version).filter(|v| v.0 > 0),
+            })
+            .collect();
+        InForce {
+            version,
+            live: self.size(),
+            current: self.size() - lagging.len(),
+            lagging,
+        }
+    }
+
+    /// Gives members some time to report a change before they are asked.
+    pub(crate) fn expect_reports(&mut self) {
+        self.watch.at = self.now + REPORT_WAIT;
+        self.watch.until = self.now + WATCH_MAX;
+    }
+
+    /// Begins to ask members that haven't reported the configuration.
+    pub(crate) fn watch_now(&mut self) {
+        self.watch.at = self.now;
+        self.watch.until = self.now + WATCH_MAX;
+    }
+
+    pub(crate) fn run_watch(&mut self, out: &mut Vec<Action>) {
+        if self.watch.at <= self.now {
+            self.ask_versions(out);
+        }
+    }
+
+    fn ask_versions(&mut self, out: &mut Vec<Action>) {
+        let version = self.version();
+        let live = self.view.iter().filter(|(_, e)| e.member.state.is_live());
+        let behind: Vec<_> = live
+            .filter(|(_, e)| e.version < version)
+            .map(|(k, _)| k)
+            .collect();
+        let over = behind.is_empty() || self.now > self.watch.until;
+        self.watch.at = match over {
+            true => Micros::MAX,
+            false => self.now + ASK_EVERY,
+        };
+        let some: Vec<_> = behind
+            .choose_multiple(&mut self.rng, ASK_MAX)
+            .copied()
+            .collect();
+        for k in some {
+            self.poke(k, None, out);
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,10 +15,14 @@
 //! Order of reading: [`Fleet`], then `detect`, `merge`, `spread`, `table` and `join`, which each
 //! add one job to it.
 
+mod answer;
 mod convict;
+mod counters;
 mod detect;
+mod digest;
 mod event;
 mod fleet;
+mod force;
 mod join;
 mod member;
 mod merge;
@@ -31,11 +35,14 @@
 mod table;
 mod view;
 
+pub use answer::Answer;
 pub use convict::Conviction;
+pub use counters::Counters;
+pub use digest::Digest;
 pub use event::{Action, Event, HostEntry, TableAway, TableRead, TableRow, What};
-pub use fleet::{Counters, Fleet};
+pub use fleet::Fleet;
+pub use force::{InForce, Lag};
 pub use member::{Member, MemberState, Role};
-pub use packet::{Answer, Kind, Mark, Packet, PacketError, Update, DATAGRAM_MAX};
+pub use packet::{Kind, Mark, Packet, PacketError, Update, DATAGRAM_MAX};
 pub use seal::{Key, Keyring, SealError};
 pub use settings::Settings;
-pub use spread::{Digest, InForce, Lag};
--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -8,12 +8,18 @@
 use std::net::SocketAddr;
 
 use model::{Incarnation, MemberId, Micros};
+use rand::seq::IndexedRandom;
 
 use crate::packet::{Kind, Packet, PacketError, Update};
 use crate::suspicion::Suspicion;
 use crate::view::{Claim, MemberKey};
 use crate::{Action, Conviction, Fleet, Member, MemberState};
 
+/// Most reports of one pulled list that are passed on; the rest is left to others' pulls.
+const PASS_MAX: usize = 64;
+/// Most members of one pulled list that are told they are taken for dead.
+const WARN_MAX: usize = 16;
+
 impl Fleet {
     /// Takes a good datagram in: what it reports, then what it asks for.
     pub(crate) fn merge_packet(&mut self, from: SocketAddr, p: Packet, out: &mut Vec<Action>) {
@@ -229,6 +235,53 @@
         }
     }
 
+    /// Weighs a pulled list of members.
+    ///
+    /// After a split each side takes the other for dead. Were that believed from a list, the
+    /// live side would be accused as a whole and faster than it can refute. So a death that
+    /// isn't known here is checked by a ping, and those that are dead here but alive in the list
+    /// are told of it.
+    pub(crate) fn merge_list(
+        &mut self,
+        from: MemberId,
+        list: Vec<Member>,
+        joining: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let mut wronged = Vec::new();
+        let mut passed = 0;
+        for m in list {
+            let known = self.view.key(m.id);
+            let here = known.and_then(|k| self.view.member(k)).cloned();
+            let c = listed(m, from);
+            match (known, here) {
+                (Some(k), Some(h)) if c.state == MemberState::Dead && h.state.is_live() => {
+                    if c.rank() > h.rank() {
+                        self.view.hurry(k, c);
+                    }
+                }
+                (Some(k), Some(h)) if c.state.is_live() && c.rank() < h.rank() => {
+                    if h.state == MemberState::Dead {
+                        wronged.push(k);
+                    }
+                }
+                (_, here) => {
+                    let news = here.is_none_or(|h| c.rank() > h.rank());
+                    passed += usize::from(news);
+                    self.learn(c, !joining && passed <= PASS_MAX, out);
+                }
+            }
+        }
+        let some: Vec<_> = wronged
+            .choose_multiple(&mut self.rng, WARN_MAX)
+            .copied()
+            .collect();
+        for k in some {
+            let charge = self.charge(k);
+            self.poke(k, charge, out);
+        }
+    }
+
     /// Answers a datagram according to its kind.
     fn reply(
         &mut self,
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -7,89 +7,19 @@
 //! back an older text. Failed pulls back off with jitter; without it, a member that can't answer
 //! would be asked by all others in step.
 
+use std::cmp::Ordering;
+
 use bytes::Bytes;
-use model::{MemberId, Micros, Version};
-use rand::seq::IndexedRandom;
+use model::{Incarnation, MemberId, Micros, Version};
 
-use crate::merge::listed;
-use crate::packet::{Kind, Packet, PacketError};
+use crate::packet::{Kind, Packet};
 use crate::view::MemberKey;
-use crate::{Action, Answer, Fleet, Member, MemberState, TableRow, What};
+use crate::{Action, Answer, Digest, Fleet, TableRow, What};
 
 /// Bound on members known to be ahead; enough that some can be lost.
 const SOURCES_MAX: usize = 4;
 /// Failed pulls in a row after which the table is asked instead.
 const TABLE_AFTER: u32 = 4;
-/// Members asked in one round for the version they have.
-const ASK_MAX: usize = 64;
-/// Time that members have to report a change by themselves.
-const REPORT_WAIT: Micros = Micros::from_secs(1);
-/// Time between two rounds of asking.
-const ASK_EVERY: Micros = Micros::from_millis(500);
-/// How long to go on asking.
-const WATCH_MAX: Micros = Micros::from_secs(60);
-/// Most reports of one pulled list that are passed on; the rest is left to others' pulls.
-const PASS_MAX: usize = 64;
-/// Most members of one pulled list that are told they are taken for dead.
-const WARN_MAX: usize = 16;
-
-/// 128 bits of a configuration's BLAKE3.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Digest(pub [u8; 16]);
-
-impl Digest {
-    /// The digest of a text.
-    pub fn of(text: impl AsRef<[u8]>) -> Self {
-        let hash = blake3::hash(text.as_ref());
-        let mut d = [0; 16];
-        d.copy_from_slice(&hash.as_bytes()[..16]);
-        Self(d)
-    }
-
-    pub(crate) fn to_wire(self) -> Bytes {
-        match self == Self::default() {
-            true => Bytes::new(),
-            false => Bytes::copy_from_slice(&self.0),
-        }
-    }
-
-    pub(crate) fn from_wire(b: &Bytes) -> Result<Self, PacketError> {
-        match b.len() {
-            0 => Ok(Self::default()),
-            n => Ok(Self(b[..].try_into().map_err(|_| PacketError::Digest(n))?)),
-        }
-    }
-}
-
-impl std::fmt::Display for Digest {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
-    }
-}
-
-/// A live member without the newest configuration, as far as is known here.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Lag {
-    /// Which member.
-    pub id: MemberId,
-    /// Where it runs.
-    pub host: String,
-    /// What it last reported; none if nothing was heard.
-    pub version: Option<Version>,
-}
-
-/// How far the configuration here is in force.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InForce {
-    /// The version asked about.
-    pub version: Version,
-    /// Live members, this process included.
-    pub live: usize,
-    /// Those that report it or a later one, this process included.
-    pub current: usize,
-    /// The others.
-    pub lagging: Vec<Lag>,
-}
 
 /// A member that is ahead.
 #[derive(Clone, Copy)]
@@ -121,8 +51,6 @@
     pull: Option<Pull>,
     fails: u32,
     retry_at: Micros,
-    watch_at: Micros,
-    watch_until: Micros,
 }
 
 impl Default for Spread {
@@ -141,20 +69,17 @@
             pull: None,
             fails: 0,
             retry_at: Micros::ZERO,
-            watch_at: Micros::MAX,
-            watch_until: Micros::ZERO,
         }
     }
 }
 
 impl Spread {
     pub(crate) fn due(&self) -> Micros {
-        let pull = match &self.pull {
+        match &self.pull {
             Some(p) => p.until,
             None if self.sources.is_empty() => Micros::MAX,
             None => self.retry_at,
-        };
-        pull.min(self.watch_at)
+        }
     }
 
     /// Whom to tell that the change is in force; nobody once it is old.
@@ -184,26 +109,6 @@
 }
 
 impl Fleet {
-    /// Who among the live members has the configuration that is in force here.
-    pub fn in_force(&self) -> InForce {
-        let version = self.version();
-        let live = self.view.iter().filter(|(_, e)| e.member.state.is_live());
-        let behind = live.filter(|(_, e)| e.version < version);
-        let lagging: Vec<Lag> = behind
-            .map(|(_, e)| Lag {
-                id: e.member.id,
-                host: e.member.host.clone(),
-                version: Some(e.version).filter(|v| v.0 > 0),
-            })
-            .collect();
-        InForce {
-            version,
-            live: self.size(),
-            current: self.size() - lagging.len(),
-            lagging,
-        }
-    }
-
     pub(crate) fn run_spread(&mut self, out: &mut Vec<Action>) {
         if let Some(p) = self.spread.pull.as_ref().filter(|p| p.until <= self.now) {
             let from = p.from;
@@ -213,9 +118,6 @@
         if self.spread.is_idle(self.now) && !self.join.is_trying() {
             self.pull_text(out);
         }
-        if self.spread.watch_at <= self.now {
-            self.ask_versions(out);
-        }
     }
 
     /// Compares a sender's configuration with the one here.
@@ -225,7 +127,7 @@
         let Some(e) = self.view.get_mut(k) else {
             return;
         };
-        e.version = e.version.max(version);
+        e.report(Incarnation(p.incarnation), version);
         let s = Source {
             id: MemberId(p.from),
             version,
@@ -235,8 +137,8 @@
         };
         let (mine, own) = (self.spread.row.version, self.spread.row.digest);
         match version.cmp(&mine) {
-            std::cmp::Ordering::Greater => self.spread.note(s),
-            std::cmp::Ordering::Less => {}
+            Ordering::Greater => self.spread.note(s),
+            Ordering::Less => {}
             _ if digest == own && p.proven => self.settle(),
             _ if digest == own => {}
             _ => self.conflict(s),
@@ -271,19 +173,16 @@
     /// A configuration that this process wrote to the table.
     pub(crate) fn accepted(&mut self, row: TableRow, out: &mut Vec<Action>) {
         let mine = &self.spread.row;
-        let other = row.version == mine.version && row.digest != mine.digest;
-        if row.version > mine.version || other {
-            self.adopt(row, true, out);
-            self.announce_config(self.me.id, out);
-            self.spread.watch_at = self.now + REPORT_WAIT;
-            self.spread.watch_until = self.now + WATCH_MAX;
+        match row.version.cmp(&mine.version) {
+            Ordering::Less => return,
+            // A reader of the table was faster than the table's answer.
+            Ordering::Equal if row.digest == mine.digest => self.settle(),
+            _ => {
+                self.adopt(row, true, out);
+                self.announce_config(self.me.id, out);
+            }
         }
-    }
-
-    /// Begins to ask members that haven't reported the configuration.
-    pub(crate) fn watch(&mut self) {
-        self.spread.watch_at = self.now;
-        self.spread.watch_until = self.now + WATCH_MAX;
+        self.expect_reports();
     }
 
     /// Starts a pull if none is under way; at most one at a time bounds what a process fetches.
@@ -389,53 +288,6 @@
         }
     }
 
-    /// Weighs a pulled list of members.
-    ///
-    /// After a split each side takes the other for dead. Were that believed from a list, the
-    /// live side would be accused as a whole and faster than it can refute. So a death that
-    /// isn't known here is checked by a ping, and those that are dead here but alive in the list
-    /// are told of it.
-    fn merge_list(
-        &mut self,
-        from: MemberId,
-        list: Vec<Member>,
-        joining: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let mut wronged = Vec::new();
-        let mut passed = 0;
-        for m in list {
-            let known = self.view.key(m.id);
-            let here = known.and_then(|k| self.view.member(k)).cloned();
-            let c = listed(m, from);
-            match (known, here) {
-                (Some(k), Some(h)) if c.state == MemberState::Dead && h.state.is_live() => {
-                    if c.rank() > h.rank() {
-                        self.view.hurry(k, c);
-                    }
-                }
-                (Some(k), Some(h)) if c.state.is_live() && c.rank() < h.rank() => {
-                    if h.state == MemberState::Dead {
-                        wronged.push(k);
-                    }
-                }
-                (_, here) => {
-                    let news = here.is_none_or(|h| c.rank() > h.rank());
-                    passed += usize::from(news);
-                    self.learn(c, !joining && passed <= PASS_MAX, out);
-                }
-            }
-        }
-        let some: Vec<_> = wronged
-            .choose_multiple(&mut self.rng, WARN_MAX)
-            .copied()
-            .collect();
-        for k in some {
-            let charge = self.charge(k);
-            self.poke(k, charge, out);
-        }
-    }
-
     fn pull_text(&mut self, out: &mut Vec<Action>) {
         let spread = &mut self.spread;
         let view = &self.view;
@@ -461,25 +313,4 @@
             _ => self.contest(),
         }
     }
-
-    fn ask_versions(&mut self, out: &mut Vec<Action>) {
-        let version = self.version();
-        let live = self.view.iter().filter(|(_, e)| e.member.state.is_live());
-        let behind: Vec<_> = live
-            .filter(|(_, e)| e.version < version)
-            .map(|(k, _)| k)
-            .collect();
-        let over = behind.is_empty() || self.now > self.spread.watch_until;
-        self.spread.watch_at = match over {
-            true => Micros::MAX,
-            false => self.now + ASK_EVERY,
-        };
-        let some: Vec<_> = behind
-            .choose_multiple(&mut self.rng, ASK_MAX)
-            .copied()
-            .collect();
-        for k in some {
-            self.poke(k, None, out);
-        }
-    }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,5 +1,6 @@
 //! All other members as this process knows them.
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -42,6 +43,8 @@
     pub(crate) member: Member,
     /// The configuration it last reported; zero if none.
     pub(crate) version: Version,
+    /// The incarnation that reported it.
+    life: Incarnation,
     pub(crate) suspicion: Option<Suspicion>,
     /// Since when it is gone.
     pub(crate) gone: Micros,
@@ -49,6 +52,17 @@
     pub(crate) announced: bool,
 }
 
+impl Entry {
+    /// Notes the version that a life of the member reports; a later life starts anew.
+    pub(crate) fn report(&mut self, life: Incarnation, version: Version) {
+        match life.cmp(&self.life) {
+            Ordering::Less => {}
+            Ordering::Equal => self.version = self.version.max(version),
+            Ordering::Greater => (self.life, self.version) = (life, version),
+        }
+    }
+}
+
 /// The members in an arena, with indices and the order of pings.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -122,6 +136,7 @@
         let k = self.arena.insert(Entry {
             member: m,
             version: Version(0),
+            life: Incarnation(0),
             suspicion: None,
             gone: now,
             announced: false,
