--- a/crates/fleet/examples/slopes.rs
+++ b/crates/fleet/examples/slopes.rs
@@ -205,7 +205,11 @@
     let apart = |net: &mut Net, group| {
         let domains = net.domains;
         for (i, x) in net.nodes.iter_mut().enumerate() {
-            x.group = if (i % domains) % 3 == 0 { group } else { 0 };
+            x.group = if (i % domains).is_multiple_of(3) {
+                group
+            } else {
+                0
+            };
         }
     };
     apart(&mut net, 1);
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -77,7 +77,7 @@
     },
     /// This process wrote a configuration to the table and knows that it took effect.
     Accepted(TableRow),
-    /// A request was found to crash its targets.
+    /// A request was found here to crash its targets; the others are told.
     Convicted(Conviction),
     /// Ask every live member which version it has, until all have the current one.
     Watch,
@@ -116,7 +116,7 @@
     Changed(Member),
     /// A member is dead or has left.
     Gone(MemberId),
-    /// Refuse requests with this fingerprint.
+    /// Another process found that this request crashes its targets: refuse it.
     Convict(Conviction),
     /// Give an [`Event::Tick`] at this time; a later one replaces it.
     WakeAt(Micros),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -41,7 +41,7 @@
 /// later life at the same address has a higher one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
-    /// Drawn at random when it starts.
+    /// Drawn at random when it starts; never zero, which stands for nobody in datagrams.
     pub id: MemberId,
     /// What it does.
     pub role: Role,
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -3,7 +3,7 @@
 mod net;
 
 use assert_matches::assert_matches;
-use fleet::{Conviction, Event, Keyring, TableRow};
+use fleet::{Conviction, Event, Keyring, TableRow, What};
 use model::{MemberId, Micros, Version};
 use net::{row, Net};
 
@@ -294,7 +294,7 @@
 #[test]
 fn wrong_text_is_refused() {
     let mut net = Net::settled(3, 33, 0.0);
-    let mut answer = net.nodes[1].fleet.answer(fleet::What::Config);
+    let mut answer = net.nodes[1].fleet.answer(What::Config);
     answer.version = Version(9);
     answer.text = "something else".into();
     let from = net.nodes[1].fleet.me().id;
@@ -414,3 +414,21 @@
         .map(|n| n.adopted.iter().filter(|a| a.1 == Version(2)).count());
     assert!(flips.max() <= Some(2), "nobody flips back");
 }
+
+/// Two processes restart together, and one asks for everything at the other's address, where the
+/// seeds still see the old life. The newborn has nothing to tell; a user would notice an entry
+/// that thinks itself alone and without rules.
+#[test]
+fn newborn_is_no_source() {
+    let mut net = Net::settled(6, 39, 0.0);
+    let old = net.nodes[5].fleet.me().id;
+    net.restart(4);
+    net.restart(5);
+    let answer = net.nodes[5].fleet.answer(What::All);
+    assert_eq!(answer.version, Version(0));
+    net.hand(4, Event::Pulled { from: old, answer });
+    assert_eq!(net.nodes[4].fleet.counters().pull_failures, 1);
+    let first = row(1, "first");
+    let took = net.until(secs(2), |net| net.all_have(&first) && net.is_whole());
+    assert_matches!(took, Some(_), "it asks another one");
+}
