Ask members that haven't reported a change after half a second

The writer waited a second for reports and then asked every half second; a lost report cost a whole second.

--- a/crates/fleet/src/force.rs
+++ b/crates/fleet/src/force.rs
@@ -3,7 +3,7 @@
 //! The operator's `apply` returns when every live member reports the change and names those that
 //! don't. With two pings a second it would take this process minutes to hear from 1,180 members,
 //! so each member tells the one that wrote the change as soon as it has it, once, and only those
-//! that haven't reported within a second are asked.
+//! that haven't reported within half a second are asked.
 
 use model::{MemberId, Micros, Version};
 use rand::seq::IndexedRandom;
@@ -12,10 +12,11 @@
 
 /// Members asked in one round for the version they have.
 const ASK_MAX: usize = 64;
-/// Time that members have to report a change by themselves.
-const REPORT_WAIT: Micros = Micros::from_secs(1);
+/// Time that members have to report a change by themselves; 99 of 100 have it in that time at
+/// 1,180 members and 1% loss (examples/slopes).
+const REPORT_WAIT: Micros = Micros::from_millis(500);
 /// Time between two rounds of asking.
-const ASK_EVERY: Micros = Micros::from_millis(500);
+const ASK_EVERY: Micros = Micros::from_millis(250);
 /// How long to go on asking.
 const WATCH_MAX: Micros = Micros::from_secs(60);
 
