Check suspected members first after a pause; drop a guard that did nothing

The tests now produce a pause with nothing heard, a restart with seeds out of date, a member back under its old id and a second text that nobody asked for.

--- a/crates/fleet/src/detect.rs
+++ b/crates/fleet/src/detect.rs
@@ -114,6 +114,7 @@
         self.detect.probe_at = self.now;
         self.detect.ail(self.set.health_max);
         let now = self.now;
+        self.recheck();
         let doubts = self
             .view
             .iter_mut()
@@ -122,6 +123,15 @@
         self.rearm_doubts();
     }
 
+    /// Pings the suspected members first; they may have refuted it unheard.
+    fn recheck(&mut self) {
+        let suspects = self.view.iter().filter(|(_, e)| e.suspicion.is_some());
+        let suspects = suspects.map(|(k, e)| (k, self.verdict(&e.member, MemberState::Suspect)));
+        for (k, c) in suspects.collect::<Vec<_>>() {
+            self.view.hurry(k, c);
+        }
+    }
+
     /// Pings a member without waiting for the answer.
     pub(crate) fn poke(&mut self, k: MemberKey, charge: Option<Update>, out: &mut Vec<Action>) {
         let Some((id, udp)) = self.view.member(k).map(|m| (m.id, m.udp)) else {
@@ -134,6 +144,9 @@
     }
 
     /// An answer to a ping of this process, or to one on behalf of another.
+    ///
+    /// It must come from the member that was asked about: a later life at its address answers
+    /// too, and the earlier one mustn't look alive for it.
     pub(crate) fn acked(&mut self, k: Option<MemberKey>, p: &Packet, out: &mut Vec<Action>) {
         let probe = self.detect.probe.as_ref();
         let own = |o: &Probe| o.seq == p.seq && (o.id.0 == p.from || o.id.0 == p.to);
--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -291,8 +291,6 @@
         out: &mut Vec<Action>,
     ) {
         match Kind::try_from(p.kind) {
-            // Meant for an earlier life at this address, which mustn't look alive.
-            Ok(Kind::Ping) if p.to != 0 && p.to != self.me.id.0 => self.introduce(from, out),
             Ok(Kind::Ping) => self.ack(from, sender, p.seq, out),
             Ok(Kind::Join) => self.welcome(from, p.seq, out),
             Ok(Kind::PingReq) => self.relay(from, p, out),
--- a/crates/fleet/tests/detect.rs
+++ b/crates/fleet/tests/detect.rs
@@ -360,10 +360,26 @@
     let seen = net.until(secs(10), |net| suspects(net) == Some(MemberState::Suspect));
     assert_matches!(seen, Some(_), "it is suspected");
     net.pause(3);
+    net.nodes[3].group = 1;
     net.resume(4);
-    net.run(secs(12));
+    net.run(secs(30));
+    net.nodes[3].group = 0;
     net.resume(3);
     net.run(secs(20));
     assert!(net.nodes[3].gone.is_empty(), "nobody was taken for dead");
     assert!(net.is_whole());
 }
+
+/// A process is restarted at its address, but its list of seeds is out of date. The others still
+/// ping that address for the old life, and so find the new one. A user would notice a target
+/// that is up and gets no work.
+#[test]
+fn found_without_seeds() {
+    let mut net = Net::settled(10, 17, 0.01);
+    let me = net.member(6, 1);
+    net.replace(6, me);
+    let found = net.until(secs(20), |net| {
+        net.is_whole() && net.all_have(&net::row(1, "first"))
+    });
+    assert_matches!(found, Some(_));
+}
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -188,9 +188,15 @@
 
     /// The same, with the wall clock set back meanwhile.
     pub(crate) fn restart_back(&mut self, i: usize, back: Micros) {
-        let life = self.nodes[i].life + 1;
-        let mut me = self.member(i, life);
+        let mut me = self.member(i, self.nodes[i].life + 1);
         me.incarnation.0 -= back.0;
+        self.replace(i, me);
+        self.seed(i);
+    }
+
+    /// Ends a process and starts one in its place that is given no seeds.
+    pub(crate) fn replace(&mut self, i: usize, me: Member) {
+        let life = self.nodes[i].life + 1;
         let fleet = Fleet::new(self.settings.clone(), me, self.rng.random());
         let n = &mut self.nodes[i];
         n.fleet = fleet;
@@ -202,7 +208,7 @@
         n.joined.clear();
         n.gone.clear();
         n.convicted.clear();
-        self.seed(i);
+        self.hand(i, Event::Tick);
     }
 
     pub(crate) fn kill(&mut self, i: usize) {
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -305,6 +305,8 @@
     };
     net.hand(0, Event::Table(Ok(Some(bad))));
     assert_eq!(net.nodes[0].fleet.version(), Version(1));
+    net.plant(0, row(1, "another"));
+    assert_eq!(net.nodes[0].fleet.digest(), row(1, "first").digest);
 }
 
 /// The same request crashes one target after another. All entries must know it within seconds,
@@ -432,3 +434,21 @@
     let took = net.until(secs(2), |net| net.all_have(&first) && net.is_whole());
     assert_matches!(took, Some(_), "it asks another one");
 }
+
+/// A process comes back under its old id, with nothing remembered. What it reported before must
+/// not count; a user would notice an `apply` that returns before the change is in force there.
+#[test]
+fn reports_end_with_the_life() {
+    let mut net = Net::settled(2, 40, 0.0);
+    net.accept(0, row(2, "second"));
+    net.run(secs(3));
+    assert_eq!(net.nodes[0].fleet.in_force().current, 2);
+    let me = net.member(1, 0);
+    net.replace(1, me);
+    net.nodes[1].table = false;
+    net.hand(1, Event::Seeds(vec![net::udp(0)]));
+    let lags = net.until(secs(1), |net| net.nodes[0].fleet.in_force().current == 1);
+    assert_matches!(lags, Some(_), "it lags until it has the change again");
+    let back = net.until(secs(3), |net| net.nodes[0].fleet.in_force().current == 2);
+    assert_matches!(back, Some(_));
+}
