--- a/crates/fleet/examples/slopes.rs
+++ b/crates/fleet/examples/slopes.rs
@@ -2,8 +2,8 @@
 //!
 //! Prints a table for each size. Links take 5 ms one way, up to a fifth more at random, and lose
 //! 1% of all datagrams and pulls. CPU is the wall time spent in `Fleet::step` alone, so it grows
-//! when the machine is busy. Arguments: the sizes to run, and `hour` for the virtual hour without
-//! faults that counts false deaths.
+//! when the machine is busy. Arguments: the sizes to run, `hour` for the virtual hour without
+//! faults that counts false deaths, `split` for two groups of regions that lose each other.
 
 #[path = "../tests/net/mod.rs"]
 mod net;
@@ -84,7 +84,6 @@
 
 fn settle(n: usize, seed: u64) -> Net {
     let before = USED.load(Ordering::Relaxed);
-    let clock = std::time::Instant::now();
     let mut net = Net::new(seed, 0.01);
     net.domains = if n > 100 { 11 } else { 3 };
     net.row = Some(row(1, "x".repeat(TEXT)));
@@ -96,7 +95,6 @@
     net.run(Micros::from_secs(60));
     let used = USED.load(Ordering::Relaxed) - before;
     let entries = (n * (n - 1)) as u64;
-    eprintln!("settled after {:?}", clock.elapsed());
     println!("| memory | {} B a member entry |", used / entries);
     net
 }
@@ -201,6 +199,37 @@
     print_times("each dead member out of each view", &h);
 }
 
+/// A third of the failure domains loses the others for ten minutes, long past any suspicion.
+fn split(n: usize) {
+    let mut net = settle(n, 55);
+    let apart = |net: &mut Net, group| {
+        let domains = net.domains;
+        for (i, x) in net.nodes.iter_mut().enumerate() {
+            x.group = if (i % domains).is_multiple_of(3) {
+                group
+            } else {
+                0
+            };
+        }
+    };
+    apart(&mut net, 1);
+    net.run(Micros::from_secs(600));
+    apart(&mut net, 0);
+    let a = totals(&net);
+    let start = net.now;
+    let lost = |net: &Net| net.up().map(|x| x.gone.len()).sum::<usize>();
+    let before = lost(&net);
+    let healed = net.until(Micros::from_secs(240), Net::is_whole);
+    let ms = healed.map(Micros::as_millis);
+    println!("| split of regions healed, until everyone knows everyone | {ms:?} ms |");
+    println!(
+        "| deaths declared while it heals | {} |",
+        lost(&net) - before
+    );
+    let span = net.now.since(start);
+    print_rates("while it heals", a, totals(&net), span, n);
+}
+
 fn hour(n: usize) {
     let mut net = settle(n, 99);
     net.timed = false;
@@ -230,6 +259,10 @@
             hour(n);
             continue;
         }
+        if args.iter().any(|a| a == "split") {
+            split(n);
+            continue;
+        }
         let mut net = settle(n, 7);
         steady(&mut net, n);
         changes(&mut net, n);
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -3,7 +3,7 @@
 mod net;
 
 use assert_matches::assert_matches;
-use fleet::{Conviction, Event, Keyring, TableRow};
+use fleet::{Conviction, Event, Keyring, TableRow, What};
 use model::{MemberId, Micros, Version};
 use net::{row, Net};
 
@@ -294,7 +294,7 @@
 #[test]
 fn wrong_text_is_refused() {
     let mut net = Net::settled(3, 33, 0.0);
-    let mut answer = net.nodes[1].fleet.answer(fleet::What::Config);
+    let mut answer = net.nodes[1].fleet.answer(What::Config);
     answer.version = Version(9);
     answer.text = "something else".into();
     let from = net.nodes[1].fleet.me().id;
@@ -305,6 +305,8 @@
     };
     net.hand(0, Event::Table(Ok(Some(bad))));
     assert_eq!(net.nodes[0].fleet.version(), Version(1));
+    net.plant(0, row(1, "another"));
+    assert_eq!(net.nodes[0].fleet.digest(), row(1, "first").digest);
 }
 
 /// The same request crashes one target after another. All entries must know it within seconds,
@@ -394,3 +396,59 @@
     let told = net.until(secs(3), |net| net.up().filter(|n| has(n)).count() == 9);
     assert_matches!(told, Some(_));
 }
+
+/// The table was restored from an old backup and the next change got a version that was in force
+/// before with another text. Every process knows its own text to be the table's, so none may
+/// believe another; each asks the table. A user would notice two sets of rules in force for good.
+#[test]
+fn reused_version_is_settled() {
+    let mut net = Net::settled(20, 38, 0.01);
+    net.accept(0, row(2, "before the restore"));
+    net.run(secs(10));
+    net.row = Some(row(1, "first"));
+    net.run(secs(10));
+    let after = row(2, "after the restore");
+    net.accept(5, after.clone());
+    let took = net.until(secs(60), |net| net.all_have(&after));
+    assert_matches!(took, Some(_));
+    let flips = net
+        .up()
+        .map(|n| n.adopted.iter().filter(|a| a.1 == Version(2)).count());
+    assert!(flips.max() <= Some(2), "nobody flips back");
+}
+
+/// Two processes restart together, and one asks for everything at the other's address, where the
+/// seeds still see the old life. The newborn has nothing to tell; a user would notice an entry
+/// that thinks itself alone and without rules.
+#[test]
+fn newborn_is_no_source() {
+    let mut net = Net::settled(6, 39, 0.0);
+    let old = net.nodes[5].fleet.me().id;
+    net.restart(4);
+    net.restart(5);
+    let answer = net.nodes[5].fleet.answer(What::All);
+    assert_eq!(answer.version, Version(0));
+    net.hand(4, Event::Pulled { from: old, answer });
+    assert_eq!(net.nodes[4].fleet.counters().pull_failures, 1);
+    let first = row(1, "first");
+    let took = net.until(secs(2), |net| net.all_have(&first) && net.is_whole());
+    assert_matches!(took, Some(_), "it asks another one");
+}
+
+/// A process comes back under its old id, with nothing remembered. What it reported before must
+/// not count; a user would notice an `apply` that returns before the change is in force there.
+#[test]
+fn reports_end_with_the_life() {
+    let mut net = Net::settled(2, 40, 0.0);
+    net.accept(0, row(2, "second"));
+    net.run(secs(3));
+    assert_eq!(net.nodes[0].fleet.in_force().current, 2);
+    let me = net.member(1, 0);
+    net.replace(1, me);
+    net.nodes[1].table = false;
+    net.hand(1, Event::Seeds(vec![net::udp(0)]));
+    let lags = net.until(secs(1), |net| net.nodes[0].fleet.in_force().current == 1);
+    assert_matches!(lags, Some(_), "it lags until it has the change again");
+    let back = net.until(secs(3), |net| net.nodes[0].fleet.in_force().current == 2);
+    assert_matches!(back, Some(_));
+}
