standin: start the load tool's fleet by membership

The list of targets is gone from the entries' flags; each process is now told of up to three members before it, and the configuration is applied once, with all entries named.

--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -80,7 +80,6 @@
 #[derive(Debug, Default, Deserialize)]
 struct Ready {
     callers: Option<SocketAddr>,
-    peer: Option<SocketAddr>,
     admin: Option<SocketAddr>,
     gossip: Option<SocketAddr>,
 }
@@ -110,7 +109,8 @@
     plan: &'a Plan,
     bin: PathBuf,
     fleet: Fleet,
-    members: Vec<Member>,
+    members: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
 }
 
 impl<'a> Starter<'a> {
@@ -126,6 +126,7 @@
             bin,
             fleet: Fleet::default(),
             members: Vec::new(),
+            admins: Vec::new(),
         })
     }
 
@@ -153,9 +154,7 @@
         command.args(["--target", &format!("http://{target}")]);
         command.args(["--pool", pool, "--kind", kind]);
         command.args(&self.plan.sidecar_args);
-        let ready = self.ready(&name, &mut command).await?;
-        self.join(Some(pool), &ready);
-        Ok(())
+        self.ready(&name, &mut command).await.map(drop)
     }
 
     async fn entry(&mut self, platform: SocketAddr, n: usize) -> Result<(), LoadError> {
@@ -168,24 +167,15 @@
             .callers
             .ok_or_else(|| failed(&name, "no callers' address"))?;
         self.fleet.entries.push(callers);
-        self.join(None, &ready);
+        self.admins.extend(ready.admin);
         Ok(())
     }
 
-    /// Remembers a process for those that start after it.
-    fn join(&mut self, pool: Option<&str>, ready: &Ready) {
-        self.members.push(Member {
-            pool: pool.map(str::to_owned),
-            peer: ready.peer,
-            gossip: ready.gossip,
-        });
-    }
-
     fn ours(&self, role: &str, name: &str, platform: SocketAddr) -> Command {
         let mut c = Command::new(self.bin.join("clementinestepd"));
         c.args([role, "--platform", &format!("http://{platform}")])
             .args(["--host", name])
-            .args(joining(role, &self.members))
+            .args(joining(&self.members))
             .env("CLEMENTINESTEP_KEY", KEY)
             .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR);
         c
@@ -197,6 +187,7 @@
         if let Some(p) = self.fleet.processes.last_mut() {
             p.admin = ready.admin;
         }
+        self.members.extend(ready.gossip);
         Ok(ready)
     }
 
@@ -254,29 +245,17 @@
             path: path.display().to_string(),
             error,
         })?;
-        let mut outcome = Ok(());
-        for admin in self.fleet.processes.iter().filter_map(|p| p.admin) {
-            if outcome.is_ok() {
-                outcome = self.apply_at(&path, admin).await;
-            }
+        let mut command = Command::new(self.bin.join("clementinestep"));
+        command.arg("apply").arg(&path);
+        for admin in &self.admins {
+            command.args(["--entry", &admin.to_string()]);
         }
+        command.env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR);
+        let out = command.kill_on_drop(true).output().await;
         let _ = std::fs::remove_file(&path);
-        outcome
-    }
-
-    async fn apply_at(&self, path: &Path, admin: SocketAddr) -> Result<(), LoadError> {
-        let out = Command::new(self.bin.join("clementinestep"))
-            .arg("apply")
-            .arg(path)
-            .args(["--entry", &admin.to_string()])
-            .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR)
-            .kill_on_drop(true)
-            .output()
-            .await
-            .map_err(|e| failed("apply", e))?;
-        match out.status.success() {
-            true => Ok(()),
-            false => Err(failed("apply", String::from_utf8_lossy(&out.stderr))),
+        match out.map_err(|e| failed("apply", e))? {
+            out if out.status.success() => Ok(()),
+            out => Err(failed("apply", String::from_utf8_lossy(&out.stderr))),
         }
     }
 
@@ -304,29 +283,13 @@
     }
 }
 
-/// A process of ours as others find it.
-#[derive(Clone, Debug)]
-struct Member {
-    pool: Option<String>,
-    peer: Option<SocketAddr>,
-    gossip: Option<SocketAddr>,
-}
-
 /// Members that a new one is told of; each tells it of all others.
 const SEEDS: usize = 3;
 
-/// How a process is told of those before it: by membership addresses if they have any, else each
-/// entry by a list of targets.
-fn joining(role: &str, members: &[Member]) -> Vec<String> {
-    let gossip = members.iter().filter_map(|m| m.gossip).take(SEEDS);
-    let seeds: Vec<_> = gossip.map(|g| g.to_string()).collect();
-    let target = |m: &Member| Some(format!("{}@{}", m.pool.as_ref()?, m.peer?));
-    let targets: Vec<_> = members.iter().filter_map(target).collect();
-    match role {
-        _ if !seeds.is_empty() => vec!["--seeds".to_owned(), seeds.join(",")],
-        "entry" => vec!["--targets".to_owned(), targets.join(",")],
-        _ => Vec::new(),
-    }
+/// How a process is told of those before it.
+fn joining(members: &[SocketAddr]) -> [String; 2] {
+    let seeds = members.iter().take(SEEDS).map(ToString::to_string);
+    ["--seeds".to_owned(), seeds.collect::<Vec<_>>().join(",")]
 }
 
 /// The configuration: two pools, the teams, and rules that take class and repeatability from the
