standin: bytes a second per process; wait until entries know all engines

An entry serves as soon as it knows of one engine, so a run that began at once sent its first requests to fewer engines than it reported. The tool now waits two more seconds.

--- a/crates/standin/examples/load.rs
+++ b/crates/standin/examples/load.rs
@@ -1,5 +1,6 @@
 //! Replays a trace against a fleet and prints what the callers received.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -189,11 +190,11 @@
         timeout: Duration::from_secs(a.timeout.clamp(1, 600)),
         run: format!("load-{:x}", standin::micros()),
     };
-    let before = usage(fleet);
+    let before = usage(fleet).await;
     let clock = std::time::Instant::now();
     let done = drive(&set, trace).await;
     let took = clock.elapsed().as_secs_f64();
-    let after = usage(fleet);
+    let after = usage(fleet).await;
     let logs = engines(fleet).await?;
     let ran: Vec<_> = logs.iter().flat_map(|l| l.ran.iter().cloned()).collect();
     let calls = services(fleet).await?;
@@ -215,19 +216,7 @@
     if !logs.is_empty() {
         report.reuse = Some(reuse(&logs, |id| blocks(&set.run, id, trace)));
     }
-    let ours = fleet.processes.iter().zip(before.iter().zip(after));
-    for (p, (before, after)) in ours.filter(|(p, _)| p.ours) {
-        let usage = after.since(*before);
-        report.processes.push(Process {
-            name: p.name.clone(),
-            usage,
-            cpu_share: usage.cpu_ms as f64 / 1_000.0 / took,
-            bytes: match p.admin {
-                Some(at) => byte_counters(at).await,
-                None => serde_json::Map::new(),
-            },
-        });
-    }
+    report.processes = processes(fleet, &before, &after, took);
     Ok(report)
 }
 
@@ -247,8 +236,39 @@
     }
 }
 
-fn usage(fleet: &Fleet) -> Vec<Usage> {
-    fleet.processes.iter().map(|p| Usage::of(p.pid)).collect()
+/// What a process has used and counted so far.
+struct Used {
+    usage: Usage,
+    bytes: BTreeMap<String, f64>,
+}
+
+async fn usage(fleet: &Fleet) -> Vec<Used> {
+    let used = fleet.processes.iter().map(|p| async {
+        Used {
+            usage: Usage::of(p.pid),
+            bytes: byte_counters(p.admin).await,
+        }
+    });
+    futures::future::join_all(used).await
+}
+
+fn processes(fleet: &Fleet, before: &[Used], after: &[Used], took: f64) -> Vec<Process> {
+    let all = fleet.processes.iter().zip(before.iter().zip(after));
+    all.filter(|(p, _)| p.ours)
+        .map(|(p, (before, after))| {
+            let usage = after.usage.since(before.usage);
+            let bytes = after.bytes.iter().map(|(name, n)| {
+                let earlier = before.bytes.get(name).copied().unwrap_or(0.0);
+                (name.clone(), (n - earlier) / took)
+            });
+            Process {
+                name: p.name.clone(),
+                usage,
+                cpu_share: usage.cpu_ms as f64 / 1_000.0 / took,
+                bytes_per_s: bytes.collect(),
+            }
+        })
+        .collect()
 }
 
 async fn engines(fleet: &Fleet) -> Result<Vec<Logs>, LoadError> {
--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -3,13 +3,13 @@
 //! Each process prints where it listens; the next ones are told. The fleet goes when it is
 //! dropped, also on a failure half-way.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
 use serde::Deserialize;
-use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout, Instant};
@@ -21,6 +21,9 @@
 const START: Duration = Duration::from_secs(10);
 /// Longest wait for the fleet to serve.
 const READY: Duration = Duration::from_secs(15);
+/// Time for every entry to learn of every engine: an entry serves as soon as it knows of one. News
+/// of a member spreads within a second.
+const SETTLE: Duration = Duration::from_secs(2);
 /// The fleet's key; a sample, since the fleet is gone after the run.
 const KEY: &str = "0000000000000000000000000000000000000000000000000000000000000001";
 /// The operators' key; a sample too.
@@ -102,6 +105,7 @@
     }
     s.apply().await?;
     s.served().await?;
+    sleep(SETTLE).await;
     Ok(s.fleet)
 }
 
@@ -322,9 +326,12 @@
     out
 }
 
-/// What a process of ours counts, as far as it speaks of bytes.
-pub async fn byte_counters(admin: SocketAddr) -> serde_json::Map<String, Value> {
-    let text = match Call::get(admin, "/metrics").whole().await {
+/// What a process has counted so far, as far as it speaks of bytes, by metric and labels.
+pub async fn byte_counters(admin: Option<SocketAddr>) -> BTreeMap<String, f64> {
+    let Some(at) = admin else {
+        return BTreeMap::new();
+    };
+    let text = match Call::get(at, "/metrics").whole().await {
         Ok((s, body)) if s.is_success() => String::from_utf8_lossy(&body).into_owned(),
         _ => String::new(),
     };
@@ -332,7 +339,7 @@
     let pairs = lines.filter_map(|l| l.rsplit_once(' '));
     pairs
         .filter(|(name, _)| name.contains("bytes"))
-        .filter_map(|(name, n)| Some((name.to_owned(), n.parse::<f64>().ok()?.into())))
+        .filter_map(|(name, n)| Some((name.to_owned(), n.parse().ok()?)))
         .collect()
 }
 
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -6,7 +6,6 @@
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use serde_json::{Map, Value};
 
 use crate::engine::Ran;
 use crate::load::drive::{Done, Ending};
@@ -76,8 +75,8 @@
     pub usage: Usage,
     /// Processor time over the run's time.
     pub cpu_share: f64,
-    /// Its own counters of bytes at the end.
-    pub bytes: Map<String, Value>,
+    /// Its own counters of bytes, a second.
+    pub bytes_per_s: BTreeMap<String, f64>,
 }
 
 /// All figures of a run.
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -436,3 +436,37 @@
         task.await.unwrap();
     }
 }
+
+/// An engine says how busy it is with a delay. A router that believes the figure sends a whole
+/// burst to the engine that was idle a moment ago.
+#[tokio::test]
+async fn load_is_reported_late() {
+    struct Case {
+        lag: Duration,
+        running: u64,
+    }
+    let cases = [
+        Case {
+            lag: Duration::ZERO,
+            running: 1,
+        },
+        Case {
+            lag: Duration::from_secs(3_600),
+            running: 0,
+        },
+    ];
+    for c in cases {
+        let set = Settings {
+            load_lag: c.lag,
+            decode: Duration::from_millis(5),
+            ..quick()
+        };
+        let (engine, at) = start(set).await;
+        let long = json!({"prompt": "p", "max_tokens": 1_000_000, "stream": true});
+        let call = tokio::spawn(completion(at, "a", &long).whole());
+        eventually(|| engine.running() == 1).await;
+        let (_, load) = Call::get(at, "/load").json::<Value>().await.unwrap();
+        assert_eq!(load["running"], c.running);
+        call.abort();
+    }
+}
