--- a/crates/standin/src/load/fleet.rs
+++ b/crates/standin/src/load/fleet.rs
@@ -3,13 +3,13 @@
 //! Each process prints where it listens; the next ones are told. The fleet goes when it is
 //! dropped, also on a failure half-way.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
 use serde::Deserialize;
-use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout, Instant};
@@ -21,6 +21,9 @@
 const START: Duration = Duration::from_secs(10);
 /// Longest wait for the fleet to serve.
 const READY: Duration = Duration::from_secs(15);
+/// Time for every entry to learn of every engine: an entry serves as soon as it knows of one. News
+/// of a member spreads within a second.
+const SETTLE: Duration = Duration::from_secs(2);
 /// The fleet's key; a sample, since the fleet is gone after the run.
 const KEY: &str = "0000000000000000000000000000000000000000000000000000000000000001";
 /// The operators' key; a sample too.
@@ -102,6 +105,7 @@
     }
     s.apply().await?;
     s.served().await?;
+    sleep(SETTLE).await;
     Ok(s.fleet)
 }
 
@@ -109,7 +113,8 @@
     plan: &'a Plan,
     bin: PathBuf,
     fleet: Fleet,
-    members: Vec<Member>,
+    members: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
 }
 
 impl<'a> Starter<'a> {
@@ -125,6 +130,7 @@
             bin,
             fleet: Fleet::default(),
             members: Vec::new(),
+            admins: Vec::new(),
         })
     }
 
@@ -152,9 +158,7 @@
         command.args(["--target", &format!("http://{target}")]);
         command.args(["--pool", pool, "--kind", kind]);
         command.args(&self.plan.sidecar_args);
-        let ready = self.ready(&name, &mut command).await?;
-        self.join(&ready);
-        Ok(())
+        self.ready(&name, &mut command).await.map(drop)
     }
 
     async fn entry(&mut self, platform: SocketAddr, n: usize) -> Result<(), LoadError> {
@@ -167,17 +171,10 @@
             .callers
             .ok_or_else(|| failed(&name, "no callers' address"))?;
         self.fleet.entries.push(callers);
-        self.join(&ready);
+        self.admins.extend(ready.admin);
         Ok(())
     }
 
-    /// Remembers a process for those that start after it.
-    fn join(&mut self, ready: &Ready) {
-        self.members.push(Member {
-            gossip: ready.gossip,
-        });
-    }
-
     fn ours(&self, role: &str, name: &str, platform: SocketAddr) -> Command {
         let mut c = Command::new(self.bin.join("clementinestepd"));
         c.args([role, "--platform", &format!("http://{platform}")])
@@ -194,6 +191,7 @@
         if let Some(p) = self.fleet.processes.last_mut() {
             p.admin = ready.admin;
         }
+        self.members.extend(ready.gossip);
         Ok(ready)
     }
 
@@ -251,30 +249,17 @@
             path: path.display().to_string(),
             error,
         })?;
-        let entries = self.fleet.processes.iter();
-        let mut entries = entries.filter(|p| p.name.starts_with("entry"));
-        let admin = entries.find_map(|p| p.admin);
-        let outcome = match admin {
-            Some(admin) => self.apply_at(&path, admin).await,
-            None => Err(failed("apply", "no entry has an operators' address")),
-        };
+        let mut command = Command::new(self.bin.join("clementinestep"));
+        command.arg("apply").arg(&path);
+        for admin in &self.admins {
+            command.args(["--entry", &admin.to_string()]);
+        }
+        command.env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR);
+        let out = command.kill_on_drop(true).output().await;
         let _ = std::fs::remove_file(&path);
-        outcome
-    }
-
-    async fn apply_at(&self, path: &Path, admin: SocketAddr) -> Result<(), LoadError> {
-        let out = Command::new(self.bin.join("clementinestep"))
-            .arg("apply")
-            .arg(path)
-            .args(["--entry", &admin.to_string()])
-            .env("CLEMENTINESTEP_OPERATOR_KEY", OPERATOR)
-            .kill_on_drop(true)
-            .output()
-            .await
-            .map_err(|e| failed("apply", e))?;
-        match out.status.success() {
-            true => Ok(()),
-            false => Err(failed("apply", String::from_utf8_lossy(&out.stderr))),
+        match out.map_err(|e| failed("apply", e))? {
+            out if out.status.success() => Ok(()),
+            out => Err(failed("apply", String::from_utf8_lossy(&out.stderr))),
         }
     }
 
@@ -302,26 +287,16 @@
     }
 }
 
-/// A process of ours as others find it.
-#[derive(Clone, Debug)]
-struct Member {
-    gossip: Option<SocketAddr>,
-}
-
 /// Members that a new one is told of; each tells it of all others.
 const SEEDS: usize = 3;
 
 /// How a process is told of those before it.
-fn joining(members: &[Member]) -> Vec<String> {
-    let gossip = members.iter().filter_map(|m| m.gossip).take(SEEDS);
-    let seeds: Vec<_> = gossip.map(|g| g.to_string()).collect();
-    match seeds.is_empty() {
-        true => Vec::new(),
-        false => vec!["--seeds".to_owned(), seeds.join(",")],
-    }
+fn joining(members: &[SocketAddr]) -> [String; 2] {
+    let seeds = members.iter().take(SEEDS).map(ToString::to_string);
+    ["--seeds".to_owned(), seeds.collect::<Vec<_>>().join(",")]
 }
 
-/// A configuration of both pools, whose rules tell classes and idempotence by the
+/// The configuration: two pools, the teams, and rules that take class and repeatability from the
 /// load tool's headers.
 pub fn configuration(key: &str) -> String {
     let mut out = String::from(
@@ -337,23 +312,26 @@
         for (once, idempotent) in [("yes", false), ("no", true)] {
             out += &format!(
                 "[[rule]]\nname = \"completions-{class}-once-{once}\"\n\
-                 when = {{ path = [\"/v1/*\"], header = {{ x-class = \"{class}\", x-once = \"{once}\" }} }}\n\
+                 when = {{ path = \"/v1/*\", header = {{ x-class = \"{class}\", x-once = \"{once}\" }} }}\n\
                  then = {{ pool = \"lekha-llm\", class = \"{class}\", idempotent = {idempotent} }}\n",
             );
         }
     }
-    out += "[[rule]]\nname = \"completions\"\nwhen = { path = [\"/v1/*\"] }\n\
+    out += "[[rule]]\nname = \"completions\"\nwhen = { path = \"/v1/*\" }\n\
             then = { pool = \"lekha-llm\" }\n\
-            [[rule]]\nname = \"records\"\nwhen = { path = [\"/records\"] }\n\
+            [[rule]]\nname = \"records\"\nwhen = { path = \"/records\" }\n\
             then = { pool = \"fieldops\", class = \"call\", idempotent = false }\n\
-            [[rule]]\nname = \"quota\"\nwhen = { path = [\"/quota/*\"] }\n\
+            [[rule]]\nname = \"quota\"\nwhen = { path = \"/quota/*\" }\n\
             then = { pool = \"fieldops\", class = \"call\" }\n";
     out
 }
 
-/// What a process of ours counts, as far as it speaks of bytes.
-pub async fn byte_counters(admin: SocketAddr) -> serde_json::Map<String, Value> {
-    let text = match Call::get(admin, "/metrics").whole().await {
+/// What a process has counted so far, as far as it speaks of bytes, by metric and labels.
+pub async fn byte_counters(admin: Option<SocketAddr>) -> BTreeMap<String, f64> {
+    let Some(at) = admin else {
+        return BTreeMap::new();
+    };
+    let text = match Call::get(at, "/metrics").whole().await {
         Ok((s, body)) if s.is_success() => String::from_utf8_lossy(&body).into_owned(),
         _ => String::new(),
     };
@@ -361,7 +339,7 @@
     let pairs = lines.filter_map(|l| l.rsplit_once(' '));
     pairs
         .filter(|(name, _)| name.contains("bytes"))
-        .filter_map(|(name, n)| Some((name.to_owned(), n.parse::<f64>().ok()?.into())))
+        .filter_map(|(name, n)| Some((name.to_owned(), n.parse().ok()?)))
         .collect()
 }
 
