--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -338,8 +338,15 @@
                 peer.wait = offer.wait;
             }
         }
+        let share = self.entries[entry].recent.share(&prompt.chain);
+        let place = place::Ask {
+            class: ask.class,
+            blocks: ask.blocks,
+            heat: share * self.setup.replicas as f64,
+        };
+        self.entries[entry].recent.seen(&prompt.chain);
         let way = |t| self.way(entry, self.replica(t));
-        let choices = choose(&self.setup.place, ask.class, ask.blocks, &offers, way);
+        let choices = choose(&self.setup.place, &place, &offers, way);
         let least = offers.iter().map(|o| o.prefill).min().unwrap_or_default();
         if let Some(best) = choices.first() {
             let told = offers.iter().find(|o| o.target == best.target);
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -14,7 +14,9 @@
 //! other prefixes and delays whoever comes after. Counted at half more than its own time, load
 //! lowers the hit rate, which raises the load: in the replay even an oracle's hit rate fell from
 //! 0.78 at half load to 0.47 at 0.9. So it counts for more, the busier the replicas are, and for
-//! more in classes that wait less urgently.
+//! more in classes that wait less urgently. It counts for less if the prefix makes up more than
+//! one replica's part of the traffic: such a copy is used as often as it is needed, and without
+//! it the callers of a suddenly hot prefix wait for its one holder.
 //!
 //! Grounds: whom to ask. The replica that this entry used last for the longest known prefix holds
 //! it most probably. The first in rendezvous order of the deep level are the same at every entry,
@@ -122,6 +124,18 @@
     pub matched: u32,
 }
 
+/// What the choice depends on besides the offers.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// The request's urgency.
+    pub class: Class,
+    /// Blocks of its prompt.
+    pub blocks: u32,
+    /// How many replicas' part of the traffic its prefix makes up: its part of the requests,
+    /// [`Recent::share`], times the number of replicas.
+    pub heat: f64,
+}
+
 /// Chooses whom to ask, the most promising first.
 pub fn candidates(
     config: &Config,
@@ -178,16 +192,15 @@
 /// at all, [`fallback`] helps.
 pub fn choose(
     config: &Config,
-    class: Class,
-    blocks: u32,
+    ask: &Ask,
     offers: &[Offer],
     delay: impl Fn(TargetKey) -> Micros,
 ) -> Vec<Choice> {
-    let weight = weight(config, offers) / config.urgency[class.index()];
+    let weight = weight(config, offers) / config.urgency[ask.class.index()] / ask.heat.max(1.0);
     let choice = |o: &Offer| Choice {
         target: o.target,
-        cost: cost(blocks, o, weight, delay(o.target)),
-        matched: o.matched.min(blocks),
+        cost: cost(ask.blocks, o, weight, delay(o.target)),
+        matched: o.matched.min(ask.blocks),
     };
     let of = |state| offers.iter().filter(move |o| o.state == state).map(choice);
     let full: Vec<Choice> = of(State::Full).collect();
--- a/crates/policy/src/recent.rs
+++ b/crates/policy/src/recent.rs
@@ -12,8 +12,10 @@
 //! Grounds: an entry of the target size sees 8 requests a second with some 40 grid depths each;
 //! 32,768 prefixes in a generation cover at least 100 s, longer than engines keep their blocks.
 
+use std::collections::VecDeque;
+
 use model::{BlockHash, TargetKey};
-use prefix::{grid, Map, Mark};
+use prefix::{grid, levels, Map, Mark};
 
 /// How much an entry remembers.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +30,12 @@
     }
 }
 
+/// Requests over which the share of a prefix is taken. At 8 requests a second these are the last
+/// half minute, and a prefix of one replica's part in nine is among them 28 times.
+const LAST: usize = 256;
+/// Requests before a share is told at all.
+const FEW: usize = 32;
+
 /// Replicas remembered for one prefix.
 const HOLDERS: usize = 3;
 
@@ -39,6 +47,9 @@
     config: Config,
     young: Map<BlockHash, Holders>,
     old: Map<BlockHash, Holders>,
+    /// The deep levels of the last requests, and how often each is among them.
+    last: VecDeque<BlockHash>,
+    counts: Map<BlockHash, u32>,
 }
 
 impl Recent {
@@ -48,6 +59,8 @@
             config,
             young: Map::default(),
             old: Map::default(),
+            last: VecDeque::new(),
+            counts: Map::default(),
         }
     }
 
@@ -68,6 +81,27 @@
         }
     }
 
+    /// The part of this entry's last requests that had the same deep level.
+    pub fn share(&self, chain: &[BlockHash]) -> f64 {
+        let count = levels(chain).next().and_then(|m| self.counts.get(&m.hash));
+        match count {
+            Some(n) if self.last.len() >= FEW => f64::from(*n) / self.last.len() as f64,
+            _ => 0.0,
+        }
+    }
+
+    /// Counts a request for [`Recent::share`].
+    pub fn seen(&mut self, chain: &[BlockHash]) {
+        let Some(mark) = levels(chain).next() else {
+            return;
+        };
+        self.last.push_back(mark.hash);
+        *self.counts.entry(mark.hash).or_default() += 1;
+        if self.last.len() > LAST {
+            self.forget_oldest();
+        }
+    }
+
     /// Forgets a replica for one prefix, which it turned out not to hold.
     pub fn missed(&mut self, hash: BlockHash, target: TargetKey) {
         if let Some(holders) = self.get(hash) {
@@ -85,6 +119,18 @@
         self.len() == 0
     }
 
+    fn forget_oldest(&mut self) {
+        let Some(hash) = self.last.pop_front() else {
+            return;
+        };
+        match self.counts.get_mut(&hash) {
+            Some(n) if *n > 1 => *n -= 1,
+            _ => {
+                self.counts.remove(&hash);
+            }
+        }
+    }
+
     fn get(&self, hash: BlockHash) -> Option<Holders> {
         let known = self.young.get(&hash).or_else(|| self.old.get(&hash));
         known.copied().filter(|h| h.iter().any(Option::is_some))
--- a/crates/policy/tests/patterns.rs
+++ b/crates/policy/tests/patterns.rs
@@ -28,16 +28,26 @@
     }
 }
 
+fn json(report: &Report) -> String {
+    serde_json::to_string(report).expect("a report can be written")
+}
+
 fn check(case: &Case) {
     let ours = run(&setup(case, Policy::Ours, Order::Ours), &case.trace);
-    assert!((case.holds)(&case.trace, &ours), "{}: {ours:?}", case.name);
+    assert!(
+        (case.holds)(&case.trace, &ours),
+        "{}: {}",
+        case.name,
+        json(&ours)
+    );
     assert_eq!(ours.unended, 0, "{}", case.name);
     let (policy, order) = case.baseline;
     let plain = run(&setup(case, policy, order), &case.trace);
     assert!(
         !(case.holds)(&case.trace, &plain),
-        "{} doesn't tell: {plain:?}",
-        case.name
+        "{} doesn't tell: {}",
+        case.name,
+        json(&plain)
     );
 }
 
@@ -260,9 +270,14 @@
     let full = at(Policy::Ours, Order::Ours, 0.8);
     let twice = at(Policy::Ours, Order::Ours, 1.6);
     let hash = at(Policy::ConsistentHash, Order::Fifo, 1.6);
-    assert!(twice.goodput > 0.95 * full.goodput, "{full:?} {twice:?}");
-    assert!(twice.classes[0].p99_ms < 12_000, "{twice:?}");
-    assert!(hash.classes[0].p99_ms > 60_000, "{hash:?}");
+    assert!(
+        twice.goodput > 0.95 * full.goodput,
+        "{} {}",
+        json(&full),
+        json(&twice)
+    );
+    assert!(twice.classes[0].p99_ms < 12_000, "{}", json(&twice));
+    assert!(hash.classes[0].p99_ms > 60_000, "{}", json(&hash));
     // Every twentieth of the trace has some of each class that were served.
     let part = trace.len() / 20;
     for class in Class::ALL {
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -1,7 +1,7 @@
 //! Whom an entry asks and whom it chooses.
 
 use model::{BlockHash, Class, Incarnation, Micros, TargetKey};
-use policy::place::{candidates, choose, fallback, Config, Offer, Peer, State};
+use policy::place::{candidates, choose, fallback, Ask, Config, Offer, Peer, State};
 use policy::recent::{self, Recent};
 use prefix::{chain, Seed, BLOCK};
 use rand::rngs::SmallRng;
@@ -87,6 +87,7 @@
 fn the_least_of_wait_recomputation_and_way_is_chosen() {
     struct Case {
         name: &'static str,
+        heat: f64,
         offers: Vec<Offer>,
         order: Vec<usize>,
     }
@@ -95,21 +96,31 @@
     let cases = [
         Case {
             name: "the holder, though it is a little busier",
+            heat: 0.0,
             offers: vec![at(0, 0, 0), at(1, 1_000, 5_900)],
             order: vec![1, 0],
         },
         Case {
             name: "a hot prefix spreads once its holder's wait costs more than a copy",
+            heat: 0.0,
             offers: vec![at(0, 0, 0), at(1, 1_000, 6_100)],
             order: vec![0, 1],
         },
+        Case {
+            name: "a very hot prefix spreads earlier",
+            heat: 3.0,
+            offers: vec![at(0, 0, 0), at(1, 1_000, 2_100)],
+            order: vec![0, 1],
+        },
         Case {
             name: "the nearer of two equals",
+            heat: 0.0,
             offers: vec![at(3, 500, 0), at(2, 500, 0)],
             order: vec![2, 3],
         },
         Case {
             name: "only those that serve",
+            heat: 0.0,
             offers: vec![
                 Offer {
                     state: State::Leaving,
@@ -129,6 +140,7 @@
         },
         Case {
             name: "a full holder, once waiting for it is the better way",
+            heat: 0.0,
             offers: vec![
                 Offer {
                     state: State::Full,
@@ -141,6 +153,7 @@
         },
         Case {
             name: "a full holder that a copy beats",
+            heat: 0.0,
             offers: vec![
                 Offer {
                     state: State::Full,
@@ -152,13 +165,19 @@
         },
         Case {
             name: "nobody answered",
+            heat: 0.0,
             offers: vec![],
             order: vec![],
         },
     ];
     for case in cases {
         let delay = |t| Micros(if t == peers[3].target { 1_000 } else { 100 });
-        let choices = choose(&Config::default(), Class::Call, 1_000, &case.offers, delay);
+        let ask = Ask {
+            class: Class::Call,
+            blocks: 1_000,
+            heat: case.heat,
+        };
+        let choices = choose(&Config::default(), &ask, &case.offers, delay);
         let order: Vec<TargetKey> = choices.iter().map(|c| c.target).collect();
         let expected: Vec<TargetKey> = case.order.iter().map(|i| peers[*i].target).collect();
         assert_eq!(order, expected, "{}", case.name);
