--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::entry::answer::Problem;
 use crate::entry::ask::{Added, Completion};
-use crate::entry::pick::{pick, Picked};
+use crate::entry::pick::{pick, Picked, Told};
 use crate::entry::probe::Wanted;
 use crate::entry::stop::Taken;
 use crate::entry::Context;
@@ -138,8 +138,8 @@
     opened: bool,
     /// Another process found that a target died under this request.
     suspect: bool,
-    /// Expected time to the first token at the current replica.
-    cost: Option<Micros>,
+    /// What the current replica told.
+    cost: Option<Told>,
     /// When the current attempt began.
     sent: Instant,
     /// The replica of the current attempt.
@@ -239,7 +239,8 @@
         let Some(target) = self.at else { return };
         let sample = match (failed, self.cost) {
             (true, _) => health::Sample::Failed,
-            (false, Some(expected)) => health::Sample::Answered {
+            (false, Some(Told { wait, expected })) => health::Sample::Answered {
+                wait,
                 expected: expected.max(Micros(1)),
                 took: self.sent.elapsed().into(),
             },
--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -33,8 +33,17 @@
     pub life: u64,
     /// The probe that it answered; else 0.
     pub probe: u64,
-    /// Expected time to the first token, if it said so.
-    pub cost: Option<Micros>,
+    /// What it told, if it did.
+    pub cost: Option<Told>,
+}
+
+/// What a sidecar told of the time to a first token.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// How long the request would wait for its turn.
+    pub wait: Micros,
+    /// The rest of the time.
+    pub expected: Micros,
 }
 
 /// One target with the answer to its probe.
@@ -93,6 +102,16 @@
 ) -> Result<Vec<Picked>, Failure> {
     let config = cx.memory.lock().place;
     let marks = marks(cx, want);
+    let ask = {
+        let recent = &mut cx.memory.lock().recent;
+        let share = recent.share(&want.chain);
+        recent.seen(&want.chain);
+        place::Ask {
+            class: want.class,
+            blocks: marks.blocks(),
+            heat: share * view.world.pool_targets(want.pool).count() as f64,
+        }
+    };
     let all = peers.clone();
     let mut retry = None;
     let mut answered = 0;
@@ -116,7 +135,7 @@
         let heard: Vec<_> = offers.iter().filter_map(placed).collect();
         answered += heard.len();
         let delay = |t| delay(view, t);
-        let choices = place::choose(&config, marks.blocks(), &heard, delay);
+        let choices = place::choose(&config, &ask, &heard, delay);
         if !choices.is_empty() {
             return Ok(choices
                 .iter()
@@ -243,7 +262,10 @@
     Some(Picked {
         life: o.incarnation,
         probe: o.id,
-        cost: Some(Micros(o.wait + missing * o.prefill / 1_000) + delay + delay),
+        cost: Some(Told {
+            wait: Micros(o.wait),
+            expected: Micros(missing * o.prefill / 1_000) + delay + delay,
+        }),
         ..unprobed(view, c.target)?
     })
 }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -122,6 +122,7 @@
 #[derive(Debug)]
 struct Waiting<G> {
     work: Work,
+    marks: Marks,
     suspect: bool,
     grant: G,
 }
@@ -303,7 +304,8 @@
         if let Err(r) = admit(&self.admit, now, &arrival, rng.random()) {
             return Err((grant, refusal(r)));
         }
-        self.index.expect(now, &work.chain);
+        // The blocks come to be computed when the wait is over.
+        self.index.expect(now + arrival.wait, &work.chain);
         Ok(self.queue.push(Job {
             team,
             weight: work.share,
@@ -312,6 +314,7 @@
             arrived: now,
             deadline: work.deadline,
             payload: Waiting {
+                marks: Marks::new(&work.chain),
                 suspect: work.strikes > 0 || verdict == Verdict::Suspect,
                 work,
                 grant,
@@ -532,7 +535,15 @@
         }
         // Two suspects beside one another would both be convicted by one's crash.
         loop {
-            let job = self.queue.pop()?;
+            let (index, cost, kind) = (&self.index, &self.cost, self.kind);
+            let job = self.queue.pop_by(|job| {
+                let Waiting { work, marks, .. } = &job.payload;
+                let missing = (work.chain.len() as u32).saturating_sub(index.held(marks));
+                match kind {
+                    Kind::Model => cost.work(missing, work.output),
+                    Kind::Plain => job.work,
+                }
+            })?;
             if !job.payload.suspect || alone {
                 return Some(job);
             }
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -133,7 +133,7 @@
     fn drop(&mut self) {
         self.granted.close();
         if let Ok(Ok(run)) = self.granted.try_recv() {
-            self.cx.control.send(Ask::Finished(run));
+            self.cx.control.send(Ask::Finished(run, 0));
         }
     }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -164,7 +164,7 @@
         let team = self.bands[class].next()?.0;
         let first = self.bands[class].lanes.get(&team)?.order.iter().take(LOOK);
         let order = |key: &JobKey| {
-            let job = &self.jobs[key.0];
+            let job = &self.jobs[key.0].job;
             job.arrived.0 + self.config.ageing * work(job).0
         };
         let key = first.map(|(_, key)| *key).min_by_key(order)?;
