--- a/crates/policy/examples/replay/sim/sidecar.rs
+++ b/crates/policy/examples/replay/sim/sidecar.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Waiting {
     pub(crate) ask: Ask,
     marks: Marks,
+    chain: Vec<BlockHash>,
 }
 
 /// A request handed to the engine.
@@ -121,6 +122,7 @@
             payload: Waiting {
                 ask,
                 marks: Marks::new(chain),
+                chain: chain.to_vec(),
             },
         });
         Ok(())
@@ -133,9 +135,11 @@
         }
         let (index, cost) = (&self.index, &self.cost);
         let job = self.queue.pop_by(|job| {
-            let Waiting { ask, marks } = &job.payload;
+            let Waiting { ask, marks, .. } = &job.payload;
             cost.work(ask.blocks - index.held(marks), ask.output)
         })?;
+        // The wait may have been longer than was expected when the request came.
+        self.index.expect(now, &job.payload.chain);
         self.prefilling += 1;
         self.until = self.until.max(now) + job.work;
         self.busy.set(now, true);
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -44,14 +44,17 @@
     /// How many of them may come from the memory of recent use; 1. With 2, the second was most
     /// often a copy already evicted.
     pub recent: usize,
-    /// What a recomputed block counts for at an idle replica; 6, for the block itself and for those
-    /// that it evicts and that are asked for again. Between 2 and 8 the replay's hit rate at 0.9
-    /// of the load rises; at 16 waits at 0.5 rise too.
+    /// What a recomputed block counts for at an idle replica; 2, for the block itself and for the
+    /// one that it evicts. With 1 the replay's goodput at twice the load is lower, with 3 a moderate
+    /// load waits longer.
     pub evict: f64,
     /// What a class's own waiting counts for, against the others' delay; 1 for calls, 0.5 for
     /// normal, 0.25 for batch, which nobody waits for.
     pub urgency: [f64; 3],
-    /// Most that the others' delay multiplies this by as replicas are busy; 50.
+    /// The mean use from which a full replica keeps out copies of what it holds; 0.8. Below it
+    /// there is room for them, and a refusal would be for nothing.
+    pub crowded: f64,
+    /// Most that the replicas' use multiplies this by; 50.
     pub most: f64,
 }
 
@@ -61,8 +64,9 @@
             probes: 4,
             escape: 8,
             recent: 1,
-            evict: 6.0,
+            evict: 2.0,
             urgency: [1.0, 0.5, 0.25],
+            crowded: 0.8,
             most: 50.0,
         }
     }
@@ -227,13 +231,17 @@
 
 /// What a recomputation counts for, as a multiple of the time that it takes its own request.
 ///
-/// It evicts as much as it computes, and it delays whoever comes while the replica is busy: at a
-/// use of r, 1 / (1 - r) times its length in sum over all of them.
+/// It evicts what others will ask for, and it delays whoever comes while the replica is busy. Each
+/// grows with the use r as 1 / (1 - r): the cache turns over as fast as the replica computes.
 fn weight(config: &Config, offers: &[Offer]) -> f64 {
-    let busy: f64 = offers.iter().map(|o| o.busy).sum();
-    let mean = busy / offers.len().max(1) as f64;
-    let others = 1.0 / (1.0 - mean).max(1.0 / config.most);
-    config.evict * others
+    let idle = 1.0 - busy(offers).min(1.0);
+    config.evict * (idle * idle).recip().min(config.most)
+}
+
+/// The mean use of the replicas asked.
+fn busy(offers: &[Offer]) -> f64 {
+    let sum: f64 = offers.iter().map(|o| o.busy).sum();
+    sum / offers.len().max(1) as f64
 }
 
 fn cost(blocks: u32, offer: &Offer, weight: f64, delay: Micros) -> Micros {
