Stop a request that crashes its targets at the second crash

The entry counts crashes itself now and ends with 422 quarantined. - Sent again at once through other entries it killed a third engine: the conviction takes membership about a second. The answer to a request that crashed a target waits for three rounds of rumour (1.5 s); what is refused afterwards is refused at once. - A sidecar that hadn't heard of the first crash counted the second one as the first. Marks carry the crash's name, and an attempt's own strikes count. - With two engines down and the others slow to answer a probe, an honest request was refused as overloaded; replicas that didn't answer are tried now. Failed try: the entry spreading unnamed marks convicted after one crash, since that crash was counted twice; only named crashes are spread.

--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -24,7 +24,8 @@
 use crate::entry::Context;
 use crate::link::Link;
 use crate::log;
-use crate::{hop, trace};
+use crate::mark::{self, Mark};
+use crate::{hop, member, trace};
 
 /// Longest silence of a sidecar, four of its heartbeats.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -32,6 +33,9 @@
 const DRAINED: u32 = 8;
 /// How long after the deadline the sidecar may still say what became of the request.
 const GRACE: Duration = Duration::from_millis(30);
+/// Targets that may die under one request. Membership tells the fleet of each crash a little
+/// later than an attempt elsewhere begins, so that the entry counts, too.
+const CRASHES: u32 = 2;
 /// Chunks between confirmations.
 const CONFIRM: u64 = 16;
 /// Largest answer that is collected before its caller gets any of it.
@@ -177,6 +181,9 @@
             let picking = pick(&self.cx, &view, &self.job.want, &self.tried);
             let picked = match picking.instrument(span).await {
                 Ok(p) => p,
+                Err(f) if f.code == Code::Quarantined => {
+                    return self.give(convicted(&failure)).await
+                }
                 // What happened before says more than that nobody is left.
                 Err(f) if self.attempt == 0 => return self.give(f).await,
                 Err(_) => break,
@@ -215,8 +222,16 @@
         })
     }
 
+    /// Targets that died under this request, as far as this entry knows.
+    fn strikes(&self) -> u32 {
+        self.relay.crashes() + u32::from(self.suspect)
+    }
+
     /// Whether another attempt may be made after this failure.
     fn again(&mut self, failure: &Failure) -> bool {
+        if self.strikes() >= CRASHES {
+            return false;
+        }
         if failure.code == Code::Draining {
             // A planned stop is no failure: its requests go elsewhere whatever the budget says.
             return self.attempt < DRAINED;
@@ -383,7 +398,7 @@
             trace: self.hop.to_string(),
             stream: self.out.stream,
             output,
-            strikes: self.relay.crashes() + u32::from(self.suspect),
+            strikes: self.strikes(),
             probe,
         }
     }
@@ -468,7 +483,38 @@
         }
     }
 
+    /// Holds back the answer to a request that crashed its target. Its caller sends it again as
+    /// soon as it has one, and whoever hasn't heard of the crash by then loses one more target.
+    /// The sidecars tell the fleet; the entry does, too, if only it knows that it were two.
+    async fn warn(&self) {
+        let mark = Mark {
+            print: self.job.want.fingerprint,
+            convicted: true,
+            crash: 0,
+        };
+        for _ in 0..mark::ROUNDS {
+            if self.strikes() >= CRASHES {
+                let now = clock::now();
+                // A later end makes it news again, for those whom the last round missed.
+                let until = now + mark::lasts();
+                self.cx.memory.lock().told(now, mark, until);
+                let fingerprint = mark.encode();
+                let news = member::Ask::Convict(fleet::Conviction { fingerprint, until });
+                let _ = self.cx.members.send(news);
+            }
+            sleep(mark::ROUND).await;
+        }
+    }
+
     async fn give(&mut self, f: Failure) {
+        let crashed = self.relay.crashes() > 0;
+        let f = match crashed && self.strikes() >= CRASHES {
+            true => convicted(&f),
+            false => f,
+        };
+        if crashed {
+            self.warn().await;
+        }
         let message = format!("no answer: {}", f.code);
         let problem = Problem {
             code: f.code,
@@ -620,6 +666,15 @@
     }
 }
 
+/// The final answer to a request that crashes its targets; an earlier attempt may have run.
+fn convicted(before: &Failure) -> Failure {
+    Failure {
+        code: Code::Quarantined,
+        outcome: before.outcome,
+        retry: None,
+    }
+}
+
 fn none() -> Failure {
     Failure {
         code: Code::NoTarget,
--- a/crates/daemon/src/entry/memory.rs
+++ b/crates/daemon/src/entry/memory.rs
@@ -7,17 +7,13 @@
 
 use model::{Micros, TargetKey};
 use policy::health::{self, Health};
-use policy::quarantine::{self, Crash, Fingerprint, Quarantine};
+use policy::quarantine::{self, Quarantine};
 use policy::recent::{self, Recent};
 use policy::retry::{self, Budget};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
-/// Stands for crashes of which only the mark is known.
-const ELSEWHERE: Crash = Crash {
-    member: model::MemberId(0),
-    life: model::Incarnation(0),
-};
+use crate::mark::{self, Mark};
 
 /// The memory of one entry.
 #[derive(Debug)]
@@ -53,20 +49,14 @@
 }
 
 impl Memory {
-    /// Another process found that a request crashed a target, or two.
-    pub fn told(&mut self, now: Micros, fingerprint: u64, convicted: bool, until: Micros) {
-        let p = print(fingerprint);
-        match convicted {
-            true => self.quarantine.convict(p, [ELSEWHERE, ELSEWHERE], until),
-            false => {
-                self.quarantine.strike(now, p, ELSEWHERE);
-            }
-        }
+    /// Takes over what another process found of a request.
+    pub fn told(&mut self, now: Micros, mark: Mark, until: Micros) {
+        mark::told(&mut self.quarantine, now, mark, until);
     }
 
     /// What is held against a request.
     pub fn verdict(&self, now: Micros, fingerprint: u64) -> quarantine::Verdict {
-        self.quarantine.verdict(now, print(fingerprint))
+        self.quarantine.verdict(now, mark::print(fingerprint))
     }
 }
 
@@ -80,10 +70,3 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn print(fingerprint: u64) -> Fingerprint {
-    Fingerprint {
-        body: u128::from(fingerprint),
-        weights: 0,
-    }
-}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -23,11 +23,12 @@
 use viz::{Request, Router};
 
 use crate::link::Pool;
+use crate::mark::Mark;
 use crate::member::{self, Me, Membership};
 use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Entry, Settings};
 use crate::view::Shared;
-use crate::{clock, log, mark, peer};
+use crate::{clock, log, peer};
 
 /// What every request of this process shares.
 #[derive(Debug)]
@@ -154,8 +155,8 @@
             let mut members = Membership::new(&settings, me, gossip, view, asked)?;
             while members.run_once().await {
                 while let Some(c) = members.convicted() {
-                    let (print, convicted) = mark::decode(c.fingerprint);
-                    memory.lock().told(clock::now(), print, convicted, c.until);
+                    let mark = Mark::decode(c.fingerprint);
+                    memory.lock().told(clock::now(), mark, c.until);
                 }
             }
             Ok(())
--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -93,9 +93,9 @@
 ) -> Result<Vec<Picked>, Failure> {
     let config = place::Config::default();
     let marks = marks(cx, want);
-    let all = peers.clone();
+    let mut all = peers.clone();
     let mut retry = None;
-    let mut answered = 0;
+    let mut full = false;
     for _ in 0..ROUNDS {
         let asked = {
             let mut m = cx.memory.lock();
@@ -114,7 +114,12 @@
             return Err(failure(Code::Quarantined, None));
         }
         let heard: Vec<_> = offers.iter().filter_map(placed).collect();
-        answered += heard.len();
+        // Those that are down or leaving say nothing of the rest, which may only be slow to answer.
+        let is_closed =
+            |o: &&place::Offer| matches!(o.state, place::State::Leaving | place::State::Loading);
+        let closed: Vec<_> = heard.iter().filter(is_closed).map(|o| o.target).collect();
+        all.retain(|p| !closed.contains(&p.target));
+        full |= heard.len() > closed.len();
         let delay = |t| delay(view, t);
         let choices = place::choose(&config, marks.blocks(), &heard, delay);
         if !choices.is_empty() {
@@ -130,12 +135,15 @@
             .min();
         retry = [retry, told].into_iter().flatten().min();
     }
-    if answered > 0 {
+    if full {
         return Err(failure(
             Code::Overloaded,
             retry.or(Some(Micros::from_secs(1))),
         ));
     }
+    if all.is_empty() {
+        return Err(failure(Code::NoTarget, Some(Micros::from_secs(1))));
+    }
     let order = place::fallback(&want.chain, &all);
     Ok(order
         .into_iter()
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -8,7 +8,6 @@
 use fleet::Conviction;
 use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros};
 use policy::drain::{self, Drain};
-use policy::quarantine::Verdict;
 use prefix::{Marks, Need};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -18,7 +17,7 @@
 
 use crate::clock;
 use crate::log;
-use crate::mark;
+use crate::mark::{self, Mark};
 use crate::member::{self, Me, Membership};
 use crate::settings::{Settings, Sidecar};
 use crate::sidecar::decide::{Decide, Found, Question, Refusal, RunKey, State, Work};
@@ -213,6 +212,7 @@
         members,
         convict: s.convict,
         asked: s.asked,
+        news: Vec::new(),
         rng: SmallRng::from_os_rng(),
     };
     state.run(udp).await;
@@ -227,9 +227,18 @@
     members: Membership,
     convict: member::Asker,
     asked: Asked,
+    /// Of requests that crashed the target.
+    news: Vec<News>,
     rng: SmallRng,
 }
 
+/// What the fleet is told more than once.
+struct News {
+    mark: Mark,
+    at: Micros,
+    left: u32,
+}
+
 impl Control {
     async fn run(mut self, udp: UdpSocket) {
         let mut buf = vec![0; PACKET_MAX + 1];
@@ -254,6 +263,7 @@
                 () = tokio::time::sleep(wait.unwrap_or(SLEEP).min(SLEEP)) => {}
             }
             self.marks();
+            self.tell(clock::now());
             self.grant();
             self.step(drain::Event::Tick);
         }
@@ -358,27 +368,52 @@
     }
 
     fn crashed(&mut self, now: Micros, run: RunKey) {
-        let Some((print, verdict)) = self.decide.crashed(now, run) else {
+        let Some(mark) = self.decide.crashed(now, run) else {
             return;
         };
-        let convicted = verdict == Verdict::Convicted;
         spdlog::warn!(
             logger: log::sidecar(),
-            "target died under request {print:016x}, convicted: {convicted}"
+            "target died under request {:016x}, convicted: {}", mark.print, mark.convicted
         );
-        let until = now + policy::quarantine::Config::default().lasts;
-        let fingerprint = mark::encode(print, convicted);
-        let _ = self
-            .convict
-            .send(member::Ask::Convict(Conviction { fingerprint, until }));
+        self.spread(now, mark);
+    }
+
+    /// Tells the fleet of a suspect or a conviction, and again for those whom a rumour misses.
+    fn spread(&mut self, now: Micros, mark: Mark) {
+        let left = mark::ROUNDS;
+        self.news.push(News {
+            mark,
+            at: now,
+            left,
+        });
+        self.tell(now);
+    }
+
+    fn tell(&mut self, now: Micros) {
+        for n in self.news.iter_mut().filter(|n| n.at <= now) {
+            n.left -= 1;
+            n.at = now + mark::ROUND.into();
+            // A later end makes it news again.
+            let news = Conviction {
+                fingerprint: n.mark.encode(),
+                until: now + mark::lasts(),
+            };
+            let _ = self.convict.send(member::Ask::Convict(news));
+        }
+        self.news.retain(|n| n.left > 0);
     }
 
     /// Takes over what other processes found of requests.
     fn marks(&mut self) {
         let now = clock::now();
         while let Some(c) = self.members.convicted() {
-            let (print, convicted) = mark::decode(c.fingerprint);
-            self.decide.told(now, print, convicted, c.until);
+            let mark = Mark::decode(c.fingerprint);
+            if self.decide.told(now, mark, c.until) {
+                // Two sent at the same moment crashed one target each, and nobody else may have
+                // heard of both.
+                let convicted = true;
+                self.spread(now, Mark { convicted, ..mark });
+            }
         }
     }
 
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -9,7 +9,7 @@
 use policy::admit::{self, admit, Arrival};
 use policy::concurrency::{self, Limit, Sample};
 use policy::cost::{self, Cost};
-use policy::quarantine::{self, Crash, Fingerprint, Quarantine, Verdict};
+use policy::quarantine::{self, Fingerprint, Quarantine, Verdict};
 use policy::queue::{self, Job, JobKey, Queue};
 use policy::reserve::{self, Reserve};
 use prefix::{Index, Marks};
@@ -17,6 +17,7 @@
 use slab::Slab;
 use slotmap::SlotMap;
 
+use crate::mark::{self, Mark};
 use crate::settings::Kind;
 
 /// What a request asks of the target.
@@ -131,6 +132,8 @@
     prefilling: bool,
     suspect: bool,
     stream: bool,
+    /// Whether a target died under it before.
+    struck: bool,
     print: Fingerprint,
 }
 
@@ -175,11 +178,6 @@
 const CALL: Micros = Micros::from_millis(5);
 /// Weight of a new sample of a plain call's time.
 const CALL_SMOOTH: f64 = 0.1;
-/// Stands for crashes elsewhere, of which only the mark is known.
-const ELSEWHERE: Crash = Crash {
-    member: MemberId(0),
-    life: Incarnation(0),
-};
 
 impl<G> Decide<G> {
     /// Decisions beside a target that runs at most `slots` requests at a time.
@@ -307,7 +305,8 @@
             prefilling: self.kind == Kind::Model,
             suspect: w.suspect,
             stream: w.work.stream,
-            print: print(w.work.fingerprint),
+            struck: w.work.strikes > 0,
+            print: mark::print(w.work.fingerprint),
         });
         self.busy = self.busy.max(now) + prefill;
         Some(Granted {
@@ -370,25 +369,30 @@
         self.rate.finished(now, r.work, !self.queue.is_empty());
     }
 
-    /// The target died under a request; says what that makes of it.
-    pub fn crashed(&mut self, now: Micros, key: RunKey) -> Option<(u64, Verdict)> {
-        let print = self.running.get(key.0)?.print;
-        let crash = Crash {
-            member: self.member,
-            life: self.engine,
-        };
-        Some((print.body as u64, self.quarantine.strike(now, print, crash)))
+    /// The target died under a request; says what the fleet is to be told.
+    pub fn crashed(&mut self, now: Micros, key: RunKey) -> Option<Mark> {
+        let run = self.running.get(key.0)?;
+        let (print, struck) = (run.print, run.struck);
+        if struck {
+            // The entry knows of a crash elsewhere of which membership hasn't told yet. Were it
+            // left out, this crash would count as the first and a third target would die.
+            mark::strike(&mut self.quarantine, now, print, 0);
+        }
+        let crash = mark::crash(self.member, self.engine);
+        let verdict = mark::strike(&mut self.quarantine, now, print, crash);
+        Some(Mark {
+            print: print.body as u64,
+            convicted: verdict == Verdict::Convicted,
+            crash,
+        })
     }
 
-    /// Another process found that a request crashed a target, or two.
-    pub fn told(&mut self, now: Micros, fingerprint: u64, convicted: bool, until: Micros) {
-        let p = print(fingerprint);
-        match convicted {
-            true => self.quarantine.convict(p, [ELSEWHERE, ELSEWHERE], until),
-            false => {
-                self.quarantine.strike(now, p, ELSEWHERE);
-            }
-        }
+    /// Takes over what another process found of a request; true if that makes it convicted and the
+    /// other one doesn't know.
+    pub fn told(&mut self, now: Micros, mark: Mark, until: Micros) -> bool {
+        let before = self.verdict(now, mark.print);
+        let verdict = mark::told(&mut self.quarantine, now, mark, until);
+        !mark.convicted && verdict == Verdict::Convicted && before != verdict
     }
 
     /// The target's life and what it serves; true if its whole cache has to be fetched.
@@ -531,7 +535,7 @@
     }
 
     fn verdict(&self, now: Micros, fingerprint: u64) -> Verdict {
-        self.quarantine.verdict(now, print(fingerprint))
+        self.quarantine.verdict(now, mark::print(fingerprint))
     }
 
     fn team(&mut self, name: &str) -> TeamKey {
@@ -558,11 +562,3 @@
         retry: Some(r.after),
     }
 }
-
-/// The fingerprint holds the weights already.
-fn print(fingerprint: u64) -> Fingerprint {
-    Fingerprint {
-        body: u128::from(fingerprint),
-        weights: 0,
-    }
-}
