Prove that answers reach their own callers and that "not run" is true

Ruled out: equal chosen request ids over pooled connections, answers that come after a deadline or after the caller left, and ten strikes at a storm of 60 requests (queue full, engine or sidecar killed, drained, frozen, platform down).

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -87,10 +87,20 @@
 /// A model engine with its sidecar.
 pub struct Replica {
     pub engine: Arc<Engine>,
+    /// The engine's earlier lives.
+    pub past: Vec<Arc<Engine>>,
     pub standin: StandIn,
     pub sidecar: Child,
 }
 
+impl Replica {
+    /// Ids of the requests that it ran in any of its lives.
+    pub fn requests(&self) -> impl Iterator<Item = String> + '_ {
+        let lives = self.past.iter().chain([&self.engine]);
+        lives.flat_map(|e| e.ran()).map(|r| r.request)
+    }
+}
+
 /// A fleet of the quickstart configuration.
 pub struct Fleet {
     pub platform: Arc<Platform>,
@@ -169,6 +179,7 @@
         let sidecar = Child::sidecar(&url, &seed, standin.at, "lekha-llm", "model");
         self.replicas.push(Replica {
             engine,
+            past: Vec::new(),
             standin,
             sidecar,
         });
@@ -179,7 +190,8 @@
     pub fn revive(&mut self, replica: usize, set: &Settings) {
         let r = &mut self.replicas[replica];
         r.standin.kill();
-        r.engine = Engine::new(set.clone());
+        let past = std::mem::replace(&mut r.engine, Engine::new(set.clone()));
+        r.past.push(past);
         r.standin = StandIn::gated(r.standin.at, r.engine.router(), r.engine.gate());
     }
 
