--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -25,12 +25,13 @@
 use viz::{Request, Router};
 
 use crate::link::Pool;
+use crate::mark::Mark;
 use crate::member::{self, Me, Membership};
 use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Entry, Settings};
 use crate::tune::Tuning;
 use crate::view::Shared;
-use crate::{clock, log, mark, peer};
+use crate::{clock, log, peer};
 
 /// What every request of this process shares.
 #[derive(Debug)]
@@ -166,8 +167,8 @@
                     }
                 }
                 while let Some(c) = members.convicted() {
-                    let (print, convicted) = mark::decode(c.fingerprint);
-                    memory.lock().told(clock::now(), print, convicted, c.until);
+                    let mark = Mark::decode(c.fingerprint);
+                    memory.lock().told(clock::now(), mark, c.until);
                 }
             }
             Ok(())
