Take the shorter suspicion back

A second gained isn't worth a quarter of the time in which a live member can refute: probes keep a dead target out of candidate sets in the meantime.

--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -75,7 +75,7 @@
             period: Micros::from_millis(500),
             ack_wait: Micros::from_millis(150),
             relays: 3,
-            suspicion: 3.0,
+            suspicion: 4.0,
             doubt: 6.0,
             confirmations: 3,
             health_max: 8,
