--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -298,9 +298,6 @@
             Ok(Kind::Nack) => self.nacked(p.seq),
             _ => {}
         }
-        if sender.is_none() && p.kind != Kind::Ping as i32 {
-            self.ask(from, out);
-        }
     }
 
     fn ack(&mut self, from: SocketAddr, k: Option<MemberKey>, seq: u32, out: &mut Vec<Action>) {
@@ -310,12 +307,6 @@
         self.send(from, p, out);
     }
 
-    fn ask(&mut self, from: SocketAddr, out: &mut Vec<Action>) {
-        let mut p = Packet::new(Kind::Gossip, 0);
-        p.ask = true;
-        self.send(from, p, out);
-    }
-
     /// Describes this process to one that doesn't know it.
     fn introduce(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
         let mut p = Packet::new(Kind::Gossip, 0);
@@ -323,7 +314,7 @@
         self.send(to, p, out);
     }
 
-    /// Whether the time since a member went has passed a limit.
+    /// Forgets members that went long ago.
     pub(crate) fn forget_gone(&mut self) {
         let before = self.now - self.set.forget_after;
         if before > Micros::ZERO {
