Let a process that joins ask the next member sooner

In a herd, two in five members that a newborn hears of have restarted themselves and can't answer. It now doubles at every fourth failure.

--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -18,6 +18,9 @@
 
 /// Bound on members known to be ahead; enough that some can be lost.
 const SOURCES_MAX: usize = 4;
+/// A process that joins doubles its wait only at each so many failures. It has the whole fleet to
+/// ask, and in a herd of restarts two in five of the members that it heard of are gone.
+const JOIN_PATIENCE: u32 = 4;
 /// Failed pulls in a row after which the table is asked instead.
 const TABLE_AFTER: u32 = 4;
 
@@ -253,7 +256,11 @@
 
     fn back_off(&mut self) {
         self.spread.fails += 1;
-        let wait = self.set.pull_retry.0 << self.spread.fails.min(16);
+        let doubled = match self.join.is_trying() {
+            true => self.spread.fails / JOIN_PATIENCE,
+            false => self.spread.fails,
+        };
+        let wait = self.set.pull_retry.0 << doubled.min(16);
         let wait = self.jitter(Micros(wait).min(self.set.pull_max));
         self.spread.retry_at = self.now + wait;
         self.retry_join(wait);
