--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -13,6 +13,19 @@
 /// Longest wait for an event; only a failing test comes near it.
 const LIMIT: Duration = Duration::from_secs(20);
 
+/// Settings with which nothing takes long and nothing is evicted by age.
+pub(crate) fn quick() -> Settings {
+    Settings {
+        prefill: Duration::from_micros(10),
+        decode: Duration::from_micros(100),
+        lag: Duration::ZERO,
+        load_lag: Duration::ZERO,
+        loading: Duration::ZERO,
+        age: Duration::from_secs(3_600),
+        ..Settings::default()
+    }
+}
+
 pub(crate) async fn start(set: Settings) -> (Arc<Engine>, SocketAddr) {
     let engine = Engine::new(set);
     let listening = standin::listen_gated("127.0.0.1:0", engine.router(), engine.gate()).await;
