--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -8,6 +8,13 @@
 use tokio::net::TcpListener;
 use viz::{Body, Request, RequestExt, Response, Router};
 
+use crate::meter;
+
+/// Buckets of times in seconds, around the bound of 1.5 s to a first token.
+const SECONDS: [f64; 11] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 3.0, 10.0,
+];
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Health and metrics of a process that is ready while `ready` says so.
@@ -52,9 +59,13 @@
 /// Collects metrics from now on; later calls have no effect.
 fn install() {
     METRICS.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let recorder = PrometheusBuilder::new()
+            .set_buckets(&SECONDS)
+            .map_or_else(|_| PrometheusBuilder::new(), |b| b)
+            .build_recorder();
         let handle = recorder.handle();
         let _ = metrics::set_global_recorder(recorder);
+        meter::describe();
         handle
     });
 }
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -25,6 +25,7 @@
 use crate::link::Link;
 use crate::log;
 use crate::mark::{self, Mark};
+use crate::meter;
 use crate::{hop, member, trace};
 
 /// Longest silence of a sidecar, four of its heartbeats.
@@ -123,6 +124,7 @@
         opened: false,
         suspect: false,
         cost: None,
+        begun: Instant::now(),
         sent: Instant::now(),
         at: None,
         hop,
@@ -144,6 +146,8 @@
     suspect: bool,
     /// What the current replica told.
     cost: Option<Told>,
+    /// When the request came.
+    begun: Instant,
     /// When the current attempt began.
     sent: Instant,
     /// The replica of the current attempt.
@@ -268,6 +272,7 @@
     async fn attempt(&mut self, p: Picked, delivered: u64) -> Ended {
         self.tried.push(p.target);
         self.attempt += 1;
+        metrics::counter!(meter::ATTEMPTS).increment(1);
         self.cost = p.cost;
         self.sent = Instant::now();
         self.at = Some(p.target);
@@ -303,6 +308,7 @@
                 Action::Wait => {}
                 Action::Deliver(data) => {
                     if self.relay.next() == 1 && self.out.stream {
+                        meter::first(self.job.want.class, self.begun.elapsed());
                         self.measured(false);
                     }
                     if !self.out.data(data).await {
@@ -434,6 +440,7 @@
 
     /// Goes on with an exchange on a new connection.
     async fn resume(&self, at: &Current, next: u64) -> Result<Link, Event> {
+        metrics::counter!(meter::RESUMES).increment(1);
         let resume = Resume {
             token: at.token.clone(),
             next,
--- a/crates/daemon/src/entry/probe.rs
+++ b/crates/daemon/src/entry/probe.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use crate::meter;
 use bytes::Bytes;
 use model::{BlockHash, Class, PoolKey};
 use prefix::Marks;
@@ -58,7 +59,7 @@
             };
             let bytes = Bytes::copy_from_slice(&buf[..n]);
             let Ok(Message::Offer(o)) = Packet::open(&bytes, &self.keys) else {
-                metrics::counter!("clementinestep_offer_faults_total").increment(1);
+                metrics::counter!(meter::OFFER_FAULTS).increment(1);
                 continue;
             };
             // An offer that comes after its probe was given up has nobody to go to.
@@ -78,6 +79,8 @@
             None => None,
         };
         self.lock().remove(&id);
+        let outcome = if offer.is_some() { "answered" } else { "lost" };
+        metrics::counter!(meter::PROBES, "outcome" => outcome).increment(1);
         offer
     }
 
@@ -95,7 +98,7 @@
             team: want.team.clone(),
         };
         let bytes = Packet::seal(probe, &self.keys).ok()?;
-        metrics::counter!("clementinestep_probe_bytes_total").increment(bytes.len() as u64);
+        metrics::counter!(meter::PROBE_BYTES).increment(bytes.len() as u64);
         self.udp.send_to(&bytes, to).await.ok().map(|_| ())
     }
 
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -18,6 +18,7 @@
 use crate::entry::stop::Taken;
 use crate::entry::{admin, Context};
 use crate::log;
+use crate::meter;
 
 /// How long an error event has to leave before its connection is broken off.
 const LINGER: Duration = Duration::from_millis(100);
@@ -50,7 +51,7 @@
 
 fn refuse(id: &RequestId, p: &Problem) -> Response {
     spdlog::info!(logger: log::entry(), "request {id} refused: {}: {}", p.code, p.message);
-    metrics::counter!("clementinestep_requests_total", "code" => p.code.as_str()).increment(1);
+    metrics::counter!(meter::REQUESTS, "code" => p.code.as_str()).increment(1);
     p.response(id)
 }
 
@@ -63,7 +64,7 @@
             respond(id, rule, head, Body::from_stream(pieces(rx, taken))),
         ),
     };
-    metrics::counter!("clementinestep_requests_total", "code" => code).increment(1);
+    metrics::counter!(meter::REQUESTS, "code" => code).increment(1);
     res
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod mark;
 pub mod member;
+pub mod meter;
 pub mod peer;
 pub mod process;
 pub mod settings;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -28,7 +28,7 @@
 use crate::log;
 use crate::settings::Settings;
 use crate::view::{Announced, Shared, View};
-use crate::{clock, view};
+use crate::{clock, meter, view};
 
 /// How often the host list is read; it lags by more than that.
 const HOSTS: Duration = Duration::from_secs(10);
@@ -163,7 +163,7 @@
         tokio::select! {
             got = self.socket.recv_from(&mut self.buf) => if let Ok((n, from)) = got {
                 let bytes = Bytes::copy_from_slice(&self.buf[..n]);
-                metrics::counter!("clementinestep_gossip_bytes_total", "way" => "in")
+                metrics::counter!(meter::GOSSIP_BYTES, "way" => "in")
                     .increment(n as u64);
                 self.step(Event::Datagram { from, bytes });
             },
@@ -237,6 +237,7 @@
         for action in out {
             changed |= self.act(action);
         }
+        meter::members(self.fleet.members().count() + 1, &self.fleet.counters());
         let entries = self.entries();
         changed |= entries != self.view.entries;
         self.view.entries = entries;
@@ -279,8 +280,7 @@
     }
 
     fn send(&self, to: SocketAddr, bytes: &Bytes) {
-        metrics::counter!("clementinestep_gossip_bytes_total", "way" => "out")
-            .increment(bytes.len() as u64);
+        metrics::counter!(meter::GOSSIP_BYTES, "way" => "out").increment(bytes.len() as u64);
         // A datagram that can't be sent is one that was lost; the protocol reckons with both.
         let _ = self.socket.try_send_to(bytes, to);
     }
@@ -329,7 +329,7 @@
             ),
         }
         self.view.version = row.version;
-        metrics::gauge!("clementinestep_configuration_version").set(row.version.0 as f64);
+        metrics::gauge!(meter::VERSION).set(row.version.0 as f64);
     }
 
     fn place(&mut self, m: &Member) -> bool {
--- /dev/null
+++ b/crates/daemon/src/meter.rs
@@ -0,0 +1,94 @@
+//! Names and meanings of all metrics, in one place.
+//!
+//! Labels are bounded: classes, codes and ways, never teams, requests or addresses.
+
+use std::time::Duration;
+
+use fleet::Counters;
+use metrics::{
+    counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram, Unit,
+};
+use model::Class;
+
+/// Requests answered or refused, by code; `ok` for an answer.
+pub const REQUESTS: &str = "clementinestep_requests_total";
+/// Attempts at requests.
+pub const ATTEMPTS: &str = "clementinestep_attempts_total";
+/// Exchanges resumed on another connection.
+pub const RESUMES: &str = "clementinestep_resumes_total";
+/// Seconds from a request's arrival to the first event of its stream, by class.
+pub const FIRST: &str = "clementinestep_first_token_seconds";
+/// Probes sent, and those not answered in time.
+pub const PROBES: &str = "clementinestep_probes_total";
+/// Bytes of probes sent.
+pub const PROBE_BYTES: &str = "clementinestep_probe_bytes_total";
+/// Datagrams at the probe port that don't belong there.
+pub const PROBE_FAULTS: &str = "clementinestep_probe_faults_total";
+/// Datagrams from the probe port that don't belong there.
+pub const OFFER_FAULTS: &str = "clementinestep_offer_faults_total";
+/// Connections to the peer port that were dropped for what they sent.
+pub const PEER_FAULTS: &str = "clementinestep_peer_faults_total";
+/// Bytes of membership datagrams, by way.
+pub const GOSSIP_BYTES: &str = "clementinestep_gossip_bytes_total";
+/// Membership datagrams that were refused.
+pub const GOSSIP_FAULTS: &str = "clementinestep_gossip_faults_total";
+/// What membership has done, by kind.
+pub const MEMBERSHIP: &str = "clementinestep_membership_events_total";
+/// Version of the configuration in force.
+pub const VERSION: &str = "clementinestep_configuration_version";
+/// Live members, this process included.
+pub const MEMBERS: &str = "clementinestep_members";
+/// Requests waiting at this sidecar.
+pub const QUEUE: &str = "clementinestep_queue_length";
+/// Requests at the target.
+pub const RUNNING: &str = "clementinestep_target_running";
+/// Cached blocks known of the engine.
+pub const BLOCKS: &str = "clementinestep_index_blocks";
+/// Requests that a sidecar didn't hand over, by code.
+pub const REFUSED: &str = "clementinestep_refused_total";
+
+/// Tells the recorder what the names mean.
+pub fn describe() {
+    describe_counter!(REQUESTS, "requests answered or refused, by code");
+    describe_counter!(ATTEMPTS, "attempts at requests");
+    describe_counter!(RESUMES, "exchanges resumed on another connection");
+    describe_histogram!(FIRST, Unit::Seconds, "arrival to first event, by class");
+    describe_counter!(PROBES, "probes, by outcome");
+    describe_counter!(PROBE_BYTES, Unit::Bytes, "probes sent");
+    describe_counter!(PROBE_FAULTS, "datagrams refused at the probe port");
+    describe_counter!(OFFER_FAULTS, "datagrams refused as offers");
+    describe_counter!(PEER_FAULTS, "peer connections dropped for what they sent");
+    describe_counter!(GOSSIP_BYTES, Unit::Bytes, "membership datagrams, by way");
+    describe_counter!(GOSSIP_FAULTS, "membership datagrams refused");
+    describe_counter!(MEMBERSHIP, "what membership has done, by kind");
+    describe_gauge!(VERSION, "version of the configuration in force");
+    describe_gauge!(MEMBERS, "live members");
+    describe_gauge!(QUEUE, "requests waiting here");
+    describe_gauge!(RUNNING, "requests at the target");
+    describe_gauge!(BLOCKS, "cached blocks known of the engine");
+    describe_counter!(REFUSED, "requests not handed over, by code");
+}
+
+/// Notes when a stream's first event came.
+pub fn first(class: Class, after: Duration) {
+    histogram!(FIRST, "class" => class.as_str()).record(after.as_secs_f64());
+}
+
+/// Takes over what membership has counted.
+pub fn members(live: usize, counters: &Counters) {
+    gauge!(MEMBERS).set(live as f64);
+    counter!(GOSSIP_FAULTS).absolute(counters.bad_seal + counters.bad_packet);
+    let kinds = [
+        ("suspected", counters.suspected),
+        ("declared_dead", counters.declared),
+        ("refuted", counters.refuted),
+        ("paused", counters.paused),
+        ("pulls", counters.pulls),
+        ("pull_failures", counters.pull_failures),
+        ("table_reads", counters.reads),
+        ("table_read_failures", counters.read_failures),
+    ];
+    for (kind, n) in kinds {
+        counter!(MEMBERSHIP, "kind" => kind).absolute(n);
+    }
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -14,6 +14,7 @@
 
 use crate::log;
 use crate::member::{Ask, Asker};
+use crate::meter;
 
 /// Longest handshake.
 const HANDSHAKE: Duration = Duration::from_secs(2);
@@ -92,7 +93,7 @@
     match e {
         WireError::Closed | WireError::Io(_) => {}
         e => {
-            metrics::counter!("clementinestep_peer_faults_total").increment(1);
+            metrics::counter!(meter::PEER_FAULTS).increment(1);
             spdlog::warn!(logger: log::fleet(), "peer connection dropped: {e}");
         }
     }
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -20,6 +20,7 @@
 use crate::log;
 use crate::mark::{self, Mark};
 use crate::member::{self, Me, Membership};
+use crate::meter;
 use crate::settings::{Settings, Sidecar};
 use crate::sidecar::decide::{Decide, Found, Question, Refusal, RunKey, State, Work};
 use crate::tune::Tuning;
@@ -297,6 +298,7 @@
             Ask::Enqueue { work, grant } => {
                 let taken = self.decide.open(now, work, grant, &mut self.rng);
                 if let Err((grant, r)) = taken {
+                    metrics::counter!(meter::REFUSED, "code" => r.code.as_str()).increment(1);
                     let _ = grant.send(Err(r));
                 }
             }
@@ -347,8 +349,10 @@
         }
         let need = self.decide.index().tick(now);
         self.want(need);
-        metrics::gauge!("clementinestep_queue_length").set(self.decide.waiting() as f64);
-        metrics::gauge!("clementinestep_target_running").set(self.decide.running() as f64);
+        let blocks = self.decide.index().len();
+        metrics::gauge!(meter::BLOCKS).set(blocks as f64);
+        metrics::gauge!(meter::QUEUE).set(self.decide.waiting() as f64);
+        metrics::gauge!(meter::RUNNING).set(self.decide.running() as f64);
     }
 
     fn step(&mut self, event: drain::Event) {
@@ -477,7 +481,7 @@
         match Packet::open(bytes, &self.keys) {
             Ok(Message::Probe(p)) => Packet::seal(self.offer(p), &self.keys).ok(),
             _ => {
-                metrics::counter!("clementinestep_probe_faults_total").increment(1);
+                metrics::counter!(meter::PROBE_FAULTS).increment(1);
                 None
             }
         }
@@ -522,6 +526,7 @@
 
 fn refuse(grants: Vec<Grant>, code: Code, retry: Option<Micros>) {
     for g in grants {
+        metrics::counter!(meter::REFUSED, "code" => code.as_str()).increment(1);
         let _ = g.send(Err(Refusal { code, retry }));
     }
 }
