--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -61,7 +61,7 @@
     METRICS.get_or_init(|| {
         let recorder = PrometheusBuilder::new()
             .set_buckets(&SECONDS)
-            .map_or_else(|_| PrometheusBuilder::new(), |b| b)
+            .unwrap_or_else(|_| PrometheusBuilder::new())
             .build_recorder();
         let handle = recorder.handle();
         let _ = metrics::set_global_recorder(recorder);
