Test the sidecar's decisions without processes, and wait for the list after a switch of weights

Cause, found by the new table: events come later than the load, so that those of the older weights were taken for blocks of the new ones (claimed 3, expected 0). After a switch the index now takes no event until the engine has listed its blocks.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -286,12 +286,12 @@
             Ask::Load(load) => self.load(load),
             Ask::Events(events) => {
                 for e in events {
-                    let need = self.decide.index().apply(now, e);
+                    let need = self.decide.event(now, e);
                     self.want(need);
                 }
             }
             Ask::Cache(life, seq, blocks) => {
-                let need = self.decide.index().reset(now, life, seq, blocks);
+                let need = self.decide.listed(now, life, seq, blocks);
                 self.want(need);
             }
             Ask::Stop => self.step(drain::Event::Stop),
@@ -309,7 +309,7 @@
                 self.decide.finished(now, g.run);
             }
         }
-        let need = self.decide.index().tick(now);
+        let need = self.decide.tick(now);
         self.want(need);
         metrics::gauge!("clementinestep_queue_length").set(self.decide.waiting() as f64);
         metrics::gauge!("clementinestep_target_running").set(self.decide.running() as f64);
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -12,7 +12,7 @@
 use policy::quarantine::{self, Fingerprint, Quarantine, Verdict};
 use policy::queue::{self, Job, JobKey, Queue};
 use policy::reserve::{self, Reserve};
-use prefix::{Index, Marks};
+use prefix::{Block, Event, Index, Marks, Need};
 use rand::Rng;
 use slab::Slab;
 use slotmap::SlotMap;
@@ -155,6 +155,8 @@
     member: MemberId,
     engine: Incarnation,
     index: Index,
+    /// Whether the index waits for the engine's list of blocks before it takes events.
+    unlisted: bool,
     queue: Queue<Waiting<G>>,
     /// Suspects that wait for another suspect to end.
     held: VecDeque<Job<Waiting<G>>>,
@@ -193,6 +195,7 @@
             member,
             engine: Incarnation(0),
             index: Index::new(prefix::Config::default(), "", ""),
+            unlisted: false,
             queue: Queue::new(queue::Config::default()),
             held: VecDeque::new(),
             running: Slab::new(),
@@ -414,6 +417,9 @@
         let same = self.index.weights() == weights;
         if !same {
             self.index = Index::new(prefix::Config::default(), found.model, weights);
+            // Events are later than the load: those of the older weights are still to come, and
+            // would be taken for blocks of these.
+            self.unlisted = true;
             self.quarantine = Quarantine::new(quarantine::Config::default());
         }
         !same
@@ -443,9 +449,26 @@
         self.engine
     }
 
-    /// The cache index, for the driver's events.
-    pub fn index(&mut self) -> &mut Index {
-        &mut self.index
+    /// Takes an event of the engine's cache.
+    pub fn event(&mut self, now: Micros, event: Event) -> Need {
+        match self.unlisted {
+            true => Need::Snapshot,
+            false => self.index.apply(now, event),
+        }
+    }
+
+    /// Takes the engine's list of blocks as it was after an event.
+    pub fn listed(&mut self, now: Micros, life: Incarnation, seq: u64, blocks: Vec<Block>) -> Need {
+        self.unlisted &= life != self.engine;
+        self.index.reset(now, life, seq, blocks)
+    }
+
+    /// Gives up events that stay missing.
+    pub fn tick(&mut self, now: Micros) -> Need {
+        match (self.unlisted, self.index.tick(now)) {
+            (true, _) => Need::Snapshot,
+            (false, need) => need,
+        }
     }
 
     /// Requests that wait.
--- /dev/null
+++ b/crates/daemon/tests/decide.rs
@@ -0,0 +1,220 @@
+//! The sidecar's decisions without processes: what it claims of its engine, whom it runs beside
+//! whom, and how crashes add up.
+
+use bytes::Bytes;
+use daemon::mark::Mark;
+use daemon::settings::Kind;
+use daemon::sidecar::decide::{Decide, Found, Question, RunKey, State, Work};
+use model::{Class, Incarnation, MemberId, Micros};
+use prefix::{chain, Block, Event, Marks, Seed, BLOCK};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+const NOW: Micros = Micros::from_secs(10);
+const FAR: Micros = Micros::from_secs(600);
+
+fn found(life: u64, weights: &str, loading: bool) -> Found<'_> {
+    Found {
+        life: Incarnation(life),
+        model: "lekha",
+        weights,
+        loading,
+    }
+}
+
+fn decide() -> Decide<u32> {
+    let mut d = Decide::new(Kind::Model, 8, MemberId(1));
+    d.engine(NOW, &found(1, "1", false));
+    let _ = d.listed(NOW, Incarnation(1), 0, Vec::new());
+    d
+}
+
+fn work(fingerprint: u64, strikes: u32) -> Work {
+    Work {
+        team: "team-one".to_owned(),
+        share: 1,
+        class: Class::Normal,
+        chain: Vec::new(),
+        output: 1,
+        deadline: FAR,
+        fingerprint,
+        strikes,
+        probe: 0,
+        stream: true,
+    }
+}
+
+/// Takes a request in.
+fn open(d: &mut Decide<u32>, work: Work, name: u32) -> bool {
+    let mut rng = SmallRng::seed_from_u64(1);
+    d.open(NOW, work, name, &mut rng).is_ok()
+}
+
+/// Requests whose turn has come.
+fn turns(d: &mut Decide<u32>) -> Vec<(u32, RunKey)> {
+    let mut out = Vec::new();
+    while let Some(g) = d.next(NOW) {
+        // Its first byte makes room for the next prefill.
+        d.first(NOW, g.run);
+        out.push((g.grant, g.run));
+    }
+    out
+}
+
+fn names(turns: &[(u32, RunKey)]) -> Vec<u32> {
+    turns.iter().map(|t| t.0).collect()
+}
+
+/// What becomes of an engine whose blocks are claimed.
+struct Change {
+    what: &'static str,
+    found: Found<'static>,
+    claimed: u32,
+    state: State,
+}
+
+/// An engine crashes and comes back empty, or loads other weights. Claims on its old blocks would
+/// send requests there that wait for a recomputation nobody planned.
+#[test]
+fn claims_end_with_the_life_and_the_weights() {
+    let prompt = "x".repeat(3 * BLOCK);
+    let [marks, newer] = ["1", "2"].map(|weights| {
+        let points = chain(Seed::new("team-one", "lekha", weights), &prompt);
+        Marks::new(&points)
+    });
+    #[rustfmt::skip]
+    let cases = [
+        Change { what: "nothing", found: found(1, "1", false), claimed: 3, state: State::Serving },
+        Change { what: "another life", found: found(2, "1", false), claimed: 0, state: State::Serving },
+        Change { what: "other weights", found: found(1, "2", false), claimed: 0, state: State::Serving },
+        Change { what: "loading", found: found(1, "1", true), claimed: 3, state: State::Loading },
+    ];
+    for c in cases {
+        let mut d = decide();
+        store(&mut d, &prompt);
+        assert_eq!(matched(&mut d, &marks), 3, "{}", c.what);
+        d.engine(NOW, &c.found);
+        assert_eq!(matched(&mut d, &marks), c.claimed, "{}", c.what);
+        assert_eq!(d.state(), c.state, "{}", c.what);
+        // The dead life's last events come late.
+        store(&mut d, &prompt);
+        assert_eq!(
+            matched(&mut d, &marks),
+            c.claimed,
+            "{}, late events",
+            c.what
+        );
+        let newer = matched(&mut d, &newer);
+        assert_eq!(newer, 0, "{}, taken for newer ones", c.what);
+    }
+}
+
+fn store(d: &mut Decide<u32>, prompt: &str) {
+    for (i, text) in prompt.as_bytes().chunks_exact(BLOCK).enumerate() {
+        let hash = i as u64 + 1;
+        let block = Block {
+            hash,
+            parent: (i > 0).then(|| hash - 1),
+            scope: "team-one".to_owned(),
+            text: Bytes::copy_from_slice(text),
+        };
+        let event = Event {
+            seq: hash,
+            incarnation: Incarnation(1),
+            kind: prefix::Kind::Stored(block),
+        };
+        let _ = d.event(NOW, event);
+    }
+}
+
+fn matched(d: &mut Decide<u32>, marks: &Marks) -> u32 {
+    let question = Question {
+        probe: 1,
+        team: "team-one".to_owned(),
+        class: Class::Normal,
+        marks: marks.clone(),
+        blocks: marks.blocks(),
+        fingerprint: 1,
+    };
+    d.offer(NOW, &question).matched
+}
+
+/// After a crash all that ran on the engine are suspects, one of them the culprit. Two of them
+/// side by side would both be convicted by one's crash, and an honest caller be refused.
+#[test]
+fn suspects_run_one_at_a_time_and_others_beside_them() {
+    let mut d = decide();
+    for (name, strikes) in [(1, 1), (2, 0), (3, 1), (4, 0), (5, 1)] {
+        assert!(open(&mut d, work(u64::from(name), strikes), name));
+    }
+    let mut running = turns(&mut d);
+    assert_eq!(names(&running), [1, 2, 4]);
+    for next in [3, 5] {
+        d.finished(NOW, running[0].1);
+        running = turns(&mut d);
+        assert_eq!(names(&running), [next]);
+    }
+}
+
+/// Crashes of one request as a sidecar learns of them, before its own engine dies under it.
+struct Count {
+    what: &'static str,
+    heard: &'static [u64],
+    strikes: u32,
+    before: bool,
+    convicted: bool,
+}
+
+/// A request crashed an engine elsewhere, and the news of it comes early, twice or not at all.
+/// Counted too low, a third engine dies; counted twice, an honest request is refused for having
+/// been beside a culprit once.
+#[test]
+fn each_crash_counts_once() {
+    #[rustfmt::skip]
+    let cases = [
+        Count { what: "none", heard: &[], strikes: 0, before: false, convicted: false },
+        Count { what: "one heard", heard: &[7], strikes: 0, before: false, convicted: true },
+        Count { what: "one heard three times", heard: &[7, 7, 7], strikes: 0, before: false, convicted: true },
+        Count { what: "one not heard yet", heard: &[], strikes: 1, before: false, convicted: true },
+        Count { what: "one heard and carried", heard: &[7], strikes: 1, before: false, convicted: true },
+        Count { what: "two heard", heard: &[7, 8], strikes: 0, before: true, convicted: true },
+    ];
+    for c in cases {
+        let mut d = decide();
+        let mut before = false;
+        for crash in c.heard {
+            let mark = Mark {
+                print: 5,
+                convicted: false,
+                crash: *crash,
+            };
+            before |= d.told(NOW, mark, FAR);
+        }
+        assert_eq!(before, c.before, "{}", c.what);
+        assert_eq!(open(&mut d, work(5, c.strikes), 1), !c.before, "{}", c.what);
+        let Some((_, run)) = turns(&mut d).pop() else {
+            assert!(c.before, "{}", c.what);
+            continue;
+        };
+        let mark = d.crashed(NOW, run).expect("it runs");
+        assert_eq!(mark.convicted, c.convicted, "{}", c.what);
+        // Its own news, told back by others, changes nothing.
+        assert!(!d.told(NOW, mark, FAR), "{}", c.what);
+        assert_eq!(open(&mut d, work(5, 0), 2), !c.convicted, "{}", c.what);
+    }
+}
+
+/// A mark goes through the fleet as one number.
+#[test]
+fn mark_comes_back_from_its_number() {
+    for convicted in [false, true] {
+        for crash in [0, 1, u64::MAX >> 1] {
+            let mark = Mark {
+                print: u64::MAX - 3,
+                convicted,
+                crash,
+            };
+            assert_eq!(Mark::decode(mark.encode()), mark);
+        }
+    }
+}
