Cut the connection between entry and sidecar after each frame

Every frame of either side, from the handshake to the end, is cut once by a break and once by silence.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -138,7 +138,7 @@
 ) -> io::Result<JoinHandle<io::Result<()>>> {
     let me = Me {
         role: fleet::Role::Entry,
-        peer: ready.peer,
+        peer: settings.announce.unwrap_or(ready.peer),
         admin: Some(ready.admin),
         pool: None,
         life: clock::life(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -43,6 +43,9 @@
             /// address for other processes of the fleet, TCP and UDP (default 127.0.0.1:0)
             #[argh(option)]
             peer_listen: Option<String>,
+            /// address told to other processes instead, if theirs is translated to it
+            #[argh(option)]
+            peer_announce: Option<String>,
             /// address for membership datagrams (default 127.0.0.1:0)
             #[argh(option)]
             gossip_listen: Option<String>,
@@ -95,6 +98,7 @@
             fn list(&self) -> Vec<(&'static str, Option<String>)> {
                 vec![
                     ("peer_listen", self.peer_listen.clone()),
+                    ("peer_announce", self.peer_announce.clone()),
                     ("gossip_listen", self.gossip_listen.clone()),
                     ("admin_listen", self.admin_listen.clone()),
                     ("host", self.host.clone()),
@@ -156,6 +160,8 @@
 pub struct Settings {
     /// Address for other processes of the fleet.
     pub peer: SocketAddr,
+    /// Address that others are told instead, where addresses are translated on the way.
+    pub announce: Option<SocketAddr>,
     /// Address for membership datagrams.
     pub gossip: SocketAddr,
     /// Address for health, metrics and operators.
@@ -339,6 +345,7 @@
     let any = "127.0.0.1:0";
     let address = "an address and port";
     let peer = r.value("peer_listen", any, address);
+    let announce = r.list("peer_announce");
     let gossip = r.value("gossip_listen", any, address);
     let admin = r.value("admin_listen", any, address);
     let host = r.value("host", "localhost", "a name");
@@ -358,6 +365,7 @@
     };
     Some(Settings {
         peer: peer?,
+        announce: announce?.first().copied(),
         gossip: gossip?,
         admin: admin?,
         host: host?,
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -41,12 +41,13 @@
         admin: admin.local_addr()?,
         gossip: gossip.local_addr()?,
     };
+    let told = settings.announce.unwrap_or(ready.peer);
     let (mut asker, asked) = control::channel();
     let (members, from_members) = mpsc::unbounded_channel();
     let thread = control::spawn(Start {
         me: Me {
             role: fleet::Role::Sidecar,
-            peer: ready.peer,
+            peer: told,
             admin: Some(ready.admin),
             pool: Some(role.pool.clone()),
             life,
@@ -61,7 +62,7 @@
     })?;
     let cx = Arc::new(Context {
         life,
-        address: ready.peer,
+        address: told,
         target: role.target,
         model: role.kind == Kind::Model,
         table: settings
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod caller;
 pub mod child;
+pub mod cut;
 pub mod probe;
 pub mod program;
 
@@ -27,6 +28,7 @@
 
 pub use caller::Caller;
 pub use child::Child;
+pub use cut::{Cut, How, Plan, Side};
 pub use probe::{probe, Prompt};
 pub use program::Program;
 
@@ -111,6 +113,7 @@
     /// More sidecars before the same service.
     pub spares: Vec<Child>,
     pub replicas: Vec<Replica>,
+    pub cuts: Vec<Cut>,
     pub entries: Vec<Child>,
 }
 
@@ -142,6 +145,7 @@
             fieldops,
             spares: Vec::new(),
             replicas: Vec::new(),
+            cuts: Vec::new(),
             entries: Vec::new(),
         };
         for _ in 0..engines {
@@ -172,6 +176,28 @@
         self.add_target(engine, router);
     }
 
+    /// Adds an engine whose sidecar others reach through something that cuts connections.
+    pub fn add_cut(&mut self, set: &Settings, plan: &Arc<Plan>) {
+        let engine = Engine::new(set.clone());
+        let standin = StandIn::gated(any(), engine.router(), engine.gate());
+        let cut = Cut::start(plan);
+        let target = format!("http://{}", standin.at);
+        #[rustfmt::skip]
+        let sidecar = Child::run(&[
+            "sidecar", "--platform", &self.url(), "--seeds", &self.seed(), "--target", &target,
+            "--pool", "lekha-llm", "--peer-announce", &cut.at.to_string(),
+        ]);
+        cut.lead(sidecar.address("peer"));
+        self.cuts.push(cut);
+        self.replicas.push(Replica {
+            engine,
+            past: Vec::new(),
+            standin,
+            sidecar,
+        });
+        self.wait_members();
+    }
+
     /// Adds an engine behind an interface that may differ from its own, and its sidecar.
     pub fn add_target(&mut self, engine: Arc<Engine>, router: Router) {
         let standin = StandIn::gated(any(), router, engine.gate());
--- a/crates/daemon/tests/stream.rs
+++ b/crates/daemon/tests/stream.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use common::caller::{Answer, Pending};
-use common::{completion, quick, wait_for, words, Fleet};
+use common::{completion, quick, wait_for, words, Fleet, How, Plan, Side};
 use standin::engine::{Engine, Faults, Settings};
 use viz::{Body, Request, Response};
 
@@ -189,3 +189,63 @@
         .body(Body::from_stream(pieces))
         .map_err(viz::Error::boxed)
 }
+
+/// Tokens of a stream whose every frame is cut once.
+const FEW: usize = 6;
+/// Cuts tried at the same time, each in a fleet of its own.
+const LANES: usize = 4;
+
+/// The connection between an entry and a sidecar breaks, or falls silent while new ones work,
+/// after each frame that either side sends, from the handshake to the end. The caller gets every
+/// word once, in order, and nothing is computed twice.
+#[test]
+fn cut_after_each_frame_loses_and_doubles_nothing() {
+    let cuts = [
+        (Side::Sidecar, How::Break),
+        (Side::Entry, How::Break),
+        (Side::Sidecar, How::Silent),
+        (Side::Entry, How::Silent),
+    ];
+    std::thread::scope(|s| {
+        for lane in 0..LANES {
+            s.spawn(move || cut_lane(lane, &cuts));
+        }
+    });
+}
+
+fn cut_lane(lane: usize, cuts: &[(Side, How)]) {
+    let plan = Arc::new(Plan::default());
+    let mut fleet = Fleet::start(1, 0, &quick());
+    for _ in 0..2 {
+        fleet.add_cut(&quick(), &plan);
+    }
+    for &(side, how) in cuts {
+        let mut after = lane;
+        loop {
+            plan.set(side, after, how);
+            let what = format!("{side:?} {how:?} {after}");
+            let body = completion(&what, FEW, true);
+            let headers = [("x-request-id", what.replace(' ', "-"))];
+            let headers = headers.each_ref().map(|(n, v)| (*n, v.as_str()));
+            let caller = fleet.caller(0);
+            let answer = caller.send("POST", "/v1/completions", &headers, &body);
+            assert!(
+                answer.whole(),
+                "{what}: {} {}",
+                answer.status,
+                answer.text()
+            );
+            assert_eq!(answer.words(), words(&what, FEW), "{what}");
+            let all = fleet.replicas.iter().flat_map(common::Replica::requests);
+            let times = all.filter(|id| *id == headers[0].1).count();
+            assert_eq!(times, 1, "{what}: computed {times} times");
+            if plan.pending() {
+                break;
+            }
+            after += LANES;
+        }
+        // The handshake and the request; the sidecar adds the words and the end.
+        let least = if side == Side::Sidecar { FEW } else { 2 };
+        assert!(after >= least, "{side:?} {how:?}: only {after} frames");
+    }
+}
