--- a/crates/daemon/tests/not_run.rs
+++ b/crates/daemon/tests/not_run.rs
@@ -8,8 +8,11 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use common::caller::Answer;
 use common::{completion, quick, wait_for, Caller, Fleet};
+use exchange::{Action, Event, Exchange, NotRun, Relay};
+use model::{Code, Outcome};
 use standin::engine::Settings;
 use standin::platform;
 
@@ -171,3 +174,38 @@
         assert!(fleet.service.runs().is_empty(), "{}", c.what);
     }
 }
+
+/// What an entry hears of one attempt after the other.
+struct Heard {
+    what: &'static str,
+    events: Vec<Event>,
+    outcome: Outcome,
+}
+
+/// An engine is lost under a request, and the next replica refuses it. That refusal is true of
+/// the second attempt only; passed on as it is, it would call a request not run that ran in part.
+#[test]
+fn refusal_after_a_lost_attempt_is_not_called_not_run() {
+    let refused = || Event::Refused(NotRun::heard(Code::Overloaded, None));
+    let lost = || {
+        let failed = Exchange::new().hand().fail(Code::TargetLost, false, false);
+        Event::Failed(failed)
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Heard { what: "refused", events: vec![refused()], outcome: Outcome::NotRun },
+        Heard { what: "unsent", events: vec![Event::Unsent], outcome: Outcome::NotRun },
+        Heard { what: "refused twice", events: vec![refused(), refused()], outcome: Outcome::NotRun },
+        Heard { what: "lost", events: vec![lost()], outcome: Outcome::Unknown },
+        Heard { what: "lost, then refused", events: vec![lost(), refused()], outcome: Outcome::Unknown },
+        Heard { what: "gone, then unsent", events: vec![Event::Gone, Event::Unsent], outcome: Outcome::Unknown },
+    ];
+    for c in cases {
+        let mut relay = Relay::new(true, true);
+        let actions = c.events.into_iter().map(|e| relay.step(e));
+        let last = actions.last().expect("an event");
+        assert_matches!(last, Action::Elsewhere { failure, .. } => {
+            assert_eq!(failure.outcome, c.outcome, "{}", c.what);
+        });
+    }
+}
