--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -310,12 +310,12 @@
             Ask::Load(load) => self.load(load),
             Ask::Events(events) => {
                 for e in events {
-                    let need = self.decide.index().apply(now, e);
+                    let need = self.decide.event(now, e);
                     self.want(need);
                 }
             }
             Ask::Cache(life, seq, blocks) => {
-                let need = self.decide.index().reset(now, life, seq, blocks);
+                let need = self.decide.listed(now, life, seq, blocks);
                 self.want(need);
             }
             Ask::Quiet(done) => {
@@ -347,7 +347,7 @@
                 let _ = done.send(());
             }
         }
-        let need = self.decide.index().tick(now);
+        let need = self.decide.tick(now);
         self.want(need);
         let blocks = self.decide.index().len();
         metrics::gauge!(meter::BLOCKS).set(blocks as f64);
