Give up a joiner's pull after half a second and take its waits from one place

A trace showed why: the join timer fired in the back-off, found a pull not yet allowed and doubled its own wait.

--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -191,14 +191,17 @@
     }
 
     fn try_join(&mut self, out: &mut Vec<Action>) {
+        if !self.spread.is_idle(self.now) {
+            self.join.join_at = self.spread.free_at();
+            return;
+        }
         let wait = Micros(self.set.join_retry.0 << self.join.tries.min(8));
         let wait = self.jitter(wait.min(self.set.heal_every));
         self.join.join_at = self.now + wait;
         self.join.tries += 1;
         let known = self.view.sample(1, &mut self.rng).first().copied();
         match known.and_then(|k| self.view.member(k)).map(|m| m.id) {
-            Some(id) if self.spread.is_idle(self.now) => self.pull(id, What::All, out),
-            Some(_) => {}
+            Some(id) => self.pull(id, What::All, out),
             None => self.ask_seeds(ASKED, out),
         }
     }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -55,6 +55,9 @@
     pub read_max: Micros,
     /// How long a pull may take.
     pub pull_wait: Micros,
+    /// How long a process that joins waits for the whole list before it asks another member; the
+    /// list of 1,180 members has 118 KB and takes a few round trips.
+    pub join_wait: Micros,
     /// How long a pull of the text alone may take at first; doubles with each failure. Kilobytes
     /// take two round trips, so this is ten times what they need within a region.
     pub text_wait: Micros,
@@ -90,6 +93,7 @@
             read_every: Micros::from_secs(1),
             read_max: Micros::from_secs(30),
             pull_wait: Micros::from_secs(3),
+            join_wait: Micros::from_millis(500),
             text_wait: Micros::from_millis(250),
             pull_retry: Micros::from_millis(50),
             pull_max: Micros::from_secs(5),
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// When the next pull may start at the latest.
+    pub(crate) fn free_at(&self) -> Micros {
+        self.pull.as_ref().map_or(self.retry_at, |p| p.until)
+    }
+
     /// Whom to tell that the change is in force; nobody once it is old.
     pub(crate) fn reports_to(&self) -> u64 {
         match self.hot {
@@ -249,6 +254,7 @@
     fn pull_wait(&self, what: What) -> Micros {
         let text = Micros(self.set.text_wait.0 << self.spread.fails.min(8));
         match what {
+            What::All if self.join.is_open() => self.set.join_wait,
             What::All => self.set.pull_wait,
             What::Config => text.min(self.set.pull_wait),
         }
