--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -34,8 +34,9 @@
 const STREAK: u32 = 3;
 /// Wait before that, so that many who missed it don't pull in step.
 const STREAK_WAIT: Micros = Micros::from_secs(1);
-/// Shortest time between two pulls of a whole list: 118 KB at 1,180 members.
-const SYNC_MIN: Micros = Micros::from_secs(6);
+/// Shortest time between two pulls of a whole list, for each member in it; at some 100 bytes a
+/// member that bounds them to 20 KB/s.
+const SYNC_STEP: Micros = Micros::from_millis(5);
 /// Tag and length in front of an update in a datagram.
 const FRAME: usize = 3;
 
@@ -185,7 +186,8 @@
         if self.join.streak >= STREAK {
             self.join.streak = 0;
             let soon = self.now + self.within(STREAK_WAIT);
-            let soon = soon.max(self.join.last + SYNC_MIN);
+            let least = Micros(SYNC_STEP.0 * self.size() as u64);
+            let soon = soon.max(self.join.last + least);
             self.join.sync_at = self.join.sync_at.min(soon);
         }
     }
