--- a/crates/fleet/src/detect.rs
+++ b/crates/fleet/src/detect.rs
@@ -47,7 +47,7 @@
     /// Zero if well; each step stretches period and waits by one.
     health: u32,
     /// When the first suspicion runs out.
-    doubt_at: Micros,
+    suspicion_at: Micros,
 }
 
 impl Default for Detect {
@@ -57,7 +57,7 @@
             probe_at: Micros::MAX,
             relays: Vec::new(),
             health: 0,
-            doubt_at: Micros::MAX,
+            suspicion_at: Micros::MAX,
         }
     }
 }
@@ -71,18 +71,18 @@
         let relay = self.probe.as_ref().map_or(Micros::MAX, |p| p.relay_at);
         let relays = self.relays.iter().map(|r| r.until);
         let first = relays.min().unwrap_or(Micros::MAX);
-        self.probe_at.min(self.doubt_at).min(relay).min(first)
+        self.probe_at.min(self.suspicion_at).min(relay).min(first)
     }
 
     fn stretch(&self, span: Micros) -> Micros {
         Micros(span.0 * u64::from(self.health + 1))
     }
 
-    fn ail(&mut self, max: u32) {
+    fn degrade(&mut self, max: u32) {
         self.health = (self.health + 1).min(max);
     }
 
-    fn heal(&mut self) {
+    fn recover(&mut self) {
         self.health = self.health.saturating_sub(1);
     }
 }
@@ -102,8 +102,8 @@
             self.end_probe(out);
             self.begin_probe(out);
         }
-        if self.detect.doubt_at <= self.now {
-            self.end_doubts(out);
+        if self.detect.suspicion_at <= self.now {
+            self.end_suspicions(out);
         }
     }
 
@@ -112,15 +112,15 @@
         self.detect.probe = None;
         self.detect.relays.clear();
         self.detect.probe_at = self.now;
-        self.detect.ail(self.set.health_max);
+        self.detect.degrade(self.set.health_max);
         let now = self.now;
         self.recheck();
-        let doubts = self
+        let suspicions = self
             .view
             .iter_mut()
             .filter_map(|(_, e)| e.suspicion.as_mut());
-        doubts.for_each(|s| s.restart(now));
-        self.rearm_doubts();
+        suspicions.for_each(|s| s.restart(now));
+        self.rearm_suspicions();
     }
 
     /// Pings the suspected members first; they may have refuted it unheard.
@@ -128,18 +128,18 @@
         let suspects = self.view.iter().filter(|(_, e)| e.suspicion.is_some());
         let suspects = suspects.map(|(k, e)| (k, self.verdict(&e.member, MemberState::Suspect)));
         for (k, c) in suspects.collect::<Vec<_>>() {
-            self.view.hurry(k, c);
+            self.view.probe_soon(k, c);
         }
     }
 
     /// Pings a member without waiting for the answer.
-    pub(crate) fn poke(&mut self, k: MemberKey, charge: Option<Update>, out: &mut Vec<Action>) {
+    pub(crate) fn ping(&mut self, k: MemberKey, accusation: Option<Update>, out: &mut Vec<Action>) {
         let Some((id, udp)) = self.view.member(k).map(|m| (m.id, m.udp)) else {
             return;
         };
         let mut p = Packet::new(Kind::Ping, self.next_seq());
         p.to = id.0;
-        p.updates.extend(charge);
+        p.updates.extend(accusation);
         self.send(udp, p, out);
     }
 
@@ -158,7 +158,7 @@
         match relay {
             _ if probe.is_some_and(own) => {
                 self.detect.probe = None;
-                self.detect.heal();
+                self.detect.recover();
             }
             Some(i) => {
                 let r = self.detect.relays.swap_remove(i);
@@ -203,12 +203,12 @@
     }
 
     /// Remembers when a member's suspicion runs out, if it is the first to do so.
-    pub(crate) fn arm_doubt(&mut self, k: MemberKey) {
+    pub(crate) fn arm_suspicion(&mut self, k: MemberKey) {
         let size = self.size();
         let s = self.view.get(k).and_then(|e| e.suspicion.as_ref());
         if let Some(s) = s {
             let at = s.deadline(&self.set, size);
-            self.detect.doubt_at = self.detect.doubt_at.min(at);
+            self.detect.suspicion_at = self.detect.suspicion_at.min(at);
         }
     }
 
@@ -223,7 +223,7 @@
         let seq = self.next_seq();
         let mut p = Packet::new(Kind::Ping, seq);
         p.to = id.0;
-        p.updates.extend(claimed.or_else(|| self.charge(key)));
+        p.updates.extend(claimed.or_else(|| self.accusation(key)));
         self.detect.probe = Some(Probe {
             key,
             id,
@@ -293,7 +293,7 @@
             return;
         };
         if p.asked == 0 || p.nacks < p.asked {
-            self.detect.ail(self.set.health_max);
+            self.detect.degrade(self.set.health_max);
         }
         self.accuse(p.key, out);
     }
@@ -307,8 +307,8 @@
             self.counters.suspected += 1;
         }
         self.learn(self.verdict(&m, MemberState::Suspect), true, out);
-        let charge = self.charge(k);
-        self.tell(k, charge.into_iter().collect(), out);
+        let accusation = self.accusation(k);
+        self.tell(k, accusation.into_iter().collect(), out);
     }
 
     fn verdict(&self, m: &Member, state: MemberState) -> Claim {
@@ -321,7 +321,7 @@
         }
     }
 
-    fn end_doubts(&mut self, out: &mut Vec<Action>) {
+    fn end_suspicions(&mut self, out: &mut Vec<Action>) {
         let (now, size, set) = (self.now, self.size(), &self.set);
         let over = self.view.iter().filter(|(_, e)| {
             let s = e.suspicion.as_ref();
@@ -332,14 +332,14 @@
             self.counters.declared += 1;
             self.learn(self.verdict(&m, MemberState::Dead), true, out);
         }
-        self.rearm_doubts();
+        self.rearm_suspicions();
     }
 
-    fn rearm_doubts(&mut self) {
+    fn rearm_suspicions(&mut self) {
         let (size, set) = (self.size(), &self.set);
-        let doubts = self.view.iter().filter_map(|(_, e)| e.suspicion.as_ref());
-        let first = doubts.map(|s| s.deadline(set, size)).min();
-        self.detect.doubt_at = first.unwrap_or(Micros::MAX);
+        let suspicions = self.view.iter().filter_map(|(_, e)| e.suspicion.as_ref());
+        let first = suspicions.map(|s| s.deadline(set, size)).min();
+        self.detect.suspicion_at = first.unwrap_or(Micros::MAX);
     }
 
     /// Reports pings for others that went unanswered.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -45,7 +45,7 @@
 }
 
 impl Fleet {
-    /// A process that knows nobody; its first step starts the clockwork.
+    /// A process that knows nobody; its first step starts the timers.
     ///
     /// `me.incarnation` must be higher than in earlier lives at the same address: the wall
     /// clock's microseconds will do.
--- a/crates/fleet/src/force.rs
+++ b/crates/fleet/src/force.rs
@@ -121,7 +121,7 @@
             .copied()
             .collect();
         for k in some {
-            self.poke(k, None, out);
+            self.ping(k, None, out);
         }
     }
 }
--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -26,7 +26,7 @@
 /// Size up to which views are compared at the plain interval.
 const SMALL: f64 = 32.0;
 /// Wait before views are compared when something hints that they differ.
-const HURRY: Micros = Micros::from_secs(6);
+const SOON: Micros = Micros::from_secs(6);
 /// Wait before views are compared after a start.
 const FRESH: Micros = Micros::from_secs(2);
 /// Answers in a row that differ, with no news on its way here, before views are compared at
@@ -127,7 +127,7 @@
     }
 
     /// Answers a process that joins: who this is, and some others to pull from.
-    pub(crate) fn welcome(&mut self, to: SocketAddr, seq: u32, out: &mut Vec<Action>) {
+    pub(crate) fn answer_join(&mut self, to: SocketAddr, seq: u32, out: &mut Vec<Action>) {
         let mut p = Packet::new(Kind::Ack, seq);
         p.updates.push(Update::full(&self.me));
         let mut room = BODY_MAX / 2;
@@ -172,8 +172,8 @@
     }
 
     /// Compares views soon, as when a member came back from the dead.
-    pub(crate) fn hurry_sync(&mut self) {
-        let soon = self.now + self.jitter(HURRY);
+    pub(crate) fn sync_soon(&mut self) {
+        let soon = self.now + self.jitter(SOON);
         self.join.sync_at = self.join.sync_at.min(soon);
     }
 
@@ -232,8 +232,8 @@
         let dead = dead.filter(|(_, e)| e.member.state == MemberState::Dead);
         let dead: Vec<_> = dead.map(|(k, _)| k).collect();
         if let Some(&k) = dead.choose(&mut self.rng) {
-            let charge = self.charge(k);
-            self.poke(k, charge, out);
+            let accusation = self.accusation(k);
+            self.ping(k, accusation, out);
         }
     }
 }
--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -42,7 +42,7 @@
             self.hear_config(k, &p);
         }
         if p.ask {
-            self.introduce(from, out);
+            self.describe_self(from, out);
         }
         self.reply(from, sender, &p, out);
     }
@@ -69,7 +69,7 @@
         let udp = c.detail.as_ref().map(|m| m.udp);
         match self.view.key(c.id) {
             _ if c.id == self.me.id => self.refute(&c),
-            _ if udp == Some(self.me.udp) => self.outlive(&c),
+            _ if udp == Some(self.me.udp) => self.supersede_older(&c),
             Some(k) => self.amend(k, c, pass, out),
             None => self.admit(c, pass, out),
         }
@@ -85,7 +85,7 @@
     }
 
     /// What is held against a member that may not know it.
-    pub(crate) fn charge(&self, k: MemberKey) -> Option<Update> {
+    pub(crate) fn accusation(&self, k: MemberKey) -> Option<Update> {
         let m = self.view.member(k)?;
         match m.state {
             MemberState::Alive | MemberState::Leaving => None,
@@ -96,18 +96,15 @@
     /// Refutes a report about this process by a higher incarnation.
     fn refute(&mut self, c: &Claim) {
         let accused = !matches!(c.state, MemberState::Alive | MemberState::Leaving);
-        let newer = c.incarnation > self.me.incarnation;
-        if self.me.state == MemberState::Left {
-            return;
-        }
-        let stale = c.incarnation < self.me.incarnation;
-        if newer || (accused && !stale) {
-            self.me.incarnation = Incarnation(c.incarnation.0.saturating_add(1));
-            self.rumors.push(Update::brief(&self.me, MemberId(0)));
-        }
-        if accused && !stale {
-            self.counters.refuted += 1;
+        match c.incarnation.cmp(&self.me.incarnation) {
+            _ if self.me.state == MemberState::Left => return,
+            Ordering::Less => return,
+            Ordering::Equal if !accused => return,
+            _ => {}
         }
+        self.counters.refuted += u64::from(accused);
+        self.me.incarnation = Incarnation(c.incarnation.0.saturating_add(1));
+        self.rumors.push(Update::brief(&self.me, MemberId(0)));
     }
 
     /// Supersedes an earlier life at this address.
@@ -115,7 +112,7 @@
     /// If the wall clock was set back between the two lives, the dead one has the higher
     /// incarnation and would keep the address; one would notice that a restarted process is in
     /// nobody's view. Going above it settles that.
-    fn outlive(&mut self, c: &Claim) {
+    fn supersede_older(&mut self, c: &Claim) {
         if c.incarnation >= self.me.incarnation {
             self.me.incarnation = Incarnation(c.incarnation.0.saturating_add(1));
             self.rumors.push(Update::full(&self.me));
@@ -128,16 +125,9 @@
             return;
         };
         let m = *detail;
-        if let Some(k) = self.view.at(m.udp) {
-            let old = self.view.member(k);
-            let later = |o: &Member| (m.incarnation, m.id) > (o.incarnation, o.id);
-            match old.is_none_or(later) {
-                true => self.supersede(k, out),
-                false => {
-                    self.counters.stale += 1;
-                    return;
-                }
-            }
+        if !self.free_address(&m, out) {
+            self.counters.stale += 1;
+            return;
         }
         let live = m.state.is_live();
         let suspect = m.state == MemberState::Suspect;
@@ -145,7 +135,7 @@
             return;
         };
         if suspect {
-            self.doubt(k, c.by);
+            self.start_suspicion(k, c.by);
         }
         if live && pass {
             self.rumors.push(Update::full(&m));
@@ -155,6 +145,19 @@
         }
     }
 
+    /// Makes room for a member at its address; false if a later life has it.
+    fn free_address(&mut self, m: &Member, out: &mut Vec<Action>) -> bool {
+        let Some(k) = self.view.at(m.udp) else {
+            return true;
+        };
+        let old = self.view.member(k);
+        let later = old.is_none_or(|o| (m.incarnation, m.id) > (o.incarnation, o.id));
+        if later {
+            self.supersede(k, out);
+        }
+        later
+    }
+
     /// Ends a life whose address a later one has taken.
     fn supersede(&mut self, k: MemberKey, out: &mut Vec<Action>) {
         let Some(m) = self.view.member(k).cloned() else {
@@ -191,7 +194,7 @@
         };
         self.view.amend(k, &c, self.now, &mut self.rng);
         if c.state == MemberState::Suspect {
-            self.doubt(k, c.by);
+            self.start_suspicion(k, c.by);
         }
         let Some(m) = self.view.member(k).cloned() else {
             return;
@@ -205,10 +208,10 @@
         match (old.state.is_live(), m.state.is_live()) {
             (true, false) => out.push(Action::Gone(m.id)),
             (false, true) => {
-                self.hurry_sync();
+                self.sync_soon();
                 out.push(Action::Joined(m));
             }
-            (true, true) if worth(&old, &m) => out.push(Action::Changed(m)),
+            (true, true) if differs(&old, &m) => out.push(Action::Changed(m)),
             _ => {}
         }
     }
@@ -223,15 +226,15 @@
         if news {
             let update = Update::brief(&e.member, c.by);
             self.rumors.push(update);
-            self.arm_doubt(k);
+            self.arm_suspicion(k);
         }
     }
 
     /// Starts the time in which a suspicion can be refuted.
-    fn doubt(&mut self, k: MemberKey, by: MemberId) {
+    fn start_suspicion(&mut self, k: MemberKey, by: MemberId) {
         if let Some(e) = self.view.get_mut(k) {
             e.suspicion = Some(Suspicion::new(self.now, by, e.announced));
-            self.arm_doubt(k);
+            self.arm_suspicion(k);
         }
     }
 
@@ -248,7 +251,7 @@
         joining: bool,
         out: &mut Vec<Action>,
     ) {
-        let mut wronged = Vec::new();
+        let mut presumed = Vec::new();
         let mut passed = 0;
         for m in list {
             let known = self.view.key(m.id);
@@ -257,12 +260,12 @@
             match (known, here) {
                 (Some(k), Some(h)) if c.state == MemberState::Dead && h.state.is_live() => {
                     if c.rank() > h.rank() {
-                        self.view.hurry(k, c);
+                        self.view.probe_soon(k, c);
                     }
                 }
                 (Some(k), Some(h)) if c.state.is_live() && c.rank() < h.rank() => {
                     if h.state == MemberState::Dead {
-                        wronged.push(k);
+                        presumed.push(k);
                     }
                 }
                 (_, here) => {
@@ -272,13 +275,13 @@
                 }
             }
         }
-        let some: Vec<_> = wronged
+        let some: Vec<_> = presumed
             .choose_multiple(&mut self.rng, WARN_MAX)
             .copied()
             .collect();
         for k in some {
-            let charge = self.charge(k);
-            self.poke(k, charge, out);
+            let accusation = self.accusation(k);
+            self.ping(k, accusation, out);
         }
     }
 
@@ -292,7 +295,7 @@
     ) {
         match Kind::try_from(p.kind) {
             Ok(Kind::Ping) => self.ack(from, sender, p.seq, out),
-            Ok(Kind::Join) => self.welcome(from, p.seq, out),
+            Ok(Kind::Join) => self.answer_join(from, p.seq, out),
             Ok(Kind::PingReq) => self.relay(from, p, out),
             Ok(Kind::Ack) => self.acked(sender, p, out),
             Ok(Kind::Nack) => self.nacked(p.seq),
@@ -303,12 +306,12 @@
     fn ack(&mut self, from: SocketAddr, k: Option<MemberKey>, seq: u32, out: &mut Vec<Action>) {
         let mut p = Packet::new(Kind::Ack, seq);
         p.ask = k.is_none();
-        p.updates = k.and_then(|k| self.charge(k)).into_iter().collect();
+        p.updates = k.and_then(|k| self.accusation(k)).into_iter().collect();
         self.send(from, p, out);
     }
 
     /// Describes this process to one that doesn't know it.
-    fn introduce(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
+    fn describe_self(&mut self, to: SocketAddr, out: &mut Vec<Action>) {
         let mut p = Packet::new(Kind::Gossip, 0);
         p.updates.push(Update::full(&self.me));
         self.send(to, p, out);
@@ -324,7 +327,7 @@
 }
 
 /// Whether a driver would act on the difference; a refutation alone isn't worth a word.
-fn worth(old: &Member, new: &Member) -> bool {
+fn differs(old: &Member, new: &Member) -> bool {
     let mut same = new.clone();
     same.incarnation = old.incarnation;
     same != *old
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -27,7 +27,7 @@
     /// the accusation to reach the accused and for its answer to spread.
     pub suspicion: f64,
     /// Longest suspicion, as a multiple of the shortest; holds until others confirm it.
-    pub doubt: f64,
+    pub suspicion_max: f64,
     /// Confirmations by other members that bring the longest down to the shortest.
     pub confirmations: u32,
     /// Highest value of the local health score, which stretches period and waits.
@@ -79,7 +79,7 @@
             ack_wait: Micros::from_millis(150),
             relays: 3,
             suspicion: 4.0,
-            doubt: 6.0,
+            suspicion_max: 6.0,
             confirmations: 3,
             health_max: 8,
             gossip_every: Micros::from_millis(200),
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -47,7 +47,7 @@
     /// When the member counts as dead.
     pub(crate) fn deadline(&self, set: &Settings, live: usize) -> Micros {
         let min = shortest(set, live);
-        let max = min * set.doubt;
+        let max = min * set.suspicion_max;
         let confirmed = (self.accusers.len() - 1) as f64;
         let wanted = f64::from(set.confirmations);
         let share = match wanted > 0.0 && !self.sure {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -222,7 +222,7 @@
     }
 
     /// Pings a member before its turn, with a claim it may want to refute.
-    pub(crate) fn hurry(&mut self, k: MemberKey, c: Claim) {
+    pub(crate) fn probe_soon(&mut self, k: MemberKey, c: Claim) {
         let known = self.urgent.iter().any(|(u, _)| *u == k);
         if !known && self.urgent.len() < URGENT_MAX {
             self.urgent.push_back((k, c));
--- a/crates/fleet/tests/detect.rs
+++ b/crates/fleet/tests/detect.rs
@@ -383,3 +383,16 @@
     });
     assert_matches!(found, Some(_));
 }
+
+/// Two failure domains lose the link between them while both reach the third. Whoever asks its
+/// neighbours to ping across that link learns nothing; a user would notice that half of the
+/// targets come and go.
+#[test]
+fn third_domain_relays() {
+    let mut net = Net::settled(12, 18, 0.0);
+    net.apart = Some((0, 1));
+    net.run(secs(120));
+    let suspected: u64 = net.up().map(|n| n.fleet.counters().suspected).sum();
+    assert_eq!(suspected, 0);
+    assert!(net.is_whole());
+}
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -62,6 +62,8 @@
     pub(crate) timed: bool,
     /// These two don't reach each other.
     pub(crate) broken: Option<(usize, usize)>,
+    /// Members of these two failure domains don't reach each other.
+    pub(crate) apart: Option<(usize, usize)>,
     posts: HashMap<u64, Post>,
     heap: BinaryHeap<Reverse<(Micros, u64, usize)>>,
     count: u64,
@@ -106,6 +108,7 @@
             domains: 3,
             timed: false,
             broken: None,
+            apart: None,
             posts: HashMap::new(),
             heap: BinaryHeap::new(),
             count: 0,
@@ -234,7 +237,7 @@
     }
 
     /// Gives a process a text that nobody has checked against the table.
-    pub(crate) fn plant(&mut self, i: usize, r: TableRow) {
+    pub(crate) fn inject(&mut self, i: usize, r: TableRow) {
         let from = MemberId(1);
         let answer = Answer {
             version: r.version,
@@ -330,7 +333,9 @@
         let cut = self
             .broken
             .is_some_and(|(x, y)| (x, y) == (a, b) || (y, x) == (a, b));
-        !cut && self.nodes[a].group == self.nodes[b].group
+        let (x, y) = (a % self.domains, b % self.domains);
+        let apart = self.apart.is_some_and(|d| d == (x, y) || d == (y, x));
+        !cut && !apart && self.nodes[a].group == self.nodes[b].group
     }
 
     pub(crate) fn post(&mut self, at: Micros, i: usize, p: Post) {
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -154,7 +154,7 @@
         net.run(secs(5));
         for i in 0..12 {
             let r = if i < c.first { &wrong } else { &right };
-            net.plant(i, r.clone());
+            net.inject(i, r.clone());
         }
         net.row = Some(right.clone());
         net.up = c.table;
@@ -305,7 +305,7 @@
     };
     net.hand(0, Event::Table(Ok(Some(bad))));
     assert_eq!(net.nodes[0].fleet.version(), Version(1));
-    net.plant(0, row(1, "another"));
+    net.inject(0, row(1, "another"));
     assert_eq!(net.nodes[0].fleet.digest(), row(1, "first").digest);
 }
 
@@ -418,10 +418,10 @@
 }
 
 /// Two processes restart together, and one asks for everything at the other's address, where the
-/// seeds still see the old life. The newborn has nothing to tell; a user would notice an entry
+/// seeds still see the old life. The one that answers has just started and has nothing to tell; a user would notice an entry
 /// that thinks itself alone and without rules.
 #[test]
-fn newborn_is_no_source() {
+fn restarted_peer_is_no_source() {
     let mut net = Net::settled(6, 39, 0.0);
     let old = net.nodes[5].fleet.me().id;
     net.restart(4);
