--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -26,7 +26,7 @@
 /// Size up to which views are compared at the plain interval.
 const SMALL: f64 = 32.0;
 /// Wait before views are compared when something hints that they differ.
-const HURRY: Micros = Micros::from_secs(6);
+const SOON: Micros = Micros::from_secs(6);
 /// Wait before views are compared after a start.
 const FRESH: Micros = Micros::from_secs(2);
 /// Answers in a row that differ, with no news on its way here, before views are compared at
@@ -34,8 +34,9 @@
 const STREAK: u32 = 3;
 /// Wait before that, so that many who missed it don't pull in step.
 const STREAK_WAIT: Micros = Micros::from_secs(1);
-/// Shortest time between two pulls of a whole list: 118 KB at 1,180 members.
-const SYNC_MIN: Micros = Micros::from_secs(6);
+/// Shortest time between two pulls of a whole list, for each member in it; at some 100 bytes a
+/// member that bounds them to 20 KB/s.
+const SYNC_STEP: Micros = Micros::from_millis(5);
 /// Tag and length in front of an update in a datagram.
 const FRAME: usize = 3;
 
@@ -131,7 +132,7 @@
     }
 
     /// Answers a process that joins: who this is, and some others to pull from.
-    pub(crate) fn welcome(&mut self, to: SocketAddr, seq: u32, out: &mut Vec<Action>) {
+    pub(crate) fn answer_join(&mut self, to: SocketAddr, seq: u32, out: &mut Vec<Action>) {
         let mut p = Packet::new(Kind::Ack, seq);
         p.updates.push(Update::full(&self.me));
         let mut room = BODY_MAX / 2;
@@ -176,8 +177,8 @@
     }
 
     /// Compares views soon, as when a member came back from the dead.
-    pub(crate) fn hurry_sync(&mut self) {
-        let soon = self.now + self.jitter(HURRY);
+    pub(crate) fn sync_soon(&mut self) {
+        let soon = self.now + self.jitter(SOON);
         self.join.sync_at = self.join.sync_at.min(soon);
     }
 
@@ -190,20 +191,24 @@
         if self.join.streak >= STREAK {
             self.join.streak = 0;
             let soon = self.now + self.within(STREAK_WAIT);
-            let soon = soon.max(self.join.last + SYNC_MIN);
+            let least = Micros(SYNC_STEP.0 * self.size() as u64);
+            let soon = soon.max(self.join.last + least);
             self.join.sync_at = self.join.sync_at.min(soon);
         }
     }
 
     fn try_join(&mut self, out: &mut Vec<Action>) {
+        if !self.spread.is_idle(self.now) {
+            self.join.join_at = self.spread.free_at();
+            return;
+        }
         let wait = Micros(self.set.join_retry.0 << self.join.tries.min(8));
         let wait = self.jitter(wait.min(self.set.heal_every));
         self.join.join_at = self.now + wait;
         self.join.tries += 1;
         let known = self.view.sample(1, &mut self.rng).first().copied();
         match known.and_then(|k| self.view.member(k)).map(|m| m.id) {
-            Some(id) if self.spread.is_idle(self.now) => self.pull(id, What::All, out),
-            Some(_) => {}
+            Some(id) => self.pull(id, What::All, out),
             None => self.ask_seeds(ASKED, out),
         }
     }
@@ -232,8 +237,8 @@
         let dead = dead.filter(|(_, e)| e.member.state == MemberState::Dead);
         let dead: Vec<_> = dead.map(|(k, _)| k).collect();
         if let Some(&k) = dead.choose(&mut self.rng) {
-            let charge = self.charge(k);
-            self.poke(k, charge, out);
+            let accusation = self.accusation(k);
+            self.ping(k, accusation, out);
         }
     }
 }
