--- /dev/null
+++ b/crates/policy/examples/decide.rs
@@ -0,0 +1,70 @@
+//! Time of one placement: `cargo run --release -p policy --example decide`.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use model::{BlockHash, Class, Incarnation, Micros, TargetKey};
+use policy::place::{candidates, choose, Ask, Config, Offer, Peer, State};
+use policy::recent::{self, Recent};
+use prefix::Marks;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use slotmap::SlotMap;
+
+/// Blocks of one prompt; 16,000 tokens.
+const PROMPT: usize = 1_000;
+const ROUNDS: usize = 20_000;
+
+fn offer(target: TargetKey, rng: &mut SmallRng) -> Offer {
+    Offer {
+        target,
+        incarnation: Incarnation(1),
+        matched: rng.random_range(0..PROMPT as u32),
+        wait: Micros(rng.random_range(0..1_000_000)),
+        prefill: Micros(2_000),
+        state: State::Serving,
+        load: 3,
+        busy: 0.5,
+    }
+}
+
+/// Chooses whom to ask, makes the probe, chooses by the answers and remembers, as an entry does.
+fn decide(replicas: u64) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut keys: SlotMap<TargetKey, ()> = SlotMap::with_key();
+    let mut peer = |id| Peer {
+        target: keys.insert(()),
+        id,
+        wait: Micros::ZERO,
+    };
+    let peers: Vec<Peer> = (0..replicas).map(&mut peer).collect();
+    let chains: Vec<Vec<BlockHash>> = (0..200)
+        .map(|_| (0..PROMPT).map(|_| BlockHash(rng.random())).collect())
+        .collect();
+    let config = Config::default();
+    let mut recent = Recent::new(recent::Config::default());
+    let start = Instant::now();
+    for i in 0..ROUNDS {
+        let chain = &chains[i % chains.len()];
+        let asked = candidates(&config, chain, &peers, &recent, &mut rng);
+        black_box(Marks::new(chain));
+        let offers: Vec<Offer> = asked.iter().map(|t| offer(*t, &mut rng)).collect();
+        let heat = recent.share(chain) * replicas as f64;
+        let ask = Ask {
+            class: Class::Call,
+            blocks: PROMPT as u32,
+            heat,
+        };
+        let choices = choose(&config, &ask, &offers, |_| Micros(100));
+        recent.seen(chain);
+        recent.used(chain, choices[0].target);
+    }
+    let us = start.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64;
+    println!("{replicas:>4} replicas: {us:.1} us a decision");
+}
+
+fn main() {
+    for replicas in [9, 277, 830] {
+        decide(replicas);
+    }
+}
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -59,6 +59,7 @@
     }
     let wanted = |name: &str| options.get("policy").is_none_or(|p| *p == name);
     let unit = unit_speed(workload, &trace);
+    eprintln!("replay: a load of 1 is a speed of {unit:.3}");
     let loads = options
         .get("load")
         .map_or(Some(vec![0.5, 0.9, 1.0, 2.0]), |l| {
