Keep a released lease until the orders of those it evicted are over

A lease for an engine that ignores fencing numbers is used only some seconds after its old holder was evicted, since an order may still be on its way. Only the process that evicted knew of that wait. If it gave the lease back within it, the next holder ordered at once.

Found by writing the case down as a table: evicted at 10 s, another acts at 12 s (wait: 5 s). A wait kept in the row was ruled out: the row has no clock, and a holder that dies is evicted only after a term, which is longer than the wait.

Now the one that evicted stays in the row until the wait is over: evicted at 10 s, another acts at 15 s or later.

--- a/crates/contract/src/lease.rs
+++ b/crates/contract/src/lease.rs
@@ -180,6 +180,11 @@
         let held = row.and_then(|r| serde_json::from_slice(&r.value).ok());
         let mut held: Held = held.unwrap_or_default();
         let mine = held.holders.iter().any(|h| h.who == self.who);
+        // Only this process knows since when those that it evicted are silent. Whoever it made room
+        // for at once would act while their orders may still be on their way.
+        if self.leaving && mine && now < self.settled {
+            return self.sleep(now);
+        }
         if self.leaving {
             held.holders.retain(|h| h.who != self.who);
             self.fence = 0;
