Be ready only once the members are known

An entry said it was ready when it knew one target of a pool; requests then went to that target alone until the others were heard of (seen by the load tool's author, who waited two seconds more). Ready now means: configuration in force and the first list of members taken in, or nobody to ask for one.

--- a/crates/contract/tests/claim.rs
+++ b/crates/contract/tests/claim.rs
@@ -14,6 +14,7 @@
         address: "127.0.0.1:1".to_owned(),
         incarnation: 7,
         since: 1,
+        body: "b".to_owned(),
     }
 }
 
--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -57,7 +57,8 @@
 
 /// Whether the balancer may send requests here.
 pub fn ready(cx: &Context) -> bool {
-    cx.stop.is_ready() && cx.view.load().rules.is_some()
+    let view = cx.view.load();
+    cx.stop.is_ready() && view.joined && view.rules.is_some()
 }
 
 #[derive(Clone, Copy)]
@@ -147,9 +148,7 @@
 /// operator would read a change as in force everywhere when nobody else has it.
 async fn joined(cx: &Context) -> bool {
     for _ in 0..JOIN_LOOKS {
-        let (tx, rx) = oneshot::channel();
-        let _ = cx.members.send(Ask::Status(tx));
-        if rx.await.is_ok_and(|s| s.joined) {
+        if cx.view.load().joined {
             return true;
         }
         tokio::time::sleep(JOIN_LOOK).await;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -63,8 +63,6 @@
     pub digest: Digest,
     /// This process and all members that are remembered.
     pub members: Vec<Member>,
-    /// Whether the members are known; a process that has just started knows only itself.
-    pub joined: bool,
     /// How far the version is in force.
     pub force: InForce,
     /// What has happened since the start.
@@ -224,7 +222,6 @@
             version: self.fleet.version(),
             digest: self.fleet.digest(),
             members: me.chain(self.fleet.everyone()).cloned().collect(),
-            joined: self.fleet.has_joined(),
             force: self.fleet.in_force(),
             counters: self.fleet.counters(),
         }
@@ -239,8 +236,9 @@
         }
         meter::members(self.fleet.members().count() + 1, &self.fleet.counters());
         let entries = self.entries();
-        changed |= entries != self.view.entries;
-        self.view.entries = entries;
+        let joined = self.fleet.has_joined();
+        changed |= (entries, joined) != (self.view.entries, self.view.joined);
+        (self.view.entries, self.view.joined) = (entries, joined);
         if changed {
             self.shared.store(Arc::new(self.view.clone()));
         }
--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -349,8 +349,7 @@
         }
         let need = self.decide.tick(now);
         self.want(need);
-        let blocks = self.decide.index().len();
-        metrics::gauge!(meter::BLOCKS).set(blocks as f64);
+        metrics::gauge!(meter::BLOCKS).set(self.decide.blocks() as f64);
         metrics::gauge!(meter::QUEUE).set(self.decide.waiting() as f64);
         metrics::gauge!(meter::RUNNING).set(self.decide.running() as f64);
     }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -527,6 +527,11 @@
         }
     }
 
+    /// Cached blocks known of the engine.
+    pub fn blocks(&self) -> usize {
+        self.index.len()
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.queue.len() + self.held.len()
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -23,6 +23,8 @@
     pub world: World,
     /// Failure domain of this process.
     pub domain: DomainKey,
+    /// Whether the members are known; a process that has just started knows only itself.
+    pub joined: bool,
     /// Live entries, this process included if it is one.
     pub entries: usize,
     targets: HashMap<MemberId, TargetKey>,
--- a/crates/daemon/tests/decide.rs
+++ b/crates/daemon/tests/decide.rs
@@ -150,7 +150,7 @@
     let mut running = turns(&mut d);
     assert_eq!(names(&running), [1, 2, 4]);
     for next in [3, 5] {
-        d.finished(NOW, running[0].1);
+        d.finished(NOW, running[0].1, 0);
         running = turns(&mut d);
         assert_eq!(names(&running), [next]);
     }
