--- a/crates/fleet/examples/slopes.rs
+++ b/crates/fleet/examples/slopes.rs
@@ -3,7 +3,8 @@
 //! Prints a table for each size. Links take 5 ms one way, up to a fifth more at random, and lose
 //! 1% of all datagrams and pulls. CPU is the wall time spent in `Fleet::step` alone, so it grows
 //! when the machine is busy. Arguments: the sizes to run, `hour` for the virtual hour without
-//! faults that counts false deaths, `split` for two groups of regions that lose each other.
+//! faults that counts false deaths, `split` for two groups of regions that lose each other, `far`
+//! for links of 15 ms.
 
 #[path = "../tests/net/mod.rs"]
 mod net;
@@ -43,6 +44,8 @@
 const CHANGES: u64 = 20;
 /// Bytes of a configuration's text.
 const TEXT: usize = 8_000;
+/// All links as long as those between regions.
+const FAR: Micros = Micros::from_millis(15);
 /// Bytes of IP and UDP headers.
 const HEADERS: u64 = 28;
 
@@ -82,16 +85,19 @@
     );
 }
 
-fn settle(n: usize, seed: u64) -> Net {
+fn settle(n: usize, seed: u64, far: bool) -> Net {
     let before = USED.load(Ordering::Relaxed);
     let mut net = Net::new(seed, 0.01);
     net.domains = if n > 100 { 11 } else { 3 };
     net.row = Some(row(1, "x".repeat(TEXT)));
     net.timed = true;
+    if far {
+        net.delay = FAR;
+    }
     net.grow(n);
     let whole = net.until(Micros::from_secs(300), Net::is_whole);
-    let ms = whole.map(Micros::as_millis);
-    println!("| cold start of all, until everyone knows everyone | {ms:?} ms |");
+    let ms = took(whole);
+    println!("| cold start of all, until everyone knows everyone | {ms} |");
     net.run(Micros::from_secs(60));
     let used = USED.load(Ordering::Relaxed) - before;
     let entries = (n * (n - 1)) as u64;
@@ -130,6 +136,14 @@
     print_times("writer knows that it is in force", &told);
 }
 
+/// A time that may not have come.
+fn took(t: Option<Micros>) -> String {
+    match t {
+        Some(t) => format!("{} ms", t.as_millis()),
+        None => "not reached".to_owned(),
+    }
+}
+
 fn print_times(label: impl AsRef<str>, h: &Histogram<u64>) {
     println!(
         "| {} | p50 {} ms, p99 {} ms, max {} ms |",
@@ -154,20 +168,19 @@
     if let Some(rest) = (start + span).0.checked_sub(net.now.0) {
         net.run(Micros(rest));
     }
-    let took = net.now.since(start);
+    let time = net.now.since(start);
     let mut b = totals(net);
     b.sent = b.sent.max(a.sent);
-    let ms = |t: Option<Micros>| t.map(Micros::as_millis);
     println!(
-        "| {some} restart: all have the configuration | {:?} ms |",
-        ms(ready)
+        "| {some} restart: all have the configuration | {} |",
+        took(ready)
     );
     let whole = whole.zip(ready).map(|(w, r)| w + r);
     println!(
-        "| {some} restart: everyone knows everyone | {:?} ms |",
-        ms(whole)
+        "| {some} restart: everyone knows everyone | {} |",
+        took(whole)
     );
-    print_rates(format!("{some} restart"), lost(a, n, some), b, took, n);
+    print_rates(format!("{some} restart"), lost(a, n, some), b, time, n);
 }
 
 /// Totals before a restart, less what the restarted had counted.
@@ -186,9 +199,9 @@
     let hit: Vec<usize> = (0..n).filter(|i| i % net.domains == 1).collect();
     hit.iter().for_each(|&i| net.kill(i));
     let out = net.until(Micros::from_secs(240), Net::is_whole);
-    let ms = out.map(Micros::as_millis);
+    let ms = took(out);
     println!(
-        "| domain of {} dead, until out of every view | {ms:?} ms |",
+        "| domain of {} dead, until out of every view | {ms} |",
         hit.len()
     );
     let mut h = Histogram::<u64>::new(3).expect("three digits are supported");
@@ -201,7 +214,7 @@
 
 /// A third of the failure domains loses the others for ten minutes, long past any suspicion.
 fn split(n: usize) {
-    let mut net = settle(n, 55);
+    let mut net = settle(n, 55, false);
     let apart = |net: &mut Net, group| {
         let domains = net.domains;
         for (i, x) in net.nodes.iter_mut().enumerate() {
@@ -220,8 +233,8 @@
     let lost = |net: &Net| net.up().map(|x| x.gone.len()).sum::<usize>();
     let before = lost(&net);
     let healed = net.until(Micros::from_secs(240), Net::is_whole);
-    let ms = healed.map(Micros::as_millis);
-    println!("| split of regions healed, until everyone knows everyone | {ms:?} ms |");
+    let ms = took(healed);
+    println!("| split of regions healed, until everyone knows everyone | {ms} |");
     println!(
         "| deaths declared while it heals | {} |",
         lost(&net) - before
@@ -231,7 +244,7 @@
 }
 
 fn hour(n: usize) {
-    let mut net = settle(n, 99);
+    let mut net = settle(n, 99, false);
     net.timed = false;
     let before: Vec<usize> = net.up().map(|x| x.gone.len()).collect();
     let sum = |net: &Net| net.up().map(|x| x.fleet.counters().suspected).sum::<u64>();
@@ -263,7 +276,8 @@
             split(n);
             continue;
         }
-        let mut net = settle(n, 7);
+        let far = args.iter().any(|a| a == "far");
+        let mut net = settle(n, 7, far);
         steady(&mut net, n);
         changes(&mut net, n);
         herd(&mut net, n);
