--- a/crates/policy/examples/decide.rs
+++ b/crates/policy/examples/decide.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use model::{BlockHash, Class, Incarnation, Micros, TargetKey};
-use policy::place::{candidates, choose, Ask, Config, Offer, Peer, State};
+use policy::place::{candidates, choose, home, Ask, Config, Offer, Peer, State};
 use policy::recent::{self, Recent};
 use prefix::Marks;
 use rand::rngs::SmallRng;
@@ -54,6 +54,7 @@
             class: Class::Call,
             blocks: PROMPT as u32,
             heat,
+            home: home(chain, &peers),
         };
         let choices = choose(&config, &ask, &offers, |_| Micros(100));
         recent.seen(chain);
--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -82,6 +82,9 @@
             if let Some(loss) = options.get("loss") {
                 setup.loss = loss.parse().ok()?;
             }
+            if let Some(away) = options.get("away") {
+                setup.place.away = away.parse().ok()?;
+            }
             if let Some(most) = options.get("most") {
                 setup.place.most = most.parse().ok()?;
             }
--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -343,6 +343,7 @@
             class: ask.class,
             blocks: ask.blocks,
             heat: share * self.setup.replicas as f64,
+            home: place::home(&prompt.chain, &self.entries[entry].peers),
         };
         self.entries[entry].recent.seen(&prompt.chain);
         let way = |t| self.way(entry, self.replica(t));
--- a/crates/policy/examples/replay/sim/sidecar.rs
+++ b/crates/policy/examples/replay/sim/sidecar.rs
@@ -93,7 +93,7 @@
             wait,
             prefill: self.cost.block(),
             state,
-            busy: self.busy.get(now),
+            busy: self.busy.get(now, ask.class),
             load: self.queue.len() as u32 + self.prefilling,
         }
     }
@@ -142,7 +142,7 @@
         self.index.expect(now, &job.payload.chain);
         self.prefilling += 1;
         self.until = self.until.max(now) + job.work;
-        self.busy.set(now, true);
+        self.busy.set(now, Some(job.class));
         Some(Handed {
             request: job.payload.ask.request,
             work: job.work,
@@ -161,7 +161,7 @@
         self.prefills.measured(now, sample);
         if self.prefilling == 0 {
             self.until = now;
-            self.busy.set(now, false);
+            self.busy.set(now, None);
         }
     }
 
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -51,6 +51,10 @@
     /// What a class's own waiting counts for, against the others' delay; 1 for calls, 0.5 for
     /// normal, 0.25 for batch, which nobody waits for.
     pub urgency: [f64; 3],
+    /// The part of the prompt that counts as missing anywhere but at its home; 0.05. A prefix that
+    /// was evicted everywhere is so computed at the same replica again, above all under load,
+    /// and the prefixes of a replica stay few enough for its cache.
+    pub away: f64,
     /// The mean use from which a full replica keeps out copies of what it holds; 0.8. Below it
     /// there is room for them, and a refusal would be for nothing.
     pub crowded: f64,
@@ -66,6 +70,7 @@
             recent: 1,
             evict: 2.0,
             urgency: [1.0, 0.5, 0.25],
+            away: 0.05,
             crowded: 0.8,
             most: 50.0,
         }
@@ -113,7 +118,8 @@
     pub state: State,
     /// Requests waiting or running there.
     pub load: u32,
-    /// The part of the last seconds in which its engine computed prompts.
+    /// The part of the last seconds in which its engine computed prompts of this class or more
+    /// urgent ones.
     pub busy: f64,
 }
 
@@ -138,6 +144,8 @@
     /// How many replicas' part of the traffic its prefix makes up: its part of the requests,
     /// [`Recent::share`], times the number of replicas.
     pub heat: f64,
+    /// The replica at which the prefix is computed if nobody holds it, [`home`].
+    pub home: Option<TargetKey>,
 }
 
 /// Chooses whom to ask, the most promising first.
@@ -186,6 +194,12 @@
     drawn.zip(least).is_some_and(|(d, l)| d < l / config.escape)
 }
 
+/// The first of the rendezvous order: the same replica for a prefix at every entry.
+pub fn home(chain: &[BlockHash], peers: &[Peer]) -> Option<TargetKey> {
+    let key = levels(chain).next()?.hash;
+    top(key, peers)[0]
+}
+
 /// Orders the replicas that answered by expected time, the best first.
 ///
 /// A full replica that holds more of the prompt keeps those out that would cost more than waiting
@@ -203,7 +217,7 @@
     let weight = weight(config, offers) / config.urgency[ask.class.index()] / ask.heat.max(1.0);
     let choice = |o: &Offer| Choice {
         target: o.target,
-        cost: cost(ask.blocks, o, weight, delay(o.target)),
+        cost: cost(config, ask, o, weight, delay(o.target)),
         matched: o.matched.min(ask.blocks),
     };
     let of = |state| offers.iter().filter(move |o| o.state == state).map(choice);
@@ -244,9 +258,13 @@
     sum / offers.len().max(1) as f64
 }
 
-fn cost(blocks: u32, offer: &Offer, weight: f64, delay: Micros) -> Micros {
-    let missing = f64::from(blocks.saturating_sub(offer.matched));
-    let prefill = missing * offer.prefill.0 as f64 * weight;
+fn cost(config: &Config, ask: &Ask, offer: &Offer, weight: f64, delay: Micros) -> Micros {
+    let missing = f64::from(ask.blocks.saturating_sub(offer.matched));
+    let away = match ask.home {
+        Some(home) if home != offer.target => f64::from(ask.blocks) * config.away,
+        _ => 0.0,
+    };
+    let prefill = (missing + away) * offer.prefill.0 as f64 * weight;
     // There and back; the connection is open already.
     offer.wait + Micros(prefill as u64) + delay + delay
 }
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -88,6 +88,7 @@
     struct Case {
         name: &'static str,
         heat: f64,
+        home: Option<usize>,
         offers: Vec<Offer>,
         order: Vec<usize>,
     }
@@ -98,30 +99,42 @@
         Case {
             name: "the holder, though it is a little busier",
             heat: 0.0,
+            home: None,
             offers: vec![at(0, 0, 0), at(1, 1_000, 1_900)],
             order: vec![1, 0],
         },
         Case {
             name: "a hot prefix spreads once its holder's wait costs more than a copy",
             heat: 0.0,
+            home: None,
             offers: vec![at(0, 0, 0), at(1, 1_000, 2_100)],
             order: vec![0, 1],
         },
         Case {
             name: "a very hot prefix spreads earlier",
             heat: 3.0,
+            home: None,
             offers: vec![at(0, 0, 0), at(1, 1_000, 700)],
             order: vec![0, 1],
         },
         Case {
             name: "the nearer of two equals",
             heat: 0.0,
+            home: None,
             offers: vec![at(3, 500, 0), at(2, 500, 0)],
             order: vec![2, 3],
         },
+        Case {
+            name: "at its home, if nobody holds it and none waits much longer",
+            heat: 0.0,
+            home: Some(2),
+            offers: vec![at(0, 0, 0), at(2, 0, 90), at(1, 0, 0)],
+            order: vec![2, 0, 1],
+        },
         Case {
             name: "only those that serve",
             heat: 0.0,
+            home: None,
             offers: vec![
                 Offer {
                     state: State::Leaving,
@@ -142,6 +155,7 @@
         Case {
             name: "a full holder, once waiting for it is the better way",
             heat: 0.0,
+            home: None,
             offers: vec![
                 Offer {
                     state: State::Full,
@@ -155,6 +169,7 @@
         Case {
             name: "a full holder while there is room for a copy",
             heat: 0.0,
+            home: None,
             offers: vec![
                 Offer {
                     state: State::Full,
@@ -167,6 +182,7 @@
         Case {
             name: "nobody answered",
             heat: 0.0,
+            home: None,
             offers: vec![],
             order: vec![],
         },
@@ -177,6 +193,7 @@
             class: Class::Call,
             blocks: 1_000,
             heat: case.heat,
+            home: case.home.map(|i| peers[i].target),
         };
         let choices = choose(&Config::default(), &ask, &case.offers, delay);
         let order: Vec<TargetKey> = choices.iter().map(|c| c.target).collect();
