Load weights once for two sidecars, and draw probes from replicas not yet asked

Two sidecars before one engine both loaded the same weights: the second had asked for the lease while the first held it, and ordered as soon as it had it, without a second look. A request without a whole block asks drawn replicas only, and a draw could return one that was drawn already: both rounds then met the two that loaded.

--- a/crates/daemon/src/sidecar/orders.rs
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -79,6 +79,8 @@
     Refused,
     #[error("it took too long")]
     Late,
+    #[error("another sidecar has loaded them, or others are wanted by now")]
+    Over,
 }
 
 impl Orders {
@@ -118,6 +120,12 @@
         permit.until_valid().await;
         let lease = self.keep(engine, format!("lease/{}", self.target));
         lease.until_valid().await;
+        // Whoever stands before the same engine may have loaded them while this one waited. To
+        // load them again would cut what runs there by now.
+        let load = self.load(client).await.ok_or(Missed::Refused)?;
+        if load.weights == want.weights || !self.is_wanted(want) {
+            return Err(Missed::Over);
+        }
         let (quiet, is_quiet) = oneshot::channel();
         self.control.send(Ask::Quiet(quiet));
         is_quiet.await.map_err(|_| Missed::Late)?;
@@ -126,6 +134,9 @@
         let (Some(fence), Some(_)) = (lease.valid(now), permit.valid(now)) else {
             return Err(Missed::Lease);
         };
+        if !self.is_wanted(want) {
+            return Err(Missed::Over);
+        }
         self.order(client, fence, &want.weights).await?;
         while self
             .load(client)
@@ -166,6 +177,10 @@
         })
     }
 
+    fn is_wanted(&self, want: &Wanted) -> bool {
+        self.wanted().as_ref() == Some(want)
+    }
+
     fn keep(&self, config: Config, key: String) -> Keeper {
         let lease = Lease::new(config, key, self.who.clone());
         Keeper::start(lease, self.table.clone())
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -130,9 +130,11 @@
             chosen.push(target);
         }
     }
-    for target in drawn.into_iter().chain(draw(peers, &chosen, rng)) {
-        if chosen.len() < config.probes && !chosen.contains(&target) {
-            chosen.push(target);
+    for more in [drawn, None] {
+        let more = more.filter(|t| !chosen.contains(t));
+        let more = more.or_else(|| draw(peers, &chosen, rng));
+        if chosen.len() < config.probes {
+            chosen.extend(more);
         }
     }
     chosen
@@ -216,13 +218,17 @@
     (best[0].1, best[1].1)
 }
 
-/// The less loaded of two drawn replicas that aren't chosen yet.
+/// The less loaded of two replicas drawn from those that aren't chosen yet.
+///
+/// Were they drawn from all, the same one could come up again and again: a request without cached
+/// levels would ask a single replica, and be refused if that one just loads its weights.
 fn draw(peers: &[Peer], chosen: &[TargetKey], rng: &mut impl Rng) -> Option<TargetKey> {
-    let mut pick = || match peers.len() {
+    let fresh = peers.iter().filter(|p| !chosen.contains(&p.target));
+    let fresh: Vec<_> = fresh.collect();
+    let mut pick = || match fresh.len() {
         0 => None,
-        n => Some(&peers[rng.random_range(0..n)]),
+        n => Some(fresh[rng.random_range(0..n)]),
     };
     let drawn = [pick(), pick()].into_iter().flatten();
-    let fresh = drawn.filter(|p| !chosen.contains(&p.target));
-    fresh.min_by_key(|p| p.wait).map(|p| p.target)
+    drawn.min_by_key(|p| p.wait).map(|p| p.target)
 }
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -164,3 +164,26 @@
         assert_eq!(order, expected, "{}", case.name);
     }
 }
+
+/// Two replicas of four load new weights. A short request whose two rounds of probes met only
+/// these would be refused as if all were full, although the others are idle.
+#[test]
+fn two_rounds_of_probes_reach_one_that_serves() {
+    let (all, config) = (peers(4), Config::default());
+    let memory = Recent::new(recent::Config::default());
+    let loading = [all[0].target, all[1].target];
+    for seed in 0..2_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut left = all.clone();
+        let mut asked = Vec::new();
+        for _ in 0..2 {
+            let round = candidates(&config, &[], &left, &memory, &mut rng);
+            left.retain(|p| !round.contains(&p.target));
+            asked.extend(round);
+        }
+        assert!(
+            asked.iter().any(|t| !loading.contains(t)),
+            "seed {seed}: {asked:?}"
+        );
+    }
+}
