--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -345,6 +345,7 @@
             host: m.host.clone(),
             domain: m.domain.clone(),
             region: m.region.clone(),
+            leaving: self.fleet.is_announced(m.id),
         })
     }
 }
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -48,6 +48,8 @@
     pub domain: String,
     /// That domain's region.
     pub region: String,
+    /// Whether the platform has announced that the host goes.
+    pub leaving: bool,
 }
 
 impl View {
@@ -61,6 +63,8 @@
     /// Adds or replaces a sidecar's target; false if nothing changed.
     pub fn put(&mut self, a: Announced) -> bool {
         let pool = self.pool_key(&a.pool);
+        let host = self.host_key(&a);
+        let turned = self.turn(host, a.leaving);
         let old = self
             .targets
             .get(&a.member)
@@ -68,11 +72,11 @@
         if let Some(t) = old {
             let same = t.exchange == a.peer && t.pool == pool;
             (t.exchange, t.probe, t.pool, t.incarnation) = (a.peer, a.peer, pool, a.incarnation);
-            return !same;
+            return !same || turned;
         }
         let target = Target {
             pool,
-            host: self.host_key(&a),
+            host,
             member: a.member,
             incarnation: a.incarnation,
             rank: xxh3_64(format!("{}@{}", a.pool, a.peer).as_bytes()),
@@ -90,6 +94,12 @@
         key.and_then(|k| self.world.targets.remove(k)).is_some()
     }
 
+    /// Notes whether a host goes; true if that is news.
+    fn turn(&mut self, host: HostKey, leaving: bool) -> bool {
+        let host = self.world.hosts.get_mut(host);
+        host.is_some_and(|h| std::mem::replace(&mut h.leaving, leaving) != leaving)
+    }
+
     fn host_key(&mut self, a: &Announced) -> HostKey {
         let domain = self.domain_key(&a.domain, &a.region);
         let hosts = &mut self.world.hosts;
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -2,12 +2,21 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use common::caller::{Answer, Pending};
+use common::child::FLEET_KEY;
 use common::{quick, wait_for, Child, Fleet, OPERATOR, QUICKSTART};
+use fleet::{Action, Digest, Event, Keyring, Member, MemberState, Role, TableRow, What};
+use model::{Incarnation, MemberId, Micros, Version};
 use serde_json::{json, Value};
 use standin::platform::Faults;
+use tokio::net::{TcpListener, UdpSocket};
+use wire::{Key, Keys};
 
 /// A change that differs from all others.
 fn text(mark: &str) -> String {
@@ -145,6 +154,127 @@
     }
 }
 
+/// A member of the fleet in this process that never takes a newer configuration.
+struct Ghost {
+    told: Arc<AtomicU64>,
+    asked: Arc<AtomicU64>,
+    _run: tokio::runtime::Runtime,
+}
+
+impl Ghost {
+    /// Joins with a configuration and sticks to it.
+    fn join(seed: SocketAddr, row: TableRow) -> Self {
+        let run = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("runtime");
+        let (told, asked) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+        let (t, a) = (Arc::clone(&told), Arc::clone(&asked));
+        run.spawn(haunt(seed, row, t, a));
+        Self {
+            told,
+            asked,
+            _run: run,
+        }
+    }
+}
+
+async fn haunt(seed: SocketAddr, row: TableRow, told: Arc<AtomicU64>, asked: Arc<AtomicU64>) {
+    let udp = UdpSocket::bind("127.0.0.1:0").await.expect("socket");
+    let tcp = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let me = Member {
+        id: MemberId(rand::random()),
+        role: Role::Sidecar,
+        host: "elsewhere".to_owned(),
+        domain: "local".to_owned(),
+        region: "local".to_owned(),
+        udp: udp.local_addr().expect("address"),
+        tcp: tcp.local_addr().expect("address"),
+        http: None,
+        pool: None,
+        tags: String::new(),
+        incarnation: Incarnation(1),
+        state: MemberState::Alive,
+    };
+    let key = Key::from_hex(FLEET_KEY).expect("key");
+    let set = fleet::Settings::new(Keyring::new(key.bytes()));
+    let mut ghost = fleet::Fleet::new(set, me, 1);
+    let born = Instant::now();
+    let mut events = vec![Event::Seeds(vec![seed]), Event::Accepted(row)];
+    let mut buf = vec![0; 2_048];
+    loop {
+        let now = Micros(born.elapsed().as_micros() as u64 + 1);
+        let mut out = Vec::new();
+        for event in events.drain(..) {
+            ghost.step(now, event, &mut out);
+        }
+        let mut failed = Vec::new();
+        for action in out {
+            match action {
+                Action::Send { to, bytes } => {
+                    told.fetch_add(1, Ordering::Relaxed);
+                    let _ = udp.send_to(&bytes, to).await;
+                }
+                Action::Pull { from, .. } => failed.push(Event::PullFailed { from }),
+                _ => {}
+            }
+        }
+        events = failed;
+        tokio::select! {
+            got = udp.recv_from(&mut buf) => if let Ok((n, from)) = got {
+                let bytes = Bytes::copy_from_slice(&buf[..n]);
+                events.push(Event::Datagram { from, bytes });
+            },
+            got = tcp.accept() => if let Ok((stream, _)) = got {
+                asked.fetch_add(1, Ordering::Relaxed);
+                let keys = Keys::new(Key::from_hex(FLEET_KEY).expect("key"), None);
+                let data = ghost.answer(What::All).encode();
+                tokio::spawn(async move {
+                    let (mut tx, mut rx) = wire::accept(stream, &keys, rand::random()).await.ok()?;
+                    rx.next().await.ok()?;
+                    tx.send(wire::Text { data }).await.ok()
+                });
+            },
+            () = tokio::time::sleep(Duration::from_millis(20)) => events.push(Event::Tick),
+        }
+    }
+}
+
+/// A member was cut off from all others, or stood still, and still tells of an old configuration
+/// and hands it to whoever asks. Had it its way, rules that were withdrawn would come back.
+#[test]
+fn member_that_sticks_to_an_old_text_reverts_nobody() {
+    let fleet = Fleet::start(2, 0, &quick());
+    let (old, was) = shown(&fleet, 0);
+    for mark in ["a", "b", "c"] {
+        accepted(&change(&fleet, 0, None, mark));
+    }
+    let last = old + 3;
+    (0..2).for_each(|e| fleet.wait_version(e, last));
+    let row = TableRow {
+        version: Version(old),
+        digest: Digest::of(&was),
+        text: Bytes::from(was),
+    };
+    let ghost = Ghost::join(fleet.fieldops.address("gossip"), row);
+    for entry in 0..2 {
+        wait_for("the old member to be seen", || fleet.live(entry) == 4);
+    }
+    let told = ghost.told.load(Ordering::Relaxed);
+    wait_for("it to have told of the old text", || {
+        for entry in 0..2 {
+            assert_eq!(shown(&fleet, entry), (last, text("c")), "entry {entry}");
+        }
+        ghost.told.load(Ordering::Relaxed) > told + 30
+    });
+    assert_eq!(lagging(&fleet, 0, last), 1, "an operator sees it");
+    println!(
+        "it was asked for its text {} times",
+        ghost.asked.load(Ordering::Relaxed)
+    );
+}
+
 /// A process reaches none of its peers, but the platform: its only seed is gone. Its callers
 /// would be decided upon by old rules for as long as that lasts, and an operator at it would
 /// read a change as in force everywhere.
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -205,9 +205,11 @@
     let asked: Vec<_> = (0..16).map(ask).collect();
     let stopping = &fleet.replicas[0].sidecar;
     wait_for("requests to run and to wait there", || {
-        let waits = gauge(stopping, "clementinestep_queue_length") > 0.0;
+        let waits = gauge(stopping, "clementinestep_queue_length") >= 4.0;
         waits && gauge(stopping, "clementinestep_target_running") > 0.0
     });
+    let engine = &fleet.replicas[0].engine;
+    let begun = engine.ran().len() + engine.running();
     stopping.stop();
     for (prompt, pending) in asked {
         let answer = pending.end();
@@ -218,6 +220,12 @@
     let log = [0, 1].map(|r| fleet.replicas[r].engine.ran());
     assert!(log.iter().flatten().all(|r| r.whole), "{log:?}");
     assert_eq!(log[0].len() + log[1].len(), 16, "each ran once");
+    // Two more may have had their turn before the signal was heard.
+    let ran = log[0].len();
+    assert!(
+        ran <= begun + 2,
+        "{ran} ran there, {begun} had begun at the signal"
+    );
 }
 
 /// A sidecar before a plain service is replaced while records are written, each of which must be
@@ -226,7 +234,7 @@
 #[test]
 fn plain_sidecar_finishes_each_record_once() {
     let mut fleet = Fleet::start(1, 0, &quick());
-    let services = [0, 1].map(|_| Service::new(Duration::from_millis(150)));
+    let services = [0, 1].map(|_| Service::new(Duration::from_millis(400)));
     let at = [0, 1].map(|i: usize| StandIn::start(any(), services[i].router()));
     let (url, seed) = (fleet.url(), fleet.seed());
     let mut sidecars = [0, 1].map(|i: usize| narrow(&url, &seed, at[i].at, "fieldops", "plain"));
@@ -246,9 +254,10 @@
     };
     let asked: Vec<_> = (0..24).map(ask).collect();
     wait_for("records to be written and to wait there", || {
-        let waits = gauge(&sidecars[0], "clementinestep_queue_length") > 0.0;
+        let waits = gauge(&sidecars[0], "clementinestep_queue_length") >= 6.0;
         waits && gauge(&sidecars[0], "clementinestep_target_running") > 0.0
     });
+    let begun = services[0].runs().len() + 2;
     sidecars[0].stop();
     for (i, pending) in asked.into_iter().enumerate() {
         let answer = pending.end();
@@ -260,6 +269,12 @@
         );
     }
     assert!(sidecars[0].wait(), "it ends well");
+    // Two more may have had their turn before the signal was heard.
+    let ran = services[0].runs().len();
+    assert!(
+        ran <= begun + 2,
+        "{ran} were written there, {begun} had begun at the signal"
+    );
     let mut all: Vec<_> = services.iter().flat_map(|s| s.bodies()).collect();
     all.sort();
     let mut wanted: Vec<_> = (0..24).map(|i| format!("record {i}")).collect();
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -139,9 +139,15 @@
         Link { delay }
     }
 
-    /// The targets of a pool, in key order.
+    /// The targets of a pool that take new work, in key order.
+    ///
+    /// Those of leaving hosts are left out, as what they begin may be cut off with the host; if
+    /// all hosts leave, they are better than nothing.
     pub fn pool_targets(&self, pool: PoolKey) -> impl Iterator<Item = (TargetKey, &Target)> {
-        self.targets.iter().filter(move |(_, t)| t.pool == pool)
+        let all = move || self.targets.iter().filter(move |(_, t)| t.pool == pool);
+        let stays = |t: &Target| self.hosts.get(t.host).is_none_or(|h| !h.leaving);
+        let some = all().any(|(_, t)| stays(t));
+        all().filter(move |(_, t)| !some || stays(t))
     }
 
     /// The pool with this name.
