--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -33,6 +33,8 @@
 
 /// Replicas of the rendezvous order that may be asked.
 const RANKS: usize = 4;
+/// Replicas asked at least, drawn if the prompt has no cached levels, so that there is a choice.
+const DRAWN: usize = 2;
 
 /// How replicas are chosen.
 #[derive(Clone, Copy, Debug)]
@@ -170,15 +172,18 @@
             chosen.push(target);
         }
     }
-    if let Some(target) = draw(peers, &chosen, rng) {
-        match chosen.len() < config.probes {
-            true => chosen.push(target),
-            false if escapes(config, peers, &chosen, target) => {
-                chosen.pop();
-                chosen.push(target);
-            }
-            false => {}
+    let mut drawn = draw(peers, &chosen, rng);
+    while let Some(target) = drawn.filter(|_| chosen.len() < DRAWN.min(config.probes)) {
+        chosen.push(target);
+        drawn = draw(peers, &chosen, rng);
+    }
+    match drawn {
+        Some(target) if chosen.len() < config.probes => chosen.push(target),
+        Some(target) if escapes(config, peers, &chosen, target) => {
+            chosen.pop();
+            chosen.push(target);
         }
+        _ => {}
     }
     chosen
 }
@@ -283,13 +288,17 @@
     best.map(|(_, target)| target)
 }
 
-/// The less loaded of two drawn replicas that aren't chosen yet.
+/// The less loaded of two replicas drawn from those that aren't chosen yet.
+///
+/// Were they drawn from all, the same one could come up again and again: a request without cached
+/// levels would ask a single replica, and be refused if that one just loads its weights.
 fn draw(peers: &[Peer], chosen: &[TargetKey], rng: &mut impl Rng) -> Option<TargetKey> {
-    let mut pick = || match peers.len() {
+    let fresh = peers.iter().filter(|p| !chosen.contains(&p.target));
+    let fresh: Vec<_> = fresh.collect();
+    let mut pick = || match fresh.len() {
         0 => None,
-        n => Some(&peers[rng.random_range(0..n)]),
+        n => Some(fresh[rng.random_range(0..n)]),
     };
     let drawn = [pick(), pick()].into_iter().flatten();
-    let fresh = drawn.filter(|p| !chosen.contains(&p.target));
-    fresh.min_by_key(|p| p.wait).map(|p| p.target)
+    drawn.min_by_key(|p| p.wait).map(|p| p.target)
 }
