exchange: let large answers flow when a sidecar's memory is full

Cause: a sidecar stops reading from its target at 1 MiB unconfirmed and waits for the entry's next confirmation, which came only at every sixteenth chunk. Chunks of more than 64 KiB fill the memory before the sixteenth; an exchange that keeps its answer for joins ignored every confirmation before it was full and then got none; a cut connection lost them. Each side waited for the other: heartbeats went on, and the caller waited until its deadline, or for ever once a stream had begun.

Now the entry also confirms by bytes (Relay::confirm), Retain remembers what was confirmed and drops it when it is full, and a resumption counts as confirmation.

--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -36,8 +36,6 @@
 /// Targets that may die under one request. Membership tells the fleet of each crash a little
 /// later than an attempt elsewhere begins, so that the entry counts, too.
 const CRASHES: u32 = 2;
-/// Chunks between confirmations.
-const CONFIRM: u64 = 16;
 /// Largest answer that is collected before its caller gets any of it.
 const WHOLE_MAX: usize = 16 << 20;
 
@@ -449,9 +447,10 @@
         Ok(link)
     }
 
-    async fn confirm(&self, link: Option<&mut Link>, last: bool) {
-        let next = self.relay.next();
-        if let Some(l) = link.filter(|_| last || next.is_multiple_of(CONFIRM)) {
+    async fn confirm(&mut self, link: Option<&mut Link>, last: bool) {
+        let due = self.relay.confirm();
+        let next = if last { Some(self.relay.next()) } else { due };
+        if let (Some(next), Some(l)) = (next, link) {
             let _ = l.tx.send(Ack { next }).await;
         }
     }
--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -79,7 +79,11 @@
     let token = Token(r.token);
     let seen = cx.exchanges.lock().resume(clock::now(), token.clone());
     match seen {
-        Seen::Live(l) => carry(cx, &token, &l, r.next, tx, rx).await,
+        Seen::Live(l) => {
+            // The broken connection may have held the confirmations that the source waits for.
+            l.confirm(r.next);
+            carry(cx, &token, &l, r.next, tx, rx).await
+        }
         Seen::Void | Seen::Fresh => refused(tx, Code::NoTarget).await,
         Seen::Over => lost(tx).await,
     }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -13,6 +13,7 @@
 use model::{Code, Micros, Outcome};
 
 use crate::life::{Failed, NotRun};
+use crate::retain::LIMIT;
 
 /// Resumptions in a row without a new byte before the sidecar counts as lost. The first comes at
 /// once, since the usual cause is one connection; the later ones span a restart of a switch port.
@@ -25,6 +26,12 @@
     Micros::from_millis(500),
 ];
 
+/// Most chunks between confirmations.
+const CONFIRM: u64 = 16;
+/// Most bytes between them. A sidecar at its limit waits for a confirmation before it reads on;
+/// if sixteen chunks were more than that limit, each side would wait for the other.
+const CONFIRM_BYTES: usize = LIMIT / 4;
+
 /// Where the answer of an earlier attempt can be had.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -123,6 +130,8 @@
     crashes: u32,
     touched: bool,
     joined: bool,
+    confirmed: u64,
+    bytes: usize,
 }
 
 impl Relay {
@@ -139,6 +148,8 @@
             crashes: 0,
             touched: false,
             joined: false,
+            confirmed: 0,
+            bytes: 0,
         }
     }
 
@@ -152,6 +163,16 @@
         self.crashes
     }
 
+    /// What to confirm after a chunk was delivered, if it is time.
+    pub fn confirm(&mut self) -> Option<u64> {
+        let due = self.next - self.confirmed >= CONFIRM || self.bytes >= CONFIRM_BYTES;
+        due.then(|| {
+            self.confirmed = self.next;
+            self.bytes = 0;
+            self.next
+        })
+    }
+
     /// Takes what happened, gives what to do.
     pub fn step(&mut self, event: Event) -> Action {
         match event {
@@ -189,6 +210,7 @@
     fn take(&mut self, data: Bytes, events: u64) -> Action {
         self.hash.update(&data);
         self.next += 1;
+        self.bytes += data.len();
         self.resumes = 0;
         self.delivered += events;
         Action::Deliver(data)
@@ -276,6 +298,8 @@
 
     fn restart(&mut self) {
         self.next = 0;
+        self.confirmed = 0;
+        self.bytes = 0;
         self.resumes = 0;
         self.hash = blake3::Hasher::new();
     }
--- a/crates/exchange/src/retain.rs
+++ b/crates/exchange/src/retain.rs
@@ -34,6 +34,7 @@
     hash: blake3::Hasher,
     ended: bool,
     keep: bool,
+    confirmed: u64,
 }
 
 impl Retain {
@@ -51,6 +52,13 @@
         self.hash.update(&data);
         self.bytes += data.len();
         self.chunks.push_back(data);
+        // An answer that doesn't fit can't be joined from its start any more. What was confirmed
+        // until now goes at once: its readers confirm again only after more chunks, for which
+        // there is no room.
+        if self.full() {
+            self.keep = false;
+            self.trim();
+        }
         self.next() - 1
     }
 
@@ -59,17 +67,11 @@
         self.base + self.chunks.len() as u64
     }
 
-    /// Drops the chunks before `next`.
+    /// Notes that the chunks before `next` arrived; they go unless they are kept for others.
     pub fn confirm(&mut self, next: u64) {
-        if self.keep && !self.full() {
-            return;
-        }
-        while self.base < next {
-            let Some(c) = self.chunks.pop_front() else {
-                break;
-            };
-            self.bytes -= c.len();
-            self.base += 1;
+        self.confirmed = self.confirmed.max(next.min(self.next()));
+        if !self.keep {
+            self.trim();
         }
     }
 
@@ -97,4 +99,14 @@
         let hash = || Bytes::copy_from_slice(self.hash.finalize().as_bytes());
         self.ended.then(|| (self.next(), hash()))
     }
+
+    fn trim(&mut self) {
+        while self.base < self.confirmed {
+            let Some(c) = self.chunks.pop_front() else {
+                break;
+            };
+            self.bytes -= c.len();
+            self.base += 1;
+        }
+    }
 }
--- /dev/null
+++ b/crates/exchange/tests/cuts.rs
@@ -0,0 +1,135 @@
+//! Streams cut after each possible frame, once and twice, in both directions.
+
+mod common;
+
+use common::{Ask, Cut, Fate, Late, World};
+use model::{Code, Outcome};
+
+const ASK: Ask = Ask {
+    idempotent: true,
+    streamed: true,
+    key: None,
+    events: 6,
+    size: 1,
+    known: true,
+    eager: true,
+};
+
+/// What an answer may depend on besides its cuts.
+fn asks(events: u8) -> Vec<Ask> {
+    let mut all = Vec::new();
+    for bits in 0..12 {
+        all.push(Ask {
+            idempotent: bits & 1 == 0,
+            streamed: bits & 2 == 0,
+            key: (bits / 4 == 1).then_some(7),
+            known: bits / 4 != 2,
+            events,
+            ..ASK
+        });
+    }
+    all
+}
+
+/// Every place of a connection that carries `events` chunks; the last one is no cut.
+fn cuts(events: u8) -> Vec<Option<Cut>> {
+    let n = usize::from(events);
+    let down = (0..n + 4).map(|at| Cut {
+        up: false,
+        at,
+        late: Late::Never,
+    });
+    let late = [Late::Never, Late::Next, Late::Last];
+    let up = (0..n + 2).flat_map(|at| late.map(|late| Cut { up: true, at, late }));
+    down.chain(up).map(Some).chain([None]).collect()
+}
+
+fn run(ask: Ask, sides: usize, fate: Fate, cuts: [Option<Cut>; 2]) -> World {
+    let mut w = World::new(sides);
+    w.fate = fate;
+    w.cuts = cuts.into();
+    w.call(ask);
+    w.settle();
+    w
+}
+
+/// Connections break at any byte, and twice in a row when a switch restarts. The caller of a
+/// stream must have each event once and in order, and as long as the sidecar lives and there is
+/// another replica he must not notice more than a pause. A vote must not count twice, also when
+/// the broken connection still held the request and gives it up late.
+#[test]
+fn cut_after_each_frame_once_and_twice() {
+    let mut runs = 0;
+    for events in 0..=6 {
+        let cuts = cuts(events);
+        for ask in asks(events) {
+            for (&a, &b) in cuts.iter().flat_map(|a| cuts.iter().map(move |b| (a, b))) {
+                for (fate, sides) in [
+                    (Fate::Same, 1),
+                    (Fate::Same, 3),
+                    (Fate::Restarted, 1),
+                    (Fate::Restarted, 3),
+                    (Fate::Nobody, 1),
+                    (Fate::Nobody, 3),
+                ] {
+                    let w = run(ask, sides, fate, [a, b]);
+                    let end = w.callers[0].end.as_ref();
+                    // Who doesn't know the sidecar's life can't tell it from a later one.
+                    let whole = sides == 3 && (ask.idempotent || fate == Fate::Same && ask.known);
+                    assert!(
+                        !whole || end == Some(&Ok(())),
+                        "{ask:?} {fate:?} {a:?} {b:?}: {end:?}"
+                    );
+                    runs += 1;
+                }
+            }
+        }
+    }
+    println!("{runs} runs");
+}
+
+/// An engine dies under a stream. With another replica the stream goes on there; without one its
+/// caller gets an error, never a clean end. What may run only once isn't tried again.
+#[test]
+fn engine_dead_at_each_chunk() {
+    for events in 0..=6 {
+        for ask in asks(events) {
+            for (at, sides) in (0..=usize::from(events)).flat_map(|at| [(at, 1), (at, 2)]) {
+                let mut w = World::new(sides);
+                w.sides[0].dies = Some(at);
+                w.call(ask);
+                w.settle();
+                let whole = ask.idempotent && sides == 2;
+                match (&w.callers[0].end, whole) {
+                    (Some(Ok(())), true) => {}
+                    (Some(Err(f)), false) => {
+                        assert_eq!((f.code, f.outcome), (Code::TargetLost, Outcome::Unknown));
+                    }
+                    (end, _) => panic!("{ask:?} dead at {at}: {end:?}"),
+                }
+            }
+        }
+    }
+}
+
+/// Large pieces fill what a sidecar keeps before the entry has had as many as it confirms at a
+/// time, and a cut may lose the confirmation. The sidecar would wait for room, the entry for the
+/// next piece, and the caller for ever.
+#[test]
+fn large_answers_flow_through_cuts() {
+    for key in [None, Some(7)] {
+        for cut in cuts(6) {
+            let ask = Ask {
+                key,
+                size: 300 << 10,
+                eager: false,
+                ..ASK
+            };
+            let w = run(ask, 1, Fate::Same, [cut, None]);
+            let end = w.callers[0].end.as_ref();
+            // Without another replica a request that never arrived is only refused.
+            let lost = cut.is_some_and(|c| c.up && c.at == 0);
+            assert!(lost || end == Some(&Ok(())), "{cut:?}: {end:?}");
+        }
+    }
+}
