exchange: typed end for a join that comes too late, room for orphans, unknown lives

Causes, found while writing the joins' table: (1) a second attempt that joined an answer of more than 1 MiB from its start found it dropped; the sidecar closed the connection without a word, and the entry resumed four times for nothing. It now hears that the target's answer is lost and tells its caller "already attempted, unknown" at once. (2) A request that may run only once and whose entry died isn't cancelled; with a large answer it waited for room for ever and held its target's slot. After ORPHAN what is kept counts as confirmed. (3) An entry that didn't know the sidecar's life (0) and lost its connection before Accepted was told "lost" though its exchange was there, and a request still in the broken connection's buffer wasn't marked void. The decision is now in Registry (Meant): what is here is carried on, what isn't is void and its outcome unknown.

--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use exchange::{Exchange, NotRun, Registry, Seen, Token};
+use exchange::{Exchange, Meant, NotRun, Registry, RetainError, Seen, Token};
 use model::{Code, Micros};
 use tokio::time::{interval, timeout};
 use wire::{Accepted, Beat, Body, Fail, Open, Resume, Rx, Tx, WireError};
@@ -49,16 +49,13 @@
 }
 
 async fn open(cx: &Arc<Context>, o: Open, tx: &mut Tx, rx: &mut Rx) -> Result<(), WireError> {
-    if o.incarnation != 0 && o.incarnation != cx.life {
-        // Meant for an earlier life; this one has never seen it.
-        return refused(tx, Code::NoTarget).await;
-    }
+    let meant = Meant::of(o.incarnation, cx.life);
     let token = Token(o.token.clone());
     let live = Live::new(!o.key.is_empty());
     let seen = cx
         .exchanges
         .lock()
-        .open(token.clone(), || Arc::clone(&live));
+        .open(meant, token.clone(), || Arc::clone(&live));
     let live = match seen {
         Seen::Fresh => {
             tokio::spawn(lifetime(Arc::clone(cx), o, Arc::clone(&live)));
@@ -66,18 +63,18 @@
         }
         Seen::Live(l) => l,
         Seen::Void => return refused(tx, Code::Cancelled).await,
+        // This life has never seen it.
+        Seen::Other => return refused(tx, Code::NoTarget).await,
         Seen::Over => return lost(tx).await,
     };
     carry(cx, &token, &live, 0, tx, rx).await
 }
 
 async fn resume(cx: &Arc<Context>, r: Resume, tx: &mut Tx, rx: &mut Rx) -> Result<(), WireError> {
-    if r.incarnation != cx.life {
-        // An earlier life may have run it; nobody knows any more.
-        return lost(tx).await;
-    }
+    let meant = Meant::of(r.incarnation, cx.life);
     let token = Token(r.token);
-    let seen = cx.exchanges.lock().resume(clock::now(), token.clone());
+    let now = clock::now();
+    let seen = cx.exchanges.lock().resume(now, meant, token.clone());
     match seen {
         Seen::Live(l) => {
             // The broken connection may have held the confirmations that the source waits for.
@@ -85,7 +82,7 @@
             carry(cx, &token, &l, r.next, tx, rx).await
         }
         Seen::Void | Seen::Fresh => refused(tx, Code::NoTarget).await,
-        Seen::Over => lost(tx).await,
+        Seen::Over | Seen::Other => lost(tx).await,
     }
 }
 
@@ -108,7 +105,15 @@
     })
     .await?;
     loop {
-        while let Some((body, end)) = live.next(&mut at).map_err(|_| WireError::Unexpected)? {
+        loop {
+            let (body, end) = match live.next(&mut at) {
+                Ok(Some(next)) => next,
+                Ok(None) => break,
+                // Another reader had it and it was dropped. Were the connection just closed, the
+                // entry would ask for it again and again.
+                Err(RetainError::Gone(_)) => return lost(tx).await,
+                Err(RetainError::Ahead(_)) => return Err(WireError::Unexpected),
+            };
             tx.feed(body).await?;
             if end {
                 tx.flush().await?;
@@ -148,10 +153,11 @@
         match live.orphaned() {
             false => alone = Micros::MAX,
             true if alone == Micros::MAX => alone = clock::now(),
-            true if idempotent && clock::now().since(alone) > Micros::from(ORPHAN) => {
-                live.cancel.cancel();
-            }
-            true => {}
+            true if clock::now().since(alone) <= Micros::from(ORPHAN) => {}
+            true if idempotent => live.cancel.cancel(),
+            // It isn't cut short, but nobody makes room for the rest of a large answer any more,
+            // and its slot would never be free again.
+            true => live.confirm(u64::MAX),
         }
     }
     // At a planned stop the process waits for the entry to have the answer.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod retain;
 
 pub use life::{Done, Exchange, Failed, Handed, NotRun, Queued};
-pub use registry::{Registry, Seen, Token};
+pub use registry::{Meant, Registry, Seen, Token};
 pub use relay::{Action, Event, Failure, Owner, Relay};
 pub use retain::{Retain, RetainError};
--- a/crates/exchange/src/registry.rs
+++ b/crates/exchange/src/registry.rs
@@ -20,6 +20,28 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Token(pub Bytes);
 
+/// Which life of a sidecar an entry means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meant {
+    /// This one.
+    This,
+    /// An earlier one, or one at the same address on another host.
+    Other,
+    /// The entry wasn't told of any when it opened the exchange.
+    Unknown,
+}
+
+impl Meant {
+    /// What the number in a frame means to a sidecar; 0 says nothing.
+    pub fn of(life: u64, mine: u64) -> Self {
+        match life {
+            0 => Self::Unknown,
+            l if l == mine => Self::This,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// What is known of a token.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Seen<T> {
@@ -29,8 +51,10 @@
     Live(T),
     /// It was asked for before it arrived, or ended without running, and won't run here.
     Void,
-    /// It ran here and its answer is no longer kept.
+    /// It ran here and its answer is no longer kept, or it may have run in an earlier life.
     Over,
+    /// It was meant for another life and is not begun in this one.
+    Other,
 }
 
 /// All exchanges of one life of a sidecar.
@@ -53,8 +77,9 @@
 
 impl<T: Clone> Registry<T> {
     /// A request arrives; it is kept if its token is fresh.
-    pub fn open(&mut self, token: Token, make: impl FnOnce() -> T) -> Seen<T> {
+    pub fn open(&mut self, meant: Meant, token: Token, make: impl FnOnce() -> T) -> Seen<T> {
         match self.live.get(&token) {
+            _ if meant == Meant::Other => Seen::Other,
             Some(t) => Seen::Live(t.clone()),
             None if self.void.contains_key(&token) => Seen::Void,
             None if self.over.contains_key(&token) => Seen::Over,
@@ -66,14 +91,20 @@
     }
 
     /// An entry asks for an exchange; from now on it runs only if it has arrived already.
-    pub fn resume(&mut self, now: Micros, token: Token) -> Seen<T> {
-        match self.live.get(&token) {
-            Some(t) => Seen::Live(t.clone()),
-            None if self.over.contains_key(&token) => Seen::Over,
-            None => {
-                self.void.insert(token, now + VOID_LIFE);
-                Seen::Void
-            }
+    ///
+    /// An entry that doesn't know whose life it means may have opened it in an earlier one. What
+    /// is here is its own, since no two exchanges share a token; of what isn't nobody knows
+    /// whether it ran.
+    pub fn resume(&mut self, now: Micros, meant: Meant, token: Token) -> Seen<T> {
+        match (meant, self.live.get(&token)) {
+            (Meant::Other, _) => return Seen::Over,
+            (_, Some(t)) => return Seen::Live(t.clone()),
+            _ if self.over.contains_key(&token) => return Seen::Over,
+            _ => self.void.insert(token, now + VOID_LIFE),
+        };
+        match meant {
+            Meant::This => Seen::Void,
+            _ => Seen::Over,
         }
     }
 
