--- a/crates/exchange/tests/common/mod.rs
+++ b/crates/exchange/tests/common/mod.rs
@@ -152,6 +152,20 @@
     pub paused: bool,
 }
 
+/// What may be wrong with the frames of a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Spoil {
+    Repeat,
+    Swap,
+    Lose,
+    /// The end counts one chunk more.
+    More,
+    /// Or one fewer.
+    Fewer,
+    /// Its hash is another.
+    Digest,
+}
+
 /// One step of one participant.
 #[derive(Clone, Copy, Debug)]
 pub enum Move {
@@ -334,18 +348,27 @@
         }
     }
 
-    /// Repeats the next frame for a caller, or swaps the next two, or loses one.
-    pub fn mangle(&mut self, caller: usize, how: u8) {
+    /// Spoils what the caller's entry reads next; false if there is nothing to spoil.
+    pub fn spoil(&mut self, caller: usize, how: Spoil) -> bool {
         let Some(conn) = self.callers[caller].conn else {
-            return;
+            return false;
         };
         let down = &mut self.conns[conn].down;
-        match (how % 3, down.len()) {
-            (_, 0) => {}
-            (0, _) => down.push_front(down[0].clone()),
-            (1, 1) | (2, _) => drop(down.pop_front()),
-            _ => down.swap(0, 1),
+        match (how, down.len(), down.front_mut()) {
+            (Spoil::Repeat, _, Some(f)) => {
+                let f = f.clone();
+                down.push_front(f);
+            }
+            (Spoil::Swap, 2.., _) => down.swap(0, 1),
+            (Spoil::Lose, 1.., _) => drop(down.pop_front()),
+            (Spoil::More, _, Some(Down::End(count, _))) => *count += 1,
+            (Spoil::Fewer, _, Some(Down::End(count @ 1.., _))) => *count -= 1,
+            (Spoil::Digest, _, Some(Down::End(_, digest))) => {
+                *digest = Bytes::from_static(&[0; 32])
+            }
+            _ => return false,
         }
+        true
     }
 
     /// Ended exchanges are forgotten, as they are after a while.
--- a/crates/exchange/tests/cuts.rs
+++ b/crates/exchange/tests/cuts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Ask, Cut, Fate, Late, World};
+use common::{Ask, Cut, Fate, Late, Move, Spoil, World};
 use model::{Code, Outcome};
 
 const ASK: Ask = Ask {
@@ -135,3 +135,41 @@
         }
     }
 }
+
+/// A faulty peer repeats, swaps or loses a frame, or ends an answer with another count or hash.
+/// The caller would get words twice, in the wrong order or not at all, and a clean end after it.
+#[test]
+fn spoiled_frames_never_reach_the_caller() {
+    use Spoil::{Digest, Fewer, Lose, More, Repeat, Swap};
+    for (how, events) in [Repeat, Swap, Lose, More, Fewer, Digest]
+        .into_iter()
+        .flat_map(|how| (0..=6).map(move |events| (how, events)))
+    {
+        let mut spoiled = 0;
+        for (ask, at) in asks(events)
+            .into_iter()
+            .flat_map(|a| (0..14).map(move |n| (a, n)))
+        {
+            let mut w = World::new(3);
+            w.call(ask);
+            let mut reads = 0;
+            // The target goes first, so that frames wait to be swapped.
+            while let Some(&m) = w.moves().last() {
+                if matches!(m, Move::Entry(_)) {
+                    reads += 1;
+                    spoiled += usize::from(reads == at && w.spoil(0, how));
+                }
+                w.act(m);
+            }
+            w.settle();
+            let end = w.callers[0].end.as_ref().expect("settled");
+            // Only an end that can't be true is a failure; anything else is asked for again.
+            let bad = matches!(how, Fewer | Digest) && !ask.idempotent;
+            match end {
+                Ok(()) => {}
+                Err(f) => assert_eq!((bad, f.code), (true, Code::BadAnswer), "{how:?} {at}"),
+            }
+        }
+        assert!(spoiled > 0 || events == 0, "{how:?}");
+    }
+}
