exchange: tables of the registry, what is retained, and what a relay says

The relay's table failed in "refused after a part": an entry that had a piece of the answer believed a "not run" that came after it, and would have sent a request that may run only once to another replica (left: Elsewhere(1, NoTarget, NotRun)). No honest sidecar says so; the relay now calls it a bad answer, outcome unknown. The same for a claim said after a piece.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -190,6 +190,9 @@
             // A gap means that the connection can't be trusted.
             Event::Chunk { .. } => self.resume(),
             Event::End { count, digest } => self.end(count, &digest),
+            // Of what didn't run there can't be a part. Were it believed, the request would run
+            // again elsewhere, or a joined answer begin behind half of another.
+            Event::Refused(_) | Event::Claimed(_) if self.next > 0 => self.lost(Code::BadAnswer),
             Event::Refused(n) => self.refused(n),
             Event::Claimed(Some(owner)) if !self.joined => {
                 self.joined = true;
--- /dev/null
+++ b/crates/exchange/tests/tables.rs
@@ -0,0 +1,254 @@
+//! Tables over the state machines by themselves.
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use exchange::registry::VOID_LIFE;
+use exchange::relay::RESUMES;
+use exchange::retain::LIMIT;
+use exchange::{
+    Action, Event, Exchange, Meant, NotRun, Owner, Registry, Relay, Retain, RetainError, Seen,
+    Token,
+};
+use model::{Code, Micros, Outcome};
+
+const T: Token = Token(Bytes::from_static(b"token"));
+
+/// One call on a registry.
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    Open(Meant),
+    Resume(Meant),
+    Close {
+        ran: bool,
+    },
+    /// Time passes.
+    Wait(Micros),
+}
+
+/// A request sits in the buffer of a broken connection while its entry asks for it on another one
+/// and runs it elsewhere; or its answer is asked for when it is no longer kept. Marks decide, and
+/// they outlive connections: a late request must not run, and what ran is never called "not run".
+#[test]
+fn marks_of_a_registry() {
+    use Call::{Close, Open, Resume, Wait};
+    use Meant::{Other, This, Unknown};
+    struct Case {
+        what: &'static str,
+        calls: &'static [Call],
+        seen: Seen<u8>,
+    }
+    const SHORT: Micros = Micros(VOID_LIFE.0 - 1);
+    #[rustfmt::skip]
+    let cases = [
+        Case { what: "new", calls: &[Open(This)], seen: Seen::Fresh },
+        Case { what: "sent twice", calls: &[Open(This), Open(This)], seen: Seen::Live(1) },
+        Case { what: "resumed", calls: &[Open(This), Resume(This)], seen: Seen::Live(1) },
+        Case { what: "never arrived", calls: &[Resume(This)], seen: Seen::Void },
+        Case { what: "arrives late", calls: &[Resume(This), Open(This)], seen: Seen::Void },
+        Case { what: "arrives very late", calls: &[Resume(This), Wait(SHORT), Open(This)], seen: Seen::Void },
+        Case { what: "mark renewed", calls: &[Resume(This), Wait(SHORT), Resume(This), Wait(SHORT), Open(This)], seen: Seen::Void },
+        Case { what: "mark outlived", calls: &[Resume(This), Wait(VOID_LIFE), Open(This)], seen: Seen::Fresh },
+        Case { what: "refused, asked again", calls: &[Open(This), Close { ran: false }, Resume(This)], seen: Seen::Void },
+        Case { what: "refused, sent again", calls: &[Open(This), Close { ran: false }, Open(This)], seen: Seen::Void },
+        Case { what: "ran, asked again", calls: &[Open(This), Close { ran: true }, Resume(This)], seen: Seen::Over },
+        Case { what: "ran, sent again", calls: &[Open(This), Close { ran: true }, Open(This)], seen: Seen::Over },
+        Case { what: "ran, asked late", calls: &[Open(This), Close { ran: true }, Wait(SHORT), Resume(This)], seen: Seen::Over },
+        Case { what: "earlier life, open", calls: &[Open(Other)], seen: Seen::Other },
+        Case { what: "earlier life, then this", calls: &[Open(Other), Open(This)], seen: Seen::Fresh },
+        Case { what: "earlier life, resume", calls: &[Resume(Other)], seen: Seen::Over },
+        Case { what: "unknown life, here", calls: &[Open(Unknown), Resume(Unknown)], seen: Seen::Live(1) },
+        Case { what: "unknown life, not here", calls: &[Resume(Unknown)], seen: Seen::Over },
+        Case { what: "unknown life, late", calls: &[Resume(Unknown), Open(Unknown)], seen: Seen::Void },
+    ];
+    for c in cases {
+        let mut now = Micros::ZERO;
+        let mut registry = Registry::default();
+        let mut seen = Seen::Fresh;
+        for &call in c.calls {
+            match call {
+                Open(m) => seen = registry.open(m, T, || 1),
+                Resume(m) => seen = registry.resume(now, m, T),
+                Close { ran } => drop(registry.close(now, &T, ran)),
+                Wait(t) => now = now + t,
+            }
+            registry.expire(now);
+        }
+        assert_eq!(seen, c.seen, "{}", c.what);
+    }
+}
+
+/// A sidecar keeps what isn't confirmed and no more, or all of it for those who join; what it has
+/// dropped or hasn't got yet is an error of its own, never silence or another chunk.
+#[test]
+fn bounds_of_what_is_retained() {
+    struct Case {
+        what: &'static str,
+        keep: bool,
+        /// Sizes of the chunks; after each, all before this one is confirmed.
+        chunks: &'static [(usize, u64)],
+        full: bool,
+        /// What becomes of chunk 0, 1, ...
+        got: &'static [Result<Option<usize>, RetainError>],
+    }
+    const HALF: usize = LIMIT / 2;
+    #[rustfmt::skip]
+    let cases = [
+        Case { what: "empty", keep: false, chunks: &[], full: false, got: &[Ok(None), Err(RetainError::Ahead(1))] },
+        Case { what: "unconfirmed", keep: false, chunks: &[(1, 0), (2, 0)], full: false, got: &[Ok(Some(1)), Ok(Some(2)), Ok(None), Err(RetainError::Ahead(3))] },
+        Case { what: "confirmed", keep: false, chunks: &[(1, 0), (2, 1)], full: false, got: &[Err(RetainError::Gone(0)), Ok(Some(2)), Ok(None)] },
+        Case { what: "confirmed ahead", keep: false, chunks: &[(1, u64::MAX), (2, 0)], full: false, got: &[Err(RetainError::Gone(0)), Ok(Some(2)), Ok(None)] },
+        Case { what: "full", keep: false, chunks: &[(HALF, 0), (HALF, 0)], full: true, got: &[Ok(Some(HALF)), Ok(Some(HALF)), Ok(None)] },
+        Case { what: "full, confirmed", keep: false, chunks: &[(HALF, 0), (HALF, 1)], full: false, got: &[Err(RetainError::Gone(0)), Ok(Some(HALF))] },
+        Case { what: "kept", keep: true, chunks: &[(1, 1), (2, 2)], full: false, got: &[Ok(Some(1)), Ok(Some(2)), Ok(None)] },
+        Case { what: "kept, full", keep: true, chunks: &[(HALF, 0), (HALF, 0)], full: true, got: &[Ok(Some(HALF)), Ok(Some(HALF))] },
+        Case { what: "kept, confirmed before full", keep: true, chunks: &[(HALF, 1), (HALF, 0)], full: false, got: &[Err(RetainError::Gone(0)), Ok(Some(HALF))] },
+        Case { what: "kept no longer", keep: true, chunks: &[(HALF, 1), (HALF, 0), (1, 3)], full: false, got: &[Err(RetainError::Gone(0)), Err(RetainError::Gone(1)), Err(RetainError::Gone(2)), Ok(None)] },
+    ];
+    for c in cases {
+        let mut r = if c.keep {
+            Retain::keeping()
+        } else {
+            Retain::default()
+        };
+        for (i, &(size, confirmed)) in c.chunks.iter().enumerate() {
+            assert_eq!(r.push(Bytes::from(vec![0; size])), i as u64);
+            r.confirm(confirmed);
+        }
+        assert_eq!(r.full(), c.full, "{}", c.what);
+        assert_eq!(r.total(), None, "{}", c.what);
+        for (i, got) in c.got.iter().enumerate() {
+            let size = r.get(i as u64).map(|b| b.map(|b| b.len()));
+            assert_eq!(size, *got, "{} {i}", c.what);
+        }
+        r.end();
+        assert_matches!(r.total(), Some((n, _)) if n == c.chunks.len() as u64);
+    }
+}
+
+fn chunk(seq: u64) -> Event {
+    Event::Chunk {
+        seq,
+        data: Bytes::from_static(b"data: x\n\n"),
+        events: 1,
+    }
+}
+
+fn end(count: u64, of: u64) -> Event {
+    let data = b"data: x\n\n".repeat(of as usize);
+    let digest = Bytes::copy_from_slice(blake3::hash(&data).as_bytes());
+    Event::End { count, digest }
+}
+
+fn refused(code: Code) -> Event {
+    Event::Refused(NotRun::heard(code, None))
+}
+
+fn failed(known: bool) -> Event {
+    Event::Failed(Exchange::new().hand().fail(Code::TargetLost, known, false))
+}
+
+fn claimed() -> Event {
+    Event::Claimed(Some(Owner {
+        token: Bytes::from_static(b"first"),
+        address: String::new(),
+        incarnation: 1,
+    }))
+}
+
+/// What a last action says to the caller, if there is nowhere else to go.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Told {
+    Finish,
+    Resume(u64),
+    Join,
+    Wait,
+    Elsewhere(u64, Code, Outcome),
+    Give(Code, Outcome),
+}
+
+fn told(action: Action) -> Told {
+    match action {
+        Action::Wait | Action::Deliver(_) => Told::Wait,
+        Action::Resume { next, .. } => Told::Resume(next),
+        Action::Join(_) => Told::Join,
+        Action::Finish => Told::Finish,
+        Action::Give(f) => Told::Give(f.code, f.outcome),
+        Action::Elsewhere { delivered, failure } => {
+            Told::Elsewhere(delivered, failure.code, failure.outcome)
+        }
+    }
+}
+
+/// Whatever reaches an entry in whatever order, its caller hears "not run" only if no attempt may
+/// have run, and what may run only once goes nowhere else as soon as one may have.
+#[test]
+fn what_a_relay_says() {
+    use Code::{AlreadyAttempted, BadAnswer, Limited, NoTarget, TargetLost};
+    use Event::{Gone, Lost, Unsent};
+    use Outcome::{Failed, NotRun, Unknown};
+    use Told::{Elsewhere, Finish, Give, Join, Resume, Wait};
+    struct Case {
+        what: &'static str,
+        idempotent: bool,
+        events: Vec<Event>,
+        told: Told,
+    }
+    let lost = || vec![Lost; RESUMES as usize + 1];
+    let after = |first: Vec<Event>, then: Event| [first, vec![then]].concat();
+    #[rustfmt::skip]
+    let cases = [
+        Case { what: "whole", idempotent: false, events: vec![chunk(0), chunk(1), end(2, 2)], told: Finish },
+        Case { what: "empty", idempotent: false, events: vec![end(0, 0)], told: Finish },
+        Case { what: "repeat", idempotent: false, events: vec![chunk(0), chunk(0)], told: Wait },
+        Case { what: "whole after a repeat", idempotent: false, events: vec![chunk(0), chunk(0), end(1, 1)], told: Finish },
+        Case { what: "gap", idempotent: false, events: vec![chunk(0), chunk(2)], told: Resume(1) },
+        Case { what: "end too early", idempotent: false, events: vec![chunk(0), end(2, 2)], told: Resume(1) },
+        Case { what: "end with fewer", idempotent: false, events: vec![chunk(0), chunk(1), end(1, 1)], told: Give(BadAnswer, Unknown) },
+        Case { what: "end with fewer, idempotent", idempotent: true, events: vec![chunk(0), chunk(1), end(1, 1)], told: Elsewhere(2, BadAnswer, Unknown) },
+        Case { what: "end with the right hash and fewer", idempotent: false, events: vec![chunk(0), chunk(1), end(1, 2)], told: Give(BadAnswer, Unknown) },
+        Case { what: "end with another hash", idempotent: false, events: vec![chunk(0), end(1, 2)], told: Give(BadAnswer, Unknown) },
+        Case { what: "unsent", idempotent: false, events: vec![Unsent], told: Elsewhere(0, NoTarget, NotRun) },
+        Case { what: "refused", idempotent: false, events: vec![refused(NoTarget)], told: Elsewhere(0, NoTarget, NotRun) },
+        Case { what: "refused for good", idempotent: false, events: vec![refused(Limited)], told: Give(Limited, NotRun) },
+        Case { what: "cut, refused", idempotent: false, events: vec![Lost, refused(NoTarget)], told: Elsewhere(0, NoTarget, NotRun) },
+        Case { what: "cut, nobody there", idempotent: false, events: vec![Lost, Gone], told: Give(TargetLost, Unknown) },
+        Case { what: "cut for good", idempotent: false, events: lost(), told: Give(TargetLost, Unknown) },
+        Case { what: "cut for good, idempotent", idempotent: true, events: lost(), told: Elsewhere(0, TargetLost, Unknown) },
+        Case { what: "ran in part, then unsent", idempotent: true, events: after(lost(), Unsent), told: Elsewhere(0, NoTarget, Unknown) },
+        Case { what: "ran in part, then refused", idempotent: true, events: after(lost(), refused(NoTarget)), told: Elsewhere(0, NoTarget, Unknown) },
+        Case { what: "ran in part, then refused for good", idempotent: true, events: after(lost(), refused(Limited)), told: Give(Limited, Unknown) },
+        Case { what: "delivered in part, then refused elsewhere", idempotent: true, events: vec![chunk(0), failed(false), refused(NoTarget)], told: Elsewhere(1, NoTarget, Unknown) },
+        Case { what: "goes on elsewhere", idempotent: true, events: vec![chunk(0), failed(false), chunk(0), end(1, 1)], told: Finish },
+        Case { what: "target says that it failed", idempotent: true, events: vec![failed(true)], told: Give(TargetLost, Failed) },
+        Case { what: "refused after a part", idempotent: false, events: vec![chunk(0), refused(NoTarget)], told: Give(BadAnswer, Unknown) },
+        Case { what: "refused after a part, idempotent", idempotent: true, events: vec![chunk(0), refused(Limited)], told: Elsewhere(1, BadAnswer, Unknown) },
+        Case { what: "claimed", idempotent: false, events: vec![claimed()], told: Join },
+        Case { what: "claimed after a part", idempotent: false, events: vec![chunk(0), claimed()], told: Give(BadAnswer, Unknown) },
+        Case { what: "claimed, nobody known", idempotent: false, events: vec![Event::Claimed(None)], told: Give(AlreadyAttempted, Unknown) },
+        Case { what: "claimed while joined", idempotent: false, events: vec![claimed(), claimed()], told: Give(AlreadyAttempted, Unknown) },
+        Case { what: "joined", idempotent: false, events: vec![claimed(), chunk(0), end(1, 1)], told: Finish },
+        Case { what: "joined, cut", idempotent: false, events: vec![claimed(), chunk(0), Lost], told: Resume(1) },
+        Case { what: "joined, gone", idempotent: false, events: vec![claimed(), Gone], told: Give(AlreadyAttempted, Unknown) },
+        Case { what: "joined, refused", idempotent: false, events: vec![claimed(), refused(NoTarget)], told: Give(AlreadyAttempted, Unknown) },
+        Case { what: "joined, no longer kept", idempotent: false, events: vec![claimed(), failed(false)], told: Give(AlreadyAttempted, Unknown) },
+        Case { what: "joined, gone, said to be idempotent", idempotent: true, events: vec![claimed(), Gone], told: Give(AlreadyAttempted, Unknown) },
+    ];
+    for c in cases {
+        let mut relay = Relay::new(c.idempotent, true);
+        let last = c.events.into_iter().map(|e| relay.step(e)).last();
+        assert_eq!(last.map(told), Some(c.told), "{}", c.what);
+    }
+}
+
+/// Answers of nothing but repeats must not keep an entry busy for ever: only a new chunk counts as
+/// progress.
+#[test]
+fn resumptions_are_bounded() {
+    let mut relay = Relay::new(false, true);
+    relay.step(chunk(0));
+    for _ in 0..RESUMES {
+        assert_matches!(relay.step(Event::Lost), Action::Resume { next: 1, .. });
+        assert_eq!(relay.step(chunk(0)), Action::Wait);
+    }
+    assert_matches!(relay.step(Event::Lost), Action::Give(f) if f.outcome == Outcome::Unknown);
+}
