--- a/crates/exchange/src/life.rs
+++ b/crates/exchange/src/life.rs
@@ -4,6 +4,24 @@
 //! request which the target has seen, a vote would count twice or a haulier be billed twice.
 //! Therefore the only way to a [`NotRun`] is from [`Exchange<Queued>`], which is used up when the
 //! request is handed to the target; [`Exchange<Handed>`] has no such method.
+//!
+//! ```
+//! let queued = exchange::Exchange::new();
+//! queued.refuse(model::Code::NoTarget, None);
+//! ```
+//!
+//! The same after the request was handed over, or once more with what was used up, is no program:
+//!
+//! ```compile_fail,E0599
+//! let handed = exchange::Exchange::new().hand();
+//! handed.refuse(model::Code::NoTarget, None);
+//! ```
+//!
+//! ```compile_fail,E0382
+//! let queued = exchange::Exchange::new();
+//! let handed = queued.hand();
+//! queued.refuse(model::Code::NoTarget, None);
+//! ```
 
 use model::{Code, Micros, Outcome};
 
