--- a/crates/daemon/src/entry/pick.rs
+++ b/crates/daemon/src/entry/pick.rs
@@ -108,6 +108,7 @@
         recent.seen(&want.chain);
         place::Ask {
             class: want.class,
+            home: place::home(&want.chain, &peers),
             blocks: marks.blocks(),
             heat: share * view.world.pool_targets(want.pool).count() as f64,
         }
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -135,6 +135,7 @@
     blocks: u32,
     handed: Micros,
     prefilling: bool,
+    class: Class,
     suspect: bool,
     stream: bool,
     /// When its first byte came.
@@ -269,7 +270,7 @@
             matched,
             wait,
             prefill: self.cost.block(),
-            busy: self.busy.get(now),
+            busy: self.busy.get(now, q.class),
             refusal,
             convicted,
         }
@@ -340,13 +341,14 @@
             handed: now,
             prefilling: self.kind == Kind::Model,
             suspect: w.suspect,
+            class: job.class,
             stream: w.work.stream,
             first: None,
             struck: w.work.strikes > 0,
             print: mark::print(w.work.fingerprint),
         });
         self.until = self.until.max(now) + prefill;
-        self.busy.set(now, self.prefilling() > 0);
+        self.busy.set(now, self.computing());
         Some(Granted {
             run: RunKey(run),
             grant: w.grant,
@@ -556,7 +558,7 @@
     fn rest(&mut self, now: Micros) {
         if self.prefilling() == 0 {
             self.until = now;
-            self.busy.set(now, false);
+            self.busy.set(now, None);
         }
     }
 
@@ -600,6 +602,13 @@
         self.state == State::Serving && running < self.slots && free
     }
 
+    /// The class of the prompt that was handed over last of those being computed.
+    fn computing(&self) -> Option<Class> {
+        let all = self.running.iter().map(|(_, r)| r);
+        let last = all.filter(|r| r.prefilling).max_by_key(|r| r.handed);
+        last.map(|r| r.class)
+    }
+
     fn prefilling(&self) -> u32 {
         self.running.iter().filter(|(_, r)| r.prefilling).count() as u32
     }
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -33,7 +33,9 @@
 
 /// Replicas of the rendezvous order that may be asked.
 const RANKS: usize = 4;
-/// Replicas asked at least, drawn if the prompt has no cached levels, so that there is a choice.
+/// Replicas asked at least, drawn from those not yet chosen if the prompt has no cached levels. Were
+/// they drawn from all, the same one could come up again, and a request would be refused if that
+/// one just loads its weights.
 const DRAWN: usize = 2;
 
 /// How replicas are chosen.
@@ -172,12 +174,19 @@
             chosen.push(target);
         }
     }
-    let mut drawn = draw(peers, &chosen, rng);
-    while let Some(target) = drawn.filter(|_| chosen.len() < DRAWN.min(config.probes)) {
-        chosen.push(target);
-        drawn = draw(peers, &chosen, rng);
+    while chosen.len() < DRAWN.min(config.probes) {
+        let fresh: Vec<_> = peers
+            .iter()
+            .filter(|p| !chosen.contains(&p.target))
+            .collect();
+        let Some(peer) = draw(&fresh, rng) else {
+            return chosen;
+        };
+        chosen.push(peer.target);
     }
-    match drawn {
+    let all: Vec<_> = peers.iter().collect();
+    let drawn = draw(&all, rng).map(|p| p.target);
+    match drawn.filter(|t| !chosen.contains(t)) {
         Some(target) if chosen.len() < config.probes => chosen.push(target),
         Some(target) if escapes(config, peers, &chosen, target) => {
             chosen.pop();
@@ -288,17 +297,12 @@
     best.map(|(_, target)| target)
 }
 
-/// The less loaded of two replicas drawn from those that aren't chosen yet.
-///
-/// Were they drawn from all, the same one could come up again and again: a request without cached
-/// levels would ask a single replica, and be refused if that one just loads its weights.
-fn draw(peers: &[Peer], chosen: &[TargetKey], rng: &mut impl Rng) -> Option<TargetKey> {
-    let fresh = peers.iter().filter(|p| !chosen.contains(&p.target));
-    let fresh: Vec<_> = fresh.collect();
-    let mut pick = || match fresh.len() {
+/// The less loaded of two drawn replicas.
+fn draw<'a>(peers: &[&'a Peer], rng: &mut impl Rng) -> Option<&'a Peer> {
+    let mut pick = || match peers.len() {
         0 => None,
-        n => Some(fresh[rng.random_range(0..n)]),
+        n => Some(peers[rng.random_range(0..n)]),
     };
     let drawn = [pick(), pick()].into_iter().flatten();
-    drawn.min_by_key(|p| p.wait).map(|p| p.target)
+    drawn.min_by_key(|p| p.wait)
 }
