Bound a pull of a whole list to one second

Only one pull runs at a time, so a lost answer to a whole list held up the text for three seconds: with links of 15 ms and 1,180 members one member of 23,600 had a change after 2,793 ms.

--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -53,7 +53,8 @@
     pub read_every: Micros,
     /// Longest time between reads while the table is away.
     pub read_max: Micros,
-    /// How long a pull may take.
+    /// How long a pull may take. Nothing else is pulled meanwhile, so a lost answer to a whole list
+    /// holds up a change for that long; an answer that comes later is still taken.
     pub pull_wait: Micros,
     /// How long a process that joins waits for the whole list before it asks another member; the
     /// list of 1,180 members has 118 KB and takes a few round trips.
@@ -92,7 +93,7 @@
             readers: 3,
             read_every: Micros::from_secs(1),
             read_max: Micros::from_secs(30),
-            pull_wait: Micros::from_secs(3),
+            pull_wait: Micros::from_secs(1),
             join_wait: Micros::from_millis(500),
             text_wait: Micros::from_millis(250),
             pull_retry: Micros::from_millis(50),
