Report a change also to a writer that is heard of later

With links of 15 ms at 1,180 members, the writer knew only after 3,291 ms that one change of 20 was in force, though all had it after 1,618 ms. A trace showed hundreds that had adopted it and not reported: a reader of the table had found the change at the same moment, and what it spread named no writer. They now report when they hear of the writer from anyone.

--- a/crates/fleet/src/merge.rs
+++ b/crates/fleet/src/merge.rs
@@ -39,7 +39,7 @@
         }
         let sender = self.view.key(MemberId(p.from));
         if let Some(k) = sender {
-            self.hear_config(k, &p);
+            self.hear_config(k, &p, out);
         }
         if p.ask {
             self.describe_self(from, out);
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -129,7 +129,7 @@
     }
 
     /// Compares a sender's configuration with the one here.
-    pub(crate) fn hear_config(&mut self, k: MemberKey, p: &Packet) {
+    pub(crate) fn hear_config(&mut self, k: MemberKey, p: &Packet, out: &mut Vec<Action>) {
         let digest = Digest::from_wire(&p.digest).unwrap_or_default();
         let version = Version(p.version);
         let Some(e) = self.view.get_mut(k) else {
@@ -147,8 +147,7 @@
         match version.cmp(&mine) {
             Ordering::Greater => self.spread.note(s),
             Ordering::Less => {}
-            _ if digest == own && p.proven => self.settle(),
-            _ if digest == own => {}
+            _ if digest == own => self.agree(p, out),
             _ => self.conflict(s),
         }
     }
@@ -159,6 +158,7 @@
         self.spread.row = row.clone();
         self.spread.proven = proven;
         self.spread.contested = false;
+        self.spread.origin = MemberId(0);
         self.spread.fails = 0;
         self.spread.sources.retain(|s| s.version > version);
         out.push(Action::Adopt(row));
@@ -171,8 +171,30 @@
         for k in self.view.sample(self.set.burst, &mut self.rng) {
             self.tell(k, Vec::new(), out);
         }
-        let to = self.view.key(origin).and_then(|k| self.view.member(k));
-        if let Some(to) = to.map(|m| m.udp) {
+        self.report(out);
+    }
+
+    /// Takes what a sender knows more about the configuration that both have.
+    ///
+    /// A reader of the table may find a change as soon as its writer, and what it spreads names
+    /// no writer. Unless such members report when they hear of the writer, hundreds have to be
+    /// asked, and one would notice an `apply` that takes seconds longer now and then.
+    fn agree(&mut self, p: &Packet, out: &mut Vec<Action>) {
+        if p.proven {
+            self.settle();
+        }
+        let known = self.spread.origin != MemberId(0);
+        if p.origin != 0 && p.origin != self.me.id.0 && !known {
+            self.spread.origin = MemberId(p.origin);
+            self.report(out);
+        }
+    }
+
+    /// Tells whoever waits for the change that it is in force here.
+    fn report(&mut self, out: &mut Vec<Action>) {
+        let origin = self.view.key(self.spread.origin);
+        let to = origin.and_then(|k| self.view.member(k)).map(|m| m.udp);
+        if let Some(to) = to {
             let p = Packet::new(Kind::Report, 0);
             self.send(to, p, out);
         }
@@ -185,11 +207,9 @@
             Ordering::Less => return,
             // A reader of the table was faster than the table's answer.
             Ordering::Equal if row.digest == mine.digest => self.settle(),
-            _ => {
-                self.adopt(row, true, out);
-                self.announce_config(self.me.id, out);
-            }
+            _ => self.adopt(row, true, out),
         }
+        self.announce_config(self.me.id, out);
         self.expect_reports();
     }
 
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -452,3 +452,18 @@
     let back = net.until(secs(3), |net| net.nodes[0].fleet.in_force().current == 2);
     assert_matches!(back, Some(_));
 }
+
+/// A reader finds the change in the table at the moment its writer learns that it took effect, so
+/// half of the fleet has it from one who knows no writer. A user would notice an `apply` that
+/// takes seconds longer now and then, as all these have to be asked.
+#[test]
+fn reader_beside_the_writer() {
+    let mut net = Net::settled(60, 45, 0.0);
+    let second = row(2, "second");
+    net.row = Some(second.clone());
+    net.hand(7, Event::Table(Ok(Some(second.clone()))));
+    net.hand(0, Event::Accepted(second));
+    net.run(Micros::from_millis(490));
+    let lagging = net.nodes[0].fleet.in_force().lagging.len();
+    assert!(lagging < 6, "{lagging} of 60 are left to be asked");
+}
