queue: ageing 6; the traces' bounds are on means of five runs

Calls waited too long in overload: with ageing 2 the long ones of a team went before many short ones whose prefixes were cached. Runs go in threads to keep the test short.

--- a/crates/policy/examples/replay/main.rs
+++ b/crates/policy/examples/replay/main.rs
@@ -3,7 +3,7 @@
 //! `replay WORKLOAD [TRACE] [--policy P] [--order O] [--load L] [--count N] [--seed S]`, where
 //! WORKLOAD is `association` or `alpen`, P one of `ours`, `round-robin`, `least-loaded`,
 //! `consistent-hash`, `oracle`, and a load of 1 what the oracle's engines can just do. Without a
-//! trace one is drawn; `--write` prints it instead of replaying it. `--fault` is `slow`, `crash`
+//! trace one is drawn; `--unit` sets that speed, to compare changes; `--write` prints it instead of replaying it. `--fault` is `slow`, `crash`
 //! (of one replica) or `entries` (all restart), at half of the trace. `--evict`, `--most`, `--away`,
 //! `--urgency` and `--probes` change the options of `place`, `--late` (ms) and `--loss` the events.
 
@@ -59,7 +59,8 @@
         return Some(());
     }
     let wanted = |name: &str| options.get("policy").is_none_or(|p| *p == name);
-    let unit = unit_speed(workload, &trace);
+    let given = options.get("unit").map(|u| u.parse().ok());
+    let unit = given.unwrap_or_else(|| Some(unit_speed(workload, &trace)))?;
     eprintln!("replay: a load of 1 is a speed of {unit:.3}");
     let loads = options
         .get("load")
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -16,8 +16,10 @@
 //!   [`Queue::expire`]. It would waste the engine's time, and its caller can still act.
 //!
 //! Work is expected engine time. Grounds: 10% for normal and 5% for batch keep their queues moving
-//! at a cost of at most 18% (0.15/0.85) more wait for calls; ageing 2 lets a request of
-//! one second pass those of ten that came up to 18 s before it.
+//! at a cost of at most 18% (0.15/0.85) more wait for calls. With ageing 6 a request of one second,
+//! most of a full prompt, falls back by 6 s, within what callers on the line wait. In the replay at
+//! twice the load, 6 in place of 2 serves 492 instead of 439 of 757 calls in time; 12 serves 525,
+//! but leaves long requests of a busy team hardly a chance.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,7 +32,7 @@
     /// The part of the work assured to each class while more urgent ones wait too; none for
     /// calls, 0.10 for normal, 0.05 for batch.
     pub assured: [f64; 3],
-    /// By how much of its own work a request falls back behind later ones; 2.
+    /// By how much of its own work a request falls back behind later ones; 6.
     pub ageing: u64,
 }
 
@@ -38,7 +40,7 @@
     fn default() -> Self {
         Self {
             assured: [0.0, 0.10, 0.05],
-            ageing: 2,
+            ageing: 6,
         }
     }
 }
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -91,7 +91,7 @@
             name: "a long one is overtaken only for a while",
             jobs: vec![
                 job(a, Class::Call, 1_000, 1),
-                later(job(a, Class::Call, 10, 2), 2_000),
+                later(job(a, Class::Call, 10, 2), 6_000),
             ],
             order: vec![1, 2],
         },
--- a/crates/policy/tests/traces.rs
+++ b/crates/policy/tests/traces.rs
@@ -37,7 +37,7 @@
 
 /// Each bound is on the mean of runs at loads near to the stated one: near full load, one replay
 /// differs by a tenth from the next at a hardly different speed.
-const NEAR: [f64; 3] = [0.96, 1.0, 1.04];
+const NEAR: [f64; 5] = [0.94, 0.97, 1.0, 1.03, 1.06];
 
 const BASELINES: [Policy; 3] = [
     Policy::RoundRobin,
@@ -70,8 +70,13 @@
     let trace = parse(trace).expect("the trace can be read");
     assert_eq!(outcome.workload, name);
     let at = |policy, load| replay(&outcome, workload, &trace, policy, load);
+    let at = &at;
     for bound in &outcome.ours {
-        let near = NEAR.map(|part| at(Policy::Ours, bound.load * part));
+        let near: Vec<Report> = std::thread::scope(|scope| {
+            let one = |part| scope.spawn(move || at(Policy::Ours, bound.load * part));
+            let runs = NEAR.map(one);
+            runs.map(|run| run.join().expect("a replay ends")).into()
+        });
         let mean = |f: fn(&Report) -> f64| near.iter().map(f).sum::<f64>() / NEAR.len() as f64;
         let (hit, wasted) = (mean(|r| r.hit), mean(|r| r.wasted));
         let (goodput, p99) = (mean(|r| r.goodput), mean(|r| r.classes[0].p99_ms as f64));
