--- a/crates/daemon/tests/decide.rs
+++ b/crates/daemon/tests/decide.rs
@@ -175,6 +175,7 @@
         Count { what: "none", heard: &[], strikes: 0, before: false, convicted: false },
         Count { what: "one heard", heard: &[7], strikes: 0, before: false, convicted: true },
         Count { what: "one heard three times", heard: &[7, 7, 7], strikes: 0, before: false, convicted: true },
+        Count { what: "one heard with and without its name", heard: &[7, 0], strikes: 0, before: false, convicted: true },
         Count { what: "one not heard yet", heard: &[], strikes: 1, before: false, convicted: true },
         Count { what: "one heard and carried", heard: &[7], strikes: 1, before: false, convicted: true },
         Count { what: "two heard", heard: &[7, 8], strikes: 0, before: true, convicted: true },
