Let a stream that outlasts its deadline go on elsewhere

Cause: an attempt after the deadline was refused at once, also for a stream whose caller had been reading for a while; its engine's death then ended it in an error. The deadline is for the beginning of the answer, and a stream that has begun now has 10 s for its turn at another replica.

--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -36,6 +36,9 @@
 /// Targets that may die under one request. Membership tells the fleet of each crash a little
 /// later than an attempt elsewhere begins, so that the entry counts, too.
 const CRASHES: u32 = 2;
+/// How long a stream that has begun may wait for its turn at another replica; a reader takes a
+/// longer pause for the end.
+const RESUME: Duration = Duration::from_secs(10);
 /// Chunks between confirmations.
 const CONFIRM: u64 = 16;
 /// Largest answer that is collected before its caller gets any of it.
@@ -237,7 +240,7 @@
             return self.attempt < DRAINED;
         }
         let now = clock::now();
-        let left = self.job.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline().saturating_duration_since(Instant::now());
         let f = retry::Failure {
             attempt: model::Attempt(self.attempt - 1),
             outcome: failure.outcome,
@@ -249,6 +252,15 @@
         again.is_ok()
     }
 
+    /// When an attempt is of no more use. The deadline is for the beginning of the answer; whoever
+    /// reads a stream past it would otherwise lose it with its engine.
+    fn deadline(&self) -> Instant {
+        match self.out.started() {
+            true => Instant::now() + RESUME,
+            false => self.job.deadline,
+        }
+    }
+
     /// Notes how the current replica answered, for comparison with its peers.
     fn measured(&self, failed: bool) {
         let Some(target) = self.at else { return };
@@ -384,7 +396,7 @@
             team: j.want.team.clone(),
             share: j.share,
             class: j.want.class.index() as u32,
-            deadline: j.deadline.duration_since(Instant::now()).as_millis() as u64,
+            deadline: self.deadline().duration_since(Instant::now()).as_millis() as u64,
             idempotent: j.idempotent,
             key: j.key.clone(),
             method: j.method.clone(),
--- a/crates/daemon/tests/stream.rs
+++ b/crates/daemon/tests/stream.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use common::caller::{Answer, Pending};
@@ -78,6 +78,26 @@
     });
 }
 
+/// A caller's deadline is for the beginning of the answer, and a long stream outlasts it. Its engine
+/// dies after that; the caller still reads, and must get the rest as before the deadline.
+#[test]
+fn stream_past_its_deadline_goes_on_elsewhere() {
+    let mut fleet = Fleet::start(1, 2, &slow());
+    let prompt = "longer than its deadline ".repeat(20);
+    let body = completion(&prompt, TOKENS, true);
+    let headers = [("x-deadline-ms", "400")];
+    let sent = Instant::now();
+    let stream = fleet
+        .caller(0)
+        .begin("POST", "/v1/completions", &headers, &body);
+    while sent.elapsed() < Duration::from_millis(500) {
+        stream.wait_for("choices");
+    }
+    let at = fleet.runner();
+    fleet.replicas[at].standin.kill();
+    assert_whole(&stream.end(), &prompt, TOKENS);
+}
+
 /// Two of three engines close a stream after a few words, as one does that preempts it. The caller
 /// gets the rest from the next replica, also when that closes it, too.
 #[test]
