--- a/crates/contract/tests/lease.rs
+++ b/crates/contract/tests/lease.rs
@@ -224,6 +224,32 @@
     }
 }
 
+/// One answer is lost after its write took effect, the first or a later one. A holder that didn't
+/// find itself in the row would wait for itself.
+#[test]
+fn lost_answer_of_any_write_costs_a_round_only() {
+    for lost in 0..6 {
+        let (mut table, mut one, _) = pair(config(1, Micros::ZERO));
+        let mut calls = 0;
+        for t in 0..8 {
+            one.tick(s(t));
+            while matches!(one.step, LeaseStep::Call(_)) {
+                let fate = if calls == lost {
+                    Fate::LostAfter
+                } else {
+                    Fate::Good
+                };
+                calls += 1;
+                one.call(&mut table, fate);
+                one.hear(s(t));
+            }
+        }
+        assert_eq!(one.valid(s(7)), Some(1), "call {lost}");
+        let row = String::from_utf8_lossy(&table.value()).into_owned();
+        assert_eq!(row.matches("who").count(), 1, "call {lost}: {row}");
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Turn {
     Pass(u64),
--- a/crates/daemon/src/entry/probe.rs
+++ b/crates/daemon/src/entry/probe.rs
@@ -61,9 +61,13 @@
                 metrics::counter!("clementinestep_offer_faults_total").increment(1);
                 continue;
             };
-            // An offer that comes after its probe was given up has nobody to go to.
-            if let Some(tx) = self.lock().remove(&o.id) {
-                let _ = tx.send(o);
+            // An offer that comes after its probe was given up, or a second time, has nobody to
+            // go to.
+            match self.lock().remove(&o.id) {
+                Some(tx) => {
+                    let _ = tx.send(o);
+                }
+                None => metrics::counter!("clementinestep_offers_unasked_total").increment(1),
             }
         }
     }
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -166,6 +166,7 @@
                 metrics::counter!("clementinestep_gossip_bytes_total", "way" => "in")
                     .increment(n as u64);
                 self.step(Event::Datagram { from, bytes });
+                self.count();
             },
             Some(event) = self.fed.recv() => self.step(event),
             ask = self.asked.recv() => match ask {
@@ -245,6 +246,16 @@
         }
     }
 
+    /// Shows what was wrong with datagrams; without it, a member with another key, or somebody who
+    /// replays old datagrams, would be noticed by nobody.
+    fn count(&self) {
+        let c = self.fleet.counters();
+        let name = "clementinestep_gossip_faults_total";
+        metrics::counter!(name, "kind" => "seal").absolute(c.bad_seal);
+        metrics::counter!(name, "kind" => "packet").absolute(c.bad_packet);
+        metrics::counter!(name, "kind" => "stale").absolute(c.stale);
+    }
+
     fn entries(&self) -> usize {
         let all = std::iter::once(self.fleet.me()).chain(self.fleet.members());
         all.filter(|m| m.role == fleet::Role::Entry).count()
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -205,7 +205,8 @@
         ..Faults::default()
     };
     fleet.platform.misbehave(faults);
-    fleet.apply(&weights("2", Fencing::Honour));
+    let one = "fencing = true\npermits = 1";
+    fleet.apply(&weights("2", Fencing::Honour).replace("fencing = true", one));
     let engine = &fleet.replicas[0].engine;
     wait_loaded(engine, "2");
     let lease = format!("lease/{}", fleet.replicas[0].standin.at);
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -23,6 +23,8 @@
 
 /// Tokens of such an answer.
 const TOKENS: usize = 60;
+/// Tokens of one that outlasts an entry's notice.
+const LONG: usize = 320;
 /// Notice that an entry gives; a balancer needs some time to look elsewhere.
 const NOTICE: &str = "3000";
 
@@ -60,8 +62,8 @@
 struct Balancer(Arc<Mutex<Vec<SocketAddr>>>);
 
 impl Balancer {
-    fn set(&self, entries: &[Child]) {
-        let all = entries.iter().map(|e| e.address("callers"));
+    fn set<'a>(&self, entries: impl IntoIterator<Item = &'a Child>) {
+        let all = entries.into_iter().map(|e| e.address("callers"));
         *self.0.lock().expect("balancer") = all.collect();
     }
 
@@ -159,24 +161,22 @@
     fleet.wait_members();
     fleet.wait_version(1, 1);
     let caller = fleet.caller(1);
-    let ask = |p: &str| {
-        let body = completion(p, TOKENS, true);
-        caller.begin("POST", "/v1/completions", &[], &body)
+    let ask = |name: &str, i: usize, tokens: usize| {
+        let prompt = format!("{name} {i}");
+        let body = completion(&prompt, tokens, true);
+        let pending = caller.begin("POST", "/v1/completions", &[], &body);
+        (prompt, tokens, pending)
     };
-    let early: Vec<_> = (0..4)
-        .map(|i| (format!("early {i}"), ask(&format!("early {i}"))))
-        .collect();
-    early.iter().for_each(|(_, p)| p.wait_for("data:"));
+    let early: Vec<_> = (0..4).map(|i| ask("early", i, LONG)).collect();
+    early.iter().for_each(|(_, _, p)| p.wait_for("data:"));
     let at = fleet.entries[1].address("callers");
     fleet.entries[1].stop();
     wait_for("readiness to be withdrawn", || !ready(at));
-    let late: Vec<_> = (0..4)
-        .map(|i| (format!("late {i}"), ask(&format!("late {i}"))))
-        .collect();
-    for (prompt, pending) in early.into_iter().chain(late) {
+    let late: Vec<_> = (0..4).map(|i| ask("late", i, TOKENS)).collect();
+    for (prompt, tokens, pending) in early.into_iter().chain(late) {
         let answer = pending.end();
         assert!(answer.whole(), "{prompt}: {}", told(&answer));
-        assert_eq!(answer.words(), words(&prompt, TOKENS), "{prompt}");
+        assert_eq!(answer.words(), words(&prompt, tokens), "{prompt}");
     }
     assert!(fleet.entries[1].wait(), "it ends well");
     wait_for("the others to know", || fleet.live(0) == 3);
@@ -320,8 +320,10 @@
             ready(new.address("callers"))
         });
         let old = std::mem::replace(&mut fleet.entries[i], new);
-        balancer.set(&fleet.entries);
+        // The balancer knows both and learns of the leave from the old one's readiness.
+        balancer.set(fleet.entries.iter().chain([&old]));
         replace(&fleet, old, &load);
+        balancer.set(&fleet.entries);
     }
     load.more(12);
     println!(
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The state machine: one per process, driven from its control thread.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -73,6 +74,8 @@
     pub(crate) reader: Reader,
     pub(crate) join: Join,
     pub(crate) counters: Counters,
+    /// Hosts that go, as the platform listed them last.
+    leaving: BTreeSet<String>,
     seq: u32,
     gossip_at: Micros,
     wake: Micros,
@@ -100,6 +103,7 @@
             reader: Reader::default(),
             join: Join::default(),
             counters: Counters::default(),
+            leaving: BTreeSet::new(),
             seq,
             gossip_at: Micros::MAX,
             wake: Micros::MAX,
@@ -160,7 +164,8 @@
     /// Whether the platform has announced that a member's host goes.
     pub fn is_announced(&self, id: MemberId) -> bool {
         let e = self.view.key(id).and_then(|k| self.view.get(k));
-        e.is_some_and(|e| e.announced)
+        // One that has joined since the last list came is not marked yet.
+        e.is_some_and(|e| e.announced || self.leaving.contains(&e.member.host))
     }
 
     /// The configuration's version here; zero if there is none yet.
@@ -375,7 +380,9 @@
     }
 
     fn hint(&mut self, hosts: Vec<HostEntry>, out: &mut Vec<Action>) {
-        let leaving = |m: &Member| hosts.iter().any(|h| h.leaving && h.name == m.host);
+        let gone = hosts.into_iter().filter(|h| h.leaving);
+        self.leaving = gone.map(|h| h.name).collect();
+        let leaving = |m: &Member| self.leaving.contains(&m.host);
         for (_, e) in self.view.iter_mut() {
             let announced = e.member.state.is_live() && leaving(&e.member);
             if announced != e.announced {
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -4,7 +4,9 @@
 //! its own, and both derive one key for each direction. A frame's seal covers its number, so a
 //! connection that something tampered with ends in [`WireError::Seal`], never in wrong data.
 
-use bytes::Bytes;
+use std::io;
+
+use bytes::{Bytes, BytesMut};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
 use prost::Message;
@@ -13,10 +15,13 @@
 
 use crate::error::WireError;
 use crate::frame::{Body, Frame};
-use crate::seal::{opened, sealed, Key, Keys};
+use crate::seal::{opened, sealed, Key, Keys, SEAL};
 use crate::FRAME_MAX;
 
 const NONCE: usize = 16;
+/// What a length prefix may say before the other side has shown that it has a key; the codec
+/// makes room for that much at once.
+const HELLO: usize = SEAL + NONCE;
 
 type Stream = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -46,6 +51,7 @@
     stream.send(keys.seal(&nonce)).await?;
     let message = next(&mut stream).await?;
     let (server, key) = keys.open(&message)?;
+    widen(&mut stream);
     Ok(halves(stream, key, &nonce, &server, true))
 }
 
@@ -58,6 +64,7 @@
     let mut stream = framed(tcp)?;
     let message = next(&mut stream).await?;
     let (client, key) = keys.open(&message)?;
+    widen(&mut stream);
     stream.send(sealed(key, 0, &nonce)).await?;
     Ok(halves(stream, key, &client, &nonce, false))
 }
@@ -89,7 +96,7 @@
 impl Rx {
     /// The next frame; safe to drop while waiting.
     pub async fn next(&mut self) -> Result<Body, WireError> {
-        let message = self.stream.next().await.ok_or(WireError::Closed)??.freeze();
+        let message = received(self.stream.next().await)?;
         let payload = opened(&self.key, self.count, &message)?;
         self.count += 1;
         Frame::decode(payload)?.body.ok_or(WireError::Unexpected)
@@ -99,13 +106,31 @@
 fn framed(tcp: TcpStream) -> Result<Stream, WireError> {
     tcp.set_nodelay(true)?;
     let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_MAX + 64)
+        .max_frame_length(HELLO)
         .new_codec();
     Ok(Framed::new(tcp, codec))
 }
 
 async fn next(stream: &mut Stream) -> Result<Bytes, WireError> {
-    Ok(stream.next().await.ok_or(WireError::Closed)??.freeze())
+    received(stream.next().await)
+}
+
+/// Allows whole frames.
+fn widen(stream: &mut Stream) {
+    stream.codec_mut().set_max_frame_length(FRAME_MAX + 64);
+}
+
+fn received(got: Option<io::Result<BytesMut>>) -> Result<Bytes, WireError> {
+    match got {
+        Some(Ok(message)) => Ok(message.freeze()),
+        Some(Err(e)) => Err(match e.kind() {
+            // These two kinds are the codec's; faults of the connection have others.
+            io::ErrorKind::InvalidData => WireError::Length,
+            io::ErrorKind::Other => WireError::Cut,
+            _ => WireError::Io(e),
+        }),
+        None => Err(WireError::Closed),
+    }
 }
 
 fn halves(stream: Stream, key: &Key, client: &[u8], server: &[u8], ours: bool) -> (Tx, Rx) {
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -22,6 +22,13 @@
     /// Larger than either side may send.
     #[error("message of {0} bytes is too large")]
     Large(usize),
+    /// A frame's length is beyond what either side sends, as when a stranger speaks another
+    /// protocol.
+    #[error("frame is longer than any of ours")]
+    Length,
+    /// The connection ended within a frame.
+    #[error("connection ended within a frame")]
+    Cut,
     /// A message that doesn't belong here.
     #[error("unexpected message")]
     Unexpected,
