--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -18,6 +18,7 @@
 //! queue.
 
 use model::{Class, Code, Micros};
+use thiserror::Error;
 
 /// How much may wait.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +63,8 @@
 }
 
 /// A refusal: the request was not run and waits nowhere.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{code}; it may come again in {} ms", after.as_millis())]
 pub struct Refusal {
     /// Why.
     pub code: Code,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,8 @@
 //! to ask and the one to use, [`health`] leaves slow ones out, [`retry`] allows a second attempt.
 //! At a sidecar: [`admit`] takes or refuses a request at once, [`queue`] orders those taken,
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
+//! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
+//! memories that placement needs at either side.
 
 pub mod admit;
 pub mod busy;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -13,6 +13,7 @@
 //! three attempts, since what fails on three replicas will fail on a fourth.
 
 use model::{Attempt, Micros, Outcome};
+use thiserror::Error;
 
 /// How retries are bounded.
 #[derive(Clone, Copy, Debug)]
@@ -51,15 +52,19 @@
 }
 
 /// Why a request isn't sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Denied {
     /// It may have run and must not run twice.
+    #[error("it may have run and must not run twice")]
     Unsafe,
     /// It has been tried often enough.
+    #[error("it has been tried often enough")]
     Attempts,
     /// It could not be answered in time.
+    #[error("it could not be answered in time")]
     Deadline,
     /// Too many others are sent again already.
+    #[error("too many others are sent again already")]
     Budget,
 }
 
--- a/crates/prefix/src/marks.rs
+++ b/crates/prefix/src/marks.rs
@@ -78,8 +78,9 @@
     std::iter::successors(floor(n), |d| floor(d - 1))
 }
 
-/// The depths by which a prompt is placed: deep, middle and shallow.
+/// The points by which prompts are grouped: deep, middle and shallow.
 ///
+/// Placement uses the deep one; grouped by the others, copies spread too far (docs/DECISIONS.md).
 /// The deep one leaves out the last eighth, which is mostly the caller's own question: its hash
 /// would be seen once and never again.
 pub fn levels(chain: &[BlockHash]) -> impl Iterator<Item = Mark> + '_ {
