Find the ends of events in streams with carriage returns, too

Cause: an event was taken to end in two line feeds only. An engine that ends its lines in a carriage return and a line feed sent no whole event, so that its stream was held back and then taken for cut.

--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use exchange::{Action, Event, Failed, Failure, NotRun, Owner, Relay};
+use exchange::{events, Action, Event, Failed, Failure, NotRun, Owner, Relay};
 use model::{Code, Micros, Outcome, RequestId};
 use policy::health;
 use policy::quarantine::Verdict;
@@ -623,7 +623,7 @@
 fn event(body: Body) -> Event {
     match body {
         Body::Chunk(c) => {
-            let events = c.data.windows(2).filter(|w| w == b"\n\n").count() as u64;
+            let events = events::count(&c.data);
             Event::Chunk {
                 seq: c.seq,
                 data: c.data,
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use contract::{Claim, ClaimStep, Holder};
-use exchange::{Exchange, Queued};
+use exchange::{events, Exchange, Queued};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -35,7 +35,7 @@
 /// keep a caller on the line until he hangs up.
 const PAUSE: Duration = Duration::from_secs(4);
 /// The event with which an engine ends a stream that is whole.
-const DONE: &[u8] = b"data: [DONE]\n\n";
+const DONE: &[u8] = b"data: [DONE]";
 /// Longest time to connect to the target, which runs on this host.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Longest wait to learn whether an engine died: two failed calls of its feed.
@@ -315,8 +315,8 @@
         return Err(Code::NoTarget);
     }
     live.begin(head(&res, waited));
-    let events = is_events(&res);
-    body(slot, res.into_body(), live, events).await
+    let streamed = is_events(&res);
+    body(slot, res.into_body(), live, streamed).await
 }
 
 /// Whether an engine refuses for a while what another one may take, as it does when it has just
@@ -325,12 +325,17 @@
     cx.model && o.idempotent && res.status() == StatusCode::SERVICE_UNAVAILABLE
 }
 
-async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
+async fn body(
+    slot: &Slot<'_>,
+    mut body: Incoming,
+    live: &Live,
+    streamed: bool,
+) -> Result<(), Code> {
     let mut rest = BytesMut::new();
     let mut begun = false;
     let mut done = false;
     loop {
-        let limit = if begun && events { PAUSE } else { SILENCE };
+        let limit = if begun && streamed { PAUSE } else { SILENCE };
         let frame = timeout(limit, body.frame()).await.map_err(lost)?;
         let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(lost)?.into_data() else {
@@ -339,21 +344,21 @@
         if !std::mem::replace(&mut begun, true) {
             slot.cx.control.send(Ask::First(slot.run));
         }
-        if !events {
+        if !streamed {
             live.push(data).await;
             continue;
         }
         rest.extend_from_slice(&data);
-        if let Some(n) = whole_events(&rest) {
+        if let Some(n) = events::whole(&rest) {
             let whole = rest.split_to(n).freeze();
-            done = whole.ends_with(DONE);
+            done = events::trimmed(&whole).ends_with(DONE);
             live.push(whole).await;
         }
     }
     // A good end of the transfer doesn't say that the answer is whole: without a length it also
     // comes when the target's process goes away or something between closes the connection. The
     // caller would take half an answer for all of it.
-    let whole = match events {
+    let whole = match streamed {
         true if slot.cx.model => done && rest.is_empty(),
         true => rest.is_empty(),
         false => true,
@@ -365,11 +370,6 @@
     Code::TargetLost
 }
 
-/// Bytes up to the end of the last whole event.
-fn whole_events(b: &[u8]) -> Option<usize> {
-    b.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2)
-}
-
 fn is_events(res: &Response<Incoming>) -> bool {
     let kind = res
         .headers()
--- a/crates/daemon/tests/stream.rs
+++ b/crates/daemon/tests/stream.rs
@@ -285,3 +285,42 @@
         assert!(after >= least, "{side:?} {how:?}: only {after} frames");
     }
 }
+
+/// Some engines end their lines in a carriage return and a line feed. Their streams are streams
+/// like others: they come word by word, end well, and are resumed where they stopped.
+#[test]
+fn carriage_returns_end_lines_as_well() {
+    let mut fleet = Fleet::start(1, 1, &quick());
+    let hits = Arc::new(AtomicUsize::new(0));
+    let engine = Engine::new(quick());
+    let count = Arc::clone(&hits);
+    let router = engine
+        .router()
+        .post("/v1/completions", move |mut r: Request| {
+            count.fetch_add(1, Ordering::Relaxed);
+            async move {
+                early(
+                    &mut r,
+                    "data: {\"choices\":[{\"index\":0,\"text\":\"FIRST\"}]}\r\n\r\n",
+                )
+                .await
+            }
+        });
+    fleet.add_target(engine, router);
+    fleet.wait_members();
+    let mut n = 0;
+    wait_for("the carriage returns to be met", || {
+        n += 1;
+        let prompt = format!("carriage return {n}");
+        let body = completion(&prompt, 5, true);
+        let answer = fleet.caller(0).post("/v1/completions", &body);
+        assert_whole(&answer, &prompt, 5);
+        let resumed = fleet.replicas[0]
+            .engine
+            .ran()
+            .iter()
+            .any(|r| r.resumed == 1);
+        assert!(resumed || hits.load(Ordering::Relaxed) == 0);
+        hits.load(Ordering::Relaxed) > 0
+    });
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -3,8 +3,10 @@
 //! The modules here decide and keep; they neither send nor wait. [`life`] makes a false "not run"
 //! impossible to write, [`registry`] makes it impossible for a delayed request to run after it
 //! was given up, [`retain`] keeps what the entry hasn't confirmed, and [`relay`] checks at the
-//! entry that the caller gets each byte once, in order, to the end.
+//! entry that the caller gets each byte once, in order, to the end. [`events`] finds the ends of a
+//! stream's events.
 
+pub mod events;
 pub mod life;
 pub mod registry;
 pub mod relay;
