Keep a stand-in's port while it is dead

refused_requests_are_in_no_log failed once in some 20 runs: the engine's port had gone to a connection of another test when it was to come back. A bound socket that doesn't listen keeps it now.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -24,6 +24,7 @@
 use standin::gate::Gate;
 use standin::platform::Platform;
 use standin::service::Service;
+use tokio::net::TcpSocket;
 use viz::Router;
 
 pub use caller::Caller;
@@ -44,6 +45,9 @@
 /// A stand-in on a runtime of its own, so that it can be killed with all its connections.
 pub struct StandIn {
     run: Option<tokio::runtime::Runtime>,
+    /// Keeps the port while nobody listens: a connection of another test that got it by chance
+    /// would keep the stand-in from coming back at its address.
+    _port: TcpSocket,
     pub at: SocketAddr,
 }
 
@@ -60,11 +64,19 @@
             .enable_all()
             .build()
             .expect("runtime");
+        let port = TcpSocket::new_v4().expect("socket");
+        port.set_reuseaddr(true).expect("reuse");
+        port.bind(at).expect("port");
+        let at = port.local_addr().expect("address");
         let (at, server) = run
             .block_on(standin::listen_gated(at, router, gate))
             .expect("listen");
         run.spawn(server);
-        Self { run: Some(run), at }
+        Self {
+            run: Some(run),
+            _port: port,
+            at,
+        }
     }
 
     /// Ends it at once; its connections break.
