--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -46,7 +46,9 @@
     First(RunKey),
     /// The target died under a request.
     Crashed(RunKey),
-    /// A request that had its turn has ended, after so many events of its stream.
+    /// So many more events of a stream came.
+    Progress(RunKey, u64),
+    /// A request that had its turn has ended, after so many more events of its stream.
     Finished(RunKey, u64),
     /// An exchange began.
     Taken,
@@ -304,6 +306,7 @@
             }
             Ask::First(run) => self.decide.first(now, run),
             Ask::Crashed(run) => self.crashed(now, run),
+            Ask::Progress(run, events) => self.decide.progress(now, run, events),
             Ask::Finished(run, events) => self.decide.finished(now, run, events),
             Ask::Taken => self.step(drain::Event::Taken),
             Ask::Ended => self.step(drain::Event::Ended),
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -138,7 +138,7 @@
     class: Class,
     suspect: bool,
     stream: bool,
-    /// When its first byte came.
+    /// When its first byte came, or its last events were counted.
     first: Option<Micros>,
     /// Whether a target died under it before.
     struck: bool,
@@ -392,22 +392,34 @@
         self.rest(now);
     }
 
-    /// A request that had its turn has ended, in whatever way, after so many events of its stream.
-    pub fn finished(&mut self, now: Micros, key: RunKey, events: u64) {
+    /// So many more events of a stream came: a sample of the gap between two tokens.
+    pub fn progress(&mut self, now: Micros, key: RunKey, events: u64) {
         let running = self.running.len() as u32;
+        let Some(r) = self.running.get_mut(key.0) else {
+            return;
+        };
+        let Some(last) = r.first.replace(now).filter(|_| events > 1) else {
+            return;
+        };
+        let expected = Micros(GAP.0 * events);
+        let took = now.since(last);
+        self.runs.measured(
+            now,
+            Sample {
+                expected,
+                took,
+                running,
+            },
+        );
+    }
+
+    /// A request that had its turn has ended, in whatever way, after so many more events of its
+    /// stream.
+    pub fn finished(&mut self, now: Micros, key: RunKey, events: u64) {
+        self.progress(now, key, events);
         let Some(r) = self.running.try_remove(key.0) else {
             return;
         };
-        if let Some(first) = r.first.filter(|_| events > 1) {
-            self.runs.measured(
-                now,
-                Sample {
-                    expected: Micros(GAP.0 * events),
-                    took: now.since(first),
-                    running,
-                },
-            );
-        }
         if self.kind == Kind::Plain {
             let took = now.since(r.handed).0 as f64;
             let mean = self.call.0 as f64;
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use contract::{Claim, ClaimStep, Holder};
-use exchange::{Exchange, Queued};
+use exchange::{events, Exchange, Queued};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -36,11 +36,13 @@
 /// keep a caller on the line until he hangs up.
 const PAUSE: Duration = Duration::from_secs(4);
 /// The event with which an engine ends a stream that is whole.
-const DONE: &[u8] = b"data: [DONE]\n\n";
+const DONE: &[u8] = b"data: [DONE]";
 /// Longest time to connect to the target, which runs on this host.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Longest wait to learn whether an engine died: two failed calls of its feed.
 const VERDICT: Duration = Duration::from_millis(400);
+/// Events of a stream between two reports to control.
+const PROGRESS: u64 = 16;
 /// Headers that belong to one connection and aren't passed on.
 const HOP: [&str; 6] = [
     "connection",
@@ -203,9 +205,20 @@
     events: AtomicU64,
 }
 
+impl Slot<'_> {
+    /// Counts an event of the stream. Control is told now and then, and not only at the end: from
+    /// whole answers it would learn of a slower engine a minute late.
+    fn event(&self) {
+        let events = self.events.fetch_add(1, Ordering::Relaxed) + 1;
+        if events.is_multiple_of(PROGRESS) {
+            self.cx.control.send(Ask::Progress(self.run, PROGRESS));
+        }
+    }
+}
+
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        let events = self.events.load(Ordering::Relaxed);
+        let events = self.events.load(Ordering::Relaxed) % PROGRESS;
         self.cx.control.send(Ask::Finished(self.run, events));
     }
 }
@@ -322,8 +335,8 @@
         return Err(Code::NoTarget);
     }
     live.begin(head(&res, waited));
-    let events = is_events(&res);
-    body(slot, res.into_body(), live, events).await
+    let streamed = is_events(&res);
+    body(slot, res.into_body(), live, streamed).await
 }
 
 /// Whether an engine refuses for a while what another one may take, as it does when it has just
@@ -332,12 +345,17 @@
     cx.model && o.idempotent && res.status() == StatusCode::SERVICE_UNAVAILABLE
 }
 
-async fn body(slot: &Slot<'_>, mut body: Incoming, live: &Live, events: bool) -> Result<(), Code> {
+async fn body(
+    slot: &Slot<'_>,
+    mut body: Incoming,
+    live: &Live,
+    streamed: bool,
+) -> Result<(), Code> {
     let mut rest = BytesMut::new();
     let mut begun = false;
     let mut done = false;
     loop {
-        let limit = if begun && events { PAUSE } else { SILENCE };
+        let limit = if begun && streamed { PAUSE } else { SILENCE };
         let frame = timeout(limit, body.frame()).await.map_err(lost)?;
         let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(lost)?.into_data() else {
@@ -346,22 +364,22 @@
         if !std::mem::replace(&mut begun, true) {
             slot.cx.control.send(Ask::First(slot.run));
         }
-        if !events {
+        if !streamed {
             live.push(data).await;
             continue;
         }
         rest.extend_from_slice(&data);
-        if let Some(n) = whole_events(&rest) {
-            slot.events.fetch_add(1, Ordering::Relaxed);
+        if let Some(n) = events::whole(&rest) {
+            slot.event();
             let whole = rest.split_to(n).freeze();
-            done = whole.ends_with(DONE);
+            done = events::trimmed(&whole).ends_with(DONE);
             live.push(whole).await;
         }
     }
     // A good end of the transfer doesn't say that the answer is whole: without a length it also
     // comes when the target's process goes away or something between closes the connection. The
     // caller would take half an answer for all of it.
-    let whole = match events {
+    let whole = match streamed {
         true if slot.cx.model => done && rest.is_empty(),
         true => rest.is_empty(),
         false => true,
@@ -373,11 +391,6 @@
     Code::TargetLost
 }
 
-/// Bytes up to the end of the last whole event.
-fn whole_events(b: &[u8]) -> Option<usize> {
-    b.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2)
-}
-
 fn is_events(res: &Response<Incoming>) -> bool {
     let kind = res
         .headers()
--- a/crates/policy/src/concurrency.rs
+++ b/crates/policy/src/concurrency.rs
@@ -45,6 +45,9 @@
     pub step: f64,
     /// Half of the time over which the best stretch is remembered; 10 s.
     pub window: Micros,
+    /// By how much the limit falls when a window ends; 1.25 for all that run, which would wait
+    /// for the limit's return, and 4 for prefill.
+    pub probe: f64,
 }
 
 impl Config {
@@ -58,6 +61,7 @@
             smooth: 0.2,
             step: 0.04,
             window: Micros::from_secs(10),
+            probe: 1.25,
         }
     }
 
@@ -67,14 +71,12 @@
         Self {
             most: 4,
             first: 2,
+            probe: 4.0,
             ..Self::running()
         }
     }
 }
 
-/// By how much the limit falls when a window ends.
-const PROBE: f64 = 4.0;
-
 /// One measured latency.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -161,7 +163,7 @@
         if now >= self.until {
             self.best = [f64::MAX, self.best[0]];
             self.until = now + self.config.window;
-            self.limit /= PROBE;
+            self.limit /= self.config.probe;
             // What was measured at the higher limit must not be taken for the lower one's.
             self.average = None;
         }
