--- a/crates/exchange/tests/common/mod.rs
+++ b/crates/exchange/tests/common/mod.rs
@@ -241,6 +241,7 @@
         self.sides.iter_mut().for_each(|s| s.paused = false);
         self.callers.iter_mut().for_each(|c| c.paused = false);
         loop {
+            self.count();
             let moves = self.moves();
             for &m in moves.iter().filter(|m| !matches!(m, Move::Late(_))) {
                 self.act(m);
@@ -256,6 +257,11 @@
         }
     }
 
+    fn count(&mut self) {
+        self.steps += 1;
+        assert!(self.steps < STEPS, "endless");
+    }
+
     /// All that can move now.
     pub fn moves(&self) -> Vec<Move> {
         let entry = (0..self.callers.len()).filter(|&i| self.ready(i));
@@ -270,8 +276,7 @@
     }
 
     pub fn act(&mut self, m: Move) {
-        self.steps += 1;
-        assert!(self.steps < STEPS, "endless");
+        self.count();
         match m {
             Move::Entry(i) if self.ready(i) => self.entry(i),
             Move::Target(i) if self.busy(i) => self.target(i),
