--- a/crates/exchange/tests/join.rs
+++ b/crates/exchange/tests/join.rs
@@ -65,7 +65,7 @@
         Case { what: "no longer kept", size: 1, steps: 99, happens: World::forget, told: Err(UNKNOWN) },
         Case { what: "sidecar restarted", size: 1, steps: 6, happens: |w| w.restart(0), told: Err(UNKNOWN) },
         Case { what: "sidecar gone", size: 1, steps: 99, happens: |w| w.sides[0].gone = true, told: Err(UNKNOWN) },
-        Case { what: "engine dead", size: 1, steps: 6, happens: |w| w.kill_engine(0), told: Err(UNKNOWN) },
+        Case { what: "engine dead", size: 1, steps: 6, happens: |w| w.sides[0].engine += 1, told: Err(UNKNOWN) },
         Case { what: "too large, running", size: LARGE, steps: 99, happens: |_| {}, told: Err(UNKNOWN) },
         Case { what: "too large, entry dead", size: LARGE, steps: 12, happens: |w| w.crash(0), told: Err(UNKNOWN) },
     ];
--- a/crates/exchange/tests/schedules.rs
+++ b/crates/exchange/tests/schedules.rs
@@ -100,7 +100,7 @@
             Op::Break(n) => w.break_conn(caller(n)),
             Op::Spoil(n, how) => drop(w.spoil(caller(n), how)),
             Op::Crash(n) => w.crash(caller(n)),
-            Op::Kill(n) => w.kill_engine(side(n)),
+            Op::Kill(n) => w.sides[side(n)].engine += 1,
             Op::Refuse(n) => w.sides[side(n)].dead ^= true,
             Op::Restart(n) => w.restart(side(n)),
             Op::Leave(n) => {
