Don't take the list of one that joins itself for whole

Cause: a process that joins pulls from any member it heard of, which may be one that has just started as well. Its list of two without configuration counted as whole, so that the next chance was a comparison of views or the table, seconds later. Ruled out: the start of the process itself (its ready line came as early as ever) and the platform (same with it down).

--- a/crates/fleet/src/join.rs
+++ b/crates/fleet/src/join.rs
@@ -199,8 +199,11 @@
         let wait = self.jitter(wait.min(self.set.heal_every));
         self.join.join_at = self.now + wait;
         self.join.tries += 1;
+        // The first choice is any, so that the pulls of many spread over the fleet.
         let known = self.view.sample(1, &mut self.rng).first().copied();
-        match known.and_then(|k| self.view.member(k)).map(|m| m.id) {
+        let known = known.and_then(|k| self.view.member(k)).map(|m| m.id);
+        let ahead = self.ahead().filter(|_| self.spread.has_failed());
+        match ahead.map(|s| s.id).or(known) {
             Some(id) if self.spread.is_idle(self.now) => self.pull(id, What::All, out),
             Some(_) => {}
             None => self.ask_seeds(ASKED, out),
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -93,8 +93,8 @@
 
 /// A member that is ahead.
 #[derive(Clone, Copy)]
-struct Source {
-    id: MemberId,
+pub(crate) struct Source {
+    pub(crate) id: MemberId,
     version: Version,
     digest: Digest,
     proven: bool,
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Whether the last pull failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.fails > 0
+    }
+
     pub(crate) fn is_idle(&self, now: Micros) -> bool {
         self.pull.is_none() && self.retry_at <= now
     }
@@ -315,7 +320,10 @@
         // A later life at the same address knows nothing yet and would look like an empty fleet.
         let other = whole && answer.members.iter().all(|m| m.id != from);
         let behind = source.is_some_and(|s| answer.version < s.version);
-        if other || behind {
+        // So does one that joins itself, as when all entries restart together. Were its list taken
+        // for whole, this process would serve only once it is found or reads the table.
+        let fresh = joining && self.ahead().is_some_and(|s| answer.version < s.version);
+        if other || behind || fresh {
             self.counters.pull_failures += 1;
             return self.back_off();
         }
@@ -334,6 +342,14 @@
         }
     }
 
+    /// The live member that is known to be the furthest ahead, while pulls from others may fail.
+    pub(crate) fn ahead(&self) -> Option<Source> {
+        let live = |s: &&Source| self.view.key(s.id).is_some_and(|k| self.view.is_live(k));
+        let sources = self.spread.sources.iter().filter(live);
+        let top = sources.max_by_key(|s| s.version).copied();
+        top.filter(|_| self.spread.fails < TABLE_AFTER)
+    }
+
     /// A pull came to nothing: another member is asked, later and later.
     pub(crate) fn pull_failed(&mut self, from: MemberId) {
         if self.spread.pull.take_if(|p| p.from == from).is_some() {
