--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -36,6 +36,19 @@
     content: String,
 }
 
+/// Fields of a body that only the entry may set.
+const OURS: [&str; 3] = ["cache_salt", "priority", "resume"];
+
+/// Refuses a body for another path of an engine that sets what only the entry may set: with a salt
+/// of its choice a caller could find another team's cache entries.
+pub fn guard(body: &[u8]) -> Result<(), Problem> {
+    let fields: BTreeMap<String, &RawValue> = serde_json::from_slice(body).unwrap_or_default();
+    match OURS.iter().find(|f| fields.contains_key(**f)) {
+        Some(f) => Err(bad(format!("`{f}` can't be set by callers"))),
+        None => Ok(()),
+    }
+}
+
 /// What the entry adds to a body for an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Added<'a> {
--- a/crates/daemon/src/entry/prepare.rs
+++ b/crates/daemon/src/entry/prepare.rs
@@ -8,6 +8,7 @@
 use hyper::http::request::Parts;
 use model::{Code, RequestId};
 use prefix::Seed;
+use rules::config::Kind;
 use rules::{Decision, Facts, RuleSet, Team};
 use tokio::time::Instant;
 use viz::header::HeaderMap;
@@ -17,7 +18,7 @@
 use crate::clock;
 use crate::entry;
 use crate::entry::answer::{Problem, REQUEST_ID};
-use crate::entry::ask::{Completion, CHAT, COMPLETIONS};
+use crate::entry::ask::{self, Completion, CHAT, COMPLETIONS};
 use crate::entry::drive::{Job, Payload};
 use crate::entry::limits::Sent;
 use crate::entry::probe::Wanted;
@@ -84,6 +85,9 @@
     let Some((name, pool)) = decision.pool else {
         return Err(Problem::unsent(Code::NoRule, "the rule names no pool"));
     };
+    if pool.kind == Kind::Model && completion.is_none() {
+        ask::guard(&body)?;
+    }
     let Some(key) = view.world.pool(name) else {
         return Err(no_target(name));
     };
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -8,7 +8,7 @@
 use contract::{Claim, ClaimStep, Holder};
 use exchange::{events, Exchange, Queued};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -334,6 +334,9 @@
     if is_busy(slot.cx, o, &res) {
         return Err(Code::NoTarget);
     }
+    if unbounded(&res) {
+        return Err(Code::BadAnswer);
+    }
     live.begin(head(&res, waited));
     let streamed = is_events(&res);
     body(slot, res.into_body(), live, streamed).await
@@ -387,6 +390,13 @@
     whole.then_some(()).ok_or(Code::TargetLost)
 }
 
+/// Whether only the end of the connection ends the answer. Half of such an answer can't be told
+/// from all of it: it ends the same way when the target's process goes away.
+fn unbounded(res: &Response<Incoming>) -> bool {
+    let chunked = res.headers().contains_key("transfer-encoding");
+    !chunked && res.body().size_hint().exact().is_none()
+}
+
 fn lost<E>(_: E) -> Code {
     Code::TargetLost
 }
