--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -57,21 +57,32 @@
     Caller::new(at, "").get("/health/ready").status == 200
 }
 
-/// Sends to the entries that say that they are ready, as a balancer does.
+/// How often a balancer looks who is ready.
+const LOOK: Duration = Duration::from_millis(300);
+
+/// Sends to the entries that were ready when it looked last, as a balancer does.
 #[derive(Clone, Default)]
-struct Balancer(Arc<Mutex<Vec<SocketAddr>>>);
+struct Balancer {
+    all: Arc<Mutex<Vec<SocketAddr>>>,
+    ready: Arc<Mutex<Vec<SocketAddr>>>,
+}
 
 impl Balancer {
     fn set<'a>(&self, entries: impl IntoIterator<Item = &'a Child>) {
         let all = entries.into_iter().map(|e| e.address("callers"));
-        *self.0.lock().expect("balancer") = all.collect();
+        *self.all.lock().expect("balancer") = all.collect();
+    }
+
+    fn look(&self) {
+        let all = self.all.lock().expect("balancer").clone();
+        let up = all.into_iter().filter(|at| ready(*at)).collect();
+        *self.ready.lock().expect("balancer") = up;
     }
 
     fn pick(&self, turn: usize) -> Caller {
-        let all = self.0.lock().expect("balancer").clone();
-        let mut order = (0..all.len()).map(|i| all[(turn + i) % all.len()]);
-        let to = order.find(|at| ready(*at)).expect("an entry that is ready");
-        Caller::new(to, KEY)
+        let up = self.ready.lock().expect("balancer");
+        assert!(!up.is_empty(), "no entry is ready");
+        Caller::new(up[turn % up.len()], KEY)
     }
 }
 
@@ -84,7 +95,15 @@
 
 impl Load {
     fn start(balancer: &Balancer, callers: usize) -> Self {
-        let (over, sent) = (Arc::default(), Arc::default());
+        let (over, sent) = (Arc::<AtomicBool>::default(), Arc::default());
+        balancer.look();
+        let (eyes, end) = (balancer.clone(), Arc::clone(&over));
+        std::thread::spawn(move || {
+            while !end.load(Ordering::Relaxed) {
+                std::thread::sleep(LOOK);
+                eyes.look();
+            }
+        });
         let one = |n: usize| {
             let (balancer, over, sent) = (balancer.clone(), Arc::clone(&over), Arc::clone(&sent));
             std::thread::spawn(move || call(&balancer, n, &over, &sent))
@@ -203,25 +222,27 @@
         (prompt, caller.begin("POST", "/v1/completions", &[], &body))
     };
     let asked: Vec<_> = (0..16).map(ask).collect();
-    let stopping = &fleet.replicas[0].sidecar;
-    wait_for("requests to run and to wait there", || {
-        let waits = gauge(stopping, "clementinestep_queue_length") >= 4.0;
-        waits && gauge(stopping, "clementinestep_target_running") > 0.0
+    let queued = |r: usize| gauge(&fleet.replicas[r].sidecar, "clementinestep_queue_length");
+    // Of sixteen, four run at most, so that six or more wait at one of the two.
+    let mut stopping = 0;
+    wait_for("requests to wait at one", || {
+        stopping = usize::from(queued(1) > queued(0));
+        queued(stopping) >= 4.0
     });
-    let engine = &fleet.replicas[0].engine;
+    let engine = &fleet.replicas[stopping].engine;
     let begun = engine.ran().len() + engine.running();
-    stopping.stop();
+    fleet.replicas[stopping].sidecar.stop();
     for (prompt, pending) in asked {
         let answer = pending.end();
         assert!(answer.whole(), "{prompt}: {}", told(&answer));
         assert_eq!(answer.words(), words(&prompt, TOKENS), "{prompt}");
     }
-    assert!(fleet.replicas[0].sidecar.wait(), "it ends well");
+    assert!(fleet.replicas[stopping].sidecar.wait(), "it ends well");
     let log = [0, 1].map(|r| fleet.replicas[r].engine.ran());
     assert!(log.iter().flatten().all(|r| r.whole), "{log:?}");
     assert_eq!(log[0].len() + log[1].len(), 16, "each ran once");
     // Two more may have had their turn before the signal was heard.
-    let ran = log[0].len();
+    let ran = log[stopping].len();
     assert!(
         ran <= begun + 2,
         "{ran} ran there, {begun} had begun at the signal"
@@ -253,12 +274,15 @@
             .begin("POST", "/records/votes", &headers, &key)
     };
     let asked: Vec<_> = (0..24).map(ask).collect();
-    wait_for("records to be written and to wait there", || {
-        let waits = gauge(&sidecars[0], "clementinestep_queue_length") >= 6.0;
-        waits && gauge(&sidecars[0], "clementinestep_target_running") > 0.0
+    let queued = |i: usize| gauge(&sidecars[i], "clementinestep_queue_length");
+    // Of 24, four run at most, so that ten or more wait at one of the two.
+    let mut stopping = 0;
+    wait_for("records to wait at one", || {
+        stopping = usize::from(queued(1) > queued(0));
+        queued(stopping) >= 6.0
     });
-    let begun = services[0].runs().len() + 2;
-    sidecars[0].stop();
+    let begun = services[stopping].runs().len() + 2;
+    sidecars[stopping].stop();
     for (i, pending) in asked.into_iter().enumerate() {
         let answer = pending.end();
         assert_eq!(
@@ -268,9 +292,9 @@
             told(&answer)
         );
     }
-    assert!(sidecars[0].wait(), "it ends well");
+    assert!(sidecars[stopping].wait(), "it ends well");
     // Two more may have had their turn before the signal was heard.
-    let ran = services[0].runs().len();
+    let ran = services[stopping].runs().len();
     assert!(
         ran <= begun + 2,
         "{ran} were written there, {begun} had begun at the signal"
