replay: time from arrival until those not served are told

Cause: expired and refused calls were counted, but not when their callers learnt of it. End::Refused and End::Expired now carry that time; the report prints its p50 and p99 by class.

--- a/crates/policy/examples/replay/sim/report.rs
+++ b/crates/policy/examples/replay/sim/report.rs
@@ -12,10 +12,10 @@
 pub(crate) enum End {
     /// Its first token came.
     Served { ttft: Micros, in_time: bool },
-    /// It was refused at once.
-    Refused,
-    /// It waited and could no longer be answered in time.
-    Expired,
+    /// It was refused on arrival.
+    Refused { after: Micros },
+    /// It waited, and was given back as it would not be answered in time.
+    Expired { after: Micros },
     /// It was lost with its replica and could not be sent again.
     Lost,
 }
@@ -42,6 +42,9 @@
     pub(crate) lost: u32,
     pub(crate) p50_ms: u64,
     pub(crate) p99_ms: u64,
+    /// Time from arrival until those not served were told so.
+    pub(crate) told_p50_ms: u64,
+    pub(crate) told_p99_ms: u64,
 }
 
 /// Figures of one replay, over its measured part.
@@ -117,9 +120,11 @@
 
     /// Sums up what callers of each class received.
     pub(crate) fn judge(&mut self, classes: &[Class], from: usize, span: Micros) {
-        let mut times = [(); 3].map(|()| {
+        let empty = || {
             Histogram::<u64>::new_with_max(HOUR, 3).expect("the bounds are constant and allowed")
-        });
+        };
+        let mut times = [(); 3].map(|()| empty());
+        let mut told = [(); 3].map(|()| empty());
         for (class, end) in classes.iter().zip(&self.ends).skip(from) {
             let figures = &mut self.classes[class.index()];
             figures.offered += 1;
@@ -129,8 +134,14 @@
                     figures.good += u32::from(*in_time);
                     figures.late += u32::from(!*in_time);
                 }
-                Some(End::Refused) => figures.refused += 1,
-                Some(End::Expired) => figures.expired += 1,
+                Some(End::Refused { after }) => {
+                    told[class.index()].saturating_record(after.as_millis().max(1));
+                    figures.refused += 1;
+                }
+                Some(End::Expired { after }) => {
+                    told[class.index()].saturating_record(after.as_millis().max(1));
+                    figures.expired += 1;
+                }
                 Some(End::Lost) | None => figures.lost += 1,
             }
         }
@@ -138,6 +149,10 @@
             figures.p50_ms = times.value_at_quantile(0.5);
             figures.p99_ms = times.value_at_quantile(0.99);
         }
+        for (figures, told) in self.classes.iter_mut().zip(&told) {
+            figures.told_p50_ms = told.value_at_quantile(0.5);
+            figures.told_p99_ms = told.value_at_quantile(0.99);
+        }
         let two = Micros::from_secs(2);
         self.quick_calls = self.within(two, |i| i >= from && classes[i] == Class::Call);
         self.unended = self.ends.iter().filter(|e| e.is_none()).count();
--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -282,7 +282,10 @@
 
     fn send_next(&mut self, now: Micros, i: usize) {
         match self.live[i].choices.is_empty() {
-            true => self.report.end(i, End::Refused),
+            true => {
+                let after = now.since(self.live[i].at);
+                self.report.end(i, End::Refused { after });
+            }
             false => {
                 let r = self.live[i].choices.remove(0);
                 let way = self.way(self.live[i].entry, r);
@@ -320,7 +323,9 @@
 
     fn pump(&mut self, now: Micros, r: usize) {
         for late in self.sidecars[r].queue.expire(now) {
-            self.report.end(late.payload.ask.request, End::Expired);
+            let i = late.payload.ask.request;
+            let after = now.since(self.live[i].at);
+            self.report.end(i, End::Expired { after });
         }
         let slots = self.setup.engine.slots;
         while let Some(handed) = self.sidecars[r].next(now, self.engines[r].load(), slots) {
