--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -154,6 +154,8 @@
             Step::Prefilled(r, life) if self.engines[r].life.0 == life => self.prefilled(now, r),
             Step::Decoded(r, life, i) if self.engines[r].life.0 == life => {
                 self.engines[r].decoded(i);
+                let work = self.live[i].work;
+                self.sidecars[r].finished(now, work);
                 self.pump(now, r);
             }
             Step::Prefilled(..) | Step::Decoded(..) => {}
@@ -372,8 +374,6 @@
         let blocks = (done.job.prompt.chain.len() as u32 - done.cached).max(1);
         if self.setup.order == Order::Ours {
             self.sidecars[r].prefilled(now, blocks, done.took, done.job.handed);
-            let work = self.live[i].work;
-            self.sidecars[r].finished(now, work);
         }
         let entry = self.live[i].entry;
         let first = now + self.way(entry, r);
