queue: count that lighter teams send more while a heavy team's request waits

Cause: of the 9.8 s that expired calls waited at 2 (association), 2.7 s were work of other teams that came later and that fairness lets go first; ahead() counted only what waits now. They come mostly from the two heaviest teams.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// How often a lighter team's waiting work is taken to be replaced while a heavier team's request
+/// waits, as far as fairness lets it go first.
+///
+/// Were only what waits now counted, a busy team's request would be told a third of its wait and
+/// be given back at its deadline: whatever the lighter teams send meanwhile goes first too. In the
+/// replay at twice the load 4 leaves half as many of these as 1. Without a bound, calls are refused
+/// for work that never comes.
+const REFILL: f64 = 4.0;
+
 /// Requests of a team that are compared by what they would take now.
 const LOOK: usize = 16;
 
@@ -319,7 +328,7 @@
         let sum: f64 = others
             .map(|(_, l)| {
                 let until = (finish - l.start) * f64::from(l.weight.max(1));
-                until.clamp(0.0, l.work.0 as f64)
+                until.clamp(0.0, REFILL * l.work.0 as f64)
             })
             .sum();
         before + sum as u64
