--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -322,8 +322,7 @@
     }
 
     fn pump(&mut self, now: Micros, r: usize) {
-        for late in self.sidecars[r].queue.expire(now) {
-            let i = late.payload.ask.request;
+        for i in self.sidecars[r].expire(now) {
             let after = now.since(self.live[i].at);
             self.report.end(i, End::Expired { after });
         }
--- a/crates/policy/examples/replay/sim/sidecar.rs
+++ b/crates/policy/examples/replay/sim/sidecar.rs
@@ -128,6 +128,17 @@
         Ok(())
     }
 
+    /// Takes out what can't be answered in time any more, or won't be.
+    pub(crate) fn expire(&mut self, now: Micros) -> Vec<usize> {
+        let (drain, until) = (self.drain, self.until.since(now));
+        let late = self.queue.expire(now);
+        let hopeless = self.queue.review(now, |work| drain.wait(work) + until);
+        let jobs = late
+            .into_iter()
+            .chain(hopeless.into_iter().map(|(job, _)| job));
+        jobs.map(|job| job.payload.ask.request).collect()
+    }
+
     /// The next request for the engine, if it may have one.
     pub(crate) fn next(&mut self, now: Micros, running: usize, slots: u32) -> Option<Handed> {
         if !self.prefills.allows(self.prefilling) || running >= slots as usize {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -22,6 +22,7 @@
 //! but leaves long requests of a busy team hardly a chance.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use model::{Class, Micros, TeamKey};
 use slab::Slab;
@@ -57,6 +58,9 @@
 /// Requests of a team that are compared by what they would take now.
 const LOOK: usize = 16;
 
+/// Requests whose wait is looked at again in one call of [`Queue::review`].
+const REVIEWED: usize = 4;
+
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobKey(usize);
@@ -119,6 +123,8 @@
     bands: [Band; 3],
     /// By the last time at which each can still be started.
     latest: BTreeSet<(Micros, JobKey)>,
+    /// The last one that [`Queue::review`] looked at.
+    seen: Option<(Micros, JobKey)>,
 }
 
 impl<T> Queue<T> {
@@ -129,6 +135,7 @@
             jobs: Slab::new(),
             bands: Default::default(),
             latest: BTreeSet::new(),
+            seen: None,
         }
     }
 
@@ -203,6 +210,48 @@
         late
     }
 
+    /// Takes out requests that will not have their turn in time, long before their deadline.
+    ///
+    /// The wait told on arrival may turn out too short: the engine slows down, or others that go
+    /// first come later. Such a request would be kept until its deadline and then be refused, when
+    /// its caller can do nothing more. `wait` tells how long work takes from now; each is returned
+    /// with its wait. [`REVIEWED`] are looked at in a call, the earliest deadline first, and the next
+    /// ones in the next call, so that the cost of a call doesn't grow with the queue.
+    pub fn review(
+        &mut self,
+        now: Micros,
+        wait: impl Fn(Micros) -> Micros,
+    ) -> Vec<(Job<T>, Micros)> {
+        let mut hopeless = Vec::new();
+        for _ in 0..REVIEWED.min(self.latest.len()) {
+            let Some((latest, key)) = self.following() else {
+                break;
+            };
+            self.seen = Some((latest, key));
+            let wait = self.before(key).map_or(Micros::ZERO, &wait);
+            if now + wait > latest {
+                hopeless.extend(self.remove(key).map(|job| (job, wait)));
+            }
+        }
+        hopeless
+    }
+
+    /// The request after the last one looked at, by latest start; after the last the first.
+    fn following(&self) -> Option<(Micros, JobKey)> {
+        let after = self.seen.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.latest.range((after, Bound::Unbounded)).next();
+        next.or_else(|| self.latest.first()).copied()
+    }
+
+    /// The engine time that a waiting request still waits for.
+    fn before(&self, key: JobKey) -> Option<Micros> {
+        let Kept { job, order } = self.jobs.get(key.0)?;
+        let lane = self.bands[job.class.index()].lanes.get(&job.team)?;
+        let first = lane.order.range(..(*order, key));
+        let before: u64 = first.map(|(_, k)| self.jobs[k.0].job.work.0).sum();
+        Some(self.slowed(job.class, job.team, job.weight, before, job.work))
+    }
+
     /// Takes out all requests, the most urgent first, for a planned stop.
     pub fn drain(&mut self) -> Vec<Job<T>> {
         std::iter::from_fn(|| self.pop()).collect()
@@ -218,9 +267,24 @@
     /// It counts the more urgent classes in full, the assured part of the less urgent ones, and
     /// in its own class of each team only what fairness lets go first.
     pub fn ahead(&self, class: Class, team: TeamKey, weight: u32, work: Micros) -> Micros {
+        let lane = self.bands[class.index()].lanes.get(&team);
+        // The team's own requests go before this one if they are shorter; half of them, say.
+        let before = lane.map_or(0, |l| l.work.0 / 2);
+        self.slowed(class, team, weight, before, work)
+    }
+
+    /// The engine time that goes before a request, with `before` of its own team.
+    fn slowed(
+        &self,
+        class: Class,
+        team: TeamKey,
+        weight: u32,
+        before: u64,
+        work: Micros,
+    ) -> Micros {
         let index = class.index();
         let urgent: u64 = self.bands[..index].iter().map(|b| b.work.0).sum();
-        let own = self.bands[index].ahead(team, weight.max(1), work);
+        let own = self.bands[index].ahead(team, weight.max(1), before, work);
         let slowed = (urgent + own) as f64 / (1.0 - self.assured_below(index)).max(0.1);
         Micros(slowed as u64)
     }
@@ -318,10 +382,8 @@
         }
     }
 
-    fn ahead(&self, team: TeamKey, weight: u32, work: Micros) -> u64 {
+    fn ahead(&self, team: TeamKey, weight: u32, before: u64, work: Micros) -> u64 {
         let own = self.lanes.get(&team);
-        // The team's own requests go before this one if they are shorter; half of them, say.
-        let before = own.map_or(0, |l| l.work.0 / 2);
         let turn = own.map_or(self.now, |l| l.start.max(self.now));
         let finish = turn + (before + work.0) as f64 / f64::from(weight);
         let others = self.lanes.iter().filter(|(t, _)| **t != team);
