--- a/crates/policy/examples/replay/sim/report.rs
+++ b/crates/policy/examples/replay/sim/report.rs
@@ -13,8 +13,10 @@
     /// Its first token came.
     Served { ttft: Micros, in_time: bool },
     /// It was refused on arrival.
-    Refused { after: Micros },
-    /// It waited, and was given back as it would not be answered in time.
+    Refused,
+    /// It waited, and was given back before its deadline as its turn would have come too late.
+    Returned { after: Micros },
+    /// It waited until it could no longer be answered in time.
     Expired { after: Micros },
     /// It was lost with its replica and could not be sent again.
     Lost,
@@ -38,11 +40,12 @@
     pub(crate) good: u32,
     pub(crate) late: u32,
     pub(crate) refused: u32,
+    pub(crate) returned: u32,
     pub(crate) expired: u32,
     pub(crate) lost: u32,
     pub(crate) p50_ms: u64,
     pub(crate) p99_ms: u64,
-    /// Time from arrival until those not served were told so.
+    /// Time from arrival until those that waited and were not served were told so.
     pub(crate) told_p50_ms: u64,
     pub(crate) told_p99_ms: u64,
 }
@@ -134,9 +137,10 @@
                     figures.good += u32::from(*in_time);
                     figures.late += u32::from(!*in_time);
                 }
-                Some(End::Refused { after }) => {
+                Some(End::Refused) => figures.refused += 1,
+                Some(End::Returned { after }) => {
                     told[class.index()].saturating_record(after.as_millis().max(1));
-                    figures.refused += 1;
+                    figures.returned += 1;
                 }
                 Some(End::Expired { after }) => {
                     told[class.index()].saturating_record(after.as_millis().max(1));
--- a/crates/policy/examples/replay/sim/run.rs
+++ b/crates/policy/examples/replay/sim/run.rs
@@ -282,10 +282,7 @@
 
     fn send_next(&mut self, now: Micros, i: usize) {
         match self.live[i].choices.is_empty() {
-            true => {
-                let after = now.since(self.live[i].at);
-                self.report.end(i, End::Refused { after });
-            }
+            true => self.report.end(i, End::Refused),
             false => {
                 let r = self.live[i].choices.remove(0);
                 let way = self.way(self.live[i].entry, r);
@@ -322,9 +319,13 @@
     }
 
     fn pump(&mut self, now: Micros, r: usize) {
-        for i in self.sidecars[r].expire(now) {
+        for (i, late) in self.sidecars[r].expire(now) {
             let after = now.since(self.live[i].at);
-            self.report.end(i, End::Expired { after });
+            let end = match late {
+                true => End::Expired { after },
+                false => End::Returned { after },
+            };
+            self.report.end(i, end);
         }
         let slots = self.setup.engine.slots;
         while let Some(handed) = self.sidecars[r].next(now, self.engines[r].load(), slots) {
--- a/crates/policy/examples/replay/sim/sidecar.rs
+++ b/crates/policy/examples/replay/sim/sidecar.rs
@@ -128,15 +128,15 @@
         Ok(())
     }
 
-    /// Takes out what can't be answered in time any more, or won't be.
-    pub(crate) fn expire(&mut self, now: Micros) -> Vec<usize> {
+    /// Takes out what can't be answered in time any more, `true`, or won't be.
+    pub(crate) fn expire(&mut self, now: Micros) -> Vec<(usize, bool)> {
         let (drain, until) = (self.drain, self.until.since(now));
         let late = self.queue.expire(now);
         let hopeless = self.queue.review(now, |work| drain.wait(work) + until);
-        let jobs = late
-            .into_iter()
-            .chain(hopeless.into_iter().map(|(job, _)| job));
-        jobs.map(|job| job.payload.ask.request).collect()
+        let late = late.into_iter().map(|job| (job, true));
+        let jobs = late.chain(hopeless.into_iter().map(|(job, _)| (job, false)));
+        jobs.map(|(job, late)| (job.payload.ask.request, late))
+            .collect()
     }
 
     /// The next request for the engine, if it may have one.
