queue, daemon: reviews at most each 10 ms; the sidecar gives back as overloaded

Cause: the control thread calls expire with each packet; 16 reviews each would grow with the traffic. The sidecar now gives back what review finds, with Retry-After from admit::returned; a table test holds burst, hot caller, slow engine and evicted prefix.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -334,8 +334,9 @@
     /// Gives turns to whoever may have one, and back what is too late.
     fn grant(&mut self) {
         let now = clock::now();
-        let late = self.decide.expire(now);
-        refuse(late, Code::Deadline, None);
+        for (grant, r) in self.decide.expire(now, &mut self.rng) {
+            refuse(vec![grant], r.code, r.retry);
+        }
         while let Some(g) = self.decide.next(now) {
             // Its caller may have gone while it waited.
             if g.grant.send(Ok(g.run)).is_err() {
--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -355,10 +355,27 @@
         })
     }
 
-    /// Gives back the requests that can't be answered in time any more.
-    pub fn expire(&mut self, now: Micros) -> Vec<G> {
-        let late = self.queue.expire(now);
-        late.into_iter().map(|j| j.payload.grant).collect()
+    /// Gives back the requests that can't be answered in time any more, and as overloaded those
+    /// that aren't expected to have their turn in time.
+    pub fn expire(&mut self, now: Micros, rng: &mut impl Rng) -> Vec<(G, Refusal)> {
+        let late = Refusal {
+            code: Code::Deadline,
+            retry: None,
+        };
+        let gone = self.queue.expire(now).into_iter();
+        let mut back: Vec<_> = gone.map(|j| (j.payload.grant, late)).collect();
+
+        let (rate, until) = (self.rate, self.until.since(now));
+        let (index, cost, kind) = (&self.index, &self.cost, self.kind);
+        let wait = |work| rate.wait(work) + until;
+        let hopeless = self
+            .queue
+            .review(now, wait, |job| today(kind, index, cost, job));
+        back.extend(hopeless.into_iter().map(|(job, wait)| {
+            let r = admit::returned(&self.admit, job.class, wait, rng.random());
+            (job.payload.grant, refusal(r))
+        }));
+        back
     }
 
     /// Takes out a request whose caller went away.
@@ -570,14 +587,7 @@
         // Two suspects beside one another would both be convicted by one's crash.
         loop {
             let (index, cost, kind) = (&self.index, &self.cost, self.kind);
-            let job = self.queue.pop_by(|job| {
-                let Waiting { work, marks, .. } = &job.payload;
-                let missing = (work.chain.len() as u32).saturating_sub(index.held(marks));
-                match kind {
-                    Kind::Model => cost.work(missing, work.output),
-                    Kind::Plain => job.work,
-                }
-            })?;
+            let job = self.queue.pop_by(|job| today(kind, index, cost, job))?;
             if !job.payload.suspect || alone {
                 return Some(job);
             }
@@ -672,6 +682,16 @@
     }
 }
 
+/// What a waiting request would take now.
+fn today<G>(kind: Kind, index: &Index, cost: &Cost, job: &Job<Waiting<G>>) -> Micros {
+    let Waiting { work, marks, .. } = &job.payload;
+    let missing = (work.chain.len() as u32).saturating_sub(index.held(marks));
+    match kind {
+        Kind::Model => cost.work(missing, work.output),
+        Kind::Plain => job.work,
+    }
+}
+
 fn refusal(r: admit::Refusal) -> Refusal {
     Refusal {
         code: r.code,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -63,6 +63,8 @@
 /// a second's work under overload, some 50, is seen within a few prefills; with 4, at twice the load
 /// 12 calls reached their deadline in place of 10.
 const REVIEWED: usize = 16;
+/// Least time between two calls that look; in a full queue they take a hundredth of a core.
+const PAUSE: Micros = Micros::from_millis(10);
 
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -128,6 +130,8 @@
     latest: BTreeSet<(Micros, JobKey)>,
     /// The last one that [`Queue::review`] looked at.
     seen: Option<(Micros, JobKey)>,
+    /// When it next looks.
+    again: Micros,
 }
 
 impl<T> Queue<T> {
@@ -139,6 +143,7 @@
             bands: Default::default(),
             latest: BTreeSet::new(),
             seen: None,
+            again: Micros::ZERO,
         }
     }
 
@@ -221,7 +226,8 @@
     /// from now, and `work` what a request would take now; each is returned with its wait.
     ///
     /// [`REVIEWED`] are looked at in a call, the earliest deadline first, and the next ones in the
-    /// next call, so that the cost of a call doesn't grow with their number.
+    /// next call, [`PAUSE`] later at the soonest, so that the cost doesn't grow with their number or
+    /// with that of the events.
     pub fn review(
         &mut self,
         now: Micros,
@@ -229,6 +235,10 @@
         work: impl Fn(&Job<T>) -> Micros,
     ) -> Vec<(Job<T>, Micros)> {
         let mut hopeless = Vec::new();
+        if now < self.again {
+            return hopeless;
+        }
+        self.again = now + PAUSE;
         for _ in 0..REVIEWED.min(self.latest.len()) {
             let Some((latest, key)) = self.following() else {
                 break;
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -156,6 +156,87 @@
     assert_eq!(order(&mut queue), [3]);
 }
 
+/// The wait told on arrival can turn out too short. Without a second look, the caller would hear
+/// nothing until the deadline and then be refused, when it can't ask anyone else.
+#[test]
+fn what_will_not_have_its_turn_in_time_is_given_back_long_before() {
+    struct Case {
+        name: &'static str,
+        /// Team, work in ms, and number.
+        jobs: Vec<(usize, u64, u32)>,
+        /// How many times slower than expected the engine is.
+        slow: u64,
+        /// What a request of the first team would take now, in ms, if not what was expected.
+        grown: Option<u64>,
+        kept: [usize; 2],
+    }
+    let teams: [TeamKey; 2] = teams();
+    let cases = [
+        Case {
+            name: "in time",
+            jobs: vec![(0, 100, 50)],
+            slow: 1,
+            grown: None,
+            kept: [50, 0],
+        },
+        Case {
+            name: "burst: as many as can be served stay",
+            jobs: vec![(0, 100, 300)],
+            slow: 1,
+            grown: None,
+            kept: [86, 0],
+        },
+        Case {
+            name: "hot caller: another's few overtake and stay",
+            jobs: vec![(0, 100, 300), (1, 100, 10)],
+            slow: 1,
+            grown: None,
+            kept: [46, 10],
+        },
+        Case {
+            name: "slow engine",
+            jobs: vec![(0, 100, 50)],
+            slow: 5,
+            grown: None,
+            kept: [18, 0],
+        },
+        Case {
+            name: "prefix evicted: what would itself take too long",
+            jobs: vec![(0, 100, 5)],
+            slow: 1,
+            grown: Some(9_500),
+            kept: [0, 0],
+        },
+    ];
+    let now = Micros::from_secs(1);
+    for case in cases {
+        let mut queue = Queue::new(Config::default());
+        for (team, work, count) in case.jobs {
+            for payload in 0..count {
+                queue.push(Job {
+                    deadline: Micros::from_secs(10),
+                    ..job(teams[team], Class::Call, work, payload)
+                });
+            }
+        }
+        let wait = |work: Micros| Micros(work.0 * case.slow);
+        let grown = |job: &Job<u32>| case.grown.map_or(job.work, Micros::from_millis);
+        // Each call looks at a few; after these, at 1.39 s, all have been seen. Of a team alone 86
+        // then fit into the 8.61 s left. Beside the other team, its work and what it is taken to
+        // send yet, 4 s, go first.
+        for i in 0..40 {
+            let most = queue.len().min(16);
+            let back = queue.review(now + Micros::from_millis(10 * i) - Micros(1), wait, grown);
+            assert!(back.len() <= most, "{}: {}", case.name, back.len());
+            let again = queue.review(now + Micros::from_millis(10 * i), wait, grown);
+            assert!(again.is_empty(), "{}: the cost isn't bounded", case.name);
+        }
+        let kept = queue.drain();
+        let of = |team| kept.iter().filter(|j| j.team == teams[team]).count();
+        assert_eq!([of(0), of(1)], case.kept, "{}", case.name);
+    }
+}
+
 /// What a probe is told must agree with what then happens, or entries choose by a fiction.
 #[test]
 fn the_wait_told_is_the_work_that_goes_before() {
