Take an engine for busy only while a prompt should be computed

A recomputation counts for 1/(1-r)^2 with the use r that sidecars tell, and the daemon's r ran until the first byte, which includes the engine's own queue and the first token: an engine half in use told some 0.7, so that requests waited at holders while others idled.

--- a/crates/daemon/src/sidecar/decide.rs
+++ b/crates/daemon/src/sidecar/decide.rs
@@ -246,6 +246,7 @@
 
     /// Answers a probe and holds a place for the request.
     pub fn offer(&mut self, now: Micros, q: &Question) -> Told {
+        self.rest(now);
         let matched = self.index.matched(&q.marks);
         let missing = q.blocks.saturating_sub(matched);
         let work = self.work(missing, 0);
@@ -581,11 +582,15 @@
         [self.queue.wake(), soonest].into_iter().flatten().min()
     }
 
-    /// Notes that the engine computes no prompt, if so.
+    /// Notes that the engine computes no prompt, if so. A prompt is taken to be computed for the
+    /// time that it should take: until its first byte comes there are also the engine's own queue
+    /// and the first token, and an engine half in use would look nearly full.
     fn rest(&mut self, now: Micros) {
         if self.prefilling() == 0 {
-            self.until = now;
-            self.busy.set(now, None);
+            self.until = self.until.min(now);
+        }
+        if now >= self.until {
+            self.busy.set(self.until, None);
         }
     }
 
--- a/crates/policy/src/place.rs
+++ b/crates/policy/src/place.rs
@@ -55,12 +55,6 @@
     /// What a class's own waiting counts for, against the others' delay; 1 for calls, 0.5 for
     /// normal, 0.25 for batch, which nobody waits for.
     pub urgency: [f64; 3],
-    /// The longest that a request of each class waits for a copy beyond the time that computing it
-    /// anew would take the request itself; 400 ms for calls, 1 s for normal, 10 s for batch.
-    /// Without it requests pile up at the holders of what they share while others idle, since a
-    /// recomputation counts for up to [`Self::most`] times its own time. It grows with the use
-    /// and ends at [`Self::crowded`]: there are no idle ones then, and copies only evict.
-    pub patience: [Micros; 3],
     /// The part of the prompt that counts as missing anywhere but at its home; 0.05. A prefix that
     /// was evicted everywhere is so computed at the same replica again, above all under load,
     /// and the prefixes of a replica stay few enough for its cache.
@@ -80,7 +74,6 @@
             recent: 1,
             evict: 2.0,
             urgency: [1.0, 0.5, 0.25],
-            patience: [400, 1_000, 10_000].map(Micros::from_millis),
             away: 0.05,
             crowded: 0.8,
             most: 50.0,
@@ -235,13 +228,10 @@
     offers: &[Offer],
     delay: impl Fn(TargetKey) -> Micros,
 ) -> Vec<Choice> {
-    let price = Price {
-        weight: weight(config, offers) / config.urgency[ask.class.index()] / ask.heat.max(1.0),
-        patience: patience(config, ask.class, busy(offers)),
-    };
+    let weight = weight(config, offers) / config.urgency[ask.class.index()] / ask.heat.max(1.0);
     let choice = |o: &Offer| Choice {
         target: o.target,
-        cost: cost(config, ask, o, price, delay(o.target)),
+        cost: cost(config, ask, o, weight, delay(o.target)),
         matched: o.matched.min(ask.blocks),
     };
     let of = |state| offers.iter().filter(move |o| o.state == state).map(choice);
@@ -282,34 +272,15 @@
     sum / offers.len().max(1) as f64
 }
 
-/// How long a request of a class waits for a copy, in microseconds, at a mean use.
-fn patience(config: &Config, class: Class, busy: f64) -> f64 {
-    let left = 1.0 - (busy / config.crowded).powi(4);
-    match left > 0.0 {
-        true => config.patience[class.index()].0 as f64 / left,
-        false => f64::INFINITY,
-    }
-}
-
-/// What a recomputation counts for.
-#[derive(Clone, Copy)]
-struct Price {
-    /// As a multiple of the time that it takes its own request.
-    weight: f64,
-    /// The most that it counts for beyond that time, in microseconds.
-    patience: f64,
-}
-
-fn cost(config: &Config, ask: &Ask, offer: &Offer, price: Price, delay: Micros) -> Micros {
+fn cost(config: &Config, ask: &Ask, offer: &Offer, weight: f64, delay: Micros) -> Micros {
     let missing = f64::from(ask.blocks.saturating_sub(offer.matched));
     let away = match ask.home {
         Some(home) if home != offer.target => f64::from(ask.blocks) * config.away,
         _ => 0.0,
     };
-    let own = (missing + away) * offer.prefill.0 as f64;
-    let others = (own * (price.weight - 1.0)).clamp(0.0, price.patience);
+    let prefill = (missing + away) * offer.prefill.0 as f64 * weight;
     // There and back; the connection is open already.
-    offer.wait + Micros((own + others) as u64) + delay + delay
+    offer.wait + Micros(prefill as u64) + delay + delay
 }
 
 /// The first of the rendezvous order.
