Split the entry's drive: caller's side, frames, job and attempt apart

The caller's side is out.rs now, wire frames to exchange events frames.rs, the request job.rs, one exchange with one replica attempt.rs. drive.rs keeps what outlives an attempt. attempt() is a loop over next() and act(); the link lives in Current, so that cancel, resume and join take one argument. No change of behaviour is meant; the deadline and silence checks keep their order in the select.

--- /dev/null
+++ b/crates/daemon/src/entry/job.rs
@@ -0,0 +1,48 @@
+//! A request as the rules left it: all that its attempts need, whichever replica gets them.
+
+use bytes::Bytes;
+use model::RequestId;
+use tokio::time::Instant;
+use wire::Header;
+
+use crate::entry::ask::Completion;
+use crate::entry::probe::Wanted;
+use crate::trace;
+
+/// A request with all that the rules made of it.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: RequestId,
+    /// What the choice of a replica depends on.
+    pub want: Wanted,
+    /// Weight of its team.
+    pub share: u32,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The caller's idempotency key.
+    pub key: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers for the target.
+    pub headers: Vec<Header>,
+    /// Body for the target.
+    pub body: Payload,
+    /// Cache scope.
+    pub scope: String,
+    /// When the answer is of no more use.
+    pub deadline: Instant,
+    /// Trace context.
+    pub trace: trace::Context,
+}
+
+/// What goes to the target.
+#[derive(Debug)]
+pub enum Payload {
+    /// Bytes as they came.
+    Plain(Bytes),
+    /// A completion, whose body says where to go on.
+    Completion(Box<Completion>),
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,9 +3,13 @@
 pub mod admin;
 pub mod answer;
 pub mod ask;
+mod attempt;
 pub mod drive;
+pub mod frames;
+pub mod job;
 pub mod limits;
 pub mod memory;
+pub mod out;
 pub mod pick;
 pub mod prepare;
 pub mod probe;
--- a/crates/daemon/src/entry/prepare.rs
+++ b/crates/daemon/src/entry/prepare.rs
@@ -19,7 +19,7 @@
 use crate::entry;
 use crate::entry::answer::{Problem, REQUEST_ID};
 use crate::entry::ask::{self, Completion, CHAT, COMPLETIONS};
-use crate::entry::drive::{Job, Payload};
+use crate::entry::job::{Job, Payload};
 use crate::entry::limits::Sent;
 use crate::entry::probe::Wanted;
 use crate::trace::{self, Context};
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -13,7 +13,8 @@
 use wire::Head;
 
 use crate::entry::answer::{Problem, OUTCOME, REQUEST_ID, RULE};
-use crate::entry::drive::{drive, Answer, Piece};
+use crate::entry::drive::drive;
+use crate::entry::out::{Answer, Piece};
 use crate::entry::prepare::{prepare, request_id, Prepared};
 use crate::entry::stop::Taken;
 use crate::entry::{admin, Context};
