--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -16,10 +16,8 @@
 use wire::{Ack, Body, Cancel, Open, Resume};
 
 use crate::clock;
-use crate::entry::ask::Added;
 use crate::entry::drive::Drive;
 use crate::entry::frames::{event, gone};
-use crate::entry::job::Payload;
 use crate::entry::pick::Picked;
 use crate::link::Link;
 use crate::meter;
@@ -118,19 +116,10 @@
         sent.err().map(|_| Event::Lost)
     }
 
+    /// The request as this attempt sends it.
     fn open(&self, at: &Current, probe: u64, delivered: u64) -> Open {
         let j = &self.job;
-        let (body, output) = match &j.body {
-            Payload::Plain(b) => (b.clone(), 0),
-            Payload::Completion(c) => {
-                let add = Added {
-                    scope: &j.scope,
-                    class: j.want.class,
-                    delivered,
-                };
-                (c.render(add), c.output)
-            }
-        };
+        let (body, output) = j.body(delivered);
         Open {
             token: at.token.clone(),
             request: j.id.as_str().to_owned(),
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::entry::answer::Problem;
 use crate::entry::attempt::{Ended, Stop};
-use crate::entry::job::{Job, Payload};
+use crate::entry::job::Job;
 use crate::entry::out::{Answer, Out};
 use crate::entry::pick::{pick, Picked, Told};
 use crate::entry::stop::Taken;
@@ -38,7 +38,7 @@
 
 /// Runs a job; the answer comes through `out`.
 pub async fn drive(cx: Arc<Context>, job: Job, out: oneshot::Sender<Answer>) {
-    let stream = matches!(&job.body, Payload::Completion(c) if c.stream);
+    let stream = job.is_stream();
     let out = Out::new(out, stream);
     let relay = Relay::new(job.idempotent, stream);
     let _taken = Taken::new(&cx);
@@ -173,8 +173,8 @@
             deadline: now + Micros::from(left),
             least: Micros::ZERO,
         };
-        let again = self.cx.memory.lock().budget.again(now, &f);
-        again.is_ok()
+        let mut memory = self.cx.memory.lock();
+        memory.budget.again(now, &f).is_ok()
     }
 
     /// When an attempt is of no more use. The deadline is for the beginning of the answer; whoever
@@ -204,29 +204,25 @@
 
     /// Ends a request whose attempt was broken off.
     pub(super) async fn stop(&mut self, stop: Stop) {
-        let outcome = if self.opened {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        match stop {
-            Stop::Gone => {
-                spdlog::info!(logger: log::entry(), "request {} cancelled by caller", self.job.id);
-            }
-            Stop::Late => {
-                self.give(Failure {
-                    code: Code::Deadline,
-                    outcome,
-                    retry: None,
-                })
-                .await;
-            }
+        if let Stop::Gone = stop {
+            spdlog::info!(logger: log::entry(), "request {} cancelled by caller", self.job.id);
+            return;
         }
+        let outcome = match self.opened {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
+        };
+        let late = Failure {
+            code: Code::Deadline,
+            outcome,
+            retry: None,
+        };
+        self.give(late).await;
     }
 
     /// Holds back the answer to a request that crashed its target. Its caller sends it again as
     /// soon as it has one, and whoever hasn't heard of the crash by then loses one more target.
-    /// The sidecars tell the fleet; the entry does, too, if only it knows that it were two.
+    /// The sidecars tell the fleet; the entry does, too, if only it knows that there were two.
     async fn warn(&self) {
         let mark = Mark {
             print: self.job.want.fingerprint,
@@ -257,11 +253,10 @@
         if crashed {
             self.warn().await;
         }
-        let message = format!("no answer: {}", f.code);
         let problem = Problem {
             code: f.code,
             outcome: f.outcome,
-            message,
+            message: format!("no answer: {}", f.code),
             retry: f.retry,
         };
         spdlog::warn!(
--- a/crates/daemon/src/entry/job.rs
+++ b/crates/daemon/src/entry/job.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use wire::Header;
 
-use crate::entry::ask::Completion;
+use crate::entry::ask::{Added, Completion};
 use crate::entry::probe::Wanted;
 use crate::trace;
 
@@ -46,3 +46,25 @@
     /// A completion, whose body says where to go on.
     Completion(Box<Completion>),
 }
+
+impl Job {
+    /// Whether the caller wants the answer in pieces.
+    pub fn is_stream(&self) -> bool {
+        matches!(&self.body, Payload::Completion(c) if c.stream)
+    }
+
+    /// The body for a target, and the most tokens it asks for. A completion goes on after the
+    /// events that the caller has already.
+    pub fn body(&self, delivered: u64) -> (Bytes, u32) {
+        let c = match &self.body {
+            Payload::Plain(b) => return (b.clone(), 0),
+            Payload::Completion(c) => c,
+        };
+        let add = Added {
+            scope: &self.scope,
+            class: self.want.class,
+            delivered,
+        };
+        (c.render(add), c.output)
+    }
+}
--- a/crates/daemon/src/entry/probe.rs
+++ b/crates/daemon/src/entry/probe.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crate::meter;
 use bytes::Bytes;
 use model::{BlockHash, Class, PoolKey};
 use prefix::Marks;
@@ -14,6 +13,8 @@
 use tokio::time::timeout;
 use wire::{Keys, Message, Offer, Packet, Probe, PACKET_MAX};
 
+use crate::meter;
+
 /// Longest wait for offers. A round trip between failure domains takes two or three milliseconds.
 const WAIT: Duration = Duration::from_millis(8);
 
