Shorten the entry's start, limits and operators' calls

start() had 70 lines: Sockets binds and names the addresses, serve_callers starts the callers' server, follow() is the control thread's loop. Limits are one table in place of two nested loops; the operators' router makes its calls by one closure, and the twin "no platform is set" answer is one function. No change of behaviour is meant.

--- a/crates/daemon/src/entry/admin.rs
+++ b/crates/daemon/src/entry/admin.rs
@@ -39,20 +39,16 @@
 
 /// The operators' interface.
 pub fn router(cx: &Arc<Context>) -> Router {
-    let [a, b, c, d, e] = std::array::from_fn(|_| Arc::clone(cx));
-    crate::admin::router(move || ready(&a))
-        .put("/admin/configuration", move |r: Request| {
-            guard(Arc::clone(&b), r, Method::Apply)
-        })
-        .get("/admin/configuration", move |r: Request| {
-            guard(Arc::clone(&c), r, Method::Show)
-        })
-        .get("/admin/history", move |r: Request| {
-            guard(Arc::clone(&d), r, Method::History)
-        })
-        .get("/admin/status", move |r: Request| {
-            guard(Arc::clone(&e), r, Method::Status)
-        })
+    let call = |operation| {
+        let cx = Arc::clone(cx);
+        move |r: Request| guard(Arc::clone(&cx), r, operation)
+    };
+    let own = Arc::clone(cx);
+    crate::admin::router(move || ready(&own))
+        .put("/admin/configuration", call(Operation::Apply))
+        .get("/admin/configuration", call(Operation::Show))
+        .get("/admin/history", call(Operation::History))
+        .get("/admin/status", call(Operation::Status))
 }
 
 /// Whether the balancer may send requests here.
@@ -61,26 +57,28 @@
     cx.stop.is_ready() && view.joined && view.rules.is_some()
 }
 
+/// What an operator asks.
 #[derive(Clone, Copy)]
-enum Method {
+enum Operation {
     Apply,
     Show,
     History,
     Status,
 }
 
-async fn guard(cx: Arc<Context>, mut req: Request, method: Method) -> viz::Result<Response> {
+/// Does what an operator asks; refuses whoever is none.
+async fn guard(cx: Arc<Context>, mut req: Request, operation: Operation) -> viz::Result<Response> {
     if !allowed(&cx, &req) {
         return Ok(error(401, "unauthorized", json!({})));
     }
-    Ok(match method {
-        Method::Apply => match req.bytes().await {
+    Ok(match operation {
+        Operation::Apply => match req.bytes().await {
             Ok(body) => apply(&cx, &body).await,
             Err(e) => error(400, "bad_request", json!({"message": e.to_string()})),
         },
-        Method::Show => show(&cx).await,
-        Method::History => history(&cx).await,
-        Method::Status => status(&cx).await,
+        Operation::Show => show(&cx).await,
+        Operation::History => history(&cx).await,
+        Operation::Status => status(&cx).await,
     })
 }
 
@@ -101,18 +99,11 @@
     };
     if let Err(faults) = RuleSet::compile(&change.text) {
         let all: Vec<_> = faults.0.iter().map(ToString::to_string).collect();
-        return error(
-            400,
-            "faults",
-            json!({"message": faults.to_string(), "faults": all}),
-        );
+        let more = json!({"message": faults.to_string(), "faults": all});
+        return error(400, "faults", more);
     }
     let Some(table) = &cx.table else {
-        return error(
-            503,
-            "platform_down",
-            json!({"message": "no platform is set"}),
-        );
+        return no_platform();
     };
     if !joined(cx).await {
         let m = "this entry has found no other member yet";
@@ -180,11 +171,7 @@
 
 async fn history(cx: &Context) -> Response {
     let Some(table) = &cx.table else {
-        return error(
-            503,
-            "platform_down",
-            json!({"message": "no platform is set"}),
-        );
+        return no_platform();
     };
     let key = KEY.to_owned();
     match table.call(Call::Read { key }).await {
@@ -245,6 +232,11 @@
     }
 }
 
+fn no_platform() -> Response {
+    let m = "no platform is set";
+    error(503, "platform_down", json!({"message": m}))
+}
+
 fn error(status: u16, code: &str, more: Value) -> Response {
     let mut inner = json!({"code": code});
     if let (Value::Object(inner), Value::Object(more)) = (&mut inner, more) {
--- a/crates/daemon/src/entry/limits.rs
+++ b/crates/daemon/src/entry/limits.rs
@@ -20,6 +20,7 @@
 struct Key {
     team: String,
     rule: Option<String>,
+    /// Whether tokens are counted, not requests.
     tokens: bool,
 }
 
@@ -52,30 +53,32 @@
         team: &Allowed,
         rule: &Allowed,
     ) -> Result<(), Micros> {
+        let prompt = (sent.prompt / TOKEN) as f64;
+        let limits = [
+            (team.requests, 1.0, None, false),
+            (team.tokens, prompt, None, true),
+            (rule.requests, 1.0, Some(sent.rule), false),
+            (rule.tokens, prompt, Some(sent.rule), true),
+        ];
         let mut taken = Vec::new();
-        for (allowed, name) in [(team, None), (rule, Some(sent.rule))] {
-            let tokens = (sent.prompt / TOKEN) as f64;
-            for (rate, units, kind) in [
-                (allowed.requests, 1.0, false),
-                (allowed.tokens, tokens, true),
-            ] {
-                let Some(rate) = rate else { continue };
-                let key = Key {
-                    team: sent.team.to_owned(),
-                    rule: name.map(str::to_owned),
-                    tokens: kind,
-                };
-                let bucket = self.bucket(now, &key, f64::from(rate), sent.entries);
-                if let Err(wait) = bucket.take(now, units) {
-                    self.give_back(&taken);
-                    return Err(wait);
-                }
-                taken.push((key, units));
+        for (rate, units, rule, tokens) in limits {
+            let Some(rate) = rate else { continue };
+            let key = Key {
+                team: sent.team.to_owned(),
+                rule: rule.map(str::to_owned),
+                tokens,
+            };
+            let bucket = self.bucket(now, &key, f64::from(rate), sent.entries);
+            if let Err(wait) = bucket.take(now, units) {
+                self.give_back(&taken);
+                return Err(wait);
             }
+            taken.push((key, units));
         }
         Ok(())
     }
 
+    /// The bucket of a limit, filled at this entry's part of its rate.
     fn bucket(&mut self, now: Micros, key: &Key, rate: f64, entries: usize) -> &mut Bucket {
         let rate = rate / entries.max(1) as f64;
         let rate = Rate {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -18,16 +18,18 @@
 pub mod serve;
 pub mod stop;
 
+use std::future::IntoFuture;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::thread;
 
 use model::Version;
 use policy::drain;
 use store::{Client, Platform};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use viz::{Request, Router};
 
 use crate::link::Pool;
@@ -70,56 +72,31 @@
 }
 
 async fn start(settings: Settings, role: Entry) -> io::Result<()> {
-    let callers = TcpListener::bind(role.listen).await?;
-    let admin = TcpListener::bind(settings.admin).await?;
-    let gossip = UdpSocket::bind(settings.gossip).await?;
-    let (tcp, _) = bind_peer(settings.peer).await?;
-    let probes = UdpSocket::bind(SocketAddr::new(settings.peer.ip(), 0)).await?;
-    let ready = Ready {
-        callers: Some(callers.local_addr()?),
-        peer: tcp.local_addr()?,
-        admin: admin.local_addr()?,
-        gossip: gossip.local_addr()?,
-    };
+    let sockets = Sockets::bind(&settings, &role).await?;
+    let ready = sockets.ready()?;
     let view = member::empty_view();
     let memory = Arc::new(memory::Shared::default());
     let (members, asked) = mpsc::unbounded_channel();
-    let thread = control(
-        &settings,
-        &ready,
-        &gossip.into_std()?,
-        &view,
-        &memory,
-        asked,
-    )?;
-    let notice = settings.notice.into();
+    let gossip = sockets.gossip.into_std()?;
+    let thread = control(&settings, &ready, &gossip, &view, &memory, asked)?;
     let cx = Arc::new(Context {
         view,
         links: Pool::new(settings.keys.clone()),
-        probes: probe::Prober::new(probes, settings.keys.clone()),
+        probes: probe::Prober::new(sockets.probes, settings.keys.clone()),
         memory,
         role,
         members: members.clone(),
-        table: settings
-            .platform
-            .clone()
-            .map(|p| Platform::new(p, Client::default())),
-        stop: stop::Stop::new(drain::Config { notice }),
+        table: settings.platform.map(platform),
+        stop: stop::Stop::new(drain::Config {
+            notice: settings.notice.into(),
+        }),
     });
     tokio::spawn(Arc::clone(&cx.probes).listen());
-    let keys = settings.keys.clone();
-    tokio::spawn(peer::listen(
-        tcp,
-        keys,
-        members.clone(),
-        Arc::new(peer::PullsOnly),
-    ));
-    tokio::spawn(crate::admin::serve(admin, admin::router(&cx)));
-    let serve = Arc::clone(&cx);
-    let router = Router::new().any("/*", move |r: Request| serve::handle(Arc::clone(&serve), r));
-    let closed = Arc::clone(&cx);
-    let server = viz::serve(callers, router).signal(async move { closed.stop.closed().await });
-    let server = tokio::spawn(std::future::IntoFuture::into_future(server));
+    let pulls = Arc::new(peer::PullsOnly);
+    let peers = peer::listen(sockets.peer, settings.keys, members.clone(), pulls);
+    tokio::spawn(peers);
+    tokio::spawn(crate::admin::serve(sockets.admin, admin::router(&cx)));
+    let server = serve_callers(&cx, sockets.callers);
     ready.print();
     spdlog::info!(logger: log::entry(), "serving callers at {:?}", ready.callers);
 
@@ -136,6 +113,49 @@
     }
 }
 
+/// What the process listens on.
+struct Sockets {
+    callers: TcpListener,
+    admin: TcpListener,
+    gossip: UdpSocket,
+    peer: TcpListener,
+    probes: UdpSocket,
+}
+
+impl Sockets {
+    async fn bind(settings: &Settings, role: &Entry) -> io::Result<Self> {
+        Ok(Self {
+            callers: TcpListener::bind(role.listen).await?,
+            admin: TcpListener::bind(settings.admin).await?,
+            gossip: UdpSocket::bind(settings.gossip).await?,
+            peer: bind_peer(settings.peer).await?.0,
+            probes: UdpSocket::bind(SocketAddr::new(settings.peer.ip(), 0)).await?,
+        })
+    }
+
+    /// The addresses to be told.
+    fn ready(&self) -> io::Result<Ready> {
+        Ok(Ready {
+            callers: Some(self.callers.local_addr()?),
+            peer: self.peer.local_addr()?,
+            admin: self.admin.local_addr()?,
+            gossip: self.gossip.local_addr()?,
+        })
+    }
+}
+
+fn platform(base: String) -> Platform {
+    Platform::new(base, Client::default())
+}
+
+/// Serves callers until the stop has closed their listener and all answers are out.
+fn serve_callers(cx: &Arc<Context>, callers: TcpListener) -> JoinHandle<io::Result<()>> {
+    let (serve, closed) = (Arc::clone(cx), Arc::clone(cx));
+    let router = Router::new().any("/*", move |r: Request| serve::handle(Arc::clone(&serve), r));
+    let server = viz::serve(callers, router).signal(async move { closed.stop.closed().await });
+    tokio::spawn(server.into_future())
+}
+
 /// Starts the control thread.
 fn control(
     settings: &Settings,
@@ -144,7 +164,7 @@
     view: &Shared,
     memory: &Arc<memory::Shared>,
     asked: mpsc::UnboundedReceiver<member::Ask>,
-) -> io::Result<JoinHandle<io::Result<()>>> {
+) -> io::Result<thread::JoinHandle<io::Result<()>>> {
     let me = Me {
         role: fleet::Role::Entry,
         peer: settings.announce.unwrap_or(ready.peer),
@@ -155,29 +175,34 @@
     let (settings, gossip) = (settings.clone(), gossip.try_clone()?);
     let (view, memory) = (Arc::clone(view), Arc::clone(memory));
     let name = "control".to_owned();
-    std::thread::Builder::new().name(name).spawn(move || {
+    thread::Builder::new().name(name).spawn(move || {
         let run = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
         run.block_on(async move {
             let gossip = UdpSocket::from_std(gossip)?;
             let shared = Arc::clone(&view);
-            let mut members = Membership::new(&settings, me, gossip, shared, asked)?;
-            let mut version = Version(0);
-            while members.run_once().await {
-                let seen = view.load();
-                if seen.version != version {
-                    version = seen.version;
-                    if let Some(rules) = &seen.rules {
-                        memory.lock().tune(&Tuning::from(rules.config()));
-                    }
-                }
-                while let Some(c) = members.convicted() {
-                    let mark = Mark::decode(c.fingerprint);
-                    memory.lock().told(clock::now(), mark, c.until);
-                }
-            }
+            let members = Membership::new(&settings, me, gossip, shared, asked)?;
+            follow(members, &view, &memory).await;
             Ok(())
         })
     })
 }
+
+/// Runs membership, and tells the memory what it brings: configurations and convicted requests.
+async fn follow(mut members: Membership, view: &Shared, memory: &memory::Shared) {
+    let mut version = Version(0);
+    while members.run_once().await {
+        let seen = view.load();
+        if seen.version != version {
+            version = seen.version;
+            if let Some(rules) = &seen.rules {
+                memory.lock().tune(&Tuning::from(rules.config()));
+            }
+        }
+        while let Some(c) = members.convicted() {
+            let mark = Mark::decode(c.fingerprint);
+            memory.lock().told(clock::now(), mark, c.until);
+        }
+    }
+}
