sidecar: the channel to control, news and probes in files of their own

control.rs held the channel that traffic uses beside the loop, the list of marks that are told again, and the translation of probes. They are ask.rs, news.rs and probe.rs now; control.rs keeps the loop and what it does. A load that came and one that didn't are a function each. Behaviour is as before.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -1,4 +1,8 @@
 //! The control thread of a sidecar: decisions, probes, membership, planned stop.
+//!
+//! One loop takes whatever comes first (a message from traffic, a probe, membership's turn, the
+//! time for something) and then does what has become due. Nothing in it waits for the target or
+//! for a caller: probes and heartbeats would be late meanwhile.
 
 use std::io;
 use std::sync::Arc;
@@ -6,175 +10,31 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Conviction;
-use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros, Version};
+use model::{Code, MemberId, Micros, Version};
 use policy::drain::{self, Drain};
-use prefix::{Marks, Need};
+use prefix::Need;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use wire::{Keys, Message, Offer, Packet, Probe, PACKET_MAX};
 
 use crate::clock;
 use crate::log;
-use crate::mark::{self, Mark};
+use crate::mark::Mark;
 use crate::member::{self, Me, Membership};
 use crate::meter;
 use crate::settings::{Settings, Sidecar};
-use crate::sidecar::decide::{Decide, Found, Question, Refusal, RunKey, State, Work};
+use crate::sidecar::ask::{Ask, Asked, Grant, Health, Load};
+use crate::sidecar::decide::{Decide, Found, Refusal, RunKey};
+use crate::sidecar::news::News;
+use crate::sidecar::probe;
 use crate::tune::Tuning;
 use crate::view::Shared;
 
-/// Told when a request's turn comes, or that it doesn't.
-pub type Grant = oneshot::Sender<Result<RunKey, Refusal>>;
-
 /// Longest sleep of the control thread.
 const SLEEP: Duration = Duration::from_millis(250);
 
-/// What traffic tells control.
-#[derive(Debug)]
-pub enum Ask {
-    /// A request wants its turn.
-    Enqueue {
-        /// What it asks.
-        work: Work,
-        /// Told when its turn comes.
-        grant: Grant,
-    },
-    /// The target sent a first byte.
-    First(RunKey),
-    /// The target died under a request.
-    Crashed(RunKey),
-    /// So many more events of a stream came.
-    Progress(RunKey, u64),
-    /// A request that had its turn has ended, after so many more events of its stream.
-    Finished(RunKey, u64),
-    /// An exchange began.
-    Taken,
-    /// An exchange has ended and its entry knows.
-    Ended,
-    /// The target's load; `None` if it doesn't answer.
-    Load(Option<Load>),
-    /// Cache events.
-    Events(Vec<prefix::Event>),
-    /// The whole cache.
-    Cache(Incarnation, u64, Vec<prefix::Block>),
-    /// Leave the target alone for an order; told once nothing runs there. The engine's own
-    /// report of what runs lags and can't be used for this.
-    Quiet(oneshot::Sender<()>),
-    /// The order is over.
-    Unquiet,
-    /// The process is told to stop.
-    Stop,
-}
-
-/// What a target reports of itself.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Load {
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Model it serves.
-    pub model: String,
-    /// Weights it serves.
-    pub weights: String,
-    /// Whether it is loading others.
-    pub loading: bool,
-}
-
-/// What the target was found to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Health {
-    /// Whether it answers.
-    pub up: bool,
-    /// Its life.
-    pub life: Incarnation,
-}
-
-/// Traffic's way to the control thread.
-#[derive(Clone, Debug)]
-pub struct Asker {
-    ask: mpsc::UnboundedSender<Ask>,
-    health: watch::Receiver<Health>,
-    need: watch::Receiver<u64>,
-    gone: watch::Receiver<bool>,
-}
-
-/// Control's end of it.
-#[derive(Debug)]
-pub struct Asked {
-    ask: mpsc::UnboundedReceiver<Ask>,
-    health: watch::Sender<Health>,
-    need: watch::Sender<u64>,
-    gone: watch::Sender<bool>,
-}
-
-impl Asker {
-    /// Tells control something; it is lost if control has stopped.
-    pub fn send(&self, ask: Ask) {
-        let _ = self.ask.send(ask);
-    }
-
-    /// What the target was last found to be.
-    pub fn health(&self) -> Health {
-        *self.health.borrow()
-    }
-
-    /// Waits until the target is found to be down or in another life. The first life found is not
-    /// another one than that which wasn't known yet: a sidecar that serves as soon as it starts
-    /// would else break off its first requests, and hold a crash against them.
-    pub async fn lost(&self, mut life: Incarnation) {
-        let mut health = self.health.clone();
-        let is_lost = |h: &Health| {
-            if life == Incarnation(0) {
-                life = h.life;
-            }
-            !h.up || h.life != life
-        };
-        let stopped = health.wait_for(is_lost).await.is_err();
-        if stopped {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Waits until control wants the engine's whole cache.
-    pub async fn wanted(&mut self) {
-        if self.need.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    }
-
-    /// Waits until the process may exit.
-    pub async fn exit(&mut self) {
-        let _ = self.gone.wait_for(|g| *g).await;
-    }
-}
-
-/// A new way to a control thread.
-pub fn channel() -> (Asker, Asked) {
-    let (tx, rx) = mpsc::unbounded_channel();
-    let first = Health {
-        up: true,
-        life: Incarnation(0),
-    };
-    let (health, is_healthy) = watch::channel(first);
-    let (need, needed) = watch::channel(0);
-    let (gone, is_gone) = watch::channel(false);
-    let asker = Asker {
-        ask: tx,
-        health: is_healthy,
-        need: needed,
-        gone: is_gone,
-    };
-    let asked = Asked {
-        ask: rx,
-        health,
-        need,
-        gone,
-    };
-    (asker, asked)
-}
-
 /// What the control thread is given.
 #[derive(Debug)]
 pub struct Start {
@@ -224,9 +84,9 @@
         decide: Decide::new(s.role.kind, s.role.slots, MemberId(life)),
         drain: Drain::new(drain::Config { notice }, drain::Role::Sidecar),
         members,
-        convict: s.convict,
         asked: s.asked,
-        news: Vec::new(),
+        news: News::new(s.convict.clone()),
+        convict: s.convict,
         rng: SmallRng::from_os_rng(),
         pool: s.role.pool,
         quiet: None,
@@ -246,7 +106,7 @@
     convict: member::Asker,
     asked: Asked,
     /// Of requests that crashed the target.
-    news: Vec<News>,
+    news: News,
     rng: SmallRng,
     pool: String,
     /// Told once nothing runs at the target.
@@ -256,13 +116,6 @@
     version: Version,
 }
 
-/// What the fleet is told more than once.
-struct News {
-    mark: Mark,
-    at: Micros,
-    left: u32,
-}
-
 impl Control {
     async fn run(mut self, udp: UdpSocket) {
         let mut buf = vec![0; PACKET_MAX + 1];
@@ -288,7 +141,7 @@
             }
             self.marks();
             self.tune();
-            self.tell(clock::now());
+            self.news.tell(clock::now());
             self.grant();
             self.step(drain::Event::Tick);
         }
@@ -357,6 +210,7 @@
         metrics::gauge!(meter::RUNNING).set(self.decide.running() as f64);
     }
 
+    /// Moves the planned stop on.
     fn step(&mut self, event: drain::Event) {
         let mut out = Vec::new();
         self.drain.step(clock::now(), event, &mut out);
@@ -378,24 +232,23 @@
         }
     }
 
+    /// The target said its load, or didn't answer.
     fn load(&mut self, load: Option<Load>) {
-        let Some(l) = load else {
-            if self.asked.health.borrow().up {
-                spdlog::warn!(logger: log::sidecar(), "target doesn't answer");
-                let life = self.decide.life();
-                self.asked.health.send_replace(Health { up: false, life });
-            }
-            let back = self.decide.down();
-            return refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
-        };
-        let now = Health {
+        match load {
+            Some(l) => self.found(l),
+            None => self.missed(),
+        }
+    }
+
+    fn found(&mut self, l: Load) {
+        let health = Health {
             up: true,
             life: l.incarnation,
         };
         let before = *self.asked.health.borrow();
-        if before != now {
+        if before != health {
             spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
-            self.asked.health.send_replace(now);
+            self.asked.health.send_replace(health);
         }
         let found = Found {
             life: l.incarnation,
@@ -409,6 +262,16 @@
         }
     }
 
+    fn missed(&mut self) {
+        if self.asked.health.borrow().up {
+            spdlog::warn!(logger: log::sidecar(), "target doesn't answer");
+            let life = self.decide.life();
+            self.asked.health.send_replace(Health { up: false, life });
+        }
+        let back = self.decide.down();
+        refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
+    }
+
     fn crashed(&mut self, now: Micros, run: RunKey) {
         let Some(mark) = self.decide.crashed(now, run) else {
             return;
@@ -417,32 +280,7 @@
             logger: log::sidecar(),
             "target died under request {:016x}, convicted: {}", mark.print, mark.convicted
         );
-        self.spread(now, mark);
-    }
-
-    /// Tells the fleet of a suspect or a conviction, and again for those whom a rumour misses.
-    fn spread(&mut self, now: Micros, mark: Mark) {
-        let left = mark::ROUNDS;
-        self.news.push(News {
-            mark,
-            at: now,
-            left,
-        });
-        self.tell(now);
-    }
-
-    fn tell(&mut self, now: Micros) {
-        for n in self.news.iter_mut().filter(|n| n.at <= now) {
-            n.left -= 1;
-            n.at = now + mark::ROUND.into();
-            // A later end makes it news again.
-            let news = Conviction {
-                fingerprint: n.mark.encode(),
-                until: now + mark::lasts(),
-            };
-            let _ = self.convict.send(member::Ask::Convict(news));
-        }
-        self.news.retain(|n| n.left > 0);
+        self.news.spread(now, mark);
     }
 
     /// Takes over what other processes found of requests.
@@ -454,7 +292,7 @@
                 // Two sent at the same moment crashed one target each, and nobody else may have
                 // heard of both.
                 let convicted = true;
-                self.spread(now, Mark { convicted, ..mark });
+                self.news.spread(now, Mark { convicted, ..mark });
             }
         }
     }
@@ -473,12 +311,14 @@
         }
     }
 
+    /// Asks for the engine's whole cache, if it is needed.
     fn want(&mut self, need: Need) {
         if need == Need::Snapshot {
             self.asked.need.send_modify(|n| *n += 1);
         }
     }
 
+    /// The sealed offer to a sealed probe.
     fn packet(&mut self, bytes: &Bytes) -> Option<Bytes> {
         match Packet::open(bytes, &self.keys) {
             Ok(Message::Probe(p)) => Packet::seal(self.offer(p), &self.keys).ok(),
@@ -490,38 +330,13 @@
     }
 
     fn offer(&mut self, p: Probe) -> Offer {
-        let points = p.marks.iter().map(|m| prefix::Mark {
-            blocks: m.blocks,
-            hash: BlockHash(m.hash),
-        });
-        let question = Question {
-            probe: p.id,
-            team: p.team,
-            class: Class::from_index(p.class as usize),
-            marks: Marks::from_points(points),
-            blocks: p.blocks,
-            fingerprint: p.fingerprint,
-        };
+        let question = probe::question(p);
         let told = self.decide.offer(clock::now(), &question);
-        let state = match self.decide.state() {
-            State::Serving if told.refusal.is_some() => wire::State::Full,
-            State::Serving => wire::State::Serving,
-            State::Loading => wire::State::Loading,
-            State::Leaving => wire::State::Leaving,
-            State::Down => wire::State::Down,
-        };
-        let retry = told.refusal.and_then(|r| r.retry);
         Offer {
-            id: p.id,
+            id: question.probe,
             incarnation: self.life,
             engine: self.decide.life().0,
-            matched: told.matched,
-            wait: told.wait.0,
-            prefill: told.prefill.0.saturating_mul(1_000),
-            state: state.into(),
-            convicted: told.convicted,
-            retry: retry.map_or(0, Micros::as_millis),
-            busy: (told.busy * 1e3) as u32,
+            ..probe::offer(&told, self.decide.state())
         }
     }
 }
--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -13,7 +13,7 @@
 use tokio::time::{interval, timeout};
 
 use crate::settings::Kind;
-use crate::sidecar::control::{Ask, Asker, Load};
+use crate::sidecar::ask::{Ask, Asker, Load};
 
 /// How often load and events are fetched; below the engines' own delay.
 const PERIOD: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,10 +1,13 @@
 //! The process beside one target: the only door to it.
 
+pub mod ask;
 pub mod control;
 pub mod decide;
 pub mod feed;
 pub mod live;
+pub mod news;
 pub mod orders;
+pub mod probe;
 pub mod run;
 pub mod serve;
 
@@ -19,7 +22,8 @@
 use crate::process::{bind_peer, stopped, Ready};
 use crate::settings::{Kind, Settings, Sidecar};
 use crate::{admin, clock, log, peer};
-use control::{Ask, Start};
+use ask::Ask;
+use control::Start;
 use orders::Orders;
 use run::Context;
 
@@ -44,7 +48,7 @@
         gossip: gossip.local_addr()?,
     };
     let told = settings.announce.unwrap_or(ready.peer);
-    let (mut asker, asked) = control::channel();
+    let (mut asker, asked) = ask::channel();
     let (members, from_members) = mpsc::unbounded_channel();
     let view = member::empty_view();
     let thread = control::spawn(Start {
--- a/crates/daemon/src/sidecar/orders.rs
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -22,7 +22,7 @@
 
 use crate::clock;
 use crate::log;
-use crate::sidecar::control::{Ask, Asker};
+use crate::sidecar::ask::{Ask, Asker};
 use crate::view::Shared;
 
 /// How often what the engine serves is compared with the configuration.
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -22,7 +22,7 @@
 
 use crate::clock;
 use crate::log;
-use crate::sidecar::control::{Ask, Asker};
+use crate::sidecar::ask::{Ask, Asker};
 use crate::sidecar::decide::{Refusal, RunKey, Work};
 use crate::sidecar::live::{Last, Live};
 use crate::sidecar::serve::Exchanges;
--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -10,7 +10,7 @@
 
 use crate::clock;
 use crate::peer::Peer;
-use crate::sidecar::control::Ask;
+use crate::sidecar::ask::Ask;
 use crate::sidecar::live::{refuse, Cursor, Live};
 use crate::sidecar::run::{self, Context};
 
