sidecar: an exchange's turn, its claim and the target's HTTP apart

run.rs held the whole way of an exchange. turn.rs has the wait for a slot and the slot itself, claim.rs the claims at the table, target.rs HTTP to the target; run.rs keeps the order of the steps. Behaviour is as before.

Tests decide, cache, once and orders pass.

--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside one target: the only door to it.
 
 pub mod ask;
+pub mod claim;
 pub mod control;
 pub mod decide;
 pub mod feed;
@@ -10,6 +11,8 @@
 pub mod probe;
 pub mod run;
 pub mod serve;
+pub mod target;
+pub mod turn;
 
 use std::io;
 use std::sync::Arc;
