sidecar: the fleet's part of control apart, one way to ask the engine

The head of sidecar/ says which module does what. Some chains in live.rs, serve.rs and orders.rs read one step a line. Behaviour is as before.

--- a/crates/daemon/src/sidecar/control.rs
+++ b/crates/daemon/src/sidecar/control.rs
@@ -4,6 +4,8 @@
 //! time for something) and then does what has become due. Nothing in it waits for the target or
 //! for a caller: probes and heartbeats would be late meanwhile.
 
+mod fleet;
+
 use std::io;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -17,19 +19,16 @@
 use rand::SeedableRng;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
-use wire::{Keys, Message, Offer, Packet, Probe, PACKET_MAX};
+use wire::{Keys, PACKET_MAX};
 
 use crate::clock;
 use crate::log;
-use crate::mark::Mark;
 use crate::member::{self, Me, Membership};
 use crate::meter;
 use crate::settings::{Settings, Sidecar};
 use crate::sidecar::ask::{Ask, Asked, Grant, Health, Load};
-use crate::sidecar::decide::{Decide, Found, Refusal, RunKey};
+use crate::sidecar::decide::{Decide, Found, Refusal};
 use crate::sidecar::news::News;
-use crate::sidecar::probe;
-use crate::tune::Tuning;
 use crate::view::Shared;
 
 /// Longest sleep of the control thread.
@@ -272,73 +271,12 @@
         refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
     }
 
-    fn crashed(&mut self, now: Micros, run: RunKey) {
-        let Some(mark) = self.decide.crashed(now, run) else {
-            return;
-        };
-        spdlog::warn!(
-            logger: log::sidecar(),
-            "target died under request {:016x}, convicted: {}", mark.print, mark.convicted
-        );
-        self.news.spread(now, mark);
-    }
-
-    /// Takes over what other processes found of requests.
-    fn marks(&mut self) {
-        let now = clock::now();
-        while let Some(c) = self.members.convicted() {
-            let mark = Mark::decode(c.fingerprint);
-            if self.decide.told(now, mark, c.until) {
-                // Two sent at the same moment crashed one target each, and nobody else may have
-                // heard of both.
-                let convicted = true;
-                self.news.spread(now, Mark { convicted, ..mark });
-            }
-        }
-    }
-
-    /// Follows a configuration that has come into force.
-    fn tune(&mut self) {
-        let view = self.view.load();
-        if view.version == self.version {
-            return;
-        }
-        self.version = view.version;
-        if let Some(rules) = &view.rules {
-            let config = rules.config();
-            let most = config.pool.get(&self.pool).and_then(|p| p.concurrency);
-            self.decide.tune(&Tuning::from(config), most);
-        }
-    }
-
     /// Asks for the engine's whole cache, if it is needed.
     fn want(&mut self, need: Need) {
         if need == Need::Snapshot {
             self.asked.need.send_modify(|n| *n += 1);
         }
     }
-
-    /// The sealed offer to a sealed probe.
-    fn packet(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        match Packet::open(bytes, &self.keys) {
-            Ok(Message::Probe(p)) => Packet::seal(self.offer(p), &self.keys).ok(),
-            _ => {
-                metrics::counter!(meter::PROBE_FAULTS).increment(1);
-                None
-            }
-        }
-    }
-
-    fn offer(&mut self, p: Probe) -> Offer {
-        let question = probe::question(p);
-        let told = self.decide.offer(clock::now(), &question);
-        Offer {
-            id: question.probe,
-            incarnation: self.life,
-            engine: self.decide.life().0,
-            ..probe::offer(&told, self.decide.state())
-        }
-    }
 }
 
 fn refuse(grants: Vec<Grant>, code: Code, retry: Option<Micros>) {
--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -86,10 +86,9 @@
     loop {
         tick.tick().await;
         let up = timeout(LIMIT, TcpStream::connect(target)).await;
-        misses = if matches!(up, Ok(Ok(_))) {
-            0
-        } else {
-            misses + 1
+        misses = match up {
+            Ok(Ok(_)) => 0,
+            _ => misses + 1,
         };
         let load = Load {
             incarnation: Incarnation(0),
@@ -103,7 +102,7 @@
 
 async fn engine(target: SocketAddr, mut control: Asker) {
     let mut feed = Feed {
-        base: format!("http://{target}"),
+        target,
         client: Client::default(),
         after: 0,
         life: 0,
@@ -120,9 +119,11 @@
 }
 
 struct Feed {
-    base: String,
+    target: SocketAddr,
     client: Client,
+    /// The last event had.
     after: u64,
+    /// The life whose events they are.
     life: u64,
 }
 
@@ -178,11 +179,20 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
-        let call = Call::new(Method::GET, format!("{}{path}", self.base), LIMIT);
-        match self.client.call(call).await {
-            Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).ok(),
-            _ => None,
-        }
+        get(&self.client, self.target, path).await
+    }
+}
+
+/// What the engine says at a path; `None` if it can't be had.
+pub async fn get<T: DeserializeOwned>(
+    client: &Client,
+    target: SocketAddr,
+    path: &str,
+) -> Option<T> {
+    let call = Call::new(Method::GET, format!("http://{target}{path}"), LIMIT);
+    match client.call(call).await {
+        Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).ok(),
+        _ => None,
     }
 }
 
--- a/crates/daemon/src/sidecar/live.rs
+++ b/crates/daemon/src/sidecar/live.rs
@@ -43,10 +43,9 @@
 impl Live {
     /// An exchange that has just arrived; `keep` retains its whole answer for later attempts.
     pub fn new(keep: bool) -> Arc<Self> {
-        let retain = if keep {
-            Retain::keeping()
-        } else {
-            Retain::default()
+        let retain = match keep {
+            true => Retain::keeping(),
+            false => Retain::default(),
         };
         Arc::new(Self {
             inner: Mutex::new(Inner {
@@ -120,10 +119,9 @@
 
     /// Whether it ended, and if so whether the target saw it.
     pub fn ended(&self) -> Option<bool> {
-        self.lock()
-            .last
-            .as_ref()
-            .map(|l| !matches!(l, Last::NotRun(..)))
+        let i = self.lock();
+        let last = i.last.as_ref();
+        last.map(|l| !matches!(l, Last::NotRun(..)))
     }
 
     /// The entry has all before `next`.
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -1,4 +1,8 @@
 //! The process beside one target: the only door to it.
+//!
+//! Exchanges arrive in `serve`; `run` takes each through its `turn`, its `claim` and the `target`.
+//! `control` decides whose turn it is, by what `feed` fetches from the target and `ask` carries
+//! from traffic. `orders` has the target load other weights.
 
 pub mod ask;
 pub mod claim;
@@ -73,15 +77,15 @@
     })?;
     let table = settings.platform.clone();
     let table = table.map(|p| Platform::new(p, Client::default()));
-    if let (Kind::Model, Some(table)) = (role.kind, table.clone()) {
-        let orders = Orders {
-            target: role.target,
-            pool: role.pool.clone(),
-            view,
-            control: asker.clone(),
-            table,
-            who: format!("{life:x}-{:016x}", rand::random::<u64>()),
-        };
+    let orders = table.clone().map(|table| Orders {
+        target: role.target,
+        pool: role.pool.clone(),
+        view,
+        control: asker.clone(),
+        table,
+        who: format!("{life:x}-{:016x}", rand::random::<u64>()),
+    });
+    if let Some(orders) = orders.filter(|_| role.kind == Kind::Model) {
         tokio::spawn(orders.run());
     }
     let cx = Arc::new(Context {
@@ -93,12 +97,8 @@
         exchanges: serve::Exchanges::default(),
         control: asker.clone(),
     });
-    tokio::spawn(peer::listen(
-        tcp,
-        settings.keys.clone(),
-        members.clone(),
-        cx,
-    ));
+    let listen = peer::listen(tcp, settings.keys.clone(), members.clone(), cx);
+    tokio::spawn(listen);
     tokio::spawn(feed::run(role.target, role.kind, asker.clone()));
     let up = asker.clone();
     tokio::spawn(admin::serve(admin, admin::router(move || up.health().up)));
--- a/crates/daemon/src/sidecar/orders.rs
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -23,13 +23,14 @@
 use crate::clock;
 use crate::log;
 use crate::sidecar::ask::{Ask, Asker};
+use crate::sidecar::feed;
 use crate::view::Shared;
 
 /// How often what the engine serves is compared with the configuration.
 const PERIOD: Duration = Duration::from_secs(1);
 /// How often a state that is waited for is looked at.
 const LOOK: Duration = Duration::from_millis(100);
-/// Longest call to the engine.
+/// Longest order to the engine.
 const LIMIT: Duration = Duration::from_secs(1);
 /// Longest time for what runs to end and for weights to load; then others get the permit.
 const LONGEST: Duration = Duration::from_secs(180);
@@ -138,14 +139,15 @@
             return Err(Missed::Over);
         }
         self.order(client, fence, &want.weights).await?;
-        while self
-            .load(client)
-            .await
-            .is_none_or(|l| l.weights != want.weights)
-        {
+        self.until_loaded(client, &want.weights).await;
+        Ok(())
+    }
+
+    async fn until_loaded(&self, client: &Client, weights: &str) {
+        let is_done = |l: LoadBody| l.weights == weights;
+        while !self.load(client).await.is_some_and(is_done) {
             sleep(LOOK).await;
         }
-        Ok(())
     }
 
     async fn order(&self, client: &Client, fence: u64, weights: &str) -> Result<(), Missed> {
@@ -160,11 +162,7 @@
     }
 
     async fn load(&self, client: &Client) -> Option<LoadBody> {
-        let call = Call::new(Method::GET, format!("http://{}/load", self.target), LIMIT);
-        match client.call(call).await {
-            Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).ok(),
-            _ => None,
-        }
+        feed::get(client, self.target, "/load").await
     }
 
     fn wanted(&self) -> Option<Wanted> {
--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -52,10 +52,8 @@
     let meant = Meant::of(o.incarnation, cx.life);
     let token = Token(o.token.clone());
     let live = Live::new(!o.key.is_empty());
-    let seen = cx
-        .exchanges
-        .lock()
-        .open(meant, token.clone(), || Arc::clone(&live));
+    let fresh = || Arc::clone(&live);
+    let seen = cx.exchanges.lock().open(meant, token.clone(), fresh);
     let live = match seen {
         Seen::Fresh => {
             tokio::spawn(lifetime(Arc::clone(cx), o, Arc::clone(&live)));
