--- /dev/null
+++ b/crates/daemon/src/sidecar/control/mod.rs
@@ -0,0 +1,288 @@
+//! The control thread of a sidecar: decisions, probes, membership, planned stop.
+//!
+//! One loop takes whatever comes first (a message from traffic, a probe, membership's turn, the
+//! time for something) and then does what has become due. Nothing in it waits for the target or
+//! for a caller: probes and heartbeats would be late meanwhile.
+
+mod fleet;
+
+use std::io;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{Code, MemberId, Micros, Version};
+use policy::drain::{self, Drain};
+use prefix::Need;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+use wire::{Keys, PACKET_MAX};
+
+use crate::clock;
+use crate::log;
+use crate::member::{self, Me, Membership};
+use crate::meter;
+use crate::settings::{Settings, Sidecar};
+use crate::sidecar::ask::{Ask, Asked, Grant, Health, Load};
+use crate::sidecar::decide::{Decide, Found, Refusal};
+use crate::sidecar::news::News;
+use crate::view::Shared;
+
+/// Longest sleep of the control thread.
+const SLEEP: Duration = Duration::from_millis(250);
+
+/// What the control thread is given.
+#[derive(Debug)]
+pub struct Start {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Settings of the role.
+    pub role: Sidecar,
+    /// What the fleet is told of this process.
+    pub me: Me,
+    /// Socket for probes.
+    pub probes: std::net::UdpSocket,
+    /// Socket for membership.
+    pub gossip: std::net::UdpSocket,
+    /// Messages from traffic.
+    pub asked: Asked,
+    /// Where the fleet's view goes.
+    pub view: Shared,
+    /// Messages for membership.
+    pub members: mpsc::UnboundedReceiver<member::Ask>,
+    /// Convictions for membership.
+    pub convict: member::Asker,
+}
+
+/// Starts the control thread.
+pub fn spawn(start: Start) -> io::Result<JoinHandle<io::Result<()>>> {
+    let name = "control".to_owned();
+    std::thread::Builder::new().name(name).spawn(move || {
+        let run = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        run.block_on(control(start))
+    })
+}
+
+async fn control(start: Start) -> io::Result<()> {
+    let s = start;
+    let udp = UdpSocket::from_std(s.probes)?;
+    let gossip = UdpSocket::from_std(s.gossip)?;
+    let life = s.me.life;
+    let notice = s.settings.notice.into();
+    let view = s.view;
+    let shared = Arc::clone(&view);
+    let members = Membership::new(&s.settings, s.me, gossip, shared, s.members)?;
+    let state = Control {
+        keys: s.settings.keys.clone(),
+        life,
+        decide: Decide::new(s.role.kind, s.role.slots, MemberId(life)),
+        drain: Drain::new(drain::Config { notice }, drain::Role::Sidecar),
+        members,
+        asked: s.asked,
+        news: News::new(s.convict.clone()),
+        convict: s.convict,
+        rng: SmallRng::from_os_rng(),
+        pool: s.role.pool,
+        quiet: None,
+        view,
+        version: Version(0),
+    };
+    state.run(udp).await;
+    Ok(())
+}
+
+struct Control {
+    keys: Keys,
+    life: u64,
+    decide: Decide<Grant>,
+    drain: Drain,
+    members: Membership,
+    convict: member::Asker,
+    asked: Asked,
+    /// Of requests that crashed the target.
+    news: News,
+    rng: SmallRng,
+    pool: String,
+    /// Told once nothing runs at the target.
+    quiet: Option<oneshot::Sender<()>>,
+    view: Shared,
+    /// Version that the decisions follow.
+    version: Version,
+}
+
+impl Control {
+    async fn run(mut self, udp: UdpSocket) {
+        let mut buf = vec![0; PACKET_MAX + 1];
+        loop {
+            let wake = [self.decide.wake(), self.drain.wake()];
+            let wake = wake.into_iter().flatten().min();
+            let wait = wake.map(|w| Duration::from(w.since(clock::now())));
+            tokio::select! {
+                ask = self.asked.ask.recv() => match ask {
+                    Some(a) => self.ask(a),
+                    None => return,
+                },
+                got = udp.recv_from(&mut buf) => if let Ok((n, from)) = got {
+                    let bytes = Bytes::copy_from_slice(&buf[..n]);
+                    if let Some(offer) = self.packet(&bytes) {
+                        let _ = udp.send_to(&offer, from).await;
+                    }
+                },
+                on = self.members.run_once() => if !on {
+                    return;
+                },
+                () = tokio::time::sleep(wait.unwrap_or(SLEEP).min(SLEEP)) => {}
+            }
+            self.marks();
+            self.tune();
+            self.news.tell(clock::now());
+            self.grant();
+            self.step(drain::Event::Tick);
+        }
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        let now = clock::now();
+        match ask {
+            Ask::Enqueue { work, grant } => {
+                let taken = self.decide.open(now, work, grant, &mut self.rng);
+                if let Err((grant, r)) = taken {
+                    metrics::counter!(meter::REFUSED, "code" => r.code.as_str()).increment(1);
+                    let _ = grant.send(Err(r));
+                }
+            }
+            Ask::First(run) => self.decide.first(now, run),
+            Ask::Crashed(run) => self.crashed(now, run),
+            Ask::Progress(run, events) => self.decide.progress(now, run, events),
+            Ask::Finished(run, events) => self.decide.finished(now, run, events),
+            Ask::Taken => self.step(drain::Event::Taken),
+            Ask::Ended => self.step(drain::Event::Ended),
+            Ask::Load(load) => self.load(load),
+            Ask::Events(events) => {
+                for e in events {
+                    let need = self.decide.event(now, e);
+                    self.want(need);
+                }
+            }
+            Ask::Cache(life, seq, blocks) => {
+                let need = self.decide.listed(now, life, seq, blocks);
+                self.want(need);
+            }
+            Ask::Quiet(done) => {
+                let back = self.decide.quiet(true);
+                refuse(back, Code::Draining, None);
+                self.quiet = Some(done);
+            }
+            Ask::Unquiet => {
+                self.decide.quiet(false);
+                self.quiet = None;
+            }
+            Ask::Stop => self.step(drain::Event::Stop),
+        }
+    }
+
+    /// Gives turns to whoever may have one, and back what is too late.
+    fn grant(&mut self) {
+        let now = clock::now();
+        for (grant, r) in self.decide.expire(now, &mut self.rng) {
+            refuse(vec![grant], r.code, r.retry);
+        }
+        while let Some(g) = self.decide.next(now) {
+            // Its caller may have gone while it waited.
+            if g.grant.send(Ok(g.run)).is_err() {
+                self.decide.finished(now, g.run, 0);
+            }
+        }
+        if self.decide.running() == 0 {
+            if let Some(done) = self.quiet.take() {
+                let _ = done.send(());
+            }
+        }
+        let need = self.decide.tick(now);
+        self.want(need);
+        metrics::gauge!(meter::BLOCKS).set(self.decide.blocks() as f64);
+        metrics::gauge!(meter::QUEUE).set(self.decide.waiting() as f64);
+        metrics::gauge!(meter::RUNNING).set(self.decide.running() as f64);
+    }
+
+    /// Moves the planned stop on.
+    fn step(&mut self, event: drain::Event) {
+        let mut out = Vec::new();
+        self.drain.step(clock::now(), event, &mut out);
+        for action in out {
+            match action {
+                drain::Action::Announce => {
+                    spdlog::info!(logger: log::sidecar(), "leaving, taking nothing new");
+                    let _ = self.convict.send(member::Ask::Leave);
+                }
+                drain::Action::GiveBack => {
+                    let back = self.decide.leave();
+                    refuse(back, Code::Draining, None);
+                }
+                drain::Action::Close => {}
+                drain::Action::Exit => {
+                    self.asked.gone.send_replace(true);
+                }
+            }
+        }
+    }
+
+    /// The target said its load, or didn't answer.
+    fn load(&mut self, load: Option<Load>) {
+        match load {
+            Some(l) => self.found(l),
+            None => self.missed(),
+        }
+    }
+
+    fn found(&mut self, l: Load) {
+        let health = Health {
+            up: true,
+            life: l.incarnation,
+        };
+        let before = *self.asked.health.borrow();
+        if before != health {
+            spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
+            self.asked.health.send_replace(health);
+        }
+        let found = Found {
+            life: l.incarnation,
+            model: &l.model,
+            weights: &l.weights,
+            loading: l.loading,
+        };
+        if self.decide.engine(clock::now(), &found) {
+            self.members.set_tags(l.weights);
+            self.want(Need::Snapshot);
+        }
+    }
+
+    fn missed(&mut self) {
+        if self.asked.health.borrow().up {
+            spdlog::warn!(logger: log::sidecar(), "target doesn't answer");
+            let life = self.decide.life();
+            self.asked.health.send_replace(Health { up: false, life });
+        }
+        let back = self.decide.down();
+        refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
+    }
+
+    /// Asks for the engine's whole cache, if it is needed.
+    fn want(&mut self, need: Need) {
+        if need == Need::Snapshot {
+            self.asked.need.send_modify(|n| *n += 1);
+        }
+    }
+}
+
+fn refuse(grants: Vec<Grant>, code: Code, retry: Option<Micros>) {
+    for g in grants {
+        metrics::counter!(meter::REFUSED, "code" => code.as_str()).increment(1);
+        let _ = g.send(Err(Refusal { code, retry }));
+    }
+}
