Learn the cost of prompts from what was computed, not from what was expected

Cause, found by printing each choice with its offers: three of four engines told the first guess of 2,000 us a block for ever (0.4 ms in truth) and a use of 0.00. A prompt's own blocks are expected from when it comes, and at its turn they were taken for cached, so that every prompt seemed to need no computing and gave no sample. Recomputation looked five times as dear as it was and everyone idle, so that requests waited at holders. Now only blocks that the engine holds count. Test: decide, cost_and_use_are_learnt_from_prompts_that_are_computed: 2,000 us without the change, passes with it.

--- a/crates/daemon/src/sidecar/decide/admission.rs
+++ b/crates/daemon/src/sidecar/decide/admission.rs
@@ -26,7 +26,6 @@
 impl<G> Decide<G> {
     /// Answers a probe and holds a place for the request.
     pub fn offer(&mut self, now: Micros, q: &Question) -> Told {
-        self.rest(now);
         let matched = self.index.matched(&q.marks);
         let missing = q.blocks.saturating_sub(matched);
         let work = self.work(missing, 0);
--- a/crates/daemon/src/sidecar/decide/running.rs
+++ b/crates/daemon/src/sidecar/decide/running.rs
@@ -66,15 +66,11 @@
         self.rate.finished(now, r.work, !self.queue.is_empty());
     }
 
-    /// Notes that the engine computes no prompt, if so. A prompt is taken to be computed for the
-    /// time that it should take: until its first byte comes there are also the engine's own queue
-    /// and the first token, and an engine half in use would look nearly full.
+    /// Notes that the engine computes no prompt, if so.
     pub(super) fn rest(&mut self, now: Micros) {
         if self.prefilling() == 0 {
-            self.until = self.until.min(now);
-        }
-        if now >= self.until {
-            self.busy.set(self.until, None);
+            self.until = now;
+            self.busy.set(now, None);
         }
     }
 
--- a/crates/daemon/src/sidecar/decide/turns.rs
+++ b/crates/daemon/src/sidecar/decide/turns.rs
@@ -20,8 +20,10 @@
         }
         let job = self.pop()?;
         let w = job.payload;
-        // Blocks may have been computed or evicted while it waited.
-        let blocks = self.missing(&w.work.chain);
+        // Blocks may have been computed or evicted while it waited. What is only expected doesn't
+        // count: its own blocks are among that since it came, and a prompt that seems to need no
+        // computing is measured as none.
+        let blocks = (w.work.chain.len() as u32).saturating_sub(self.index.held(&w.marks));
         let prefill = self.cost.prefill(blocks);
         let run = self.running.insert(Running {
             work: job.work,
--- a/crates/daemon/tests/decide.rs
+++ b/crates/daemon/tests/decide.rs
@@ -219,3 +219,45 @@
         }
     }
 }
+
+/// A prompt's own blocks are expected from the moment it comes, so that others are sent after it.
+/// When these were taken for cached at its own turn, no prompt seemed to need any computing: the
+/// first guess of the cost stood for ever, an engine never seemed busy, and callers waited seconds
+/// at one replica while others idled.
+#[test]
+fn cost_and_use_are_learnt_from_prompts_that_are_computed() {
+    const BLOCKS: usize = 100;
+    const PREFILL: Micros = Micros::from_millis(40);
+    let mut d = decide();
+    let seed = Seed::new("team-one", "lekha", "1");
+    let question = |name: u8| Question {
+        probe: u64::from(name),
+        team: "team-one".to_owned(),
+        class: Class::Normal,
+        marks: Marks::new(&chain(seed, [name; BLOCKS * BLOCK])),
+        blocks: BLOCKS as u32,
+        fingerprint: 0,
+    };
+    let guess = d.offer(NOW, &question(0)).prefill;
+    let mut now = NOW;
+    for name in 1..=20 {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let work = Work {
+            chain: chain(seed, [name; BLOCKS * BLOCK]),
+            ..work(u64::from(name), 0)
+        };
+        d.open(now, work, u32::from(name), &mut rng).expect("taken");
+        let turn = d.next(now).expect("its turn");
+        now = now + PREFILL;
+        d.first(now, turn.run);
+        d.finished(now, turn.run, 0);
+    }
+    let told = d.offer(now, &question(21));
+    let true_cost = Micros(PREFILL.0 / BLOCKS as u64);
+    assert!(
+        told.prefill < Micros(true_cost.0 * 3 / 2),
+        "{:?} after {guess:?}",
+        told.prefill
+    );
+    assert!(told.busy > 0.1, "{}", told.busy);
+}
--- a/crates/prefix/examples/bench.rs
+++ b/crates/prefix/examples/prefix_bench.rs
@@ -1,4 +1,4 @@
-//! Time and memory of hashing, look-ups and events: `cargo run --release -p prefix --example bench`.
+//! Time and memory of hashing, look-ups and events: `cargo run --release -p prefix --example prefix_bench`.
 
 use std::hint::black_box;
 use std::time::Instant;
--- a/crates/rules/examples/bench.rs
+++ b/crates/rules/examples/rules_bench.rs
@@ -1,6 +1,6 @@
 //! Measures what a request costs the rules at the size that is expected within two years.
 //!
-//! `cargo run --release -p rules --example bench` prints, for 1,100 teams and 300 rules, the time
+//! `cargo run --release -p rules --example rules_bench` prints, for 1,100 teams and 300 rules, the time
 //! to compile, to find a team by its key and to decide, each beside a plain scan of the same data.
 
 use std::fmt::Write;
