Never call not run what ran: a large answer, a dropped request; refuse zero workers

An answer beyond the 16 MiB that an entry collects ended in internal, outcome not-run, although its target had run it (read in the code; tests/whole.rs: answer_too_large_to_collect_is_not_called_not_run).

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use exchange::{Action, Event, Failure, Owner};
-use model::Outcome;
+use model::{Code, Outcome};
 use policy::health;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use wire::{Ack, Body, Cancel, Open, Resume};
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::entry::drive::Drive;
 use crate::entry::frames::{event, gone};
+use crate::entry::out::OutError;
 use crate::entry::pick::Picked;
 use crate::link::Link;
 use crate::meter;
@@ -207,14 +208,30 @@
             meter::first(self.job.want.class, self.begun.elapsed());
             self.measured(false);
         }
-        if !self.out.data(data).await {
-            at.cancel().await;
-            return ControlFlow::Break(Ended::Over);
+        match self.out.data(data).await {
+            Ok(()) => {}
+            Err(e) => {
+                at.cancel().await;
+                self.undelivered(e).await;
+                return ControlFlow::Break(Ended::Over);
+            }
         }
         self.confirm(at, false).await;
         ControlFlow::Continue(None)
     }
 
+    /// Ends a request whose answer can't go on to its caller, although its target ran it.
+    async fn undelivered(&mut self, e: OutError) {
+        if e == OutError::Large {
+            let failure = Failure {
+                code: Code::BadAnswer,
+                outcome: Outcome::Unknown,
+                retry: None,
+            };
+            self.give(failure).await;
+        }
+    }
+
     /// Goes on with an exchange on a new connection.
     async fn resume(&self, at: &mut Current, next: u64) -> Option<Event> {
         metrics::counter!(meter::RESUMES).increment(1);
--- a/crates/daemon/src/entry/out.rs
+++ b/crates/daemon/src/entry/out.rs
@@ -4,6 +4,7 @@
 //! that fails on the way can start anew elsewhere and the caller sees nothing of it.
 
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use wire::Head;
 
@@ -49,6 +50,17 @@
     stream: bool,
 }
 
+/// Why an answer can't go on to its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum OutError {
+    /// The caller went away.
+    #[error("the caller went away")]
+    Gone,
+    /// It is to be collected, and is larger than may be.
+    #[error("an answer that isn't streamed may have {WHOLE_MAX} bytes")]
+    Large,
+}
+
 impl Out {
     /// A caller that waits for the beginning of its answer.
     pub fn new(first: oneshot::Sender<Answer>, stream: bool) -> Self {
@@ -85,25 +97,26 @@
         }
     }
 
-    /// Takes a piece of the answer; false if it can't go on, since the caller is gone or an answer
-    /// to collect is too large.
-    pub async fn data(&mut self, data: Bytes) -> bool {
+    /// Takes a piece of the answer, or says why it can't go on.
+    pub async fn data(&mut self, data: Bytes) -> Result<(), OutError> {
         if !self.stream {
             self.whole.extend_from_slice(&data);
-            return self.whole.len() <= WHOLE_MAX;
+            return match self.whole.len() {
+                n if n > WHOLE_MAX => Err(OutError::Large),
+                _ => Ok(()),
+            };
         }
         if let Some(first) = self.first.take() {
             let (tx, rx) = mpsc::channel(PIECES);
             let head = self.head.take().unwrap_or_default();
-            if first.send(Answer::Stream(head, rx)).is_err() {
-                return false;
-            }
+            let sent = first.send(Answer::Stream(head, rx));
+            sent.map_err(|_| OutError::Gone)?;
             self.body = Some(tx);
         }
-        match &self.body {
-            Some(b) => b.send(Piece::Data(data)).await.is_ok(),
-            None => false,
-        }
+        let body = self.body.as_ref().ok_or(OutError::Gone)?;
+        body.send(Piece::Data(data))
+            .await
+            .map_err(|_| OutError::Gone)
     }
 
     /// Forgets what the caller hasn't seen.
--- a/crates/daemon/src/entry/probe.rs
+++ b/crates/daemon/src/entry/probe.rs
@@ -69,7 +69,7 @@
                 Some(tx) => {
                     let _ = tx.send(o);
                 }
-                None => metrics::counter!("clementinestep_offers_unasked_total").increment(1),
+                None => metrics::counter!(meter::OFFERS_UNASKED).increment(1),
             }
         }
     }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
-use model::{Code, RequestId};
+use model::{Code, Outcome, RequestId};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -45,7 +45,13 @@
     };
     let (tx, rx) = oneshot::channel();
     tokio::spawn(drive(cx, job, tx));
-    let gone = |_| Answer::None(Problem::unsent(Code::Internal, "request was dropped"));
+    // A fault of ours says nothing of what became of the request.
+    let gone = |_| {
+        Answer::None(Problem {
+            outcome: Outcome::Unknown,
+            ..Problem::unsent(Code::Internal, "request was dropped")
+        })
+    };
     let found = rx.await.unwrap_or_else(gone);
     Ok(answer(&id, &rule, found, taken))
 }
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -26,6 +26,8 @@
 pub const PROBE_FAULTS: &str = "clementinestep_probe_faults_total";
 /// Datagrams from the probe port that don't belong there.
 pub const OFFER_FAULTS: &str = "clementinestep_offer_faults_total";
+/// Offers that nobody waits for: late, repeated or replayed ones.
+pub const OFFERS_UNASKED: &str = "clementinestep_offers_unasked_total";
 /// Connections to the peer port that were dropped for what they sent.
 pub const PEER_FAULTS: &str = "clementinestep_peer_faults_total";
 /// Bytes of membership datagrams, by way.
@@ -57,6 +59,7 @@
     describe_counter!(PROBE_BYTES, Unit::Bytes, "probes sent");
     describe_counter!(PROBE_FAULTS, "datagrams refused at the probe port");
     describe_counter!(OFFER_FAULTS, "datagrams refused as offers");
+    describe_counter!(OFFERS_UNASKED, "offers that nobody waits for");
     describe_counter!(PEER_FAULTS, "peer connections dropped for what they sent");
     describe_counter!(GOSSIP_BYTES, Unit::Bytes, "membership datagrams, by way");
     describe_counter!(GOSSIP_FAULTS, "membership datagrams refused");
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -5,6 +5,7 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -51,7 +52,7 @@
         let platform = self.text("platform", "");
         let seeds = self.list("seeds");
         let keys = self.keys();
-        let workers = self.value("workers", "2", "a number").filter(|n| *n > 0);
+        let workers: Option<NonZeroUsize> = self.value("workers", "2", "a number above 0");
         let level = self.level();
         let format = self.value("log_format", "text", "text or json");
         let trace = self.text("trace_file", "");
@@ -71,7 +72,7 @@
             platform: Some(platform).filter(|p| !p.is_empty()),
             seeds: seeds?,
             keys: keys?,
-            workers: workers?,
+            workers: workers?.get(),
             log_level: level?,
             log_format: format?,
             trace_file: Some(trace).filter(|t| !t.is_empty()),
--- a/crates/daemon/tests/whole.rs
+++ b/crates/daemon/tests/whole.rs
@@ -27,6 +27,22 @@
     }
 }
 
+/// A service answers more than an entry collects before it gives an answer on. The service has run
+/// the request, so that "not run" would make its caller run it again.
+#[test]
+fn answer_too_large_to_collect_is_not_called_not_run() {
+    let mut fleet = Fleet::start(1, 0, &quick());
+    let at = fleet.service_at.at;
+    fleet.service_at.kill();
+    let huge = Router::new().any("/*", |_: Request| async {
+        Ok::<_, viz::Error>(Response::new(Body::Full(vec![b'x'; 17 << 20].into())))
+    });
+    fleet.service_at = StandIn::start(at, huge);
+    let answer = fleet.caller(0).get("/records/vote");
+    assert_eq!((answer.status, answer.code().as_str()), (502, "bad_answer"));
+    assert_eq!(answer.header("x-outcome"), Some("unknown"));
+}
+
 /// Somebody who knows an engine's field for the cache salt sends it to another path of the engine.
 /// Were it passed on, the caller could find another team's cache entries by their timing.
 #[test]
