--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -35,7 +35,7 @@
 use crate::link::Pool;
 use crate::mark::Mark;
 use crate::member::{self, Me, Membership};
-use crate::process::{bind_peer, stopped, Ready};
+use crate::process::{self, bind_peer, stopped, Ready};
 use crate::settings::{Entry, Settings};
 use crate::tune::Tuning;
 use crate::view::Shared;
@@ -64,11 +64,8 @@
 
 /// Runs until told to stop and all that runs has ended.
 pub fn run(settings: &Settings, role: &Entry) -> io::Result<()> {
-    let traffic = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.workers)
-        .enable_all()
-        .build()?;
-    traffic.block_on(start(settings.clone(), role.clone()))
+    let start = start(settings.clone(), role.clone());
+    process::traffic(settings.workers)?.block_on(start)
 }
 
 async fn start(settings: Settings, role: Entry) -> io::Result<()> {
@@ -105,12 +102,7 @@
     cx.stop.run(&members).await;
     let _ = server.await;
     let _ = members.send(member::Ask::Quit);
-    let ended = tokio::task::spawn_blocking(move || thread.join()).await;
-    spdlog::info!(logger: log::main(), "stopped");
-    match ended {
-        Ok(Ok(r)) => r,
-        _ => Err(io::Error::other("the control thread panicked")),
-    }
+    process::ended(thread).await
 }
 
 /// What the process listens on.
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,11 +2,15 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::thread::JoinHandle;
 
 use serde::Serialize;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{signal, SignalKind};
 
+use crate::log;
+
 /// Tries to find a port that is free for both TCP and UDP.
 const TRIES: u32 = 16;
 
@@ -23,6 +27,24 @@
     }
 }
 
+/// The runtime of a process's traffic threads.
+pub fn traffic(workers: usize) -> io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(workers)
+        .enable_all()
+        .build()
+}
+
+/// Waits for the control thread's end, the last of a process.
+pub async fn ended(control: JoinHandle<io::Result<()>>) -> io::Result<()> {
+    let ended = tokio::task::spawn_blocking(move || control.join()).await;
+    spdlog::info!(logger: log::main(), "stopped");
+    match ended {
+        Ok(Ok(r)) => r,
+        _ => Err(io::Error::other("the control thread panicked")),
+    }
+}
+
 /// Waits for the signal to stop.
 pub async fn stopped() {
     let (Ok(mut term), Ok(mut int)) = (
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 
 use crate::member::{self, Me};
-use crate::process::{bind_peer, stopped, Ready};
+use crate::process::{self, bind_peer, stopped, Ready};
 use crate::settings::{Kind, Settings, Sidecar};
 use crate::{admin, clock, log, peer};
 use ask::Ask;
@@ -36,11 +36,8 @@
 
 /// Runs until told to stop and all that runs has ended.
 pub fn run(settings: &Settings, role: &Sidecar) -> io::Result<()> {
-    let traffic = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.workers)
-        .enable_all()
-        .build()?;
-    traffic.block_on(start(settings.clone(), role.clone()))
+    let start = start(settings.clone(), role.clone());
+    process::traffic(settings.workers)?.block_on(start)
 }
 
 async fn start(settings: Settings, role: Sidecar) -> io::Result<()> {
@@ -109,10 +106,5 @@
     asker.send(Ask::Stop);
     asker.exit().await;
     let _ = members.send(member::Ask::Quit);
-    let ended = tokio::task::spawn_blocking(move || thread.join()).await;
-    spdlog::info!(logger: log::main(), "stopped");
-    match ended {
-        Ok(Ok(r)) => r,
-        _ => Err(io::Error::other("the control thread panicked")),
-    }
+    process::ended(thread).await
 }
