--- a/crates/rules/src/features.rs
+++ b/crates/rules/src/features.rs
@@ -32,9 +32,9 @@
         /// Part of the places that only class `call` may take.
         "reserve" reserve: Percent = Percent::permille(125);
         /// Longest expected wait of class `call`.
-        "call" call: Duration = Duration::from_secs(8);
+        "call" call: Duration = Duration::from_secs(4);
         /// Longest expected wait of class `normal`.
-        "normal" normal: Duration = Duration::from_secs(8);
+        "normal" normal: Duration = Duration::from_secs(12);
         /// Longest expected wait of class `batch`.
         "batch" batch: Duration = Duration::from_secs(60);
     }
@@ -48,7 +48,7 @@
         /// Part of the work assured to class `batch` while more urgent requests wait too.
         "batch" batch: Percent = Percent::permille(50);
         /// By how many times its own work a long request falls back behind later ones.
-        "ageing" ageing: u32 = 4;
+        "ageing" ageing: u32 = 6;
     }
 }
 
@@ -58,7 +58,7 @@
         /// Smallest limit.
         "least" least: u32 = 1;
         /// Limit before anything was measured.
-        "first" first: u32 = 4;
+        "first" first: u32 = 16;
         /// Largest limit.
         "most" most: u32 = 256;
     }
--- a/crates/rules/tests/faults.rs
+++ b/crates/rules/tests/faults.rs
@@ -118,7 +118,7 @@
     },
     Case {
         text: r#"[concurrency]
-least = 8
+least = 32
 [health]
 out = "1h"
 slow = 0"#,
