--- /dev/null
+++ b/crates/gate/src/entry/fleet.rs
@@ -0,0 +1,280 @@
+//! What an entry believes of each target.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use model::Micros;
+use platform::replica::Load;
+use policy::standing::{self, Standing};
+use site::{Boot, Part, PartId, State, Target};
+use slotmap::{new_key_type, SlotMap};
+
+use super::idle::Idle;
+use crate::log::{self, Event};
+use crate::news::News;
+
+new_key_type! {
+    /// A target.
+    pub struct Key;
+}
+
+/// Targets that are missing from the list are kept this long after the store's return, since they
+/// need some time to enter themselves again.
+const RETURN: Micros = Micros::from_millis(2_200);
+/// Weight of a new answer in what is usual for a pool.
+const USUAL: f64 = 0.02;
+
+/// What a sidecar last told of its engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    /// When it was heard.
+    pub at: Micros,
+    /// Whether the engine answers its sidecar.
+    pub alive: bool,
+    /// Whether it is loading weights.
+    pub busy: bool,
+    /// Requests running.
+    pub active: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Tokens of memory that can't yield.
+    pub used: u32,
+    /// Tokens of memory in all.
+    pub total: u32,
+    /// When it takes new weights, if it is going to.
+    pub swap: Option<Micros>,
+    /// Requests of this entry that were there.
+    pub own: u32,
+}
+
+/// A target and what is believed of it.
+#[derive(Debug)]
+pub struct Replica {
+    /// As it is listed.
+    pub target: Target,
+    /// Kept connections.
+    pub idle: Idle,
+    /// Requests of this entry that are there.
+    pub inflight: u32,
+    /// Prompt tokens of this entry that it has yet to read.
+    pub unread: u32,
+    /// Its own count, and when it came.
+    pub load: Option<(Load, Micros)>,
+    /// What its sidecar told.
+    pub heard: Option<Heard>,
+    /// Versions of its weights.
+    pub weights: HashMap<String, u64>,
+    /// Tokens of parts that it holds, by scope and part.
+    pub held: HashMap<(u64, PartId), u32>,
+    /// How it has done.
+    pub standing: Standing,
+    /// Time that it takes over the time expected.
+    pub slowness: f64,
+    epoch: u64,
+}
+
+impl Replica {
+    fn new(target: Target) -> Self {
+        let weights = target.weights.iter().map(|w| (w.model.clone(), w.version));
+        Self {
+            weights: weights.collect(),
+            target,
+            idle: Idle::default(),
+            inflight: 0,
+            unread: 0,
+            load: None,
+            heard: None,
+            held: HashMap::new(),
+            standing: Standing::default(),
+            slowness: 1.0,
+            epoch: 0,
+        }
+    }
+
+    /// Tokens at the beginning of a prompt that it holds under a scope.
+    pub fn holds(&self, scope: u64, parts: &[Part]) -> u32 {
+        holds(&self.held, scope, parts)
+    }
+
+    /// Notes that its weights are of a version; what it held for another one is gone.
+    pub fn loaded(&mut self, model: &str, version: u64) {
+        let known = self.weights.get(model).copied().unwrap_or_default();
+        if known < version {
+            self.weights.insert(model.to_owned(), version);
+            self.held.clear();
+        }
+    }
+}
+
+/// Tokens at the beginning of a prompt that are held; a part counts only if all before it are there.
+pub(super) fn holds(held: &HashMap<(u64, PartId), u32>, scope: u64, parts: &[Part]) -> u32 {
+    let mut tokens = 0;
+    for part in parts {
+        let there = held.get(&(scope, part.id)).copied().unwrap_or_default();
+        tokens += there.min(part.tokens);
+        if there < part.tokens {
+            break;
+        }
+    }
+    tokens
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The targets.
+    pub replicas: SlotMap<Key, Replica>,
+    boots: HashMap<Boot, Key>,
+    /// Tokens of parts in the stores of kept KV cache, by address.
+    pub kept: HashMap<SocketAddr, HashMap<(u64, PartId), u32>>,
+    /// Part of answers that usually fail, by pool.
+    usual: HashMap<String, f64>,
+}
+
+impl Fleet {
+    /// Takes over the platform's list. `back` is when the store last began to answer again.
+    pub fn list(&mut self, now: Micros, targets: Vec<Target>, back: Option<Micros>) {
+        let listed: HashMap<_, _> = targets.into_iter().map(|t| (t.boot.clone(), t)).collect();
+        let returning = back.is_some_and(|b| now.since(b) < RETURN);
+        let missing: Vec<_> = self
+            .boots
+            .iter()
+            .filter(|(b, _)| !listed.contains_key(b))
+            .map(|(b, k)| (b.clone(), *k))
+            .collect();
+        for (boot, key) in missing {
+            // Another life of the same target has taken this one's place for good.
+            let reborn = listed.keys().any(|b| b.id == boot.id);
+            if !returning || reborn {
+                self.remove(&boot, key);
+            }
+        }
+        listed.into_values().for_each(|t| self.enter(t));
+    }
+
+    fn enter(&mut self, target: Target) {
+        let Some(key) = self.boots.get(&target.boot).copied() else {
+            tell(&target, "ready");
+            let boot = target.boot.clone();
+            let key = self.replicas.insert(Replica::new(target));
+            self.boots.insert(boot, key);
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        for w in &target.weights {
+            replica.loaded(&w.model, w.version);
+        }
+        if replica.target.state != target.state {
+            tell(&target, word(target.state));
+        }
+        replica.target = target;
+    }
+
+    fn remove(&mut self, boot: &Boot, key: Key) {
+        self.boots.remove(boot);
+        if let Some(replica) = self.replicas.remove(key) {
+            tell(&replica.target, "gone");
+        }
+    }
+
+    /// Takes over what a sidecar told.
+    pub fn hear(&mut self, now: Micros, news: &News) {
+        let Ok(addr) = news.engine.parse::<SocketAddr>() else {
+            return;
+        };
+        let Some(replica) = self.replicas.values_mut().find(|r| r.target.addr == addr) else {
+            return;
+        };
+        for w in &news.weights {
+            replica.loaded(&w.model, w.version);
+        }
+        if news.epoch != replica.epoch {
+            replica.epoch = news.epoch;
+            replica.held.clear();
+        }
+        for h in &news.parts {
+            let key = (h.scope, PartId(h.part));
+            match h.tokens {
+                0 => replica.held.remove(&key),
+                n => replica.held.insert(key, n),
+            };
+        }
+        replica.heard = Some(Heard {
+            at: now,
+            alive: news.alive,
+            busy: news.busy,
+            active: news.active,
+            queued: news.queued,
+            used: news.used,
+            total: news.total,
+            swap: news.swap_ms.map(|ms| now + Micros::from_millis(ms.into())),
+            own: replica.inflight,
+        });
+    }
+
+    /// Notes a target's good answer.
+    pub fn good(&mut self, key: Key) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.standing.good(&standing::Config::default());
+        let usual = self.usual.entry(replica.target.pool.clone()).or_default();
+        *usual *= 1.0 - USUAL;
+    }
+
+    /// Notes a target's failure.
+    pub fn bad(&mut self, now: Micros, key: Key, reason: &str) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let usual = self.usual.entry(replica.target.pool.clone()).or_default();
+        let before = replica.standing.usable(now);
+        replica
+            .standing
+            .bad(&standing::Config::default(), now, *usual);
+        *usual += (1.0 - *usual) * USUAL;
+        if before && !replica.standing.usable(now) {
+            left_out(replica, reason);
+        }
+    }
+
+    /// Notes that a target can't be reached.
+    pub fn unreachable(&mut self, now: Micros, key: Key, reason: &str) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.idle.clear();
+        let before = replica.standing.usable(now);
+        replica
+            .standing
+            .unreachable(&standing::Config::default(), now);
+        if before {
+            left_out(replica, reason);
+        }
+    }
+}
+
+fn left_out(replica: &Replica, reason: &str) {
+    log::event(&Event::LeftOut {
+        target: &replica.target.boot.id,
+        reason,
+        failed: replica.standing.failed,
+    });
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Ready => "ready",
+        State::Draining => "draining",
+    }
+}
+
+fn tell(target: &Target, state: &str) {
+    log::event(&Event::Target {
+        target: &target.boot.id,
+        addr: target.addr.to_string(),
+        state,
+    });
+}
--- /dev/null
+++ b/crates/gate/src/entry/listen.rs
@@ -0,0 +1,263 @@
+//! Callers' connections: taking them, watching them, closing them.
+//!
+//! A connection is idle, has a head arriving or is busy. Idle ones end after the configuration's
+//! idle limit, and heads that take too long end their connection; neither may happen to a request
+//! that has been read. One task looks over all connections, so that a connection costs no timer.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use slab::Slab;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep, Instant};
+
+use super::{serve, Ctx};
+
+/// How often connections are looked over.
+const LOOK: Duration = Duration::from_millis(250);
+/// Pause after a connection couldn't be taken, as when descriptors have run out.
+const REFUSED: Duration = Duration::from_millis(20);
+/// The HTTP library's least buffer for a head.
+const LEAST_HEAD: usize = 8_192;
+/// Longest head before a configuration is there.
+const HEAD: usize = 16_384;
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// Nothing, since then.
+    Idle(Instant),
+    /// A request's head is arriving, since then.
+    Arriving(Instant),
+    /// A request is read or answered.
+    Busy,
+}
+
+/// A connection as seen from outside it.
+#[derive(Debug)]
+pub(super) struct Watch {
+    phase: Cell<Phase>,
+    leave: Notify,
+}
+
+impl Watch {
+    /// Notes that a request's head is in.
+    pub(super) fn busy(&self) {
+        self.phase.set(Phase::Busy);
+    }
+
+    /// Notes that an answer has ended.
+    pub(super) fn idle(&self) {
+        self.phase.set(Phase::Idle(Instant::now()));
+    }
+}
+
+/// All connections of callers.
+#[derive(Debug, Default)]
+pub(super) struct Connections(Slab<Rc<Watch>>);
+
+impl Connections {
+    /// Whether there is none.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Closes those without a request, and others once they have answered theirs.
+    pub(super) fn close_idle(&self) {
+        self.0.iter().for_each(|(_, w)| w.leave.notify_one());
+    }
+
+    /// Closes those that have been idle or arriving for too long.
+    fn close_late(&self, limits: site::Limits) {
+        for (_, w) in &self.0 {
+            let late = match w.phase.get() {
+                Phase::Idle(since) => since.elapsed() > limits.idle,
+                Phase::Arriving(since) => since.elapsed() > limits.arrival,
+                Phase::Busy => false,
+            };
+            if late {
+                w.leave.notify_one();
+            }
+        }
+    }
+}
+
+/// Takes callers' connections and the platform's questions whether this process is ready.
+pub(super) async fn serve(ctx: &Ctx) -> io::Result<()> {
+    let (callers, ready) = {
+        let s = ctx.node.settings.borrow();
+        (s.callers, s.ready)
+    };
+    let Some(callers) = callers else {
+        return Err(io::Error::other("the settings name no address for callers"));
+    };
+    let listener = TcpListener::bind(callers).await?;
+    if let Some(ready) = ready.filter(|r| *r != callers) {
+        let listener = TcpListener::bind(ready).await?;
+        tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Ready));
+    }
+    tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Callers));
+    tokio::task::spawn_local(look_over(Rc::clone(ctx)));
+    Ok(())
+}
+
+/// What a port is for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Port {
+    Callers,
+    Ready,
+}
+
+async fn accept(ctx: Ctx, listener: TcpListener, port: Port) {
+    loop {
+        let tcp = match listener.accept().await {
+            Ok((tcp, _)) => tcp,
+            Err(_) => {
+                sleep(REFUSED).await;
+                continue;
+            }
+        };
+        // A connection whose options can't be set has ended already.
+        if platform::call::guard(&tcp).is_err() {
+            continue;
+        }
+        match port {
+            Port::Callers => {
+                tokio::task::spawn_local(connection(Rc::clone(&ctx), tcp));
+            }
+            Port::Ready => {
+                tokio::task::spawn_local(questions(Rc::clone(&ctx), tcp));
+            }
+        }
+    }
+}
+
+async fn questions(ctx: Ctx, tcp: TcpStream) {
+    let answer = service_fn(|_: Request<Incoming>| {
+        let status = match is_ready(&ctx) {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = Response::new(Empty::<bytes::Bytes>::new());
+        *response.status_mut() = status;
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // Whoever asked asks again.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(tcp), answer)
+        .await;
+}
+
+/// Whether the process takes new connections: it knows a configuration and isn't stopping.
+pub(super) fn is_ready(ctx: &Ctx) -> bool {
+    ctx.node.plan().is_some() && !ctx.node.stopping.get()
+}
+
+async fn look_over(ctx: Ctx) {
+    loop {
+        sleep(LOOK).await;
+        if let Some(plan) = ctx.node.plan() {
+            ctx.connections.borrow().close_late(plan.limits());
+        }
+    }
+}
+
+async fn connection(ctx: Ctx, tcp: TcpStream) {
+    let watch = Rc::new(Watch {
+        phase: Cell::new(Phase::Idle(Instant::now())),
+        leave: Notify::new(),
+    });
+    let key = ctx.connections.borrow_mut().0.insert(Rc::clone(&watch));
+    drive(&ctx, tcp, &watch).await;
+    ctx.connections.borrow_mut().0.remove(key);
+}
+
+async fn drive(ctx: &Ctx, tcp: TcpStream, watch: &Rc<Watch>) {
+    let io = TokioIo::new(Watched {
+        tcp,
+        watch: Rc::clone(watch),
+    });
+    let head = ctx.node.plan().map_or(HEAD, |p| p.limits().head);
+    let service = service_fn(|request| {
+        watch.busy();
+        serve::serve(Rc::clone(ctx), Rc::clone(watch), request)
+    });
+    let conn = http1::Builder::new()
+        .max_buf_size(head.max(LEAST_HEAD))
+        .serve_connection(io, service);
+    let mut conn = pin!(conn);
+    loop {
+        tokio::select! {
+            // Broken connections and torn requests end here; requests that were read log their own end.
+            _ = &mut conn => return,
+            () = watch.leave.notified() => match watch.phase.get() {
+                Phase::Arriving(_) => return,
+                Phase::Idle(_) | Phase::Busy => conn.as_mut().graceful_shutdown(),
+            }
+        }
+    }
+}
+
+/// A caller's connection that notes when a head begins to arrive.
+struct Watched {
+    tcp: TcpStream,
+    watch: Rc<Watch>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
+        if buf.filled().len() > before && matches!(self.watch.phase.get(), Phase::Idle(_)) {
+            self.watch.phase.set(Phase::Arriving(Instant::now()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/entry/pick.rs
@@ -0,0 +1,346 @@
+//! Which target gets a request: what is believed of the targets, handed to the policies.
+
+use std::net::SocketAddr;
+
+use model::Micros;
+use policy::spot::{self, Candidate, Source};
+use site::{Boot, Engine, Plan, Prompt, Scope, State};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::fleet::{holds, Fleet, Key, Replica};
+use super::refuse::Reason;
+use super::request::Job;
+use super::Ctx;
+use crate::sidecar::QUIET;
+
+/// Milliseconds to read a token, before an engine's own slowness.
+const READ: f64 = 1.0 / 45.0;
+/// Milliseconds that each request running at an engine costs a new one.
+const ACTIVE: f64 = 1.0;
+/// Milliseconds that each request waiting at an engine costs a new one; a mean prompt's reading.
+const QUEUED: f64 = 30.0;
+/// Milliseconds that crossing failure domains is taken for.
+const FAR: f64 = 3.0;
+/// Milliseconds between the first and the last engine in a subject's own order; entries that know
+/// nothing of one another's choices then read a new opening on the same engine.
+const ORDER: f64 = 12.0;
+/// Milliseconds before a fetched token moves.
+const SETUP: f64 = 2.0;
+/// How much longer a move between failure domains takes.
+const FAR_MOVE: f64 = 2.0;
+/// Milliseconds that a load of weights keeps new requests waiting.
+const LOADING: f64 = 400.0;
+/// Factor for an engine that is about to take new weights.
+const LEAVING: f64 = 3.0;
+/// Milliseconds added for an engine that is about to take new weights.
+const LEAVING_MS: f64 = 150.0;
+/// Age of newer weights from which older ones count as worse.
+const OLD: Micros = Micros::from_millis(900);
+/// Factor for older weights then.
+const OLD_FACTOR: f64 = 1.5;
+/// Part of the time allowed after which no request begins on older weights.
+const OLD_END: f64 = 0.8;
+/// Age up to which a sidecar's news counts.
+const HEARD: Micros = Micros::from_millis(1_500);
+/// Age up to which a target's own count counts.
+const LOAD: Micros = Micros::from_millis(400);
+/// Milliseconds added where memory would run out, so that what runs would be put off.
+const CROWDED: f64 = 400.0;
+/// Factor for targets on trial after failures.
+const TRIAL: f64 = 2.0;
+/// Weight of a target's failures.
+const FAILED: f64 = 4.0;
+
+/// A target for a request, and how to use it.
+#[derive(Clone, Debug)]
+pub(super) struct Pick {
+    /// The target.
+    pub(super) key: Key,
+    /// Where it listens.
+    pub(super) addr: SocketAddr,
+    /// Which life of it.
+    pub(super) boot: Boot,
+    /// Who it fetches parts from.
+    pub(super) fetch: Option<SocketAddr>,
+    /// Where it sends parts to be kept.
+    pub(super) save: Option<SocketAddr>,
+    /// Which cached parts it may use.
+    pub(super) scope: Option<Scope>,
+    /// The weights that it must have.
+    pub(super) weights: Option<u64>,
+    /// Tokens of the prompt that it holds.
+    pub(super) held: u32,
+    /// Tokens of the prompt that it reads.
+    pub(super) read: u32,
+    /// Milliseconds until the first token, or the share of its places in use.
+    pub(super) estimate: f64,
+    /// Age of what is believed of its load.
+    pub(super) age: Option<Micros>,
+}
+
+/// Chooses a target.
+pub(super) fn pick(ctx: &Ctx, plan: &Plan, job: &Job) -> Result<Pick, Reason> {
+    let engine = plan.pool(&job.pool).and_then(|p| p.engine);
+    match (&job.prompt, engine) {
+        (Some(prompt), Some(engine)) => pick_engine(ctx, plan, job, prompt, engine),
+        _ => pick_plain(ctx, job),
+    }
+}
+
+/// Targets of a job's pool that take new work, those not tried yet if there are any.
+fn open<'a>(fleet: &'a Fleet, job: &Job, now: Micros) -> Vec<(Key, &'a Replica)> {
+    let ready: Vec<_> = fleet
+        .replicas
+        .iter()
+        .filter(|(_, r)| r.target.pool == job.pool && r.target.state == State::Ready)
+        .collect();
+    let some = |test: &dyn Fn(&(Key, &Replica)) -> bool| {
+        let passed: Vec<_> = ready.iter().copied().filter(|c| test(c)).collect();
+        (!passed.is_empty()).then_some(passed)
+    };
+    let fresh = |c: &(Key, &Replica)| !job.tried.contains(&c.0);
+    let usable = |c: &(Key, &Replica)| c.1.standing.usable(now) && answers(c.1, now);
+    some(&|c| fresh(c) && usable(c))
+        .or_else(|| some(&|c| fresh(c)))
+        .unwrap_or_default()
+}
+
+/// Whether the sidecar, if it has been heard lately, says that the engine answers.
+fn answers(replica: &Replica, now: Micros) -> bool {
+    let heard = replica.heard.filter(|h| now.since(h.at) < HEARD);
+    heard.is_none_or(|h| h.alive)
+}
+
+fn pick_plain(ctx: &Ctx, job: &Job) -> Result<Pick, Reason> {
+    let now = ctx.now();
+    let domain = ctx.node.settings.borrow().domain.clone();
+    let fleet = ctx.fleet.borrow();
+    let open = open(&fleet, job, now);
+    // The order of equals turns with each request.
+    let turn = xxh3_64_with_seed(job.id.as_bytes(), 0) as usize % open.len().max(1);
+    let candidates = open[turn..].iter().chain(&open[..turn]);
+    let best = candidates
+        .map(|(key, r)| (*key, *r, plain_cost(r, &domain, now)))
+        .min_by(|a, b| a.2.total_cmp(&b.2));
+    let (key, r, cost) = best.ok_or(Reason::NoTarget)?;
+    Ok(Pick {
+        key,
+        addr: r.target.addr,
+        boot: r.target.boot.clone(),
+        fetch: None,
+        save: None,
+        scope: None,
+        weights: None,
+        held: 0,
+        read: 0,
+        estimate: cost,
+        age: r.load.map(|(_, at)| now.since(at)),
+    })
+}
+
+/// The share of a target's places that would be in use.
+fn plain_cost(r: &Replica, domain: &str, now: Micros) -> f64 {
+    let told = r.load.filter(|(_, at)| now.since(*at) < LOAD);
+    let there = told
+        .map_or(0, |(l, _)| l.running + l.waiting)
+        .max(r.inflight);
+    let slots = f64::from(r.target.slots.max(1));
+    let far = if r.target.domain == domain { 0.0 } else { 0.1 };
+    ((f64::from(there) + 1.0) / slots + far) * doubt(r, now) * r.slowness
+}
+
+/// Factor for what has failed of late.
+fn doubt(r: &Replica, now: Micros) -> f64 {
+    let trial = if r.standing.on_trial(now) { TRIAL } else { 1.0 };
+    (1.0 + FAILED * r.standing.failed) * trial
+}
+
+fn pick_engine(
+    ctx: &Ctx,
+    plan: &Plan,
+    job: &Job,
+    prompt: &Prompt,
+    engine: Engine,
+) -> Result<Pick, Reason> {
+    let now = ctx.now();
+    let (domain, allowed) = {
+        let s = ctx.node.settings.borrow();
+        (s.domain.clone(), Micros::from(s.bounds.weights))
+    };
+    let named = ctx.node.world.borrow().named.get(&prompt.model).copied();
+    let fleet = ctx.fleet.borrow();
+    let wall = job.team.as_deref().filter(|_| job.walled);
+    let scope = |r: &Replica| {
+        let version = r.weights.get(&prompt.model)?;
+        Some(Scope::new(&prompt.model, *version, wall))
+    };
+    // Past a part of the time allowed nothing begins on older weights.
+    let current = |r: &Replica| match (named, r.weights.get(&prompt.model)) {
+        (Some(n), Some(v)) if *v < n.version => {
+            now.since(n.heard).0 as f64 <= allowed.0 as f64 * OLD_END
+        }
+        (_, v) => v.is_some(),
+    };
+    let open: Vec<_> = open(&fleet, job, now)
+        .into_iter()
+        .filter(|(_, r)| current(r))
+        .collect();
+    let subject = prompt.shared().last().map_or(0, |p| p.id.0);
+    let view = View {
+        now,
+        domain: &domain,
+        prompt,
+        engine,
+        named,
+        subject,
+    };
+    let candidates = open.iter().map(|(key, r)| {
+        let held = scope(r).map_or(0, |s| r.holds(s.key(), &prompt.parts));
+        view.candidate(*key, r, held)
+    });
+    let sources = |key: Key| {
+        let Some(r) = fleet.replicas.get(key) else {
+            return Vec::new();
+        };
+        scope(r).map_or_else(Vec::new, |s| view.sources(&fleet, plan, key, r, s.key()))
+    };
+    let choice = spot::choose(prompt.input, candidates, sources).ok_or(Reason::NoTarget)?;
+    let r = fleet.replicas.get(choice.key).ok_or(Reason::NoTarget)?;
+    let scope = scope(r);
+    let held = scope
+        .as_ref()
+        .map_or(0, |s| r.holds(s.key(), &prompt.parts));
+    Ok(Pick {
+        key: choice.key,
+        addr: r.target.addr,
+        boot: r.target.boot.clone(),
+        fetch: choice.fetch,
+        save: scope
+            .as_ref()
+            .and_then(|s| save(&fleet, plan, prompt, s.key())),
+        weights: r.weights.get(&prompt.model).copied(),
+        scope,
+        held,
+        read: choice.read,
+        estimate: choice.cost,
+        age: r.heard.map(|h| now.since(h.at)),
+    })
+}
+
+/// Where the prompt's shared parts are to be kept: in a store that lacks some of them.
+fn save(fleet: &Fleet, plan: &Plan, prompt: &Prompt, scope: u64) -> Option<SocketAddr> {
+    let store = plan.kept().first()?;
+    let held = fleet.kept.get(&store.addr)?;
+    let there = holds(held, scope, prompt.shared());
+    (there < prompt.shared_tokens()).then_some(store.addr)
+}
+
+/// What one choice is made by.
+struct View<'a> {
+    now: Micros,
+    domain: &'a str,
+    prompt: &'a Prompt,
+    engine: Engine,
+    named: Option<crate::world::Named>,
+    subject: u64,
+}
+
+impl View<'_> {
+    fn candidate(&self, key: Key, r: &Replica, held: u32) -> Candidate<Key> {
+        let read = READ * r.slowness;
+        let far = if r.target.domain == self.domain {
+            0.0
+        } else {
+            FAR
+        };
+        Candidate {
+            key,
+            wait: self.wait(r, read),
+            read,
+            held,
+            way: far + self.order(r),
+            doubt: doubt(r, self.now) * self.old(r),
+        }
+    }
+
+    /// Milliseconds before the engine begins to read.
+    fn wait(&self, r: &Replica, read: f64) -> f64 {
+        let own = f64::from(r.unread) * read + f64::from(r.inflight) * ACTIVE;
+        let Some(h) = r.heard.filter(|h| self.now.since(h.at) < HEARD) else {
+            return own;
+        };
+        let others = (h.active + h.queued).saturating_sub(h.own);
+        let told = f64::from(others) * ACTIVE + f64::from(h.queued) * QUEUED;
+        let needed = u64::from(h.used) + u64::from(self.prompt.input + self.prompt.output);
+        let crowded = h.total > 0 && needed > u64::from(h.total);
+        let loading = if h.busy { LOADING } else { 0.0 };
+        let crowding = if crowded { CROWDED } else { 0.0 };
+        own + told * r.slowness + loading + crowding + self.leaving(r)
+    }
+
+    /// Milliseconds for an engine that is about to take new weights.
+    fn leaving(&self, r: &Replica) -> f64 {
+        let swap = r.heard.and_then(|h| h.swap);
+        match swap {
+            Some(at) if at.since(self.now) < QUIET => LEAVING_MS,
+            _ => 0.0,
+        }
+    }
+
+    /// Factor for an engine whose weights are old or about to change.
+    fn old(&self, r: &Replica) -> f64 {
+        let version = r.weights.get(&self.prompt.model);
+        let old = self.named.is_some_and(|n| {
+            version.is_some_and(|v| *v < n.version) && self.now.since(n.heard) > OLD
+        });
+        let leaving = if self.leaving(r) > 0.0 { LEAVING } else { 1.0 };
+        leaving * if old { OLD_FACTOR } else { 1.0 }
+    }
+
+    /// The engine's place in the subject's own order.
+    fn order(&self, r: &Replica) -> f64 {
+        let hash = xxh3_64_with_seed(r.target.boot.id.as_bytes(), self.subject);
+        ORDER * hash as f64 / u64::MAX as f64
+    }
+
+    fn sources(
+        &self,
+        fleet: &Fleet,
+        plan: &Plan,
+        key: Key,
+        r: &Replica,
+        scope: u64,
+    ) -> Vec<Source<SocketAddr>> {
+        let parts = &self.prompt.parts;
+        let far = |domain: &str| {
+            if domain == r.target.domain {
+                1.0
+            } else {
+                FAR_MOVE
+            }
+        };
+        // Bits of a token over thousands of bits a millisecond.
+        let rate = |link: f64| self.engine.token_bytes as f64 * 8.0 / (link.max(1.0) * 1e3);
+        let others = fleet
+            .replicas
+            .iter()
+            .filter(|(k, o)| *k != key && o.target.pool == r.target.pool)
+            .filter(|(_, o)| o.standing.usable(self.now) && answers(o, self.now));
+        let engines = others.map(|(_, o)| Source {
+            addr: o.target.addr,
+            held: o.holds(scope, parts),
+            rate: rate(self.engine.link) * far(&o.target.domain),
+            setup: SETUP,
+        });
+        let kept = plan.kept().iter().filter_map(|k| {
+            Some(Source {
+                addr: k.addr,
+                held: holds(fleet.kept.get(&k.addr)?, scope, parts),
+                rate: rate(k.link) * far(&k.domain),
+                setup: SETUP,
+            })
+        });
+        // Holding the last own part makes no difference between sources worth a far move.
+        engines.chain(kept).filter(|s| s.held > 0).collect()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/entry/refuse.rs
@@ -0,0 +1,181 @@
+//! Answers of the entry's own.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use model::Micros;
+use rand::Rng;
+
+use super::listen::Watch;
+use super::request::{Answer, Job};
+use super::Ctx;
+use crate::log::{self, Event};
+use crate::meter;
+
+/// Part of the time left that a caller is asked to wait at most; callers don't wait for longer.
+const PART: f64 = 1.0 / 3.0;
+/// Spread of the time to come back, so that those refused together don't return together.
+const SPREAD: f64 = 0.3;
+
+/// Why a request isn't served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// No configuration is known yet.
+    Unconfigured,
+    /// The head can't be used.
+    Malformed,
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    NoKey,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// No target of the pool is known.
+    NoTarget,
+    /// Its tries came to nothing, and it ran nowhere.
+    NotRun,
+    /// It may have run, and its answer is lost.
+    Unknown,
+    /// Its time is over, and it ran nowhere.
+    Expired,
+    /// Its time is over, and it may have run.
+    Overdue,
+}
+
+impl Reason {
+    /// The word in logs and metrics.
+    pub(super) fn word(self) -> &'static str {
+        match self {
+            Self::Unconfigured => "unconfigured",
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::TooLarge => "too_large",
+            Self::NoTarget => "no_target",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Expired => "expired",
+            Self::Overdue => "overdue",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unconfigured | Self::NoTarget | Self::NotRun | Self::Expired => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When it is worth coming back, for refusals that say so.
+    fn back(self) -> Option<Duration> {
+        match self {
+            // A configuration is read within a few round trips to the store.
+            Self::Unconfigured => Some(Duration::from_millis(400)),
+            // A target enters itself in the list with its next heartbeat.
+            Self::NoTarget => Some(Duration::from_millis(800)),
+            // A queue as long as an aim has gone by then.
+            Self::NotRun => Some(Duration::from_millis(300)),
+            _ => None,
+        }
+    }
+}
+
+/// Refuses a request that hasn't become a job.
+pub(super) fn early(
+    ctx: &Ctx,
+    watch: &Rc<Watch>,
+    id: &str,
+    came: Micros,
+    reason: Reason,
+) -> Response<Answer> {
+    refuse(
+        ctx,
+        watch,
+        &Refused {
+            id,
+            route: "",
+            attempts: 0,
+            came,
+            version: ctx.node.plan().map_or(0, |p| p.version()),
+            left: None,
+            reason,
+        },
+    )
+}
+
+/// Refuses a job.
+pub(super) fn job(ctx: &Ctx, watch: &Rc<Watch>, job: &Job, reason: Reason) -> Response<Answer> {
+    refuse(
+        ctx,
+        watch,
+        &Refused {
+            id: &job.id,
+            route: &job.route.name,
+            attempts: job.sends,
+            came: job.came,
+            version: job.version,
+            left: Some(job.left(ctx.now())),
+            reason,
+        },
+    )
+}
+
+/// What a refusal tells.
+struct Refused<'a> {
+    id: &'a str,
+    route: &'a str,
+    attempts: u32,
+    came: Micros,
+    version: u64,
+    left: Option<Duration>,
+    reason: Reason,
+}
+
+fn refuse(ctx: &Ctx, watch: &Rc<Watch>, r: &Refused<'_>) -> Response<Answer> {
+    let back = r.reason.back().map(|b| spread(b, r.left));
+    let status = r.reason.status();
+    meter::count(meter::REFUSALS, "reason", r.reason.word());
+    log::event(&Event::Refused {
+        request: r.id,
+        route: r.route,
+        status: status.as_u16(),
+        reason: r.reason.word(),
+        attempts: r.attempts,
+        after_ms: ctx.now().since(r.came).as_millis(),
+        version: r.version,
+        retry_ms: back.map(|b| b.as_millis() as u64),
+    });
+    let mut response = Response::new(empty(watch));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    if let Some(back) = back {
+        headers.insert(RETRY_AFTER, platform::caller::retry_after(back));
+    }
+    // What follows a head or body that wasn't read can't be told from it.
+    if matches!(r.reason, Reason::Malformed | Reason::TooLarge) {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn spread(back: Duration, left: Option<Duration>) -> Duration {
+    let factor = rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD);
+    let back = back.mul_f64(factor);
+    left.map_or(back, |l| back.min(l.mul_f64(PART)))
+}
+
+fn empty(watch: &Rc<Watch>) -> Answer {
+    let body = Empty::<Bytes>::new().map_err(|e| match e {});
+    Answer::new(body, Rc::clone(watch))
+}
--- /dev/null
+++ b/crates/gate/src/entry/relay.rs
@@ -0,0 +1,295 @@
+//! A stream from a replica to its caller, over a replica's end if another may go on with it.
+//!
+//! A stream that may be resumed is passed on in whole events only: what a dying replica left of an
+//! event is dropped, and the next replica begins after the last whole one. Any other stream is passed
+//! on as it comes and cut where its replica cut it, so that it never looks complete.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::Response;
+use platform::replica;
+use tokio::time::timeout;
+
+use super::listen::Watch;
+use super::pick;
+use super::request::{Answer, Cut, Job};
+use super::send::{self, Live, Sent};
+use super::serve::LAST_WORD;
+use super::Ctx;
+use crate::log::{self, Event};
+use crate::meter;
+
+/// Multiple of the longest good pause after which a resumable stream goes to another replica.
+const SILENCE: f64 = 2.0;
+/// Shortest such time, for routes that name no pause.
+const LEAST: Duration = Duration::from_millis(500);
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// Its last event has been passed on.
+    Whole,
+    /// Its replica cut it, and no other went on.
+    Cut,
+    /// Its route's time was over.
+    Overdue,
+    /// Its caller left.
+    Left,
+}
+
+impl End {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Cut => "cut",
+            Self::Overdue => "overdue",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// A stream on its way; what it holds at the replica ends with it.
+struct Relay {
+    ctx: Ctx,
+    job: Job,
+    live: Option<Live>,
+    rest: BytesMut,
+    events: u64,
+    first: Option<Duration>,
+    end: End,
+}
+
+/// Passes a stream on.
+pub(super) fn relay(ctx: &Ctx, watch: &Rc<Watch>, job: Job, live: Live) -> Response<Answer> {
+    let (mut parts, body) = live.response.into_parts();
+    let headers = parts.headers.clone();
+    parts.headers = replica::answer_headers(&headers);
+    let mut response = Response::new(body);
+    *response.headers_mut() = headers;
+    let relay = Relay {
+        ctx: Rc::clone(ctx),
+        job,
+        live: Some(Live { response, ..live }),
+        rest: BytesMut::new(),
+        events: 0,
+        first: None,
+        end: End::Left,
+    };
+    let events = stream::unfold(Some(relay), |relay| async {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Ok(None) => None,
+            Err(cut) => Some((Err(cut), None)),
+        }
+    });
+    let body = StreamBody::new(events);
+    Response::from_parts(parts, Answer::new(body, Rc::clone(watch)))
+}
+
+/// What a replica's stream brought.
+enum Came {
+    Bytes(Bytes),
+    Whole,
+    Broken(&'static str),
+    Overdue,
+}
+
+impl Relay {
+    /// The next bytes for the caller; none at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        loop {
+            match self.come().await {
+                Came::Bytes(bytes) => {
+                    if let Some(out) = self.pass(bytes) {
+                        return Ok(Some(out));
+                    }
+                }
+                Came::Whole => return Ok(self.whole()),
+                Came::Overdue => return self.cut(End::Overdue),
+                Came::Broken(reason) => {
+                    if !self.go_on(reason).await {
+                        return self.cut(End::Cut);
+                    }
+                }
+            }
+        }
+    }
+
+    fn cut(&mut self, end: End) -> Result<Option<Bytes>, Cut> {
+        self.end = end;
+        self.live = None;
+        Err(Cut)
+    }
+
+    /// Waits for the replica's next bytes.
+    async fn come(&mut self) -> Came {
+        let left = self.job.left(self.ctx.now());
+        let Some(live) = &mut self.live else {
+            return Came::Broken("no replica");
+        };
+        let resumes = self.job.route.mode == site::Mode::Resumable
+            && self.job.runs + 1 < self.job.route.attempts;
+        let silence = self.job.route.gap.mul_f64(SILENCE).max(LEAST);
+        let end = left + LAST_WORD;
+        let wait = if resumes { silence.min(end) } else { end };
+        let frame = match timeout(wait, live.response.body_mut().frame()).await {
+            Ok(f) => f,
+            Err(_) if wait < end => return Came::Broken("silent"),
+            Err(_) => return Came::Overdue,
+        };
+        match frame {
+            None => Came::Whole,
+            Some(Err(_)) => Came::Broken("stream broken"),
+            Some(Ok(f)) => f.into_data().map_or(Came::Bytes(Bytes::new()), Came::Bytes),
+        }
+    }
+
+    /// What of these bytes goes on now.
+    fn pass(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if bytes.is_empty() {
+            return None;
+        }
+        if self.first.is_none() {
+            self.begun();
+        }
+        if self.job.route.mode != site::Mode::Resumable {
+            self.events += 1;
+            return Some(bytes);
+        }
+        self.rest.extend_from_slice(&bytes);
+        let end = last_end(&self.rest)?;
+        let events = self.rest.split_to(end).freeze();
+        self.events += 1;
+        if let Some(id) = last_id(&events) {
+            self.job.resume = Some(id);
+        }
+        Some(events)
+    }
+
+    /// Notes the first event: the replica has read the prompt and holds it now.
+    fn begun(&mut self) {
+        let after = self.ctx.now().since(self.job.came).into();
+        self.first = Some(after);
+        meter::span(meter::FIRST, after);
+        let Some(live) = &mut self.live else {
+            return;
+        };
+        live.place.read();
+        self.ctx.fleet.borrow_mut().good(live.place.key());
+    }
+
+    /// The replica's stream ended in order; its connection is kept.
+    fn whole(&mut self) -> Option<Bytes> {
+        self.end = End::Whole;
+        if let Some(live) = self.live.take() {
+            let mut fleet = self.ctx.fleet.borrow_mut();
+            let replica = fleet.replicas.get_mut(live.place.key());
+            if let (Some(r), false) = (replica, live.told.closes) {
+                r.idle.keep(live.upstream);
+            }
+            drop(fleet);
+            drop(live.place);
+        }
+        // Bytes after the last whole event, if there are any, are the replica's as well.
+        let rest = std::mem::take(&mut self.rest);
+        (!rest.is_empty()).then(|| rest.freeze())
+    }
+
+    /// Lets another replica go on.
+    async fn go_on(&mut self, reason: &'static str) -> bool {
+        if let Some(live) = self.live.take() {
+            let key = live.place.key();
+            self.ctx.fleet.borrow_mut().bad(self.ctx.now(), key, reason);
+        }
+        self.rest.clear();
+        self.job.runs += 1;
+        if self.job.route.mode != site::Mode::Resumable {
+            return false;
+        }
+        while self.job.may_run() && !self.job.left(self.ctx.now()).is_zero() {
+            let spent = self.ctx.budget(&self.job.pool, |b| b.spend(self.ctx.now()));
+            if !spent {
+                return false;
+            }
+            match self.resume().await {
+                Resumed::Yes => return true,
+                Resumed::NotRun => {}
+                Resumed::Ran => self.job.runs += 1,
+                Resumed::Nowhere => return false,
+            }
+        }
+        false
+    }
+
+    async fn resume(&mut self) -> Resumed {
+        let Some(plan) = self.ctx.node.plan() else {
+            return Resumed::Nowhere;
+        };
+        let Ok(pick) = pick::pick(&self.ctx, &plan, &self.job) else {
+            return Resumed::Nowhere;
+        };
+        self.job.tried.push(pick.key);
+        self.job.sends += 1;
+        send::tell(&self.job, &pick);
+        let patience = self.job.left(self.ctx.now()) + LAST_WORD;
+        match send::send(&self.ctx, &self.job, &pick, patience).await {
+            Sent::Answer(live) => {
+                let good = live.response.status().is_success();
+                if good && live.told.signed && !live.told.encoded {
+                    self.live = Some(*live);
+                    return Resumed::Yes;
+                }
+                Resumed::Ran
+            }
+            Sent::Unseen(_) | Sent::NotRun(_) => Resumed::NotRun,
+            Sent::Unknown(_) => Resumed::Ran,
+        }
+    }
+}
+
+/// What became of a try to go on.
+enum Resumed {
+    Yes,
+    NotRun,
+    Ran,
+    Nowhere,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let after = self.ctx.now().since(self.job.came);
+        meter::count(meter::STREAMS, "end", self.end.word());
+        meter::span(meter::WHOLE, after.into());
+        log::event(&Event::Streamed {
+            request: &self.job.id,
+            end: self.end.word(),
+            events: self.events,
+            first_ms: self.first.map(|f| f.as_millis() as u64),
+            after_ms: after.as_millis(),
+        });
+    }
+}
+
+/// Where the last whole event ends.
+fn last_end(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2);
+    let crlf = bytes
+        .windows(4)
+        .rposition(|w| w == b"\r\n\r\n")
+        .map(|i| i + 4);
+    lf.max(crlf)
+}
+
+/// The id of the last of some whole events.
+fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|b| *b == b'\n').rev();
+    let id = lines.filter_map(|l| l.strip_prefix(b"id:")).next()?;
+    let text = std::str::from_utf8(id).ok()?;
+    Some(text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/gate/src/entry/send.rs
@@ -0,0 +1,249 @@
+//! One sending of a request to a target, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use platform::replica::{self, Terms, Told};
+use tokio::time::timeout;
+
+use super::fleet::Key;
+use super::idle::Upstream;
+use super::pick::Pick;
+use super::request::Job;
+use super::Ctx;
+use crate::log::{self, Event};
+use crate::meter;
+
+/// A request's place at a target; freed with this value.
+#[derive(Debug)]
+pub(super) struct Place {
+    ctx: Ctx,
+    key: Key,
+    unread: u32,
+}
+
+impl Place {
+    fn new(ctx: &Ctx, key: Key, unread: u32) -> Self {
+        if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(key) {
+            r.inflight += 1;
+            r.unread += unread;
+        }
+        Self {
+            ctx: Rc::clone(ctx),
+            key,
+            unread,
+        }
+    }
+
+    /// The target.
+    pub(super) fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(super) fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
+            r.unread = r.unread.saturating_sub(unread);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.read();
+        if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
+            r.inflight = r.inflight.saturating_sub(1);
+        }
+    }
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(super) struct Live {
+    /// The answer.
+    pub(super) response: Response<Incoming>,
+    /// What its head tells.
+    pub(super) told: Told,
+    /// The connection that it comes on.
+    pub(super) upstream: Upstream,
+    /// The request's place at the target.
+    pub(super) place: Place,
+}
+
+/// What became of a sending.
+#[derive(Debug)]
+pub(super) enum Sent {
+    /// The head of an answer has come.
+    Answer(Box<Live>),
+    /// The request did not run, and the target has not even seen it.
+    Unseen(&'static str),
+    /// The target says that it did not run the request.
+    NotRun(&'static str),
+    /// The request may have run.
+    Unknown(&'static str),
+}
+
+/// Sends a request and waits for the head of its answer.
+pub(super) async fn send(ctx: &Ctx, job: &Job, pick: &Pick, patience: Duration) -> Sent {
+    let place = Place::new(ctx, pick.key, pick.read);
+    let Some(request) = request(ctx, job, pick) else {
+        return Sent::Unseen("unsendable");
+    };
+    let kept = {
+        let mut fleet = ctx.fleet.borrow_mut();
+        let replica = fleet.replicas.get_mut(pick.key);
+        replica.and_then(|r| r.idle.take(!job.route.mode.repeats()))
+    };
+    let upstream = match kept {
+        Some(u) => u,
+        None => match open(pick).await {
+            Some(u) => u,
+            None => {
+                let now = ctx.now();
+                ctx.fleet
+                    .borrow_mut()
+                    .unreachable(now, pick.key, "unreachable");
+                return Sent::Unseen("unreachable");
+            }
+        },
+    };
+    match timeout(patience, exchange(ctx, job, pick, upstream, place, request)).await {
+        Ok(sent) => sent,
+        Err(_) => Sent::Unknown("silent"),
+    }
+}
+
+fn request(ctx: &Ctx, job: &Job, pick: &Pick) -> Option<Request<Full<Bytes>>> {
+    let terms = Terms {
+        boot: Some(&pick.boot),
+        left: job.left(ctx.now()),
+        team: job.team.as_deref(),
+        scope: pick.scope.as_ref(),
+        weights: pick.weights,
+        fetch: pick.fetch,
+        save: pick.save,
+        rank: job.prompt.is_some().then_some(job.rank),
+        resume: job.resume.as_deref(),
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = replica::request_headers(&job.headers, &terms);
+    Some(request)
+}
+
+async fn open(pick: &Pick) -> Option<Upstream> {
+    let tcp = platform::call::connect(pick.addr).await.ok()?;
+    let (send, conn) = http1::handshake(TokioIo::new(tcp)).await.ok()?;
+    metrics::counter!(meter::CONNECTIONS).increment(1);
+    let task = tokio::task::spawn_local(async move {
+        // The error reaches whoever waits for an answer on this connection.
+        let _ = conn.await;
+    });
+    Some(Upstream::new(send, task.abort_handle()))
+}
+
+async fn exchange(
+    ctx: &Ctx,
+    job: &Job,
+    pick: &Pick,
+    mut upstream: Upstream,
+    place: Place,
+    request: Request<Full<Bytes>>,
+) -> Sent {
+    let response = match upstream.send.try_send_request(request).await {
+        Ok(r) => r,
+        // The request comes back if the connection ended before anything of it was written.
+        Err(mut e) => {
+            return match e.take_message() {
+                Some(_) => Sent::Unseen("connection gone"),
+                None => Sent::Unknown("connection broken"),
+            }
+        }
+    };
+    let told = replica::told(response.status(), response.headers(), &job.id);
+    if let Some(limit) = told.idle {
+        upstream.limit(limit);
+    }
+    note(ctx, pick, job, &told);
+    match response.status() {
+        _ if !told.ours => Sent::Unknown("another request's answer"),
+        StatusCode::MISDIRECTED_REQUEST => misdirected(ctx, pick, job, &told),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if told.unrun => {
+            keep(ctx, pick.key, upstream, &told, response).await;
+            Sent::NotRun("full")
+        }
+        _ => Sent::Answer(Box::new(Live {
+            response,
+            told,
+            upstream,
+            place,
+        })),
+    }
+}
+
+/// Keeps the connection of an answer that isn't passed on, once its short body is in.
+async fn keep(ctx: &Ctx, key: Key, upstream: Upstream, told: &Told, response: Response<Incoming>) {
+    use http_body_util::BodyExt;
+    let rest = timeout(Duration::from_millis(20), response.into_body().collect()).await;
+    if matches!(rest, Ok(Ok(_))) && !told.closes {
+        if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(key) {
+            r.idle.keep(upstream);
+        }
+    }
+}
+
+/// A refusal by another target at the address, or by the right one with other weights.
+fn misdirected(ctx: &Ctx, pick: &Pick, job: &Job, told: &Told) -> Sent {
+    let now = ctx.now();
+    let same = told.target.as_ref().is_none_or(|t| *t == pick.boot.id);
+    let (Some(prompt), true) = (&job.prompt, same) else {
+        ctx.fleet
+            .borrow_mut()
+            .unreachable(now, pick.key, "another target has its address");
+        return Sent::NotRun("another target has its address");
+    };
+    // It doesn't say which weights it has; the newest ones are what it is ordered to load.
+    let named = ctx.node.world.borrow().named.get(&prompt.model).copied();
+    if let (Some(n), Some(r)) = (named, ctx.fleet.borrow_mut().replicas.get_mut(pick.key)) {
+        r.loaded(&prompt.model, n.version);
+    }
+    Sent::NotRun("other weights")
+}
+
+/// Takes over what an answer's head tells of its target.
+fn note(ctx: &Ctx, pick: &Pick, job: &Job, told: &Told) {
+    let now = ctx.now();
+    let mut fleet = ctx.fleet.borrow_mut();
+    let Some(r) = fleet.replicas.get_mut(pick.key) else {
+        return;
+    };
+    if let Some(load) = told.load {
+        r.load = Some((load, now));
+    }
+    if let (Some(version), Some(prompt)) = (told.weights, &job.prompt) {
+        r.loaded(&prompt.model, version);
+    }
+}
+
+/// Tells of a sending.
+pub(super) fn tell(job: &Job, pick: &Pick) {
+    log::event(&Event::Sent {
+        request: &job.id,
+        target: &pick.boot.id,
+        attempt: job.sends,
+        estimate_ms: pick.estimate,
+        held: pick.held,
+        read: pick.read,
+        fetch: pick.fetch.map(|a| a.to_string()),
+        weights: pick.weights,
+        age_ms: pick.age.map(model::Micros::as_millis),
+    });
+}
--- /dev/null
+++ b/crates/gate/src/entry/serve.rs
@@ -0,0 +1,371 @@
+//! A caller's request from its head to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use model::Micros;
+use platform::caller::{self, Head};
+use platform::replica;
+use rand::Rng;
+use rules::Facts;
+use site::{Mode, Plan, Route};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use super::listen::Watch;
+use super::pick::{self, Pick};
+use super::refuse::{self, Reason};
+use super::relay;
+use super::request::{Answer, Job};
+use super::send::{self, Live, Sent};
+use super::Ctx;
+use crate::log::{self, Event};
+use crate::meter;
+
+/// How long past the time of its route a request waits for a replica's own last word.
+pub(super) const LAST_WORD: Duration = Duration::from_millis(100);
+/// Largest answer that is collected before it is passed on; plain services answer with kilobytes.
+const LARGEST: usize = 4 << 20;
+/// Part of the aim after which an idempotent request is sent to another target; usual work takes a
+/// fifth of the aim, and the second target needs time too.
+const PATIENCE: f64 = 0.6;
+/// Multiple of the aim after which a resumable stream without an event goes to another replica.
+const STREAM_PATIENCE: f64 = 1.5;
+/// Shortest time in which a target can answer anything.
+const LEAST: Duration = Duration::from_millis(5);
+
+/// Why a connection ends without an answer: the request never came in whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the request was cut short")]
+pub(super) struct Torn;
+
+/// Answers a request.
+pub(super) async fn serve(
+    ctx: Ctx,
+    watch: Rc<Watch>,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, Torn> {
+    let came = ctx.now();
+    let (parts, body) = request.into_parts();
+    let head = match caller::head(&parts) {
+        Ok(h) => h,
+        Err(_) => return Ok(refuse::early(&ctx, &watch, "", came, Reason::Malformed)),
+    };
+    let chunked = head.chunked;
+    let id = head.id.clone();
+    let mut response = match prepare(&ctx, came, parts, head) {
+        Err(reason) => refuse::early(&ctx, &watch, &id, came, reason),
+        Ok((plan, mut job)) => match read(&plan, body).await {
+            Err(ReadError::Torn) => return Err(Torn),
+            Err(ReadError::Large) => refuse::job(&ctx, &watch, &job, Reason::TooLarge),
+            Ok(body) => {
+                job.body = body;
+                answer(&ctx, &watch, job).await
+            }
+        },
+    };
+    // After a body without a stated length, what follows might be a second reading of that body.
+    if chunked || ctx.node.stopping.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Why a body isn't there.
+enum ReadError {
+    Torn,
+    Large,
+}
+
+async fn read(plan: &Plan, body: Incoming) -> Result<Bytes, ReadError> {
+    let limited = Limited::new(body, plan.limits().body);
+    match limited.collect().await {
+        Ok(b) => Ok(b.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(ReadError::Large),
+        Err(_) => Err(ReadError::Torn),
+    }
+}
+
+/// Finds a request's route and team.
+fn prepare(ctx: &Ctx, came: Micros, parts: Parts, head: Head) -> Result<(Rc<Plan>, Job), Reason> {
+    let plan = ctx.node.plan().ok_or(Reason::Unconfigured)?;
+    let mut facts = Facts {
+        method: parts.method.as_str().to_owned(),
+        path: parts.uri.path().to_owned(),
+        ..Facts::default()
+    };
+    facts.headers.insert("host".to_owned(), head.host);
+    let route = plan.route(&facts).ok_or(Reason::NoRoute)?.clone();
+    let key = head.key.as_ref().and_then(|k| plan.team(k));
+    let team = match key {
+        Some(team) => Some(team.to_owned()),
+        None if route.open || !plan.keyed() => None,
+        None => return Err(Reason::NoKey),
+    };
+    let tenancy = team.as_ref().map(|t| plan.tenancy(t)).unwrap_or_default();
+    let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let job = Job {
+        id: head.id,
+        version: plan.version(),
+        pool: share(&route).ok_or(Reason::NoTarget)?,
+        walled: tenancy.walled,
+        rank: tenancy.rank.unwrap_or(route.rank),
+        team,
+        prompt: head.prompt,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: Bytes::new(),
+        resume: head.resume,
+        came,
+        deadline: came + wait.into(),
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        route: Rc::new(route),
+    };
+    Ok((plan, job))
+}
+
+/// Draws the pool by the shares' weights.
+fn share(route: &Route) -> Option<String> {
+    let total: f64 = route.shares.iter().map(|s| s.weight.max(0.0)).sum();
+    let mut drawn = rand::rng().random_range(0.0..1.0) * total;
+    let hit = route.shares.iter().find(|s| {
+        drawn -= s.weight.max(0.0);
+        drawn < 0.0
+    });
+    hit.or(route.shares.last()).map(|s| s.pool.clone())
+}
+
+/// Sends a job until a target answers it or nothing more can be done.
+async fn answer(ctx: &Ctx, watch: &Rc<Watch>, mut job: Job) -> Response<Answer> {
+    ctx.budget(&job.pool, |b| b.request(ctx.now()));
+    meter::span(meter::WAITING, ctx.now().since(job.came).into());
+    match first_answer(ctx, &mut job).await {
+        Ok(Found::Stream(live)) => {
+            told(ctx, &job, live.response.status());
+            relay::relay(ctx, watch, job, *live)
+        }
+        Ok(Found::Whole(response)) => {
+            told(ctx, &job, response.status());
+            meter::span(meter::WHOLE, ctx.now().since(job.came).into());
+            let (parts, body) = response.into_parts();
+            let body = Full::new(body).map_err(|e| match e {});
+            Response::from_parts(parts, Answer::new(body, Rc::clone(watch)))
+        }
+        Err(reason) => refuse::job(ctx, watch, &job, reason),
+    }
+}
+
+fn told(ctx: &Ctx, job: &Job, status: StatusCode) {
+    let after = ctx.now().since(job.came);
+    meter::span(meter::HEAD, after.into());
+    log::event(&Event::Answered {
+        request: &job.id,
+        route: &job.route.name,
+        team: job.team.as_deref().unwrap_or_default(),
+        status: status.as_u16(),
+        attempts: job.sends,
+        head_ms: after.as_millis(),
+    });
+}
+
+/// An answer to pass on.
+enum Found {
+    /// A stream, event by event.
+    Stream(Box<Live>),
+    /// A whole answer.
+    Whole(Response<Bytes>),
+}
+
+/// How one try ended.
+enum Tried {
+    Found(Found),
+    /// It did not run, and the target may not even have seen it.
+    NotRun {
+        seen: bool,
+        reason: &'static str,
+    },
+    /// It may have run; what the target answered, if it did.
+    Ran {
+        reason: &'static str,
+        answer: Option<Response<Bytes>>,
+    },
+}
+
+async fn first_answer(ctx: &Ctx, job: &mut Job) -> Result<Found, Reason> {
+    let mut last: Option<Response<Bytes>> = None;
+    loop {
+        let plan = ctx.node.plan().ok_or(Reason::Unconfigured)?;
+        if job.left(ctx.now()) < LEAST {
+            return last.map(Found::Whole).ok_or(over(job));
+        }
+        let pick = match pick::pick(ctx, &plan, job) {
+            Ok(p) => p,
+            Err(reason) if job.runs == 0 => return Err(reason),
+            Err(_) => return last.map(Found::Whole).ok_or(Reason::Unknown),
+        };
+        let tried = once(ctx, job, &pick).await;
+        let (seen, ran, reason) = match tried {
+            Tried::Found(found) => return Ok(found),
+            Tried::NotRun { seen, reason } => (seen, false, reason),
+            Tried::Ran { reason, answer } => {
+                job.runs += 1;
+                last = answer.or(last);
+                (true, true, reason)
+            }
+        };
+        failed(job, &pick, reason, ran);
+        if !again(ctx, job, seen, ran) {
+            let reason = match job.runs {
+                0 => Reason::NotRun,
+                _ if job.left(ctx.now()) < LEAST => Reason::Overdue,
+                _ => Reason::Unknown,
+            };
+            return last.map(Found::Whole).ok_or(reason);
+        }
+    }
+}
+
+fn over(job: &Job) -> Reason {
+    match job.runs {
+        0 => Reason::Expired,
+        _ => Reason::Overdue,
+    }
+}
+
+fn failed(job: &Job, pick: &Pick, reason: &'static str, ran: bool) {
+    meter::count(meter::FAILED_TRIES, "reason", reason);
+    log::event(&Event::Tried {
+        request: &job.id,
+        target: &pick.boot.id,
+        attempt: job.sends,
+        reason,
+        ran,
+    });
+}
+
+/// Whether a job may be sent once more.
+fn again(ctx: &Ctx, job: &Job, seen: bool, ran: bool) -> bool {
+    let harmless = !ran || matches!(job.route.mode, Mode::Idempotent | Mode::Resumable);
+    let allowed = harmless && job.may_run() && job.left(ctx.now()) >= LEAST;
+    // What no target has seen costs the pool nothing.
+    allowed && (!seen || ctx.budget(&job.pool, |b| b.spend(ctx.now())))
+}
+
+/// How long a try may go without an answer's head.
+fn patience(ctx: &Ctx, job: &Job) -> Duration {
+    let end = job.left(ctx.now()) + LAST_WORD;
+    let more = job.runs + 1 < job.route.attempts;
+    match job.route.mode {
+        Mode::Idempotent if more => job.route.aim.mul_f64(PATIENCE).min(end),
+        Mode::Resumable if more => job.route.aim.mul_f64(STREAM_PATIENCE).min(end),
+        _ => end,
+    }
+}
+
+async fn once(ctx: &Ctx, job: &mut Job, pick: &Pick) -> Tried {
+    job.tried.push(pick.key);
+    job.sends += 1;
+    send::tell(job, pick);
+    let sent = send::send(ctx, job, pick, patience(ctx, job)).await;
+    let now = ctx.now();
+    match sent {
+        Sent::Answer(live) => take(ctx, job, *live).await,
+        Sent::Unseen(reason) => Tried::NotRun {
+            seen: false,
+            reason,
+        },
+        Sent::NotRun(reason) => {
+            if reason == "full" {
+                ctx.fleet.borrow_mut().bad(now, pick.key, reason);
+            }
+            Tried::NotRun { seen: true, reason }
+        }
+        Sent::Unknown(reason) => {
+            ctx.fleet.borrow_mut().bad(now, pick.key, reason);
+            Tried::Ran {
+                reason,
+                answer: None,
+            }
+        }
+    }
+}
+
+/// Takes an answer whose head is there.
+async fn take(ctx: &Ctx, job: &Job, live: Live) -> Tried {
+    let status = live.response.status();
+    let good = status.is_success();
+    let key = live.place.key();
+    if good && (!live.told.signed || live.told.encoded) {
+        ctx.fleet.borrow_mut().bad(ctx.now(), key, "spoiled answer");
+        return Tried::Ran {
+            reason: "spoiled answer",
+            answer: None,
+        };
+    }
+    if good && job.route.mode.streams() {
+        return Tried::Found(Found::Stream(Box::new(live)));
+    }
+    let left = job.left(ctx.now()) + LAST_WORD;
+    let unrun = live.told.unrun;
+    let whole = match timeout(left, collect(ctx, live)).await {
+        Ok(Some(w)) => w,
+        _ => {
+            ctx.fleet.borrow_mut().bad(ctx.now(), key, "cut answer");
+            return Tried::Ran {
+                reason: "cut answer",
+                answer: None,
+            };
+        }
+    };
+    match good || status.is_client_error() {
+        true => ctx.fleet.borrow_mut().good(key),
+        false => ctx.fleet.borrow_mut().bad(ctx.now(), key, "error answer"),
+    }
+    match status {
+        // These promise that nothing ran, which only the target can know.
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::REQUEST_TIMEOUT
+            if !unrun =>
+        {
+            Tried::Ran {
+                reason: "refusal without a promise",
+                answer: None,
+            }
+        }
+        s if s.is_server_error() => Tried::Ran {
+            reason: "error answer",
+            answer: Some(whole),
+        },
+        _ => Tried::Found(Found::Whole(whole)),
+    }
+}
+
+/// Collects a whole answer and keeps its connection.
+async fn collect(ctx: &Ctx, live: Live) -> Option<Response<Bytes>> {
+    let Live {
+        response,
+        told,
+        upstream,
+        place,
+    } = live;
+    let (mut parts, body) = response.into_parts();
+    let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    if !told.closes {
+        if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(place.key()) {
+            r.idle.keep(upstream);
+        }
+    }
+    parts.headers = replica::answer_headers(&parts.headers);
+    Some(Response::from_parts(parts, body))
+}
--- /dev/null
+++ b/crates/gate/src/follow.rs
@@ -0,0 +1,177 @@
+//! Following the store: the operator's rows and the list of the system's own processes.
+//!
+//! Both change seldom, so each process holds a call open that the store answers at the next change.
+//! A call that fails is followed by another after a short random pause, so that all processes
+//! together don't come back at one moment.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use platform::store::{MEMBERS, OPERATOR};
+use platform::{Row, Rows, Store, StoreError};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use site::Role;
+use tokio::time::sleep;
+
+use crate::log::{self, Event};
+use crate::world::{Member, OperatorRow, Shared};
+
+/// How long the store may hold a call; long calls are few, and a vanished connection is found by
+/// the kernel's probes, not by this.
+const HOLD: Duration = Duration::from_secs(20);
+/// Shortest pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(80);
+/// Longest pause after a failed call; a tenth of the time in which a configuration must be known.
+const LONGEST: Duration = Duration::from_millis(250);
+
+/// A process's own entry in the list of members.
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    addr: std::net::SocketAddr,
+    entry: bool,
+}
+
+/// A random pause before the store is asked again.
+pub async fn pause() {
+    let span = PAUSE.as_millis() as u64..LONGEST.as_millis() as u64;
+    let ms = rand::rng().random_range(span);
+    sleep(Duration::from_millis(ms)).await;
+}
+
+/// Notes whether the store answers this process, and tells it when that changes.
+fn note<T>(node: &Shared, result: &Result<T, StoreError>) {
+    let now = node.now();
+    let mut world = node.world.borrow_mut();
+    match (result, world.lost) {
+        (Ok(_), Some(since)) => {
+            world.lost = None;
+            log::event(&Event::Regained {
+                dependency: "store",
+                lost_ms: now.since(since).as_millis(),
+            });
+        }
+        // Lost history is an answer like any other.
+        (Err(StoreError::Gone), _) => {}
+        (Err(e), None) => {
+            world.lost = Some(now);
+            log::event(&Event::Lost {
+                dependency: "store",
+                error: &e.to_string(),
+            });
+        }
+        _ => {}
+    }
+}
+
+/// Follows the operator's rows for as long as the process lives.
+pub async fn operator(node: Shared) {
+    let addr = node.settings.borrow().store;
+    let mut store = Store::new(addr);
+    loop {
+        let all = store.rows(OPERATOR).await;
+        note(&node, &all);
+        let Ok(rows) = all else {
+            pause().await;
+            continue;
+        };
+        let mut after = rows.version;
+        adopt(&node, rows);
+        loop {
+            let news = store.changes(OPERATOR, after, HOLD).await;
+            note(&node, &news);
+            match news {
+                Ok(rows) => {
+                    after = after.max(rows.version);
+                    adopt(&node, rows);
+                }
+                // The history between is gone, so all is read again.
+                Err(StoreError::Gone) => break,
+                Err(_) => {
+                    pause().await;
+                    // A fresh read shows at once whether the store answers, where a held call
+                    // would tell only at its end.
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn adopt(node: &Shared, rows: Rows) {
+    let now = node.now();
+    let mut world = node.world.borrow_mut();
+    world.clock = world.clock.max(rows.clock);
+    for Row {
+        key,
+        value,
+        version,
+    } in rows.rows
+    {
+        // The operator takes nothing back; a row that is gone leaves what was in force.
+        if let Some(value) = value {
+            world.adopt(now, &key, OperatorRow { version, value }, "store");
+        }
+    }
+}
+
+/// Enters this process in the list of members and follows that list.
+pub async fn members(node: Shared) {
+    let (addr, host, own) = {
+        let s = node.settings.borrow();
+        let own = Entry {
+            addr: s.peer,
+            entry: s.role == Role::Entry,
+        };
+        (s.store, s.host.clone(), own)
+    };
+    let value = serde_json::to_vec(&own).unwrap_or_default();
+    let mut store = Store::new(addr);
+    while let Err(e) = store.put(MEMBERS, &host, &value).await {
+        log::event(&Event::Lost {
+            dependency: "members",
+            error: &e.to_string(),
+        });
+        pause().await;
+        sleep(LONGEST).await;
+    }
+    loop {
+        if let Err(e) = list(&node, &mut store, &host).await {
+            log::event(&Event::Lost {
+                dependency: "members",
+                error: &e.to_string(),
+            });
+            sleep(LONGEST).await;
+            pause().await;
+        }
+    }
+}
+
+/// Reads the list of members, then its changes until a call fails.
+async fn list(node: &Shared, store: &mut Store, own: &str) -> Result<(), StoreError> {
+    let all = store.rows(MEMBERS).await?;
+    let mut after = all.version;
+    let members: HashMap<_, _> = all.rows.into_iter().filter_map(member).collect();
+    node.world.borrow_mut().members = members;
+    node.world.borrow_mut().members.remove(own);
+    loop {
+        let news = match store.changes(MEMBERS, after, HOLD).await {
+            Err(StoreError::Gone) => return Ok(()),
+            news => news?,
+        };
+        after = after.max(news.version);
+        let changed = news.rows.into_iter().filter_map(member);
+        let mut world = node.world.borrow_mut();
+        world.members.extend(changed.filter(|(h, _)| h != own));
+    }
+}
+
+fn member(row: Row) -> Option<(String, Member)> {
+    let entry: Entry = serde_json::from_slice(&row.value?).ok()?;
+    let role = match entry.entry {
+        true => Role::Entry,
+        false => Role::Sidecar,
+    };
+    let addr = entry.addr;
+    Some((row.key, Member { addr, role }))
+}
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,21 @@
+//! The programs for a platform that lists targets and keeps what must last in a store of its own.
+//!
+//! [`entry`] takes callers' requests and goes to the targets directly; [`sidecar`] stands beside an
+//! engine, is the only one that orders its weights, and tells the entries what the engine holds and
+//! has to do. Both follow the operator's rows ([`follow`]), hand them on to those whom the store
+//! turns away ([`peer`]), and tell one another what they see ([`news`]).
+//!
+//! Each process runs on one thread. What it believes lies in a [`world::World`], borrowed for the
+//! length of a decision and never across a wait.
+
+pub mod entry;
+pub mod follow;
+pub mod log;
+pub mod meter;
+pub mod news;
+pub mod peer;
+pub mod sidecar;
+pub mod start;
+pub mod world;
+
+pub use start::run;
--- /dev/null
+++ b/crates/gate/src/meter.rs
@@ -0,0 +1,151 @@
+//! Names and meanings of the metrics, and the address that serves them.
+//!
+//! Labels are bounded: routes' modes, causes and pools' kinds, never teams, requests or addresses.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use metrics::{counter, describe_counter, describe_gauge, describe_histogram, histogram, Unit};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+
+use crate::log;
+use crate::world::Shared;
+
+/// Port of the metrics, as the deploy file names it.
+pub const PORT: u16 = 9_464;
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+/// Bounds of the latency histograms' buckets, in seconds; around the aims of 100 to 600 ms.
+const BUCKETS: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 12.0,
+];
+/// How often histograms are folded, so that they don't grow.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// Requests answered, by status.
+pub const ANSWERS: &str = "clementinestep_answers_total";
+/// Requests refused or failed here, by reason.
+pub const REFUSALS: &str = "clementinestep_refusals_total";
+/// Tries that came to nothing, by reason.
+pub const FAILED_TRIES: &str = "clementinestep_failed_tries_total";
+/// New connections to targets.
+pub const CONNECTIONS: &str = "clementinestep_target_connections_total";
+/// Streams ended, by how.
+pub const STREAMS: &str = "clementinestep_streams_total";
+/// Seconds from a request's arrival to its answer's head.
+pub const HEAD: &str = "clementinestep_answer_head_seconds";
+/// Seconds from a request's arrival to its stream's first event.
+pub const FIRST: &str = "clementinestep_first_event_seconds";
+/// Seconds from a request's arrival to its answer's end.
+pub const WHOLE: &str = "clementinestep_answer_whole_seconds";
+/// Seconds from a request's arrival until it was first sent to a target.
+pub const WAITING: &str = "clementinestep_waiting_seconds";
+/// Prompt tokens sent to engines, by whether they were held there, fetched or read.
+pub const TOKENS: &str = "clementinestep_prompt_tokens_total";
+/// Seconds since a target's load was last heard of, when it was used.
+pub const BELIEF_AGE: &str = "clementinestep_belief_age_seconds";
+/// Orders to engines, by outcome.
+pub const ORDERS: &str = "clementinestep_orders_total";
+/// Datagrams that can't be read.
+pub const BAD_NEWS: &str = "clementinestep_bad_news_total";
+/// Version of the configuration in force.
+pub const VERSION: &str = "clementinestep_configuration_version";
+/// Other processes known.
+pub const MEMBERS: &str = "clementinestep_members";
+
+fn describe() {
+    describe_counter!(ANSWERS, "requests answered, by status");
+    describe_counter!(REFUSALS, "requests refused or failed here, by reason");
+    describe_counter!(FAILED_TRIES, "tries that came to nothing, by reason");
+    describe_counter!(CONNECTIONS, "new connections to targets");
+    describe_counter!(STREAMS, "streams ended, by how");
+    describe_histogram!(HEAD, Unit::Seconds, "arrival to the answer's head");
+    describe_histogram!(FIRST, Unit::Seconds, "arrival to the first event");
+    describe_histogram!(WHOLE, Unit::Seconds, "arrival to the answer's end");
+    describe_histogram!(WAITING, Unit::Seconds, "arrival to the first sending");
+    describe_counter!(TOKENS, "prompt tokens, by held, fetched or read");
+    describe_histogram!(BELIEF_AGE, Unit::Seconds, "age of a used target's load");
+    describe_counter!(ORDERS, "orders to engines, by outcome");
+    describe_counter!(BAD_NEWS, "datagrams that can't be read");
+    describe_gauge!(VERSION, "version of the configuration in force");
+    describe_gauge!(MEMBERS, "other processes known");
+}
+
+/// Counts one.
+pub fn count(name: &'static str, label: &'static str, value: &'static str) {
+    counter!(name, label => value).increment(1);
+}
+
+/// Notes a span.
+pub fn span(name: &'static str, span: Duration) {
+    histogram!(name).record(span.as_secs_f64());
+}
+
+/// Serves the metrics on the host's own address.
+pub async fn serve(node: &Shared) -> std::io::Result<()> {
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &BUCKETS)
+        .map_err(std::io::Error::other)?;
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        // Another recorder serves them already, as in a test that runs several processes at once.
+        return Ok(());
+    }
+    describe();
+    let at = SocketAddr::new(node.settings.borrow().peer.ip(), PORT);
+    let listener = match TcpListener::bind(at).await {
+        Ok(l) => l,
+        // Requests go on without metrics.
+        Err(e) => {
+            log::event(&log::Event::Lost {
+                dependency: "metrics",
+                error: &e.to_string(),
+            });
+            return Ok(());
+        }
+    };
+    tokio::task::spawn_local(upkeep(handle.clone()));
+    tokio::task::spawn_local(accept(listener, handle));
+    Ok(())
+}
+
+async fn upkeep(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        handle.run_upkeep();
+    }
+}
+
+async fn accept(listener: TcpListener, handle: PrometheusHandle) {
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            tokio::time::sleep(UPKEEP).await;
+            continue;
+        };
+        let handle = handle.clone();
+        let page = service_fn(move |r: hyper::Request<hyper::body::Incoming>| {
+            let (status, text) = match r.uri().path() {
+                PATH => (StatusCode::OK, handle.render()),
+                _ => (StatusCode::NOT_FOUND, String::new()),
+            };
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            *response.status_mut() = status;
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::task::spawn_local(async move {
+            // A reader that leaves early misses its page and nothing else.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(tcp), page)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gate/src/news.rs
@@ -0,0 +1,111 @@
+//! What sidecars tell the entries: datagrams about one engine.
+//!
+//! News is about now, so a lost datagram isn't sent again; the next one says more. What the engine
+//! holds is told as changes, and in whole every few seconds, so that an entry that has missed a
+//! change or has just started is right again soon. A wrong belief costs time, never an answer.
+
+use std::io;
+use std::net::SocketAddr;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use crate::world::Shared;
+
+/// Bytes of a datagram at most; it must not be split on its way.
+pub const LARGEST: usize = 1_200;
+/// Parts in one datagram at most; at most 24 bytes each.
+pub const PARTS: usize = 40;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    /// Address of the engine, as targets are listed.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Whether the engine answers its sidecar.
+    #[prost(bool, tag = "2")]
+    pub alive: bool,
+    /// What it has loaded.
+    #[prost(message, repeated, tag = "3")]
+    pub weights: Vec<Loaded>,
+    /// Whether it is carrying out an order.
+    #[prost(bool, tag = "4")]
+    pub busy: bool,
+    /// Requests running.
+    #[prost(uint32, tag = "5")]
+    pub active: u32,
+    /// Requests waiting.
+    #[prost(uint32, tag = "6")]
+    pub queued: u32,
+    /// Tokens of memory that can't yield.
+    #[prost(uint32, tag = "7")]
+    pub used: u32,
+    /// Tokens of memory in all.
+    #[prost(uint32, tag = "8")]
+    pub total: u32,
+    /// Milliseconds until it takes new weights, if it is going to.
+    #[prost(uint32, optional, tag = "9")]
+    pub swap_ms: Option<u32>,
+    /// The engine's life, as its cache events tell it.
+    #[prost(uint64, tag = "10")]
+    pub epoch: u64,
+    /// Parts stored or dropped.
+    #[prost(message, repeated, tag = "11")]
+    pub parts: Vec<Held>,
+}
+
+/// A model's weights.
+#[derive(Clone, PartialEq, Message)]
+pub struct Loaded {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Version of its weights.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// A part in an engine's cache.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Held {
+    /// Key of its scope.
+    #[prost(fixed64, tag = "1")]
+    pub scope: u64,
+    /// The part.
+    #[prost(uint64, tag = "2")]
+    pub part: u64,
+    /// Tokens that are there; 0 if it is gone.
+    #[prost(uint32, tag = "3")]
+    pub tokens: u32,
+}
+
+/// Opens the socket for news.
+pub async fn socket(node: &Shared) -> io::Result<UdpSocket> {
+    let at = node.settings.borrow().peer;
+    UdpSocket::bind(at).await
+}
+
+/// Sends news to some addresses. What can't be sent at once is dropped.
+pub fn send(socket: &UdpSocket, news: &News, to: impl IntoIterator<Item = SocketAddr>) {
+    let bytes = news.encode_to_vec();
+    for addr in to {
+        // A full link or a host that is gone: the next datagram says more.
+        let _ = socket.try_send_to(&bytes, addr);
+    }
+}
+
+/// Waits for the next datagram that can be read.
+pub async fn receive(socket: &UdpSocket) -> News {
+    let mut buffer = [0; 2 * LARGEST];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((n, _)) => match News::decode(&buffer[..n]) {
+                Ok(news) => return news,
+                Err(_) => crate::meter::count(crate::meter::BAD_NEWS, "reason", "unreadable"),
+            },
+            // Only a port that nobody listens on at a former receiver comes back as an error.
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/sidecar.rs
@@ -0,0 +1,340 @@
+//! The process beside an engine: it orders its weights and tells the entries about it.
+//!
+//! No other host ever orders this engine, so that orders of two holders can't cross, whatever is
+//! paused or cut off. Over its own restarts, which leave it nothing, its fencing token rises because
+//! it is the time that the store's steady clock showed when this process began.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::Micros;
+use platform::replica::{self, LoadOrder, Taken};
+use platform::Conn;
+use policy::turns;
+use site::{PartId, Report, Swap, Weights};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, Instant};
+
+use crate::log::{self, Event};
+use crate::meter;
+use crate::news::{self, Held, Loaded, News};
+use crate::world::Shared;
+
+/// Pause between two looks at the engine; a request's first token takes about as long.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long the engine may take to answer; it is on the same host.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Changed load is told at once, unchanged load after this time.
+const RENEW: Duration = Duration::from_millis(200);
+/// How often all that the engine holds is told.
+const WHOLE: Duration = Duration::from_secs(3);
+/// How long the engine may hold the question what it has stored.
+const EVENTS: Duration = Duration::from_millis(1_000);
+/// How long a load is expected to take before one has been seen.
+const LOAD: Micros = Micros::from_millis(400);
+/// Weight of a new load's length.
+const SMOOTH: f64 = 0.5;
+/// How long what runs may keep an engine whose turn has come; most generations take less.
+const EMPTY: Micros = Micros::from_millis(350);
+/// How long before its turn the engine gets no new requests; as long as most generations take.
+pub const QUIET: Micros = Micros::from_millis(300);
+/// Pause after an order that wasn't answered or was refused; it may still be carried out.
+const AGAIN: Micros = Micros::from_millis(300);
+
+/// What the sidecar knows of its engine.
+#[derive(Debug, Default)]
+struct Engine {
+    report: Option<Report>,
+    alive: bool,
+    epoch: u64,
+    held: HashMap<(u64, PartId), u32>,
+    fresh: Vec<Held>,
+    /// When the newest weights are to be loaded.
+    turn: Option<Turn>,
+    /// How long a load takes.
+    load: Option<Micros>,
+    fence: u64,
+}
+
+/// A load that is to come.
+#[derive(Clone, Debug, PartialEq)]
+struct Turn {
+    weights: Weights,
+    heard: Micros,
+    at: Micros,
+    /// Not before this, after an order without success.
+    pause: Micros,
+    /// When the engine began to load.
+    begun: Option<Micros>,
+}
+
+/// Runs a sidecar until it is told to stop.
+pub async fn run(
+    node: Shared,
+    socket: UdpSocket,
+    stop: impl Future<Output = Instant>,
+) -> io::Result<()> {
+    let engine = Rc::new(std::cell::RefCell::new(Engine::default()));
+    let Some(addr) = node.settings.borrow().engine else {
+        return Err(io::Error::other(
+            "the settings name no engine beside this sidecar",
+        ));
+    };
+    let events = events(Rc::clone(&engine), Conn::new(addr));
+    let look = look(&node, &engine, Conn::new(addr), &socket);
+    tokio::select! {
+        _ = events => {}
+        _ = look => {}
+        _ = stop => {}
+    }
+    Ok(())
+}
+
+type Own = Rc<std::cell::RefCell<Engine>>;
+
+/// Follows what the engine stores and drops.
+async fn events(engine: Own, mut conn: Conn) {
+    let mut next = 0;
+    loop {
+        let told = replica::events(&mut conn, next, EVENTS, PATIENCE).await;
+        let Ok(told) = told else {
+            sleep(PATIENCE).await;
+            continue;
+        };
+        let mut e = engine.borrow_mut();
+        if told.epoch != e.epoch {
+            // Another life of the engine, which holds nothing of before.
+            e.epoch = told.epoch;
+            e.held.clear();
+            e.fresh.clear();
+        }
+        next = told.next;
+        for s in told.stored {
+            let key = (s.scope, s.part);
+            match s.tokens {
+                0 => e.held.remove(&key),
+                n => e.held.insert(key, n),
+            };
+            e.fresh.push(Held {
+                scope: s.scope,
+                part: s.part.0,
+                tokens: s.tokens,
+            });
+        }
+    }
+}
+
+/// Looks at the engine, gives it its orders, tells the entries.
+async fn look(node: &Shared, engine: &Own, mut conn: Conn, socket: &UdpSocket) {
+    let mut told = News::default();
+    let mut renewed = Instant::now() - RENEW;
+    let mut whole = Instant::now();
+    loop {
+        let report = replica::report(&mut conn, PATIENCE).await;
+        note(engine, report);
+        schedule(node, engine);
+        order(node, engine, &mut conn).await;
+        let mut news = summary(node, engine);
+        if whole.elapsed() >= WHOLE {
+            whole = Instant::now();
+            tell_whole(node, engine, socket, &news);
+        }
+        let fresh = std::mem::take(&mut engine.borrow_mut().fresh);
+        if news != told || !fresh.is_empty() || renewed.elapsed() >= RENEW {
+            told = news.clone();
+            renewed = Instant::now();
+            let mut chunks = fresh.chunks(news::PARTS);
+            loop {
+                news.parts = chunks.next().unwrap_or_default().to_vec();
+                news::send(socket, &news, node.world.borrow().entries());
+                if chunks.len() == 0 {
+                    break;
+                }
+            }
+        }
+        sleep(LOOK).await;
+    }
+}
+
+fn note(engine: &Own, report: Result<Report, replica::EngineError>) {
+    let mut e = engine.borrow_mut();
+    match report {
+        Ok(report) => {
+            if !e.alive {
+                log::event(&Event::Regained {
+                    dependency: "engine",
+                    lost_ms: 0,
+                });
+            }
+            e.alive = true;
+            e.report = Some(report);
+        }
+        Err(error) => {
+            if e.alive {
+                log::event(&Event::Lost {
+                    dependency: "engine",
+                    error: &error.to_string(),
+                });
+            }
+            e.alive = false;
+        }
+    }
+}
+
+/// Sets the engine's turn if it lacks newer weights.
+fn schedule(node: &Shared, engine: &Own) {
+    let now = node.now();
+    let world = node.world.borrow();
+    let mut e = engine.borrow_mut();
+    if e.fence == 0 {
+        e.fence = world.clock;
+    }
+    let Some(report) = e.report.as_ref() else {
+        return;
+    };
+    let lacking = report.weights.iter().find_map(|w| {
+        let named = world.named.get(&w.model)?;
+        (named.version > w.version).then(|| (w.model.clone(), *named))
+    });
+    let Some((model, named)) = lacking else {
+        // Its length is known once the engine has what it was ordered to load.
+        if let Some(begun) = e.turn.take().and_then(|t| t.begun) {
+            let seen = now.since(begun).0 as f64;
+            let old = e.load.map_or(seen, |l| l.0 as f64);
+            e.load = Some(Micros((old + (seen - old) * SMOOTH) as u64));
+        }
+        return;
+    };
+    if e.turn
+        .as_ref()
+        .is_some_and(|t| t.weights.version == named.version)
+    {
+        return;
+    }
+    let (rank, engines) = rank(node, &world);
+    let load = e.load.unwrap_or(LOAD);
+    let wait = turns::wait(&turns::Config::default(), rank, engines, load);
+    e.turn = Some(Turn {
+        weights: Weights {
+            model,
+            version: named.version,
+        },
+        heard: named.heard,
+        at: (named.heard + wait).max(now),
+        pause: Micros::ZERO,
+        begun: None,
+    });
+}
+
+/// This host's place among the hosts with an engine, and their number.
+fn rank(node: &Shared, world: &crate::world::World) -> (usize, usize) {
+    let own = &node.settings.borrow().host;
+    let members = world.members.iter();
+    let others: Vec<_> = members
+        .filter(|(h, m)| m.role == site::Role::Sidecar && *h != own)
+        .map(|(h, _)| h)
+        .collect();
+    let before = others.iter().filter(|h| **h < own).count();
+    (before, others.len() + 1)
+}
+
+/// Orders the load whose turn has come.
+async fn order(node: &Shared, engine: &Own, conn: &mut Conn) {
+    let now = node.now();
+    let (turn, fence, seq, active) = {
+        let e = engine.borrow();
+        let (Some(turn), Some(report)) = (&e.turn, &e.report) else {
+            return;
+        };
+        let emptied = report.active == 0 || now >= turn.at + EMPTY;
+        let due = e.alive && !report.busy && e.fence > 0;
+        if !due || now < turn.at || now < turn.pause || !emptied {
+            return;
+        }
+        (turn.clone(), e.fence, report.seq, report.active)
+    };
+    let host = node.settings.borrow().host.clone();
+    let load = LoadOrder {
+        weights: &turn.weights,
+        swap: Swap::Retain,
+        holder: &host,
+        fence,
+        after: seq,
+        boot: None,
+    };
+    let taken = replica::order(conn, &load, PATIENCE).await;
+    let mut e = engine.borrow_mut();
+    if let Some(t) = &mut e.turn {
+        t.pause = node.now() + AGAIN;
+        if matches!(taken, Ok(Taken::Begun)) {
+            t.begun = Some(now);
+        }
+    }
+    let (outcome, label) = match &taken {
+        Ok(Taken::Begun) => ("begun".to_owned(), "begun"),
+        Ok(Taken::Done) => ("done".to_owned(), "done"),
+        Ok(Taken::Busy) => ("busy".to_owned(), "busy"),
+        Err(e) => (e.to_string(), "failed"),
+    };
+    meter::count(meter::ORDERS, "outcome", label);
+    log::event(&Event::Ordered {
+        model: &turn.weights.model,
+        version: turn.weights.version,
+        fence,
+        outcome: &outcome,
+        after_ms: now.since(turn.heard).as_millis(),
+        active,
+    });
+}
+
+fn summary(node: &Shared, engine: &Own) -> News {
+    let now = node.now();
+    let e = engine.borrow();
+    let addr = node.settings.borrow().engine;
+    let mut news = News {
+        engine: addr.map(|a| a.to_string()).unwrap_or_default(),
+        alive: e.alive,
+        epoch: e.epoch,
+        swap_ms: e.turn.as_ref().map(|t| t.at.since(now).as_millis() as u32),
+        ..News::default()
+    };
+    if let Some(r) = &e.report {
+        news.weights = r.weights.iter().map(loaded).collect();
+        news.busy = r.busy;
+        news.active = r.active;
+        news.queued = r.queued;
+        news.used = r.used;
+        news.total = r.total;
+    }
+    news
+}
+
+fn loaded(weights: &Weights) -> Loaded {
+    Loaded {
+        model: weights.model.clone(),
+        version: weights.version,
+    }
+}
+
+fn tell_whole(node: &Shared, engine: &Own, socket: &UdpSocket, news: &News) {
+    let e = engine.borrow();
+    let held: Vec<_> = e
+        .held
+        .iter()
+        .map(|((scope, part), tokens)| Held {
+            scope: *scope,
+            part: part.0,
+            tokens: *tokens,
+        })
+        .collect();
+    for parts in held.chunks(news::PARTS) {
+        let news = News {
+            parts: parts.to_vec(),
+            ..news.clone()
+        };
+        news::send(socket, &news, node.world.borrow().entries());
+    }
+}
--- /dev/null
+++ b/crates/gate/src/world.rs
@@ -0,0 +1,166 @@
+//! What one process believes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use model::Micros;
+use site::{Plan, Role, Settings};
+use tokio::time::Instant;
+
+use crate::log::{self, Event};
+
+/// A process's context, handed to all its parts.
+pub type Shared = Rc<Node>;
+
+/// A process.
+#[derive(Debug)]
+pub struct Node {
+    /// Its settings; they may change while it runs.
+    pub settings: RefCell<Settings>,
+    /// What it believes.
+    pub world: RefCell<World>,
+    /// When it started; the origin of its times.
+    pub origin: Instant,
+    /// Set once it was told to stop.
+    pub stopping: Cell<bool>,
+}
+
+impl Node {
+    /// A process that knows nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings: RefCell::new(settings),
+            world: RefCell::default(),
+            origin: Instant::now(),
+            stopping: Cell::new(false),
+        }
+    }
+
+    /// Now, as decisions see it.
+    pub fn now(&self) -> Micros {
+        self.origin.elapsed().into()
+    }
+
+    /// The configuration in force.
+    pub fn plan(&self) -> Option<Rc<Plan>> {
+        self.world.borrow().plan.clone()
+    }
+}
+
+/// A row that the operator has written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorRow {
+    /// Version in the store.
+    pub version: u64,
+    /// Its value.
+    pub value: Bytes,
+}
+
+/// Weights that the operator has named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// Version of the weights.
+    pub version: u64,
+    /// When this process heard of them.
+    pub heard: Micros,
+}
+
+/// Another process of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Where it is reached.
+    pub addr: SocketAddr,
+    /// What it does.
+    pub role: Role,
+}
+
+/// What a process believes of the operator's wishes and of the other processes.
+#[derive(Debug, Default)]
+pub struct World {
+    /// The configuration in force.
+    pub plan: Option<Rc<Plan>>,
+    /// The newest weights, by model.
+    pub named: HashMap<String, Named>,
+    /// The operator's rows as they were read, for processes that the store turns away.
+    pub rows: HashMap<String, OperatorRow>,
+    /// Other processes, by host.
+    pub members: HashMap<String, Member>,
+    /// Since when the store hasn't answered this process.
+    pub lost: Option<Micros>,
+    /// The store's clock as last heard; it never goes back.
+    pub clock: u64,
+}
+
+impl World {
+    /// Takes over a row of the operator's if it is newer than what is in force.
+    ///
+    /// Configurations and weights only ever go up within a process's life. A store that answers
+    /// with an older state, or a peer that lags, can't bring back a key that was taken away.
+    pub fn adopt(&mut self, now: Micros, key: &str, row: OperatorRow, source: &str) {
+        let known = self.rows.get(key);
+        if known.is_some_and(|k| k.version >= row.version) {
+            return;
+        }
+        let error = match () {
+            () if key == platform::config::CONFIG => self.configure(&row.value, source),
+            () if platform::config::names_weights(key) => self.name(now, &row.value, source),
+            () => Ok(()),
+        };
+        if let Err(e) = error {
+            let error = &e.to_string();
+            log::event(&Event::BadRow { key, error });
+        }
+        self.rows.insert(key.to_owned(), row);
+    }
+
+    fn configure(
+        &mut self,
+        value: &Bytes,
+        source: &str,
+    ) -> Result<(), platform::config::ConfigError> {
+        let draft = platform::config::config(value)?;
+        let current = self.plan.as_ref().map_or(0, |p| p.version());
+        if draft.version > current {
+            let plan = Plan::new(draft);
+            log::event(&Event::Configured {
+                version: plan.version(),
+                source,
+                routes: plan.routes(),
+            });
+            self.plan = Some(Rc::new(plan));
+        }
+        Ok(())
+    }
+
+    fn name(
+        &mut self,
+        now: Micros,
+        value: &Bytes,
+        source: &str,
+    ) -> Result<(), platform::config::ConfigError> {
+        let weights = platform::config::weights(value)?;
+        let current = self.named.get(&weights.model).map_or(0, |n| n.version);
+        if weights.version > current {
+            log::event(&Event::Named {
+                model: &weights.model,
+                version: weights.version,
+                source,
+            });
+            let named = Named {
+                version: weights.version,
+                heard: now,
+            };
+            self.named.insert(weights.model, named);
+        }
+        Ok(())
+    }
+
+    /// Addresses of all entries but this one.
+    pub fn entries(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let entries = self.members.values().filter(|m| m.role == Role::Entry);
+        entries.map(|m| m.addr)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,9 @@
 //! to ask and the one to use, [`health`] leaves slow ones out, [`retry`] allows a second attempt.
 //! At a sidecar: [`admit`] takes or refuses a request at once, [`queue`] orders those taken,
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
+//! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts,
+//! [`standing`] tells which targets to leave alone, [`shared`] keeps all entries within one budget
+//! of retries, and [`turns`] says when an engine takes new weights.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
 
@@ -25,3 +28,7 @@
 pub mod recent;
 pub mod reserve;
 pub mod retry;
+pub mod shared;
+pub mod spot;
+pub mod standing;
+pub mod turns;
--- /dev/null
+++ b/crates/policy/src/shared.rs
@@ -0,0 +1,84 @@
+//! One budget of retries for all entries together, without a word between them.
+//!
+//! Load pattern: a pool fails in part, all entries see it at once, and each sends its failed
+//! requests again. The pool's owner allows a share of the requests in any window, plus a slack, to
+//! all entries together; what goes beyond it turns a partial failure into a whole one.
+//!
+//! The share is additive: if each entry stays below the share of its own requests, all of them do
+//! together, however unevenly requests are spread and however many entries there are. Only the
+//! slack would have to be divided, which takes knowing how many entries live; an entry takes a
+//! fixed small part of it instead.
+//!
+//! Grounds: nine tenths of the ratio, since the owner's windows and an entry's own don't begin at
+//! the same moment; a 32nd of the slack, as many as there are entries in the largest fleet of
+//! today, so that an entry with little traffic may still retry now and then.
+
+use std::collections::VecDeque;
+
+use model::Micros;
+
+/// What the pool's owner allows.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries beyond that, for all entries together.
+    pub slack: f64,
+    /// The window in which both are counted.
+    pub window: Micros,
+}
+
+/// Part of the ratio that is used.
+const USED: f64 = 0.9;
+/// Part of the slack that one entry takes.
+const SLACK_PART: f64 = 1.0 / 32.0;
+
+/// One entry's part of a pool's budget.
+#[derive(Debug)]
+pub struct Budget {
+    config: Config,
+    requests: VecDeque<Micros>,
+    retries: VecDeque<Micros>,
+}
+
+impl Budget {
+    /// A budget with nothing spent.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+        }
+    }
+
+    /// Notes a caller's request for the pool.
+    pub fn request(&mut self, now: Micros) {
+        self.requests.push_back(now);
+        self.expire(now);
+    }
+
+    /// Spends a retry, if one is left.
+    pub fn spend(&mut self, now: Micros) -> bool {
+        self.expire(now);
+        let room = self.left() >= 1.0;
+        if room {
+            self.retries.push_back(now);
+        }
+        room
+    }
+
+    /// Retries left.
+    pub fn left(&self) -> f64 {
+        let earned = self.config.ratio * USED * self.requests.len() as f64;
+        earned + self.config.slack * SLACK_PART - self.retries.len() as f64
+    }
+
+    fn expire(&mut self, now: Micros) {
+        let from = now - self.config.window;
+        for times in [&mut self.requests, &mut self.retries] {
+            while times.front().is_some_and(|t| *t < from) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/rules/src/decide.rs
+++ b/crates/rules/src/decide.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Takes a configuration that another program has checked and put in order.
+    pub fn assemble(config: Config) -> Self {
+        Self::build(config, Vec::new())
+    }
+
     fn build(config: Config, warnings: Vec<Fault>) -> Self {
         let conds: Vec<_> = config.rule.iter().map(cond::of).collect();
         let open = |conds: &Vec<Cond>| {
