--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -11,7 +11,7 @@
 
 use super::idle::Idle;
 use crate::log::{self, Event};
-use crate::news::News;
+use crate::news::{Held, News};
 
 new_key_type! {
     /// A target.
@@ -21,6 +21,8 @@
 /// Targets that are missing from the list are kept this long after the store's return, since they
 /// need some time to enter themselves again.
 const RETURN: Micros = Micros::from_millis(2_200);
+/// How long an engine is expected to hold what it was sent to read; a long prompt in a queue.
+const EXPECTED: Micros = Micros::from_millis(1_500);
 /// Weight of a new answer in what is usual for a pool.
 const USUAL: f64 = 0.02;
 
@@ -53,7 +55,7 @@
     /// As it is listed.
     pub target: Target,
     /// Kept connections.
-    pub idle: Idle,
+    pub(super) idle: Idle,
     /// Requests of this entry that are there.
     pub inflight: u32,
     /// Prompt tokens of this entry that it has yet to read.
@@ -66,6 +68,8 @@
     pub weights: HashMap<String, u64>,
     /// Tokens of parts that it holds, by scope and part.
     pub held: HashMap<(u64, PartId), u32>,
+    /// Parts that it is about to read or fetch, and until when that is believed.
+    expected: HashMap<(u64, PartId), (u32, Micros)>,
     /// How it has done.
     pub standing: Standing,
     /// Time that it takes over the time expected.
@@ -85,6 +89,7 @@
             load: None,
             heard: None,
             held: HashMap::new(),
+            expected: HashMap::new(),
             standing: Standing::default(),
             slowness: 1.0,
             epoch: 0,
@@ -96,21 +101,58 @@
         holds(&self.held, scope, parts)
     }
 
+    /// The same, with what it will hold once it has done what it has to do already.
+    pub fn will_hold(&self, now: Micros, scope: u64, parts: &[Part]) -> u32 {
+        let there = |part: &Part| {
+            let key = (scope, part.id);
+            let held = self.held.get(&key).copied().unwrap_or_default();
+            let soon = self.expected.get(&key).filter(|(_, until)| *until > now);
+            held.max(soon.map_or(0, |(tokens, _)| *tokens))
+        };
+        prefix(parts, there)
+    }
+
+    /// Expects it to hold some parts soon.
+    pub fn expect(&mut self, now: Micros, scope: u64, parts: &[Part]) {
+        let until = now + EXPECTED;
+        for p in parts {
+            self.expected.insert((scope, p.id), (p.tokens, until));
+        }
+    }
+
+    /// Notes that it has read or fetched some parts, or that it won't.
+    pub fn settle(&mut self, scope: u64, parts: &[Part], done: bool) {
+        for p in parts {
+            let key = (scope, p.id);
+            self.expected.remove(&key);
+            if done {
+                self.held.insert(key, p.tokens);
+            }
+        }
+    }
+
     /// Notes that its weights are of a version; what it held for another one is gone.
     pub fn loaded(&mut self, model: &str, version: u64) {
         let known = self.weights.get(model).copied().unwrap_or_default();
         if known < version {
             self.weights.insert(model.to_owned(), version);
             self.held.clear();
+            self.expected.clear();
         }
     }
 }
 
 /// Tokens at the beginning of a prompt that are held; a part counts only if all before it are there.
 pub(super) fn holds(held: &HashMap<(u64, PartId), u32>, scope: u64, parts: &[Part]) -> u32 {
+    prefix(parts, |part| {
+        held.get(&(scope, part.id)).copied().unwrap_or_default()
+    })
+}
+
+fn prefix(parts: &[Part], there: impl Fn(&Part) -> u32) -> u32 {
     let mut tokens = 0;
     for part in parts {
-        let there = held.get(&(scope, part.id)).copied().unwrap_or_default();
+        let there = there(part);
         tokens += there.min(part.tokens);
         if there < part.tokens {
             break;
@@ -190,7 +232,7 @@
         for w in &news.weights {
             replica.loaded(&w.model, w.version);
         }
-        if news.epoch != replica.epoch {
+        if !news.entry && news.epoch != replica.epoch {
             replica.epoch = news.epoch;
             replica.held.clear();
         }
@@ -201,6 +243,11 @@
                 n => replica.held.insert(key, n),
             };
         }
+        if news.entry {
+            let parts: Vec<_> = news.expected.iter().map(part).collect();
+            let scope = news.expected.first().map_or(0, |h| h.scope);
+            return replica.expect(now, scope, &parts);
+        }
         replica.heard = Some(Heard {
             at: now,
             alive: news.alive,
@@ -256,6 +303,13 @@
     }
 }
 
+fn part(held: &Held) -> Part {
+    Part {
+        id: PartId(held.part),
+        tokens: held.tokens,
+    }
+}
+
 fn left_out(replica: &Replica, reason: &str) {
     log::event(&Event::LeftOut {
         target: &replica.target.boot.id,
--- a/crates/gate/src/entry/listen.rs
+++ b/crates/gate/src/entry/listen.rs
@@ -22,6 +22,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, Instant};
 
 use super::{serve, Ctx};
@@ -95,8 +96,9 @@
     }
 }
 
-/// Takes callers' connections and the platform's questions whether this process is ready.
-pub(super) async fn serve(ctx: &Ctx) -> io::Result<()> {
+/// Takes callers' connections, until the handle ends that, and the platform's questions whether this
+/// process is ready.
+pub(super) async fn serve(ctx: &Ctx) -> io::Result<AbortHandle> {
     let (callers, ready) = {
         let s = ctx.node.settings.borrow();
         (s.callers, s.ready)
@@ -109,9 +111,9 @@
         let listener = TcpListener::bind(ready).await?;
         tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Ready));
     }
-    tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Callers));
+    let listening = tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Callers));
     tokio::task::spawn_local(look_over(Rc::clone(ctx)));
-    Ok(())
+    Ok(listening.abort_handle())
 }
 
 /// What a port is for.
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -12,7 +12,7 @@
 mod send;
 mod serve;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -22,10 +22,12 @@
 use model::Micros;
 use policy::shared;
 use tokio::net::UdpSocket;
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 
-use crate::news;
+use crate::news::{self, Held, News};
 use crate::world::Shared;
+use site::{Part, Scope};
 
 pub use fleet::Fleet;
 
@@ -47,6 +49,10 @@
     pub fleet: RefCell<Fleet>,
     /// Its part of each pool's retries.
     budgets: RefCell<HashMap<String, shared::Budget>>,
+    /// Where news comes in and goes out.
+    socket: UdpSocket,
+    /// Whether it takes no more requests, since it is about to end.
+    closing: Cell<bool>,
     /// Its callers' connections.
     connections: RefCell<listen::Connections>,
 }
@@ -57,6 +63,23 @@
         self.node.now()
     }
 
+    /// Tells the other entries what an engine was sent to read, so that they don't send the same
+    /// opening to be read elsewhere.
+    fn tell_expected(&self, engine: std::net::SocketAddr, scope: &Scope, parts: &[Part]) {
+        let held = |p: &Part| Held {
+            scope: scope.key(),
+            part: p.id.0,
+            tokens: p.tokens,
+        };
+        let news = News {
+            engine: engine.to_string(),
+            entry: true,
+            expected: parts.iter().take(news::PARTS).map(held).collect(),
+            ..News::default()
+        };
+        news::send(&self.socket, &news, self.node.world.borrow().entries());
+    }
+
     /// Lets a decision use a pool's budget of retries.
     fn budget<T>(&self, pool: &str, use_it: impl FnOnce(&mut shared::Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
@@ -65,12 +88,16 @@
             let config = shared::Config {
                 ratio: bounds.retry_ratio,
                 slack: bounds.retry_slack,
+                entries: self.node.world.borrow().entries().count() + 1,
                 window: bounds.retry_window.into(),
             };
             budgets.insert(pool.to_owned(), shared::Budget::new(config));
         }
         match budgets.get_mut(pool) {
-            Some(b) => use_it(b),
+            Some(b) => {
+                b.set_entries(self.node.world.borrow().entries().count() + 1);
+                use_it(b)
+            }
             None => unreachable!("inserted above"),
         }
     }
@@ -86,32 +113,38 @@
         node,
         fleet: RefCell::default(),
         budgets: RefCell::default(),
+        socket,
+        closing: Cell::new(false),
         connections: RefCell::default(),
     });
     tokio::task::spawn_local(list::follow(Rc::clone(&ctx)));
-    tokio::task::spawn_local(hear(Rc::clone(&ctx), socket));
+    tokio::task::spawn_local(hear(Rc::clone(&ctx)));
     tokio::task::spawn_local(kept::follow(Rc::clone(&ctx)));
-    listen::serve(&ctx).await?;
+    let listening = listen::serve(&ctx).await?;
     let told = stop.await;
-    leave(&ctx, told).await;
+    leave(&ctx, told, &listening).await;
     Ok(())
 }
 
 /// Takes over what sidecars tell.
-async fn hear(ctx: Ctx, socket: UdpSocket) {
+async fn hear(ctx: Ctx) {
     loop {
-        let news = news::receive(&socket).await;
+        let news = news::receive(&ctx.socket).await;
         let now = ctx.now();
         ctx.fleet.borrow_mut().hear(now, &news);
     }
 }
 
-/// Ends without cutting a request: no longer ready at once, open connections served a while longer,
-/// then closed as they fall idle.
-async fn leave(ctx: &Ctx, told: Instant) {
+/// Ends without cutting a request: no longer ready at once, all that comes served a while longer,
+/// then nothing new taken and connections closed as they fall idle. Where the balancer has nobody
+/// else in the domain, it goes on sending to a process that isn't ready; what came too late to be
+/// finished within the grace would be cut with the process.
+async fn leave(ctx: &Ctx, told: Instant, listening: &AbortHandle) {
     ctx.node.stopping.set(true);
     let end = told + ctx.node.settings.borrow().bounds.grace - MARGIN;
     sleep(LAME).await;
+    ctx.closing.set(true);
+    listening.abort();
     ctx.connections.borrow().close_idle();
     let emptied = async {
         while !ctx.connections.borrow().is_empty() {
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -24,6 +24,8 @@
 /// Milliseconds between the first and the last engine in a subject's own order; entries that know
 /// nothing of one another's choices then read a new opening on the same engine.
 const ORDER: f64 = 12.0;
+/// Part of the time to read an opening anew that keeps its first readers at one engine.
+const COLD: f64 = 0.6;
 /// Milliseconds before a fetched token moves.
 const SETUP: f64 = 2.0;
 /// How much longer a move between failure domains takes.
@@ -70,6 +72,8 @@
     pub(super) weights: Option<u64>,
     /// Tokens of the prompt that it holds.
     pub(super) held: u32,
+    /// Whether it reads shared parts that nobody is known to hold.
+    pub(super) cold: bool,
     /// Tokens of the prompt that it reads.
     pub(super) read: u32,
     /// Milliseconds until the first token, or the share of its places in use.
@@ -132,6 +136,7 @@
         scope: None,
         weights: None,
         held: 0,
+        cold: false,
         read: 0,
         estimate: cost,
         age: r.load.map(|(_, at)| now.since(at)),
@@ -186,6 +191,11 @@
         .filter(|(_, r)| current(r))
         .collect();
     let subject = prompt.shared().last().map_or(0, |p| p.id.0);
+    let known = fleet
+        .replicas
+        .values()
+        .map(|r| scope(r).map_or(0, |s| r.will_hold(now, s.key(), prompt.shared())));
+    let missing = prompt.shared_tokens() - known.max().unwrap_or_default();
     let view = View {
         now,
         domain: &domain,
@@ -193,9 +203,10 @@
         engine,
         named,
         subject,
+        order: ORDER + f64::from(missing) * READ * COLD,
     };
     let candidates = open.iter().map(|(key, r)| {
-        let held = scope(r).map_or(0, |s| r.holds(s.key(), &prompt.parts));
+        let held = scope(r).map_or(0, |s| r.will_hold(now, s.key(), &prompt.parts));
         view.candidate(*key, r, held)
     });
     let sources = |key: Key| {
@@ -209,7 +220,7 @@
     let scope = scope(r);
     let held = scope
         .as_ref()
-        .map_or(0, |s| r.holds(s.key(), &prompt.parts));
+        .map_or(0, |s| r.will_hold(now, s.key(), &prompt.parts));
     Ok(Pick {
         key: choice.key,
         addr: r.target.addr,
@@ -221,6 +232,7 @@
         weights: r.weights.get(&prompt.model).copied(),
         scope,
         held,
+        cold: choice.read > prompt.input - prompt.shared_tokens().min(prompt.input),
         read: choice.read,
         estimate: choice.cost,
         age: r.heard.map(|h| now.since(h.at)),
@@ -243,6 +255,7 @@
     engine: Engine,
     named: Option<crate::world::Named>,
     subject: u64,
+    order: f64,
 }
 
 impl View<'_> {
@@ -300,7 +313,7 @@
     /// The engine's place in the subject's own order.
     fn order(&self, r: &Replica) -> f64 {
         let hash = xxh3_64_with_seed(r.target.boot.id.as_bytes(), self.subject);
-        ORDER * hash as f64 / u64::MAX as f64
+        self.order * hash as f64 / u64::MAX as f64
     }
 
     fn sources(
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -26,6 +26,8 @@
 pub(super) enum Reason {
     /// No configuration is known yet.
     Unconfigured,
+    /// The process is about to end.
+    Stopping,
     /// The head can't be used.
     Malformed,
     /// No route matches.
@@ -51,6 +53,7 @@
     pub(super) fn word(self) -> &'static str {
         match self {
             Self::Unconfigured => "unconfigured",
+            Self::Stopping => "stopping",
             Self::Malformed => "malformed",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
@@ -69,7 +72,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Unconfigured | Self::NoTarget | Self::NotRun | Self::Expired => {
+            Self::Unconfigured | Self::Stopping | Self::NoTarget | Self::NotRun | Self::Expired => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -82,6 +85,8 @@
         match self {
             // A configuration is read within a few round trips to the store.
             Self::Unconfigured => Some(Duration::from_millis(400)),
+            // Another process takes the caller's next connection.
+            Self::Stopping => Some(Duration::from_millis(50)),
             // A target enters itself in the list with its next heartbeat.
             Self::NoTarget => Some(Duration::from_millis(800)),
             // A queue as long as an aim has gone by then.
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use platform::replica::{self, Terms, Told};
+use site::Part;
 use tokio::time::timeout;
 
 use super::fleet::Key;
@@ -26,18 +27,36 @@
     ctx: Ctx,
     key: Key,
     unread: u32,
+    /// Parts that it is expected to hold, and their scope.
+    expected: Option<(u64, Vec<Part>)>,
 }
 
 impl Place {
-    fn new(ctx: &Ctx, key: Key, unread: u32) -> Self {
-        if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(key) {
+    fn new(ctx: &Ctx, job: &Job, pick: &Pick) -> Self {
+        let now = ctx.now();
+        let expected = match (&job.prompt, &pick.scope) {
+            (Some(p), Some(s)) => Some((s.key(), p.shared().to_vec())),
+            _ => None,
+        };
+        let mut fleet = ctx.fleet.borrow_mut();
+        if let Some(r) = fleet.replicas.get_mut(pick.key) {
             r.inflight += 1;
-            r.unread += unread;
+            r.unread += pick.read;
+            if let Some((scope, parts)) = &expected {
+                r.expect(now, *scope, parts);
+            }
+        }
+        drop(fleet);
+        if let (Some((_, parts)), Some(scope)) = (&expected, pick.scope.as_ref()) {
+            if pick.cold {
+                ctx.tell_expected(pick.addr, scope, parts);
+            }
         }
         Self {
             ctx: Rc::clone(ctx),
-            key,
-            unread,
+            key: pick.key,
+            unread: pick.read,
+            expected,
         }
     }
 
@@ -48,16 +67,23 @@
 
     /// Notes that the target has read the prompt.
     pub(super) fn read(&mut self) {
+        self.settle(true);
+    }
+
+    fn settle(&mut self, done: bool) {
         let unread = std::mem::take(&mut self.unread);
         if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
             r.unread = r.unread.saturating_sub(unread);
+            if let Some((scope, parts)) = self.expected.take() {
+                r.settle(scope, &parts, done);
+            }
         }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.read();
+        self.settle(false);
         if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
             r.inflight = r.inflight.saturating_sub(1);
         }
@@ -92,7 +118,7 @@
 
 /// Sends a request and waits for the head of its answer.
 pub(super) async fn send(ctx: &Ctx, job: &Job, pick: &Pick, patience: Duration) -> Sent {
-    let place = Place::new(ctx, pick.key, pick.read);
+    let place = Place::new(ctx, job, pick);
     let Some(request) = request(ctx, job, pick) else {
         return Sent::Unseen("unsendable");
     };
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -95,6 +95,9 @@
 
 /// Finds a request's route and team.
 fn prepare(ctx: &Ctx, came: Micros, parts: Parts, head: Head) -> Result<(Rc<Plan>, Job), Reason> {
+    if ctx.closing.get() {
+        return Err(Reason::Stopping);
+    }
     let plan = ctx.node.plan().ok_or(Reason::Unconfigured)?;
     let mut facts = Facts {
         method: parts.method.as_str().to_owned(),
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -1,4 +1,4 @@
-//! What sidecars tell the entries: datagrams about one engine.
+//! What sidecars tell the entries, and entries one another: datagrams about one engine.
 //!
 //! News is about now, so a lost datagram isn't sent again; the next one says more. What the engine
 //! holds is told as changes, and in whole every few seconds, so that an entry that has missed a
@@ -53,6 +53,12 @@
     /// Parts stored or dropped.
     #[prost(message, repeated, tag = "11")]
     pub parts: Vec<Held>,
+    /// Whether this comes from an entry; it then tells only what the engine is to read.
+    #[prost(bool, tag = "12")]
+    pub entry: bool,
+    /// Parts that an entry has just sent the engine to read.
+    #[prost(message, repeated, tag = "13")]
+    pub expected: Vec<Held>,
 }
 
 /// A model's weights.
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -223,7 +223,7 @@
             version: named.version,
         },
         heard: named.heard,
-        at: (named.heard + wait).max(now),
+        at: (named.heard + QUIET + wait).max(now),
         pause: Micros::ZERO,
         begun: None,
     });
--- a/crates/policy/src/shared.rs
+++ b/crates/policy/src/shared.rs
@@ -6,12 +6,11 @@
 //!
 //! The share is additive: if each entry stays below the share of its own requests, all of them do
 //! together, however unevenly requests are spread and however many entries there are. Only the
-//! slack would have to be divided, which takes knowing how many entries live; an entry takes a
-//! fixed small part of it instead.
+//! slack has to be divided, by the entries on the list of members. Entries that are gone stay on
+//! that list, which makes the parts smaller, never larger.
 //!
 //! Grounds: nine tenths of the ratio, since the owner's windows and an entry's own don't begin at
-//! the same moment; a 32nd of the slack, as many as there are entries in the largest fleet of
-//! today, so that an entry with little traffic may still retry now and then.
+//! the same moment; half of the slack, since an entry that has just come isn't known to all.
 
 use std::collections::VecDeque;
 
@@ -24,14 +23,16 @@
     pub ratio: f64,
     /// Retries beyond that, for all entries together.
     pub slack: f64,
+    /// Entries that are known, this one included.
+    pub entries: usize,
     /// The window in which both are counted.
     pub window: Micros,
 }
 
 /// Part of the ratio that is used.
 const USED: f64 = 0.9;
-/// Part of the slack that one entry takes.
-const SLACK_PART: f64 = 1.0 / 32.0;
+/// Part of the slack that is used.
+const SLACK: f64 = 0.5;
 
 /// One entry's part of a pool's budget.
 #[derive(Debug)]
@@ -51,6 +52,11 @@
         }
     }
 
+    /// Takes over how many entries are known.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.config.entries = entries;
+    }
+
     /// Notes a caller's request for the pool.
     pub fn request(&mut self, now: Micros) {
         self.requests.push_back(now);
@@ -70,7 +76,8 @@
     /// Retries left.
     pub fn left(&self) -> f64 {
         let earned = self.config.ratio * USED * self.requests.len() as f64;
-        earned + self.config.slack * SLACK_PART - self.retries.len() as f64
+        earned + self.config.slack * SLACK / self.config.entries.max(1) as f64
+            - self.retries.len() as f64
     }
 
     fn expire(&mut self, now: Micros) {
