Follow all stores of kept cache through sidecars; keep only prompts that add more shared than own tokens

Cause: an engine sends a whole prompt to be kept, so long own parts pushed the shared ones out of the store, and subjects asked for every ten seconds were read anew each time; with several stores or many entries most entries knew nothing of them. Also: unread prompts counted from the engines' runs, fetches only from engines heard of just now, resumable streams moved only well past twice their estimate.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -35,17 +35,17 @@
     pub alive: bool,
     /// Whether it is loading weights.
     pub busy: bool,
-    /// Requests running.
-    pub active: u32,
-    /// Requests waiting.
-    pub queued: u32,
+    /// Requests whose prompt has been read.
+    pub begun: u32,
+    /// Requests whose prompt hasn't been read yet.
+    pub unread: u32,
     /// Tokens of memory that can't yield.
     pub used: u32,
     /// Tokens of memory in all.
     pub total: u32,
     /// When it takes new weights, if it is going to.
     pub swap: Option<Micros>,
-    /// Requests of this entry that were there.
+    /// Requests of this entry that were there unread.
     pub own: u32,
 }
 
@@ -58,6 +58,8 @@
     pub(super) idle: Idle,
     /// Requests of this entry that are there.
     pub inflight: u32,
+    /// Those of them whose prompt it has yet to read.
+    pub reading: u32,
     /// Prompt tokens of this entry that it has yet to read.
     pub unread: u32,
     /// Its own count, and when it came.
@@ -85,6 +87,7 @@
             target,
             idle: Idle::default(),
             inflight: 0,
+            reading: 0,
             unread: 0,
             load: None,
             heard: None,
@@ -161,14 +164,42 @@
     tokens
 }
 
+/// A store of kept KV cache.
+#[derive(Debug, Default)]
+pub struct KeptStore {
+    /// Tokens of parts that it holds, by scope and part.
+    pub held: HashMap<(u64, PartId), u32>,
+    epoch: u64,
+}
+
+impl KeptStore {
+    fn hear(&mut self, news: &News) {
+        if !news.alive || news.epoch != self.epoch {
+            self.held.clear();
+        }
+        self.epoch = news.epoch;
+        take_over(&mut self.held, &news.parts);
+    }
+}
+
+fn take_over(held: &mut HashMap<(u64, PartId), u32>, parts: &[Held]) {
+    for h in parts {
+        let key = (h.scope, PartId(h.part));
+        match h.tokens {
+            0 => held.remove(&key),
+            n => held.insert(key, n),
+        };
+    }
+}
+
 /// All targets.
 #[derive(Debug, Default)]
 pub struct Fleet {
     /// The targets.
     pub replicas: SlotMap<Key, Replica>,
     boots: HashMap<Boot, Key>,
-    /// Tokens of parts in the stores of kept KV cache, by address.
-    pub kept: HashMap<SocketAddr, HashMap<(u64, PartId), u32>>,
+    /// Stores of kept KV cache, by address.
+    pub kept: HashMap<SocketAddr, KeptStore>,
     /// Part of answers that usually fail, by pool.
     usual: HashMap<String, f64>,
 }
@@ -226,6 +257,9 @@
         let Ok(addr) = news.engine.parse::<SocketAddr>() else {
             return;
         };
+        if news.kept {
+            return self.kept.entry(addr).or_default().hear(news);
+        }
         let Some(replica) = self.replicas.values_mut().find(|r| r.target.addr == addr) else {
             return;
         };
@@ -236,13 +270,7 @@
             replica.epoch = news.epoch;
             replica.held.clear();
         }
-        for h in &news.parts {
-            let key = (h.scope, PartId(h.part));
-            match h.tokens {
-                0 => replica.held.remove(&key),
-                n => replica.held.insert(key, n),
-            };
-        }
+        take_over(&mut replica.held, &news.parts);
         if news.entry {
             let parts: Vec<_> = news.expected.iter().map(part).collect();
             let scope = news.expected.first().map_or(0, |h| h.scope);
@@ -252,12 +280,12 @@
             at: now,
             alive: news.alive,
             busy: news.busy,
-            active: news.active,
-            queued: news.queued,
+            begun: news.begun,
+            unread: news.unread,
             used: news.used,
             total: news.total,
             swap: news.swap_ms.map(|ms| now + Micros::from_millis(ms.into())),
-            own: replica.inflight,
+            own: replica.reading,
         });
     }
 
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -2,7 +2,6 @@
 
 mod fleet;
 mod idle;
-mod kept;
 mod list;
 mod listen;
 mod pick;
@@ -119,7 +118,6 @@
     });
     tokio::task::spawn_local(list::follow(Rc::clone(&ctx)));
     tokio::task::spawn_local(hear(Rc::clone(&ctx)));
-    tokio::task::spawn_local(kept::follow(Rc::clone(&ctx)));
     let listening = listen::serve(&ctx).await?;
     let told = stop.await;
     leave(&ctx, told, &listening).await;
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -15,10 +15,10 @@
 
 /// Milliseconds to read a token, before an engine's own slowness.
 const READ: f64 = 1.0 / 45.0;
-/// Milliseconds that each request running at an engine costs a new one.
-const ACTIVE: f64 = 1.0;
-/// Milliseconds that each request waiting at an engine costs a new one; a mean prompt's reading.
-const QUEUED: f64 = 30.0;
+/// Milliseconds that each request being answered at an engine costs a new one.
+const BEGUN: f64 = 0.5;
+/// Milliseconds that each unread request of other entries costs a new one; a mean prompt's reading.
+const UNREAD: f64 = 30.0;
 /// Milliseconds that crossing failure domains is taken for.
 const FAR: f64 = 3.0;
 /// Milliseconds between the first and the last engine in a subject's own order; entries that know
@@ -26,6 +26,10 @@
 const ORDER: f64 = 12.0;
 /// Part of the time to read an opening anew that keeps its first readers at one engine.
 const COLD: f64 = 0.6;
+/// Shared tokens that are worth keeping at least; fewer are read as fast as they are fetched.
+const LEAST_KEPT: u32 = 500;
+/// Longest own part of a prompt that is kept, as a multiple of the shared tokens that it adds.
+const OWN_KEPT: f64 = 0.6;
 /// Milliseconds before a fetched token moves.
 const SETUP: f64 = 2.0;
 /// How much longer a move between failure domains takes.
@@ -44,6 +48,9 @@
 const OLD_END: f64 = 0.8;
 /// Age up to which a sidecar's news counts.
 const HEARD: Micros = Micros::from_millis(1_500);
+/// Age of news after which an engine may have vanished with its host; sidecars tell five times a
+/// second.
+const FRESH: Micros = Micros::from_millis(700);
 /// Age up to which a target's own count counts.
 const LOAD: Micros = Micros::from_millis(400);
 /// Milliseconds added where memory would run out, so that what runs would be put off.
@@ -115,6 +122,13 @@
     heard.is_none_or(|h| h.alive)
 }
 
+/// Whether the sidecar has said just now that the engine answers. Fetching from one that doesn't
+/// costs some hundred milliseconds.
+fn surely_answers(replica: &Replica, now: Micros) -> bool {
+    let heard = replica.heard.filter(|h| now.since(h.at) < FRESH);
+    heard.is_some_and(|h| h.alive)
+}
+
 fn pick_plain(ctx: &Ctx, job: &Job) -> Result<Pick, Reason> {
     let now = ctx.now();
     let domain = ctx.node.settings.borrow().domain.clone();
@@ -239,12 +253,21 @@
     })
 }
 
-/// Where the prompt's shared parts are to be kept: in a store that lacks some of them.
+/// Where the prompt's shared parts are to be kept: in the subject's own store, if it lacks some.
+///
+/// An engine sends the whole prompt, its own last part too, which nobody will ask for again. Prompts
+/// whose own part is long beside what they would add are left for a later, shorter one of the same
+/// subject, or the store would be full of what is of no use.
 fn save(fleet: &Fleet, plan: &Plan, prompt: &Prompt, scope: u64) -> Option<SocketAddr> {
-    let store = plan.kept().first()?;
-    let held = fleet.kept.get(&store.addr)?;
-    let there = holds(held, scope, prompt.shared());
-    (there < prompt.shared_tokens()).then_some(store.addr)
+    let subject = prompt.shared().last()?.id.0;
+    let rank = |a: &SocketAddr| xxh3_64_with_seed(a.to_string().as_bytes(), subject);
+    let stores = plan.kept().iter().map(|k| k.addr);
+    let store = stores.min_by_key(rank)?;
+    let held = &fleet.kept.get(&store)?.held;
+    let missing = prompt.shared_tokens() - holds(held, scope, prompt.shared());
+    let own = prompt.input.saturating_sub(prompt.shared_tokens());
+    let worth = missing >= LEAST_KEPT && f64::from(own) <= f64::from(missing) * OWN_KEPT;
+    worth.then_some(store)
 }
 
 /// What one choice is made by.
@@ -278,12 +301,12 @@
 
     /// Milliseconds before the engine begins to read.
     fn wait(&self, r: &Replica, read: f64) -> f64 {
-        let own = f64::from(r.unread) * read + f64::from(r.inflight) * ACTIVE;
+        let own = f64::from(r.unread) * read;
         let Some(h) = r.heard.filter(|h| self.now.since(h.at) < HEARD) else {
             return own;
         };
-        let others = (h.active + h.queued).saturating_sub(h.own);
-        let told = f64::from(others) * ACTIVE + f64::from(h.queued) * QUEUED;
+        let others = h.unread.saturating_sub(h.own);
+        let told = f64::from(h.begun) * BEGUN + f64::from(others) * UNREAD;
         let needed = u64::from(h.used) + u64::from(self.prompt.input + self.prompt.output);
         let crowded = h.total > 0 && needed > u64::from(h.total);
         let loading = if h.busy { LOADING } else { 0.0 };
@@ -338,7 +361,7 @@
             .replicas
             .iter()
             .filter(|(k, o)| *k != key && o.target.pool == r.target.pool)
-            .filter(|(_, o)| o.standing.usable(self.now) && answers(o, self.now));
+            .filter(|(_, o)| o.standing.usable(self.now) && surely_answers(o, self.now));
         let engines = others.map(|(_, o)| Source {
             addr: o.target.addr,
             held: o.holds(scope, parts),
@@ -348,7 +371,7 @@
         let kept = plan.kept().iter().filter_map(|k| {
             Some(Source {
                 addr: k.addr,
-                held: holds(fleet.kept.get(&k.addr)?, scope, parts),
+                held: holds(&fleet.kept.get(&k.addr)?.held, scope, parts),
                 rate: rate(k.link) * far(&k.domain),
                 setup: SETUP,
             })
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -26,7 +26,8 @@
 pub(super) struct Place {
     ctx: Ctx,
     key: Key,
-    unread: u32,
+    /// Tokens that the target has yet to read; none once it has.
+    unread: Option<u32>,
     /// Parts that it is expected to hold, and their scope.
     expected: Option<(u64, Vec<Part>)>,
 }
@@ -41,6 +42,7 @@
         let mut fleet = ctx.fleet.borrow_mut();
         if let Some(r) = fleet.replicas.get_mut(pick.key) {
             r.inflight += 1;
+            r.reading += 1;
             r.unread += pick.read;
             if let Some((scope, parts)) = &expected {
                 r.expect(now, *scope, parts);
@@ -55,7 +57,7 @@
         Self {
             ctx: Rc::clone(ctx),
             key: pick.key,
-            unread: pick.read,
+            unread: Some(pick.read),
             expected,
         }
     }
@@ -71,9 +73,12 @@
     }
 
     fn settle(&mut self, done: bool) {
-        let unread = std::mem::take(&mut self.unread);
+        let Some(unread) = self.unread.take() else {
+            return;
+        };
         if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
             r.unread = r.unread.saturating_sub(unread);
+            r.reading = r.reading.saturating_sub(1);
             if let Some((scope, parts)) = self.expected.take() {
                 r.settle(scope, &parts, done);
             }
@@ -259,6 +264,11 @@
     }
 }
 
+fn subject(job: &Job) -> Option<String> {
+    let part = job.prompt.as_ref()?.shared().last()?;
+    Some(format!("{:x}", part.id.0))
+}
+
 /// Tells of a sending.
 pub(super) fn tell(job: &Job, pick: &Pick) {
     log::event(&Event::Sent {
@@ -266,6 +276,7 @@
         target: &pick.boot.id,
         attempt: job.sends,
         estimate_ms: pick.estimate,
+        subject: subject(job),
         held: pick.held,
         read: pick.read,
         fetch: pick.fetch.map(|a| a.to_string()),
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -35,8 +35,10 @@
 /// Part of the aim after which an idempotent request is sent to another target; usual work takes a
 /// fifth of the aim, and the second target needs time too.
 const PATIENCE: f64 = 0.6;
-/// Multiple of the aim after which a resumable stream without an event goes to another replica.
-const STREAM_PATIENCE: f64 = 1.5;
+/// Time beyond twice its estimate after which a resumable stream without an event goes to another
+/// replica. A replica that is only slow must keep it: at 0.6 s in all, four in ten of the streams of
+/// a fleet with a quarter of its engines dark were begun twice, which doubled the load of the rest.
+const STREAM_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Shortest time in which a target can answer anything.
 const LEAST: Duration = Duration::from_millis(5);
 
@@ -265,12 +267,15 @@
 }
 
 /// How long a try may go without an answer's head.
-fn patience(ctx: &Ctx, job: &Job) -> Duration {
+fn patience(ctx: &Ctx, job: &Job, pick: &Pick) -> Duration {
     let end = job.left(ctx.now()) + LAST_WORD;
     let more = job.runs + 1 < job.route.attempts;
     match job.route.mode {
         Mode::Idempotent if more => job.route.aim.mul_f64(PATIENCE).min(end),
-        Mode::Resumable if more => job.route.aim.mul_f64(STREAM_PATIENCE).min(end),
+        Mode::Resumable if more => {
+            let estimate = Duration::from_secs_f64(pick.estimate.clamp(0.0, 60_000.0) / 1e3);
+            (STREAM_PATIENCE + estimate * 2).min(end)
+        }
         _ => end,
     }
 }
@@ -279,7 +284,7 @@
     job.tried.push(pick.key);
     job.sends += 1;
     send::tell(job, pick);
-    let sent = send::send(ctx, job, pick, patience(ctx, job)).await;
+    let sent = send::send(ctx, job, pick, patience(ctx, job, pick)).await;
     let now = ctx.now();
     match sent {
         Sent::Answer(live) => take(ctx, job, *live).await,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod entry;
 pub mod follow;
+pub mod kept;
 pub mod log;
 pub mod meter;
 pub mod news;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -124,6 +124,8 @@
         attempt: u32,
         /// Milliseconds until its first token, as estimated.
         estimate_ms: f64,
+        /// Name of the prompt's last shared part, in hexadecimal.
+        subject: Option<String>,
         /// Tokens of the prompt that the target is believed to hold.
         held: u32,
         /// Tokens that it has to read.
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::world::Shared;
+use crate::world::{Shared, World};
 
 /// Bytes of a datagram at most; it must not be split on its way.
 pub const LARGEST: usize = 1_200;
@@ -32,12 +32,12 @@
     /// Whether it is carrying out an order.
     #[prost(bool, tag = "4")]
     pub busy: bool,
-    /// Requests running.
+    /// Requests whose prompt has been read.
     #[prost(uint32, tag = "5")]
-    pub active: u32,
-    /// Requests waiting.
+    pub begun: u32,
+    /// Requests whose prompt hasn't been read yet.
     #[prost(uint32, tag = "6")]
-    pub queued: u32,
+    pub unread: u32,
     /// Tokens of memory that can't yield.
     #[prost(uint32, tag = "7")]
     pub used: u32,
@@ -56,6 +56,9 @@
     /// Whether this comes from an entry; it then tells only what the engine is to read.
     #[prost(bool, tag = "12")]
     pub entry: bool,
+    /// Whether this is about a store of kept KV cache instead of an engine.
+    #[prost(bool, tag = "14")]
+    pub kept: bool,
     /// Parts that an entry has just sent the engine to read.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<Held>,
@@ -101,6 +104,22 @@
     }
 }
 
+/// Sends news with some parts to all entries, in as many datagrams as the parts need.
+pub fn send_parts(socket: &UdpSocket, news: News, parts: &[Held], world: &World) {
+    let mut chunks = parts.chunks(PARTS);
+    loop {
+        let parts = chunks.next().unwrap_or_default().to_vec();
+        let news = News {
+            parts,
+            ..news.clone()
+        };
+        send(socket, &news, world.entries());
+        if chunks.len() == 0 {
+            break;
+        }
+    }
+}
+
 /// Waits for the next datagram that can be read.
 pub async fn receive(socket: &UdpSocket) -> News {
     let mut buffer = [0; 2 * LARGEST];
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
 
+use crate::kept;
 use crate::log::{self, Event};
 use crate::meter;
 use crate::news::{self, Held, Loaded, News};
@@ -84,6 +85,8 @@
         ));
     };
     let events = events(Rc::clone(&engine), Conn::new(addr));
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(kept::follow(Rc::clone(&node), Rc::clone(&socket)));
     let look = look(&node, &engine, Conn::new(addr), &socket);
     tokio::select! {
         _ = events => {}
@@ -137,7 +140,7 @@
         note(engine, report);
         schedule(node, engine);
         order(node, engine, &mut conn).await;
-        let mut news = summary(node, engine);
+        let news = summary(node, engine);
         if whole.elapsed() >= WHOLE {
             whole = Instant::now();
             tell_whole(node, engine, socket, &news);
@@ -146,14 +149,7 @@
         if news != told || !fresh.is_empty() || renewed.elapsed() >= RENEW {
             told = news.clone();
             renewed = Instant::now();
-            let mut chunks = fresh.chunks(news::PARTS);
-            loop {
-                news.parts = chunks.next().unwrap_or_default().to_vec();
-                news::send(socket, &news, node.world.borrow().entries());
-                if chunks.len() == 0 {
-                    break;
-                }
-            }
+            news::send_parts(socket, news, &fresh, &node.world.borrow());
         }
         sleep(LOOK).await;
     }
@@ -304,8 +300,8 @@
     if let Some(r) = &e.report {
         news.weights = r.weights.iter().map(loaded).collect();
         news.busy = r.busy;
-        news.active = r.active;
-        news.queued = r.queued;
+        news.begun = r.begun;
+        news.unread = (r.active + r.queued).saturating_sub(r.begun);
         news.used = r.used;
         news.total = r.total;
     }
@@ -330,11 +326,5 @@
             tokens: *tokens,
         })
         .collect();
-    for parts in held.chunks(news::PARTS) {
-        let news = News {
-            parts: parts.to_vec(),
-            ..news.clone()
-        };
-        news::send(socket, &news, node.world.borrow().entries());
-    }
+    news::send_parts(socket, news.clone(), &held, &node.world.borrow());
 }
--- a/crates/site/src/target.rs
+++ b/crates/site/src/target.rs
@@ -63,8 +63,10 @@
     pub seq: u64,
     /// Requests waiting.
     pub queued: u32,
-    /// Requests running.
+    /// Requests that have been let in, read or not.
     pub active: u32,
+    /// Those of them whose prompt has been read.
+    pub begun: u32,
     /// Tokens of memory that can't yield.
     pub used: u32,
     /// Tokens of memory in all.
