Short readings first, loads told by all entries, room and step in the choice, late prompts refused at once

Cause: with a quarter of the engines dark, short streams waited behind long prompts, and each entry saw only its own sends.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -1,11 +1,13 @@
 //! What an entry believes of each target.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use model::Micros;
 use platform::replica::Load;
+use policy::ledger::Unread;
 use policy::standing::{self, Standing};
+use policy::urgency;
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
 
@@ -23,6 +25,8 @@
 const RETURN: Micros = Micros::from_millis(2_200);
 /// How long an engine is expected to hold what it was sent to read; a long prompt in a queue.
 const EXPECTED: Micros = Micros::from_millis(1_500);
+/// Sendings remembered for a target; more than one entry makes between two words of its sidecar.
+const RECENT: usize = 64;
 /// Weight of a new answer in what is usual for a pool.
 const USUAL: f64 = 0.02;
 
@@ -45,8 +49,8 @@
     pub total: u32,
     /// When it takes new weights, if it is going to.
     pub swap: Option<Micros>,
-    /// Requests of this entry that were there unread.
-    pub own: u32,
+    /// Prompt tokens that it has yet to read, for all entries, by step of urgency.
+    pub unread_tokens: Unread,
 }
 
 /// A target and what is believed of it.
@@ -58,10 +62,10 @@
     pub(super) idle: Idle,
     /// Requests of this entry that are there.
     pub inflight: u32,
-    /// Those of them whose prompt it has yet to read.
-    pub reading: u32,
     /// Prompt tokens of this entry that it has yet to read.
     pub unread: u32,
+    /// Prompts that this entry has sent of late, which its sidecar may not have counted yet.
+    pub recent: VecDeque<(Micros, u32)>,
     /// Its own count, and when it came.
     pub load: Option<(Load, Micros)>,
     /// What its sidecar told.
@@ -87,8 +91,8 @@
             target,
             idle: Idle::default(),
             inflight: 0,
-            reading: 0,
             unread: 0,
+            recent: VecDeque::new(),
             load: None,
             heard: None,
             held: HashMap::new(),
@@ -115,6 +119,24 @@
         prefix(parts, there)
     }
 
+    /// Notes a prompt sent to it.
+    pub fn send(&mut self, now: Micros, tokens: u32) {
+        self.inflight += 1;
+        self.unread += tokens;
+        self.recent.push_back((now, tokens));
+        while self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Tokens yet to read with those sent after a time, which its sidecar hasn't counted yet.
+    pub fn unread_since(&self, mut told: Unread, from: Micros) -> Unread {
+        for (_, tokens) in self.recent.iter().rev().take_while(|(at, _)| *at >= from) {
+            told[urgency::step(*tokens)] += tokens;
+        }
+        told
+    }
+
     /// Expects it to hold some parts soon.
     pub fn expect(&mut self, now: Micros, scope: u64, parts: &[Part]) {
         let until = now + EXPECTED;
@@ -182,6 +204,12 @@
     }
 }
 
+fn unread(told: &[u32]) -> Unread {
+    let mut unread = Unread::default();
+    unread.iter_mut().zip(told).for_each(|(u, t)| *u = *t);
+    unread
+}
+
 fn take_over(held: &mut HashMap<(u64, PartId), u32>, parts: &[Held]) {
     for h in parts {
         let key = (h.scope, PartId(h.part));
@@ -285,7 +313,7 @@
             used: news.used,
             total: news.total,
             swap: news.swap_ms.map(|ms| now + Micros::from_millis(ms.into())),
-            own: replica.reading,
+            unread_tokens: unread(&news.tokens),
         });
     }
 
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 
-use crate::news::{self, Held, News};
+use crate::news::{self, Held, News, Note};
 use crate::world::Shared;
 use site::{Part, Scope};
 
@@ -62,6 +62,17 @@
         self.node.now()
     }
 
+    /// Tells an engine's sidecar of a prompt; none of its tokens are left once it has been read.
+    fn tell_prompt(&self, engine: std::net::SocketAddr, request: u64, tokens: Option<u32>) {
+        let port = self.node.settings.borrow().peer.port();
+        let news = News {
+            entry: true,
+            note: Some(Note { request, tokens }),
+            ..News::default()
+        };
+        news::send(&self.socket, &news, [(engine.ip(), port).into()]);
+    }
+
     /// Tells the other entries what an engine was sent to read, so that they don't send the same
     /// opening to be read elsewhere.
     fn tell_expected(&self, engine: std::net::SocketAddr, scope: &Scope, parts: &[Part]) {
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -4,6 +4,7 @@
 
 use model::Micros;
 use policy::spot::{self, Candidate, Source};
+use policy::urgency;
 use site::{Boot, Engine, Plan, Prompt, Scope, State};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,8 +18,10 @@
 const READ: f64 = 1.0 / 45.0;
 /// Milliseconds that each request being answered at an engine costs a new one.
 const BEGUN: f64 = 0.5;
-/// Milliseconds that each unread request of other entries costs a new one; a mean prompt's reading.
-const UNREAD: f64 = 30.0;
+/// Milliseconds that each unread request costs a new one at least, should entries' words be lost.
+const UNREAD: f64 = 8.0;
+/// How long an entry's word takes to reach a sidecar and to come back as news.
+const TRANSIT: Micros = Micros::from_millis(5);
 /// Milliseconds that crossing failure domains is taken for.
 const FAR: f64 = 3.0;
 /// Milliseconds between the first and the last engine in a subject's own order; entries that know
@@ -30,6 +33,10 @@
 const LEAST_KEPT: u32 = 500;
 /// Longest own part of a prompt that is kept, as a multiple of the shared tokens that it adds.
 const OWN_KEPT: f64 = 0.6;
+/// Part of the time to read a token that taking it in costs others, by what has to yield for it.
+const ROOM: f64 = 0.4;
+/// Multiple of its aim at which a prompt is refused at once.
+const TOO_LATE: f64 = 2.0;
 /// Milliseconds before a fetched token moves.
 const SETUP: f64 = 2.0;
 /// How much longer a move between failure domains takes.
@@ -230,6 +237,9 @@
         scope(r).map_or_else(Vec::new, |s| view.sources(&fleet, plan, key, r, s.key()))
     };
     let choice = spot::choose(prompt.input, candidates, sources).ok_or(Reason::NoTarget)?;
+    if choice.cost > job.route.aim.as_secs_f64() * 1e3 * TOO_LATE {
+        return Err(Reason::Late);
+    }
     let r = fleet.replicas.get(choice.key).ok_or(Reason::NoTarget)?;
     let scope = scope(r);
     let held = scope
@@ -291,27 +301,30 @@
         };
         Candidate {
             key,
-            wait: self.wait(r, read),
+            wait: self.wait(r, read, self.prompt.input.saturating_sub(held)),
             read,
             held,
+            room: READ * ROOM,
             way: far + self.order(r),
             doubt: doubt(r, self.now) * self.old(r),
         }
     }
 
     /// Milliseconds before the engine begins to read.
-    fn wait(&self, r: &Replica, read: f64) -> f64 {
-        let own = f64::from(r.unread) * read;
+    fn wait(&self, r: &Replica, read: f64, tokens: u32) -> f64 {
+        let own = f64::from(r.unread);
         let Some(h) = r.heard.filter(|h| self.now.since(h.at) < HEARD) else {
-            return own;
+            return own * read;
         };
-        let others = h.unread.saturating_sub(h.own);
-        let told = f64::from(h.begun) * BEGUN + f64::from(others) * UNREAD;
+        let told = r.unread_since(h.unread_tokens, h.at - TRANSIT);
+        let before = urgency::before(told, urgency::step(tokens));
+        let unread = (before * read).max(f64::from(h.unread) * UNREAD);
         let needed = u64::from(h.used) + u64::from(self.prompt.input + self.prompt.output);
         let crowded = h.total > 0 && needed > u64::from(h.total);
         let loading = if h.busy { LOADING } else { 0.0 };
         let crowding = if crowded { CROWDED } else { 0.0 };
-        own + told * r.slowness + loading + crowding + self.leaving(r)
+        let begun = f64::from(h.begun) * BEGUN * r.slowness;
+        unread + begun + loading + crowding + self.leaving(r)
     }
 
     /// Milliseconds for an engine that is about to take new weights.
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -38,6 +38,8 @@
     TooLarge,
     /// No target of the pool is known.
     NoTarget,
+    /// No target can answer in time.
+    Late,
     /// Its tries came to nothing, and it ran nowhere.
     NotRun,
     /// It may have run, and its answer is lost.
@@ -59,6 +61,7 @@
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
             Self::NoTarget => "no_target",
+            Self::Late => "late",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
             Self::Expired => "expired",
@@ -72,9 +75,12 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Unconfigured | Self::Stopping | Self::NoTarget | Self::NotRun | Self::Expired => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Unconfigured
+            | Self::Stopping
+            | Self::NoTarget
+            | Self::Late
+            | Self::NotRun
+            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -90,7 +96,7 @@
             // A target enters itself in the list with its next heartbeat.
             Self::NoTarget => Some(Duration::from_millis(800)),
             // A queue as long as an aim has gone by then.
-            Self::NotRun => Some(Duration::from_millis(300)),
+            Self::Late | Self::NotRun => Some(Duration::from_millis(300)),
             _ => None,
         }
     }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to a target, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,8 +11,10 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use platform::replica::{self, Terms, Told};
+use policy::urgency;
 use site::Part;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet::Key;
 use super::idle::Upstream;
@@ -26,6 +29,8 @@
 pub(super) struct Place {
     ctx: Ctx,
     key: Key,
+    addr: SocketAddr,
+    request: u64,
     /// Tokens that the target has yet to read; none once it has.
     unread: Option<u32>,
     /// Parts that it is expected to hold, and their scope.
@@ -41,14 +46,16 @@
         };
         let mut fleet = ctx.fleet.borrow_mut();
         if let Some(r) = fleet.replicas.get_mut(pick.key) {
-            r.inflight += 1;
-            r.reading += 1;
-            r.unread += pick.read;
+            r.send(now, pick.read);
             if let Some((scope, parts)) = &expected {
                 r.expect(now, *scope, parts);
             }
         }
         drop(fleet);
+        let request = xxh3_64(job.id.as_bytes());
+        if expected.is_some() {
+            ctx.tell_prompt(pick.addr, request, Some(pick.read));
+        }
         if let (Some((_, parts)), Some(scope)) = (&expected, pick.scope.as_ref()) {
             if pick.cold {
                 ctx.tell_expected(pick.addr, scope, parts);
@@ -57,6 +64,8 @@
         Self {
             ctx: Rc::clone(ctx),
             key: pick.key,
+            addr: pick.addr,
+            request,
             unread: Some(pick.read),
             expected,
         }
@@ -78,11 +87,13 @@
         };
         if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
             r.unread = r.unread.saturating_sub(unread);
-            r.reading = r.reading.saturating_sub(1);
-            if let Some((scope, parts)) = self.expected.take() {
-                r.settle(scope, &parts, done);
+            if let Some((scope, parts)) = &self.expected {
+                r.settle(*scope, parts, done);
             }
         }
+        if self.expected.take().is_some() {
+            self.ctx.tell_prompt(self.addr, self.request, None);
+        }
     }
 }
 
@@ -160,7 +171,10 @@
         weights: pick.weights,
         fetch: pick.fetch,
         save: pick.save,
-        rank: job.prompt.is_some().then_some(job.rank),
+        rank: job
+            .prompt
+            .is_some()
+            .then_some(urgency::rank(job.rank, pick.read)),
         resume: job.resume.as_deref(),
     };
     let mut request = Request::new(Full::new(job.body.clone()));
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -56,6 +56,12 @@
     /// Whether this comes from an entry; it then tells only what the engine is to read.
     #[prost(bool, tag = "12")]
     pub entry: bool,
+    /// Prompt tokens that it has yet to read, by step of urgency.
+    #[prost(uint32, repeated, tag = "15")]
+    pub tokens: Vec<u32>,
+    /// What an entry tells a sidecar of one prompt.
+    #[prost(message, optional, tag = "16")]
+    pub note: Option<Note>,
     /// Whether this is about a store of kept KV cache instead of an engine.
     #[prost(bool, tag = "14")]
     pub kept: bool,
@@ -64,6 +70,17 @@
     pub expected: Vec<Held>,
 }
 
+/// A prompt at an engine.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Note {
+    /// Hash of the request's id.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Tokens that the engine has yet to read; none if it has read the prompt or won't.
+    #[prost(uint32, optional, tag = "2")]
+    pub tokens: Option<u32>,
+}
+
 /// A model's weights.
 #[derive(Clone, PartialEq, Message)]
 pub struct Loaded {
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -13,6 +13,7 @@
 use model::Micros;
 use platform::replica::{self, LoadOrder, Taken};
 use platform::Conn;
+use policy::ledger::Ledger;
 use policy::turns;
 use site::{PartId, Report, Swap, Weights};
 use tokio::net::UdpSocket;
@@ -58,6 +59,8 @@
     /// How long a load takes.
     load: Option<Micros>,
     fence: u64,
+    /// What it has yet to read.
+    ledger: Ledger,
 }
 
 /// A load that is to come.
@@ -87,10 +90,12 @@
     let events = events(Rc::clone(&engine), Conn::new(addr));
     let socket = Rc::new(socket);
     tokio::task::spawn_local(kept::follow(Rc::clone(&node), Rc::clone(&socket)));
+    let hear = hear(Rc::clone(&node), Rc::clone(&engine), Rc::clone(&socket));
     let look = look(&node, &engine, Conn::new(addr), &socket);
     tokio::select! {
         _ = events => {}
         _ = look => {}
+        _ = hear => {}
         _ = stop => {}
     }
     Ok(())
@@ -98,6 +103,21 @@
 
 type Own = Rc<std::cell::RefCell<Engine>>;
 
+/// Takes over what entries tell of the prompts that they send.
+async fn hear(node: Shared, engine: Own, socket: Rc<UdpSocket>) {
+    loop {
+        let news = news::receive(&socket).await;
+        let Some(note) = news.note else {
+            continue;
+        };
+        let ledger = &mut engine.borrow_mut().ledger;
+        match note.tokens {
+            Some(tokens) => ledger.sent(node.now(), note.request, tokens),
+            None => ledger.read(note.request),
+        }
+    }
+}
+
 /// Follows what the engine stores and drops.
 async fn events(engine: Own, mut conn: Conn) {
     let mut next = 0;
@@ -113,6 +133,7 @@
             e.epoch = told.epoch;
             e.held.clear();
             e.fresh.clear();
+            e.ledger.clear();
         }
         next = told.next;
         for s in told.stored {
@@ -288,12 +309,14 @@
 
 fn summary(node: &Shared, engine: &Own) -> News {
     let now = node.now();
-    let e = engine.borrow();
+    let mut e = engine.borrow_mut();
+    e.ledger.expire(now);
     let addr = node.settings.borrow().engine;
     let mut news = News {
         engine: addr.map(|a| a.to_string()).unwrap_or_default(),
         alive: e.alive,
         epoch: e.epoch,
+        tokens: e.ledger.unread().to_vec(),
         swap_ms: e.turn.as_ref().map(|t| t.at.since(now).as_millis() as u32),
         ..News::default()
     };
--- /dev/null
+++ b/crates/policy/src/ledger.rs
@@ -0,0 +1,82 @@
+//! What an engine has yet to read, summed over all entries.
+//!
+//! Load pattern: many entries send to the same engines and know only what they have sent themselves.
+//! Each sees the engine as idle that the others have just chosen too. An engine's own report counts
+//! requests, not the tokens that they have left to read, which differ by a factor of a hundred.
+//!
+//! Entries tell the engine's sidecar of each prompt that they send and of its first event. What is
+//! neither read nor given up after a time counts no more, so that a lost word doesn't make an engine
+//! look busy for good.
+//!
+//! Grounds: an expiry of 3 s is longer than nearly all prompts wait, and short beside the time that
+//! load takes to shift.
+
+use std::collections::HashMap;
+
+use model::Micros;
+
+use crate::urgency::{self, STEPS};
+
+/// How long a prompt counts without a further word.
+const EXPIRY: Micros = Micros::from_secs(3);
+
+/// Tokens to read, by the step of urgency that their prompts have ([`crate::urgency::step`]).
+pub type Unread = [u32; STEPS];
+
+/// A prompt that is yet to be read.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    tokens: u32,
+    step: usize,
+    until: Micros,
+}
+
+/// Prompts that an engine has yet to read, by a hash of their request's id.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    open: HashMap<u64, Open>,
+    unread: Unread,
+}
+
+impl Ledger {
+    /// Notes a prompt with some tokens to read.
+    pub fn sent(&mut self, now: Micros, request: u64, tokens: u32) {
+        self.read(request);
+        let open = Open {
+            tokens,
+            step: urgency::step(tokens),
+            until: now + EXPIRY,
+        };
+        self.open.insert(request, open);
+        self.unread[open.step] = self.unread[open.step].saturating_add(tokens);
+    }
+
+    /// Notes that a prompt has been read or won't be.
+    pub fn read(&mut self, request: u64) {
+        if let Some(open) = self.open.remove(&request) {
+            let unread = &mut self.unread[open.step];
+            *unread = unread.saturating_sub(open.tokens);
+        }
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: Micros) {
+        let late: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(_, o)| o.until <= now)
+            .map(|(request, _)| *request)
+            .collect();
+        late.into_iter().for_each(|r| self.read(r));
+    }
+
+    /// Forgets all, as when the engine has started again.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Tokens to read.
+    pub fn unread(&self) -> Unread {
+        self.unread
+    }
+}
--- a/crates/policy/src/spot.rs
+++ b/crates/policy/src/spot.rs
@@ -9,6 +9,11 @@
 //! reading what the engine doesn't hold, fetching what others hold, and the way there. Fetching is
 //! chosen over reading where it is faster, so that load can be spread without reading twice.
 //!
+//! What an engine takes in pushes out something else, which is then read again for somebody. So each
+//! token that it doesn't hold yet costs a little more than the time to bring it there. Without that,
+//! the better the loads are known, the more copies are made: on 56 engines at full load shared tokens
+//! read again rose from 4.9 to 9.0 million in 34 s when loads became exact.
+//!
 //! Grounds: reading 6,300 tokens takes 120 to 140 ms, fetching them from an engine 4 to 30 ms and
 //! from a store some 50 ms, so that the holder is worth waiting for only that long.
 
@@ -23,6 +28,8 @@
     pub read: f64,
     /// Tokens of the prompt that it holds.
     pub held: u32,
+    /// Milliseconds for each token that it doesn't hold yet, for what has to yield there.
+    pub room: f64,
     /// Milliseconds that the way costs.
     pub way: f64,
     /// Factor for engines that have failed of late, or whose answers are worth less.
@@ -90,7 +97,7 @@
         }
     }
     Choice {
-        cost: (best.cost + c.wait + c.way) * c.doubt,
+        cost: (best.cost + f64::from(missing) * c.room + c.wait + c.way) * c.doubt,
         ..best
     }
 }
