--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -1,32 +1,63 @@
 //! Following the platform's list of targets.
 //!
 //! The list changes with every heartbeat of every target, so a call held open would be answered all
-//! the time. It is read in whole a few times a second instead. A target that leaves must get nothing
-//! new two seconds after it said so: the pause, a slow answer and the requests under way fit into
-//! that.
+//! the time. It is read in whole a few times a second instead, by a few entries at a time
+//! ([`policy::readers`]); the others read when one of them has found something new. A target that
+//! leaves must get nothing new two seconds after it said so: the pause, a reader's word, a slow
+//! answer and the requests under way fit into that.
 
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use model::Micros;
 use platform::store::TARGETS;
 use platform::{Rows, Store, StoreError};
+use policy::readers::Readers;
 use rand::Rng;
 use site::Target;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::Ctx;
 use crate::log::{self, Event};
+use crate::news::{self, Listed, News};
 
 /// Shortest pause between two reads.
 const PAUSE: Duration = Duration::from_millis(600);
 /// Longest pause; entries don't read in step.
 const LONGEST: Duration = Duration::from_millis(800);
+/// Pause of an entry for which others read. It reads all the same now and then, for what the
+/// others' words don't tell.
+const SELDOM: Duration = Duration::from_millis(4_000);
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(250);
 
+/// What entries tell one another of the list.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    readers: RefCell<Readers>,
+    /// Hash of the list as this entry last read it.
+    own: Cell<u64>,
+    changed: Notify,
+}
+
+impl Shared {
+    /// Takes over what another entry has found.
+    pub(super) fn hear(&self, now: Micros, listed: Listed) {
+        self.readers.borrow_mut().hear(now, listed.rank);
+        if listed.hash != self.own.get() {
+            self.changed.notify_one();
+        }
+    }
+}
+
 /// Follows the list for as long as the process lives.
 pub(super) async fn follow(ctx: Ctx) {
-    let addr = ctx.node.settings.borrow().store;
+    let (addr, rank) = {
+        let s = ctx.node.settings.borrow();
+        (s.store, xxh3_64(s.host.as_bytes()))
+    };
     let mut store = Store::new(addr);
     let mut away = false;
     let mut back = None;
@@ -38,10 +69,9 @@
         match read {
             Ok(rows) => {
                 let targets = targets(rows);
+                tell(&ctx, rank, &targets);
                 ctx.fleet.borrow_mut().list(now, targets, back);
-                let span = PAUSE.as_millis() as u64..LONGEST.as_millis() as u64;
-                let ms = rand::rng().random_range(span);
-                sleep(Duration::from_millis(ms)).await;
+                wait(&ctx, rank).await;
             }
             // The other follower of the store tells how it failed.
             Err(_) => sleep(AGAIN).await,
@@ -49,6 +79,51 @@
     }
 }
 
+/// Tells the other entries what was found, if this one is a reader.
+fn tell(ctx: &Ctx, rank: u64, targets: &[Target]) {
+    let hash = hash(targets);
+    ctx.list.own.set(hash);
+    if !ctx.list.readers.borrow().reads(ctx.now(), rank) {
+        return;
+    }
+    let news = News {
+        entry: true,
+        list: Some(Listed { rank, hash }),
+        ..News::default()
+    };
+    news::send(&ctx.socket, &news, ctx.node.world.borrow().entries());
+}
+
+/// Hash of what decides where requests may go. Weights aren't in it: they change at every engine
+/// with each new version, and sidecars tell of them sooner.
+fn hash(targets: &[Target]) -> u64 {
+    let mut targets: Vec<_> = targets.iter().collect();
+    targets.sort_by(|a, b| a.boot.cmp(&b.boot));
+    let mut hash = Xxh3::new();
+    for t in targets {
+        let text = format!("{:?}{}{}{:?};", t.boot, t.pool, t.addr, t.state);
+        hash.update(text.as_bytes());
+    }
+    hash.digest()
+}
+
+/// Waits until the list is to be read again.
+async fn wait(ctx: &Ctx, rank: u64) {
+    let began = ctx.now();
+    loop {
+        let span = PAUSE.as_millis() as u64..LONGEST.as_millis() as u64;
+        let pause = Duration::from_millis(rand::rng().random_range(span));
+        if timeout(pause, ctx.list.changed.notified()).await.is_ok() {
+            return;
+        }
+        let now = ctx.now();
+        let late = now.since(began) >= SELDOM.into();
+        if late || ctx.list.readers.borrow().reads(now, rank) {
+            return;
+        }
+    }
+}
+
 /// When the store last began to answer again.
 fn returned(
     read: &Result<Rows, StoreError>,
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -48,6 +48,8 @@
     pub fleet: RefCell<Fleet>,
     /// Its part of each pool's retries.
     budgets: RefCell<HashMap<String, shared::Budget>>,
+    /// Who reads the platform's list, and what was found.
+    list: list::Shared,
     /// The work that prompts have brought of late.
     work: RefCell<apart::Work>,
     /// Where news comes in and goes out.
@@ -124,6 +126,7 @@
         node,
         fleet: RefCell::default(),
         budgets: RefCell::default(),
+        list: list::Shared::default(),
         work: RefCell::default(),
         socket,
         closing: Cell::new(false),
@@ -142,6 +145,10 @@
     loop {
         let (news, from) = news::receive(&ctx.socket).await;
         let now = ctx.now();
+        if let Some(listed) = news.list {
+            ctx.list.hear(now, listed);
+            continue;
+        }
         ctx.fleet.borrow_mut().hear(now, &news, from);
     }
 }
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -22,6 +22,8 @@
 const HOLD: Duration = Duration::from_secs(20);
 /// Shortest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(80);
+/// How long changes of the members' list are gathered.
+const GATHER: Duration = Duration::from_millis(500);
 /// Longest pause after a failed call; a tenth of the time in which a configuration must be known.
 const LONGEST: Duration = Duration::from_millis(250);
 
@@ -160,6 +162,8 @@
             news => news?,
         };
         after = after.max(news.version);
+        // Processes start together; without a pause each start is one more call of every process.
+        sleep(GATHER).await;
         let changed = news.rows.into_iter().filter_map(member);
         let mut world = node.world.borrow_mut();
         world.members.extend(changed.filter(|(h, _)| h != own));
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -64,11 +64,25 @@
     /// Whether this is about a store of kept KV cache instead of an engine.
     #[prost(bool, tag = "14")]
     pub kept: bool,
+    /// What an entry found when it read the platform's list of targets.
+    #[prost(message, optional, tag = "18")]
+    pub list: Option<Listed>,
     /// Parts that an entry has just sent the engine to read.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<Held>,
 }
 
+/// The platform's list of targets as an entry has just read it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Listed {
+    /// Rank of the entry among those that read.
+    #[prost(fixed64, tag = "1")]
+    pub rank: u64,
+    /// Hash of the list.
+    #[prost(fixed64, tag = "2")]
+    pub hash: u64,
+}
+
 /// A prompt at an engine.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Note {
--- a/crates/policy/src/lateness.rs
+++ b/crates/policy/src/lateness.rs
@@ -5,16 +5,16 @@
 //! is lost twice. If all that would be late is refused, long prompts are never served, since their
 //! reading alone takes longer than the aim, however idle the engines are.
 //!
-//! So a prompt is judged by what waits before it, not by its own length. One that could be in time
-//! but for the wait is refused once the wait alone passes the aim by a part: its caller is told to
-//! come back when the excess is worked off. One that can't be in time in any case has nothing to lose
+//! So a prompt is judged by whether it could be in time at all. One that could, but for what waits
+//! before it, is refused once that makes it late: its caller is told to come back when the excess is
+//! worked off. One that can't be in time in any case has nothing to lose
 //! by waiting, and goes as long as it can be answered well within its time.
 //!
 //! Grounds: 1.2 aims, since estimates are right within a fifth; six tenths of the time left, since a
 //! prompt that is read has to be answered too.
 
-/// Multiple of the aim that may wait before a prompt.
-const WAIT: f64 = 1.2;
+/// Multiple of the aim within which a prompt is sent that could be in time.
+const AIMS: f64 = 1.0;
 /// Part of the aim beyond which a prompt's own reading makes it late in any case.
 const LONG: f64 = 0.7;
 /// Part of the time left in which a prompt that is late in any case must be read.
@@ -47,7 +47,7 @@
     let long = p.own > p.aim * LONG;
     let over = match long {
         true => p.wait + p.own - p.left * LEFT,
-        false => p.wait - p.aim * WAIT,
+        false => p.wait + p.own - p.aim * AIMS,
     };
     match over > 0.0 {
         true => Verdict::Refuse(over + p.aim / 2.0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod queue;
+pub mod readers;
 pub mod recent;
 pub mod reserve;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/tests/hosted.rs
@@ -0,0 +1,380 @@
+//! Decisions of an entry that reaches targets without a sidecar, each under the load that it answers.
+
+use model::Micros;
+use policy::lateness::{judge, Prospect, Verdict};
+use policy::ledger::Ledger;
+use policy::readers::Readers;
+use policy::standing::{self, Standing};
+use policy::{apart, shared, turns, urgency};
+
+fn ms(n: u64) -> Micros {
+    Micros::from_millis(n)
+}
+
+#[test]
+fn all_entries_together_stay_within_the_pools_budget() {
+    // A pool fails in part and seven entries of very unequal traffic see it at once. Each sends what
+    // it may again; together they stay below what the pool's owner allows in every window.
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 56.0;
+    let window = Micros::from_secs(10);
+    let config = shared::Config {
+        ratio: RATIO,
+        slack: SLACK,
+        entries: 7,
+        window,
+    };
+    let mut entries: Vec<_> = (0..7).map(|_| shared::Budget::new(config)).collect();
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for step in 0..4_000u64 {
+        let now = ms(step * 10);
+        for (i, entry) in entries.iter_mut().enumerate() {
+            // The n-th entry has a request every n steps, and all of them fail.
+            if step % (i as u64 + 1) == 0 {
+                entry.request(now);
+                requests.push(now);
+                if entry.spend(now) {
+                    retries.push(now);
+                }
+            }
+        }
+    }
+    let within = |times: &[Micros], from: Micros| {
+        let inside = times.iter().filter(|t| **t >= from && **t < from + window);
+        inside.count() as f64
+    };
+    for from in (0..30_000).step_by(250).map(ms) {
+        let allowed = RATIO * within(&requests, from) + SLACK;
+        let used = within(&retries, from);
+        assert!(used <= allowed, "{used} of {allowed} from {from:?}");
+    }
+    assert!(
+        retries.len() as f64 > 0.1 * requests.len() as f64,
+        "hardly used"
+    );
+}
+
+#[test]
+fn an_entry_with_little_traffic_may_still_retry() {
+    // One request in a minute fails by chance. Its caller shouldn't pay for the entry's being idle.
+    let mut budget = shared::Budget::new(shared::Config {
+        ratio: 0.2,
+        slack: 56.0,
+        entries: 28,
+        window: Micros::from_secs(10),
+    });
+    budget.request(ms(0));
+    assert!(budget.spend(ms(1)));
+}
+
+#[test]
+fn engines_take_new_weights_a_few_at_a_time_and_all_soon() {
+    // New weights are named for a whole pool under load. At no moment is more than a fifth of it
+    // loading, or two engines of a small pool, and the last is done a few loads after the first.
+    struct Case {
+        engines: usize,
+        most: usize,
+        rounds: u64,
+    }
+    let cases = [
+        Case {
+            engines: 1,
+            most: 2,
+            rounds: 1,
+        },
+        Case {
+            engines: 9,
+            most: 2,
+            rounds: 5,
+        },
+        Case {
+            engines: 52,
+            most: 10,
+            rounds: 6,
+        },
+        Case {
+            engines: 830,
+            most: 166,
+            rounds: 5,
+        },
+    ];
+    let load = ms(400);
+    for c in cases {
+        let config = turns::Config::default();
+        let starts: Vec<_> = (0..c.engines)
+            .map(|rank| turns::wait(&config, rank, c.engines, load))
+            .collect();
+        for at in &starts {
+            let loading = starts.iter().filter(|s| **s <= *at && *at < **s + load);
+            assert!(loading.count() <= c.most, "{} engines", c.engines);
+        }
+        let last = starts.iter().max().expect("an engine");
+        assert_eq!(
+            *last,
+            Micros(load.0 * (c.rounds - 1)),
+            "{} engines",
+            c.engines
+        );
+    }
+}
+
+#[test]
+fn a_target_that_fails_at_once_draws_no_more_traffic() {
+    // A target refuses nine in ten at once and looks idle for it. It is left out after a few failures,
+    // for longer each time, while one whose failures are as usual as its peers' stays.
+    let config = standing::Config::default();
+    let mut grey = Standing::default();
+    let mut sent = 0;
+    let mut now = ms(0);
+    for n in 0..2_000 {
+        now = now + ms(10);
+        if grey.usable(now) {
+            sent += 1;
+            match n % 10 {
+                0 => grey.good(&config),
+                _ => grey.bad(&config, now, 0.05),
+            }
+        }
+    }
+    assert!(sent < 400, "{sent} of 2000 sent to it");
+    let mut usual = Standing::default();
+    for n in 0..2_000 {
+        match n % 7 {
+            0 => usual.bad(&config, ms(n * 10), 0.14),
+            _ => usual.good(&config),
+        }
+        assert!(usual.usable(ms(n * 10)), "left out for usual failures");
+    }
+}
+
+#[test]
+fn a_dark_target_is_asked_ever_less_and_comes_back() {
+    // A target can't be reached. Each try costs a caller a timeout, so tries become rare; once one
+    // succeeds, it is as good as before.
+    let config = standing::Config::default();
+    let mut dark = Standing::default();
+    let tries = (0..20_000u64).step_by(10).filter(|t| {
+        let now = ms(*t);
+        let tried = dark.usable(now);
+        if tried {
+            dark.unreachable(&config, now);
+        }
+        tried
+    });
+    let tries = tries.count();
+    assert!((4..=12).contains(&tries), "{tries} tries in 20 s");
+    dark.good(&config);
+    assert!(dark.usable(ms(20_001)));
+    assert!(!dark.on_trial(ms(20_001)));
+}
+
+#[test]
+fn what_was_told_twice_late_or_never_again_doesn_t_count_for_good() {
+    // Words about prompts are lost, repeated and come in any order. What an engine has yet to read
+    // comes back to nothing all the same.
+    let mut ledger = Ledger::default();
+    ledger.sent(ms(0), 1, 500);
+    ledger.sent(ms(0), 1, 500);
+    ledger.sent(ms(0), 2, 4_000);
+    ledger.sent(ms(1_000), 3, 9_000);
+    assert_eq!(ledger.unread(), [500, 4_000, 9_000]);
+    ledger.read(2);
+    ledger.read(2);
+    ledger.read(99);
+    assert_eq!(ledger.unread(), [500, 0, 9_000]);
+    ledger.expire(ms(3_500));
+    assert_eq!(
+        ledger.unread(),
+        [0, 0, 9_000],
+        "the word of its end was lost"
+    );
+    ledger.clear();
+    assert_eq!(ledger.unread(), [0, 0, 0]);
+}
+
+#[test]
+fn short_prompts_pass_long_ones_within_a_callers_rank() {
+    // Engines read what is most urgent first. A caller's rank decides; among equals, a short prompt
+    // isn't kept waiting by long ones, and counts only a part of them as being before it.
+    let ranks = [(0, 100), (0, 3_000), (0, 20_000), (1, 100), (1, 20_000)];
+    let ranks = ranks.map(|(caller, read)| urgency::rank(caller, read));
+    assert!(
+        ranks.is_sorted() && ranks.windows(2).all(|w| w[0] < w[1]),
+        "{ranks:?}"
+    );
+    assert!(urgency::rank(200, 20_000) <= 9);
+    let unread = [1_000, 10_000, 40_000];
+    let before: Vec<_> = [0, 1, 2].map(|s| urgency::before(unread, s)).to_vec();
+    assert!(before[0] < 17_000.0, "{before:?}");
+    assert_eq!(before[2], 51_000.0);
+}
+
+#[test]
+fn a_burst_of_prompts_is_read_shortest_first_and_more_are_in_time() {
+    // A second's worth of prompts comes at once, one long for four short. By order of arrival half of
+    // the short ones are late behind long ones; by urgency they are in time, and the last long one
+    // ends no later than before.
+    const READ: f64 = 1.0 / 45.0;
+    const AIM: f64 = 400.0;
+    let reads: Vec<u32> = (0..60)
+        .map(|n| if n % 5 == 0 { 7_000 } else { 800 })
+        .collect();
+    let in_time = |order: &[u32]| {
+        let mut clock = 0.0;
+        let done = order.iter().map(|read| {
+            clock += f64::from(*read) * READ;
+            (*read, clock)
+        });
+        let short = done.filter(|(read, at)| *read < 1_500 && *at <= AIM);
+        short.count()
+    };
+    let mut urgent = reads.clone();
+    urgent.sort_by_key(|read| urgency::rank(0, *read));
+    let (arrival, urgent) = (in_time(&reads), in_time(&urgent));
+    assert!(
+        urgent >= arrival * 2,
+        "{arrival} by arrival, {urgent} by urgency"
+    );
+}
+
+#[test]
+fn long_prompts_are_judged_by_what_waits_before_them() {
+    // A prompt of 25,000 tokens takes longer to read than its aim. It is served on an idle engine and
+    // on a busy one, and refused only if its caller would have left before its answer.
+    struct Case {
+        name: &'static str,
+        prospect: Prospect,
+        sent: bool,
+    }
+    let prospect = |wait, own| Prospect {
+        wait,
+        own,
+        aim: 600.0,
+        left: 4_000.0,
+    };
+    let cases = [
+        Case {
+            name: "short, idle",
+            prospect: prospect(0.0, 50.0),
+            sent: true,
+        },
+        Case {
+            name: "short, just in time",
+            prospect: prospect(540.0, 50.0),
+            sent: true,
+        },
+        Case {
+            name: "short, late",
+            prospect: prospect(650.0, 50.0),
+            sent: false,
+        },
+        Case {
+            name: "long, idle",
+            prospect: prospect(0.0, 900.0),
+            sent: true,
+        },
+        Case {
+            name: "long, busy",
+            prospect: prospect(1_200.0, 900.0),
+            sent: true,
+        },
+        Case {
+            name: "long, too late for its caller",
+            prospect: prospect(2_000.0, 900.0),
+            sent: false,
+        },
+    ];
+    for c in cases {
+        match judge(&c.prospect) {
+            Verdict::Send => assert!(c.sent, "{}", c.name),
+            Verdict::Refuse(over) => assert!(!c.sent && over > 0.0, "{}", c.name),
+        }
+    }
+}
+
+#[test]
+fn at_twice_the_load_refusing_keeps_others_in_time() {
+    // For ten seconds twice as much comes as one engine reads. If all is sent, the queue grows without
+    // end and nearly nothing is in time; if what can't be in time is refused, about as much is in time
+    // as the engine can read.
+    let served = |refuse: bool| {
+        let (aim, left, own) = (600.0, 4_000.0, 100.0);
+        let mut queue: f64 = 0.0;
+        let mut good = 0;
+        for _ in 0..200 {
+            queue = (queue - 50.0).max(0.0);
+            let prospect = Prospect {
+                wait: queue,
+                own,
+                aim,
+                left,
+            };
+            if refuse && judge(&prospect) != Verdict::Send {
+                continue;
+            }
+            good += usize::from(queue + own <= aim);
+            queue += own;
+        }
+        good
+    };
+    let (all, judged) = (served(false), served(true));
+    assert!(all < 25, "{all}");
+    assert!(judged >= 95, "{judged}");
+}
+
+#[test]
+fn engines_are_dealt_out_by_the_work_of_both_kinds() {
+    // Long prompts bring two thirds of the work, then nearly none. The engines kept for them follow
+    // within seconds; each kind always has one, unless there is but one engine.
+    let mut work = apart::Work::default();
+    for n in 0..2_000 {
+        let now = ms(n * 10);
+        match n % 4 {
+            0 => work.add(now, 9_000, 4_500),
+            _ => work.add(now, 800, 600),
+        }
+    }
+    let mixed = work.long_engines(9);
+    assert!((4..=6).contains(&mixed), "{mixed}");
+    for n in 2_000..6_000 {
+        work.add(ms(n * 10), 800, 600);
+    }
+    assert_eq!(work.long_engines(9), 1);
+    assert_eq!(work.long_engines(1), 1);
+    assert_eq!(work.long_engines(0), 0);
+    assert!(apart::cost(9_000, false) > 0.0 && apart::cost(9_000, true) == 0.0);
+    assert!(apart::cost(800, true) > 0.0 && apart::cost(800, false) == 0.0);
+    assert!(apart::suffers(8, 500.0) && !apart::suffers(4, 300.0));
+    assert!(!apart::suffers(8, 0.0), "no pause is named");
+}
+
+#[test]
+fn a_few_read_for_all_and_the_next_in_rank_when_one_falls_silent() {
+    // Twenty-eight entries read the same list. After a first round two of them do; when one of the
+    // two is killed, the next takes its place within two seconds, and at no time does nobody read.
+    let mut entries: Vec<_> = (0..28).map(|_| Readers::default()).collect();
+    let mut reads = Vec::new();
+    for step in 0..100u64 {
+        let now = ms(step * 100);
+        let killed = |rank: u64| rank == 0 && now >= ms(5_000);
+        if step % 7 == 0 {
+            let due: Vec<u64> = (0..28u64)
+                .filter(|r| !killed(*r) && entries[*r as usize].reads(now, *r))
+                .collect();
+            for entry in &mut entries {
+                due.iter().for_each(|r| entry.hear(now, *r));
+            }
+            reads.push((now, due));
+        }
+    }
+    assert_eq!(reads[0].1.len(), 28);
+    let steady = |from: u64, to: u64| {
+        let within = reads.iter();
+        let within = within.filter(move |(at, _)| *at >= ms(from) && *at < ms(to));
+        within.map(|(_, due)| due.clone())
+    };
+    assert!(steady(700, 5_000).all(|due| due == [0, 1]));
+    assert!(steady(5_000, 7_000).all(|due| due.contains(&1)));
+    assert!(steady(7_000, 10_000).all(|due| due == [1, 2]));
+}
