--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -48,6 +48,19 @@
         /// Why.
         reason: Reason,
     },
+    /// The logs don't tell of a request.
+    #[error(
+        "nothing of request `{id}` in {lines} lines ({foreign} more aren't this system's)\n\
+         is its process's log among the files, and was its line left out under load? see `{NAME} why`"
+    )]
+    NoRequest {
+        /// The request.
+        id: String,
+        /// Lines read.
+        lines: usize,
+        /// Lines of other writers.
+        foreign: usize,
+    },
     /// Another change came first.
     #[error(
         "version {} by {} came first (operation {}); nothing was changed\n\
@@ -150,6 +163,9 @@
     /// A path without a slash.
     #[error("path `{0}` doesn't begin with `/`")]
     BadPath(String),
+    /// No log file was named.
+    #[error("no log file is named; give one or more, or - for standard input")]
+    NoLogs,
     /// Nothing on standard input.
     #[error("standard input has no key")]
     EmptyKey,
@@ -178,6 +194,7 @@
             Self::Partial { .. } | Self::Unseen { .. } => 6,
             Self::Unknown { .. } => 7,
             Self::NotAccepted | Self::Platform => 8,
+            Self::NoRequest { .. } => 9,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,7 +5,7 @@
 //! whose exit code is the same for every command. Progress and warnings go to standard error, so
 //! that output can be piped. Beside the commands stand what they share: [`admin`] has the
 //! messages, [`fleet`] the calls, [`propose`] the one call that changes something, [`spread`] the
-//! wait until a version is in force, [`page`] the layout of text, [`exit`] the exit codes.
+//! wait until a version is in force, [`logs`] the reading of log lines, [`page`] the layout of text, [`exit`] the exit codes.
 //!
 //! `docs/CLIENT.md` is the operators' page.
 
@@ -18,11 +18,14 @@
 pub mod explain;
 pub mod fleet;
 pub mod history;
+pub mod logs;
 pub mod page;
 pub mod propose;
 pub mod show;
 pub mod spread;
 pub mod status;
+pub mod trace;
+pub mod why;
 
 use std::ffi::OsString;
 
@@ -51,6 +54,8 @@
     Status(status::Status),
     Explain(explain::Explain),
     Digest(digest::Digest),
+    Trace(trace::Trace),
+    Why(why::Why),
 }
 
 /// Reads the arguments, the program's name first. The error is what ends the run early: a usage
@@ -85,5 +90,7 @@
         Command::Status(c) => status::run(&c).await,
         Command::Explain(c) => explain::run(&c).await,
         Command::Digest(c) => digest::run(&c),
+        Command::Trace(c) => trace::run(&c),
+        Command::Why(c) => why::run(&c),
     }
 }
--- /dev/null
+++ b/crates/cli/src/why.rs
@@ -0,0 +1,90 @@
+//! `clementinestep why`: refusals and failures by cause.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::exit::{Failure, Usage};
+use crate::logs::{Line, Logs};
+
+/// Ids shown of each cause, so that one can be traced.
+const SHOWN: usize = 3;
+
+/// Count the requests that were refused, failed or cut, by cause.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "why")]
+pub struct Why {
+    /// only lines from this time on, as in the logs (2026-01-31T09:30)
+    #[argh(option)]
+    from: Option<String>,
+    /// only lines before this time
+    #[argh(option)]
+    to: Option<String>,
+    /// log files of the processes, - for standard input
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+/// A cause and who met it.
+#[derive(Default)]
+struct Met {
+    count: usize,
+    ids: Vec<String>,
+}
+
+/// Runs the command.
+pub fn run(args: &Why) -> Result<String, Failure> {
+    if args.files.is_empty() {
+        return Err(Usage::NoLogs.into());
+    }
+    let logs = Logs::read(&args.files)?;
+    let from = args.from.as_deref().unwrap_or_default();
+    let within = |l: &&Line| {
+        let at = l.at.as_str();
+        at >= from && args.to.as_deref().is_none_or(|to| at < to)
+    };
+    let mut causes: BTreeMap<String, Met> = BTreeMap::new();
+    for line in logs.lines.iter().filter(within) {
+        let Some(cause) = cause(line) else {
+            continue;
+        };
+        let met = causes.entry(cause).or_default();
+        met.count += line.number("lines").unwrap_or(1) as usize;
+        let id = line.text("request").filter(|_| met.ids.len() < SHOWN);
+        met.ids.extend(id.map(str::to_owned));
+    }
+    let mut causes: Vec<_> = causes.into_iter().collect();
+    causes.sort_by_key(|(_, met)| std::cmp::Reverse(met.count));
+    let mut out = String::new();
+    for (cause, met) in causes {
+        let _ = writeln!(out, "{:6}  {cause:44} {}", met.count, met.ids.join(" "));
+    }
+    if out.is_empty() {
+        out.push_str("nothing was refused, failed or cut\n");
+    }
+    out.push_str(&logs.passed_over());
+    Ok(out)
+}
+
+/// The cause that a line tells of, if it tells of a failure.
+fn cause(line: &Line) -> Option<String> {
+    let text = |name: &str| line.text(name).unwrap_or("?").to_owned();
+    match line.event.as_str() {
+        "refused" => Some(format!(
+            "refused {} {} on {}",
+            line.number("status").unwrap_or(0),
+            text("reason"),
+            text("route")
+        )),
+        "tried" => Some(format!("try: {}", text("reason"))),
+        "streamed" if line.text("end") != Some("whole") => Some(format!("stream {}", text("end"))),
+        "answered" if line.number("status")? >= 500 => {
+            Some(format!("answered {} by its target", line.number("status")?))
+        }
+        "lost" => Some(format!("lost {}: {}", text("dependency"), text("error"))),
+        "dropped" => Some(format!("log lines left out: {}", text("kind"))),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/client/logs.rs
@@ -0,0 +1,101 @@
+//! Reading logs after a failure: `trace` and `why`.
+
+use crate::fake;
+
+const FRONT: &str = r#"{"at":"2026-03-23T09:46:14.100","host":"front-1","up_ms":1,"event":"configured","version":4,"source":"store","routes":48}
+{"at":"2026-03-23T09:46:15.000","host":"front-1","up_ms":2,"event":"target","target":"i-1","addr":"10.0.0.1:80","state":"ready"}
+ 12.5 front-1 {"at":"2026-03-23T09:46:16.000","host":"front-1","up_ms":3,"event":"sent","request":"abc","target":"i-1","attempt":1,"estimate_ms":20.5,"fetch":null}
+{"at":"2026-03-23T09:46:16.200","host":"front-1","up_ms":4,"event":"tried","request":"abc","target":"i-1","attempt":1,"reason":"connection broken","ran":true}
+{"at":"2026-03-23T09:46:16.201","host":"front-1","up_ms":4,"event":"refused","request":"abc","route":"log","status":502,"reason":"unknown","attempts":1,"after_ms":201,"version":4}
+{"at":"2026-03-23T09:46:17.000","host":"front-1","up_ms":5,"event":"refused","request":"def","route":"log","status":503,"reason":"late","attempts":0,"after_ms":0,"version":4,"retry_ms":300}
+{"at":"2026-03-23T09:46:18.000","host":"front-1","up_ms":6,"event":"dropped","kind":"sent","lines":17}
+{"at":"2026-03-23T09:46:19.000","host":"front-1","up_m"#;
+
+/// One run on the log; `LOG`, `BINARY` and `EMPTY` in the arguments stand for files.
+struct Case<'a> {
+    args: &'a str,
+    code: i32,
+    out: &'a [&'a str],
+    err: &'a [&'a str],
+}
+
+#[tokio::test]
+async fn a_requests_way_and_the_causes_of_failures_are_told() {
+    // A caller complains about a request. Its log is torn at the end, another writer's lines and
+    // whatever a collector puts before a line stand in it too, and some files are no logs at all.
+    let log = fake::file("front.log", FRONT);
+    let empty = fake::file("empty.log", "");
+    let binary = fake::file(
+        "binary.log",
+        "\u{0}\u{1}{\"at\":\u{2}\nanother writer's line\n",
+    );
+    let files = [("LOG", log), ("EMPTY", empty), ("BINARY", binary)];
+    let cases = [
+        Case {
+            args: "trace abc LOG",
+            code: 0,
+            out: &[
+                "configured routes=48 source=store version=4",
+                "sent       attempt=1 estimate_ms=20.5 target=i-1",
+                "reason=connection broken",
+                "status=502",
+                "(target)",
+                "passed over 1 lines",
+            ],
+            err: &[],
+        },
+        Case {
+            args: "trace xyz LOG BINARY",
+            code: 9,
+            out: &[],
+            err: &["nothing of request `xyz` in 7 lines (3 more"],
+        },
+        Case {
+            args: "trace abc EMPTY",
+            code: 9,
+            out: &[],
+            err: &["in 0 lines"],
+        },
+        Case {
+            args: "trace abc",
+            code: 2,
+            out: &[],
+            err: &["no log file"],
+        },
+        Case {
+            args: "trace abc /nowhere/at/all",
+            code: 2,
+            out: &[],
+            err: &["/nowhere/at/all"],
+        },
+        Case {
+            args: "why LOG",
+            code: 0,
+            out: &[
+                "17  log lines left out: sent",
+                "1  refused 502 unknown on log",
+                "abc",
+                "1  refused 503 late on log",
+                "try: connection broken",
+            ],
+            err: &[],
+        },
+        Case {
+            args: "why --from 2026-03-23T09:46:17 --to 2026-03-23T09:46:18 LOG",
+            code: 0,
+            out: &["1  refused 503 late on log"],
+            err: &[],
+        },
+        Case {
+            args: "why EMPTY",
+            code: 0,
+            out: &["nothing was refused"],
+            err: &[],
+        },
+    ];
+    for case in cases {
+        let run = fake::run(case.args, &files, &[], "").await;
+        assert_eq!(run.code, Some(case.code), "{}: {run:?}", case.args);
+        run.says(case.args, case.out, case.err);
+    }
+}
--- a/crates/cli/tests/client/main.rs
+++ b/crates/cli/tests/client/main.rs
@@ -3,3 +3,4 @@
 mod fake;
 mod fleet;
 mod local;
+mod logs;
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -21,6 +21,7 @@
 
 use super::Ctx;
 use crate::log::{self, Event};
+use crate::meter;
 use crate::news::{self, Listed, News};
 
 /// Shortest pause between two reads.
@@ -62,8 +63,11 @@
     let mut away = false;
     let mut back = None;
     loop {
+        let asked = ctx.now();
         let read = store.rows(TARGETS).await;
         let now = ctx.now();
+        meter::span(meter::STORE, now.since(asked).into());
+        ctx.gauges();
         back = returned(&read, away, now, back);
         away = read.is_err();
         match read {
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 
+use crate::meter;
 use crate::news::{self, Held, News, Note};
 use crate::world::Shared;
 use site::{Part, Scope};
@@ -66,6 +67,20 @@
         self.node.now()
     }
 
+    /// Brings the gauges up to date.
+    fn gauges(&self) {
+        let fleet = self.fleet.borrow();
+        let running: u32 = fleet.replicas.values().map(|r| r.inflight).sum();
+        meter::set(meter::RUNNING, running.into());
+        for (pool, budget) in self.budgets.borrow().iter() {
+            metrics::gauge!(meter::RETRIES, "pool" => pool.clone()).set(budget.left());
+        }
+        let world = self.node.world.borrow();
+        meter::set(meter::MEMBERS, world.members.len() as f64);
+        let version = world.plan.as_ref().map_or(0, |p| p.version());
+        meter::set(meter::VERSION, version as f64);
+    }
+
     /// Tells an engine's sidecar of a prompt.
     fn tell_prompt(&self, sidecar: std::net::SocketAddr, note: Note) {
         let news = News {
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -9,6 +9,7 @@
 use policy::ledger;
 use policy::spot::{self, Candidate, Source};
 use policy::urgency;
+use policy::versions::Versions;
 use site::{Boot, Engine, Plan, Prompt, Scope, State};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -195,7 +196,7 @@
         let s = ctx.node.settings.borrow();
         (s.domain.clone(), Micros::from(s.bounds.weights))
     };
-    let named = ctx.node.world.borrow().named.get(&prompt.model).copied();
+    let named = ctx.node.world.borrow().named.get(&prompt.model).cloned();
     let fleet = ctx.fleet.borrow();
     let wall = job.team.as_deref().filter(|_| job.walled);
     let scope = |r: &Replica| {
@@ -203,11 +204,11 @@
         Some(Scope::new(&prompt.model, *version, wall))
     };
     // Past a part of the time allowed nothing begins on older weights.
-    let current = |r: &Replica| match (named, r.weights.get(&prompt.model)) {
-        (Some(n), Some(v)) if *v < n.version => {
-            now.since(n.heard).0 as f64 <= allowed.0 as f64 * OLD_END
-        }
-        (_, v) => v.is_some(),
+    let named = named.unwrap_or_default();
+    let current = |r: &Replica| {
+        let version = r.weights.get(&prompt.model);
+        let outdated = version.map(|v| named.outdated(now, *v).unwrap_or_default());
+        outdated.is_some_and(|age| age.0 as f64 <= allowed.0 as f64 * OLD_END)
     };
     let open: Vec<_> = open(&fleet, job, now)
         .into_iter()
@@ -227,7 +228,7 @@
         domain: &domain,
         prompt,
         engine,
-        named,
+        named: &named,
         subject,
         long: long(&fleet, &ctx.work.borrow(), &job.pool, suffers),
         order: ORDER + f64::from(missing) * READ * COLD,
@@ -310,7 +311,7 @@
     domain: &'a str,
     prompt: &'a Prompt,
     engine: Engine,
-    named: Option<crate::world::Named>,
+    named: &'a Versions,
     subject: u64,
     order: f64,
     /// Engines for long prompts, if they are kept apart.
@@ -368,9 +369,8 @@
     /// Factor for an engine whose weights are old or about to change.
     fn old(&self, r: &Replica) -> f64 {
         let version = r.weights.get(&self.prompt.model);
-        let old = self.named.is_some_and(|n| {
-            version.is_some_and(|v| *v < n.version) && self.now.since(n.heard) > OLD
-        });
+        let outdated = version.and_then(|v| self.named.outdated(self.now, *v));
+        let old = outdated.is_some_and(|age| age > OLD);
         let leaving = if self.leaving(r) > 0.0 { LEAVING } else { 1.0 };
         leaving * if old { OLD_FACTOR } else { 1.0 }
     }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -271,9 +271,10 @@
         return Sent::NotRun("another target has its address");
     };
     // It doesn't say which weights it has; the newest ones are what it is ordered to load.
-    let named = ctx.node.world.borrow().named.get(&prompt.model).copied();
-    if let (Some(n), Some(r)) = (named, ctx.fleet.borrow_mut().replicas.get_mut(pick.key)) {
-        r.loaded(&prompt.model, n.version);
+    let world = ctx.node.world.borrow();
+    let named = world.named.get(&prompt.model).map(|n| n.newest());
+    if let (Some(version), Some(r)) = (named, ctx.fleet.borrow_mut().replicas.get_mut(pick.key)) {
+        r.loaded(&prompt.model, version);
     }
     Sent::NotRun("other weights")
 }
@@ -300,6 +301,15 @@
 
 /// Tells of a sending.
 pub(super) fn tell(job: &Job, pick: &Pick) {
+    if let Some(age) = pick.age {
+        meter::span(meter::BELIEF_AGE, age.into());
+    }
+    if let Some(prompt) = &job.prompt {
+        let fetched = prompt.input.saturating_sub(pick.held + pick.read);
+        meter::add(meter::TOKENS, "way", "held", pick.held.into());
+        meter::add(meter::TOKENS, "way", "read", pick.read.into());
+        meter::add(meter::TOKENS, "way", "fetched", fetched.into());
+    }
     log::event(&Event::Sent {
         request: &job.id,
         target: &pick.boot.id,
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -173,6 +173,12 @@
 fn told(ctx: &Ctx, job: &Job, status: StatusCode) {
     let after = ctx.now().since(job.came);
     meter::span(meter::HEAD, after.into());
+    let class = match status.as_u16() {
+        200..300 => "2xx",
+        300..500 => "4xx",
+        _ => "5xx",
+    };
+    meter::count(meter::ANSWERS, "status", class);
     log::event(&Event::Answered {
         request: &job.id,
         route: &job.route.name,
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -33,8 +33,6 @@
     Started {
         /// Its role.
         role: &'a str,
-        /// Its host.
-        host: &'a str,
         /// Its failure domain.
         domain: &'a str,
     },
@@ -252,6 +250,8 @@
 /// An event and when it came.
 #[derive(Serialize)]
 struct Line<'a> {
+    /// The host, so that lines of many processes can be told apart in one stream.
+    host: &'a str,
     /// Milliseconds since the process's first line.
     up_ms: u64,
     #[serde(flatten)]
@@ -310,6 +310,7 @@
 
 fn write(event: &Event<'_>) {
     let line = Line {
+        host: HOST.get().map_or("", String::as_str),
         up_ms: origin().elapsed().as_millis() as u64,
         event,
     };
@@ -353,14 +354,18 @@
         .build()
 }
 
+/// The host that all lines name.
+static HOST: OnceLock<String> = OnceLock::new();
+
 /// Tells that the process has started.
 pub fn started(settings: &Settings) {
+    // A second start in one process, as in a test, keeps the first one's name.
+    let _ = HOST.set(settings.host.clone());
     event(&Event::Started {
         role: match settings.role {
             site::Role::Entry => "entry",
             site::Role::Sidecar => "sidecar",
         },
-        host: &settings.host,
         domain: &settings.domain,
     });
 }
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -1,6 +1,6 @@
 //! Names and meanings of the metrics, and the address that serves them.
 //!
-//! Labels are bounded: routes' modes, causes and pools' kinds, never teams, requests or addresses.
+//! Labels are bounded: causes, ends and pools, never teams, requests or addresses.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -12,7 +12,9 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use metrics::{counter, describe_counter, describe_gauge, describe_histogram, histogram, Unit};
+use metrics::{
+    counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram, Unit,
+};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use tokio::net::TcpListener;
 
@@ -54,6 +56,12 @@
 pub const TOKENS: &str = "clementinestep_prompt_tokens_total";
 /// Seconds since a target's load was last heard of, when it was used.
 pub const BELIEF_AGE: &str = "clementinestep_belief_age_seconds";
+/// Seconds that a call to the store took, held calls not counted.
+pub const STORE: &str = "clementinestep_store_call_seconds";
+/// Requests of callers that are at targets.
+pub const RUNNING: &str = "clementinestep_running";
+/// Retries left, by pool.
+pub const RETRIES: &str = "clementinestep_retries_left";
 /// Orders to engines, by outcome.
 pub const ORDERS: &str = "clementinestep_orders_total";
 /// Datagrams that can't be read.
@@ -75,6 +83,9 @@
     describe_histogram!(WAITING, Unit::Seconds, "arrival to the first sending");
     describe_counter!(TOKENS, "prompt tokens, by held, fetched or read");
     describe_histogram!(BELIEF_AGE, Unit::Seconds, "age of a used target's load");
+    describe_histogram!(STORE, Unit::Seconds, "calls to the store");
+    describe_gauge!(RUNNING, "requests at targets");
+    describe_gauge!(RETRIES, "retries left, by pool");
     describe_counter!(ORDERS, "orders to engines, by outcome");
     describe_counter!(BAD_NEWS, "datagrams that can't be read");
     describe_gauge!(VERSION, "version of the configuration in force");
@@ -91,6 +102,16 @@
     histogram!(name).record(span.as_secs_f64());
 }
 
+/// Counts several.
+pub fn add(name: &'static str, label: &'static str, value: &'static str, n: u64) {
+    counter!(name, label => value).increment(n);
+}
+
+/// Sets a gauge.
+pub fn set(name: &'static str, value: f64) {
+    gauge!(name).set(value);
+}
+
 /// Serves the metrics on the host's own address.
 pub async fn serve(node: &Shared) -> std::io::Result<()> {
     let builder = PrometheusBuilder::new()
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -214,9 +214,10 @@
     };
     let lacking = report.weights.iter().find_map(|w| {
         let named = world.named.get(&w.model)?;
-        (named.version > w.version).then(|| (w.model.clone(), *named))
+        let lacks = named.newest() > w.version;
+        lacks.then(|| (w.model.clone(), named.newest(), named.heard()))
     });
-    let Some((model, named)) = lacking else {
+    let Some((model, version, heard)) = lacking else {
         // Its length is known once the engine has what it was ordered to load.
         if let Some(begun) = e.turn.take().and_then(|t| t.begun) {
             let seen = now.since(begun).0 as f64;
@@ -227,7 +228,7 @@
     };
     if e.turn
         .as_ref()
-        .is_some_and(|t| t.weights.version == named.version)
+        .is_some_and(|t| t.weights.version == version)
     {
         return;
     }
@@ -235,12 +236,9 @@
     let load = e.load.unwrap_or(LOAD);
     let wait = turns::wait(&turns::Config::default(), rank, engines, load);
     e.turn = Some(Turn {
-        weights: Weights {
-            model,
-            version: named.version,
-        },
-        heard: named.heard,
-        at: (named.heard + QUIET + wait).max(now),
+        weights: Weights { model, version },
+        heard,
+        at: (heard + QUIET + wait).max(now),
         pause: Micros::ZERO,
         begun: None,
     });
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -7,11 +7,16 @@
 
 use bytes::Bytes;
 use model::Micros;
+use policy::versions::Versions;
 use site::{Plan, Role, Settings};
 use tokio::time::Instant;
 
 use crate::log::{self, Event};
 
+/// Time after its start in which a process first reads what was there before it; a slow store
+/// answers within it.
+const START: Micros = Micros::from_millis(3_000);
+
 /// A process's context, handed to all its parts.
 pub type Shared = Rc<Node>;
 
@@ -59,15 +64,6 @@
     pub value: Bytes,
 }
 
-/// Weights that the operator has named.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Named {
-    /// Version of the weights.
-    pub version: u64,
-    /// When this process heard of them.
-    pub heard: Micros,
-}
-
 /// Another process of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -82,8 +78,8 @@
 pub struct World {
     /// The configuration in force.
     pub plan: Option<Rc<Plan>>,
-    /// The newest weights, by model.
-    pub named: HashMap<String, Named>,
+    /// Weights that the operator has named, by model.
+    pub named: HashMap<String, Versions>,
     /// The operator's rows as they were read, for processes that the store turns away.
     pub rows: HashMap<String, OperatorRow>,
     /// Other processes, by host.
@@ -142,18 +138,14 @@
         source: &str,
     ) -> Result<(), platform::config::ConfigError> {
         let weights = platform::config::weights(value)?;
-        let current = self.named.get(&weights.model).map_or(0, |n| n.version);
-        if weights.version > current {
+        let start = now < START;
+        let known = self.named.entry(weights.model.clone()).or_default();
+        if known.name(now, weights.version, start) {
             log::event(&Event::Named {
                 model: &weights.model,
                 version: weights.version,
                 source,
             });
-            let named = Named {
-                version: weights.version,
-                heard: now,
-            };
-            self.named.insert(weights.model, named);
         }
         Ok(())
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod standing;
 pub mod turns;
 pub mod urgency;
+pub mod versions;
--- a/crates/policy/tests/hosted.rs
+++ b/crates/policy/tests/hosted.rs
@@ -5,6 +5,7 @@
 use policy::ledger::Ledger;
 use policy::readers::Readers;
 use policy::standing::{self, Standing};
+use policy::versions::Versions;
 use policy::{apart, shared, turns, urgency};
 
 fn ms(n: u64) -> Micros {
@@ -378,3 +379,23 @@
     assert!(steady(5_000, 7_000).all(|due| due.contains(&1)));
     assert!(steady(7_000, 10_000).all(|due| due == [1, 2]));
 }
+
+#[test]
+fn weights_grow_old_from_the_first_version_after_them() {
+    // New weights are named every two seconds while one engine is cut off and keeps version 2. Its
+    // age counts from the naming of version 3, however often something newer is named after that; a
+    // caller doesn't get an answer on weights that were replaced seven seconds ago.
+    let mut versions = Versions::default();
+    for (version, at) in [(2, 1_000), (3, 4_000), (4, 6_000), (5, 8_000)] {
+        assert!(versions.name(ms(at), version, false));
+        assert!(!versions.name(ms(at), version, false), "told twice");
+    }
+    assert_eq!(versions.outdated(ms(10_000), 2), Some(ms(6_000)));
+    assert_eq!(versions.outdated(ms(10_000), 4), Some(ms(2_000)));
+    assert_eq!(versions.outdated(ms(10_000), 5), None);
+    assert_eq!((versions.newest(), versions.heard()), (5, ms(8_000)));
+    // A process that starts in the middle of it doesn't know when version 5 was named.
+    let mut started = Versions::default();
+    started.name(ms(100), 5, true);
+    assert_eq!(started.outdated(ms(1_100), 2), Some(ms(3_500)));
+}
