--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -80,6 +80,8 @@
     expected: HashMap<(u64, PartId), (u32, Micros)>,
     /// How it has done.
     pub standing: Standing,
+    /// Whether another target has been met at its address, so that it is gone, whatever the list says.
+    pub replaced: bool,
     epoch: u64,
 }
 
@@ -98,6 +100,7 @@
             held: HashMap::new(),
             expected: HashMap::new(),
             standing: Standing::default(),
+            replaced: false,
             epoch: 0,
         }
     }
@@ -343,6 +346,16 @@
         }
     }
 
+    /// Notes that another target has a target's address. The list names the old one for some seconds
+    /// more; each request sent there would be refused and cost a retry.
+    pub fn replaced(&mut self, key: Key) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.replaced = true;
+            replica.idle.clear();
+            left_out(replica, "another target has its address");
+        }
+    }
+
     /// Notes that a target can't be reached.
     pub fn unreachable(&mut self, now: Micros, key: Key, reason: &str) {
         let Some(replica) = self.replicas.get_mut(key) else {
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -114,6 +114,7 @@
         .replicas
         .iter()
         .filter(|(_, r)| r.target.pool == job.pool && r.target.state == State::Ready)
+        .filter(|(_, r)| !r.replaced)
         .collect();
     let some = |test: &dyn Fn(&(Key, &Replica)) -> bool| {
         let passed: Vec<_> = ready.iter().copied().filter(|c| test(c)).collect();
@@ -126,10 +127,11 @@
         .unwrap_or_default()
 }
 
-/// Whether the sidecar, if it has been heard lately, says that the engine answers.
+/// Whether the sidecar, if it has been heard lately, says that the engine answers and isn't loading
+/// weights; while it loads it refuses all that is new.
 fn answers(replica: &Replica, now: Micros) -> bool {
     let heard = replica.heard.filter(|h| now.since(h.at) < HEARD);
-    heard.is_none_or(|h| h.alive)
+    heard.is_none_or(|h| h.alive && !h.busy)
 }
 
 /// Whether the sidecar has said just now that the engine answers. Fetching from one that doesn't
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -215,18 +215,33 @@
         while self.job.may_run() && !self.job.left(self.ctx.now()).is_zero() {
             let spent = self.ctx.budget(&self.job.pool, |b| b.spend(self.ctx.now()));
             if !spent {
+                self.stuck("no retry left");
                 return false;
             }
             match self.resume().await {
                 Resumed::Yes => return true,
                 Resumed::NotRun => {}
                 Resumed::Ran => self.job.runs += 1,
-                Resumed::Nowhere => return false,
+                Resumed::Nowhere => {
+                    self.stuck("no other replica");
+                    return false;
+                }
             }
         }
         false
     }
 
+    /// Tells why a broken stream doesn't go on.
+    fn stuck(&self, reason: &str) {
+        log::event(&Event::Tried {
+            request: &self.job.id,
+            target: "",
+            attempt: self.job.sends,
+            reason,
+            ran: true,
+        });
+    }
+
     async fn resume(&mut self) -> Resumed {
         let Some(plan) = self.ctx.node.plan() else {
             return Resumed::Nowhere;
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -262,12 +262,9 @@
 
 /// A refusal by another target at the address, or by the right one with other weights.
 fn misdirected(ctx: &Ctx, pick: &Pick, job: &Job, told: &Told) -> Sent {
-    let now = ctx.now();
     let same = told.target.as_ref().is_none_or(|t| *t == pick.boot.id);
     let (Some(prompt), true) = (&job.prompt, same) else {
-        ctx.fleet
-            .borrow_mut()
-            .unreachable(now, pick.key, "another target has its address");
+        ctx.fleet.borrow_mut().replaced(pick.key);
         return Sent::NotRun("another target has its address");
     };
     // It doesn't say which weights it has; the newest ones are what it is ordered to load.
--- a/crates/policy/src/shared.rs
+++ b/crates/policy/src/shared.rs
@@ -10,7 +10,8 @@
 //! that list, which makes the parts smaller, never larger.
 //!
 //! Grounds: nine tenths of the ratio, since the owner's windows and an entry's own don't begin at
-//! the same moment; half of the slack, since an entry that has just come isn't known to all.
+//! the same moment; four fifths of the slack, since an entry that has just come isn't known to all
+//! for a moment.
 
 use std::collections::VecDeque;
 
@@ -32,7 +33,7 @@
 /// Part of the ratio that is used.
 const USED: f64 = 0.9;
 /// Part of the slack that is used.
-const SLACK: f64 = 0.5;
+const SLACK: f64 = 0.8;
 
 /// One entry's part of a pool's budget.
 #[derive(Debug)]
