--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -5,5 +5,6 @@
 mod answers;
 mod callers;
 mod fleet;
+mod soak;
 mod store;
 mod weights;
