Don't take a stream that ends within an event for whole

Cause: a resumable stream whose connection ended in order in the middle of an event was passed on with the half event, and the next replica's events were joined to it. Now it counts as broken: the half event is dropped and another replica goes on. The test showed "id: 4\ndaid: 4" before and whole events after.

--- a/crates/daemon/tests/hosted/answers.rs
+++ b/crates/daemon/tests/hosted/answers.rs
@@ -137,6 +137,21 @@
     assert_eq!(again.headers["last-event-id"], "3");
 }
 
+#[tokio::test]
+async fn a_stream_that_ends_within_an_event_isn_t_taken_for_whole() {
+    // A replica's stream ends in order, but in the middle of its fourth event, as when a stream
+    // without a length loses its connection. The caller gets the rest from another replica instead
+    // of three events and a half.
+    let fleet = Fleet::start(6).await;
+    fleet.engines.iter().for_each(|r| r.set_fault(Fault::Short));
+    let held = request(&fleet.entry, "/probe/1", "short").open().await;
+    let body = held.expect("an answer").into_body();
+    fleet.engines.iter().for_each(|r| r.set_fault(Fault::None));
+    let whole = tokio::time::timeout(LIMIT, body.collect()).await;
+    let whole = whole.expect("an end").expect("a whole answer").to_bytes();
+    assert_eq!(whole, events(1..=6));
+}
+
 #[tokio::test]
 async fn what_may_have_run_is_never_sent_twice_nor_called_not_run() {
     // A replica takes a record and its connection breaks, or it answers with what can't be its own
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -110,7 +110,10 @@
                         return Ok(Some(out));
                     }
                 }
-                Came::Whole => return Ok(self.whole()),
+                Came::Whole => {
+                    self.whole();
+                    return Ok(None);
+                }
                 Came::Overdue => return self.cut(End::Overdue),
                 Came::Broken(reason) => {
                     if !self.go_on(reason).await {
@@ -144,6 +147,9 @@
             Err(_) => return Came::Overdue,
         };
         match frame {
+            // A stream without a stated length ends with its connection; if that is in the middle of an
+            // event, it isn't whole, and taking it for whole would lose the caller the rest.
+            None if !self.rest.is_empty() => Came::Broken("ended within an event"),
             None => Came::Whole,
             Some(Err(_)) => Came::Broken("stream broken"),
             Some(Ok(f)) => f.into_data().map_or(Came::Bytes(Bytes::new()), Came::Bytes),
@@ -185,7 +191,7 @@
     }
 
     /// The replica's stream ended in order; its connection is kept.
-    fn whole(&mut self) -> Option<Bytes> {
+    fn whole(&mut self) {
         self.end = End::Whole;
         if let Some(live) = self.live.take() {
             let mut fleet = self.ctx.fleet.borrow_mut();
@@ -196,9 +202,6 @@
             drop(fleet);
             drop(live.place);
         }
-        // Bytes after the last whole event, if there are any, are the replica's as well.
-        let rest = std::mem::take(&mut self.rest);
-        (!rest.is_empty()).then(|| rest.freeze())
     }
 
     /// Lets another replica go on.
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -43,6 +43,8 @@
     Crossed,
     /// It breaks its stream off after three events, in the middle of the fourth.
     Cut,
+    /// It ends its stream in order, but in the middle of the fourth event.
+    Short,
 }
 
 /// A request that a replica has seen.
@@ -246,12 +248,16 @@
         let first = after.and_then(|a| a.parse::<u64>().ok()).unwrap_or(0) + 1;
         let work = Work::new(self);
         let (last, pause) = (self.events, self.pause);
-        let cut = (fault == Fault::Cut).then_some(first + 3);
+        let short = fault == Fault::Short;
+        let cut = (short || fault == Fault::Cut).then_some(first + 3);
         let events = stream::unfold((first, work), move |(n, work)| async move {
             if cut == Some(n) {
                 let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
                 return Some((Ok(half), (u64::MAX, work)));
             }
+            if n == u64::MAX && short {
+                return None;
+            }
             if n == u64::MAX {
                 // What was sent is on its way before the connection breaks; the state ends with the
                 // error, and the work with it.
