Sidecars tell the entries that ask; time given and status in the log of tries

Cause: each sidecar told each entry; at 350 entries and 830 sidecars an entry would take in some 16,000 datagrams a second (est.). And of a try that failed the log told neither the time that the target was given nor the status with which it answered. Change: an entry asks up to 96 sidecars, its own failure domain first, each 2 s; a sidecar tells those who have asked within 6 s, and all while it has just started; engines that aren't heard aren't used where there are more. Up to 96 engines nothing changes but the asking. sent tells left_ms, tried tells status.

--- a/crates/daemon/tests/hosted/held.rs
+++ b/crates/daemon/tests/hosted/held.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use gate::news::{self, News};
@@ -17,13 +17,15 @@
 const SCOPE: &str = "lekha.1";
 
 /// An engine, its sidecar, and a socket that asks like an entry that has just started. It isn't among
-/// the members, so that it hears nothing but answers.
+/// the members, so that it hears only because it has asked.
 struct Beside {
     _platform: Platform,
     engine: Arc<Replica>,
     sidecar: SocketAddr,
     _process: Process,
     socket: UdpSocket,
+    /// What it has been told.
+    held: Mutex<BTreeMap<u64, u32>>,
 }
 
 impl Beside {
@@ -41,36 +43,34 @@
             sidecar,
             _process: process,
             socket: UdpSocket::bind("127.0.0.1:0").await.expect("a socket"),
+            held: Mutex::default(),
         }
     }
 
-    /// Asks until the answer is this.
-    async fn answers(&self, parts: &[(&str, u32)]) {
+    /// Asks to be told, and hears until what is held is this.
+    async fn hears(&self, parts: &[(&str, u32)]) {
         let want: BTreeMap<u64, u32> = parts.iter().map(|(p, n)| (id(p), *n)).collect();
-        let asked = async {
-            loop {
-                let got = self.ask().await;
-                if got == want {
-                    return;
-                }
-            }
-        };
-        let answered = timeout(LIMIT, asked).await;
-        assert!(answered.is_ok(), "last: {:?}", self.ask().await);
-    }
-
-    async fn ask(&self) -> BTreeMap<u64, u32> {
+        self.socket.writable().await.expect("a socket");
         let asks = News {
             entry: true,
             asks: true,
             ..News::default()
         };
-        self.socket.writable().await.expect("a socket");
         news::send(&self.socket, &asks, [self.sidecar]);
-        let (news, _) = timeout(LIMIT, news::receive(&self.socket))
-            .await
-            .expect("an answer");
-        news.parts.iter().map(|p| (p.part, p.tokens)).collect()
+        let heard = async {
+            while *self.held.lock().expect("parts") != want {
+                let (news, _) = news::receive(&self.socket).await;
+                let mut held = self.held.lock().expect("parts");
+                for p in news.parts {
+                    match p.tokens {
+                        0 => held.remove(&p.part),
+                        n => held.insert(p.part, n),
+                    };
+                }
+            }
+        };
+        let heard = timeout(LIMIT, heard).await;
+        assert!(heard.is_ok(), "last: {:?}", self.held.lock());
     }
 }
 
@@ -85,7 +85,7 @@
     // request went, and callers waited for it.
     let held = [("a1", 20), ("b2", 30)];
     let beside = Beside::start(|c| held.iter().for_each(|(p, n)| c.store(SCOPE, p, *n))).await;
-    beside.answers(&held).await;
+    beside.hears(&held).await;
 }
 
 #[tokio::test]
@@ -98,18 +98,18 @@
         c.store(SCOPE, "b2", 30);
     })
     .await;
-    beside.answers(&[("a1", 20), ("b2", 30)]).await;
+    beside.hears(&[("a1", 20), ("b2", 30)]).await;
     beside.engine.with_cache(|c| {
         c.store(SCOPE, "b2", 0);
         c.store(SCOPE, "c3", 10);
         c.forget();
         c.store(SCOPE, "d4", 40);
     });
-    beside.answers(&[("a1", 20), ("c3", 10), ("d4", 40)]).await;
+    beside.hears(&[("a1", 20), ("c3", 10), ("d4", 40)]).await;
     // The engine pauses for each list, so that it is read once and changes are followed again.
     beside.engine.with_cache(|c| c.store(SCOPE, "e5", 50));
     beside
-        .answers(&[("a1", 20), ("c3", 10), ("d4", 40), ("e5", 50)])
+        .hears(&[("a1", 20), ("c3", 10), ("d4", 40), ("e5", 50)])
         .await;
     assert_eq!(beside.engine.with_cache(|c| c.listed()), 1);
 }
@@ -125,5 +125,5 @@
         c.store(SCOPE, "c3", 10);
     })
     .await;
-    beside.answers(&[("a1", 20), ("b2", 30), ("c3", 10)]).await;
+    beside.hears(&[("a1", 20), ("b2", 30), ("c3", 10)]).await;
 }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -16,18 +16,21 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use model::Micros;
+use policy::hearing::{self, Sidecar};
 use policy::{apart, shared};
 use tokio::net::UdpSocket;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout_at, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::meter;
 use crate::news::{self, Held, News, Note};
-use crate::world::Shared;
+use crate::world::{domain_key, Shared};
 use site::{Part, Scope};
 
 pub use fleet::Fleet;
@@ -163,23 +166,42 @@
     Ok(())
 }
 
-/// Asks the sidecars for all that is held, once they are known. They tell it by themselves every few
+/// Asks the sidecars that are wanted to tell of their engines, for as long as the process lives.
+///
+/// A sidecar tells one who asks for the first time all that is held. By itself it tells that every few
 /// seconds only, and until then each subject would be read again, wherever its request goes: after all
 /// processes of nine engines and six entries had been killed at once, 240,000 tokens in four seconds.
 async fn ask(ctx: Ctx) {
-    let sidecars = loop {
-        let known: Vec<_> = ctx.node.world.borrow().sidecars().collect();
-        if !known.is_empty() {
-            break known;
-        }
-        sleep(LOOK).await;
-    };
     let news = News {
         entry: true,
         asks: true,
         ..News::default()
     };
-    news::send(&ctx.socket, &news, sidecars);
+    loop {
+        let wanted = wanted(&ctx);
+        let pause = if wanted.is_empty() {
+            LOOK
+        } else {
+            hearing::ASK.into()
+        };
+        news::send(&ctx.socket, &news, wanted);
+        sleep(pause).await;
+    }
+}
+
+/// The sidecars that this entry hears.
+fn wanted(ctx: &Ctx) -> Vec<SocketAddr> {
+    let (own, domain) = {
+        let s = ctx.node.settings.borrow();
+        (xxh3_64(s.host.as_bytes()), domain_key(&s.domain))
+    };
+    let world = ctx.node.world.borrow();
+    let sidecars = world.sidecars().map(|m| Sidecar {
+        addr: m.addr,
+        near: m.domain == domain,
+        rank: xxh3_64_with_seed(m.addr.to_string().as_bytes(), own),
+    });
+    hearing::wanted(sidecars)
 }
 
 /// Takes over what sidecars tell.
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -5,6 +5,7 @@
 
 use model::Micros;
 use policy::apart;
+use policy::hearing;
 use policy::lateness::{self, Prospect, Verdict};
 use policy::outlook::{self, Load, READ};
 use policy::quarantine::Verdict::Suspect;
@@ -19,6 +20,7 @@
 use super::request::Job;
 use super::{suspects, Ctx};
 use crate::sidecar::QUIET;
+use crate::world::domain_key;
 
 /// How long an entry's word takes to reach a sidecar and to come back as news.
 const TRANSIT: Micros = Micros::from_millis(5);
@@ -114,6 +116,20 @@
     heard.is_none_or(|h| h.alive && !h.busy)
 }
 
+/// Those of a pool's engines that are heard of. Up to some number all are, or the words of those that
+/// aren't are lost; beyond it the others look idle, since nothing is known of what they have to do.
+fn heard(open: Vec<(Key, &Replica)>, now: Micros) -> Vec<(Key, &Replica)> {
+    if open.len() <= hearing::MOST {
+        return open;
+    }
+    let fresh = |r: &Replica| r.heard.is_some_and(|h| now.since(h.at) < HEARD);
+    let some: Vec<_> = open.iter().copied().filter(|(_, r)| fresh(r)).collect();
+    if some.is_empty() {
+        return open;
+    }
+    some
+}
+
 /// Whether the sidecar has said just now that the engine answers. Fetching from one that doesn't
 /// costs some hundred milliseconds.
 fn surely_answers(replica: &Replica, now: Micros) -> bool {
@@ -194,6 +210,7 @@
         .into_iter()
         .filter(|(_, r)| current(r))
         .collect();
+    let open = heard(open, now);
     let subject = prompt.shared().last().map_or(0, |p| p.id.0);
     let known = fleet
         .replicas
@@ -316,7 +333,7 @@
         Candidate {
             key,
             addr: r.target.addr,
-            domain: name(&r.target.domain),
+            domain: domain_key(&r.target.domain),
             wait: load.wait(self.prompt.input + self.prompt.output),
             read: READ,
             held,
@@ -365,7 +382,7 @@
         let engines = engines[turn..].iter().chain(&engines[..turn]);
         let engines = engines.map(|o| Source {
             addr: o.target.addr,
-            domain: name(&o.target.domain),
+            domain: domain_key(&o.target.domain),
             held: o.holds(scope, parts),
             soon: o.will_hold(self.now, scope, parts),
             rate: rate(self.engine.link),
@@ -375,7 +392,7 @@
             let held = holds(&fleet.kept.get(&k.addr)?.held, scope, parts);
             Some(Source {
                 addr: k.addr,
-                domain: name(&k.domain),
+                domain: domain_key(&k.domain),
                 held,
                 soon: held,
                 rate: rate(k.link),
@@ -386,11 +403,6 @@
     }
 }
 
-/// A failure domain's name as policies compare it.
-fn name(domain: &str) -> u64 {
-    xxh3_64_with_seed(domain.as_bytes(), 0)
-}
-
 /// Where a request begins in a row of equals, so that requests spread over them.
 fn turn(job: &Job, equals: usize) -> usize {
     xxh3_64_with_seed(job.id.as_bytes(), 0) as usize % equals.max(1)
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -268,6 +268,7 @@
             target: "",
             attempt: self.job.sends,
             reason,
+            status: None,
             ran: true,
         });
     }
@@ -281,9 +282,10 @@
         };
         self.job.tried.push(pick.key);
         self.job.sends += 1;
-        send::tell(&self.job, &pick);
-        let patience = self.job.left(self.ctx.now()) + LAST_WORD;
         let began = self.ctx.now();
+        let left = self.job.left(began);
+        send::tell(&self.job, &pick, left);
+        let patience = left + LAST_WORD;
         match send::send(&self.ctx, &self.job, &pick, patience).await {
             Sent::Answer(live) => {
                 let good = live.response.status().is_success();
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -311,7 +311,7 @@
 }
 
 /// Tells of a sending.
-pub(super) fn tell(job: &Job, pick: &Pick) {
+pub(super) fn tell(job: &Job, pick: &Pick, left: Duration) {
     if let Some(age) = pick.age {
         meter::span(meter::BELIEF_AGE, age.into());
     }
@@ -331,6 +331,7 @@
         read: pick.read,
         cold: pick.cold,
         fetch: pick.fetch.map(|a| a.to_string()),
+        left_ms: left.as_millis() as u64,
         weights: pick.weights,
         age_ms: pick.age.map(model::Micros::as_millis),
     });
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -232,16 +232,18 @@
             Err(_) => return last.map(Found::Whole).ok_or(Reason::Unknown),
         };
         let tried = once(ctx, job, &pick).await;
+        let mut status = None;
         let (seen, ran, reason) = match tried {
             Tried::Found(found) => return Ok(found),
             Tried::NotRun { seen, reason } => (seen, false, reason),
             Tried::Ran { reason, answer } => {
                 job.runs += 1;
+                status = answer.as_ref().map(Response::status);
                 last = answer.or(last);
                 (true, true, reason)
             }
         };
-        failed(job, &pick, reason, ran);
+        failed(job, &pick, reason, status, ran);
         if !again(ctx, job, seen, ran) {
             let reason = match job.runs {
                 0 => Reason::NotRun,
@@ -269,13 +271,14 @@
     }
 }
 
-fn failed(job: &Job, pick: &Pick, reason: &'static str, ran: bool) {
+fn failed(job: &Job, pick: &Pick, reason: &'static str, status: Option<StatusCode>, ran: bool) {
     meter::count(meter::FAILED_TRIES, "reason", reason);
     log::event(&Event::Tried {
         request: &job.id,
         target: &pick.boot.id,
         attempt: job.sends,
         reason,
+        status: status.map(|s| s.as_u16()),
         ran,
     });
 }
@@ -309,8 +312,8 @@
 async fn once(ctx: &Ctx, job: &mut Job, pick: &Pick) -> Tried {
     job.tried.push(pick.key);
     job.sends += 1;
-    send::tell(job, pick);
     let began = ctx.now();
+    send::tell(job, pick, job.left(began));
     let sent = send::send(ctx, job, pick, patience(ctx, job, pick)).await;
     let now = ctx.now();
     match sent {
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::log::{self, Dependency, Event};
-use crate::world::{Member, OperatorRow, Shared};
+use crate::world::{domain_key, Member, OperatorRow, Shared};
 
 /// How long the store may hold a call; long calls are few, and a vanished connection is found by
 /// the kernel's probes, not by this.
@@ -32,6 +32,8 @@
 struct Entry {
     addr: std::net::SocketAddr,
     entry: bool,
+    #[serde(default)]
+    domain: String,
 }
 
 /// A random pause before the store is asked again.
@@ -112,6 +114,7 @@
         let own = Entry {
             addr: s.peer,
             entry: s.role == Role::Entry,
+            domain: s.domain.clone(),
         };
         (s.store, s.host.clone(), own)
     };
@@ -189,6 +192,10 @@
         true => Role::Entry,
         false => Role::Sidecar,
     };
-    let addr = entry.addr;
-    Some((row.key, Member { addr, role }))
+    let member = Member {
+        addr: entry.addr,
+        role,
+        domain: domain_key(&entry.domain),
+    };
+    Some((row.key, member))
 }
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -163,6 +163,8 @@
         cold: u32,
         /// Where it fetches from.
         fetch: Option<String>,
+        /// Milliseconds that the target was given to answer.
+        left_ms: u64,
         /// Version of the weights that it must have.
         weights: Option<u64>,
         /// Milliseconds since the target's load was last heard of.
@@ -178,6 +180,8 @@
         attempt: u32,
         /// What happened.
         reason: &'a str,
+        /// Status with which the target answered, if it did.
+        status: Option<u16>,
         /// Whether the request may have run there.
         ran: bool,
     },
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -71,7 +71,7 @@
     /// A crash that an entry holds against a request, or takes back.
     #[prost(message, optional, tag = "19")]
     pub strike: Option<Strike>,
-    /// Whether an entry that has just started asks for all that is held.
+    /// Whether an entry asks to be told of the engine from now on.
     #[prost(bool, tag = "20")]
     pub asks: bool,
     /// Parts that an entry has just sent the engine to read.
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -13,6 +13,7 @@
 use model::Micros;
 use platform::replica::{self, LoadOrder, Taken};
 use platform::Conn;
+use policy::hearing::{self, Hearers};
 use policy::ledger::Ledger;
 use policy::turns;
 use site::{Report, Swap, Weights};
@@ -42,6 +43,8 @@
 const EMPTY: Micros = Micros::from_millis(350);
 /// How long before its turn the engine gets no new requests; as long as most generations take.
 pub const QUIET: Micros = Micros::from_millis(300);
+/// How long after its start a sidecar tells all entries; each that wants to hear it asks within that.
+const STARTED: Micros = Micros(2 * hearing::ASK.0);
 /// Pause after an order that wasn't answered or was refused; it may still be carried out.
 const AGAIN: Micros = Micros::from_millis(300);
 
@@ -61,6 +64,8 @@
     fence: u64,
     /// What it has yet to read.
     ledger: Ledger,
+    /// The entries that want to hear of it.
+    hearers: Hearers,
 }
 
 /// A load that is to come.
@@ -119,8 +124,10 @@
     loop {
         let (news, from) = news::receive(&socket).await;
         if news.asks {
-            tell_whole(&engine, &socket, &summary(&node, &engine), [from]);
-            kept.tell(&socket, [from]);
+            if engine.borrow_mut().hearers.ask(node.now(), from) {
+                tell_whole(&engine, &socket, &summary(&node, &engine), [from]);
+                kept.tell(&socket, [from]);
+            }
             continue;
         }
         let Some(note) = news.note else {
@@ -170,13 +177,13 @@
         let news = summary(node, engine);
         if whole.elapsed() >= WHOLE {
             whole = Instant::now();
-            tell_whole(engine, socket, &news, node.world.borrow().entries());
+            tell_whole(engine, socket, &news, hearers(node, engine));
         }
         let fresh = fresh(node, engine);
         if news != told || !fresh.is_empty() || renewed.elapsed() >= RENEW {
             told = news.clone();
             renewed = Instant::now();
-            news::send_parts(socket, news, &fresh, node.world.borrow().entries());
+            news::send_parts(socket, news, &fresh, hearers(node, engine));
         }
         sleep(LOOK).await;
     }
@@ -327,10 +334,21 @@
     }
 }
 
+/// Those whom the sidecar tells: entries that have asked and, as long as it has just started and they
+/// may not have asked yet, all that are known.
+fn hearers(node: &Shared, engine: &Own) -> Vec<SocketAddr> {
+    let now = node.now();
+    let asked: Vec<_> = engine.borrow().hearers.told(now).collect();
+    let world = node.world.borrow();
+    let known = world.entries().filter(|_| now < STARTED);
+    let others = known.filter(|e| !asked.contains(e)).collect::<Vec<_>>();
+    asked.into_iter().chain(others).collect()
+}
+
 /// What is to be told of parts. While no entry is known it is kept: a sidecar that starts reads all
 /// that its engine has stored, often before it has read who the entries are.
 fn fresh(node: &Shared, engine: &Own) -> Vec<Held> {
-    match node.world.borrow().entries().next() {
+    match hearers(node, engine).first() {
         Some(_) => std::mem::take(&mut engine.borrow_mut().fresh),
         None => Vec::new(),
     }
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -10,6 +10,7 @@
 use policy::versions::Versions;
 use site::{Plan, Role, Settings};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::log::{self, Event};
 
@@ -71,6 +72,13 @@
     pub addr: SocketAddr,
     /// What it does.
     pub role: Role,
+    /// Key of its failure domain.
+    pub domain: u64,
+}
+
+/// A failure domain's name as decisions compare it.
+pub fn domain_key(domain: &str) -> u64 {
+    xxh3_64(domain.as_bytes())
 }
 
 /// What a process believes of the operator's wishes and of the other processes.
@@ -158,9 +166,9 @@
         entries.map(|m| m.addr)
     }
 
-    /// Addresses of all sidecars but this process.
-    pub fn sidecars(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        let sidecars = self.members.values().filter(|m| m.role == Role::Sidecar);
-        sidecars.map(|m| m.addr)
+    /// All sidecars but this process.
+    pub fn sidecars(&self) -> impl Iterator<Item = Member> + '_ {
+        let members = self.members.values().copied();
+        members.filter(|m| m.role == Role::Sidecar)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine,
 //! [`standing`] tells which targets to leave alone, [`shared`] keeps all entries within one budget
-//! of retries, [`broken`] tells crashes from lost connections for [`quarantine`], and [`turns`] says
+//! of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from lost connections for [`quarantine`], and [`turns`] says
 //! when an engine takes new weights.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
@@ -25,6 +25,7 @@
 pub mod cost;
 pub mod drain;
 pub mod health;
+pub mod hearing;
 pub mod lateness;
 pub mod ledger;
 pub mod limit;
