Requests wait out an entry's first tens of milliseconds

Cause: an entry listens before it has read its configuration and the list of targets; after a loss of power some fifty callers were refused in those 20 to 40 ms and told to come back after 0.4 s. Change: for the first 400 ms of a process requests wait until both are known, looked at each 5 ms.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -215,3 +215,19 @@
     assert_eq!(served.status, 200);
     assert!(second.seen().iter().any(|s| s.id == "log-1" && s.ran));
 }
+
+#[tokio::test]
+async fn a_request_that_comes_right_after_a_start_is_served() {
+    // All entries lose power and start again at one moment, and callers come at once. An entry has read
+    // its configuration and targets some tens of milliseconds later; those who are refused until then
+    // come back much later than that.
+    let mut platform = Platform::start().await;
+    let plain = Replica::new("p1", 0, Duration::ZERO);
+    platform.replica(&plain, "plain").await;
+    platform
+        .store
+        .set_fault(Fault::Slow(Duration::from_millis(20)));
+    let entry = platform.unready("front-1", platform.at).await;
+    let answer = ask(&entry, "/log/1", "log-1").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+}
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -39,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Shared {
     readers: RefCell<Readers>,
-    /// Hash of the list as this entry last read it.
+    /// Hash of the list as this entry last read it; 0 before.
     own: Cell<u64>,
     changed: Notify,
     /// Version of the last list that was taken over from another entry.
@@ -47,6 +47,11 @@
 }
 
 impl Shared {
+    /// Whether the list has been read once.
+    pub(super) fn read(&self) -> bool {
+        self.own.get() != 0
+    }
+
     /// Takes over what another entry has found.
     pub(super) fn hear(&self, now: Micros, listed: Listed) {
         self.readers.borrow_mut().hear(now, listed.rank);
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -18,7 +18,7 @@
 use rules::Facts;
 use site::{Mode, Plan, Route};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::listen::Watch;
 use super::pick::{self, Pick};
@@ -41,6 +41,11 @@
 /// replica. A replica that is only slow must keep it: at 0.6 s in all, four in ten of the streams of
 /// a fleet with a quarter of its engines dark were begun twice, which doubled the load of the rest.
 const STREAM_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Longest time from a process's start in which requests wait for what it doesn't know yet; a slow
+/// store answers its two calls within it.
+const START: Micros = Micros::from_millis(400);
+/// Pause between two looks whether it is known.
+const LOOK: Duration = Duration::from_millis(5);
 /// Shortest time in which a target can answer anything.
 const LEAST: Duration = Duration::from_millis(5);
 
@@ -63,6 +68,7 @@
     };
     let chunked = head.chunked;
     let id = head.id.clone();
+    know(&ctx).await;
     let mut response = match prepare(&ctx, came, parts, head) {
         Err(reason) => refuse::early(&ctx, &watch, &id, came, reason),
         Ok((plan, mut job)) => match read(&plan, body).await {
@@ -83,6 +89,15 @@
     Ok(response)
 }
 
+/// Waits until a process that has just started knows its configuration and targets. It takes some tens
+/// of milliseconds; a caller who is refused meanwhile comes back after several times that. Fifty callers
+/// were refused so when six entries started at once under 100 requests a second.
+async fn know(ctx: &Ctx) {
+    while ctx.now() < START && (ctx.node.plan().is_none() || !ctx.list.read()) {
+        sleep(LOOK).await;
+    }
+}
+
 /// Why a body isn't there.
 enum ReadError {
     Torn,
--- a/crates/standin/src/hosted/rows.rs
+++ b/crates/standin/src/hosted/rows.rs
@@ -26,6 +26,8 @@
     Busy,
     /// It says nothing.
     Silent,
+    /// It answers this much later.
+    Slow(Duration),
 }
 
 #[derive(Debug, Default)]
@@ -126,6 +128,7 @@
             Fault::None => {}
             Fault::Busy => return Some(reply(StatusCode::SERVICE_UNAVAILABLE, "")),
             Fault::Silent => return std::future::pending().await,
+            Fault::Slow(delay) => tokio::time::sleep(delay).await,
         }
         let query = query(request.uri().query().unwrap_or_default());
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
@@ -160,7 +163,7 @@
             let page = {
                 let state = lock(&self.state);
                 match () {
-                    () if state.fault != Fault::None => {
+                    () if matches!(state.fault, Fault::Busy | Fault::Silent) => {
                         return reply(StatusCode::SERVICE_UNAVAILABLE, "")
                     }
                     () if after < state.forgotten => return reply(StatusCode::GONE, ""),
