--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -121,8 +121,22 @@
         self.text(path).await.map(|(value, _)| value)
     }
 
-    /// The same, along with the answer's own text.
-    pub async fn text<T: DeserializeOwned>(&self, path: &str) -> Result<(T, Bytes), Failure> {
+    /// What an entry knows, as the answer's own JSON or as a table of it.
+    pub async fn shown<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        json: bool,
+        table: impl Fn(&T) -> String,
+    ) -> Result<String, Failure> {
+        let (value, text) = self.text::<T>(path).await?;
+        Ok(match json {
+            true => String::from_utf8_lossy(&text).into_owned(),
+            false => table(&value),
+        })
+    }
+
+    /// What an entry knows, along with the answer's own text.
+    async fn text<T: DeserializeOwned>(&self, path: &str) -> Result<(T, Bytes), Failure> {
         let mut misses = Vec::new();
         for (place, entry) in self.order() {
             let answer = self.send(entry, Method::GET, path, "", LIMIT).await;
--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -28,11 +28,7 @@
 /// Lists.
 pub async fn run(h: &History) -> Result<String, Failure> {
     let fleet = Fleet::open(&h.entry, &h.operator_key_file)?;
-    let (changes, json) = fleet.text::<Changes>(HISTORY).await?;
-    match h.json {
-        true => Ok(String::from_utf8_lossy(&json).into_owned()),
-        false => Ok(table(&changes)),
-    }
+    fleet.shown::<Changes>(HISTORY, h.json, table).await
 }
 
 fn table(changes: &Changes) -> String {
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -30,11 +30,7 @@
 /// Lists.
 pub async fn run(s: &Status) -> Result<String, Failure> {
     let fleet = Fleet::open(&s.entry, &s.operator_key_file)?;
-    let (members, json) = fleet.text::<Members>(STATUS).await?;
-    match s.json {
-        true => Ok(String::from_utf8_lossy(&json).into_owned()),
-        false => Ok(page(&members)),
-    }
+    fleet.shown::<Members>(STATUS, s.json, page).await
 }
 
 /// The highest version that anybody reports; members below it lag.
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -7,10 +7,12 @@
 mod pick;
 mod refuse;
 mod relay;
+mod replica;
 mod request;
 mod send;
 mod serve;
 mod suspects;
+mod tries;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,6 +36,7 @@
 use site::{Part, Scope};
 
 pub use fleet::Fleet;
+pub use replica::Replica;
 
 /// How long a stopping process goes on taking what comes on open connections; the balancer needs
 /// two misses, a second apart, to send nothing new.
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -15,8 +15,9 @@
 use site::{Boot, Engine, Plan, Prompt, Scope, State};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::fleet::{holds, Fleet, Key, Replica};
+use super::fleet::{Fleet, Key};
 use super::refuse::Reason;
+use super::replica::{holds, Replica};
 use super::request::Job;
 use super::{suspects, Ctx};
 use crate::sidecar::QUIET;
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -22,7 +22,7 @@
 use super::pick;
 use super::request::{Answer, Cut, Job};
 use super::send::{self, Live, Sent};
-use super::serve::LAST_WORD;
+use super::tries::LAST_WORD;
 use super::{suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
@@ -73,15 +73,12 @@
 
 /// Passes a stream on.
 pub(super) fn relay(ctx: &Ctx, watch: &Rc<Watch>, job: Job, live: Live) -> Response<Answer> {
-    let (mut parts, body) = live.response.into_parts();
-    let headers = parts.headers.clone();
-    parts.headers = replica::answer_headers(&headers);
-    let mut response = Response::new(body);
-    *response.headers_mut() = headers;
+    let status = live.response.status();
+    let headers = replica::answer_headers(live.response.headers());
     let relay = Relay {
         ctx: Rc::clone(ctx),
         job,
-        live: Some(Live { response, ..live }),
+        live: Some(live),
         rest: BytesMut::new(),
         events: 0,
         first: None,
@@ -95,8 +92,11 @@
             Err(cut) => Some((Err(cut), None)),
         }
     });
-    let body = StreamBody::new(events);
-    Response::from_parts(parts, Answer::new(body, Rc::clone(watch)))
+    let body = Answer::new(StreamBody::new(events), Rc::clone(watch));
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
 }
 
 /// What a replica's stream brought.
