--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -22,7 +22,7 @@
 use super::pick;
 use super::request::{Answer, Cut, Job};
 use super::send::{self, Live, Sent};
-use super::tries::LAST_WORD;
+use super::tries::{self, LAST_WORD};
 use super::{suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
@@ -227,6 +227,7 @@
     async fn go_on(&mut self, reason: &'static str) -> bool {
         if let Some(live) = self.live.take() {
             let key = live.place.key();
+            tries::failed(&self.job, &live.place.boot, reason, None, true);
             self.ctx.fleet.borrow_mut().bad(self.ctx.now(), key, reason);
             if self.first.is_none() {
                 suspects::broke(&self.ctx, &self.job, &live.place.boot, live.place.sent);
@@ -237,15 +238,18 @@
         if self.job.route.mode != site::Mode::Resumable {
             return false;
         }
+        if !self.job.may_run() {
+            tries::stuck(&self.job, "no try left");
+        }
         while self.job.may_run() && !self.job.left(self.ctx.now()).is_zero() {
             if suspects::verdict(&self.ctx, &self.job) == Verdict::Convicted {
-                self.stuck("quarantined");
+                tries::stuck(&self.job, "quarantined");
                 return false;
             }
             let spend = |b: &mut Budget| b.spend(self.ctx.now(), Need::HasRun);
             let spent = self.ctx.budget(&self.job.pool, spend);
             if !spent {
-                self.stuck("no retry left");
+                tries::stuck(&self.job, "no retry left");
                 return false;
             }
             match self.resume().await {
@@ -253,7 +257,7 @@
                 Resumed::NotRun => {}
                 Resumed::Ran => self.job.runs += 1,
                 Resumed::Nowhere => {
-                    self.stuck("no other replica");
+                    tries::stuck(&self.job, "no other replica");
                     return false;
                 }
             }
@@ -261,18 +265,6 @@
         false
     }
 
-    /// Tells why a broken stream doesn't go on.
-    fn stuck(&self, reason: &str) {
-        log::event(&Event::Tried {
-            request: &self.job.id,
-            target: "",
-            attempt: self.job.sends,
-            reason,
-            status: None,
-            ran: true,
-        });
-    }
-
     async fn resume(&mut self) -> Resumed {
         let Some(plan) = self.ctx.node.plan() else {
             return Resumed::Nowhere;
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -10,7 +10,7 @@
 use hyper::{Response, StatusCode};
 use platform::replica;
 use policy::shared::Need;
-use site::Mode;
+use site::{Boot, Mode};
 use tokio::time::timeout;
 
 use super::pick::{self, Pick};
@@ -86,7 +86,7 @@
                 (true, true, reason)
             }
         };
-        failed(job, &pick, reason, status, ran);
+        failed(job, &pick.boot, reason, status, ran);
         if !again(ctx, job, seen, ran) {
             let reason = match job.runs {
                 0 => Reason::NotRun,
@@ -114,11 +114,18 @@
     }
 }
 
-fn failed(job: &Job, pick: &Pick, reason: &'static str, status: Option<StatusCode>, ran: bool) {
+/// Tells that a try came to nothing.
+pub(super) fn failed(
+    job: &Job,
+    boot: &Boot,
+    reason: &'static str,
+    status: Option<StatusCode>,
+    ran: bool,
+) {
     meter::count(meter::FAILED_TRIES, "reason", reason);
     log::event(&Event::Tried {
         request: &job.id,
-        target: &pick.boot.id,
+        target: &boot.id,
         attempt: job.sends,
         reason,
         status: status.map(|s| s.as_u16()),
@@ -126,16 +133,41 @@
     });
 }
 
+/// Tells why a job isn't tried once more, where its answer doesn't.
+pub(super) fn stuck(job: &Job, reason: &str) {
+    log::event(&Event::Tried {
+        request: &job.id,
+        target: "",
+        attempt: job.sends,
+        reason,
+        status: None,
+        ran: job.runs > 0,
+    });
+}
+
 /// Whether a job may be sent once more.
 fn again(ctx: &Ctx, job: &Job, seen: bool, ran: bool) -> bool {
     let harmless = !ran || matches!(job.route.mode, Mode::Idempotent | Mode::Resumable);
-    let allowed = harmless && job.may_run() && job.left(ctx.now()) >= LEAST;
+    if !harmless {
+        return false;
+    }
+    if !job.may_run() {
+        stuck(job, "no try left");
+        return false;
+    }
+    if job.left(ctx.now()) < LEAST {
+        return false;
+    }
     // What no target has seen costs the pool nothing.
     let need = match job.runs {
         0 => Need::NotRun,
         _ => Need::HasRun,
     };
-    allowed && (!seen || ctx.budget(&job.pool, |b| b.spend(ctx.now(), need)))
+    let spent = !seen || ctx.budget(&job.pool, |b| b.spend(ctx.now(), need));
+    if !spent {
+        stuck(job, "no retry left");
+    }
+    spent
 }
 
 /// How long a try may go without an answer's head.
