--- a/crates/standin/examples/ask.rs
+++ b/crates/standin/examples/ask.rs
@@ -40,8 +40,10 @@
     tokio::spawn(conn);
     let mut req = hyper::Request::builder()
         .method(a.method.as_str())
-        .uri(&a.path)
-        .header("host", &a.to);
+        .uri(&a.path);
+    if !a.header.iter().any(|h| h.starts_with("host:")) {
+        req = req.header("host", &a.to);
+    }
     if let Some(key) = &a.key {
         req = req.header("authorization", format!("Bearer {key}"));
     }
--- a/crates/standin/src/hosted/mod.rs
+++ b/crates/standin/src/hosted/mod.rs
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod replica;
 pub mod rows;
+pub mod sample;
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
