--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -2,11 +2,12 @@
 //!
 //! The list changes with every heartbeat of every target, so a call held open would be answered all
 //! the time. It is read in whole a few times a second instead, by a few entries at a time
-//! ([`policy::readers`]); the others read when one of them has found something new. A target that
-//! leaves must get nothing new two seconds after it said so: the pause, a reader's word, a slow
+//! ([`policy::readers`]); the others ask one of them for it when it has found something new. A target
+//! that leaves must get nothing new two seconds after it said so: the pause, a reader's word, a slow
 //! answer and the requests under way fit into that.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use model::Micros;
@@ -24,6 +25,7 @@
 use crate::meter;
 use crate::news::{self, Listed, News};
 use crate::peer;
+use crate::world::Read;
 
 /// Shortest pause between two reads.
 const PAUSE: Duration = Duration::from_millis(600);
@@ -42,8 +44,8 @@
     /// Hash of the list as this entry last read it; 0 before.
     own: Cell<u64>,
     changed: Notify,
-    /// Version of the last list that was taken over from another entry.
-    adopted: Cell<Option<u64>>,
+    /// The reader that has last found something new.
+    finder: Cell<Option<SocketAddr>>,
 }
 
 impl Shared {
@@ -53,9 +55,10 @@
     }
 
     /// Takes over what another entry has found.
-    pub(super) fn hear(&self, now: Micros, listed: Listed) {
+    pub(super) fn hear(&self, now: Micros, listed: Listed, from: SocketAddr) {
         self.readers.borrow_mut().hear(now, listed.rank);
         if listed.hash != self.own.get() {
+            self.finder.set(Some(from));
             self.changed.notify_one();
         }
     }
@@ -71,6 +74,12 @@
     let mut away = false;
     let mut back = None;
     loop {
+        if let Some(finder) = ctx.list.finder.take() {
+            if ask(&ctx, finder, back).await {
+                wait(&ctx, rank).await;
+                continue;
+            }
+        }
         let asked = ctx.now();
         let read = store.rows(TARGETS).await;
         let now = ctx.now();
@@ -81,7 +90,8 @@
         match read {
             Ok(rows) => {
                 let targets = targets(&rows.rows);
-                ctx.node.world.borrow_mut().targets = Some((now, rows.rows));
+                let rows = rows.rows;
+                ctx.node.world.borrow_mut().targets = Some(Read { at: now, rows });
                 tell(&ctx, rank, &targets);
                 ctx.fleet.borrow_mut().list(now, targets, back);
                 suspects::ended(&ctx);
@@ -89,8 +99,9 @@
             }
             // The other follower of the store tells how it failed.
             Err(_) => {
-                if let Some(rows) = peer::targets(&ctx.node).await {
-                    adopt(&ctx, &rows, back);
+                let entries: Vec<_> = ctx.node.world.borrow().entries().collect();
+                if let Some(list) = peer::targets(&ctx.node, entries).await {
+                    adopt(&ctx, list, back);
                 }
                 sleep(AGAIN).await;
             }
@@ -98,19 +109,34 @@
     }
 }
 
-/// Takes over the list as another entry has read it, if that was after this one's last reading.
-fn adopt(ctx: &Ctx, rows: &[Row], back: Option<Micros>) {
+/// Asks the reader that has found something new. If all entries read instead, each change of the list
+/// would be as many calls to the store as there are entries; with 28 of them and crashes, a quarter of
+/// all calls.
+async fn ask(ctx: &Ctx, finder: SocketAddr, back: Option<Micros>) -> bool {
+    match peer::targets(&ctx.node, [finder]).await {
+        Some(list) => adopt(ctx, list, back),
+        None => false,
+    }
+}
+
+/// Takes over the list as another entry has read it, if that was after this one's last reading; tells
+/// whether it was.
+fn adopt(ctx: &Ctx, list: Read, back: Option<Micros>) -> bool {
     let newest = |rows: &[Row]| rows.iter().map(|r| r.version).max();
     let own = {
         let world = ctx.node.world.borrow();
-        world.targets.as_ref().and_then(|(_, rows)| newest(rows))
+        let own = world.targets.as_ref();
+        own.and_then(|own| newest(&own.rows))
     };
-    if newest(rows) <= own.max(ctx.list.adopted.get()) {
-        return;
+    if newest(&list.rows) <= own {
+        return false;
     }
-    ctx.list.adopted.set(newest(rows));
-    ctx.fleet.borrow_mut().list(ctx.now(), targets(rows), back);
+    let targets = targets(&list.rows);
+    ctx.list.own.set(hash(&targets));
+    ctx.node.world.borrow_mut().targets = Some(list);
+    ctx.fleet.borrow_mut().list(ctx.now(), targets, back);
     suspects::ended(ctx);
+    true
 }
 
 /// Tells the other entries what was found, if this one is a reader.
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -219,7 +219,7 @@
         let (news, from) = news::receive(&ctx.socket).await;
         let now = ctx.now();
         if let Some(listed) = news.list {
-            ctx.list.hear(now, listed);
+            ctx.list.hear(now, listed, from);
             continue;
         }
         if let Some(strike) = news.strike {
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -24,7 +24,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::log::{self, Event};
-use crate::world::{OperatorRow, Shared};
+use crate::world::{OperatorRow, Read, Shared};
 
 /// Pause between two rounds of questions; several fit into the time in which a configuration must
 /// be known.
@@ -55,6 +55,9 @@
 struct Told {
     #[prost(message, repeated, tag = "1")]
     rows: Vec<ToldRow>,
+    /// Milliseconds since the list of targets was read.
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -129,14 +132,17 @@
                 value: row.value.clone(),
             })
             .collect(),
+        age_ms: 0,
     }
 }
 
-/// The list of targets, if this process has read it lately.
+/// The list of targets, if this process has it of late.
 fn listed(node: &Shared) -> Told {
     let world = node.world.borrow();
-    let fresh = |(at, _): &&(Micros, Vec<Row>)| node.now().since(*at) < FRESH;
-    let rows = world.targets.as_ref().filter(fresh);
+    let age = |read: &Read| node.now().since(read.at);
+    let Some(read) = world.targets.as_ref().filter(|r| age(r) < FRESH) else {
+        return Told::default();
+    };
     let told = |row: &Row| {
         Some(ToldRow {
             key: row.key.clone(),
@@ -145,13 +151,13 @@
         })
     };
     Told {
-        rows: rows.map_or_else(Vec::new, |(_, r)| r.iter().filter_map(told).collect()),
+        rows: read.rows.iter().filter_map(told).collect(),
+        age_ms: age(read).as_millis(),
     }
 }
 
-/// The list of targets as other entries have read it lately; none if none of those asked has.
-pub async fn targets(node: &Shared) -> Option<Vec<Row>> {
-    let entries: Vec<_> = node.world.borrow().entries().collect();
+/// The list of targets as some other entries have it of late, the newest that any of them has.
+pub async fn targets(node: &Shared, entries: impl IntoIterator<Item = SocketAddr>) -> Option<Read> {
     let some = entries.into_iter().choose_multiple(&mut rand::rng(), ASKED);
     let ask = Ask {
         targets: true,
@@ -164,13 +170,14 @@
     // Of those that don't answer the operator's rows are asked too, which tells how it failed.
     let told = told.into_iter().filter_map(|t| t.ok()?.ok());
     let newest = told.max_by_key(|t| t.rows.iter().map(|r| r.version).max())?;
+    let at = node.now() - Micros::from_millis(newest.age_ms);
     let row = |r: ToldRow| Row {
         key: r.key,
         value: Some(r.value),
         version: r.version,
     };
     let rows: Vec<_> = newest.rows.into_iter().map(row).collect();
-    (!rows.is_empty()).then_some(rows)
+    (!rows.is_empty()).then_some(Read { at, rows })
 }
 
 /// Asks others for as long as the store doesn't answer.
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -65,6 +65,15 @@
     pub value: Bytes,
 }
 
+/// Rows of the store, and when they were read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// On this process's clock.
+    pub at: Micros,
+    /// The rows.
+    pub rows: Vec<platform::Row>,
+}
+
 /// Another process of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -92,8 +101,8 @@
     pub rows: HashMap<String, OperatorRow>,
     /// Other processes, by host.
     pub members: HashMap<String, Member>,
-    /// The list of targets as it was last read from the store, and when.
-    pub targets: Option<(Micros, Vec<platform::Row>)>,
+    /// The list of targets as it was last read from the store, here or by another entry.
+    pub targets: Option<Read>,
     /// Since when the store hasn't answered this process.
     pub lost: Option<Micros>,
     /// The store's clock as last heard; it never goes back.
