--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -110,8 +110,8 @@
 }
 
 /// Asks the reader that has found something new. If all entries read instead, each change of the list
-/// would be as many calls to the store as there are entries; with 28 of them and crashes, a quarter of
-/// all calls.
+/// would be as many calls to the store as there are entries: 11 and 15 in a hundred of all calls of two
+/// fleets with 31 and 28 entries on a day with many crashes.
 async fn ask(ctx: &Ctx, finder: SocketAddr, back: Option<Micros>) -> bool {
     match peer::targets(&ctx.node, [finder]).await {
         Some(list) => adopt(ctx, list, back),
