Engines take new weights by turns that they tell one another; time apart from preference

Cause: turns had a guessed length of at most 1 s. With loads of 1.9 s all nine engines loaded at a time, and 'loads' and 'is about to load' counted as 550 ms of waiting, so that nearly every prompt was refused as late for 16 s. Change: policy::rollout: an engine's turn begins when an earlier load has ended, from what sidecars tell one another; lengths of loads are seen or told. What speaks against an engine (order, kinds apart, weights) no longer counts as time when a prompt is judged late. Long answers keep off an engine that loads before they would end (policy::spans). While all engines load a prompt waits or is refused until the first is ready. policy::turns is gone; its table of pools (1, 9, 52, 830) stands in tests/rollout.rs for 1 to 200 engines, and groups for 830.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 
 use model::Micros;
-use policy::ledger::Unread;
 use policy::standing;
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
@@ -146,18 +145,7 @@
             let scope = news.expected.first().map_or(0, |h| h.scope);
             return replica.expect(now, scope, &parts);
         }
-        replica.heard = Some(Heard {
-            from,
-            at: now,
-            alive: news.alive,
-            busy: news.busy,
-            begun: news.begun,
-            unread: news.unread,
-            used: news.used,
-            total: news.total,
-            swap: news.swap_ms.map(|ms| now + Micros::from_millis(ms.into())),
-            unread_tokens: unread(&news.tokens),
-        });
+        replica.heard = Some(Heard::new(now, news, from));
     }
 
     /// The life of the engine beside a sidecar.
@@ -249,9 +237,3 @@
         state,
     });
 }
-
-fn unread(told: &[u32]) -> Unread {
-    let mut unread = Unread::default();
-    unread.iter_mut().zip(told).for_each(|(u, t)| *u = *t);
-    unread
-}
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -24,6 +24,7 @@
 
 use model::Micros;
 use policy::hearing::{self, Sidecar};
+use policy::spans::Spans;
 use policy::{apart, shared};
 use tokio::net::UdpSocket;
 use tokio::task::AbortHandle;
@@ -65,6 +66,8 @@
     suspects: RefCell<suspects::Suspects>,
     /// The work that prompts have brought of late.
     work: RefCell<apart::Work>,
+    /// How long answers take, by route.
+    spans: RefCell<Spans>,
     /// Where news comes in and goes out.
     socket: UdpSocket,
     /// Whether it takes no more requests, since it is about to end.
@@ -156,6 +159,7 @@
         list: list::Shared::default(),
         suspects: RefCell::default(),
         work: RefCell::default(),
+        spans: RefCell::default(),
         socket,
         closing: Cell::new(false),
         connections: RefCell::default(),
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -20,7 +20,6 @@
 use super::replica::{holds, Replica};
 use super::request::Job;
 use super::{suspects, Ctx};
-use crate::sidecar::QUIET;
 use crate::world::domain_key;
 
 /// How long an entry's word takes to reach a sidecar and to come back as news.
@@ -104,7 +103,9 @@
     let fresh = |c: &(Key, &Replica)| !job.tried.contains(&c.0);
     let usable = |c: &(Key, &Replica)| c.1.standing.usable(now) && answers(c.1, now);
     let apart = |c: &(Key, &Replica)| !suspect || c.1.suspects == 0;
-    some(&|c| fresh(c) && usable(c) && apart(c))
+    let stays = |c: &(Key, &Replica)| !leaves(c.1, now);
+    some(&|c| fresh(c) && usable(c) && stays(c) && apart(c))
+        .or_else(|| some(&|c| fresh(c) && usable(c) && stays(c)))
         .or_else(|| some(&|c| fresh(c) && usable(c)))
         .or_else(|| some(&|c| fresh(c)))
         .unwrap_or_default()
@@ -117,6 +118,22 @@
     heard.is_none_or(|h| h.alive && !h.busy)
 }
 
+/// Whether its turn to load weights has come, so that what is sent there now is refused.
+fn leaves(replica: &Replica, now: Micros) -> bool {
+    let heard = replica.heard.filter(|h| now.since(h.at) < HEARD);
+    heard.is_some_and(|h| h.due())
+}
+
+/// How long all of some engines go on loading weights, if they do; they refuse what is new until then.
+fn all_load(open: &[(Key, &Replica)], now: Micros) -> Option<Micros> {
+    let left = |r: &Replica| {
+        let heard = r.heard.filter(|h| h.busy && now.since(h.at) < HEARD)?;
+        Some(heard.loaded.unwrap_or(now).since(now))
+    };
+    let all: Option<Vec<_>> = open.iter().map(|(_, r)| left(r)).collect();
+    all?.into_iter().min()
+}
+
 /// Those of a pool's engines that are heard of. Up to some number all are, or the words of those that
 /// aren't are lost; beyond it the others look idle, since nothing is known of what they have to do.
 fn heard(open: Vec<(Key, &Replica)>, now: Micros) -> Vec<(Key, &Replica)> {
@@ -212,6 +229,9 @@
         .filter(|(_, r)| current(r))
         .collect();
     let open = heard(open, now);
+    if let Some(left) = all_load(&open, now) {
+        return Err(Reason::Loading { left });
+    }
     let subject = prompt.shared().last().map_or(0, |p| p.id.0);
     let known = fleet
         .replicas
@@ -230,6 +250,7 @@
         subject,
         long: long(&fleet, &ctx.work.borrow(), &job.pool, suffers),
         order: ORDER + f64::from(missing) * READ * COLD,
+        lasts: ctx.spans.borrow().most(&job.route.name),
     };
     // Engines of one version share their sources; two or three versions are about at a time.
     let mut sources: HashMap<u64, Sources<SocketAddr>> = HashMap::new();
@@ -245,7 +266,7 @@
     let choice = spot::choose(prompt.input, candidates).ok_or(Reason::NoTarget)?;
     let prospect = Prospect {
         wait: choice.wait,
-        own: (choice.cost - choice.wait).max(0.0),
+        own: (choice.time - choice.wait).max(0.0),
         aim: job.route.aim.as_secs_f64() * 1e3,
         left: job.left(now).as_secs_f64() * 1e3,
     };
@@ -274,7 +295,7 @@
         held,
         cold: choice.read.saturating_sub(own),
         read: choice.read,
-        estimate: choice.cost,
+        estimate: choice.time,
         age: r.heard.map(|h| now.since(h.at)),
     })
 }
@@ -317,6 +338,8 @@
     named: &'a Versions,
     subject: u64,
     order: f64,
+    /// How long its answer goes on, as answers on its route do.
+    lasts: Micros,
     /// Engines for long prompts, if they are kept apart.
     long: Option<HashSet<String>>,
 }
@@ -339,7 +362,8 @@
             read: READ,
             held,
             room: READ * ROOM,
-            way: far + apart + self.order(r),
+            way: far,
+            bias: apart + self.order(r),
             doubt: doubt(r, self.now) * load.weights(outdated),
         }
     }
@@ -359,8 +383,10 @@
             begun: h.begun,
             used: h.used,
             total: h.total,
-            loading: h.busy,
-            leaving: h.swap.is_some_and(|at| at.since(self.now) < QUIET),
+            loading: h
+                .loaded
+                .map_or(0.0, |at| at.since(self.now).as_millis() as f64),
+            leaving: h.swap.is_some_and(|at| at.since(self.now) < self.lasts),
         }
     }
 
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -45,6 +45,11 @@
         /// By how much that would have to fall.
         over: Micros,
     },
+    /// All targets load weights, and refuse what is new until then.
+    Loading {
+        /// How long the first of them goes on.
+        left: Micros,
+    },
     /// It has crashed the targets that ran it.
     Quarantined {
         /// For how long it won't be run at least.
@@ -72,6 +77,7 @@
             Self::TooLarge => "too_large",
             Self::NoTarget => "no_target",
             Self::Late { .. } => "late",
+            Self::Loading { .. } => "loading",
             Self::Quarantined { .. } => "quarantined",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
@@ -90,6 +96,7 @@
             | Self::Stopping
             | Self::NoTarget
             | Self::Late { .. }
+            | Self::Loading { .. }
             | Self::Quarantined { .. }
             | Self::NotRun
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -109,6 +116,7 @@
             Self::NoTarget => Some(Duration::from_millis(800)),
             // What waits is worked off in its own length, if as much is turned away as comes.
             Self::Late { over, .. } => Some(over.into()),
+            Self::Loading { left } => Some(left.into()),
             // A queue as long as an aim has gone by then.
             Self::NotRun => Some(Duration::from_millis(300)),
             _ => None,
@@ -185,7 +193,7 @@
         version: r.version,
         retry_ms: back.map(|b| b.as_millis() as u64),
         wait_ms: match r.reason {
-            Reason::Late { wait, .. } => Some(wait.as_millis()),
+            Reason::Late { wait, .. } | Reason::Loading { left: wait } => Some(wait.as_millis()),
             _ => None,
         },
     });
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -212,6 +212,11 @@
     fn whole(&mut self) {
         self.end = End::Whole;
         suspects::served(&self.ctx, &self.job);
+        if let Some(first) = self.first {
+            let after: Duration = self.ctx.now().since(self.job.came).into();
+            let mut spans = self.ctx.spans.borrow_mut();
+            spans.add(&self.job.route.name, after.saturating_sub(first).into());
+        }
         if let Some(live) = self.live.take() {
             let mut fleet = self.ctx.fleet.borrow_mut();
             let replica = fleet.replicas.get_mut(live.place.key());
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -40,12 +40,52 @@
     pub used: u32,
     /// Tokens of memory in all.
     pub total: u32,
-    /// When it takes new weights, if it is going to.
+    /// When it takes new weights, if it is going to and that is known.
     pub swap: Option<Micros>,
+    /// When it is expected to have loaded them, if it is loading.
+    pub loaded: Option<Micros>,
     /// Prompt tokens that it has yet to read, for all entries, by step of urgency.
     pub unread_tokens: Unread,
 }
 
+impl Heard {
+    /// What a sidecar's word says of its engine.
+    pub(super) fn new(now: Micros, news: &News, from: SocketAddr) -> Self {
+        let at = |ms: u32| now + Micros::from_millis(ms.into());
+        let mut unread_tokens = Unread::default();
+        let told = unread_tokens.iter_mut().zip(&news.tokens);
+        told.for_each(|(u, t)| *u = *t);
+        Self {
+            from,
+            at: now,
+            alive: news.alive,
+            busy: news.busy,
+            begun: news.begun,
+            unread: news.unread,
+            used: news.used,
+            total: news.total,
+            swap: news.swap_ms.map(at),
+            loaded: news.loading_ms.map(|ms| at(load_left(ms, news.load_ms))),
+            unread_tokens,
+        }
+    }
+
+    /// Whether its turn to load has come: what is sent there now is refused or met by the load.
+    pub(super) fn due(&self) -> bool {
+        self.swap.is_some_and(|at| at <= self.at)
+    }
+}
+
+/// Milliseconds that a load is expected to go on. One of unknown length that has gone on for a time is
+/// taken to go on for as long again, so that the guess is wrong by a factor and never by a site's figure.
+fn load_left(gone: u32, takes: Option<u32>) -> u32 {
+    match takes {
+        Some(takes) if takes > gone => takes - gone,
+        Some(takes) => takes / 4,
+        None => gone.max(1),
+    }
+}
+
 /// A target and what is believed of it.
 #[derive(Debug)]
 pub struct Replica {
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode};
+use model::Micros;
 use platform::replica;
 use policy::shared::Need;
 use site::{Boot, Mode};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::pick::{self, Pick};
 use super::refuse::Reason;
@@ -35,6 +36,11 @@
 /// Shortest time in which a target can answer anything.
 const LEAST: Duration = Duration::from_millis(5);
 
+/// Part of the time left for which a job waits while all engines load; its answer needs the rest.
+const WAIT: f64 = 0.5;
+/// Longest pause between two looks whether one has loaded; sidecars look as often.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// An answer to pass on.
 pub(super) enum Found {
     /// A stream, event by event.
@@ -71,6 +77,10 @@
         }
         let pick = match pick::pick(ctx, &plan, job) {
             Ok(p) => p,
+            Err(Reason::Loading { left }) if worth_waiting(job, ctx.now(), left) => {
+                sleep(LOOK.min(left.into())).await;
+                continue;
+            }
             Err(reason) if job.runs == 0 => return Err(reason),
             Err(_) => return last.map(Found::Whole).ok_or(Reason::Unknown),
         };
@@ -98,6 +108,13 @@
     }
 }
 
+/// Whether engines that load will have done so early enough for a job to be answered. What is sent to
+/// them meanwhile is refused, and each such try costs the pool a retry.
+fn worth_waiting(job: &Job, now: Micros, left: Micros) -> bool {
+    let time = job.left(now).mul_f64(WAIT);
+    Duration::from(left) < time
+}
+
 fn convicted(ctx: &Ctx, job: &Job) -> Reason {
     match job.runs {
         0 => Reason::Quarantined {
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -47,6 +47,18 @@
     /// Milliseconds until it takes new weights, if it is going to.
     #[prost(uint32, optional, tag = "9")]
     pub swap_ms: Option<u32>,
+    /// Milliseconds for which its turn to load has been there, if it has come.
+    #[prost(uint32, optional, tag = "23")]
+    pub due_ms: Option<u32>,
+    /// Milliseconds for which it has been loading weights, if it is.
+    #[prost(uint32, optional, tag = "24")]
+    pub loading_ms: Option<u32>,
+    /// Milliseconds that a load takes, as far as its sidecar knows.
+    #[prost(uint32, optional, tag = "25")]
+    pub load_ms: Option<u32>,
+    /// The version that it lacks; 0 if it lacks none.
+    #[prost(uint64, tag = "26")]
+    pub wanted: u64,
     /// The engine's life, as its cache events tell it.
     #[prost(uint64, tag = "10")]
     pub epoch: u64,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine,
 //! [`standing`] tells which targets to leave alone, [`shared`] keeps all entries within one budget
-//! of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from lost connections for [`quarantine`], and [`turns`] says
+//! of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from lost connections for [`quarantine`], and [`rollout`] says
 //! when an engine takes new weights.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
@@ -37,9 +37,10 @@
 pub mod recent;
 pub mod reserve;
 pub mod retry;
+pub mod rollout;
 pub mod shared;
+pub mod spans;
 pub mod spot;
 pub mod standing;
-pub mod turns;
 pub mod urgency;
 pub mod versions;
--- a/crates/policy/src/outlook.rs
+++ b/crates/policy/src/outlook.rs
@@ -21,15 +21,10 @@
 /// Milliseconds that each unread request costs a new one at least, should the words that tell its
 /// tokens be lost; a short prompt's reading.
 const UNREAD: f64 = 8.0;
-/// Milliseconds that a load of weights keeps new requests waiting; loads take 320 to 570 ms and are
-/// met halfway.
-const LOADING: f64 = 400.0;
 /// Milliseconds added where memory would run out, so that what runs would be put off and read anew.
 const CROWDED: f64 = 400.0;
-/// Milliseconds added for an engine that is about to take new weights.
-const LEAVING_MS: f64 = 150.0;
-/// Factor for an engine that is about to take new weights: what it makes after that counts for
-/// nothing.
+/// Factor for an engine that takes new weights before a request would be answered: the answer stands
+/// still while they load, and what is made after that counts for nothing.
 const LEAVING: f64 = 3.0;
 /// Age of newer weights from which older ones count as worse; before it nearly no engine can have
 /// the newer ones.
@@ -54,9 +49,9 @@
     pub used: u32,
     /// Tokens of memory in all; 0 if unknown.
     pub total: u32,
-    /// Whether it is loading weights.
-    pub loading: bool,
-    /// Whether it is about to take new weights.
+    /// Milliseconds for which it goes on loading weights.
+    pub loading: f64,
+    /// Whether it takes new weights before the request would be answered.
     pub leaving: bool,
 }
 
@@ -67,14 +62,10 @@
         let needed = u64::from(self.used) + u64::from(memory);
         let crowded = self.total > 0 && needed > u64::from(self.total);
         let when = |holds: bool, cost: f64| if holds { cost } else { 0.0 };
-        reading
-            + f64::from(self.begun) * BEGUN
-            + when(self.loading, LOADING)
-            + when(crowded, CROWDED)
-            + when(self.leaving, LEAVING_MS)
+        reading + f64::from(self.begun) * BEGUN + when(crowded, CROWDED) + self.loading
     }
 
-    /// Factor for an engine whose weights are about to change or have been out of date for a time.
+    /// Factor for an engine whose weights change too soon or have been out of date for a time.
     pub fn weights(&self, outdated: Option<Micros>) -> f64 {
         let leaving = if self.leaving { LEAVING } else { 1.0 };
         let old = outdated.is_some_and(|age| age > OLD);
--- a/crates/policy/src/spot.rs
+++ b/crates/policy/src/spot.rs
@@ -51,8 +51,11 @@
     pub held: u32,
     /// Milliseconds for each token that it doesn't hold yet, for what has to yield there.
     pub room: f64,
-    /// Milliseconds that the way costs.
+    /// Milliseconds that the way takes.
     pub way: f64,
+    /// Milliseconds that count against it, though nobody waits for them: its place in the prompt's own
+    /// order of engines.
+    pub bias: f64,
     /// Factor for engines that have failed of late, or whose answers are worth less.
     pub doubt: f64,
 }
@@ -124,8 +127,10 @@
     pub key: K,
     /// Who it fetches from.
     pub fetch: Option<A>,
-    /// Milliseconds until the first token.
+    /// What it was chosen by: the time until the first token and all that counts against the engine.
     pub cost: f64,
+    /// Milliseconds until the first token, as far as known.
+    pub time: f64,
     /// Milliseconds of that until it begins to read.
     pub wait: f64,
     /// Tokens that it reads.
@@ -152,6 +157,7 @@
         key: c.key,
         fetch: None,
         cost: f64::from(missing) * c.read,
+        time: 0.0,
         wait: c.wait,
         read: missing,
     };
@@ -176,10 +182,12 @@
         .map(|s| s.soon);
     let own = c.held.max(tokens - best.read);
     let twice = there.max().unwrap_or_default().saturating_sub(own);
-    best.cost += f64::from(twice) * c.read * TWICE;
+    let time = best.cost + c.wait + c.way;
+    let room = f64::from(missing) * c.room + f64::from(twice) * c.read * TWICE;
     Choice {
         fetch: best.fetch.or_else(|| hope(&c, sources)),
-        cost: (best.cost + f64::from(missing) * c.room + c.wait + c.way) * c.doubt,
+        cost: (time + room + c.bias) * c.doubt,
+        time,
         ..best
     }
 }
