Silent streams are kept until another replica goes on; what has run is never refused as late

Cause: a stream that was silent for twice a good pause was given up on before another replica had answered. Change: the silent replica and another one run until one speaks; the lateness of a request that has run decides nothing; a first event is waited for as long as there is time if no retry is left.

--- a/crates/daemon/tests/hosted/answers.rs
+++ b/crates/daemon/tests/hosted/answers.rs
@@ -137,6 +137,56 @@
     assert_eq!(again.headers["last-event-id"], "3");
 }
 
+#[tokio::test]
+async fn a_silent_stream_is_given_up_only_once_another_replica_goes_on() {
+    // An engine loads weights in the middle of an answer: it is silent for longer than a good pause and
+    // then goes on. The other engine is full. A router that gives up on the first one before the second
+    // has answered cuts the caller's answer in its middle, though it was being made.
+    struct Case {
+        name: &'static str,
+        other: Fault,
+        runs: usize,
+    }
+    let cases = [
+        Case {
+            name: "the other is full",
+            other: Fault::Full,
+            runs: 1,
+        },
+        Case {
+            name: "the other goes on, and says so first",
+            other: Fault::None,
+            runs: 2,
+        },
+        Case {
+            name: "the other loses it",
+            other: Fault::Lost,
+            runs: 2,
+        },
+    ];
+    for c in cases {
+        let mut platform = Platform::start().await;
+        let slow = Replica::new("e1", 3, Duration::from_millis(900));
+        slow.load(MODEL, 1);
+        platform.replica(&slow, "engines").await;
+        let entry = platform.entry("front-1", 1).await;
+        let answer = request(&entry, "/probe/1", "silent-1").open().await;
+        let other = Replica::new("e2", 3, PAUSE);
+        other.load(MODEL, 1);
+        other.set_fault(c.other);
+        platform.replica(&other, "engines").await;
+        let ready = |e: &serde_json::Value| e["target"] == "e2";
+        entry.process.event("target", ready).await;
+        let body = answer.expect("an answer").into_body();
+        let whole = tokio::time::timeout(LIMIT, body.collect()).await;
+        let whole = whole.expect("an end").map(|b| b.to_bytes());
+        assert_eq!(whole.ok(), Some(events(1..=3)), "{}", c.name);
+        let seen = slow.seen().into_iter().chain(other.seen());
+        let runs = seen.filter(|s| s.ran).count();
+        assert_eq!(runs, c.runs, "{}", c.name);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_within_an_event_isn_t_taken_for_whole() {
     // A replica's stream ends in order, but in the middle of its fourth event, as when a stream
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -270,7 +270,9 @@
         aim: job.route.aim.as_secs_f64() * 1e3,
         left: job.left(now).as_secs_f64() * 1e3,
     };
-    if let Verdict::Refuse(over) = lateness::judge(&prospect) {
+    // What has run can't be refused any more: its caller gets the rest now, also late, or never.
+    let fresh = job.runs == 0;
+    if let (Verdict::Refuse(over), true) = (lateness::judge(&prospect), fresh) {
         return Err(Reason::Late {
             wait: Micros::from_millis(choice.wait as u64),
             over: Micros::from_millis(over as u64),
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -68,6 +68,8 @@
     rest: BytesMut,
     events: u64,
     first: Option<Duration>,
+    /// Whether it waits for its replica, however long that is silent.
+    patient: bool,
     end: End,
 }
 
@@ -82,6 +84,7 @@
         rest: BytesMut::new(),
         events: 0,
         first: None,
+        patient: false,
         end: End::Left,
     };
     let events = stream::unfold(Some(relay), |relay| async {
@@ -104,6 +107,7 @@
     Bytes(Bytes),
     Whole,
     Broken(&'static str),
+    Silent,
     Overdue,
 }
 
@@ -111,7 +115,12 @@
     /// The next bytes for the caller; none at the end.
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
-            match self.come().await {
+            let came = match self.come().await {
+                Came::Silent => self.overtake().await,
+                came => came,
+            };
+            match came {
+                Came::Silent => {}
                 Came::Bytes(bytes) => {
                     if let Some(out) = self.pass(bytes) {
                         return Ok(Some(out));
@@ -139,20 +148,31 @@
 
     /// Waits for the replica's next bytes.
     async fn come(&mut self) -> Came {
-        let left = self.job.left(self.ctx.now());
+        let end = self.job.left(self.ctx.now()) + LAST_WORD;
+        let silence = self.job.route.gap.mul_f64(SILENCE).max(LEAST);
+        let wait = if self.may_move() {
+            silence.min(end)
+        } else {
+            end
+        };
         let Some(live) = &mut self.live else {
             return Came::Broken("no replica");
         };
-        let resumes = self.job.route.mode == site::Mode::Resumable
-            && self.job.runs + 1 < self.job.route.attempts;
-        let silence = self.job.route.gap.mul_f64(SILENCE).max(LEAST);
-        let end = left + LAST_WORD;
-        let wait = if resumes { silence.min(end) } else { end };
-        let frame = match timeout(wait, live.response.body_mut().frame()).await {
-            Ok(f) => f,
-            Err(_) if wait < end => return Came::Broken("silent"),
-            Err(_) => return Came::Overdue,
-        };
+        match timeout(wait, live.response.body_mut().frame()).await {
+            Ok(frame) => self.came(frame),
+            Err(_) if wait < end => Came::Silent,
+            Err(_) => Came::Overdue,
+        }
+    }
+
+    /// Whether another replica may go on with a stream that is silent.
+    fn may_move(&self) -> bool {
+        self.job.route.mode == site::Mode::Resumable
+            && self.job.runs + 1 < self.job.route.attempts
+            && !self.patient
+    }
+
+    fn came(&self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Came {
         match frame {
             // A stream without a stated length ends with its connection; if that is in the middle of an
             // event, it isn't whole, and taking it for whole would lose the caller the rest.
@@ -228,6 +248,52 @@
         }
     }
 
+    /// Asks another replica to go on with a stream whose replica is silent, and takes whichever of the two
+    /// speaks first.
+    ///
+    /// A replica that loads weights is silent for seconds and then goes on. Given up on before another
+    /// one had answered, its streams were cut when all others were full or no retry was left: callers
+    /// lost answers that were being made, also while a process stopped as planned.
+    async fn overtake(&mut self) -> Came {
+        self.patient = true;
+        let spend = |b: &mut Budget| b.spend(self.ctx.now(), Need::HasRun);
+        let convicted = suspects::verdict(&self.ctx, &self.job) == Verdict::Convicted;
+        if convicted || !self.ctx.budget(&self.job.pool, spend) {
+            tries::stuck(&self.job, "silent, and no retry left");
+            return Came::Silent;
+        }
+        let Some(mut old) = self.live.take() else {
+            return Came::Broken("no replica");
+        };
+        let resumed = tokio::select! {
+            biased;
+            frame = old.response.body_mut().frame() => {
+                // What the other one may have begun ends with its place.
+                self.job.runs += 1;
+                self.live = Some(old);
+                return self.came(frame);
+            }
+            resumed = self.resume() => resumed,
+        };
+        match resumed {
+            Resumed::Yes => {
+                tries::failed(&self.job, &old.place.boot, "silent", None, true);
+                let key = old.place.key();
+                self.ctx
+                    .fleet
+                    .borrow_mut()
+                    .bad(self.ctx.now(), key, "silent");
+                self.rest.clear();
+                self.job.runs += 1;
+                return Came::Silent;
+            }
+            Resumed::Ran => self.job.runs += 1,
+            Resumed::NotRun | Resumed::Nowhere => {}
+        }
+        self.live = Some(old);
+        Came::Silent
+    }
+
     /// Lets another replica go on.
     async fn go_on(&mut self, reason: &'static str) -> bool {
         if let Some(live) = self.live.take() {
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -190,7 +190,9 @@
 /// How long a try may go without an answer's head.
 fn patience(ctx: &Ctx, job: &Job, pick: &Pick) -> Duration {
     let end = job.left(ctx.now()) + LAST_WORD;
-    let more = job.runs + 1 < job.route.attempts;
+    // Given up on with no retry left, its answer would be lost however soon it came.
+    let room = ctx.budget(&job.pool, |b| b.left() >= 1.0);
+    let more = room && job.runs + 1 < job.route.attempts;
     match job.route.mode {
         Mode::Idempotent if more => job.route.aim.mul_f64(PATIENCE).min(end),
         Mode::Resumable if more => {
