Stand-in engines take time to load; sidecars of three engines agree on turns

Cause: no test showed with real processes that engines keep apart, nor what a caller meets while the only engine loads.

--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -74,3 +74,70 @@
     assert_eq!(fences.len(), 2);
     assert!(fences[0] < fences[1], "{fences:?}");
 }
+
+#[tokio::test]
+async fn sidecars_agree_on_turns_and_callers_are_served_meanwhile() {
+    // New weights are named for three engines, and a load takes 300 ms, which no sidecar has seen yet.
+    // If two engines load at a time, a pool of three serves hardly anybody; a caller finds all of them
+    // refusing. The sidecars have nothing but one another's words to keep apart.
+    const LOAD: Duration = Duration::from_millis(300);
+    let mut platform = Platform::start().await;
+    let engines = ["e1", "e2", "e3"].map(|id| Replica::new(id, 2, Duration::ZERO));
+    let mut sidecars = Vec::new();
+    for e in &engines {
+        e.load(MODEL, 1);
+        e.set_load(LOAD);
+        let at = platform.replica(e, "engines").await;
+        sidecars.push(platform.sidecar(&format!("side-{}", e.id), at));
+    }
+    let entry = platform.entry("front-1", 3).await;
+    for s in &sidecars {
+        s.event("members", |e| e["entries"] == 1 && e["sidecars"] == 2)
+            .await;
+    }
+    let named = json!({"model": MODEL, "version": 2});
+    platform.store.write("op", "version/lekha", &named);
+    let rolled = async {
+        let (mut most, mut n, mut refused) = (0, 0, 0);
+        while engines.iter().any(|e| e.version(MODEL) < 2) {
+            let loading = engines.iter().filter(|e| e.loading().is_some());
+            most = loading.count().max(most);
+            n += 1;
+            let answer = ask(&entry, "/probe/1", &format!("roll-{n}")).await;
+            refused += usize::from(!answer.is_ok_and(|a| a.status == 200));
+            sleep(Duration::from_millis(10)).await;
+        }
+        (most, refused, n)
+    };
+    let (most, refused, n) = timeout(LIMIT, rolled).await.expect("all have them");
+    assert_eq!(most, 1, "engines that loaded at a time");
+    assert_eq!(refused, 0, "of {n} requests");
+    let loads: usize = engines.iter().map(|e| e.orders().len()).sum();
+    assert_eq!(loads, 3, "each loads once");
+}
+
+#[tokio::test]
+async fn while_the_only_engine_loads_its_callers_wait_or_learn_when_it_is_back() {
+    // The only engine of a pool loads weights. What is sent to it meanwhile is refused, and each such
+    // try would cost a retry. A caller with time waits at the router and is served after the load; one
+    // without is told at once how long the load goes on.
+    let mut platform = Platform::start().await;
+    let engine = Replica::new("e1", 2, Duration::ZERO);
+    engine.load(MODEL, 1);
+    engine.set_load(Duration::from_millis(900));
+    let at = platform.replica(&engine, "engines").await;
+    let entry = platform.entry("front-1", 1).await;
+    let sidecar = platform.sidecar("side-1", at);
+    sidecar.event("members", |e| e["entries"] == 1).await;
+    let named = json!({"model": MODEL, "version": 2});
+    platform.store.write("op", "version/lekha", &named);
+    sidecar.event("ordered", |e| e["outcome"] == "begun").await;
+    // The entry hears of it by the sidecar's next word.
+    sleep(Duration::from_millis(250)).await;
+    let answer = timeout(LIMIT, ask(&entry, "/probe/1", "patient")).await;
+    let answer = answer.expect("in time").expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(engine.version(MODEL), 2, "served after the load");
+    let tries = engine.seen().iter().filter(|s| s.id == "patient").count();
+    assert_eq!(tries, 1, "sent once, when the engine takes it");
+}
--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -68,6 +68,8 @@
     lacks: Option<Lack>,
     turn: Option<Turn>,
     due: Option<Micros>,
+    /// Since when entries have known that its turn is there or near.
+    drains: Option<Micros>,
     loading: Option<Loading>,
     /// How long a load took here.
     load: Option<Micros>,
@@ -221,6 +223,15 @@
         Turn::Now => rollout.due.or(Some(now)),
         _ => None,
     };
+    // What runs is let end while the one before still loads, so that no place stands empty meanwhile.
+    let allowed = node.settings.borrow().bounds.weights.into();
+    let patience = rollout::Config::default().patience(allowed);
+    let near = match turn {
+        Turn::Now => true,
+        Turn::In(time) => time <= patience,
+        Turn::Later => false,
+    };
+    rollout.drains = near.then(|| rollout.drains.unwrap_or(now));
     rollout.turn = Some(turn);
 }
 
@@ -230,6 +241,7 @@
         self.lacks = None;
         self.turn = None;
         self.due = None;
+        self.drains = None;
     }
 }
 
@@ -307,12 +319,14 @@
     let (lack, fence, seq, active, boot) = {
         let e = engine.borrow();
         let r = &e.rollout;
-        let (Some(lack), Some(due), Some(report)) = (&r.lacks, r.due, &e.report) else {
+        let (Some(lack), Some(due), Some(drains), Some(report)) =
+            (&r.lacks, r.due, r.drains, &e.report)
+        else {
             return;
         };
         // One look passes first, so that the entries know that nothing new is to be sent there.
         let patience = rollout::Config::default().patience(allowed);
-        let emptied = now > due && (report.active == 0 || now.since(due) > patience);
+        let emptied = now > due && (report.active == 0 || now.since(drains) > patience);
         let boot = report.boot.as_ref().or(e.boot.as_ref());
         let named = boot.is_some() || now.since(e.since) > NAMED;
         if report.busy || r.fence == 0 || !named || now < r.pause || !emptied {
