--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -6,7 +6,6 @@
 use model::Micros;
 use policy::apart;
 use policy::lateness::{self, Prospect, Verdict};
-use policy::outlook;
 use policy::quarantine::Verdict::Suspect;
 use policy::spot::{self, Sources};
 use site::{Boot, Engine, Plan, Prompt, Scope};
@@ -76,11 +75,6 @@
     }
 }
 
-/// Factor for what has failed of late.
-pub(super) fn doubt(r: &Replica, now: Micros) -> f64 {
-    outlook::doubt(r.standing.failed, r.standing.on_trial(now))
-}
-
 fn pick_engine(
     ctx: &Ctx,
     plan: &Plan,
@@ -215,8 +209,3 @@
     let part = work.long_engines(ids.len());
     Some(ids.into_iter().take(part).cloned().collect())
 }
-
-/// Where a request begins in a row of equals, so that requests spread over them.
-pub(super) fn turn(job: &Job, equals: usize) -> usize {
-    xxh3_64_with_seed(job.id.as_bytes(), 0) as usize % equals.max(1)
-}
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -3,11 +3,11 @@
 use model::Micros;
 use policy::quarantine::Verdict::Suspect;
 
-use super::pick::{doubt, turn, Pick};
+use super::pick::Pick;
 use super::refuse::Reason;
 use super::replica::Replica;
 use super::request::Job;
-use super::usable::open;
+use super::usable::{doubt, open, turn};
 use super::{suspects, Ctx};
 
 /// Age up to which a target's own count counts.
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -1,8 +1,9 @@
 //! Which targets a request may go to, by what is believed of each.
 
 use model::Micros;
-use policy::hearing;
+use policy::{hearing, outlook};
 use site::State;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::{Fleet, Key};
 use super::replica::Replica;
@@ -86,3 +87,13 @@
     let heard = replica.heard.filter(|h| now.since(h.at) < FRESH);
     heard.is_some_and(|h| h.alive)
 }
+
+/// Factor for what has failed of late.
+pub(super) fn doubt(r: &Replica, now: Micros) -> f64 {
+    outlook::doubt(r.standing.failed, r.standing.on_trial(now))
+}
+
+/// Where a request begins in a row of equals, so that requests spread over them.
+pub(super) fn turn(job: &Job, equals: usize) -> usize {
+    xxh3_64_with_seed(job.id.as_bytes(), 0) as usize % equals.max(1)
+}
--- a/crates/gate/src/entry/view.rs
+++ b/crates/gate/src/entry/view.rs
@@ -13,10 +13,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::{Fleet, Key};
-use super::pick::{doubt, turn};
 use super::replica::{holds, Replica};
 use super::request::Job;
-use super::usable::{surely_answers, HEARD};
+use super::usable::{doubt, surely_answers, turn, HEARD};
 use crate::world::domain_key;
 
 /// How long an entry's word takes to reach a sidecar and to come back as news.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,10 +10,10 @@
 //! At a sidecar: [`admit`] takes or refuses a request at once, [`queue`] orders those taken,
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
-//! [`outlook`] says of each engine,
-//! [`standing`] tells which targets to leave alone, [`shared`] keeps all entries within one budget
-//! of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from lost connections for [`quarantine`], and [`rollout`] says
-//! when an engine takes new weights.
+//! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
+//! late, [`standing`] tells which targets to leave alone, [`shared`] keeps all entries within one
+//! budget of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from
+//! lost connections for [`quarantine`], and [`rollout`] says which engines take new weights, and when.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
 
