A wait for engines that load looks again every 50 ms

Cause: where a load outlasts what was expected the remaining time is nothing, and the entry looked again without a pause until the sidecar's next word. Change: the pause between two looks doesn't shrink. Tests of weights pass as before.

--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -38,7 +38,7 @@
 
 /// Part of the time left for which a job waits while all engines load; its answer needs the rest.
 const WAIT: f64 = 0.5;
-/// Longest pause between two looks whether one has loaded; sidecars look as often.
+/// Pause between two looks whether one has loaded; sidecars look as often.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// An answer to pass on.
@@ -78,7 +78,9 @@
         let pick = match pick::pick(ctx, &plan, job) {
             Ok(p) => p,
             Err(Reason::Loading { left }) if worth_waiting(job, ctx.now(), left) => {
-                sleep(LOOK.min(left.into())).await;
+                // Not shorter where the load should be over already: until the sidecar's next word each
+                // look finds the same.
+                sleep(LOOK).await;
                 continue;
             }
             Err(reason) if job.runs == 0 => return Err(reason),
