Nothing is fetched from engines with other weights

Cause: a run that goes on over a load leaves its parts under the scope of the older weights, made by the newer ones. Change: only engines of the scope's own version are sources, none that loads or is about to.

--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -132,8 +132,11 @@
     };
     // Engines of one version share their sources; two or three versions are about at a time.
     let mut sources: HashMap<u64, Sources<SocketAddr>> = HashMap::new();
-    for scope in open.iter().filter_map(|(_, r)| scope(r)) {
-        let all = || view.sources(&fleet, plan, job, scope.key());
+    for (_, r) in &open {
+        let (Some(scope), Some(version)) = (scope(r), r.weights.get(&prompt.model)) else {
+            continue;
+        };
+        let all = || view.sources(&fleet, plan, job, scope.key(), *version);
         sources.entry(scope.key()).or_insert_with(all);
     }
     let candidates = open.iter().filter_map(|(key, r)| {
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -81,11 +81,12 @@
     some
 }
 
-/// Whether the sidecar has said just now that the engine answers. Fetching from one that doesn't
-/// costs some hundred milliseconds.
+/// Whether the sidecar has said just now that the engine answers and keeps what it holds. Fetching from
+/// one that doesn't answer costs some hundred milliseconds; one that loads weights or is about to drops
+/// all that it holds.
 pub(super) fn surely_answers(replica: &Replica, now: Micros) -> bool {
     let heard = replica.heard.filter(|h| now.since(h.at) < FRESH);
-    heard.is_some_and(|h| h.alive)
+    heard.is_some_and(|h| h.alive && !h.busy && !h.due)
 }
 
 /// Factor for what has failed of late.
--- a/crates/gate/src/entry/view.rs
+++ b/crates/gate/src/entry/view.rs
@@ -93,19 +93,29 @@
         self.order * hash as f64 / u64::MAX as f64
     }
 
-    /// Who holds parts of the prompt under a scope, beginning at another engine for each request.
+    /// Who holds parts of the prompt under the scope of a version, beginning at another engine for each
+    /// request.
+    ///
+    /// An engine with other weights is no source, whatever it tells: a run that goes on there over a
+    /// load leaves parts under its former scope that the newer weights have made. Fetched, they would
+    /// be taken for those of the older version, and callers get answers out of both.
     pub(super) fn sources(
         &self,
         fleet: &Fleet,
         plan: &Plan,
         job: &Job,
         scope: u64,
+        version: u64,
     ) -> Sources<SocketAddr> {
         let parts = &self.prompt.parts;
         // Bits of a token over thousands of bits a millisecond.
         let rate = |link: f64| self.engine.token_bytes as f64 * 8.0 / (link.max(1.0) * 1e3);
+        let same = |r: &Replica| r.weights.get(&self.prompt.model) == Some(&version);
         let there = |r: &Replica| {
-            r.target.pool == job.pool && r.standing.usable(self.now) && surely_answers(r, self.now)
+            r.target.pool == job.pool
+                && same(r)
+                && r.standing.usable(self.now)
+                && surely_answers(r, self.now)
         };
         let engines: Vec<_> = fleet.replicas.values().filter(|r| there(r)).collect();
         let turn = turn(job, engines.len());
