--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -110,8 +110,10 @@
         (most, refused, n)
     };
     let (most, refused, n) = timeout(LIMIT, rolled).await.expect("all have them");
-    assert_eq!(most, 1, "engines that loaded at a time");
-    assert_eq!(refused, 0, "of {n} requests");
+    let orders: Vec<_> = sidecars.iter().flat_map(|s| s.events("ordered")).collect();
+    assert_eq!(most, 1, "engines that loaded at a time: {orders:?}");
+    let refusals = entry.process.events("refused");
+    assert_eq!(refused, 0, "of {n} requests: {refusals:?}");
     let loads: usize = engines.iter().map(|e| e.orders().len()).sum();
     assert_eq!(loads, 3, "each loads once");
 }
