--- a/crates/daemon/tests/hosted/held.rs
+++ b/crates/daemon/tests/hosted/held.rs
@@ -171,5 +171,8 @@
         .iter()
         .filter_map(|s| s.headers.get("kv-fetch").cloned())
         .collect();
-    assert_eq!(fetched, [at.to_string(); 0], "fetched from newer weights");
+    assert!(
+        fetched.is_empty(),
+        "fetched from newer weights: {fetched:?}"
+    );
 }
