Log which list of targets is believed, and which targets are kept though it lacks them

Sight for a request that reached a target which had left: no line told when the list was read, from whom, that a target was missing and kept, or that a list was refused as no newer. New: the event listed, the target state missing, lost and regained for the list itself, list_ms in sent, and the age of the list as a histogram. No decision changes.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -29,6 +29,8 @@
     /// The targets.
     pub replicas: SlotMap<Key, Replica>,
     boots: HashMap<Boot, Key>,
+    /// When the list was last read, or told to be as it was.
+    pub(super) listed: Micros,
     /// Stores of kept KV cache, by address.
     pub kept: HashMap<SocketAddr, KeptStore>,
     /// Lives of targets that have ended and haven't been looked at yet.
@@ -53,8 +55,12 @@
             let reborn = listed.keys().any(|b| b.id == boot.id);
             if !returning || reborn {
                 self.remove(&boot, key);
+            } else if let Some(r) = self.replicas.get_mut(key).filter(|r| !r.missing) {
+                r.missing = true;
+                tell(&r.target, "missing");
             }
         }
+        self.listed = now;
         listed.into_values().for_each(|t| self.enter(now, t));
         self.supersede();
     }
@@ -101,9 +107,20 @@
             // A heartbeat since then: what ended wasn't this one.
             replica.over = None;
         }
+        replica.missing = false;
         replica.target = target;
     }
 
+    /// Notes that the list is as it was last read.
+    pub(super) fn confirm(&mut self, now: Micros) {
+        self.listed = now;
+    }
+
+    /// Targets that are kept though the list lacks them.
+    pub(super) fn missing(&self) -> usize {
+        self.replicas.values().filter(|r| r.missing).count()
+    }
+
     fn remove(&mut self, boot: &Boot, key: Key) {
         self.boots.remove(boot);
         if let Some(replica) = self.replicas.remove(key) {
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::{suspects, Ctx};
-use crate::log::{self, Event};
+use crate::log::{self, Dependency, Event};
 use crate::meter;
 use crate::news::{self, Listed, News};
 use crate::peer;
@@ -54,13 +54,15 @@
         self.own.get() != 0
     }
 
-    /// Takes over what another entry has found.
-    pub(super) fn hear(&self, now: Micros, listed: Listed, from: SocketAddr) {
+    /// Takes over what another entry has found; tells whether that is what this one knows.
+    pub(super) fn hear(&self, now: Micros, listed: Listed, from: SocketAddr) -> bool {
         self.readers.borrow_mut().hear(now, listed.rank);
-        if listed.hash != self.own.get() {
+        let same = listed.hash == self.own.get();
+        if !same {
             self.finder.set(Some(from));
             self.changed.notify_one();
         }
+        same
     }
 }
 
@@ -71,6 +73,7 @@
         (s.store, xxh3_64(s.host.as_bytes()))
     };
     let mut store = Store::new(addr);
+    let mut dependency = Dependency::new("list");
     let mut away = false;
     let mut back = None;
     loop {
@@ -82,6 +85,7 @@
         }
         let asked = ctx.now();
         let read = store.rows(TARGETS).await;
+        dependency.note(&read);
         let now = ctx.now();
         meter::span(meter::STORE, now.since(asked).into());
         ctx.gauges();
@@ -92,12 +96,14 @@
                 let targets = targets(&rows.rows);
                 let rows = rows.rows;
                 ctx.node.world.borrow_mut().targets = Some(Read { at: now, rows });
+                let known = ctx.list.own.get();
+                let listed = targets.len();
                 tell(&ctx, rank, &targets);
                 ctx.fleet.borrow_mut().list(now, targets, back);
+                note(&ctx, "store", listed, now, ctx.list.own.get() != known);
                 suspects::ended(&ctx);
                 wait(&ctx, rank).await;
             }
-            // The other follower of the store tells how it failed.
             Err(_) => {
                 let entries: Vec<_> = ctx.node.world.borrow().entries().collect();
                 if let Some(list) = peer::targets(&ctx.node, entries).await {
@@ -128,17 +134,40 @@
         let own = world.targets.as_ref();
         own.and_then(|own| newest(&own.rows))
     };
+    let targets = targets(&list.rows);
+    let (listed, at) = (targets.len(), list.at);
     if newest(&list.rows) <= own {
+        log::event(&Event::Listed {
+            source: "peer",
+            targets: listed,
+            missing: ctx.fleet.borrow().missing(),
+            list_ms: ctx.now().since(at).as_millis(),
+            taken: false,
+        });
         return false;
     }
-    let targets = targets(&list.rows);
-    ctx.list.own.set(hash(&targets));
+    let known = ctx.list.own.replace(hash(&targets));
     ctx.node.world.borrow_mut().targets = Some(list);
     ctx.fleet.borrow_mut().list(ctx.now(), targets, back);
+    note(ctx, "peer", listed, at, ctx.list.own.get() != known);
     suspects::ended(ctx);
     true
 }
 
+/// Tells of a list that was taken over, if it says something new or lacks targets that are kept.
+fn note(ctx: &Ctx, source: &str, targets: usize, at: Micros, changed: bool) {
+    let missing = ctx.fleet.borrow().missing();
+    if changed || missing > 0 {
+        log::event(&Event::Listed {
+            source,
+            targets,
+            missing,
+            list_ms: ctx.now().since(at).as_millis(),
+            taken: true,
+        });
+    }
+}
+
 /// Tells the other entries what was found, if this one is a reader.
 fn tell(ctx: &Ctx, rank: u64, targets: &[Target]) {
     let hash = hash(targets);
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -235,7 +235,9 @@
         let (news, from) = news::receive(&ctx.socket).await;
         let now = ctx.now();
         if let Some(listed) = news.list {
-            ctx.list.hear(now, listed, from);
+            if ctx.list.hear(now, listed, from) {
+                ctx.fleet.borrow_mut().confirm(now);
+            }
             continue;
         }
         if let Some(strike) = news.strike {
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -347,7 +347,7 @@
         self.job.sends += 1;
         let began = self.ctx.now();
         let left = self.job.left(began);
-        send::tell(&self.job, &pick, left);
+        send::tell(&self.ctx, &self.job, &pick, left);
         let patience = left + LAST_WORD;
         match send::send(&self.ctx, &self.job, &pick, patience).await {
             Sent::Answer(live) => {
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -108,6 +108,8 @@
     expected: HashMap<(u64, PartId), (u32, Micros)>,
     /// How it has done.
     pub standing: Standing,
+    /// Whether the list lacks it though it is kept.
+    pub(super) missing: bool,
     /// Whether another target has been met at its address, so that it is gone, whatever the list says.
     pub replaced: bool,
     /// Version of its last heartbeat when its sidecar found that its process had ended.
@@ -135,6 +137,7 @@
             held: HashMap::new(),
             expected: HashMap::new(),
             standing: Standing::default(),
+            missing: false,
             replaced: false,
             over: None,
             superseded: false,
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -315,7 +315,7 @@
 }
 
 /// Tells of a sending.
-pub(super) fn tell(job: &Job, pick: &Pick, left: Duration) {
+pub(super) fn tell(ctx: &Ctx, job: &Job, pick: &Pick, left: Duration) {
     if let Some(age) = pick.age {
         meter::span(meter::BELIEF_AGE, age.into());
     }
@@ -325,6 +325,8 @@
         meter::add(meter::TOKENS, "way", "read", pick.read.into());
         meter::add(meter::TOKENS, "way", "fetched", fetched.into());
     }
+    let listed = ctx.now().since(ctx.fleet.borrow().listed);
+    meter::span(meter::LIST_AGE, listed.into());
     log::event(&Event::Sent {
         request: &job.id,
         target: &pick.boot.id,
@@ -338,5 +340,6 @@
         left_ms: left.as_millis() as u64,
         weights: pick.weights,
         age_ms: pick.age.map(model::Micros::as_millis),
+        list_ms: listed.as_millis(),
     });
 }
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -209,7 +209,7 @@
     job.tried.push(pick.key);
     job.sends += 1;
     let began = ctx.now();
-    send::tell(job, pick, job.left(began));
+    send::tell(ctx, job, pick, job.left(began));
     let sent = send::send(ctx, job, pick, patience(ctx, job, pick)).await;
     let now = ctx.now();
     match sent {
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -116,9 +116,22 @@
         target: &'a str,
         /// Its address.
         addr: String,
-        /// What it is now: ready, draining, ended, superseded or gone.
+        /// What it is now: ready, draining, missing from the list but kept, ended, superseded or gone.
         state: &'a str,
     },
+    /// A list of targets was read that says something new, lacks targets that are kept, or was refused.
+    Listed {
+        /// Where it came from: store or peer.
+        source: &'a str,
+        /// Targets in it.
+        targets: usize,
+        /// Targets that it lacks and that are kept all the same.
+        missing: usize,
+        /// Milliseconds since it was read from the store.
+        list_ms: u64,
+        /// Whether it was taken over; one that is no newer than what is known isn't.
+        taken: bool,
+    },
     /// A target is left out after failures.
     LeftOut {
         /// Its id.
@@ -169,6 +182,8 @@
         weights: Option<u64>,
         /// Milliseconds since the target's load was last heard of.
         age_ms: Option<u64>,
+        /// Milliseconds since the list of targets was last read, or told to be as it was.
+        list_ms: u64,
     },
     /// A try at a request came to nothing.
     Tried {
@@ -268,6 +283,7 @@
             Self::Tried { .. } => ("tried", false),
             Self::Refused { .. } => ("refused", false),
             Self::Target { .. } => ("target", false),
+            Self::Listed { .. } => ("listed", false),
             Self::LeftOut { .. } => ("left_out", false),
             Self::Suspected { .. } => ("suspected", false),
             Self::Ordered { .. } => ("ordered", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -56,6 +56,8 @@
 pub const TOKENS: &str = "clementinestep_prompt_tokens_total";
 /// Seconds since a target's load was last heard of, when it was used.
 pub const BELIEF_AGE: &str = "clementinestep_belief_age_seconds";
+/// Seconds since the list of targets was last known to be as it was, when it was used.
+pub const LIST_AGE: &str = "clementinestep_list_age_seconds";
 /// Seconds that a call to the store took, held calls not counted.
 pub const STORE: &str = "clementinestep_store_call_seconds";
 /// Requests of callers that are at targets.
@@ -83,6 +85,11 @@
     describe_histogram!(WAITING, Unit::Seconds, "arrival to the first sending");
     describe_counter!(TOKENS, "prompt tokens, by held, fetched or read");
     describe_histogram!(BELIEF_AGE, Unit::Seconds, "age of a used target's load");
+    describe_histogram!(
+        LIST_AGE,
+        Unit::Seconds,
+        "age of the list of targets when used"
+    );
     describe_histogram!(STORE, Unit::Seconds, "calls to the store");
     describe_gauge!(RUNNING, "requests at targets");
     describe_gauge!(RETRIES, "retries left, by pool");
