Failing test: a target that leaves soon after the store is back goes on getting requests

What callers saw: a record sent to a target 2,264 ms after it had left; 2,000 ms are allowed. The test brings it about with three entries, each of which the store turns away once: 2,001 ms after the target's row was taken away a record still reaches it, with target state=missing and list_ms=0, so the entry knew the list and kept the target.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -1,7 +1,7 @@
 //! The store's outages, and configurations that come or can't be read.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use standin::hosted::replica::Replica;
@@ -231,3 +231,56 @@
     let answer = ask(&entry, "/log/1", "log-1").await.expect("an answer");
     assert_eq!(answer.status, 200);
 }
+
+/// Time after which a target that has left gets nothing new.
+const LEFT: Duration = Duration::from_secs(2);
+
+/// Cuts one of three entries off from the store for a while; soon after that a target takes its row away.
+async fn leaves_after_a_cut(cut: usize) {
+    let mut platform = Platform::start().await;
+    let [leaves, stays] = ["p1", "p2"].map(|id| Replica::new(id, 0, Duration::ZERO));
+    platform.replica(&leaves, "plain").await;
+    platform.replica(&stays, "plain").await;
+    let (link, _tasks) = Link::start(platform.at).await.expect("a link");
+    let mut entries = Vec::new();
+    for n in 0..3 {
+        let store = if n == cut { link.addr() } else { platform.at };
+        let entry = platform.entry_on(&format!("front-{n}"), store, 2).await;
+        entries.push(entry);
+    }
+    let entry = &entries[cut];
+    entry.process.event("members", |m| m["entries"] == 2).await;
+    let list = |e: &serde_json::Value| e["dependency"] == "list";
+    link.set(Trouble::Refuse);
+    link.reset();
+    entry.process.event("lost", list).await;
+    link.set(Trouble::None);
+    entry.process.event("regained", list).await;
+    platform.store.remove("servers", "p1");
+    let left = Instant::now();
+    let mut n = 0;
+    while left.elapsed() < LEFT + Duration::from_millis(500) {
+        n += 1;
+        let id = format!("left-{n}");
+        let before = left.elapsed();
+        assert_eq!(status(entry, "/log/1", &id).await, 200);
+        let there = leaves.seen().iter().any(|s| s.id == id);
+        let lines = [
+            entry.process.events("listed"),
+            entry.process.events("target"),
+        ];
+        assert!(
+            !there || before < LEFT,
+            "entry {cut}, {before:?} after it had left: {lines:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_target_that_leaves_soon_after_the_store_is_back_gets_nothing_new() {
+    // The store turns one entry away for a while. It is back, the entry reads the list, and then a
+    // target takes its row away, as some do without saying that they leave. Callers' records go on
+    // being sent there until its process has ended, and are lost with it.
+    let cut = (0..3).map(leaves_after_a_cut);
+    futures::future::join_all(cut).await;
+}
