Keep a target that the list lacks only where its row may have lapsed

What callers saw: a record was sent to a target 2,264 ms after it had taken its row away, and others until its process had ended; 2,000 ms are allowed.

Cause: after a store's return all that is missing was kept for 2.2 s, since rows lapse while a store is away. The store had turned away this entry alone, and the target was in the first list that it read afterwards: it had left. Class: a belief kept for one cause whatever the evidence, with an end that only an event brings.

Why it holds: a row lapses after three heartbeats without one. If the list was known to name the target less than two heartbeats ago, by a read or by another entry's word, or no read has failed since, it has left and is gone at once (policy::lapse, without I/O). Otherwise it is kept until a time that is part of the belief and is checked where the target would be used. The list's own age counts, also where another entry has read it.

Before: the process test failed at 2,001 ms. After: all ten of hosted store pass. The two new cases of the fleet's test speak the new arguments and were not run on the code before. The fleet's tests give the time to there() and the heartbeat to list(), whose arguments changed.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -279,8 +279,11 @@
 #[tokio::test]
 async fn a_target_that_leaves_soon_after_the_store_is_back_gets_nothing_new() {
     // The store turns one entry away for a while. It is back, the entry reads the list, and then a
-    // target takes its row away, as some do without saying that they leave. Callers' records go on
-    // being sent there until its process has ended, and are lost with it.
+    // target takes its row away, as some do without saying that they leave. Callers' records went on
+    // being sent there until its process had ended, and were lost with it. The entry knew the list: it
+    // told `listed targets=1 missing=1`, `target state=missing` and then `sent list_ms=0`, and took the
+    // target for one whose row had lapsed with the store. It did so for 2.2 s from the store's return,
+    // and beyond them until something else made it read the list again.
     let cut = (0..3).map(leaves_after_a_cut);
     futures::future::join_all(cut).await;
 }
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use model::Micros;
-use policy::standing;
+use policy::{lapse, standing};
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
 
@@ -17,9 +17,6 @@
     pub struct Key;
 }
 
-/// Targets that are missing from the list are kept this long after the store's return, since they
-/// need some time to enter themselves again.
-const RETURN: Micros = Micros::from_millis(2_200);
 /// Weight of a new answer in what is usual for a pool.
 const USUAL: f64 = 0.02;
 
@@ -31,6 +28,8 @@
     boots: HashMap<Boot, Key>,
     /// When the list was last read, or told to be as it was.
     pub(super) listed: Micros,
+    /// When reading it last failed.
+    failed: Micros,
     /// Stores of kept KV cache, by address.
     pub kept: HashMap<SocketAddr, KeptStore>,
     /// Lives of targets that have ended and haven't been looked at yet.
@@ -40,10 +39,17 @@
 }
 
 impl Fleet {
-    /// Takes over the platform's list. `back` is when the store last began to answer again.
-    pub fn list(&mut self, now: Micros, targets: Vec<Target>, back: Option<Micros>) {
+    /// Takes over the platform's list as it was at some time.
+    pub fn list(&mut self, at: Micros, targets: Vec<Target>, config: &lapse::Config) {
         let listed: HashMap<_, _> = targets.into_iter().map(|t| (t.boot.clone(), t)).collect();
-        let returning = back.is_some_and(|b| now.since(b) < RETURN);
+        let gap = lapse::Gap {
+            known: self.listed,
+            read: at,
+            failed: self.failed > self.listed,
+        };
+        // Kept only where its row may have lapsed, and until a time: kept for any absence soon after the
+        // store's return, a target that had left got requests until the next read, and they were lost.
+        let lapsed = lapse::kept(config, &gap);
         let missing: Vec<_> = self
             .boots
             .iter()
@@ -53,18 +59,43 @@
         for (boot, key) in missing {
             // Another life of the same target has taken this one's place for good.
             let reborn = listed.keys().any(|b| b.id == boot.id);
-            if !returning || reborn {
-                self.remove(&boot, key);
-            } else if let Some(r) = self.replicas.get_mut(key).filter(|r| !r.missing) {
-                r.missing = true;
-                tell(&r.target, "missing");
+            match lapsed {
+                _ if reborn => self.remove(&boot, key),
+                Some(until) => self.miss(key, until),
+                // Missing before, it is kept until the time that was set then.
+                None if self.replicas.get(key).is_some_and(|r| r.missing.is_some()) => {}
+                None => self.remove(&boot, key),
             }
         }
-        self.listed = now;
-        listed.into_values().for_each(|t| self.enter(now, t));
+        self.listed = at.max(self.listed);
+        listed.into_values().for_each(|t| self.enter(at, t));
+        self.expire(at);
         self.supersede();
     }
 
+    /// Keeps a target until a time though the list lacks it.
+    fn miss(&mut self, key: Key, until: Micros) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        if replica.missing.replace(until).is_none() {
+            tell(&replica.target, "missing");
+        }
+    }
+
+    /// Removes targets that the list lacks and that aren't kept any longer.
+    pub fn expire(&mut self, now: Micros) {
+        let over = |r: &Replica| r.missing.is_some_and(|until| now >= until);
+        let over: Vec<_> = self.replicas.iter().filter(|(_, r)| over(r)).collect();
+        let over: Vec<_> = over
+            .iter()
+            .map(|(k, r)| (r.target.boot.clone(), *k))
+            .collect();
+        for (boot, key) in over {
+            self.remove(&boot, key);
+        }
+    }
+
     /// Marks the targets at whose address the list names one that was heard later. A crashed target's
     /// entry lasts some seconds beyond the start of its successor; until it lapsed, each entry sent a
     /// request or two to the former one and took what the sidecar told of the new one for the former's.
@@ -107,18 +138,26 @@
             // A heartbeat since then: what ended wasn't this one.
             replica.over = None;
         }
-        replica.missing = false;
+        replica.missing = None;
         replica.target = target;
     }
 
     /// Notes that the list is as it was last read.
-    pub(super) fn confirm(&mut self, now: Micros) {
+    pub fn confirm(&mut self, now: Micros) {
         self.listed = now;
     }
 
+    /// Notes that the list couldn't be read.
+    pub fn fail(&mut self, now: Micros) {
+        self.failed = now;
+    }
+
     /// Targets that are kept though the list lacks them.
     pub(super) fn missing(&self) -> usize {
-        self.replicas.values().filter(|r| r.missing).count()
+        self.replicas
+            .values()
+            .filter(|r| r.missing.is_some())
+            .count()
     }
 
     fn remove(&mut self, boot: &Boot, key: Key) {
@@ -137,7 +176,7 @@
         if news.kept {
             return self.kept.entry(addr).or_default().hear(news);
         }
-        let there = |r: &&mut Replica| r.target.addr == addr && r.there();
+        let there = |r: &&mut Replica| r.target.addr == addr && r.there(now);
         let Some(replica) = self.replicas.values_mut().find(there) else {
             return;
         };
@@ -166,8 +205,8 @@
     }
 
     /// The life of the engine beside a sidecar.
-    pub fn life(&self, sidecar: SocketAddr) -> Option<&Boot> {
-        let beside = |r: &&Replica| r.there() && r.heard.is_some_and(|h| h.from == sidecar);
+    pub fn life(&self, now: Micros, sidecar: SocketAddr) -> Option<&Boot> {
+        let beside = |r: &&Replica| r.there(now) && r.heard.is_some_and(|h| h.from == sidecar);
         let replica = self.replicas.values().find(beside)?;
         Some(&replica.target.boot)
     }
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -12,7 +12,8 @@
 
 use model::Micros;
 use platform::store::TARGETS;
-use platform::{Row, Rows, Store, StoreError};
+use platform::{Row, Store};
+use policy::lapse;
 use policy::readers::Readers;
 use rand::Rng;
 use site::Target;
@@ -74,11 +75,9 @@
     };
     let mut store = Store::new(addr);
     let mut dependency = Dependency::new("list");
-    let mut away = false;
-    let mut back = None;
     loop {
         if let Some(finder) = ctx.list.finder.take() {
-            if ask(&ctx, finder, back).await {
+            if ask(&ctx, finder).await {
                 wait(&ctx, rank).await;
                 continue;
             }
@@ -89,8 +88,6 @@
         let now = ctx.now();
         meter::span(meter::STORE, now.since(asked).into());
         ctx.gauges();
-        back = returned(&read, away, now, back);
-        away = read.is_err();
         match read {
             Ok(rows) => {
                 let targets = targets(&rows.rows);
@@ -99,15 +96,16 @@
                 let known = ctx.list.own.get();
                 let listed = targets.len();
                 tell(&ctx, rank, &targets);
-                ctx.fleet.borrow_mut().list(now, targets, back);
+                ctx.fleet.borrow_mut().list(now, targets, &lapse(&ctx));
                 note(&ctx, "store", listed, now, ctx.list.own.get() != known);
                 suspects::ended(&ctx);
                 wait(&ctx, rank).await;
             }
             Err(_) => {
+                ctx.fleet.borrow_mut().fail(now);
                 let entries: Vec<_> = ctx.node.world.borrow().entries().collect();
                 if let Some(list) = peer::targets(&ctx.node, entries).await {
-                    adopt(&ctx, list, back);
+                    adopt(&ctx, list);
                 }
                 sleep(AGAIN).await;
             }
@@ -118,16 +116,16 @@
 /// Asks the reader that has found something new. If all entries read instead, each change of the list
 /// would be as many calls to the store as there are entries: 11 and 15 in a hundred of all calls of two
 /// fleets with 31 and 28 entries on a day with many crashes.
-async fn ask(ctx: &Ctx, finder: SocketAddr, back: Option<Micros>) -> bool {
+async fn ask(ctx: &Ctx, finder: SocketAddr) -> bool {
     match peer::targets(&ctx.node, [finder]).await {
-        Some(list) => adopt(ctx, list, back),
+        Some(list) => adopt(ctx, list),
         None => false,
     }
 }
 
 /// Takes over the list as another entry has read it, if that was after this one's last reading; tells
 /// whether it was.
-fn adopt(ctx: &Ctx, list: Read, back: Option<Micros>) -> bool {
+fn adopt(ctx: &Ctx, list: Read) -> bool {
     let newest = |rows: &[Row]| rows.iter().map(|r| r.version).max();
     let own = {
         let world = ctx.node.world.borrow();
@@ -148,7 +146,7 @@
     }
     let known = ctx.list.own.replace(hash(&targets));
     ctx.node.world.borrow_mut().targets = Some(list);
-    ctx.fleet.borrow_mut().list(ctx.now(), targets, back);
+    ctx.fleet.borrow_mut().list(at, targets, &lapse(ctx));
     note(ctx, "peer", listed, at, ctx.list.own.get() != known);
     suspects::ended(ctx);
     true
@@ -206,6 +204,7 @@
             return;
         }
         let now = ctx.now();
+        ctx.fleet.borrow_mut().expire(now);
         let late = now.since(began) >= SELDOM.into();
         if late || ctx.list.readers.borrow().reads(now, rank) {
             return;
@@ -213,16 +212,11 @@
     }
 }
 
-/// When the store last began to answer again.
-fn returned(
-    read: &Result<Rows, StoreError>,
-    away: bool,
-    now: Micros,
-    back: Option<Micros>,
-) -> Option<Micros> {
-    match read {
-        Ok(_) if away => Some(now),
-        _ => back,
+/// How rows lapse on this platform.
+fn lapse(ctx: &Ctx) -> lapse::Config {
+    lapse::Config {
+        heartbeat: ctx.node.settings.borrow().heartbeat.into(),
+        ..lapse::Config::default()
     }
 }
 
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -198,7 +198,7 @@
             false => hearing::ASK.into(),
         };
         for sidecar in wanted {
-            let life = ctx.fleet.borrow().life(sidecar).map(|b| Life {
+            let life = ctx.fleet.borrow().life(ctx.now(), sidecar).map(|b| Life {
                 id: b.id.clone(),
                 born: b.born,
             });
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -108,8 +108,8 @@
     expected: HashMap<(u64, PartId), (u32, Micros)>,
     /// How it has done.
     pub standing: Standing,
-    /// Whether the list lacks it though it is kept.
-    pub(super) missing: bool,
+    /// Until when it is kept though the list lacks it.
+    pub(super) missing: Option<Micros>,
     /// Whether another target has been met at its address, so that it is gone, whatever the list says.
     pub replaced: bool,
     /// Version of its last heartbeat when its sidecar found that its process had ended.
@@ -137,7 +137,7 @@
             held: HashMap::new(),
             expected: HashMap::new(),
             standing: Standing::default(),
-            missing: false,
+            missing: None,
             replaced: false,
             over: None,
             superseded: false,
@@ -147,8 +147,9 @@
     }
 
     /// Whether it is, as far as known, what listens at its address.
-    pub fn there(&self) -> bool {
-        !self.replaced && !self.superseded && self.over.is_none()
+    pub fn there(&self, now: Micros) -> bool {
+        let kept = self.missing.is_none_or(|until| now < until);
+        kept && !self.replaced && !self.superseded && self.over.is_none()
     }
 
     /// Tokens at the beginning of a prompt that it holds under a scope.
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -27,7 +27,7 @@
         .replicas
         .iter()
         .filter(|(_, r)| r.target.pool == job.pool && r.target.state == State::Ready)
-        .filter(|(_, r)| r.there())
+        .filter(|(_, r)| r.there(now))
         .collect();
     let some = |test: &dyn Fn(&(Key, &Replica)) -> bool| {
         let passed: Vec<_> = ready.iter().copied().filter(|c| test(c)).collect();
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -3,10 +3,16 @@
 use gate::entry::Fleet;
 use gate::news::{Held, Loaded, News};
 use model::Micros;
+use policy::lapse;
 use site::{Boot, Part, PartId, State, Target};
 
 /// The address of all targets here.
 const ADDR: &str = "127.0.0.1:9000";
+/// How rows of the list lapse.
+const CONFIG: lapse::Config = lapse::Config {
+    heartbeat: Micros::from_millis(1_200),
+    back: Micros::from_millis(2_200),
+};
 
 fn target(id: &str, renewed: u64) -> Target {
     Target {
@@ -24,6 +30,14 @@
     }
 }
 
+/// A target at another address.
+fn other(id: &str, renewed: u64) -> Target {
+    Target {
+        addr: "127.0.0.1:9001".parse().expect("an address"),
+        ..target(id, renewed)
+    }
+}
+
 fn holds(fleet: &Fleet, id: &str) -> u32 {
     let part = Part {
         id: PartId(7),
@@ -33,8 +47,8 @@
     replica.map_or(0, |r| r.holds(1, &[part]))
 }
 
-fn there(fleet: &Fleet) -> Vec<&str> {
-    let there = fleet.replicas.values().filter(|r| r.there());
+fn there(fleet: &Fleet, now: Micros) -> Vec<&str> {
+    let there = fleet.replicas.values().filter(|r| r.there(now));
     there.map(|r| r.target.boot.id.as_str()).collect()
 }
 
@@ -45,10 +59,10 @@
     // the sidecar told of the new engine was taken for the former's.
     let now = Micros::from_secs(100);
     let mut fleet = Fleet::default();
-    fleet.list(now, vec![target("old", 5)], None);
-    assert_eq!(there(&fleet), ["old"]);
-    fleet.list(now, vec![target("old", 5), target("new", 9)], None);
-    assert_eq!(there(&fleet), ["new"]);
+    fleet.list(now, vec![target("old", 5)], &CONFIG);
+    assert_eq!(there(&fleet, now), ["old"]);
+    fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
+    assert_eq!(there(&fleet, now), ["new"]);
     let news = News {
         engine: ADDR.to_owned(),
         alive: true,
@@ -71,16 +85,16 @@
     let now = Micros::from_secs(100);
     let mut fleet = Fleet::default();
     let listed = || vec![target("good", 5), target("false", 9)];
-    fleet.list(now, listed(), None);
-    assert_eq!(there(&fleet), ["false"]);
+    fleet.list(now, listed(), &CONFIG);
+    assert_eq!(there(&fleet, now), ["false"]);
     let found = fleet
         .replicas
         .iter()
         .find(|(_, r)| r.target.boot.id == "false");
     let key = found.map(|(k, _)| k).expect("the false one");
     fleet.replaced(key);
-    fleet.list(now, listed(), None);
-    assert_eq!(there(&fleet), ["good"]);
+    fleet.list(now, listed(), &CONFIG);
+    assert_eq!(there(&fleet, now), ["good"]);
 }
 
 #[test]
@@ -91,7 +105,7 @@
     let now = Micros::from_secs(100);
     let addr = ADDR.parse().expect("an address");
     let mut fleet = Fleet::default();
-    fleet.list(now, vec![target("old", 5)], None);
+    fleet.list(now, vec![target("old", 5)], &CONFIG);
     let news = |ended: bool| News {
         engine: ADDR.to_owned(),
         alive: !ended,
@@ -99,19 +113,19 @@
         ..News::default()
     };
     fleet.hear(now, &news(false), addr);
-    assert_eq!(there(&fleet), ["old"]);
+    assert_eq!(there(&fleet, now), ["old"]);
     fleet.hear(now, &news(true), addr);
-    assert!(there(&fleet).is_empty());
+    assert!(there(&fleet, now).is_empty());
     // The successor answers its sidecar before it is in the list.
     fleet.hear(now, &news(false), addr);
-    fleet.list(now, vec![target("old", 5)], None);
-    assert!(there(&fleet).is_empty());
-    fleet.list(now, vec![target("old", 5), target("new", 9)], None);
-    assert_eq!(there(&fleet), ["new"]);
+    fleet.list(now, vec![target("old", 5)], &CONFIG);
+    assert!(there(&fleet, now).is_empty());
+    fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
+    assert_eq!(there(&fleet, now), ["new"]);
     // Nobody listened for a moment, but the engine's own heartbeats go on.
     fleet.hear(now, &news(true), addr);
-    fleet.list(now, vec![target("new", 12)], None);
-    assert_eq!(there(&fleet), ["new"]);
+    fleet.list(now, vec![target("new", 12)], &CONFIG);
+    assert_eq!(there(&fleet, now), ["new"]);
 }
 
 #[test]
@@ -122,7 +136,7 @@
     let addr = ADDR.parse().expect("an address");
     let mut fleet = Fleet::default();
     let at = |ms| Micros::from_secs(100) + Micros::from_millis(ms);
-    fleet.list(at(0), vec![target("e", 5)], None);
+    fleet.list(at(0), vec![target("e", 5)], &CONFIG);
     let reports = |fleet: &mut Fleet, ms, version| {
         let news = News {
             engine: ADDR.to_owned(),
@@ -144,3 +158,39 @@
     assert_eq!(reports(&mut fleet, 1_000, 2), 2);
     assert_eq!(reports(&mut fleet, 1_050, 3), 3);
 }
+
+#[test]
+fn a_target_that_leaves_after_the_store_is_back_is_gone_at_once() {
+    // The store turns an entry away for 6 s. It reads the list again, and 1.3 s later a target takes its
+    // row away. The entry kept it, as if the row had lapsed with the store, and had no reason to look
+    // again before its next read 4 s later: a record reached the target 2,264 ms after it had left, and
+    // others were lost with its process. `target state=missing` and then `sent list_ms=0` told it.
+    let at = |ms: u64| Micros::from_millis(100_000 + ms);
+    let mut fleet = Fleet::default();
+    let all = || vec![target("stays", 5), other("leaves", 6)];
+    fleet.list(at(0), all(), &CONFIG);
+    fleet.fail(at(700));
+    fleet.fail(at(5_900));
+    fleet.list(at(6_000), all(), &CONFIG);
+    assert_eq!(there(&fleet, at(6_000)).len(), 2);
+    fleet.list(at(7_300), vec![target("stays", 5)], &CONFIG);
+    assert_eq!(there(&fleet, at(7_300)), ["stays"]);
+}
+
+#[test]
+fn a_target_whose_row_may_have_lapsed_is_kept_for_a_time_that_ends_by_itself() {
+    // The store is down for 6 s and names a target less when it is back. The target may enter itself
+    // again within two seconds, and callers need it until then. If it doesn't, it is gone, though the
+    // list doesn't change any more and isn't read: the next read of an entry for which others read is
+    // up to 4 s away, and requests went on being sent there until then.
+    let at = |ms: u64| Micros::from_millis(100_000 + ms);
+    let mut fleet = Fleet::default();
+    fleet.list(at(0), vec![target("stays", 5), other("lapsed", 6)], &CONFIG);
+    fleet.fail(at(700));
+    fleet.list(at(6_000), vec![target("stays", 5)], &CONFIG);
+    // Other entries go on telling that the list is as it was.
+    fleet.confirm(at(7_000));
+    fleet.list(at(8_000), vec![target("stays", 5)], &CONFIG);
+    assert_eq!(there(&fleet, at(8_100)).len(), 2);
+    assert_eq!(there(&fleet, at(8_200)), ["stays"]);
+}
