Judge the age of a list of targets by the store's version, so that a row taken away counts

What callers saw: nothing yet. Found while looking for the same cause elsewhere: an entry that the store turned away never learnt that a target had left if nothing else in the list changed; the new test waited 20 s for it.

Cause: of two lists the one with the newer newest row was taken. Taking a row away raises none. A list without any row wasn't passed on at all. The store tells its newest version with each read; entries now pass that on.

Before: an_entry_that_the_store_turns_away_hears_of_a_target_that_has_left fails after 20 s. A refused list is logged only if it says something else than what is known.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -216,6 +216,37 @@
     assert!(second.seen().iter().any(|s| s.id == "log-1" && s.ran));
 }
 
+#[tokio::test]
+async fn an_entry_that_the_store_turns_away_hears_of_a_target_that_has_left() {
+    // The store refuses one host for a long time. Meanwhile a target takes its row away and nothing else
+    // changes. The other entry passes its list on, but the newest row in it is as old as before: `listed
+    // source=peer taken=false`, again and again, and callers' records went on being sent to the target
+    // until its process had ended.
+    let mut platform = Platform::start().await;
+    let leaves = Replica::new("p1", 0, Duration::ZERO);
+    let stays = Replica::new("p2", 0, Duration::ZERO);
+    platform.replica(&leaves, "plain").await;
+    platform.replica(&stays, "plain").await;
+    let (link, _tasks) = Link::start(platform.at).await.expect("a link");
+    let _other = platform.entry("front-1", 2).await;
+    let away = platform.entry_on("front-2", link.addr(), 2).await;
+    away.process.event("members", |m| m["entries"] == 1).await;
+    link.set(Trouble::Refuse);
+    link.reset();
+    away.process
+        .event("lost", |e| e["dependency"] == "list")
+        .await;
+    let left = Instant::now();
+    platform.store.remove("servers", "p1");
+    let gone = |t: &serde_json::Value| t["target"] == "p1" && t["state"] == "gone";
+    away.process.event("target", gone).await;
+    assert!(left.elapsed() < LEFT, "{:?}", left.elapsed());
+    for n in 0..6 {
+        assert_eq!(status(&away, "/log/1", &format!("stays-{n}")).await, 200);
+    }
+    assert!(leaves.seen().is_empty());
+}
+
 #[tokio::test]
 async fn a_request_that_comes_right_after_a_start_is_served() {
     // All entries lose power and start again at one moment, and callers come at once. An entry has read
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -91,13 +91,19 @@
         match read {
             Ok(rows) => {
                 let targets = targets(&rows.rows);
-                let rows = rows.rows;
-                ctx.node.world.borrow_mut().targets = Some(Read { at: now, rows });
+                ctx.node.world.borrow_mut().targets = Some(Read {
+                    at: now,
+                    version: rows.version,
+                    rows: rows.rows,
+                });
                 let known = ctx.list.own.get();
                 let listed = targets.len();
                 tell(&ctx, rank, &targets);
                 ctx.fleet.borrow_mut().list(now, targets, &lapse(&ctx));
-                note(&ctx, "store", listed, now, ctx.list.own.get() != known);
+                let missing = ctx.fleet.borrow().missing() > 0;
+                if missing || ctx.list.own.get() != known {
+                    note(&ctx, "store", listed, now, true);
+                }
                 suspects::ended(&ctx);
                 wait(&ctx, rank).await;
             }
@@ -126,44 +132,36 @@
 /// Takes over the list as another entry has read it, if that was after this one's last reading; tells
 /// whether it was.
 fn adopt(ctx: &Ctx, list: Read) -> bool {
-    let newest = |rows: &[Row]| rows.iter().map(|r| r.version).max();
     let own = {
         let world = ctx.node.world.borrow();
-        let own = world.targets.as_ref();
-        own.and_then(|own| newest(&own.rows))
+        world.targets.as_ref().map_or(0, |own| own.version)
     };
     let targets = targets(&list.rows);
     let (listed, at) = (targets.len(), list.at);
-    if newest(&list.rows) <= own {
-        log::event(&Event::Listed {
-            source: "peer",
-            targets: listed,
-            missing: ctx.fleet.borrow().missing(),
-            list_ms: ctx.now().since(at).as_millis(),
-            taken: false,
-        });
-        return false;
+    let hash = hash(&targets);
+    let changed = hash != ctx.list.own.get();
+    let taken = list.version > own;
+    if taken {
+        ctx.list.own.set(hash);
+        ctx.node.world.borrow_mut().targets = Some(list);
+        ctx.fleet.borrow_mut().list(at, targets, &lapse(ctx));
+        suspects::ended(ctx);
+    }
+    if changed || taken && ctx.fleet.borrow().missing() > 0 {
+        note(ctx, "peer", listed, at, taken);
     }
-    let known = ctx.list.own.replace(hash(&targets));
-    ctx.node.world.borrow_mut().targets = Some(list);
-    ctx.fleet.borrow_mut().list(at, targets, &lapse(ctx));
-    note(ctx, "peer", listed, at, ctx.list.own.get() != known);
-    suspects::ended(ctx);
-    true
+    taken
 }
 
-/// Tells of a list that was taken over, if it says something new or lacks targets that are kept.
-fn note(ctx: &Ctx, source: &str, targets: usize, at: Micros, changed: bool) {
-    let missing = ctx.fleet.borrow().missing();
-    if changed || missing > 0 {
-        log::event(&Event::Listed {
-            source,
-            targets,
-            missing,
-            list_ms: ctx.now().since(at).as_millis(),
-            taken: true,
-        });
-    }
+/// Tells of a list.
+fn note(ctx: &Ctx, source: &str, targets: usize, at: Micros, taken: bool) {
+    log::event(&Event::Listed {
+        source,
+        targets,
+        missing: ctx.fleet.borrow().missing(),
+        list_ms: ctx.now().since(at).as_millis(),
+        taken,
+    });
 }
 
 /// Tells the other entries what was found, if this one is a reader.
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -58,6 +58,9 @@
     /// Milliseconds since the list of targets was read.
     #[prost(uint64, tag = "2")]
     age_ms: u64,
+    /// Newest version in the store when the list of targets was read; 0 without a list.
+    #[prost(uint64, tag = "3")]
+    version: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -132,7 +135,7 @@
                 value: row.value.clone(),
             })
             .collect(),
-        age_ms: 0,
+        ..Told::default()
     }
 }
 
@@ -153,6 +156,7 @@
     Told {
         rows: read.rows.iter().filter_map(told).collect(),
         age_ms: age(read).as_millis(),
+        version: read.version,
     }
 }
 
@@ -169,15 +173,16 @@
     let told = futures::future::join_all(asked).await;
     // Of those that don't answer the operator's rows are asked too, which tells how it failed.
     let told = told.into_iter().filter_map(|t| t.ok()?.ok());
-    let newest = told.max_by_key(|t| t.rows.iter().map(|r| r.version).max())?;
+    let newest = told.max_by_key(|t| t.version)?;
     let at = node.now() - Micros::from_millis(newest.age_ms);
+    let version = newest.version;
     let row = |r: ToldRow| Row {
         key: r.key,
         value: Some(r.value),
         version: r.version,
     };
     let rows: Vec<_> = newest.rows.into_iter().map(row).collect();
-    (!rows.is_empty()).then_some(Read { at, rows })
+    (version > 0).then_some(Read { at, version, rows })
 }
 
 /// Asks others for as long as the store doesn't answer.
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -70,6 +70,9 @@
 pub struct Read {
     /// On this process's clock.
     pub at: Micros,
+    /// Newest version in the store at that time. It alone tells which of two reads is the newer: a row
+    /// that is taken away leaves nothing newer among the others.
+    pub version: u64,
     /// The rows.
     pub rows: Vec<platform::Row>,
 }
