Ask who has found something new instead of waiting for a call to the store that hangs

What callers saw: nothing yet. Found by adding up the waits on the way of the word that a target leaves: a reader's pause of 0.8 s, and then 1.5 s in which a silent call of this entry's own kept it from asking that reader.

Cause: one task reads the list and takes what others have found, and it did the one only after the other. Now another entry's word ends the call; the list comes from the one who told of it.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -247,6 +247,42 @@
     assert!(leaves.seen().is_empty());
 }
 
+#[tokio::test]
+async fn a_call_to_the_store_that_hangs_keeps_no_news_of_others_waiting() {
+    // An entry's connections to the store fall silent without a reset. Each of its calls hangs until it
+    // is given up after 1.5 s, while the other entry tells that a target has left. With the other one's
+    // pause before it reads, 0.8 s, that came to more than the two seconds after which nothing new may
+    // reach the target.
+    let mut platform = Platform::start().await;
+    let targets: Vec<_> = (0..11)
+        .map(|n| Replica::new(&format!("p{n}"), 0, Duration::ZERO))
+        .collect();
+    for t in &targets {
+        platform.replica(t, "plain").await;
+    }
+    let (link, _tasks) = Link::start(platform.at).await.expect("a link");
+    let other = platform.entry("front-1", targets.len()).await;
+    let away = platform
+        .entry_on("front-2", link.addr(), targets.len())
+        .await;
+    away.process.event("members", |m| m["entries"] == 1).await;
+    link.set(Trouble::Silent);
+    away.process
+        .event("lost", |e| e["dependency"] == "list")
+        .await;
+    let mut slowest = Duration::ZERO;
+    for t in &targets[1..] {
+        platform.store.remove("servers", &t.id);
+        let gone = |e: &serde_json::Value| e["target"] == *t.id && e["state"] == "gone";
+        other.process.event("target", gone).await;
+        let known = Instant::now();
+        away.process.event("target", gone).await;
+        slowest = slowest.max(known.elapsed());
+    }
+    // What is left of two seconds after the other one's pause, a connection and its answer.
+    assert!(slowest < Duration::from_millis(900), "{slowest:?}");
+}
+
 #[tokio::test]
 async fn a_request_that_comes_right_after_a_start_is_served() {
     // All entries lose power and start again at one moment, and callers come at once. An entry has read
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -55,6 +55,13 @@
         self.own.get() != 0
     }
 
+    /// Waits until another entry finds something new.
+    async fn found(&self) {
+        while self.finder.get().is_none() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Takes over what another entry has found; tells whether that is what this one knows.
     pub(super) fn hear(&self, now: Micros, listed: Listed, from: SocketAddr) -> bool {
         self.readers.borrow_mut().hear(now, listed.rank);
@@ -83,7 +90,13 @@
             }
         }
         let asked = ctx.now();
-        let read = store.rows(TARGETS).await;
+        // A call may hang for longer than a target that leaves may still be used; who has found
+        // something new meanwhile is asked instead.
+        let read = tokio::select! {
+            biased;
+            read = store.rows(TARGETS) => read,
+            () = ctx.list.found() => continue,
+        };
         dependency.note(&read);
         let now = ctx.now();
         meter::span(meter::STORE, now.since(asked).into());
