Notice the readers' silence when it begins to matter, not at the next step of a pause

What callers saw: nothing yet. Found by adding up the waits on the way of the word that a target leaves.

Cause: an entry for which others read looked in steps of 0.6 to 0.8 s whether they are still heard, and counts them as silent after 1.2 s: up to 2 s and a read without news if both readers end, with 2 s allowed until nothing new reaches a target that leaves.

Now policy::readers says when the next read is due, and the entry waits for just that: 1.4 s and a read at most. The test replays the loss of both readers at every phase of the waits.

--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -28,13 +28,6 @@
 use crate::peer;
 use crate::world::Read;
 
-/// Shortest pause between two reads.
-const PAUSE: Duration = Duration::from_millis(600);
-/// Longest pause; entries don't read in step.
-const LONGEST: Duration = Duration::from_millis(800);
-/// Pause of an entry for which others read. It reads all the same now and then, for what the
-/// others' words don't tell.
-const SELDOM: Duration = Duration::from_millis(4_000);
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(250);
 
@@ -207,17 +200,18 @@
 
 /// Waits until the list is to be read again.
 async fn wait(ctx: &Ctx, rank: u64) {
-    let began = ctx.now();
+    let read = ctx.now();
+    let draw = rand::rng().random();
     loop {
-        let span = PAUSE.as_millis() as u64..LONGEST.as_millis() as u64;
-        let pause = Duration::from_millis(rand::rng().random_range(span));
-        if timeout(pause, ctx.list.changed.notified()).await.is_ok() {
-            return;
-        }
+        // What others tell meanwhile puts the next read off.
+        let next = ctx.list.readers.borrow().next(read, rank, draw);
         let now = ctx.now();
         ctx.fleet.borrow_mut().expire(now);
-        let late = now.since(began) >= SELDOM.into();
-        if late || ctx.list.readers.borrow().reads(now, rank) {
+        if now >= next {
+            return;
+        }
+        let left = next.since(now).into();
+        if timeout(left, ctx.list.changed.notified()).await.is_ok() {
             return;
         }
     }
--- a/crates/policy/tests/hosted.rs
+++ b/crates/policy/tests/hosted.rs
@@ -352,6 +352,40 @@
     assert!(steady(7_000, 10_000).all(|due| due == [1, 2]));
 }
 
+#[test]
+fn a_silence_of_both_readers_is_noticed_in_time_whenever_it_begins() {
+    // Two of four entries read the list for all, and both are killed right after a read. A target leaves
+    // at that moment. The other two had looked for the readers' silence in steps of a pause: 1.2 s, and
+    // up to 0.8 s more, so that callers' requests reached the target later than the two seconds allowed.
+    let killed = 10_000;
+    for read in (killed - 3_900..killed).step_by(50) {
+        for draw in [0.0, 0.5, 1.0] {
+            let mut readers = Readers::default();
+            for told in (killed - 4_200..=killed).step_by(700) {
+                readers.hear(ms(told), 0);
+                readers.hear(ms(told), 1);
+            }
+            let next = readers.next(ms(read), 2, draw);
+            let seldom = ms(read + 4_000);
+            assert!(
+                next <= ms(killed + 1_400),
+                "last read at {read}, draw {draw}: {next:?}"
+            );
+            assert!(
+                next >= seldom.min(ms(killed + 1_200)),
+                "put off as long as others read"
+            );
+        }
+    }
+    // One who is needed reads every 0.6 to 0.8 s, also where it is alone.
+    for (draw, want) in [(0.0, 600), (1.0, 800)] {
+        assert_eq!(
+            Readers::default().next(ms(5_000), 2, draw),
+            ms(5_000 + want)
+        );
+    }
+}
+
 #[test]
 fn weights_grow_old_from_the_first_version_after_them() {
     // New weights are named every two seconds while one engine is cut off and keeps version 2. Its
