Soak: a target that leaves right after the faults gets nothing new

The soak had no target that leaves, so that it couldn't see one kept for too long. After everything is healed one takes its row away; from two seconds after that, and three after the last fault, each entry's requests must not reach it.

--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -5,15 +5,21 @@
 
 use futures::future::join_all;
 use serde_json::Value;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::callers::Outcome;
-use super::world::{World, ENGINES, ENTRIES, EVENTS};
+use super::world::{World, ENGINES, ENTRIES, EVENTS, REPLICAS};
 use crate::fleet::{ask_at, ready_at, LIMIT, MODEL};
 
 /// Longest time until all is served again. What was asked for at each of several crashes in a row is
 /// refused for 15 s at worst, and each of the four kinds may be.
 const HEAL: Duration = Duration::from_secs(40);
+/// Time after which a target that has left gets nothing new.
+const LEFT: Duration = Duration::from_secs(2);
+/// Time after the last fault from which on that holds.
+const TOUCH: Duration = Duration::from_secs(3);
+/// Requests to each entry after that; each of two targets would get some.
+const ASKED: usize = 12;
 /// Pause between two tries of what has to work again.
 const AGAIN: Duration = Duration::from_millis(50);
 
@@ -60,6 +66,28 @@
     );
 }
 
+/// A target takes its row away soon after the faults have ended; in time nothing new reaches it.
+pub async fn left(seed: u64, world: &World, healed: Instant) {
+    let target = &world.replicas[REPLICAS - 1].replica;
+    world.platform.store.remove("servers", &target.id);
+    sleep_until((Instant::now() + LEFT).max(healed + TOUCH)).await;
+    for n in 0..ENTRIES {
+        let callers = world.fronts[n].host.runs().callers;
+        for tries in 0..ASKED {
+            let id = format!("left-{n}-{tries}");
+            // Served or not, it mustn't have been sent there.
+            let _ = ask_at(callers, "/log/1", &id).await;
+            let there = target.seen().iter().any(|s| s.id == id);
+            let tail = || world.fronts[n].host.runs().process.tail();
+            assert!(
+                !there,
+                "seed {seed}: entry {n} sends to who has left:\n{}",
+                tail()
+            );
+        }
+    }
+}
+
 /// The promises to callers, engines and the platform.
 pub fn promises(seed: u64, world: &World, outcomes: &[Outcome]) {
     let runs = runs(world);
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -4,8 +4,8 @@
 //! misbehave and start again, the store comes and goes, links between all of them are delayed, cut one
 //! way, silenced and reset, and entries and sidecars are stopped, paused, killed and started again, in
 //! series that overlap ([`harm`]). What must always hold is checked from what callers got and what
-//! replicas saw ([`check`]); at the end everything is healed, every entry has to serve again and every
-//! engine to have the newest weights.
+//! replicas saw ([`check`]); at the end everything is healed, every entry has to serve again, every
+//! engine to have the newest weights, and a target that leaves then gets nothing new.
 //!
 //! CI runs a few seeds; `SOAK_SEEDS=7..57` runs others. A seed that ever failed goes to [`FAILED`],
 //! with a line on the cause.
@@ -43,8 +43,10 @@
     }
     harm::harm(Arc::clone(&world), seed, end).await;
     world.heal();
+    let healed = Instant::now();
     let outcomes: Vec<_> = asking.join_all().await.into_iter().flatten().collect();
     check::recovered(seed, &world).await;
+    check::left(seed, &world, healed).await;
     check::promises(seed, &world, &outcomes);
     let good = |o: &&callers::Outcome| o.answer.as_ref().is_some_and(|a| a.status == 200);
     let served = outcomes.iter().filter(good).count();
