Leave out engines with too old weights before the best group is chosen

Cause: of a pool's targets the best group that isn't empty was chosen first, by failures of late and turns to load; engines with too old weights were dropped from it afterwards. If it held no other, nobody was left, though the next group had some. Tested first, such an engine is in no group.

The test has one engine with too old weights and one that has just failed.

--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use serde_json::json;
-use standin::hosted::replica::Replica;
+use serde_json::{json, Value};
+use standin::hosted::replica::{Fault, Replica};
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{ask, Platform, LIMIT, MODEL};
@@ -143,3 +143,45 @@
     let tries = engine.seen().iter().filter(|s| s.id == "patient").count();
     assert_eq!(tries, 1, "sent once, when the engine takes it");
 }
+
+#[tokio::test]
+async fn an_engine_with_too_old_weights_hides_no_other_one() {
+    // One engine has been left with old weights for too long to be used. The other one has the newest
+    // and has just failed a request, so that it is to be left alone for a moment. Callers get it all
+    // the same: it is the only one that may serve them, and nobody is refused.
+    let mut platform = Platform::start().await;
+    let newer = Replica::new("e1", 2, Duration::ZERO);
+    newer.load(MODEL, 2);
+    let older = Replica::new("e2", 2, Duration::ZERO);
+    older.load(MODEL, 1);
+    platform.replica(&newer, "engines").await;
+    platform.replica(&older, "engines").await;
+    let named = json!({"model": MODEL, "version": 2});
+    platform.store.write("op", "version/lekha", &named);
+    let entry = platform.entry("front-1", 2).await;
+    // Named before the entry's start, they count as 2.5 s old then; 4.8 s are allowed.
+    let old = async {
+        let mut n = 0;
+        let late = |e: &Value| e["up_ms"].as_u64().is_some_and(|ms| ms > 2_600);
+        while !entry.process.events("answered").iter().any(late) {
+            n += 1;
+            let answer = ask(&entry, "/probe/1", &format!("wait-{n}")).await;
+            assert!(answer.is_ok_and(|a| a.status == 200));
+        }
+    };
+    timeout(LIMIT, old).await.expect("old weights");
+    newer.set_fault(Fault::Error);
+    let failed = async {
+        let mut n = 0;
+        while entry.process.events("left_out").is_empty() {
+            n += 1;
+            let _failed = ask(&entry, "/probe/1", &format!("fail-{n}")).await;
+        }
+    };
+    timeout(LIMIT, failed).await.expect("left out");
+    newer.set_fault(Fault::None);
+    let answer = ask(&entry, "/probe/1", "served").await.expect("an answer");
+    let refusals = entry.process.events("refused");
+    assert_eq!(answer.status, 200, "{refusals:?}");
+    assert!(newer.seen().iter().any(|s| s.id == "served"));
+}
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -101,11 +101,8 @@
         let outdated = version.map(|v| named.outdated(now, *v).unwrap_or_default());
         outdated.is_some_and(|age| age.0 as f64 <= allowed.0 as f64 * OLD_END)
     };
-    let open: Vec<_> = open(&fleet, job, now, suspects::verdict(ctx, job) == Suspect)
-        .into_iter()
-        .filter(|(_, r)| current(r))
-        .collect();
-    let open = heard(open, now);
+    let suspect = suspects::verdict(ctx, job) == Suspect;
+    let open = heard(open(&fleet, job, now, suspect, current), now);
     if let Some(left) = all_load(&open, now) {
         return Err(Reason::Loading { left });
     }
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -18,7 +18,8 @@
     let now = ctx.now();
     let domain = ctx.node.settings.borrow().domain.clone();
     let fleet = ctx.fleet.borrow();
-    let open = open(&fleet, job, now, suspects::verdict(ctx, job) == Suspect);
+    let suspect = suspects::verdict(ctx, job) == Suspect;
+    let open = open(&fleet, job, now, suspect, |_| true);
     let turn = turn(job, open.len());
     let candidates = open[turn..].iter().chain(&open[..turn]);
     let best = candidates
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -15,19 +15,23 @@
 /// second.
 const FRESH: Micros = Micros::from_millis(700);
 
-/// Targets of a job's pool that take new work, those not tried yet if there are any. A suspect goes
-/// where no other one is, if it can: a crash then tells which of them it was.
+/// Targets of a job's pool that take new work and pass a test, those not tried yet if there are any. A
+/// suspect goes where no other one is, if it can: a crash then tells which of them it was.
+///
+/// The test comes first: tested afterwards, a group that looked best and failed it as a whole, such as an
+/// engine with too old weights, left nobody, and callers were refused while others could have served.
 pub(super) fn open<'a>(
     fleet: &'a Fleet,
     job: &Job,
     now: Micros,
     suspect: bool,
+    takes: impl Fn(&Replica) -> bool,
 ) -> Vec<(Key, &'a Replica)> {
     let ready: Vec<_> = fleet
         .replicas
         .iter()
         .filter(|(_, r)| r.target.pool == job.pool && r.target.state == State::Ready)
-        .filter(|(_, r)| r.there(now))
+        .filter(|(_, r)| r.there(now) && takes(r))
         .collect();
     let some = |test: &dyn Fn(&(Key, &Replica)) -> bool| {
         let passed: Vec<_> = ready.iter().copied().filter(|c| test(c)).collect();
