Tell the other sidecars of a load before its order is answered

What callers saw: of three engines two loaded weights at a time, and callers were refused (known red).

Cause: a sidecar told the others that its engine loads only after the engine had answered the order. A sidecar that had stood still, and whose turn came before that one's, found nobody loading and began as well.

Now the engine counts as loading from the moment at which its order is taken, and the others and the entries are told before it is sent. An order without an answer may be carried out, so that the engine goes on counting as loading until its report can show that it doesn't; its turn is told on, and the others pass it once that is 1 s old (policy::rollout).

--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -1,12 +1,14 @@
 //! New weights, from the operator's word to the requests that use them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{json, Value};
 use standin::hosted::replica::{Fault, Replica};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{ask, Platform, LIMIT, MODEL};
+use crate::fleet::{ask, Entry, Platform, Process, LIMIT, MODEL};
 
 #[tokio::test]
 async fn a_sidecar_orders_its_engine_and_the_entries_follow() {
@@ -75,49 +77,126 @@
     assert!(fences[0] < fences[1], "{fences:?}");
 }
 
+/// How long a load takes in the pool of three.
+const LOAD: Duration = Duration::from_millis(300);
+
+/// Three engines with their sidecars, which know one another, and an entry.
+struct Three {
+    platform: Platform,
+    engines: [Arc<Replica>; 3],
+    sidecars: Vec<Process>,
+    entry: Entry,
+}
+
+impl Three {
+    async fn start() -> Self {
+        let mut platform = Platform::start().await;
+        let engines = ["e1", "e2", "e3"].map(|id| Replica::new(id, 2, Duration::ZERO));
+        let mut sidecars = Vec::new();
+        for e in &engines {
+            e.load(MODEL, 1);
+            e.set_load(LOAD);
+            let at = platform.replica(e, "engines").await;
+            sidecars.push(platform.sidecar(&format!("side-{}", e.id), at));
+        }
+        let entry = platform.entry("front-1", 3).await;
+        for s in &sidecars {
+            let all = |e: &Value| e["entries"] == 1 && e["sidecars"] == 2;
+            s.event("members", all).await;
+        }
+        Self {
+            platform,
+            engines,
+            sidecars,
+            entry,
+        }
+    }
+
+    fn name(&self, version: u64) {
+        let named = json!({"model": MODEL, "version": version});
+        self.platform.store.write("op", "version/lekha", &named);
+    }
+
+    /// Engines that load now.
+    fn loading(&self) -> usize {
+        let loading = self.engines.iter().filter(|e| e.loading().is_some());
+        loading.count()
+    }
+
+    /// Whether all have a version.
+    fn have(&self, version: u64) -> bool {
+        self.engines.iter().all(|e| e.version(MODEL) == version)
+    }
+
+    /// What was ordered, for a failure's message.
+    fn orders(&self) -> Vec<Value> {
+        let orders = self.sidecars.iter().flat_map(|s| s.events("ordered"));
+        orders.collect()
+    }
+}
+
 #[tokio::test]
 async fn sidecars_agree_on_turns_and_callers_are_served_meanwhile() {
     // New weights are named for three engines, and a load takes 300 ms, which no sidecar has seen yet.
     // If two engines load at a time, a pool of three serves hardly anybody; a caller finds all of them
     // refusing. The sidecars have nothing but one another's words to keep apart.
-    const LOAD: Duration = Duration::from_millis(300);
-    let mut platform = Platform::start().await;
-    let engines = ["e1", "e2", "e3"].map(|id| Replica::new(id, 2, Duration::ZERO));
-    let mut sidecars = Vec::new();
-    for e in &engines {
-        e.load(MODEL, 1);
-        e.set_load(LOAD);
-        let at = platform.replica(e, "engines").await;
-        sidecars.push(platform.sidecar(&format!("side-{}", e.id), at));
-    }
-    let entry = platform.entry("front-1", 3).await;
-    for s in &sidecars {
-        s.event("members", |e| e["entries"] == 1 && e["sidecars"] == 2)
-            .await;
-    }
-    let named = json!({"model": MODEL, "version": 2});
-    platform.store.write("op", "version/lekha", &named);
+    let three = Three::start().await;
+    three.name(2);
     let rolled = async {
         let (mut most, mut n, mut refused) = (0, 0, 0);
-        while engines.iter().any(|e| e.version(MODEL) < 2) {
-            let loading = engines.iter().filter(|e| e.loading().is_some());
-            most = loading.count().max(most);
+        while !three.have(2) {
+            most = three.loading().max(most);
             n += 1;
-            let answer = ask(&entry, "/probe/1", &format!("roll-{n}")).await;
+            let answer = ask(&three.entry, "/probe/1", &format!("roll-{n}")).await;
             refused += usize::from(!answer.is_ok_and(|a| a.status == 200));
-            sleep(Duration::from_millis(10)).await;
         }
         (most, refused, n)
     };
     let (most, refused, n) = timeout(LIMIT, rolled).await.expect("all have them");
-    let orders: Vec<_> = sidecars.iter().flat_map(|s| s.events("ordered")).collect();
+    let orders = three.orders();
     assert_eq!(most, 1, "engines that loaded at a time: {orders:?}");
-    let refusals = entry.process.events("refused");
-    assert_eq!(refused, 0, "of {n} requests: {refusals:?}");
-    let loads: usize = engines.iter().map(|e| e.orders().len()).sum();
+    let refusals = three.entry.process.events("refused");
+    let first = refusals.first();
+    let named = three.entry.process.events("named");
+    assert_eq!(
+        refused, 0,
+        "of {n} requests: {first:?}; {named:?}; {orders:?}"
+    );
+    let loads: usize = three.engines.iter().map(|e| e.orders().len()).sum();
     assert_eq!(loads, 3, "each loads once");
 }
 
+#[tokio::test]
+async fn a_sidecar_that_was_stopped_doesn_t_load_beside_another_one() {
+    // A sidecar stands still while new weights are named and another engine begins to load. That
+    // engine's answer to its order takes long. The first sidecar goes on, stands before the other one
+    // and, unless it has been told that the other loads already, loads as well: of three engines one
+    // is left, and callers are refused.
+    for stopped in 0..3 {
+        let three = Three::start().await;
+        three.engines.iter().for_each(|e| {
+            e.set_slow_orders(Duration::from_millis(200));
+            e.set_load(Duration::from_millis(600));
+        });
+        three.sidecars[stopped].signal("STOP");
+        three.name(2);
+        let rolled = async {
+            while three.loading() == 0 {
+                yield_now().await;
+            }
+            three.sidecars[stopped].signal("CONT");
+            let mut most = 0;
+            while !three.have(2) {
+                most = three.loading().max(most);
+                yield_now().await;
+            }
+            most
+        };
+        let most = timeout(LIMIT, rolled).await.expect("all have them");
+        assert_eq!(most, 1, "{stopped} was stopped: {:?}", three.orders());
+    }
+}
+
 #[tokio::test]
 async fn while_the_only_engine_loads_its_callers_wait_or_learn_when_it_is_back() {
     // The only engine of a pool loads weights. What is sent to it meanwhile is refused, and each such
--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -180,7 +180,12 @@
         dependency.note(&report);
         note(node.now(), engine, report);
         weights::schedule(node, engine);
-        weights::order(node, engine, &mut conn).await;
+        if let Some(order) = weights::take(node, engine) {
+            let news = summary(node, engine);
+            peers.tell(node, engine, socket, &news);
+            news::send(socket, &news, hearers(node, engine));
+            weights::give(node, engine, &mut conn, &order).await;
+        }
         let news = summary(node, engine);
         peers.tell(node, engine, socket, &news);
         if whole.elapsed() >= WHOLE {
--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use model::Micros;
-use platform::replica::{self, LoadOrder, Taken};
+use platform::replica::{self, EngineError, LoadOrder, Taken};
 use platform::Conn;
 use policy::rollout::{self, Pool};
 use policy::versions::Versions;
@@ -70,6 +70,8 @@
     loading: Option<Loading>,
     /// How long a load took here.
     load: Option<Micros>,
+    /// Whether its last order had no answer.
+    unanswered: bool,
     /// Not before this, after an order without success.
     pause: Micros,
 }
@@ -104,7 +106,10 @@
     /// Adds to what the entries and the other sidecars are told.
     pub(super) fn tell(&self, now: Micros, news: &mut News) {
         let ms = |t: Micros| u32::try_from(t.as_millis()).unwrap_or(u32::MAX);
-        news.due_ms = self.due.map(|at| ms(now.since(at)));
+        // While it loads its turn is over, but for one whose orders have no answer: that one may never load,
+        // and the others pass it once its turn is long gone.
+        let waits = self.loading.is_none() || self.unanswered;
+        news.due_ms = self.due.filter(|_| waits).map(|at| ms(now.since(at)));
         news.loading_ms = self.loading.map(|l| ms(now.since(l.since)));
         news.load_ms = self.load(now).map(ms);
         news.wanted = self.lacks.as_ref().map_or(0, |l| l.weights.version);
@@ -195,10 +200,13 @@
         let named = world.named.get(&w.model)?;
         (named.newest() > w.version).then_some((w, named))
     });
-    let Some((has, named)) = lacking.filter(|_| rollout.loading.is_none()) else {
+    let Some((has, named)) = lacking else {
         rollout.rest();
         return;
     };
+    if rollout.loading.is_some() {
+        return;
+    }
     rollout.lacks = Some(Lack {
         weights: Weights {
             model: has.model.clone(),
@@ -212,8 +220,23 @@
 }
 
 impl Rollout {
+    /// Notes what became of an order. One that wasn't answered may be carried out, so that the engine
+    /// goes on counting as loading until its report can show that it doesn't.
+    fn given(&mut self, now: Micros, taken: &Result<Taken, EngineError>) {
+        self.pause = now + AGAIN;
+        self.unanswered = matches!(taken, Err(EngineError::Call(_)));
+        match taken {
+            // Without an answer the turn goes on from when it came: counted anew each time, an engine
+            // that never answers would stand in the others' way for good.
+            Ok(Taken::Begun) => self.rest(),
+            Ok(Taken::Done | Taken::Busy) | Err(EngineError::Refused(_)) => self.loading = None,
+            Err(EngineError::Call(_) | EngineError::Malformed(_)) => {}
+        }
+    }
+
     /// Nothing is to be loaded.
     fn rest(&mut self) {
+        self.unanswered = false;
         self.lacks = None;
         self.due = None;
     }
@@ -286,43 +309,66 @@
     grouped.map(|(_, (_, addr))| *addr).collect()
 }
 
-/// Orders the load whose turn has come.
-pub(super) async fn order(node: &Shared, engine: &Own, conn: &mut Conn) {
+/// An order whose turn has come.
+pub(super) struct Order {
+    lack: Lack,
+    fence: u64,
+    /// Orders that the engine must have accepted before.
+    after: u64,
+    active: u32,
+    boot: Option<String>,
+    begun: Micros,
+}
+
+/// Takes the order whose turn has come, if there is one. From then on the engine counts as loading.
+///
+/// The others are told so before the order is answered. Told afterwards, a sidecar that had been slow
+/// and stood before this one began its own load meanwhile, and two of three engines refused callers.
+pub(super) fn take(node: &Shared, engine: &Own) -> Option<Order> {
     let now = node.now();
-    let (lack, fence, seq, active, boot) = {
-        let e = engine.borrow();
-        let r = &e.rollout;
-        let (Some(lack), Some(due), Some(report)) = (&r.lacks, r.due, &e.report) else {
-            return;
-        };
-        let boot = report.boot.as_ref().or(e.boot.as_ref());
-        let named = boot.is_some() || now.since(e.since) > NAMED;
-        // One look passes first, so that the entries know that nothing new is to be sent there.
-        if report.busy || r.fence == 0 || !named || now <= due || now < r.pause {
-            return;
-        }
-        let boot = boot.map(|b| b.id.clone());
-        (lack.clone(), r.fence, report.seq, report.active, boot)
+    let mut e = engine.borrow_mut();
+    let e = &mut *e;
+    let r = &mut e.rollout;
+    let (Some(lack), Some(due), Some(report)) = (&r.lacks, r.due, &e.report) else {
+        return None;
+    };
+    if r.loading.is_some() {
+        return None;
+    }
+    let boot = report.boot.as_ref().or(e.boot.as_ref());
+    let named = boot.is_some() || now.since(e.since) > NAMED;
+    // One look passes first, so that the entries know that nothing new is to be sent there.
+    if report.busy || r.fence == 0 || !named || now <= due || now < r.pause {
+        return None;
+    }
+    let order = Order {
+        lack: lack.clone(),
+        fence: r.fence,
+        after: report.seq,
+        active: report.active,
+        boot: boot.map(|b| b.id.clone()),
+        begun: now,
     };
+    r.loading = Some(Loading {
+        since: now,
+        version: Some(order.lack.weights.version),
+    });
+    Some(order)
+}
+
+/// Gives the engine an order.
+pub(super) async fn give(node: &Shared, engine: &Own, conn: &mut Conn, order: &Order) {
     let host = node.settings.borrow().host.clone();
     let load = LoadOrder {
-        weights: &lack.weights,
+        weights: &order.lack.weights,
         swap: Swap::Retain,
         holder: &host,
-        fence,
-        after: seq,
-        boot: boot.as_deref(),
+        fence: order.fence,
+        after: order.after,
+        boot: order.boot.as_deref(),
     };
     let taken = replica::order(conn, &load, PATIENCE).await;
-    let rollout = &mut engine.borrow_mut().rollout;
-    rollout.pause = node.now() + AGAIN;
-    if matches!(taken, Ok(Taken::Begun)) {
-        rollout.loading = Some(Loading {
-            since: now,
-            version: Some(lack.weights.version),
-        });
-        rollout.rest();
-    }
+    engine.borrow_mut().rollout.given(node.now(), &taken);
     let (outcome, label) = match &taken {
         Ok(Taken::Begun) => ("begun".to_owned(), "begun"),
         Ok(Taken::Done) => ("done".to_owned(), "done"),
@@ -331,11 +377,11 @@
     };
     meter::count(meter::ORDERS, "outcome", label);
     log::event(&Event::Ordered {
-        model: &lack.weights.model,
-        version: lack.weights.version,
-        fence,
+        model: &order.lack.weights.model,
+        version: order.lack.weights.version,
+        fence: order.fence,
         outcome: &outcome,
-        after_ms: now.since(lack.heard).as_millis(),
-        active,
+        after_ms: order.begun.since(order.lack.heard).as_millis(),
+        active: order.active,
     });
 }
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -85,12 +85,11 @@
 
 /// Whether the turn of an engine that lacks the newest weights has come.
 pub fn is_due(config: &Config, pool: &Pool<'_>, own: &Engine) -> bool {
-    let waits = |e: &&Engine| {
-        let passed = e.due.is_some_and(|d| d > config.stuck);
-        e.version < pool.newest && e.loading.is_none() && !passed
-    };
-    let loading = pool.others.iter().filter(|e| e.loading.is_some()).count();
-    let waiting = pool.others.iter().filter(waits);
+    let stuck = |e: &&Engine| e.due.is_some_and(|d| d > config.stuck);
+    let others = pool.others.iter().filter(|e| !stuck(e));
+    let waits = |e: &&Engine| e.version < pool.newest && e.loading.is_none();
+    let loading = others.clone().filter(|e| e.loading.is_some()).count();
+    let waiting = others.filter(waits);
     let before = waiting.clone().filter(|e| place(e) < place(own)).count();
     let pending = waiting.count() + 1;
     before + loading < at_once(config, pool, pending)
--- a/crates/policy/tests/rollout.rs
+++ b/crates/policy/tests/rollout.rs
@@ -301,3 +301,48 @@
         );
     }
 }
+
+#[test]
+fn an_engine_that_never_answers_its_orders_holds_no_place() {
+    // An engine takes no order: each is sent, stays without an answer and is sent again, and for that
+    // long the engine counts as loading. If that held a place, a pool would load with one place less for
+    // as long as the weights last, or not at all if it has but one.
+    struct Case {
+        name: &'static str,
+        due: u64,
+        want: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "its turn came just now", due: 200, want: false },
+        Case { name: "its turn came long ago", due: 2_000, want: true },
+    ];
+    for c in cases {
+        let engine = |rank| Engine {
+            version: 1,
+            rank,
+            loading: None,
+            due: None,
+        };
+        let others = [
+            Engine {
+                loading: Some(ms(100)),
+                due: Some(ms(c.due)),
+                ..engine(0)
+            },
+            Engine {
+                version: 2,
+                ..engine(1)
+            },
+        ];
+        let pool = Pool {
+            newest: 2,
+            others: &others,
+            load: None,
+            allowed: ms(15_000),
+            outdated: ms(3_000),
+        };
+        let due = rollout::is_due(&Config::default(), &pool, &engine(2));
+        assert_eq!(due, c.want, "{}", c.name);
+    }
+}
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -66,6 +67,8 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
+    /// A fault that only the first request of several replicas meets, and whether one has met it.
+    first: Option<(Fault, Arc<AtomicBool>)>,
     fatal: Option<String>,
     seen: Vec<Seen>,
     cache: Cache,
@@ -75,6 +78,8 @@
     /// How long it takes to load weights, and the load under way.
     takes: Duration,
     load: Option<Load>,
+    /// How long its answer to an order takes.
+    answers: Duration,
     life: u64,
     /// Requests at work, and those whose caller left before the end.
     working: usize,
@@ -132,6 +137,23 @@
         lock(&self.state).fault = fault;
     }
 
+    /// The next request to any of some replicas meets a fault; those after it don't.
+    pub fn set_first_fault(replicas: &[Arc<Self>], fault: Fault) {
+        let met: Arc<AtomicBool> = Arc::default();
+        for r in replicas {
+            lock(&r.state).first = Some((fault, Arc::clone(&met)));
+        }
+    }
+
+    /// The fault that a request meets.
+    fn fault(&self) -> Fault {
+        let state = lock(&self.state);
+        match &state.first {
+            Some((fault, met)) if !met.swap(true, Ordering::Relaxed) => *fault,
+            _ => state.fault,
+        }
+    }
+
     /// From now on a request to a path breaks the connection as soon as it has begun to run, as if it
     /// had crashed the replica. The test enters the replica's next life in the list.
     pub fn set_fatal(&self, path: &str) {
@@ -143,6 +165,11 @@
         lock(&self.state).takes = takes;
     }
 
+    /// Carries orders out at once from now on, and answers them so much later.
+    pub fn set_slow_orders(&self, answers: Duration) {
+        lock(&self.state).answers = answers;
+    }
+
     /// The load under way, if there is one; one that has ended is in force.
     pub fn loading(&self) -> Option<Load> {
         let mut state = lock(&self.state);
@@ -236,10 +263,13 @@
             "/api/order" => {
                 let meant = parts.headers.get("expect-instance");
                 let meant = meant.and_then(|v| v.to_str().ok());
-                return Some(match meant {
+                let answer = match meant {
                     Some(id) if id != self.id => reply(StatusCode::MISDIRECTED_REQUEST, ""),
                     _ => self.order(&body, meant),
-                });
+                };
+                let answers = lock(&self.state).answers;
+                sleep(answers).await;
+                return Some(answer);
             }
             "/api/kv-events" => {
                 sleep(Duration::from_millis(50)).await;
@@ -272,11 +302,7 @@
             return Some(answer);
         }
         let loading = !model.is_empty() && self.loading().is_some();
-        let fault = if loading {
-            Fault::Full
-        } else {
-            lock(&self.state).fault
-        };
+        let fault = if loading { Fault::Full } else { self.fault() };
         lock(&self.state).seen.push(Seen {
             id: id.clone(),
             headers: parts.headers.clone(),
