Ask sidecars again soon after a start until they know which life their engine is

What callers saw: beside a busy machine 138 of 209 were refused as no_target, 2.3 to 2.8 s after all processes had started and new weights had been named at that moment.

Cause: a sidecar orders nothing before an entry has told it which life its engine is. An entry knows that only of a sidecar that it has heard, asked all of them before it had heard any, and asked again 2 s later. The orders came 2.0, 2.4 and 2.8 s after the naming (ordered after_ms); the entry had to count the weights as named 2.5 s earlier, since it had just started, and refused from 2.3 s on.

Now it asks every 200 ms until all have been told, for 4 s at most; sidecars that are gone for good stay listed. The test of that decision is policy hearing.

--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -193,15 +193,17 @@
 async fn ask(ctx: Ctx) {
     loop {
         let wanted = wanted(&ctx);
-        let pause = match wanted.is_empty() {
-            true => LOOK,
-            false => hearing::ASK.into(),
-        };
+        if wanted.is_empty() {
+            sleep(LOOK).await;
+            continue;
+        }
+        let mut all_told = true;
         for sidecar in wanted {
             let life = ctx.fleet.borrow().life(ctx.now(), sidecar).map(|b| Life {
                 id: b.id.clone(),
                 born: b.born,
             });
+            all_told &= life.is_some();
             let news = News {
                 entry: true,
                 asks: true,
@@ -210,7 +212,7 @@
             };
             news::send(&ctx.socket, &news, [sidecar]);
         }
-        sleep(pause).await;
+        sleep(hearing::pause(ctx.now(), all_told).into()).await;
     }
 }
 
--- a/crates/policy/src/hearing.rs
+++ b/crates/policy/src/hearing.rs
@@ -23,9 +23,27 @@
 pub const MOST: usize = 96;
 /// Pause between two words that ask a sidecar.
 pub const ASK: Micros = Micros::from_secs(2);
+/// Pause between two words to a sidecar that hasn't been told which life its engine is.
+const UNTOLD: Micros = Micros::from_millis(200);
+/// How long after an entry's start it asks that often; sidecars that are gone for good stay on the list
+/// of members, and would be asked so for ever.
+const NEW: Micros = Micros::from_secs(4);
 /// How long a sidecar goes on telling one who has asked.
 const LEASE: Micros = Micros::from_secs(6);
 
+/// How long an entry that has been running for a time waits until it asks again.
+///
+/// A sidecar orders nothing before an entry has told it which life its engine is, and an entry knows that
+/// of no sidecar that it hasn't heard. After a start of all processes the second word would come only 2 s
+/// after the first: until then no engine took the weights that had been named, and three engines' callers
+/// were refused for the age of all weights.
+pub fn pause(running: Micros, all_told: bool) -> Micros {
+    match all_told || running > NEW {
+        true => ASK,
+        false => UNTOLD,
+    }
+}
+
 /// A sidecar that may be heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sidecar {
--- a/crates/policy/tests/hearing.rs
+++ b/crates/policy/tests/hearing.rs
@@ -62,3 +62,26 @@
         "it lacks what was told meanwhile"
     );
 }
+
+#[test]
+fn sidecars_learn_soon_after_a_start_which_life_their_engine_is() {
+    // All processes start at one moment, and new weights are named. A sidecar orders nothing before it
+    // knows which life its engine is; told by an entry's second word 2 s later, it left its engine with
+    // old weights until callers were refused for their age.
+    struct Case {
+        name: &'static str,
+        running: u64,
+        all_told: bool,
+        want: u64,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "just started", running: 50, all_told: false, want: 200 },
+        Case { name: "all have been told", running: 50, all_told: true, want: 2_000 },
+        Case { name: "some sidecar is gone for good", running: 60_000, all_told: false, want: 2_000 },
+    ];
+    for c in cases {
+        let pause = hearing::pause(Micros::from_millis(c.running), c.all_told);
+        assert_eq!(pause, Micros::from_millis(c.want), "{}", c.name);
+    }
+}
