--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -33,8 +33,8 @@
 const ASKED: usize = 3;
 /// How long one of them may take.
 const PATIENCE: Duration = Duration::from_millis(250);
-/// Age up to which a list of targets is passed on; entries read it, or hear that it hasn't changed,
-/// each second.
+/// Age up to which a list of targets is passed on; entries that hear that it hasn't changed read it
+/// every four seconds.
 const FRESH: Micros = Micros::from_millis(5_000);
 /// Bytes of a message at most; a configuration has 4 MB at most.
 const LARGEST: usize = 8 << 20;
