--- a/crates/daemon/tests/hosted/answers.rs
+++ b/crates/daemon/tests/hosted/answers.rs
@@ -123,9 +123,10 @@
     assert!(cut.is_err(), "{cut:?}");
     assert_eq!(fleet.runs("cut"), 1);
     // The second replica that gets it has no fault any more.
+    fleet.engines.iter().for_each(|r| r.set_fault(Fault::None));
+    Replica::set_first_fault(&fleet.engines, Fault::Cut);
     let held = request(&fleet.entry, "/probe/1", "resumed").open().await;
     let body = held.expect("an answer").into_body();
-    fleet.engines.iter().for_each(|r| r.set_fault(Fault::None));
     let whole = tokio::time::timeout(LIMIT, body.collect()).await;
     let whole = whole.expect("an end").expect("a whole answer").to_bytes();
     assert_eq!(whole, events(1..=6));
@@ -193,10 +194,9 @@
     // without a length loses its connection. The caller gets the rest from another replica instead
     // of three events and a half.
     let fleet = Fleet::start(6).await;
-    fleet.engines.iter().for_each(|r| r.set_fault(Fault::Short));
+    Replica::set_first_fault(&fleet.engines, Fault::Short);
     let held = request(&fleet.entry, "/probe/1", "short").open().await;
     let body = held.expect("an answer").into_body();
-    fleet.engines.iter().for_each(|r| r.set_fault(Fault::None));
     let whole = tokio::time::timeout(LIMIT, body.collect()).await;
     let whole = whole.expect("an end").expect("a whole answer").to_bytes();
     assert_eq!(whole, events(1..=6));
@@ -278,7 +278,8 @@
             let id = format!("{fault:?} {n}");
             let id = id.replace(' ', "-");
             let answer = ask(&fleet.entry, "/check/1", &id).await.expect("an answer");
-            assert_eq!(answer.status, 200, "{id}");
+            let tried = fleet.entry.process.events("tried");
+            assert_eq!(answer.status, 200, "{id}: {tried:?}");
         }
     }
 }
@@ -330,7 +331,8 @@
     for n in 0..4 {
         let id = format!("moved-{n}");
         let answer = ask(&fleet.entry, "/log/1", &id).await.expect("an answer");
-        assert_eq!(answer.status, 200, "{id}");
+        let tried = fleet.entry.process.events("tried");
+        assert_eq!(answer.status, 200, "{id}: {tried:?}");
         assert_eq!(fleet.runs(&id), 1, "{id}");
     }
     assert!(stranger.seen().is_empty());
--- a/crates/daemon/tests/hosted/held.rs
+++ b/crates/daemon/tests/hosted/held.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use gate::news::{self, News};
+use standin::call::Call;
 use standin::hosted::cache::Cache;
 use standin::hosted::replica::Replica;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
-use crate::fleet::{request, Platform, Process, LIMIT, MODEL};
+use crate::fleet::{request, Entry, Platform, Process, LIMIT, MODEL};
 
 /// The scope under which the engine's parts lie.
 const SCOPE: &str = "lekha.1";
@@ -128,17 +129,33 @@
     beside.hears(&[("a1", 20), ("b2", 30), ("c3", 10)]).await;
 }
 
+/// Tokens of a part that is far sooner fetched than read.
+const LARGE: u32 = 9_000;
+
+/// A prompt of a large part and one of its own.
+fn prompt(entry: &Entry, id: &str, parts: &str) -> Call {
+    let mut call = request(entry, "/probe/1", id);
+    let is_prompt = |name: &str| name == "token-counts" || name == "prompt-prefix";
+    call.headers.retain(|(name, _)| !is_prompt(name));
+    let counts = format!("{},10", LARGE + 10);
+    call.headers.push(("token-counts", counts));
+    call.headers.push(("prompt-prefix", parts.to_owned()));
+    call
+}
+
 #[tokio::test]
 async fn nothing_is_fetched_from_an_engine_with_other_weights() {
     // An engine has loaded newer weights while an answer went on. When that ends, its parts lie there
     // under the scope of the older weights, though the newer ones have made them. An engine that still
     // has the older ones is sent a prompt with these parts; if it fetches them, the caller's answer comes
     // out of two versions.
-    const LARGE: u32 = 9_000;
     let mut platform = Platform::start().await;
     let newer = Replica::new("e1", 2, Duration::ZERO);
     newer.load(MODEL, 2);
-    newer.with_cache(|c| c.store(SCOPE, "a1", LARGE));
+    newer.with_cache(|c| {
+        c.store(SCOPE, "a1", LARGE);
+        c.store("lekha.2", "d4", LARGE);
+    });
     let older = Replica::new("e2", 2, Duration::ZERO);
     older.load(MODEL, 1);
     let at = platform.replica(&newer, "engines").await;
@@ -146,19 +163,27 @@
     let sidecar = platform.sidecar("side-1", at);
     let entry = platform.entry("front-1", 2).await;
     sidecar.event("members", |e| e["entries"] == 1).await;
-    // The entry is told all that is held within a moment of asking.
-    tokio::time::sleep(Duration::from_millis(400)).await;
+    // The entry has been told all that is held once it knows of another part that came with it.
+    let told = async {
+        let mut n = 0;
+        let knows = |e: &serde_json::Value| e["held"] == LARGE;
+        while !entry.process.events("sent").iter().any(knows) {
+            n += 1;
+            let call = prompt(
+                &entry,
+                &format!("known-{n}"),
+                &format!("d4:{LARGE},{n:x}:10"),
+            );
+            call.open().await.expect("an answer");
+        }
+    };
+    timeout(LIMIT, told).await.expect("an entry that knows");
     let served = async {
         let mut n = 0;
         while !older.seen().iter().any(|s| s.ran) {
             n += 1;
-            let mut call = request(&entry, "/probe/1", &format!("other-{n}"));
-            let is_prompt = |name: &str| name == "token-counts" || name == "prompt-prefix";
-            call.headers.retain(|(name, _)| !is_prompt(name));
-            call.headers
-                .push(("token-counts", format!("{},10", LARGE + 10)));
-            call.headers
-                .push(("prompt-prefix", format!("a1:{LARGE},{n:x}:10")));
+            let parts = format!("a1:{LARGE},{n:x}:10");
+            let call = prompt(&entry, &format!("other-{n}"), &parts);
             let answer = call.open().await.expect("an answer");
             assert_eq!(answer.status(), 200);
         }
