--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -105,7 +105,9 @@
                 let known = ctx.list.own.get();
                 let listed = targets.len();
                 tell(&ctx, rank, &targets);
-                ctx.fleet.borrow_mut().list(now, targets, &lapse(&ctx));
+                ctx.fleet
+                    .borrow_mut()
+                    .list(now, targets, &lapse_config(&ctx));
                 let missing = ctx.fleet.borrow().missing() > 0;
                 if missing || ctx.list.own.get() != known {
                     note(&ctx, "store", listed, now, true);
@@ -150,7 +152,7 @@
     if taken {
         ctx.list.own.set(hash);
         ctx.node.world.borrow_mut().targets = Some(list);
-        ctx.fleet.borrow_mut().list(at, targets, &lapse(ctx));
+        ctx.fleet.borrow_mut().list(at, targets, &lapse_config(ctx));
         suspects::ended(ctx);
     }
     if changed || taken && ctx.fleet.borrow().missing() > 0 {
@@ -218,7 +220,7 @@
 }
 
 /// How rows lapse on this platform.
-fn lapse(ctx: &Ctx) -> lapse::Config {
+fn lapse_config(ctx: &Ctx) -> lapse::Config {
     lapse::Config {
         heartbeat: ctx.node.settings.borrow().heartbeat.into(),
         ..lapse::Config::default()
