Stand-ins take their address again once it is free

Cause: a process that another test of the same program is starting holds copies of all sockets between fork and exec, so that a closed listener goes on listening.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -15,6 +15,7 @@
 pub mod probe;
 pub mod program;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -64,9 +65,7 @@
             .enable_all()
             .build()
             .expect("runtime");
-        let port = TcpSocket::new_v4().expect("socket");
-        port.set_reuseaddr(true).expect("reuse");
-        port.bind(at).expect("port");
+        let port = take_port(at);
         let at = port.local_addr().expect("address");
         let (at, server) = run
             .block_on(standin::listen_gated(at, router, gate))
@@ -93,6 +92,22 @@
     }
 }
 
+/// Takes a port, once it is free. A process that another test is starting holds copies of all sockets
+/// until its program runs, so that a listener which has just been closed goes on listening for a moment.
+fn take_port(at: SocketAddr) -> TcpSocket {
+    let mut taken = None;
+    wait_for("a free port", || {
+        let port = TcpSocket::new_v4().expect("socket");
+        port.set_reuseaddr(true).expect("reuse");
+        match port.bind(at) {
+            Ok(()) => taken = Some(port),
+            Err(e) => assert_eq!(e.kind(), ErrorKind::AddrInUse, "{at}: {e}"),
+        }
+        taken.is_some()
+    });
+    taken.expect("waited for")
+}
+
 /// Any free port.
 pub fn any() -> SocketAddr {
     "127.0.0.1:0".parse().expect("constant")
