--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -96,23 +96,13 @@
         ctx.gauges();
         match read {
             Ok(rows) => {
-                let targets = targets(&rows.rows);
-                ctx.node.world.borrow_mut().targets = Some(Read {
+                let list = Read {
                     at: now,
                     version: rows.version,
                     rows: rows.rows,
-                });
-                let known = ctx.list.own.get();
-                let listed = targets.len();
-                tell(&ctx, rank, &targets);
-                ctx.fleet
-                    .borrow_mut()
-                    .list(now, targets, &lapse_config(&ctx));
-                let missing = ctx.fleet.borrow().missing() > 0;
-                if missing || ctx.list.own.get() != known {
-                    note(&ctx, "store", listed, now, true);
-                }
-                suspects::ended(&ctx);
+                };
+                take(&ctx, list, "store");
+                tell(&ctx, rank);
                 wait(&ctx, rank).await;
             }
             Err(_) => {
@@ -144,21 +134,29 @@
         let world = ctx.node.world.borrow();
         world.targets.as_ref().map_or(0, |own| own.version)
     };
+    if list.version > own {
+        take(ctx, list, "peer");
+        return true;
+    }
     let targets = targets(&list.rows);
-    let (listed, at) = (targets.len(), list.at);
-    let hash = hash(&targets);
-    let changed = hash != ctx.list.own.get();
-    let taken = list.version > own;
-    if taken {
-        ctx.list.own.set(hash);
-        ctx.node.world.borrow_mut().targets = Some(list);
-        ctx.fleet.borrow_mut().list(at, targets, &lapse_config(ctx));
-        suspects::ended(ctx);
+    if hash(&targets) != ctx.list.own.get() {
+        note(ctx, "peer", targets.len(), list.at, false);
     }
-    if changed || taken && ctx.fleet.borrow().missing() > 0 {
-        note(ctx, "peer", listed, at, taken);
+    false
+}
+
+/// Takes over a list, and tells of it if it says something new or lacks targets that are kept.
+fn take(ctx: &Ctx, list: Read, source: &str) {
+    let targets = targets(&list.rows);
+    let (listed, at) = (targets.len(), list.at);
+    let known = ctx.list.own.replace(hash(&targets));
+    ctx.node.world.borrow_mut().targets = Some(list);
+    ctx.fleet.borrow_mut().list(at, targets, &lapse_config(ctx));
+    suspects::ended(ctx);
+    let missing = ctx.fleet.borrow().missing() > 0;
+    if missing || ctx.list.own.get() != known {
+        note(ctx, source, listed, at, true);
     }
-    taken
 }
 
 /// Tells of a list.
@@ -173,9 +171,8 @@
 }
 
 /// Tells the other entries what was found, if this one is a reader.
-fn tell(ctx: &Ctx, rank: u64, targets: &[Target]) {
-    let hash = hash(targets);
-    ctx.list.own.set(hash);
+fn tell(ctx: &Ctx, rank: u64) {
+    let hash = ctx.list.own.get();
     if !ctx.list.readers.borrow().reads(ctx.now(), rank) {
         return;
     }
