Move the schedule of loads from the sidecar's I/O into policy::slots

The state that a sidecar keeps of its pool (updates of the others, the load under way, how long loads take, orders without an answer) could only be run with processes. It is policy::slots now, without I/O, in the field's terms.

--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -133,7 +133,7 @@
             continue;
         }
         if !news.entry {
-            engine.borrow_mut().rollout.hear(node.now(), &news, from);
+            engine.borrow_mut().rollout.receive(node.now(), &news, from);
             continue;
         }
         let Some(note) = news.note else {
@@ -216,7 +216,7 @@
         let news = for_peers(news);
         let timeless = timeless(&news);
         let late = self.renewed.is_none_or(|at| at.elapsed() >= PEERS);
-        let renew = late && engine.borrow().rollout.under_way(node.now());
+        let renew = late && engine.borrow().rollout.slots.under_way(node.now());
         if timeless == self.told && !renew {
             return;
         }
--- a/crates/gate/src/sidecar/tell.rs
+++ b/crates/gate/src/sidecar/tell.rs
@@ -31,7 +31,7 @@
         news.used = r.used;
         news.total = r.total;
     }
-    e.rollout.tell(now, &mut news);
+    e.rollout.report(now, &mut news);
     // From its own order on, before the engine's report shows it.
     news.busy |= news.loading_ms.is_some();
     news
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,7 +13,7 @@
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
 //! late, [`standing`] tells which targets to leave alone, [`lapse`] which to keep though they aren't listed, [`shared`] keeps all entries within one
 //! budget of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from
-//! lost connections for [`quarantine`], and [`rollout`] says which engines take new weights, and when.
+//! lost connections for [`quarantine`], [`rollout`] says which engines take new weights, and [`slots`] when one does.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
 
@@ -41,6 +41,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod shared;
+pub mod slots;
 pub mod spot;
 pub mod standing;
 pub mod urgency;
