Keep the slot of a load whose order had no answer

What callers saw: with one answer of an engine to its order lost and loads of over a second, two of three engines load at a time and callers of the pool are refused.

Cause: a sidecar whose order had no answer reports how long it has been free to load, so that the others pass over it after 1 s if the order is never carried out. It went on reporting that after its engine's report had shown the load.

Evidence: load_whose_order_had_no_answer_keeps_its_slot fails before (two load at 2,250 ms, 1,250 ms after the naming) and passes now. The order counts as answered once the engine reports that it is busy.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -167,6 +167,8 @@
             self.loading = busy.then_some(found);
             return;
         };
+        // The order without an answer has arrived.
+        self.unanswered &= !busy;
         let has = |v: u64| weights.iter().any(|(_, w)| *w >= v);
         let took = now.since(loading.since);
         if busy || (took < SHOWN && !loading.version.is_some_and(has)) {
