Claim a slot from the other sidecars before an engine loads weights

What callers saw: two engines of a pool of three, at times all three, load new weights at a time, and callers are refused (the entry that the users quote).

Cause: a sidecar decided on state that others had sent unasked. The one update that said "loading" may be lost; a process that continues after a pause, or was killed after its order and started again, has state from before.

Fix: a slot is claimed. All others answer with their state as of now, and count the claim as a load until it has ended; the engine loads on answers to asks of the last 250 ms, and ten asks without an answer pass a sidecar over. Of two claims at least the later one sees the other, whatever was lost before.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -7,6 +7,8 @@
 mod fatal;
 mod fleet;
 mod held;
+mod pool;
+mod slots;
 mod soak;
 mod store;
 mod weights;
--- /dev/null
+++ b/crates/daemon/tests/hosted/slots.rs
@@ -0,0 +1,92 @@
+//! Slots for loads of weights, with sidecars that are stopped and datagrams that don't arrive.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use standin::switch::{Path, Switch};
+use tokio::time::{sleep, timeout};
+
+use crate::fleet::{Process, LIMIT};
+use crate::pool::Three;
+
+/// How long a load takes.
+const LOAD: Duration = Duration::from_millis(600);
+/// How long an engine's answer to an order takes.
+const ANSWER: Duration = Duration::from_millis(200);
+/// Pause between two looks at the engines.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// What happens to one of the sidecars.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    /// It is paused before the weights are named, until another engine loads.
+    Before,
+    /// It is paused once an engine loads, for twice as long as a load takes.
+    Within,
+    /// It is killed once an engine loads, and starts again at once.
+    Killed,
+}
+
+struct Case {
+    name: &'static str,
+    path: Path,
+    /// How much later a second version is named.
+    second: Option<Duration>,
+}
+
+/// Two engines load at a time, and of three one is left, if agreement rests on single datagrams.
+#[tokio::test]
+async fn stopped_sidecar_loads_beside_no_other_one_whatever_datagrams_arrive() {
+    let ms = Duration::from_millis;
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "all arrive", path: Path::GOOD, second: None },
+        Case { name: "some are lost", path: Path { loss: 0.3, delay: ms(2) }, second: None },
+        Case { name: "they overtake one another", path: Path { loss: 0.0, delay: ms(60) }, second: None },
+        Case { name: "a second version follows", path: Path { loss: 0.1, delay: ms(10) }, second: Some(ms(100)) },
+    ];
+    let stops = [Stop::Before, Stop::Within, Stop::Killed];
+    for (seed, c) in (0..).zip(&cases) {
+        let whose = |stop| (0..3).map(move |who| run(c, stop, who, seed));
+        join_all(stops.into_iter().flat_map(whose)).await;
+    }
+}
+
+async fn run(c: &Case, stop: Stop, who: usize, seed: u64) {
+    let switch = Switch::new(seed);
+    let mut three = Three::behind(&switch).await;
+    switch.set(c.path);
+    let waited = timeout(LIMIT, rolled(&mut three, c, stop, who)).await;
+    let told = || format!("{}, {stop:?} {who}: {:?}", c.name, three.orders());
+    let tails = || three.sidecars.iter().map(Process::tail).collect::<String>();
+    assert!(waited.is_ok(), "none loads: {}\n{}", told(), tails());
+    three.all_have(if c.second.is_some() { 3 } else { 2 }).await;
+    assert_eq!(three.most(), 1, "engines that loaded at a time: {}", told());
+}
+
+async fn rolled(three: &mut Three, c: &Case, stop: Stop, who: usize) {
+    three.engines.iter().for_each(|e| {
+        e.set_slow_orders(ANSWER);
+        e.set_load(LOAD);
+    });
+    if stop == Stop::Before {
+        three.sidecars[who].signal("STOP");
+    }
+    three.name(2);
+    if let Some(later) = c.second {
+        sleep(later).await;
+        three.name(3);
+    }
+    while three.loading() == 0 {
+        sleep(LOOK).await;
+    }
+    match stop {
+        Stop::Before => three.sidecars[who].signal("CONT"),
+        Stop::Within => {
+            three.sidecars[who].signal("STOP");
+            sleep(2 * LOAD).await;
+            three.sidecars[who].signal("CONT");
+        }
+        Stop::Killed => three.restart(who),
+    }
+}
--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -1,6 +1,5 @@
 //! New weights, from the operator's word to the requests that use them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{json, Value};
@@ -8,7 +7,8 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{ask, Entry, Platform, Process, LIMIT, MODEL};
+use crate::fleet::{ask, Platform, LIMIT, MODEL};
+use crate::pool::Three;
 
 #[tokio::test]
 async fn a_sidecar_orders_its_engine_and_the_entries_follow() {
@@ -77,64 +77,6 @@
     assert!(fences[0] < fences[1], "{fences:?}");
 }
 
-/// How long a load takes in the pool of three.
-const LOAD: Duration = Duration::from_millis(300);
-
-/// Three engines with their sidecars, which know one another, and an entry.
-struct Three {
-    platform: Platform,
-    engines: [Arc<Replica>; 3],
-    sidecars: Vec<Process>,
-    entry: Entry,
-}
-
-impl Three {
-    async fn start() -> Self {
-        let mut platform = Platform::start().await;
-        let engines = ["e1", "e2", "e3"].map(|id| Replica::new(id, 2, Duration::ZERO));
-        let mut sidecars = Vec::new();
-        for e in &engines {
-            e.load(MODEL, 1);
-            e.set_load(LOAD);
-            let at = platform.replica(e, "engines").await;
-            sidecars.push(platform.sidecar(&format!("side-{}", e.id), at));
-        }
-        let entry = platform.entry("front-1", 3).await;
-        for s in &sidecars {
-            let all = |e: &Value| e["entries"] == 1 && e["sidecars"] == 2;
-            s.event("members", all).await;
-        }
-        Self {
-            platform,
-            engines,
-            sidecars,
-            entry,
-        }
-    }
-
-    fn name(&self, version: u64) {
-        let named = json!({"model": MODEL, "version": version});
-        self.platform.store.write("op", "version/lekha", &named);
-    }
-
-    /// Engines that load now.
-    fn loading(&self) -> usize {
-        let loading = self.engines.iter().filter(|e| e.loading().is_some());
-        loading.count()
-    }
-
-    /// Whether all have a version.
-    fn have(&self, version: u64) -> bool {
-        self.engines.iter().all(|e| e.version(MODEL) == version)
-    }
-
-    /// What was ordered, for a failure's message.
-    fn orders(&self) -> Vec<Value> {
-        let orders = self.sidecars.iter().flat_map(|s| s.events("ordered"));
-        orders.collect()
-    }
-}
-
 #[tokio::test]
 async fn sidecars_agree_on_turns_and_callers_are_served_meanwhile() {
     // New weights are named for three engines, and a load takes 300 ms, which no sidecar has seen yet.
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -263,6 +263,8 @@
         after_ms: u64,
         /// Requests that ran there.
         active: u32,
+        /// Sidecars that were passed over, since they left asks for a slot without an answer.
+        silent: usize,
     },
     /// Lines of one kind were left out.
     Dropped {
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/news.rs
@@ -56,6 +56,21 @@
     /// The version that it lacks; 0 if it lacks none.
     #[prost(uint64, tag = "26")]
     pub wanted: u64,
+    /// Whether its sidecar claims a slot to load.
+    #[prost(bool, tag = "27")]
+    pub claims: bool,
+    /// Draw of the sidecar's process, another one after each start.
+    #[prost(fixed64, tag = "28")]
+    pub process: u64,
+    /// Microseconds since the sidecar's start.
+    #[prost(uint64, tag = "29")]
+    pub sent_us: u64,
+    /// A sidecar's question for another one's state as of now.
+    #[prost(message, optional, tag = "30")]
+    pub slot_ask: Option<SlotAsk>,
+    /// The question that this answers.
+    #[prost(message, optional, tag = "31")]
+    pub slot_answer: Option<SlotAsk>,
     /// The engine's life, as its cache events tell it.
     #[prost(uint64, tag = "10")]
     pub epoch: u64,
@@ -91,6 +106,17 @@
     pub expected: Vec<Held>,
 }
 
+/// A sidecar's question for another one's state, which the answer repeats.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SlotAsk {
+    /// Draw of the claim; 0 outside of one.
+    #[prost(fixed64, tag = "1")]
+    pub claim: u64,
+    /// Microseconds since the asking sidecar's start.
+    #[prost(uint64, tag = "2")]
+    pub sent_us: u64,
+}
+
 /// The platform's list of targets as an entry has just read it.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Listed {
--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -134,6 +134,9 @@
         }
         if !news.entry {
             engine.borrow_mut().rollout.receive(node.now(), &news, from);
+            if let Some(ask) = news.slot_ask {
+                weights::answer(&node, &engine, &socket, ask, from);
+            }
             continue;
         }
         let Some(note) = news.note else {
@@ -180,7 +183,7 @@
         dependency.note(&report);
         note(node.now(), engine, report);
         weights::schedule(node, engine);
-        if let Some(order) = weights::take(node, engine) {
+        if let Some(order) = weights::claim(node, engine, socket) {
             let news = summary(node, engine);
             peers.tell(node, engine, socket, &news);
             news::send(socket, &news, hearers(node, engine));
@@ -217,7 +220,8 @@
         let timeless = timeless(&news);
         let late = self.renewed.is_none_or(|at| at.elapsed() >= PEERS);
         let renew = late && engine.borrow().rollout.slots.under_way(node.now());
-        if timeless == self.told && !renew {
+        let answers = engine.borrow().rollout.slots.answers(node.now());
+        if !answers || (timeless == self.told && !renew) {
             return;
         }
         self.told = timeless;
--- a/crates/gate/src/sidecar/tell.rs
+++ b/crates/gate/src/sidecar/tell.rs
@@ -80,6 +80,7 @@
     News {
         due_ms: news.due_ms.map(|_| 0),
         loading_ms: news.loading_ms.map(|_| 0),
+        sent_us: 0,
         ..news.clone()
     }
 }
@@ -95,6 +96,9 @@
         loading_ms: news.loading_ms,
         load_ms: news.load_ms,
         wanted: news.wanted,
+        claims: news.claims,
+        process: news.process,
+        sent_us: news.sent_us,
         ..News::default()
     }
 }
--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -9,15 +9,17 @@
 use platform::replica::{self, EngineError, LoadOrder, Taken};
 use platform::Conn;
 use policy::rollout;
-use policy::slots::{Group, Lack, ModelKey, Outcome, Slots, State};
+use policy::slots::{Ask, Group, Lack, ModelKey, Outcome, Slots, State, Step};
 use policy::versions::Versions;
 use site::{Report, Role, Swap, Weights};
+use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::tell::{for_peers, summary};
 use super::{Own, PATIENCE};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::news::News;
+use crate::news::{self, News, SlotAsk};
 use crate::world::{Shared, World};
 
 /// How long an order waits for an entry's update of which incarnation the engine is. An order that names
@@ -25,10 +27,15 @@
 /// and 60 of the requests of the next 2 s were refused.
 const NAMED: Micros = Micros::from_millis(2_500);
 
+/// Age up to which a slot that was taken is used; a process that was paused in between takes another one.
+const TAKEN: Micros = Micros::from_millis(250);
+
 /// What a sidecar knows of new weights.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Rollout {
     pub(super) slots: Slots<SocketAddr>,
+    /// Draw of this process.
+    process: u64,
     /// Fencing token.
     fence: u64,
     lack: Option<Missing>,
@@ -42,11 +49,27 @@
     received: Micros,
 }
 
+impl Default for Rollout {
+    fn default() -> Self {
+        Self {
+            slots: Slots::default(),
+            process: rand::random(),
+            fence: 0,
+            lack: None,
+        }
+    }
+}
+
 impl Rollout {
-    /// Takes over another sidecar's update.
+    /// Takes over another sidecar's update or answer.
     pub(super) fn receive(&mut self, now: Micros, news: &News, from: SocketAddr) {
         let state = news.alive.then(|| state(news));
         self.slots.receive(now, from, state);
+        if let Some(ask) = news.slot_answer {
+            let sent = Micros(ask.sent_us);
+            let claim = ask.claim;
+            self.slots.answered(from, Ask { claim, sent });
+        }
     }
 
     /// Adds to the update for the entries and the other sidecars.
@@ -57,6 +80,9 @@
         news.loading_ms = state.loading.map(ms);
         news.load_ms = state.load.map(ms);
         news.wanted = state.desired;
+        news.claims = state.claims;
+        news.process = self.process;
+        news.sent_us = state.sent.0;
     }
 }
 
@@ -71,6 +97,9 @@
         due: news.due_ms.map(ms),
         load: news.load_ms.map(ms),
         desired: news.wanted,
+        claims: news.claims,
+        process: news.process,
+        sent: Micros(news.sent_us),
     }
 }
 
@@ -94,7 +123,7 @@
     }
     let Some(report) = e.report.as_ref().filter(|_| e.alive) else {
         rollout.lack = None;
-        return rollout.slots.lost();
+        return rollout.slots.lost(now);
     };
     let weights = report.weights.iter();
     let weights: Vec<_> = weights.map(|w| (model_key(&w.model), w.version)).collect();
@@ -173,37 +202,81 @@
     active: u32,
     boot: Option<String>,
     taken: Micros,
+    /// Sidecars that were passed over.
+    silent: usize,
 }
 
-/// Takes the slot if the engine is free to load. From then on it counts as loading.
-///
-/// The others receive that before the order is answered: afterwards, a sidecar that had been slow and came
-/// before this one started its own load meanwhile, and two of three engines refused callers.
-pub(super) fn take(node: &Shared, engine: &Own) -> Option<Order> {
+/// Asks the other sidecars for a slot, or takes it once they have answered. From then on the engine counts
+/// as loading, which the others receive before the order is answered.
+pub(super) fn claim(node: &Shared, engine: &Own, socket: &UdpSocket) -> Option<Order> {
+    let peers = peers(node);
+    let (step, order) = step(node, engine, &peers);
+    if let Some((ask, to)) = step.asks {
+        let news = News {
+            slot_ask: Some(SlotAsk {
+                claim: ask.claim,
+                sent_us: ask.sent.0,
+            }),
+            ..for_peers(&summary(node, engine))
+        };
+        news::send(socket, &news, to);
+    }
+    order
+}
+
+/// Answers another sidecar's ask with the state as of now.
+pub(super) fn answer(
+    node: &Shared,
+    engine: &Own,
+    socket: &UdpSocket,
+    ask: SlotAsk,
+    to: SocketAddr,
+) {
+    if !engine.borrow().rollout.slots.answers(node.now()) {
+        return;
+    }
+    let news = News {
+        slot_answer: Some(ask),
+        ..for_peers(&summary(node, engine))
+    };
+    news::send(socket, &news, [to]);
+}
+
+fn step(node: &Shared, engine: &Own, peers: &[SocketAddr]) -> (Step<SocketAddr>, Option<Order>) {
     let now = node.now();
     let mut e = engine.borrow_mut();
     let e = &mut *e;
     let r = &mut e.rollout;
     let (Some(lack), Some(report)) = (&r.lack, &e.report) else {
-        return None;
+        return (r.slots.step(now, peers, false, 0), None);
     };
     let boot = report.boot.as_ref().or(e.boot.as_ref());
     let named = boot.is_some() || now.since(e.since) > NAMED;
-    if report.busy || r.fence == 0 || !named || !r.slots.take(now) {
-        return None;
-    }
-    Some(Order {
+    let ordered = !report.busy && r.fence != 0 && named;
+    let step = r.slots.step(now, peers, ordered, rand::random());
+    let order = step.orders.then(|| Order {
         lack: lack.clone(),
         fence: r.fence,
         after: report.seq,
         active: report.active,
         boot: boot.map(|b| b.id.clone()),
         taken: now,
-    })
+        silent: step.silent,
+    });
+    (step, order)
 }
 
 /// Gives the engine an order.
 pub(super) async fn give(node: &Shared, engine: &Own, conn: &mut Conn, order: &Order) {
+    if node.now().since(order.taken) > TAKEN {
+        // The others no longer count the claim.
+        engine
+            .borrow_mut()
+            .rollout
+            .slots
+            .ordered(node.now(), Outcome::Refused);
+        return note(order, "not sent: the slot has expired", "expired");
+    }
     let host = node.settings.borrow().host.clone();
     let load = LoadOrder {
         weights: &order.lack.weights,
@@ -223,14 +296,19 @@
         Ok(Taken::Busy) => ("busy".to_owned(), "busy"),
         Err(e) => (e.to_string(), "failed"),
     };
+    note(order, &text, label);
+}
+
+fn note(order: &Order, outcome: &str, label: &'static str) {
     meter::count(meter::ORDERS, "outcome", label);
     log::event(&Event::Ordered {
         model: &order.lack.weights.model,
         version: order.lack.weights.version,
         fence: order.fence,
-        outcome: &text,
+        outcome,
         after_ms: order.taken.since(order.lack.received).as_millis(),
         active: order.active,
+        silent: order.silent,
     });
 }
 
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -4,6 +4,14 @@
 //! restarted meanwhile, and updates between them are lost, late or out of order. [`crate::rollout`]
 //! decides on the state of a pool; this module keeps that state for one sidecar: what the others reported
 //! and when, the load under way, how long loads take, and the orders that had no answer.
+//!
+//! State that others sent unasked may be out of date: a process that continues after a pause has updates
+//! from before it, and one whose updates were lost has none of the last. So a slot is claimed first. The
+//! sidecar asks the others, each answers with its state as of now, and the engine loads only if all answers
+//! are recent and leave a slot free. Who answers counts the claim as a load for a while, so that of two
+//! claims at least the later one sees the other; of claims that see one another the lower tie goes ahead.
+//! The claim ends before those who answered stop counting it. A sidecar that leaves [`ASKS`] asks without
+//! an answer is passed over, on its last state, until it is received again: none waits for a dead host.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -20,7 +28,18 @@
 const LISTEN: Micros = Micros::from_millis(150);
 /// How long a process that has just started and has received nothing waits for an update.
 const ALONE: Micros = Micros::from_millis(1_500);
-/// Pause after an order that was refused or had no answer.
+/// Age up to which an answer to an ask counts, from the sending of the ask.
+const RECENT: Micros = Micros::from_millis(250);
+/// Age of an answer from which on the sidecar is asked again.
+const RENEW: Micros = Micros::from_millis(100);
+/// How long another sidecar's claim counts after it was received. Longer than answers count, so that a
+/// claim has ended, or its load has been reported, before others stop counting it.
+const CLAIM: Micros = Micros::from_millis(500);
+/// Asks without an answer after which a sidecar is passed over.
+const ASKS: u32 = 10;
+/// How long a claim may last.
+const PATIENCE: Micros = Micros::from_secs(2);
+/// Pause after an order that was refused or had no answer, and after a claim that came to nothing.
 const AGAIN: Micros = Micros::from_millis(300);
 /// Time after an order in which the engine's report may not show it yet.
 const SHOWN: Micros = Micros::from_millis(500);
@@ -46,6 +65,42 @@
     pub load: Option<Micros>,
     /// The version that it lacks; 0 if it lacks none.
     pub desired: u64,
+    /// Whether it claims a slot.
+    pub claims: bool,
+    /// Draw of the sidecar's process, another one after each start.
+    pub process: u64,
+    /// When the sidecar sent it, on its own clock.
+    pub sent: Micros,
+}
+
+/// A question for another sidecar's state as of now, which its answer repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Draw of the claim; 0 outside of one.
+    pub claim: u64,
+    /// When it was sent, on the asking sidecar's clock.
+    pub sent: Micros,
+}
+
+/// What a sidecar does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step<K> {
+    /// Asks these.
+    pub asks: Option<(Ask, Vec<K>)>,
+    /// Orders the load.
+    pub orders: bool,
+    /// Sidecars that were passed over, if it orders the load.
+    pub silent: usize,
+}
+
+impl<K> Default for Step<K> {
+    fn default() -> Self {
+        Self {
+            asks: None,
+            orders: false,
+            silent: 0,
+        }
+    }
 }
 
 /// The pool as a sidecar knows it from the list of members.
@@ -89,6 +144,34 @@
     state: State,
 }
 
+/// Whether a sidecar answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    /// Asks since its last answer.
+    open: u32,
+    /// When the last ask of the claim that it answered was sent.
+    answered: Option<Micros>,
+    /// Whether nothing was received since it was passed over.
+    silent: bool,
+}
+
+impl Contact {
+    fn passed(self) -> bool {
+        self.silent || self.open > ASKS
+    }
+
+    fn answered_since(self, at: Micros) -> bool {
+        self.answered.is_some_and(|sent| sent >= at)
+    }
+}
+
+/// A claim of a slot.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    draw: u64,
+    since: Micros,
+}
+
 /// A load under way.
 #[derive(Clone, Copy, Debug)]
 struct Loading {
@@ -101,6 +184,14 @@
 #[derive(Debug)]
 pub struct Slots<K> {
     peers: HashMap<K, Peer>,
+    contacts: HashMap<K, Contact>,
+    claim: Option<Claim>,
+    /// Whether no claim of another sidecar stands in the way.
+    free: bool,
+    /// When the weights that are lacking were named.
+    named: Micros,
+    /// From when on the engine's report is known to show a load.
+    settled: Option<Micros>,
     loading: Option<Loading>,
     /// How long a load took here.
     load: Option<Micros>,
@@ -118,6 +209,11 @@
     fn default() -> Self {
         Self {
             peers: HashMap::new(),
+            contacts: HashMap::new(),
+            claim: None,
+            free: false,
+            named: Micros::ZERO,
+            settled: None,
             loading: None,
             load: None,
             desired: 0,
@@ -131,12 +227,37 @@
 impl<K: Copy + Eq + Hash> Slots<K> {
     /// Takes over another sidecar's update; none if its engine doesn't answer.
     pub fn receive(&mut self, now: Micros, from: K, state: Option<State>) {
-        match state {
-            Some(state) => drop(self.peers.insert(from, Peer { at: now, state })),
-            None => drop(self.peers.remove(&from)),
+        let contact = self.contacts.entry(from).or_default();
+        contact.silent = false;
+        if self.claim.is_none() {
+            contact.open = 0;
+        }
+        let Some(state) = state else {
+            self.peers.remove(&from);
+            return;
+        };
+        // An update that was overtaken on its way.
+        let late = |p: &Peer| p.state.process == state.process && p.state.sent > state.sent;
+        if !self.peers.get(&from).is_some_and(late) {
+            self.peers.insert(from, Peer { at: now, state });
+        }
+    }
+
+    /// Notes that another sidecar has answered an ask; its state is taken over by [`Self::receive`].
+    pub fn answered(&mut self, from: K, ask: Ask) {
+        let contact = self.contacts.entry(from).or_default();
+        if self.claim.is_some_and(|c| c.draw == ask.claim) {
+            contact.answered = contact.answered.max(Some(ask.sent));
+            contact.open = 0;
         }
     }
 
+    /// Whether asks may be answered: a process that has just started doesn't know yet whether its engine
+    /// loads by an order of the one before it.
+    pub fn answers(&self, now: Micros) -> bool {
+        self.loading.is_some() || self.settled.is_some_and(|at| now >= at)
+    }
+
     /// What the other sidecars are to know of this engine.
     pub fn state(&self, now: Micros, engine: u64, weights: Vec<(ModelKey, u64)>) -> State {
         // An order without an answer may never be carried out: its slot expires like an unused one.
@@ -148,6 +269,9 @@
             due: self.due.filter(|_| free).map(|at| now.since(at)),
             load: self.load(now),
             desired: self.desired,
+            claims: self.claim.is_some(),
+            process: 0,
+            sent: now,
         }
     }
 
@@ -159,6 +283,7 @@
 
     /// Takes over the engine's report: loads that have started or ended.
     pub fn report(&mut self, now: Micros, weights: &[(ModelKey, u64)], busy: bool) {
+        self.settled.get_or_insert(now + SHOWN);
         let Some(loading) = self.loading else {
             let found = Loading {
                 since: now,
@@ -183,7 +308,8 @@
     }
 
     /// Notes that the engine doesn't answer its sidecar.
-    pub fn lost(&mut self) {
+    pub fn lost(&mut self, now: Micros) {
+        self.settled.get_or_insert(now);
         self.loading = None;
         self.rest();
     }
@@ -197,22 +323,96 @@
             return;
         }
         self.desired = lack.named.newest();
-        let listens = now.since(lack.named.heard()) < LISTEN || now < LISTEN;
-        let due = !listens && self.is_due(now, group, lack);
+        self.named = lack.named.heard();
+        let tie = rank(group.engine, 0);
+        let claiming = self.claim.is_some();
+        // A claim that sees others goes ahead of those with a higher tie, which withdraw.
+        let ahead = |s: &State| !claiming || rank(s.engine, 0) < tie;
+        let listens = now.since(self.named) < LISTEN || now < LISTEN;
+        let due = !listens && self.is_due(now, group, lack, ahead);
+        self.free = due && self.is_due(now, group, lack, |_| true);
         self.due = due.then(|| self.due.unwrap_or(now));
     }
 
-    /// Takes the slot if the engine is free to load; from then on it counts as loading.
-    pub fn take(&mut self, now: Micros) -> bool {
-        let due = self.due.is_some_and(|due| now > due);
-        if !due || self.loading.is_some() || now < self.pause {
-            return false;
+    /// Advances the claim of a slot if the engine is due to load and can be ordered to. Once the slot is
+    /// taken the engine counts as loading. `peers` are the sidecars that are listed, `draw` is random.
+    pub fn step(&mut self, now: Micros, peers: &[K], ordered: bool, draw: u64) -> Step<K> {
+        let may = ordered && self.loading.is_none() && self.answers(now) && now >= self.pause;
+        let Some(due) = self.due.filter(|_| may) else {
+            self.claim = None;
+            return self.look_around(now, peers);
+        };
+        let claim = self.claim.unwrap_or_else(|| self.begin(now, draw));
+        if now.since(claim.since) > PATIENCE {
+            self.claim = None;
+            self.pause = now + AGAIN;
+            return Step::default();
+        }
+        let peers = self.known(now, peers);
+        let contact = |k: &K| self.contacts.get(k).copied().unwrap_or_default();
+        let from = Micros(now.0.saturating_sub(RECENT.0)).max(claim.since);
+        let silent = peers.iter().filter(|k| !contact(k).answered_since(from));
+        let waits = silent.clone().any(|k| !contact(k).passed());
+        if self.free && !waits && now > due {
+            let silent = silent.count();
+            self.claim = None;
+            self.loading = Some(Loading {
+                since: now,
+                version: Some(self.desired),
+            });
+            return Step {
+                orders: true,
+                silent,
+                ..Step::default()
+            };
+        }
+        let old = Micros(now.0.saturating_sub(RENEW.0)).max(claim.since);
+        let again = peers.iter().filter(|k| !contact(k).answered_since(old));
+        let again = again.copied().collect();
+        self.ask(now, claim.draw, again)
+    }
+
+    fn begin(&mut self, now: Micros, draw: u64) -> Claim {
+        for c in self.contacts.values_mut() {
+            c.answered = None;
+            c.open = if c.silent { c.open } else { 0 };
+        }
+        let claim = Claim { draw, since: now };
+        self.claim = Some(claim);
+        claim
+    }
+
+    /// Asks those from which nothing was received since the weights were named, so that a dead one is known
+    /// before a claim has to wait for it.
+    fn look_around(&mut self, now: Micros, peers: &[K]) -> Step<K> {
+        if self.desired == 0 || self.loading.is_some() || now.since(self.named) < LISTEN {
+            return Step::default();
+        }
+        let received = |k: &K| self.peers.get(k).is_some_and(|p| p.at >= self.named);
+        let passed = |k: &K| self.contacts.get(k).is_some_and(|c| c.passed());
+        let quiet = peers.iter().filter(|k| !received(k) && !passed(k));
+        let quiet = quiet.copied().collect();
+        self.ask(now, 0, quiet)
+    }
+
+    fn ask(&mut self, now: Micros, claim: u64, peers: Vec<K>) -> Step<K> {
+        for k in &peers {
+            let contact = self.contacts.entry(*k).or_default();
+            contact.open = contact.open.saturating_add(1);
+            contact.silent |= contact.open > ASKS;
+        }
+        let ask = Ask { claim, sent: now };
+        Step {
+            asks: (!peers.is_empty()).then_some((ask, peers)),
+            ..Step::default()
         }
-        self.loading = Some(Loading {
-            since: now,
-            version: Some(self.desired),
-        });
-        true
+    }
+
+    /// The sidecars that are listed, and those that have sent something of late.
+    fn known(&self, now: Micros, listed: &[K]) -> Vec<K> {
+        let recent = self.recent(now).map(|(k, _)| *k);
+        let others = recent.filter(|k| !listed.contains(k));
+        listed.iter().copied().chain(others).collect()
     }
 
     /// Notes how an order ended. One without an answer may be carried out, so that the engine counts as
@@ -228,15 +428,23 @@
     }
 
     fn rest(&mut self) {
+        self.claim = None;
+        self.free = false;
         self.unanswered = false;
         self.desired = 0;
         self.due = None;
     }
 
+    /// Updates that count: recent ones, and of a load as long as it may last.
     fn recent(&self, now: Micros) -> impl Iterator<Item = (&K, &Peer)> {
+        let load = |p: &Peer| p.state.load.or(self.load).unwrap_or_default();
+        let lease = move |p: &Peer| match p.state.loading {
+            Some(_) => Micros(2 * load(p).0).max(LEASE),
+            None => LEASE,
+        };
         self.peers
             .iter()
-            .filter(move |(_, p)| now.since(p.at) < LEASE)
+            .filter(move |(_, p)| now.since(p.at) < lease(p))
     }
 
     /// How long a load takes, as observed anywhere in the pool.
@@ -249,25 +457,36 @@
         seen.get(seen.len() / 2).copied()
     }
 
-    fn others(&self, now: Micros, lack: &Lack<'_>) -> Vec<Engine> {
+    /// The other engines; claims that count are loads.
+    fn others(&self, now: Micros, lack: &Lack<'_>, counts: impl Fn(&State) -> bool) -> Vec<Engine> {
         let newest = lack.named.newest();
         let engine = |p: &Peer| {
             let (_, version) = p.state.weights.iter().find(|(m, _)| *m == lack.model)?;
             let since = now.since(p.at);
+            let claims = p.state.claims && since < CLAIM && counts(&p.state);
             Some(Engine {
                 version: *version,
                 rank: rank(p.state.engine, newest),
-                loading: p.state.loading.map(|l| l + since),
-                due: p.state.due.map(|d| d + since),
+                loading: match p.state.loading {
+                    Some(l) => Some(l + since),
+                    None => claims.then_some(since),
+                },
+                due: p.state.due.filter(|_| !claims).map(|d| d + since),
             })
         };
         self.recent(now).filter_map(|(_, p)| engine(p)).collect()
     }
 
-    fn is_due(&self, now: Micros, group: &Group, lack: &Lack<'_>) -> bool {
+    fn is_due(
+        &self,
+        now: Micros,
+        group: &Group,
+        lack: &Lack<'_>,
+        counts: impl Fn(&State) -> bool,
+    ) -> bool {
         let config = rollout::Config::default();
         let named = lack.named;
-        let others = self.others(now, lack);
+        let others = self.others(now, lack, counts);
         if others.is_empty() && group.hosts > 1 {
             let blind = rollout::blind(&config, group.rank, group.hosts, group.allowed);
             return now >= ALONE.max(named.heard() + blind);
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -78,6 +78,7 @@
     /// How long it takes to load weights, and the load under way.
     takes: Duration,
     load: Option<Load>,
+    loads: Vec<Load>,
     /// How long its answer to an order takes.
     answers: Duration,
     life: u64,
@@ -182,6 +183,11 @@
         None
     }
 
+    /// All loads that took some time.
+    pub fn loads(&self) -> Vec<Load> {
+        lock(&self.state).loads.clone()
+    }
+
     /// Starts again: it has the weights that it had, and knows nothing else of before.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
@@ -415,12 +421,14 @@
         match state.takes.is_zero() {
             true => drop(state.versions.insert(model, version)),
             false => {
-                state.load = Some(Load {
+                let load = Load {
                     model,
                     version,
                     begun,
                     ends,
-                });
+                };
+                state.loads.push(load.clone());
+                state.load = Some(load);
             }
         }
         order["meant"] = meant.into();
--- a/crates/standin/src/hosted/rows.rs
+++ b/crates/standin/src/hosted/rows.rs
@@ -15,6 +15,10 @@
 
 use super::{reply, serve, Body};
 use crate::lock;
+use crate::switch::Switch;
+
+/// The table in which our processes enter themselves.
+const MEMBERS: &str = "members";
 
 /// How the store misbehaves towards one caller or all.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,6 +51,8 @@
     state: Mutex<State>,
     changed: Notify,
     began: Instant,
+    /// The network between the processes that enter themselves here.
+    switch: Mutex<Option<Arc<Switch>>>,
 }
 
 impl Default for Store {
@@ -55,6 +61,7 @@
             state: Mutex::default(),
             changed: Notify::new(),
             began: Instant::now(),
+            switch: Mutex::default(),
         }
     }
 }
@@ -104,6 +111,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Processes that enter themselves from now on reach one another through a switch.
+    pub fn set_switch(&self, switch: Arc<Switch>) {
+        *lock(&self.switch) = Some(switch);
+    }
+
+    /// Where others reach a process that enters itself, if there is a switch.
+    fn switched(&self, name: &str, text: &str) -> Option<String> {
+        use base64::Engine as _;
+        let switch = lock(&self.switch).clone()?;
+        let bytes = base64::engine::general_purpose::STANDARD.decode(text);
+        let mut member: Value = serde_json::from_slice(&bytes.ok()?).ok()?;
+        let process = member["addr"].as_str()?.parse().ok()?;
+        let addr = switch.enter(name, process).ok()?;
+        member["addr"] = addr.to_string().into();
+        Some(base64(member.to_string().as_bytes()))
+    }
+
     /// Misbehaves from now on.
     pub fn set_fault(&self, fault: Fault) {
         lock(&self.state).fault = fault;
@@ -194,7 +218,9 @@
         };
         for put in tx["put"].as_array().into_iter().flatten() {
             let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
-            self.put(&text("table"), &text("key"), Some(text("value")));
+            let (table, key, value) = (text("table"), text("key"), text("value"));
+            let switched = (table == MEMBERS).then(|| self.switched(&key, &value));
+            self.put(&table, &key, Some(switched.flatten().unwrap_or(value)));
         }
         let version = lock(&self.state).version;
         let now = self.began.elapsed().as_millis() as u64 + 1;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod reply;
 pub mod service;
+pub mod switch;
 
 use std::future::Future;
 use std::io;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -3,6 +3,7 @@
 //! What is cut is held back, not lost, as by the two ends' own repeats: once the link heals, it goes
 //! on where it was. A reset ends all connections of the link at once.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -64,15 +65,29 @@
     /// If no port can be bound.
     pub async fn start(to: SocketAddr) -> io::Result<(Arc<Self>, JoinSet<()>)> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (link, accept) = Self::on(listener, to)?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept);
+        Ok((link, tasks))
+    }
+
+    /// A link that takes connections from a listener, and the task that does so.
+    ///
+    /// # Errors
+    ///
+    /// If the listener has no address.
+    pub fn on(
+        listener: TcpListener,
+        to: SocketAddr,
+    ) -> io::Result<(Arc<Self>, impl Future<Output = ()>)> {
         let link = Arc::new(Self {
             addr: listener.local_addr()?,
             to: Mutex::new(to),
             trouble: watch::channel(Trouble::None).0,
             resets: watch::channel(0).0,
         });
-        let mut tasks = JoinSet::new();
-        tasks.spawn(accept(Arc::clone(&link), listener));
-        Ok((link, tasks))
+        let accept = accept(Arc::clone(&link), listener);
+        Ok((link, accept))
     }
 
     /// Where the near end connects to.
