Count an unused slot from its first order

What callers saw: a second engine of a pool loads beside one whose order had no answer yet.

Cause: others pass over an engine that has been free to load for 1 s without a load. A sidecar that was paused, or had no update on its engine's incarnation, for that long and then sent its order was passed over at once, before the engine's report showed the load.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -199,6 +199,8 @@
     desired: u64,
     /// Since when the engine has been free to load.
     due: Option<Micros>,
+    /// When the first order was sent that hasn't led to a load yet.
+    tried: Option<Micros>,
     /// Whether its last order had no answer.
     unanswered: bool,
     /// No order before this.
@@ -218,6 +220,7 @@
             load: None,
             desired: 0,
             due: None,
+            tried: None,
             unanswered: false,
             pause: Micros::ZERO,
         }
@@ -356,6 +359,9 @@
         if self.free && !waits && now > due {
             let silent = silent.count();
             self.claim = None;
+            // Without an answer the slot expires by the time since its first order, however long the
+            // engine had been free before.
+            self.due = Some(*self.tried.get_or_insert(now));
             self.loading = Some(Loading {
                 since: now,
                 version: Some(self.desired),
@@ -430,6 +436,7 @@
     fn rest(&mut self) {
         self.claim = None;
         self.free = false;
+        self.tried = None;
         self.unanswered = false;
         self.desired = 0;
         self.due = None;
--- a/crates/policy/tests/slots.rs
+++ b/crates/policy/tests/slots.rs
@@ -80,6 +80,42 @@
     assert!(ordered);
 }
 
+/// An engine that couldn't be ordered for longer than an unused slot counts, and is then.
+#[test]
+fn order_that_comes_late_keeps_its_slot() {
+    let named = named(2, ms(1_000));
+    let mut late: Slots<u8> = Slots::default();
+    let mut other: Slots<u8> = Slots::default();
+    let mut ordered = None;
+    for at in (1_000..4_000).step_by(50) {
+        let now = ms(at);
+        late.report(now, &[(MODEL, 1)], false);
+        let may = at >= 2_500;
+        let third = State {
+            engine: 3,
+            weights: vec![(MODEL, 2)],
+            sent: now,
+            ..State::default()
+        };
+        late.receive(now, 3, Some(third));
+        late.schedule(now, &group(1, 3), Some(&lack(&named)));
+        if step_if(&mut late, now, &[3], may) {
+            late.ordered(now, Outcome::Unknown);
+            ordered = ordered.or(Some(at));
+        }
+        other.report(now, &[(MODEL, 1)], false);
+        let state = late.state(now, 1, vec![(MODEL, 1)]);
+        other.receive(now, 1, Some(state));
+        let Some(ordered) = ordered.filter(|o| at < o + 450) else {
+            continue;
+        };
+        other.schedule(now, &group(2, 2), Some(&lack(&named)));
+        let loads = step(&mut other, now, &[1]);
+        assert!(!loads, "two load {} ms after the order", at - ordered);
+    }
+    assert!(ordered.is_some());
+}
+
 /// Lets a sidecar take its next step, with all asks answered at once; true if it orders a load.
 fn step(slots: &mut Slots<u8>, now: Micros, peers: &[u8]) -> bool {
     step_if(slots, now, peers, true)
