Soak: datagrams between processes are lost, delayed and reordered

Entries and sidecars reach one another through a switch that loses 10 to 100% of the datagrams and delays the others by up to 200 ms, for 50 to 900 ms at a time. Its draws are apart, so that a seed's other faults stay as they were.

--- a/crates/daemon/tests/hosted/soak/harm.rs
+++ b/crates/daemon/tests/hosted/soak/harm.rs
@@ -9,6 +9,7 @@
 use standin::hosted::replica::Fault;
 use standin::hosted::rows;
 use standin::link::Trouble;
+use standin::switch::Path;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
@@ -38,6 +39,11 @@
     Trouble::Refuse,
 ];
 
+/// Parts of the datagrams that may be lost.
+const LOSSES: [f64; 4] = [0.1, 0.3, 0.6, 1.0];
+/// Keeps the draws for datagrams apart from the others.
+const DATAGRAMS: u64 = 1 << 63;
+
 /// Injects faults until the end. Most last for a while and overlap with those that come next.
 pub async fn harm(world: Arc<World>, seed: u64, end: Instant) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -49,6 +55,22 @@
     lasting.join_all().await;
 }
 
+/// Loses, delays and reorders datagrams between processes now and then until the end. It draws from numbers
+/// of its own, so that a seed's other faults stay the same.
+pub async fn datagrams(world: Arc<World>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed ^ DATAGRAMS);
+    while Instant::now() < end {
+        let path = Path {
+            loss: *LOSSES.choose(&mut rng).expect("a loss"),
+            delay: Duration::from_millis(rng.random_range(0..200)),
+        };
+        world.switch.set(path);
+        sleep(Duration::from_millis(rng.random_range(50..900))).await;
+        world.switch.set(Path::GOOD);
+        sleep(Duration::from_millis(rng.random_range(50..900))).await;
+    }
+}
+
 fn one(world: &Arc<World>, rng: &mut StdRng, lasting: &mut JoinSet<()>) {
     let lasts = Duration::from_millis(rng.random_range(50..900));
     match rng.random_range(0..20) {
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers keep asking on open connections through whichever entry is there. Meanwhile replicas
 //! misbehave and start again, the store comes and goes, links between all of them are delayed, cut one
-//! way, silenced and reset, and entries and sidecars are stopped, paused, killed and started again, in
+//! way, silenced and reset, datagrams are lost and overtake one another, and entries and sidecars are stopped, paused, killed and started again, in
 //! series that overlap ([`harm`]). What must always hold is checked from what callers got and what
 //! replicas saw ([`check`]); at the end everything is healed, every entry has to serve again, every
 //! engine to have the newest weights, and a target that leaves then gets nothing new.
@@ -35,13 +35,14 @@
 const CALLERS: u64 = 10;
 
 async fn run(seed: u64) {
-    let world = World::start().await;
+    let world = World::start(seed).await;
     let end = Instant::now() + LENGTH;
     let mut asking = JoinSet::new();
     for caller in 0..CALLERS {
         asking.spawn(callers::ask(Arc::clone(&world), caller, seed, end));
     }
-    harm::harm(Arc::clone(&world), seed, end).await;
+    let datagrams = harm::datagrams(Arc::clone(&world), seed, end);
+    tokio::join!(harm::harm(Arc::clone(&world), seed, end), datagrams);
     world.heal();
     let healed = Instant::now();
     let outcomes: Vec<_> = asking.join_all().await.into_iter().flatten().collect();
--- a/crates/daemon/tests/hosted/soak/world.rs
+++ b/crates/daemon/tests/hosted/soak/world.rs
@@ -9,6 +9,7 @@
 use standin::hosted::replica::{Fault, Replica};
 use standin::hosted::rows;
 use standin::link::{Link, Trouble};
+use standin::switch::{Path, Switch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
@@ -129,6 +130,8 @@
     pub fronts: Vec<Front>,
     pub sides: Vec<Host<Process>>,
     pub version: Mutex<u64>,
+    /// Carries datagrams and connections between entries and sidecars.
+    pub switch: Arc<Switch>,
     _links: Mutex<Vec<JoinSet<()>>>,
 }
 
@@ -140,8 +143,10 @@
 }
 
 impl World {
-    pub async fn start() -> Arc<Self> {
+    pub async fn start(seed: u64) -> Arc<Self> {
         let mut platform = Platform::start().await;
+        let switch = Switch::new(seed);
+        platform.store.set_switch(Arc::clone(&switch));
         let mut links = Vec::new();
         let mut replicas = Vec::new();
         for n in 0..REPLICAS {
@@ -179,6 +184,7 @@
             fronts,
             sides,
             version: Mutex::new(1),
+            switch,
             _links: Mutex::new(links),
         })
     }
@@ -244,6 +250,7 @@
     pub fn heal(&self) {
         self.platform.store.set_fault(rows::Fault::None);
         self.links().iter().for_each(|l| l.set(Trouble::None));
+        self.switch.set(Path::GOOD);
         for behind in &self.replicas {
             behind.replica.set_fault(Fault::None);
             self.enter(behind, "ready");
