End the mark of a misdirected request once the target renews its row

What callers saw: after one refusal as meant for another target an entry never used that target again while it lived.

Cause: the mark that another target has the address ended only with the row. It is right for a target whose process has ended, whose row isn't renewed.

Evidence: target_marked_by_mistake... fails where no renewal ends a mark, as before (case "it renews its row"), and passes now. A row that is renewed after a list read after the mark comes from a target that was alive after it. Each further mark takes twice as many renewals, since a row may come from another writer.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -101,7 +101,7 @@
     /// request or two to the former one and took what the sidecar told of the new one for the former's.
     fn supersede(&mut self) {
         let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
-        for r in self.replicas.values().filter(|r| !r.replaced) {
+        for r in self.replicas.values().filter(|r| !r.misdirected.marked()) {
             let heard = latest.entry(r.target.addr).or_default();
             *heard = r.target.renewed.max(*heard);
         }
@@ -138,6 +138,9 @@
             // A heartbeat since then: what ended wasn't this one.
             replica.over = None;
         }
+        if replica.misdirected.listed(now, target.renewed) {
+            tell(&target, "renewed");
+        }
         replica.missing = None;
         replica.target = target;
     }
@@ -239,9 +242,9 @@
 
     /// Notes that another target has a target's address. The list names the old one for some seconds
     /// more; each request sent there would be refused and cost a retry.
-    pub fn replaced(&mut self, key: Key) {
+    pub fn replaced(&mut self, now: Micros, key: Key) {
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.replaced = true;
+            replica.misdirected.mark(now);
             replica.idle.clear();
             left_out(replica, "another target has its address");
         }
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -6,6 +6,7 @@
 use model::Micros;
 use platform::replica::Load;
 use policy::ledger::Unread;
+use policy::misdirected::Marks;
 use policy::standing::Standing;
 use policy::urgency;
 use site::{Part, PartId, Target};
@@ -110,8 +111,8 @@
     pub standing: Standing,
     /// Until when it is kept though the list lacks it.
     pub(super) missing: Option<Micros>,
-    /// Whether another target has been met at its address, so that it is gone, whatever the list says.
-    pub replaced: bool,
+    /// Whether another target has answered at its address.
+    pub misdirected: Marks,
     /// Version of its last heartbeat when its sidecar found that its process had ended.
     pub(super) over: Option<u64>,
     /// Whether the list names another target at its address that was heard later.
@@ -138,7 +139,7 @@
             expected: HashMap::new(),
             standing: Standing::default(),
             missing: None,
-            replaced: false,
+            misdirected: Marks::default(),
             over: None,
             superseded: false,
             epoch: 0,
@@ -149,7 +150,7 @@
     /// Whether it is, as far as known, what listens at its address.
     pub fn there(&self, now: Micros) -> bool {
         let kept = self.missing.is_none_or(|until| now < until);
-        kept && !self.replaced && !self.superseded && self.over.is_none()
+        kept && !self.misdirected.marked() && !self.superseded && self.over.is_none()
     }
 
     /// Tokens at the beginning of a prompt that it holds under a scope.
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -282,7 +282,7 @@
 fn misdirected(ctx: &Ctx, pick: &Pick, job: &Job, told: &Told) -> Sent {
     let same = told.target.as_ref().is_none_or(|t| *t == pick.boot.id);
     let (Some(prompt), true) = (&job.prompt, same) else {
-        ctx.fleet.borrow_mut().replaced(pick.key);
+        ctx.fleet.borrow_mut().replaced(ctx.now(), pick.key);
         return Sent::NotRun("another target has its address");
     };
     // It doesn't say which weights it has; the newest ones are what it is ordered to load.
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -116,7 +116,8 @@
         target: &'a str,
         /// Its address.
         addr: String,
-        /// What it is now: ready, draining, missing from the list but kept, ended, superseded or gone.
+        /// What it is now: ready, draining, missing from the list but kept, renewed after
+        /// another one had answered at its address, ended, superseded or gone.
         state: &'a str,
     },
     /// A list of targets was read that says something new, lacks targets that are kept, or was refused.
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -92,7 +92,7 @@
         .iter()
         .find(|(_, r)| r.target.boot.id == "false");
     let key = found.map(|(k, _)| k).expect("the false one");
-    fleet.replaced(key);
+    fleet.replaced(now, key);
     fleet.list(now, listed(), &CONFIG);
     assert_eq!(there(&fleet, now), ["good"]);
 }
@@ -194,3 +194,39 @@
     assert_eq!(there(&fleet, at(8_100)).len(), 2);
     assert_eq!(there(&fleet, at(8_200)), ["stays"]);
 }
+
+/// A refusal that wasn't the target's fault keeps it from being used for as long as it lives.
+#[test]
+fn target_marked_by_mistake_is_used_again_once_it_renews_its_row() {
+    struct Case {
+        name: &'static str,
+        /// Version of its row in lists read each second after the mark.
+        rows: &'static [u64],
+        marks: usize,
+        there: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "not listed since", rows: &[], marks: 1, there: false },
+        Case { name: "its row may be from before the mark", rows: &[6], marks: 1, there: false },
+        Case { name: "its row stays as it is, as that of a target that has ended", rows: &[5, 5, 5, 5], marks: 1, there: false },
+        Case { name: "it renews its row", rows: &[5, 5, 6], marks: 1, there: true },
+        Case { name: "marked again, one renewal is too few", rows: &[5, 6], marks: 2, there: false },
+        Case { name: "marked again, two are enough", rows: &[5, 6, 7], marks: 2, there: true },
+    ];
+    for c in cases {
+        let mut now = Micros::from_secs(100);
+        let mut fleet = Fleet::default();
+        fleet.list(now, vec![target("one", 5)], &CONFIG);
+        let key = fleet.replicas.keys().next().expect("one");
+        for mark in 0..c.marks {
+            fleet.replaced(now, key);
+            let between: &[u64] = if mark + 1 < c.marks { &[1, 2] } else { c.rows };
+            for row in between {
+                now = now + Micros::from_secs(1);
+                fleet.list(now, vec![target("one", *row)], &CONFIG);
+            }
+        }
+        assert_eq!(!there(&fleet, now).is_empty(), c.there, "{}", c.name);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,7 +11,7 @@
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
-//! late, [`standing`] tells which targets to leave alone, [`lapse`] which to keep though they aren't listed, [`shared`] keeps all entries within one
+//! late, [`standing`] tells which targets to leave alone, [`lapse`] which to keep though they aren't listed, [`misdirected`] how long one whose address answered for another isn't used, [`shared`] keeps all entries within one
 //! budget of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from
 //! lost connections for [`quarantine`], [`rollout`] says which engines take new weights, and [`slots`] when one does.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
@@ -30,6 +30,7 @@
 pub mod lateness;
 pub mod ledger;
 pub mod limit;
+pub mod misdirected;
 pub mod outlook;
 pub mod pace;
 pub mod place;
--- /dev/null
+++ b/crates/policy/src/misdirected.rs
@@ -0,0 +1,65 @@
+//! How long a target is left alone after another one has answered at its address.
+//!
+//! Load pattern: a target's process has ended, another one has taken its address, and the list names both
+//! for some seconds. Each request to the former is refused there and costs a retry, so it is marked and not
+//! used. The mark may be wrong: a refusal that another host's restart or a wrong row brought about. If it
+//! held until the row goes, an entry would never use that target again while it lives.
+//!
+//! A target that writes its row after the refusal was alive after it. A row may also come from another
+//! writer, so that each further mark takes twice as many renewals to end.
+
+use model::Micros;
+
+/// Marks beyond which the number of renewals doesn't grow.
+const MOST: u32 = 6;
+
+/// Marks of one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Marks {
+    marked: Option<Mark>,
+    /// Marks so far.
+    count: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    at: Micros,
+    /// Version of the row in the last list that was read after the mark.
+    row: Option<u64>,
+    renewals: u32,
+}
+
+impl Marks {
+    /// Whether the target is marked.
+    pub fn marked(&self) -> bool {
+        self.marked.is_some()
+    }
+
+    /// Notes that another target has answered at its address.
+    pub fn mark(&mut self, now: Micros) {
+        if self.marked.is_none() {
+            self.count += 1;
+        }
+        self.marked = Some(Mark {
+            at: now,
+            row: None,
+            renewals: 0,
+        });
+    }
+
+    /// Takes over the version of the target's row in a list that was read at a time; true if that ends a
+    /// mark.
+    pub fn listed(&mut self, read: Micros, row: u64) -> bool {
+        let Some(mark) = self.marked.as_mut().filter(|m| read > m.at) else {
+            return false;
+        };
+        // The first list after the mark may have a renewal from before it.
+        mark.renewals += u32::from(mark.row.is_some_and(|r| row > r));
+        mark.row = Some(row);
+        let ends = mark.renewals >= 1 << self.count.saturating_sub(1).min(MOST);
+        if ends {
+            self.marked = None;
+        }
+        ends
+    }
+}
