Repeat updates on crashes while they hold

What callers saw: a request that crashes engines is given one more by each entry to which the update on a crash was lost; all streams of that engine break off.

Cause: the update was sent twice in one moment, so that one burst of losses took both.

Evidence: crash_reaches_an_entry... loses all datagrams for 300 ms around a crash. The update is sent again for 3.7 s, unless the request was cleared meanwhile.

--- a/crates/daemon/tests/hosted/fatal.rs
+++ b/crates/daemon/tests/hosted/fatal.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use standin::hosted::replica::Replica;
+use standin::switch::{Path, Switch};
+use tokio::time::sleep;
 
 use crate::fleet::{ask, Entry, Platform, MODEL};
 
 /// Pause between the events of a stream in these tests.
 const PAUSE: Duration = Duration::from_millis(2);
+/// How long all datagrams are lost.
+const LOST: Duration = Duration::from_millis(300);
 /// The request that crashes replicas.
 const FATAL: &str = "/probe/fatal";
 /// A request beside it, of the same kind and for the same model.
@@ -24,7 +28,10 @@
 
 impl Fleet {
     async fn start() -> Self {
-        let mut platform = Platform::start().await;
+        Self::on(Platform::start().await).await
+    }
+
+    async fn on(mut platform: Platform) -> Self {
         let mut engines = Vec::new();
         for id in ["e1", "e2", "e3", "e4"] {
             let engine = Replica::new(id, 4, PAUSE);
@@ -142,3 +149,25 @@
         e.process.event("suspected", clear).await;
     }
 }
+
+/// An entry whose peers' updates on a crash were lost gives the request another engine.
+#[tokio::test]
+async fn crash_reaches_an_entry_to_which_datagrams_were_lost() {
+    let platform = Platform::start().await;
+    let switch = Switch::new(0);
+    platform.store.set_switch(Arc::clone(&switch));
+    let mut fleet = Fleet::on(platform).await;
+    switch.set(Path {
+        loss: 1.0,
+        delay: Duration::ZERO,
+    });
+    let before = fleet.each();
+    let _ = ask(&fleet.entries[0], FATAL, "f1").await;
+    fleet.crash(&before);
+    let own = |s: &serde_json::Value| s["source"] == "own";
+    fleet.entries[0].process.event("suspected", own).await;
+    sleep(LOST).await;
+    switch.set(Path::GOOD);
+    let peer = |s: &serde_json::Value| s["source"] == "peer";
+    fleet.entries[1].process.event("suspected", peer).await;
+}
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -11,11 +11,14 @@
 //! every crash, and a request that crashes its target does so at its beginning.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
 use model::{Incarnation, MemberId, Micros};
 use policy::broken::{Break, Broken};
 use policy::quarantine::{self, Crash, Fingerprint, Place, Quarantine, Verdict};
 use site::Boot;
+use tokio::time::sleep;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::request::Job;
@@ -27,6 +30,16 @@
 /// two such crashes may meet one request's two tries, three on lives of three targets hardly.
 const STRIKES: usize = 3;
 
+/// Pauses between repeated updates. Each entry that lacks a crash may give the request another target, and
+/// datagrams are lost in bursts.
+const REPEATS: [Duration; 5] = [
+    Duration::from_millis(50),
+    Duration::from_millis(150),
+    Duration::from_millis(500),
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+];
+
 /// What an entry holds against requests.
 #[derive(Debug)]
 pub(super) struct Suspects {
@@ -136,23 +149,20 @@
     };
     if cleared {
         tell(job.print, Some(&job.id), None, &Held::default(), "own");
-        send_all(ctx, &news(job.print, None));
+        send_all(ctx, news(job.print, None));
     }
 }
 
 /// Takes over what another entry holds against a request.
 pub(super) fn hear(ctx: &Ctx, told: Strike, from: SocketAddr) {
-    let print = Fingerprint {
-        body: u128::from(told.high) << 64 | u128::from(told.low),
-        weights: 0,
-    };
+    let print = print_of(&told);
     let now = ctx.now();
     if told.cleared {
         let cleared = ctx.suspects.borrow_mut().quarantine.vouch(now, print);
         if cleared {
             tell(print, None, None, &Held::default(), "peer");
             // Those whom this one has told of the crash must hear of it too.
-            send_all(ctx, &news(print, None));
+            send_all(ctx, news(print, None));
         }
         return;
     }
@@ -160,10 +170,7 @@
         news::send(&ctx.socket, &news(print, None), [from]);
         return;
     }
-    let crash = Crash {
-        member: MemberId(told.target),
-        life: Incarnation(told.born),
-    };
+    let crash = crash_of(&told);
     let before = held(ctx, print);
     if before.verdict == Verdict::Convicted && !before.crashes.contains(&crash) {
         let against = before.crashes.iter().map(|c| news(print, Some(*c)));
@@ -212,7 +219,7 @@
         .quarantine
         .strike(now, print, crash);
     tell(print, request, Some(crash), &held(ctx, print), "own");
-    send_all(ctx, &news(print, Some(crash)));
+    send_all(ctx, news(print, Some(crash)));
 }
 
 fn tell(
@@ -251,9 +258,42 @@
     }
 }
 
-/// Sends twice, since each datagram that is lost may cost a target.
-fn send_all(ctx: &Ctx, news: &News) {
-    for _ in 0..2 {
-        news::send(&ctx.socket, news, ctx.node.world.borrow().entries());
+/// Sends an update to all entries, and again after some pauses for as long as it holds.
+fn send_all(ctx: &Ctx, news: News) {
+    let send = |news: &News| news::send(&ctx.socket, news, ctx.node.world.borrow().entries());
+    send(&news);
+    send(&news);
+    let ctx = Rc::clone(ctx);
+    tokio::task::spawn_local(async move {
+        for pause in REPEATS {
+            sleep(pause).await;
+            if !news.strike.is_some_and(|s| holds(&ctx, &s)) {
+                return;
+            }
+            news::send(&ctx.socket, &news, ctx.node.world.borrow().entries());
+        }
+    });
+}
+
+/// Whether a strike is still held, or the answer that cleared the request still vouches for it.
+fn holds(ctx: &Ctx, strike: &Strike) -> bool {
+    let print = print_of(strike);
+    if strike.cleared {
+        return ctx.suspects.borrow().quarantine.vouched(ctx.now(), print);
+    }
+    held(ctx, print).crashes.contains(&crash_of(strike))
+}
+
+fn print_of(strike: &Strike) -> Fingerprint {
+    Fingerprint {
+        body: u128::from(strike.high) << 64 | u128::from(strike.low),
+        weights: 0,
+    }
+}
+
+fn crash_of(strike: &Strike) -> Crash {
+    Crash {
+        member: MemberId(strike.target),
+        life: Incarnation(strike.born),
     }
 }
