--- a/crates/daemon/tests/hosted/fatal.rs
+++ b/crates/daemon/tests/hosted/fatal.rs
@@ -171,3 +171,31 @@
     let peer = |s: &serde_json::Value| s["source"] == "peer";
     fleet.entries[1].process.event("suspected", peer).await;
 }
+
+/// Neither entry knows yet of the other's crash, and each gives the request further engines.
+#[tokio::test]
+async fn request_sent_through_two_entries_at_once_is_refused_after_the_tries_of_both() {
+    let mut fleet = Fleet::start().await;
+    let mut crashes = 0;
+    while crashes < 3 {
+        let before = fleet.each();
+        let [one, other] = &fleet.entries;
+        let (a, b) = (format!("a{crashes}"), format!("b{crashes}"));
+        let _ = tokio::join!(ask(one, FATAL, &a), ask(other, FATAL, &b));
+        let after = fleet.each();
+        crashes += before.iter().zip(&after).filter(|(b, a)| a > b).count();
+        fleet.crash(&before);
+        let all = |s: &serde_json::Value| s["crashes"].as_u64() >= Some(crashes.min(3) as u64);
+        for e in &fleet.entries {
+            e.process.event("suspected", all).await;
+        }
+    }
+    // Two tries of each entry.
+    assert!(crashes <= 4, "{crashes} engines were given to it");
+    let runs = fleet.runs(FATAL);
+    for (entry, id) in fleet.entries.iter().zip(["c1", "c2"]) {
+        let refused = ask(entry, FATAL, id).await.expect("an answer");
+        assert_eq!(refused.status, 503);
+    }
+    assert_eq!(fleet.runs(FATAL), runs, "ran after three crashes");
+}
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -7,6 +7,7 @@
 mod fatal;
 mod fleet;
 mod held;
+mod losses;
 mod pool;
 mod slots;
 mod soak;
--- a/crates/daemon/tests/poison.rs
+++ b/crates/daemon/tests/poison.rs
@@ -135,3 +135,21 @@
     assert!(answer.whole(), "{}", answer.text());
     assert_eq!(answer.words(), words(prompt, 3));
 }
+
+/// Neither entry knows yet of the other's crash, and both send the request on.
+#[test]
+fn request_sent_through_two_entries_at_once_stops_at_the_second_crash() {
+    let mut p = Processes::start(2, 5);
+    let body = completion(&format!("{POISON} question"), 5, false);
+    let pending: Vec<_> = (0..2)
+        .map(|n| {
+            p.fleet
+                .caller(n)
+                .begin("POST", "/v1/completions", &[], &body)
+        })
+        .collect();
+    for answer in pending {
+        assert_final(&answer.end());
+    }
+    assert_eq!(p.dead(), 2);
+}
