--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -26,8 +26,8 @@
 use std::time::Duration;
 
 use model::Micros;
-use policy::hearing::{self, Sidecar};
 use policy::pace::Pace;
+use policy::subscription::{self, Sidecar};
 use policy::{apart, shared};
 use tokio::net::UdpSocket;
 use tokio::task::AbortHandle;
@@ -197,13 +197,13 @@
             sleep(LOOK).await;
             continue;
         }
-        let mut all_told = true;
+        let mut all_confirmed = true;
         for sidecar in wanted {
             let life = ctx.fleet.borrow().life(ctx.now(), sidecar).map(|b| Life {
                 id: b.id.clone(),
                 born: b.born,
             });
-            all_told &= life.is_some();
+            all_confirmed &= life.is_some();
             let news = News {
                 entry: true,
                 asks: true,
@@ -212,7 +212,7 @@
             };
             news::send(&ctx.socket, &news, [sidecar]);
         }
-        sleep(hearing::pause(ctx.now(), all_told).into()).await;
+        sleep(subscription::pause(ctx.now(), all_confirmed).into()).await;
     }
 }
 
@@ -228,7 +228,7 @@
         near: m.domain == domain,
         rank: xxh3_64_with_seed(m.addr.to_string().as_bytes(), own),
     });
-    hearing::wanted(sidecars)
+    subscription::desired(sidecars)
 }
 
 /// Takes over what sidecars tell.
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -1,7 +1,7 @@
 //! Which targets a request may go to, by what is believed of each.
 
 use model::Micros;
-use policy::{hearing, outlook};
+use policy::{outlook, subscription};
 use site::State;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -74,7 +74,7 @@
 /// Those of a pool's engines that are heard of. Up to some number all are, or the words of those that
 /// aren't are lost; beyond it the others look idle, since nothing is known of what they have to do.
 pub(super) fn heard(open: Vec<(Key, &Replica)>, now: Micros) -> Vec<(Key, &Replica)> {
-    if open.len() <= hearing::MOST {
+    if open.len() <= subscription::MOST {
         return open;
     }
     let fresh = |r: &Replica| r.heard.is_some_and(|h| now.since(h.at) < HEARD);
--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -16,8 +16,8 @@
 use model::Micros;
 use platform::replica;
 use platform::Conn;
-use policy::hearing::{self, Hearers};
 use policy::ledger::Ledger;
+use policy::subscription::{self, Subscribers};
 use site::{Boot, Report};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
@@ -27,7 +27,7 @@
 use crate::log::Dependency;
 use crate::news::{self, Held, Life, News};
 use crate::world::Shared;
-use tell::{for_peers, fresh, hearers, summary, tell_whole, timeless};
+use tell::{for_peers, fresh, subscribers, summary, tell_whole, timeless};
 use weights::Rollout;
 
 /// Pause between two looks at the engine; a request's first token takes about as long.
@@ -39,7 +39,7 @@
 /// How often all that the engine holds is told.
 const WHOLE: Duration = Duration::from_secs(3);
 /// How long after its start a sidecar tells all entries; each that wants to hear it asks within that.
-const STARTED: Micros = Micros(2 * hearing::ASK.0);
+const STARTED: Micros = Micros(2 * subscription::RENEW.0);
 /// How often the other sidecars are told while weights change; they count a word for three times that.
 const PEERS: Duration = Duration::from_millis(500);
 
@@ -61,8 +61,8 @@
     rollout: Rollout,
     /// What it has yet to read.
     ledger: Ledger,
-    /// The entries that want to hear of it.
-    hearers: Hearers,
+    /// The entries that it reports to.
+    subscribers: Subscribers,
 }
 
 impl Engine {
@@ -126,7 +126,7 @@
             engine.borrow_mut().live(life);
         }
         if news.asks {
-            if engine.borrow_mut().hearers.ask(node.now(), from) {
+            if engine.borrow_mut().subscribers.subscribe(node.now(), from) {
                 tell_whole(&engine, &socket, &summary(&node, &engine), [from]);
                 kept.tell(&socket, [from]);
             }
@@ -186,21 +186,21 @@
         if let Some(order) = weights::claim(node, engine, socket) {
             let news = summary(node, engine);
             peers.tell(node, engine, socket, &news);
-            news::send(socket, &news, hearers(node, engine));
+            news::send(socket, &news, subscribers(node, engine));
             weights::give(node, engine, &mut conn, &order).await;
         }
         let news = summary(node, engine);
         peers.tell(node, engine, socket, &news);
         if whole.elapsed() >= WHOLE {
             whole = Instant::now();
-            tell_whole(engine, socket, &news, hearers(node, engine));
+            tell_whole(engine, socket, &news, subscribers(node, engine));
         }
         let fresh = fresh(node, engine);
         let timeless = timeless(&news);
         if timeless != told || !fresh.is_empty() || renewed.elapsed() >= RENEW {
             told = timeless;
             renewed = Instant::now();
-            news::send_parts(socket, news, &fresh, hearers(node, engine));
+            news::send_parts(socket, news, &fresh, subscribers(node, engine));
         }
         sleep(LOOK).await;
     }
--- a/crates/gate/src/sidecar/tell.rs
+++ b/crates/gate/src/sidecar/tell.rs
@@ -46,9 +46,9 @@
 
 /// Those whom the sidecar tells: entries that have asked and, as long as it has just started and they
 /// may not have asked yet, all that are known.
-pub(super) fn hearers(node: &Shared, engine: &Own) -> Vec<SocketAddr> {
+pub(super) fn subscribers(node: &Shared, engine: &Own) -> Vec<SocketAddr> {
     let now = node.now();
-    let asked: Vec<_> = engine.borrow().hearers.told(now).collect();
+    let asked: Vec<_> = engine.borrow().subscribers.active(now).collect();
     let world = node.world.borrow();
     let known = world.entries().filter(|_| now < STARTED);
     let others = known.filter(|e| !asked.contains(e)).collect::<Vec<_>>();
@@ -58,7 +58,7 @@
 /// What is to be told of parts. While no entry is known it is kept: a sidecar that starts reads all
 /// that its engine has stored, often before it has read who the entries are.
 pub(super) fn fresh(node: &Shared, engine: &Own) -> Vec<Held> {
-    match hearers(node, engine).first() {
+    match subscribers(node, engine).first() {
         Some(_) => std::mem::take(&mut engine.borrow_mut().fresh),
         None => Vec::new(),
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
 //! late, [`standing`] tells which targets to leave alone, [`lapse`] which to keep though they aren't listed, [`misdirected`] how long one whose address answered for another isn't used, [`shared`] keeps all entries within one
-//! budget of retries, [`hearing`] says which engines an entry hears of, [`broken`] tells crashes from
+//! budget of retries, [`subscription`] says which engines an entry subscribes to, [`broken`] tells crashes from
 //! lost connections for [`quarantine`], [`rollout`] says which engines take new weights, and [`slots`] when one does.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
@@ -25,7 +25,6 @@
 pub mod cost;
 pub mod drain;
 pub mod health;
-pub mod hearing;
 pub mod lapse;
 pub mod lateness;
 pub mod ledger;
@@ -45,5 +44,6 @@
 pub mod slots;
 pub mod spot;
 pub mod standing;
+pub mod subscription;
 pub mod urgency;
 pub mod versions;
