--- a/crates/daemon/tests/hosted/held.rs
+++ b/crates/daemon/tests/hosted/held.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use gate::news::{self, News};
+use gate::update::{self, Update};
 use standin::call::Call;
 use standin::hosted::cache::Cache;
 use standin::hosted::replica::Replica;
@@ -52,17 +52,17 @@
     async fn hears(&self, parts: &[(&str, u32)]) {
         let want: BTreeMap<u64, u32> = parts.iter().map(|(p, n)| (id(p), *n)).collect();
         self.socket.writable().await.expect("a socket");
-        let asks = News {
+        let asks = Update {
             entry: true,
             asks: true,
-            ..News::default()
+            ..Update::default()
         };
-        news::send(&self.socket, &asks, [self.sidecar]);
+        update::send(&self.socket, &asks, [self.sidecar]);
         let heard = async {
             while *self.held.lock().expect("parts") != want {
-                let (news, _) = news::receive(&self.socket).await;
+                let (update, _) = update::receive(&self.socket).await;
                 let mut held = self.held.lock().expect("parts");
-                for p in news.parts {
+                for p in update.parts {
                     match p.tokens {
                         0 => held.remove(&p.part),
                         n => held.insert(p.part, n),
--- a/crates/gate/src/cache.rs
+++ b/crates/gate/src/cache.rs
@@ -12,7 +12,7 @@
 use site::PartId;
 use tokio::time::Instant;
 
-use crate::news::Held;
+use crate::update::Held;
 
 /// How long the other side may hold the question what has changed; the platform's longest.
 const HOLD: Duration = Duration::from_millis(1_000);
@@ -82,14 +82,14 @@
 
 /// What a call has brought.
 #[derive(Debug)]
-pub enum News {
+pub enum Update {
     /// The latest changes.
     Changes(Events),
     /// All that is held.
     Whole(Events),
 }
 
-impl News {
+impl Update {
     /// Hands it to a cache; returns what others are to be told.
     pub fn into(self, cache: &mut Cache) -> Vec<Held> {
         match self {
@@ -123,7 +123,7 @@
     ///
     /// If the place doesn't answer or its answer can't be read; the next call begins from the first
     /// change again.
-    pub async fn changes(&mut self) -> Result<News, EngineError> {
+    pub async fn changes(&mut self) -> Result<Update, EngineError> {
         let read = self.read().await;
         if read.is_err() {
             self.next = 0;
@@ -131,16 +131,16 @@
         read
     }
 
-    async fn read(&mut self) -> Result<News, EngineError> {
+    async fn read(&mut self) -> Result<Update, EngineError> {
         let events = replica::events(&mut self.conn, self.next, HOLD, PATIENCE).await?;
         let due = self.listed.is_none_or(|at| at.elapsed() > LIST);
         if !events.lost || !due {
             self.next = events.next;
-            return Ok(News::Changes(events));
+            return Ok(Update::Changes(events));
         }
         self.listed = Some(Instant::now());
         let all = replica::held(&mut self.conn, PATIENCE).await?;
         self.next = all.next;
-        Ok(News::Whole(all))
+        Ok(Update::Whole(all))
     }
 }
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -10,7 +10,7 @@
 
 use super::replica::{take_over, Heard, KeptStore, Replica};
 use crate::log::{self, Event};
-use crate::news::{Held, News};
+use crate::update::{Held, Update};
 
 new_key_type! {
     /// A target.
@@ -172,21 +172,21 @@
     }
 
     /// Takes over what a sidecar told.
-    pub fn hear(&mut self, now: Micros, news: &News, from: SocketAddr) {
-        let Ok(addr) = news.engine.parse::<SocketAddr>() else {
+    pub fn hear(&mut self, now: Micros, update: &Update, from: SocketAddr) {
+        let Ok(addr) = update.engine.parse::<SocketAddr>() else {
             return;
         };
-        if news.kept {
-            return self.kept.entry(addr).or_default().hear(news);
+        if update.kept {
+            return self.kept.entry(addr).or_default().hear(update);
         }
         let there = |r: &&mut Replica| r.target.addr == addr && r.there(now);
         let Some(replica) = self.replicas.values_mut().find(there) else {
             return;
         };
-        for w in &news.weights {
+        for w in &update.weights {
             replica.reported(now, &w.model, w.version);
         }
-        if news.ended {
+        if update.ended {
             // Until it is listed again its successor may listen there already and refuse what is
             // meant for it; each such try would be one retry less for streams that its end has cut.
             replica.over = Some(replica.target.renewed);
@@ -194,17 +194,17 @@
             self.ended.push(replica.target.boot.clone());
             return tell(&replica.target, "ended");
         }
-        if !news.entry && news.epoch != replica.epoch {
-            replica.epoch = news.epoch;
+        if !update.entry && update.epoch != replica.epoch {
+            replica.epoch = update.epoch;
             replica.held.clear();
         }
-        take_over(&mut replica.held, &news.parts);
-        if news.entry {
-            let parts: Vec<_> = news.expected.iter().map(part).collect();
-            let scope = news.expected.first().map_or(0, |h| h.scope);
+        take_over(&mut replica.held, &update.parts);
+        if update.entry {
+            let parts: Vec<_> = update.expected.iter().map(part).collect();
+            let scope = update.expected.first().map_or(0, |h| h.scope);
             return replica.expect(now, scope, &parts);
         }
-        replica.heard = Some(Heard::new(now, news, from));
+        replica.heard = Some(Heard::new(now, update, from));
     }
 
     /// The life of the engine beside a sidecar.
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -24,8 +24,8 @@
 use super::{suspects, Ctx};
 use crate::log::{self, Dependency, Event};
 use crate::meter;
-use crate::news::{self, Listed, News};
 use crate::peer;
+use crate::update::{self, Listed, Update};
 use crate::world::Read;
 
 /// Pause after a read that failed.
@@ -176,12 +176,12 @@
     if !ctx.list.readers.borrow().reads(ctx.now(), rank) {
         return;
     }
-    let news = News {
+    let update = Update {
         entry: true,
         list: Some(Listed { rank, hash }),
-        ..News::default()
+        ..Update::default()
     };
-    news::send(&ctx.socket, &news, ctx.node.world.borrow().entries());
+    update::send(&ctx.socket, &update, ctx.node.world.borrow().entries());
 }
 
 /// Hash of what decides where requests may go. Weights aren't in it: they change at every engine
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -35,7 +35,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::meter;
-use crate::news::{self, Held, Life, News, Note};
+use crate::update::{self, Held, Life, Note, Update};
 use crate::world::{domain_key, Shared};
 use site::{Part, Scope};
 
@@ -71,7 +71,7 @@
     work: RefCell<apart::Work>,
     /// How fast engines read, by pool.
     paces: RefCell<HashMap<String, Pace>>,
-    /// Where news comes in and goes out.
+    /// Receives and sends updates.
     socket: UdpSocket,
     /// Whether it takes no more requests, since it is about to end.
     closing: Cell<bool>,
@@ -101,12 +101,12 @@
 
     /// Tells an engine's sidecar of a prompt.
     fn tell_prompt(&self, sidecar: std::net::SocketAddr, note: Note) {
-        let news = News {
+        let update = Update {
             entry: true,
             note: Some(note),
-            ..News::default()
+            ..Update::default()
         };
-        news::send(&self.socket, &news, [sidecar]);
+        update::send(&self.socket, &update, [sidecar]);
     }
 
     /// Tells the other entries what an engine was sent to read, so that they don't send the same
@@ -117,13 +117,13 @@
             part: p.id.0,
             tokens: p.tokens,
         };
-        let news = News {
+        let update = Update {
             engine: engine.to_string(),
             entry: true,
-            expected: parts.iter().take(news::PARTS).map(held).collect(),
-            ..News::default()
+            expected: parts.iter().take(update::PARTS).map(held).collect(),
+            ..Update::default()
         };
-        news::send(&self.socket, &news, self.node.world.borrow().entries());
+        update::send(&self.socket, &update, self.node.world.borrow().entries());
     }
 
     /// Lets a decision use a pool's pace of reading.
@@ -204,13 +204,13 @@
                 born: b.born,
             });
             all_confirmed &= life.is_some();
-            let news = News {
+            let update = Update {
                 entry: true,
                 asks: true,
                 life,
-                ..News::default()
+                ..Update::default()
             };
-            news::send(&ctx.socket, &news, [sidecar]);
+            update::send(&ctx.socket, &update, [sidecar]);
         }
         sleep(subscription::pause(ctx.now(), all_confirmed).into()).await;
     }
@@ -234,19 +234,19 @@
 /// Takes over what sidecars tell.
 async fn hear(ctx: Ctx) {
     loop {
-        let (news, from) = news::receive(&ctx.socket).await;
+        let (update, from) = update::receive(&ctx.socket).await;
         let now = ctx.now();
-        if let Some(listed) = news.list {
+        if let Some(listed) = update.list {
             if ctx.list.hear(now, listed, from) {
                 ctx.fleet.borrow_mut().confirm(now);
             }
             continue;
         }
-        if let Some(strike) = news.strike {
+        if let Some(strike) = update.strike {
             suspects::hear(&ctx, strike, from);
             continue;
         }
-        ctx.fleet.borrow_mut().hear(now, &news, from);
+        ctx.fleet.borrow_mut().hear(now, &update, from);
         suspects::ended(&ctx);
     }
 }
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -12,7 +12,7 @@
 use site::{Part, PartId, Target};
 
 use super::idle::Idle;
-use crate::news::{Held, News};
+use crate::update::{Held, Update};
 
 /// How long an engine is expected to hold what it was sent to read; a long prompt in a queue.
 const EXPECTED: Micros = Micros::from_millis(1_500);
@@ -51,22 +51,24 @@
 
 impl Heard {
     /// What a sidecar's word says of its engine.
-    pub(super) fn new(now: Micros, news: &News, from: SocketAddr) -> Self {
+    pub(super) fn new(now: Micros, update: &Update, from: SocketAddr) -> Self {
         let at = |ms: u32| now + Micros::from_millis(ms.into());
         let mut unread_tokens = Unread::default();
-        let told = unread_tokens.iter_mut().zip(&news.tokens);
+        let told = unread_tokens.iter_mut().zip(&update.tokens);
         told.for_each(|(u, t)| *u = *t);
         Self {
             from,
             at: now,
-            alive: news.alive,
-            busy: news.busy,
-            begun: news.begun,
-            unread: news.unread,
-            used: news.used,
-            total: news.total,
-            due: news.due_ms.is_some(),
-            loaded: news.loading_ms.map(|ms| at(load_left(ms, news.load_ms))),
+            alive: update.alive,
+            busy: update.busy,
+            begun: update.begun,
+            unread: update.unread,
+            used: update.used,
+            total: update.total,
+            due: update.due_ms.is_some(),
+            loaded: update
+                .loading_ms
+                .map(|ms| at(load_left(ms, update.load_ms))),
             unread_tokens,
         }
     }
@@ -259,12 +261,12 @@
 
 impl KeptStore {
     /// Takes over what a follower of the store tells.
-    pub(super) fn hear(&mut self, news: &News) {
-        if !news.alive || news.epoch != self.epoch {
+    pub(super) fn hear(&mut self, update: &Update) {
+        if !update.alive || update.epoch != self.epoch {
             self.held.clear();
         }
-        self.epoch = news.epoch;
-        take_over(&mut self.held, &news.parts);
+        self.epoch = update.epoch;
+        take_over(&mut self.held, &update.parts);
     }
 }
 
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -25,7 +25,7 @@
 use super::{suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::news::Note;
+use crate::update::Note;
 
 /// A request's place at a target; freed with this value.
 #[derive(Debug)]
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -24,7 +24,7 @@
 use super::request::Job;
 use super::Ctx;
 use crate::log::{self, Event};
-use crate::news::{self, News, Strike};
+use crate::update::{self, Strike, Update};
 
 /// Crashes that convict. Engines crash for other reasons too, several of a failure domain at once;
 /// two such crashes may meet one request's two tries, three on lives of three targets hardly.
@@ -149,7 +149,7 @@
     };
     if cleared {
         tell(job.print, Some(&job.id), None, &Held::default(), "own");
-        send_all(ctx, news(job.print, None));
+        send_all(ctx, update(job.print, None));
     }
 }
 
@@ -162,19 +162,19 @@
         if cleared {
             tell(print, None, None, &Held::default(), "peer");
             // Those whom this one has told of the crash must hear of it too.
-            send_all(ctx, news(print, None));
+            send_all(ctx, update(print, None));
         }
         return;
     }
     if ctx.suspects.borrow().quarantine.vouched(now, print) {
-        news::send(&ctx.socket, &news(print, None), [from]);
+        update::send(&ctx.socket, &update(print, None), [from]);
         return;
     }
     let crash = crash_of(&told);
     let before = held(ctx, print);
     if before.verdict == Verdict::Convicted && !before.crashes.contains(&crash) {
-        let against = before.crashes.iter().map(|c| news(print, Some(*c)));
-        against.for_each(|n| news::send(&ctx.socket, &n, [from]));
+        let against = before.crashes.iter().map(|c| update(print, Some(*c)));
+        against.for_each(|n| update::send(&ctx.socket, &n, [from]));
         return;
     }
     ctx.suspects
@@ -219,7 +219,7 @@
         .quarantine
         .strike(now, print, crash);
     tell(print, request, Some(crash), &held(ctx, print), "own");
-    send_all(ctx, news(print, Some(crash)));
+    send_all(ctx, update(print, Some(crash)));
 }
 
 fn tell(
@@ -244,8 +244,8 @@
 }
 
 /// A crash to be told, or that a request is cleared.
-fn news(print: Fingerprint, crash: Option<Crash>) -> News {
-    News {
+fn update(print: Fingerprint, crash: Option<Crash>) -> Update {
+    Update {
         entry: true,
         strike: Some(Strike {
             high: (print.body >> 64) as u64,
@@ -254,23 +254,24 @@
             born: crash.map_or(0, |c| c.life.0),
             cleared: crash.is_none(),
         }),
-        ..News::default()
+        ..Update::default()
     }
 }
 
 /// Sends an update to all entries, and again after some pauses for as long as it holds.
-fn send_all(ctx: &Ctx, news: News) {
-    let send = |news: &News| news::send(&ctx.socket, news, ctx.node.world.borrow().entries());
-    send(&news);
-    send(&news);
+fn send_all(ctx: &Ctx, update: Update) {
+    let send =
+        |update: &Update| update::send(&ctx.socket, update, ctx.node.world.borrow().entries());
+    send(&update);
+    send(&update);
     let ctx = Rc::clone(ctx);
     tokio::task::spawn_local(async move {
         for pause in REPEATS {
             sleep(pause).await;
-            if !news.strike.is_some_and(|s| holds(&ctx, &s)) {
+            if !update.strike.is_some_and(|s| holds(&ctx, &s)) {
                 return;
             }
-            news::send(&ctx.socket, &news, ctx.node.world.borrow().entries());
+            update::send(&ctx.socket, &update, ctx.node.world.borrow().entries());
         }
     });
 }
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -9,10 +9,9 @@
 use super::replica::Replica;
 use super::request::Job;
 
-/// Age up to which a sidecar's news counts.
+/// Age up to which a sidecar's update counts.
 pub(super) const HEARD: Micros = Micros::from_millis(1_500);
-/// Age of news after which an engine may have vanished with its host; sidecars tell five times a
-/// second.
+/// Age of an update after which an engine may have vanished with its host; sidecars send five a second.
 const FRESH: Micros = Micros::from_millis(700);
 
 /// Targets of a job's pool that take new work and pass a test, those not tried yet if there are any. A
--- a/crates/gate/src/entry/view.rs
+++ b/crates/gate/src/entry/view.rs
@@ -18,7 +18,7 @@
 use super::usable::{doubt, surely_answers, turn, HEARD};
 use crate::world::domain_key;
 
-/// How long an entry's word takes to reach a sidecar and to come back as news.
+/// How long an entry's note takes to reach a sidecar and to come back in an update.
 const TRANSIT: Micros = Micros::from_millis(5);
 /// Milliseconds that crossing failure domains is taken for.
 const FAR: f64 = 3.0;
--- a/crates/gate/src/kept.rs
+++ b/crates/gate/src/kept.rs
@@ -2,7 +2,7 @@
 //!
 //! A store answers only a few listeners at once, so not every entry can follow it. A few sidecars
 //! do, chosen by rank for each store, and tell the entries. More than one follows each store, so that
-//! the loss of a host doesn't leave the entries without news; the same news twice does no harm.
+//! the loss of a host doesn't leave the entries without updates; the same one twice does no harm.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -19,7 +19,7 @@
 
 use crate::cache::{Cache, Follower};
 use crate::log::Dependency;
-use crate::news::{self, News};
+use crate::update::{self, Update};
 use crate::world::Shared;
 
 /// Sidecars that follow each store; stores allow eight listeners or more.
@@ -48,19 +48,19 @@
     /// Tells some addresses all that is known.
     pub fn tell(&self, socket: &UdpSocket, to: impl IntoIterator<Item = SocketAddr> + Clone) {
         for (addr, view) in self.0.borrow().iter() {
-            news::send_parts(socket, view.news(*addr), &view.cache.all(), to.clone());
+            update::send_parts(socket, view.update(*addr), &view.cache.all(), to.clone());
         }
     }
 }
 
 impl View {
-    fn news(&self, addr: SocketAddr) -> News {
-        News {
+    fn update(&self, addr: SocketAddr) -> Update {
+        Update {
             engine: addr.to_string(),
             kept: true,
             alive: self.alive,
             epoch: self.cache.epoch,
-            ..News::default()
+            ..Update::default()
         }
     }
 }
@@ -126,18 +126,18 @@
         let Ok(told) = told else {
             // Nothing is fetched from a store that doesn't answer.
             stores.0.borrow_mut().insert(addr, View::default());
-            news::send(&socket, &View::default().news(addr), entries);
+            update::send(&socket, &View::default().update(addr), entries);
             sleep(AGAIN).await;
             continue;
         };
-        let (news, changes) = {
+        let (update, changes) = {
             let mut stores = stores.0.borrow_mut();
             let view = stores.entry(addr).or_default();
             view.alive = true;
             let changes = told.into(&mut view.cache);
-            (view.news(addr), changes)
+            (view.update(addr), changes)
         };
-        news::send_parts(&socket, news, &changes, entries.iter().copied());
+        update::send_parts(&socket, update, &changes, entries.iter().copied());
         if whole.elapsed() > WHOLE {
             whole = Instant::now();
             stores.tell(&socket, entries.iter().copied());
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`entry`] takes callers' requests and goes to the targets directly; [`sidecar`] stands beside an
 //! engine, is the only one that orders its weights, and tells the entries what the engine holds and
 //! has to do. Both follow the operator's rows ([`follow`]), hand them on to those whom the store
-//! turns away ([`peer`]), and tell one another what they see ([`news`]).
+//! turns away ([`peer`]), and send one another updates ([`update`]).
 //!
 //! Each process runs on one thread. What it believes lies in a [`world::World`], borrowed for the
 //! length of a decision and never across a wait.
@@ -14,10 +14,10 @@
 pub mod kept;
 pub mod log;
 pub mod meter;
-pub mod news;
 pub mod peer;
 pub mod sidecar;
 pub mod start;
+pub mod update;
 pub mod world;
 
 pub use start::run;
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -67,7 +67,7 @@
 /// Orders to engines, by outcome.
 pub const ORDERS: &str = "clementinestep_orders_total";
 /// Datagrams that can't be read.
-pub const BAD_NEWS: &str = "clementinestep_bad_news_total";
+pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
 /// Version of the configuration in force.
 pub const VERSION: &str = "clementinestep_configuration_version";
 /// Other processes known.
@@ -94,7 +94,7 @@
     describe_gauge!(RUNNING, "requests at targets");
     describe_gauge!(RETRIES, "retries left, by pool");
     describe_counter!(ORDERS, "orders to engines, by outcome");
-    describe_counter!(BAD_NEWS, "datagrams that can't be read");
+    describe_counter!(BAD_UPDATES, "datagrams that can't be read");
     describe_gauge!(VERSION, "version of the configuration in force");
     describe_gauge!(MEMBERS, "other processes known");
 }
--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -1,10 +1,10 @@
-//! The process beside an engine: it orders its weights and tells the entries about it.
+//! The process beside an engine: it orders its weights and reports to the entries.
 //!
 //! No other host ever orders this engine, so that orders of two holders can't cross, whatever is
 //! paused or cut off. Over its own restarts, which leave it nothing, its fencing token rises because
 //! it is the time that the store's steady clock showed when this process began.
 
-mod tell;
+mod report;
 mod weights;
 
 use std::future::Future;
@@ -25,22 +25,22 @@
 use crate::cache::{Cache, Follower};
 use crate::kept;
 use crate::log::Dependency;
-use crate::news::{self, Held, Life, News};
+use crate::update::{self, Held, Life, Update};
 use crate::world::Shared;
-use tell::{for_peers, fresh, subscribers, summary, tell_whole, timeless};
+use report::{for_peers, fresh, send_whole, subscribers, summary, timeless};
 use weights::Rollout;
 
 /// Pause between two looks at the engine; a request's first token takes about as long.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long the engine may take to answer; it is on the same host.
 const PATIENCE: Duration = Duration::from_millis(250);
-/// Changed load is told at once, unchanged load after this time.
+/// Changed load is reported at once, unchanged load after this time.
 const RENEW: Duration = Duration::from_millis(200);
-/// How often all that the engine holds is told.
+/// Interval at which all that the engine holds is reported.
 const WHOLE: Duration = Duration::from_secs(3);
-/// How long after its start a sidecar tells all entries; each that wants to hear it asks within that.
+/// How long after its start a sidecar reports to all entries; each that uses it subscribes within that.
 const STARTED: Micros = Micros(2 * subscription::RENEW.0);
-/// How often the other sidecars are told while weights change; they count a word for three times that.
+/// Interval of updates to the other sidecars while weights change; each counts for three times that.
 const PEERS: Duration = Duration::from_millis(500);
 
 /// What the sidecar knows of its engine.
@@ -48,9 +48,9 @@
 struct Engine {
     report: Option<Report>,
     alive: bool,
-    /// Whether nobody listens at its address.
+    /// Whether nothing listens at its address.
     ended: bool,
-    /// Which life it is, and which one was there before it.
+    /// Which incarnation it is, and which one was there before it.
     boot: Option<Boot>,
     former: Option<Boot>,
     /// Since when it answers.
@@ -66,8 +66,8 @@
 }
 
 impl Engine {
-    /// Takes over an entry's word of which life it is. An entry that hasn't read the list since the
-    /// former one ended still names that one.
+    /// Takes over which incarnation it is from an entry. One that hasn't read the list since the former
+    /// one ended still names that one.
     fn live(&mut self, life: &Life) {
         let boot = Boot {
             id: life.id.clone(),
@@ -99,7 +99,7 @@
         Rc::clone(&socket),
         kept.clone(),
     ));
-    let hear = hear(
+    let receive = receive(
         Rc::clone(&node),
         Rc::clone(&engine),
         Rc::clone(&socket),
@@ -109,7 +109,7 @@
     tokio::select! {
         () = events => {}
         () = look => {}
-        () = hear => {}
+        () = receive => {}
         _ = stop => {}
     }
     Ok(())
@@ -117,29 +117,31 @@
 
 type Own = Rc<std::cell::RefCell<Engine>>;
 
-/// Takes over what entries tell of the prompts that they send, and answers those that have just
-/// started and know nothing.
-async fn hear(node: Shared, engine: Own, socket: Rc<UdpSocket>, kept: kept::Stores) {
+/// Receives updates: incarnations, subscriptions and prompts from entries, slots from other sidecars.
+async fn receive(node: Shared, engine: Own, socket: Rc<UdpSocket>, kept: kept::Stores) {
     loop {
-        let (news, from) = news::receive(&socket).await;
-        if let Some(life) = &news.life {
+        let (update, from) = update::receive(&socket).await;
+        if let Some(life) = &update.life {
             engine.borrow_mut().live(life);
         }
-        if news.asks {
+        if update.asks {
             if engine.borrow_mut().subscribers.subscribe(node.now(), from) {
-                tell_whole(&engine, &socket, &summary(&node, &engine), [from]);
+                send_whole(&engine, &socket, &summary(&node, &engine), [from]);
                 kept.tell(&socket, [from]);
             }
             continue;
         }
-        if !news.entry {
-            engine.borrow_mut().rollout.receive(node.now(), &news, from);
-            if let Some(ask) = news.slot_ask {
+        if !update.entry {
+            engine
+                .borrow_mut()
+                .rollout
+                .receive(node.now(), &update, from);
+            if let Some(ask) = update.slot_ask {
                 weights::answer(&node, &engine, &socket, ask, from);
             }
             continue;
         }
-        let Some(note) = news.note else {
+        let Some(note) = update.note else {
             continue;
         };
         let ledger = &mut engine.borrow_mut().ledger;
@@ -154,16 +156,16 @@
 async fn events(engine: Own, addr: SocketAddr) {
     let mut follower = Follower::new(Conn::new(addr));
     loop {
-        // The look at the engine's load tells when it doesn't answer.
-        let Ok(told) = follower.changes().await else {
+        // The look at the engine's load shows when it doesn't answer.
+        let Ok(changes) = follower.changes().await else {
             sleep(PATIENCE).await;
             continue;
         };
         let mut e = engine.borrow_mut();
         let before = e.cache.epoch;
-        let changes = told.into(&mut e.cache);
+        let changes = changes.into(&mut e.cache);
         if e.cache.epoch != before {
-            // Another life of the engine, which holds nothing of before.
+            // Another incarnation of the engine, which holds nothing of before.
             e.fresh.clear();
             e.ledger.clear();
         }
@@ -171,9 +173,9 @@
     }
 }
 
-/// Looks at the engine, gives it its orders, tells the entries.
+/// Looks at the engine, gives it its orders, reports to the entries.
 async fn look(node: &Shared, engine: &Own, mut conn: Conn, socket: &UdpSocket) {
-    let mut told = News::default();
+    let mut reported = Update::default();
     let mut renewed = Instant::now() - RENEW;
     let mut whole = Instant::now();
     let mut peers = Peers::default();
@@ -184,49 +186,49 @@
         note(node.now(), engine, report);
         weights::schedule(node, engine);
         if let Some(order) = weights::claim(node, engine, socket) {
-            let news = summary(node, engine);
-            peers.tell(node, engine, socket, &news);
-            news::send(socket, &news, subscribers(node, engine));
+            let update = summary(node, engine);
+            peers.report(node, engine, socket, &update);
+            update::send(socket, &update, subscribers(node, engine));
             weights::give(node, engine, &mut conn, &order).await;
         }
-        let news = summary(node, engine);
-        peers.tell(node, engine, socket, &news);
+        let update = summary(node, engine);
+        peers.report(node, engine, socket, &update);
         if whole.elapsed() >= WHOLE {
             whole = Instant::now();
-            tell_whole(engine, socket, &news, subscribers(node, engine));
+            send_whole(engine, socket, &update, subscribers(node, engine));
         }
         let fresh = fresh(node, engine);
-        let timeless = timeless(&news);
-        if timeless != told || !fresh.is_empty() || renewed.elapsed() >= RENEW {
-            told = timeless;
+        let timeless = timeless(&update);
+        if timeless != reported || !fresh.is_empty() || renewed.elapsed() >= RENEW {
+            reported = timeless;
             renewed = Instant::now();
-            news::send_parts(socket, news, &fresh, subscribers(node, engine));
+            update::send_parts(socket, update, &fresh, subscribers(node, engine));
         }
         sleep(LOOK).await;
     }
 }
 
-/// What the other sidecars were told last.
+/// What was last reported to the other sidecars.
 #[derive(Default)]
 struct Peers {
-    told: News,
+    reported: Update,
     renewed: Option<Instant>,
 }
 
 impl Peers {
-    /// Tells the other sidecars what has changed, and all of it now and then while weights change.
-    fn tell(&mut self, node: &Shared, engine: &Own, socket: &UdpSocket, news: &News) {
-        let news = for_peers(news);
-        let timeless = timeless(&news);
+    /// Reports to the other sidecars what has changed, and all of it now and then while weights change.
+    fn report(&mut self, node: &Shared, engine: &Own, socket: &UdpSocket, update: &Update) {
+        let update = for_peers(update);
+        let timeless = timeless(&update);
         let late = self.renewed.is_none_or(|at| at.elapsed() >= PEERS);
         let renew = late && engine.borrow().rollout.slots.under_way(node.now());
         let answers = engine.borrow().rollout.slots.answers(node.now());
-        if !answers || (timeless == self.told && !renew) {
+        if !answers || (timeless == self.reported && !renew) {
             return;
         }
-        self.told = timeless;
+        self.reported = timeless;
         self.renewed = Some(Instant::now());
-        news::send(socket, &news, weights::peers(node));
+        update::send(socket, &update, weights::peers(node));
     }
 }
 
--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -15,11 +15,11 @@
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::tell::{for_peers, summary};
+use super::report::{for_peers, summary};
 use super::{Own, PATIENCE};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::news::{self, News, SlotAsk};
+use crate::update::{self, SlotAsk, Update};
 use crate::world::{Shared, World};
 
 /// How long an order waits for an entry's update of which incarnation the engine is. An order that names
@@ -62,10 +62,10 @@
 
 impl Rollout {
     /// Takes over another sidecar's update or answer.
-    pub(super) fn receive(&mut self, now: Micros, news: &News, from: SocketAddr) {
-        let state = news.alive.then(|| state(news));
+    pub(super) fn receive(&mut self, now: Micros, update: &Update, from: SocketAddr) {
+        let state = update.alive.then(|| state(update));
         self.slots.receive(now, from, state);
-        if let Some(ask) = news.slot_answer {
+        if let Some(ask) = update.slot_answer {
             let sent = Micros(ask.sent_us);
             let claim = ask.claim;
             self.slots.answered(from, Ask { claim, sent });
@@ -73,33 +73,35 @@
     }
 
     /// Adds to the update for the entries and the other sidecars.
-    pub(super) fn report(&self, now: Micros, news: &mut News) {
+    pub(super) fn report(&self, now: Micros, update: &mut Update) {
         let ms = |t: Micros| u32::try_from(t.as_millis()).unwrap_or(u32::MAX);
         let state = self.slots.state(now, 0, Vec::new());
-        news.due_ms = state.due.map(ms);
-        news.loading_ms = state.loading.map(ms);
-        news.load_ms = state.load.map(ms);
-        news.wanted = state.desired;
-        news.claims = state.claims;
-        news.process = self.process;
-        news.sent_us = state.sent.0;
+        update.due_ms = state.due.map(ms);
+        update.loading_ms = state.loading.map(ms);
+        update.load_ms = state.load.map(ms);
+        update.wanted = state.desired;
+        update.claims = state.claims;
+        update.process = self.process;
+        update.sent_us = state.sent.0;
     }
 }
 
 /// A sidecar's update as decisions see it.
-fn state(news: &News) -> State {
+fn state(update: &Update) -> State {
     let ms = |ms: u32| Micros::from_millis(ms.into());
-    let weights = news.weights.iter();
+    let weights = update.weights.iter();
     State {
-        engine: engine_key(&news.engine),
+        engine: engine_key(&update.engine),
         weights: weights.map(|w| (model_key(&w.model), w.version)).collect(),
-        loading: news.busy.then(|| ms(news.loading_ms.unwrap_or_default())),
-        due: news.due_ms.map(ms),
-        load: news.load_ms.map(ms),
-        desired: news.wanted,
-        claims: news.claims,
-        process: news.process,
-        sent: Micros(news.sent_us),
+        loading: update
+            .busy
+            .then(|| ms(update.loading_ms.unwrap_or_default())),
+        due: update.due_ms.map(ms),
+        load: update.load_ms.map(ms),
+        desired: update.wanted,
+        claims: update.claims,
+        process: update.process,
+        sent: Micros(update.sent_us),
     }
 }
 
@@ -212,14 +214,14 @@
     let peers = peers(node);
     let (step, order) = step(node, engine, &peers);
     if let Some((ask, to)) = step.asks {
-        let news = News {
+        let update = Update {
             slot_ask: Some(SlotAsk {
                 claim: ask.claim,
                 sent_us: ask.sent.0,
             }),
             ..for_peers(&summary(node, engine))
         };
-        news::send(socket, &news, to);
+        update::send(socket, &update, to);
     }
     order
 }
@@ -235,11 +237,11 @@
     if !engine.borrow().rollout.slots.answers(node.now()) {
         return;
     }
-    let news = News {
+    let update = Update {
         slot_answer: Some(ask),
         ..for_peers(&summary(node, engine))
     };
-    news::send(socket, &news, [to]);
+    update::send(socket, &update, [to]);
 }
 
 fn step(node: &Shared, engine: &Own, peers: &[SocketAddr]) -> (Step<SocketAddr>, Option<Order>) {
--- a/crates/gate/src/news.rs
+++ b/crates/gate/src/update.rs
@@ -1,8 +1,10 @@
-//! What sidecars tell the entries, and entries one another: datagrams about one engine.
+//! Updates between processes: datagrams about one engine, from sidecars to the entries and to one another,
+//! and between entries.
 //!
-//! News is about now, so a lost datagram isn't sent again; the next one says more. What the engine
-//! holds is told as changes, and in whole every few seconds, so that an entry that has missed a
-//! change or has just started is right again soon. A wrong belief costs time, never an answer.
+//! An update is the state as of now, so a lost one isn't sent again; the next one replaces it. What the
+//! engine holds is sent as changes, and in whole every few seconds, so that an entry that has missed a change
+//! or has just started is right again soon. State that is out of date costs time, never an answer. What
+//! mustn't rest on one datagram is asked for ([`SlotAsk`]) or repeated while it holds ([`Strike`]).
 
 use std::net::SocketAddr;
 
@@ -16,7 +18,7 @@
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
-pub struct News {
+pub struct Update {
     /// Address of the engine, as targets are listed.
     #[prost(string, tag = "1")]
     pub engine: String,
@@ -195,44 +197,44 @@
     pub tokens: u32,
 }
 
-/// Sends news to some addresses. What can't be sent at once is dropped.
-pub fn send(socket: &UdpSocket, news: &News, to: impl IntoIterator<Item = SocketAddr>) {
-    let bytes = news.encode_to_vec();
+/// Sends an update to some addresses. What can't be sent at once is dropped.
+pub fn send(socket: &UdpSocket, update: &Update, to: impl IntoIterator<Item = SocketAddr>) {
+    let bytes = update.encode_to_vec();
     for addr in to {
         // A full link or a host that is gone: the next datagram says more.
         let _ = socket.try_send_to(&bytes, addr);
     }
 }
 
-/// Sends news with some parts to some addresses, in as many datagrams as the parts need.
+/// Sends an update with some parts to some addresses, in as many datagrams as the parts need.
 pub fn send_parts(
     socket: &UdpSocket,
-    news: News,
+    update: Update,
     parts: &[Held],
     to: impl IntoIterator<Item = SocketAddr> + Clone,
 ) {
     let mut chunks = parts.chunks(PARTS);
     loop {
         let parts = chunks.next().unwrap_or_default().to_vec();
-        let news = News {
+        let update = Update {
             parts,
-            ..news.clone()
+            ..update.clone()
         };
-        send(socket, &news, to.clone());
+        send(socket, &update, to.clone());
         if chunks.len() == 0 {
             break;
         }
     }
 }
 
-/// Waits for the next datagram that can be read, and tells who sent it.
-pub async fn receive(socket: &UdpSocket) -> (News, SocketAddr) {
+/// Waits for the next datagram that can be read, with its sender.
+pub async fn receive(socket: &UdpSocket) -> (Update, SocketAddr) {
     let mut buffer = [0; 2 * LARGEST];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((n, from)) => match News::decode(&buffer[..n]) {
-                Ok(news) => return (news, from),
-                Err(_) => crate::meter::count(crate::meter::BAD_NEWS, "reason", "unreadable"),
+            Ok((n, from)) => match Update::decode(&buffer[..n]) {
+                Ok(update) => return (update, from),
+                Err(_) => crate::meter::count(crate::meter::BAD_UPDATES, "reason", "unreadable"),
             },
             // Only a port that nobody listens on at a former receiver comes back as an error.
             Err(_) => tokio::task::yield_now().await,
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! What an entry believes of targets, as the list and sidecars tell it.
 
 use gate::entry::Fleet;
-use gate::news::{Held, Loaded, News};
+use gate::update::{Held, Loaded, Update};
 use model::Micros;
 use policy::lapse;
 use site::{Boot, Part, PartId, State, Target};
@@ -63,7 +63,7 @@
     assert_eq!(there(&fleet, now), ["old"]);
     fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
     assert_eq!(there(&fleet, now), ["new"]);
-    let news = News {
+    let update = Update {
         engine: ADDR.to_owned(),
         alive: true,
         parts: vec![Held {
@@ -71,9 +71,9 @@
             part: 7,
             tokens: 30,
         }],
-        ..News::default()
+        ..Update::default()
     };
-    fleet.hear(now, &news, ADDR.parse().expect("an address"));
+    fleet.hear(now, &update, ADDR.parse().expect("an address"));
     assert_eq!(holds(&fleet, "new"), 30);
     assert_eq!(holds(&fleet, "old"), 0);
 }
@@ -106,24 +106,24 @@
     let addr = ADDR.parse().expect("an address");
     let mut fleet = Fleet::default();
     fleet.list(now, vec![target("old", 5)], &CONFIG);
-    let news = |ended: bool| News {
+    let update = |ended: bool| Update {
         engine: ADDR.to_owned(),
         alive: !ended,
         ended,
-        ..News::default()
+        ..Update::default()
     };
-    fleet.hear(now, &news(false), addr);
+    fleet.hear(now, &update(false), addr);
     assert_eq!(there(&fleet, now), ["old"]);
-    fleet.hear(now, &news(true), addr);
+    fleet.hear(now, &update(true), addr);
     assert!(there(&fleet, now).is_empty());
     // The successor answers its sidecar before it is in the list.
-    fleet.hear(now, &news(false), addr);
+    fleet.hear(now, &update(false), addr);
     fleet.list(now, vec![target("old", 5)], &CONFIG);
     assert!(there(&fleet, now).is_empty());
     fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
     assert_eq!(there(&fleet, now), ["new"]);
     // Nobody listened for a moment, but the engine's own heartbeats go on.
-    fleet.hear(now, &news(true), addr);
+    fleet.hear(now, &update(true), addr);
     fleet.list(now, vec![target("new", 12)], &CONFIG);
     assert_eq!(there(&fleet, now), ["new"]);
 }
@@ -138,16 +138,16 @@
     let at = |ms| Micros::from_secs(100) + Micros::from_millis(ms);
     fleet.list(at(0), vec![target("e", 5)], &CONFIG);
     let reports = |fleet: &mut Fleet, ms, version| {
-        let news = News {
+        let update = Update {
             engine: ADDR.to_owned(),
             alive: true,
             weights: vec![Loaded {
                 model: "m".to_owned(),
                 version,
             }],
-            ..News::default()
+            ..Update::default()
         };
-        fleet.hear(at(ms), &news, addr);
+        fleet.hear(at(ms), &update, addr);
         let first = fleet.replicas.values().next().expect("the engine");
         first.weights["m"]
     };
