--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -8,8 +8,9 @@
 use model::Micros;
 use platform::replica::{self, EngineError, LoadOrder, Taken};
 use platform::Conn;
+use policy::contact::Ask;
 use policy::rollout;
-use policy::slots::{Ask, Group, Lack, ModelKey, Outcome, Slots, State, Step};
+use policy::slots::{Group, Lack, ModelKey, Outcome, Slots, State, Step};
 use policy::versions::Versions;
 use site::{Report, Role, Swap, Weights};
 use tokio::net::UdpSocket;
@@ -67,8 +68,8 @@
         self.slots.receive(now, from, state);
         if let Some(ask) = update.slot_answer {
             let sent = Micros(ask.sent_us);
-            let claim = ask.claim;
-            self.slots.answered(from, Ask { claim, sent });
+            let round = ask.round;
+            self.slots.answered(from, Ask { round, sent });
         }
     }
 
@@ -216,7 +217,7 @@
     if let Some((ask, to)) = step.asks {
         let update = Update {
             slot_ask: Some(SlotAsk {
-                claim: ask.claim,
+                round: ask.round,
                 sent_us: ask.sent.0,
             }),
             ..for_peers(&summary(node, engine))
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -113,7 +113,7 @@
 pub struct SlotAsk {
     /// Draw of the claim; 0 outside of one.
     #[prost(fixed64, tag = "1")]
-    pub claim: u64,
+    pub round: u64,
     /// Microseconds since the asking sidecar's start.
     #[prost(uint64, tag = "2")]
     pub sent_us: u64,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,9 +11,11 @@
 //! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
-//! late, [`standing`] tells which targets to leave alone, [`lapse`] which to keep though they aren't listed, [`misdirected`] how long one whose address answered for another isn't used, [`shared`] keeps all entries within one
-//! budget of retries, [`subscription`] says which engines an entry subscribes to, [`broken`] tells crashes from
-//! lost connections for [`quarantine`], [`rollout`] says which engines take new weights, and [`slots`] when one does.
+//! late, [`standing`] says which targets to leave alone, [`lapse`] which to keep though they aren't
+//! listed, [`misdirected`] for how long one isn't used whose address answered for another, [`shared`]
+//! keeps all entries within one budget of retries, [`subscription`] says which engines an entry
+//! subscribes to, [`broken`] separates crashes from lost connections for [`quarantine`], [`rollout`] says
+//! which engines take new weights, and [`slots`] when one does, by what its peers answer ([`contact`]).
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
 
@@ -22,6 +24,7 @@
 pub mod broken;
 pub mod busy;
 pub mod concurrency;
+pub mod contact;
 pub mod cost;
 pub mod drain;
 pub mod health;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -10,8 +10,8 @@
 //! sidecar asks the others, each answers with its state as of now, and the engine loads only if all answers
 //! are recent and leave a slot free. Who answers counts the claim as a load for a while, so that of two
 //! claims at least the later one sees the other; of claims that see one another the lower tie goes ahead.
-//! The claim ends before those who answered stop counting it. A sidecar that leaves [`ASKS`] asks without
-//! an answer is passed over, on its last state, until it is received again: none waits for a dead host.
+//! The claim ends before those who answered stop counting it. A sidecar that doesn't answer
+//! is passed over ([`crate::contact`]), on its last state.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -19,6 +19,7 @@
 use model::Micros;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::contact::{Ask, Contacts};
 use crate::rollout::{self, Engine, Pool};
 use crate::versions::Versions;
 
@@ -35,8 +36,6 @@
 /// How long another sidecar's claim counts after it was received. Longer than answers count, so that a
 /// claim has ended, or its load has been reported, before others stop counting it.
 const CLAIM: Micros = Micros::from_millis(500);
-/// Asks without an answer after which a sidecar is passed over.
-const ASKS: u32 = 10;
 /// How long a claim may last.
 const PATIENCE: Micros = Micros::from_secs(2);
 /// Pause after an order that was refused or had no answer, and after a claim that came to nothing.
@@ -73,15 +72,6 @@
     pub sent: Micros,
 }
 
-/// A question for another sidecar's state as of now, which its answer repeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// Draw of the claim; 0 outside of one.
-    pub claim: u64,
-    /// When it was sent, on the asking sidecar's clock.
-    pub sent: Micros,
-}
-
 /// What a sidecar does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Step<K> {
@@ -144,34 +134,6 @@
     state: State,
 }
 
-/// Whether a sidecar answers.
-#[derive(Clone, Copy, Debug, Default)]
-struct Contact {
-    /// Asks since its last answer.
-    open: u32,
-    /// When the last ask of the claim that it answered was sent.
-    answered: Option<Micros>,
-    /// Whether nothing was received since it was passed over.
-    silent: bool,
-}
-
-impl Contact {
-    fn passed(self) -> bool {
-        self.silent || self.open > ASKS
-    }
-
-    fn answered_since(self, at: Micros) -> bool {
-        self.answered.is_some_and(|sent| sent >= at)
-    }
-}
-
-/// A claim of a slot.
-#[derive(Clone, Copy, Debug)]
-struct Claim {
-    draw: u64,
-    since: Micros,
-}
-
 /// A load under way.
 #[derive(Clone, Copy, Debug)]
 struct Loading {
@@ -184,8 +146,9 @@
 #[derive(Debug)]
 pub struct Slots<K> {
     peers: HashMap<K, Peer>,
-    contacts: HashMap<K, Contact>,
-    claim: Option<Claim>,
+    contacts: Contacts<K>,
+    /// Since when a slot is claimed.
+    claim: Option<Micros>,
     /// Whether no claim of another sidecar stands in the way.
     free: bool,
     /// When the weights that are lacking were named.
@@ -211,7 +174,7 @@
     fn default() -> Self {
         Self {
             peers: HashMap::new(),
-            contacts: HashMap::new(),
+            contacts: Contacts::default(),
             claim: None,
             free: false,
             named: Micros::ZERO,
@@ -230,11 +193,7 @@
 impl<K: Copy + Eq + Hash> Slots<K> {
     /// Takes over another sidecar's update; none if its engine doesn't answer.
     pub fn receive(&mut self, now: Micros, from: K, state: Option<State>) {
-        let contact = self.contacts.entry(from).or_default();
-        contact.silent = false;
-        if self.claim.is_none() {
-            contact.open = 0;
-        }
+        self.contacts.received(from);
         let Some(state) = state else {
             self.peers.remove(&from);
             return;
@@ -248,11 +207,7 @@
 
     /// Notes that another sidecar has answered an ask; its state is taken over by [`Self::receive`].
     pub fn answered(&mut self, from: K, ask: Ask) {
-        let contact = self.contacts.entry(from).or_default();
-        if self.claim.is_some_and(|c| c.draw == ask.claim) {
-            contact.answered = contact.answered.max(Some(ask.sent));
-            contact.open = 0;
-        }
+        self.contacts.answered(from, ask);
     }
 
     /// Whether asks may be answered: a process that has just started doesn't know yet whether its engine
@@ -342,50 +297,60 @@
     pub fn step(&mut self, now: Micros, peers: &[K], ordered: bool, draw: u64) -> Step<K> {
         let may = ordered && self.loading.is_none() && self.answers(now) && now >= self.pause;
         let Some(due) = self.due.filter(|_| may) else {
-            self.claim = None;
+            self.withdraw();
             return self.look_around(now, peers);
         };
-        let claim = self.claim.unwrap_or_else(|| self.begin(now, draw));
-        if now.since(claim.since) > PATIENCE {
-            self.claim = None;
+        let since = self.claim.unwrap_or_else(|| self.begin(now, draw));
+        if now.since(since) > PATIENCE {
+            self.withdraw();
             self.pause = now + AGAIN;
             return Step::default();
         }
         let peers = self.known(now, peers);
-        let contact = |k: &K| self.contacts.get(k).copied().unwrap_or_default();
-        let from = Micros(now.0.saturating_sub(RECENT.0)).max(claim.since);
-        let silent = peers.iter().filter(|k| !contact(k).answered_since(from));
-        let waits = silent.clone().any(|k| !contact(k).passed());
+        let unanswered = |age| self.unanswered(&peers, now, since, age);
+        let recent = unanswered(RECENT);
+        let waits = recent.iter().any(|k| !self.contacts.passed(k));
         if self.free && !waits && now > due {
-            let silent = silent.count();
-            self.claim = None;
-            // Without an answer the slot expires by the time since its first order, however long the
-            // engine had been free before.
-            self.due = Some(*self.tried.get_or_insert(now));
-            self.loading = Some(Loading {
-                since: now,
-                version: Some(self.desired),
-            });
+            self.take(now);
             return Step {
                 orders: true,
-                silent,
+                silent: recent.len(),
                 ..Step::default()
             };
         }
-        let old = Micros(now.0.saturating_sub(RENEW.0)).max(claim.since);
-        let again = peers.iter().filter(|k| !contact(k).answered_since(old));
-        let again = again.copied().collect();
-        self.ask(now, claim.draw, again)
+        let again = unanswered(RENEW);
+        self.ask(now, again)
     }
 
-    fn begin(&mut self, now: Micros, draw: u64) -> Claim {
-        for c in self.contacts.values_mut() {
-            c.answered = None;
-            c.open = if c.silent { c.open } else { 0 };
-        }
-        let claim = Claim { draw, since: now };
-        self.claim = Some(claim);
-        claim
+    /// Peers without an answer to an ask of some age at most that was sent after a claim began.
+    fn unanswered(&self, peers: &[K], now: Micros, claim: Micros, age: Micros) -> Vec<K> {
+        let from = Micros(now.0.saturating_sub(age.0)).max(claim);
+        let old = peers
+            .iter()
+            .filter(|k| !self.contacts.answered_since(k, from));
+        old.copied().collect()
+    }
+
+    fn begin(&mut self, now: Micros, draw: u64) -> Micros {
+        self.contacts.begin(draw);
+        self.claim = Some(now);
+        now
+    }
+
+    fn withdraw(&mut self) {
+        self.contacts.end();
+        self.claim = None;
+    }
+
+    fn take(&mut self, now: Micros) {
+        self.withdraw();
+        // Without an answer the slot expires by the time since its first order, however long the engine
+        // had been free before.
+        self.due = Some(*self.tried.get_or_insert(now));
+        self.loading = Some(Loading {
+            since: now,
+            version: Some(self.desired),
+        });
     }
 
     /// Asks those from which nothing was received since the weights were named, so that a dead one is known
@@ -395,21 +360,16 @@
             return Step::default();
         }
         let received = |k: &K| self.peers.get(k).is_some_and(|p| p.at >= self.named);
-        let passed = |k: &K| self.contacts.get(k).is_some_and(|c| c.passed());
-        let quiet = peers.iter().filter(|k| !received(k) && !passed(k));
+        let quiet = peers
+            .iter()
+            .filter(|k| !received(k) && !self.contacts.passed(k));
         let quiet = quiet.copied().collect();
-        self.ask(now, 0, quiet)
+        self.ask(now, quiet)
     }
 
-    fn ask(&mut self, now: Micros, claim: u64, peers: Vec<K>) -> Step<K> {
-        for k in &peers {
-            let contact = self.contacts.entry(*k).or_default();
-            contact.open = contact.open.saturating_add(1);
-            contact.silent |= contact.open > ASKS;
-        }
-        let ask = Ask { claim, sent: now };
+    fn ask(&mut self, now: Micros, peers: Vec<K>) -> Step<K> {
         Step {
-            asks: (!peers.is_empty()).then_some((ask, peers)),
+            asks: self.contacts.ask(now, peers),
             ..Step::default()
         }
     }
@@ -434,7 +394,7 @@
     }
 
     fn rest(&mut self) {
-        self.claim = None;
+        self.withdraw();
         self.free = false;
         self.tried = None;
         self.unanswered = false;
--- /dev/null
+++ b/crates/policy/tests/slots/main.rs
@@ -0,0 +1,209 @@
+//! Slots for loads of weights: single sidecars step by step, and pools in virtual time ([`sim`]).
+
+mod sim;
+
+use model::Micros;
+use policy::slots::{Group, Lack, ModelKey, Outcome, Slots, State};
+use policy::versions::Versions;
+
+use sim::{Play, Sim, Stop};
+
+const MODEL: ModelKey = ModelKey(7);
+fn ms(n: u64) -> Micros {
+    Micros::from_millis(n)
+}
+
+fn group(engine: u64, hosts: usize) -> Group {
+    Group {
+        engine,
+        rank: engine as usize,
+        hosts,
+        allowed: ms(60_000),
+    }
+}
+
+fn named(version: u64, at: Micros) -> Versions {
+    let mut named = Versions::default();
+    named.name(at, version, false);
+    named
+}
+
+fn lack(named: &Versions) -> Lack<'_> {
+    Lack {
+        model: MODEL,
+        version: 1,
+        named,
+    }
+}
+
+/// An order without an answer that the engine carries out for longer than an unused slot counts.
+#[test]
+fn load_whose_order_had_no_answer_keeps_its_slot() {
+    let named = named(2, ms(1_000));
+    let mut loads: Slots<u8> = Slots::default();
+    let mut other: Slots<u8> = Slots::default();
+    let mut ordered = false;
+    for now in (1_000..4_000).step_by(50).map(ms) {
+        loads.report(now, &[(MODEL, 1)], ordered);
+        other.report(now, &[(MODEL, 1)], false);
+        let third = State {
+            engine: 3,
+            weights: vec![(MODEL, 2)],
+            sent: now,
+            ..State::default()
+        };
+        loads.receive(now, 3, Some(third.clone()));
+        other.receive(now, 3, Some(third));
+        loads.schedule(now, &group(1, 3), Some(&lack(&named)));
+        if step(&mut loads, now, &[3]) {
+            loads.ordered(now, Outcome::Unknown);
+            ordered = true;
+        }
+        let state = loads.state(now, 1, vec![(MODEL, 1)]);
+        other.receive(now, 1, Some(state));
+        if !ordered {
+            continue;
+        }
+        other.schedule(now, &group(2, 3), Some(&lack(&named)));
+        assert!(!step(&mut other, now, &[1, 3]), "two load at {now:?}");
+    }
+    assert!(ordered);
+}
+
+/// An engine that couldn't be ordered for longer than an unused slot counts, and is then.
+#[test]
+fn order_that_comes_late_keeps_its_slot() {
+    let named = named(2, ms(1_000));
+    let mut late: Slots<u8> = Slots::default();
+    let mut other: Slots<u8> = Slots::default();
+    let mut ordered = None;
+    for at in (1_000..4_000).step_by(50) {
+        let now = ms(at);
+        late.report(now, &[(MODEL, 1)], false);
+        let may = at >= 2_500;
+        let third = State {
+            engine: 3,
+            weights: vec![(MODEL, 2)],
+            sent: now,
+            ..State::default()
+        };
+        late.receive(now, 3, Some(third));
+        late.schedule(now, &group(1, 3), Some(&lack(&named)));
+        if step_if(&mut late, now, &[3], may) {
+            late.ordered(now, Outcome::Unknown);
+            ordered = ordered.or(Some(at));
+        }
+        other.report(now, &[(MODEL, 1)], false);
+        let state = late.state(now, 1, vec![(MODEL, 1)]);
+        other.receive(now, 1, Some(state));
+        let Some(ordered) = ordered.filter(|o| at < o + 450) else {
+            continue;
+        };
+        other.schedule(now, &group(2, 2), Some(&lack(&named)));
+        let loads = step(&mut other, now, &[1]);
+        assert!(!loads, "two load {} ms after the order", at - ordered);
+    }
+    assert!(ordered.is_some());
+}
+
+/// Lets a sidecar take its next step, with all asks answered at once; true if it orders a load.
+fn step(slots: &mut Slots<u8>, now: Micros, peers: &[u8]) -> bool {
+    step_if(slots, now, peers, true)
+}
+
+/// The same if its engine can be ordered.
+fn step_if(slots: &mut Slots<u8>, now: Micros, peers: &[u8], ordered: bool) -> bool {
+    let step = slots.step(now, peers, ordered, 1);
+    if let Some((ask, to)) = step.asks {
+        to.into_iter().for_each(|k| slots.answered(k, ask));
+    }
+    step.orders
+}
+
+/// Agreement that rests on single datagrams, or on state from before a pause, lets two engines load.
+#[test]
+fn no_more_engines_load_than_may_whatever_happens_to_sidecars_and_datagrams() {
+    struct Case {
+        name: &'static str,
+        play: Play,
+    }
+    let base = Play::default;
+    let nine = || Play {
+        engines: 9,
+        most: 2,
+        by: 60_000,
+        ..base()
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "nothing goes wrong", play: base() },
+        Case { name: "nothing goes wrong, nine", play: nine() },
+        Case { name: "datagrams are lost", play: Play { loss: 0.3, ..base() } },
+        Case { name: "datagrams are lost, nine", play: Play { loss: 0.3, ..nine() } },
+        Case { name: "datagrams are late and overtake one another", play: Play { delay: 100, ..base() } },
+        Case { name: "sidecars are paused", play: Play { pauses: 0.5, ..base() } },
+        Case { name: "sidecars are paused, nine", play: Play { pauses: 0.2, ..nine() } },
+        Case { name: "sidecars are killed and start again", play: Play { kills: 0.3, ..base() } },
+        Case { name: "sidecars start during the change", play: Play { joins: 2, ..base() } },
+        Case { name: "two versions in a row", play: Play { named: vec![2_000, 2_100], apart: 400, ..base() } },
+        Case { name: "two versions in a row, nine", play: Play { named: vec![2_000, 2_900], apart: 400, ..nine() } },
+        Case { name: "orders have no answer", play: Play { unanswered: 0.5, load: 1_400, ..base() } },
+        Case { name: "all of it", play: Play { named: vec![2_000, 3_500], apart: 300, loss: 0.2, delay: 60, pauses: 0.2, kills: 0.1, unanswered: 0.2, joins: 1, by: 40_000, ..base() } },
+    ];
+    let seeds = std::env::var("SLOT_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    for c in cases {
+        for seed in 0..seeds.unwrap_or(40) {
+            let (most, done) = Sim::new(&c.play, seed).run();
+            assert!(
+                most <= c.play.most,
+                "{}, seed {seed}: {most} load at a time",
+                c.name
+            );
+            assert!(
+                done.is_some(),
+                "{}, seed {seed}: not all have the newest",
+                c.name
+            );
+        }
+    }
+}
+
+/// A sidecar acts on what it knew before it was stopped, at whatever step of the change that was.
+#[test]
+fn stopped_sidecar_loads_beside_no_other_one() {
+    struct Case {
+        name: &'static str,
+        play: Play,
+    }
+    let base = Play::default;
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "nothing else", play: base() },
+        Case { name: "datagrams are lost", play: Play { loss: 0.3, ..base() } },
+        Case { name: "datagrams are late", play: Play { delay: 60, ..base() } },
+        Case { name: "a second version", play: Play { named: vec![2_000, 2_600], apart: 200, loss: 0.1, ..base() } },
+    ];
+    for c in cases {
+        for n in 0..3 * 26 * 5 * 2 {
+            let stop = Stop {
+                who: n % 3,
+                killed: n / 3 % 2 == 0,
+                at: 1_900 + 100 * (n as u64 / 6 % 26),
+                lasts: [100, 300, 700, 1_700, 2_500][n / 156],
+            };
+            let play = Play {
+                stop: Some(stop),
+                ..c.play.clone()
+            };
+            let (most, done) = Sim::new(&play, n as u64).run();
+            assert_eq!(most, 1, "{}, {stop:?}: engines that load at a time", c.name);
+            assert!(
+                done.is_some(),
+                "{}, {stop:?}: not all have the newest",
+                c.name
+            );
+        }
+    }
+}
