--- a/crates/policy/tests/slots/main.rs
+++ b/crates/policy/tests/slots/main.rs
@@ -9,6 +9,8 @@
 use sim::{Play, Sim, Stop};
 
 const MODEL: ModelKey = ModelKey(7);
+/// Milliseconds between two looks of a sidecar at its engine.
+const LOOK: u64 = 50;
 fn ms(n: u64) -> Micros {
     Micros::from_millis(n)
 }
@@ -106,6 +108,50 @@
     assert!(ordered.is_some());
 }
 
+/// A member that is gone for good delays each load.
+#[test]
+fn dead_member_is_waited_for_once() {
+    const DEAD: u8 = 9;
+    let mut slots: Slots<u8> = Slots::default();
+    slots.report(ms(0), &[(MODEL, 1)], false);
+    let mut version = 1;
+    let mut waits = Vec::new();
+    for desired in [2, 3] {
+        let start = desired * 2_000;
+        let named = named(desired, ms(start));
+        for at in (start..start + 2_000).step_by(LOOK as usize) {
+            let now = ms(at);
+            slots.report(now, &[(MODEL, version)], false);
+            let third = State {
+                engine: 3,
+                weights: vec![(MODEL, desired)],
+                sent: now,
+                ..State::default()
+            };
+            slots.receive(now, 3, Some(third));
+            let lack = Lack {
+                version,
+                ..lack(&named)
+            };
+            let lacks = version < desired;
+            slots.schedule(now, &group(1, 3), lacks.then_some(&lack));
+            let step = slots.step(now, &[3, DEAD], true, 1);
+            if let Some((ask, to)) = step.asks {
+                let live = to.into_iter().filter(|k| *k != DEAD);
+                live.for_each(|k| slots.answered(k, ask));
+            }
+            if step.orders {
+                slots.ordered(now, Outcome::Accepted);
+                version = desired;
+                waits.push(at - start);
+            }
+        }
+    }
+    assert_eq!(waits.len(), 2, "{waits:?}");
+    assert!(waits[0] <= 150 + 12 * LOOK, "{waits:?}");
+    assert!(waits[1] <= 150 + 2 * LOOK, "{waits:?}");
+}
+
 /// Lets a sidecar take its next step, with all asks answered at once; true if it orders a load.
 fn step(slots: &mut Slots<u8>, now: Micros, peers: &[u8]) -> bool {
     step_if(slots, now, peers, true)
--- a/crates/standin/src/switch.rs
+++ b/crates/standin/src/switch.rs
@@ -1,6 +1,6 @@
 //! The network between processes of ours: datagrams that are lost, delayed and overtake one another.
 //!
-//! Each process is reached at an address of the switch. What arrives there goes on to the process from the
+//! Each process is reached at an address of the switch. What arrives there is passed to the process from the
 //! sender's address at the switch, so that answers pass through it as well. Connections to such an address
 //! are passed on as they are.
 
