Bound claims of slots by steps, so that slow hosts get one

What callers saw: engines whose sidecars are slow keep their old weights, until callers are refused for their age.

Cause: a claim lasted 2 s. Where a look takes over 200 ms, ten asks take longer than that, so no peer was passed over; a late answer also started the count anew, though it was too old to be used.

A claim is bounded by steps, a late answer doesn't count, after ten steps the last answers do, and others don't take a claim for an unused slot.

--- a/crates/gate/src/sidecar/weights.rs
+++ b/crates/gate/src/sidecar/weights.rs
@@ -69,7 +69,7 @@
         if let Some(ask) = update.slot_answer {
             let sent = Micros(ask.sent_us);
             let round = ask.round;
-            self.slots.answered(from, Ask { round, sent });
+            self.slots.answered(now, from, Ask { round, sent });
         }
     }
 
--- a/crates/policy/src/contact.rs
+++ b/crates/policy/src/contact.rs
@@ -2,15 +2,17 @@
 //!
 //! A peer that leaves some asks without an answer is passed over, so that no process waits for a dead host;
 //! once something is received from it, it is waited for again. Asks are counted, not timed: a process that
-//! continues after a pause has asked none meanwhile.
+//! continues after a pause has asked none meanwhile, and a slow one asks seldom.
 
 use std::collections::HashMap;
 use std::hash::Hash;
 
 use model::Micros;
 
-/// Asks without an answer after which a peer is passed over.
-const ASKS: u32 = 10;
+/// Asks without a recent answer after which a peer is passed over.
+pub const ASKS: u32 = 10;
+/// Age up to which an answer counts, from the sending of the ask.
+pub const RECENT: Micros = Micros::from_millis(250);
 
 /// A question for a peer's state as of now, which its answer repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +26,7 @@
 /// Whether a peer answers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
-    /// Asks since its last answer.
+    /// Asks since its last recent answer.
     open: u32,
     /// When the last ask of the round that it answered was sent.
     answered: Option<Micros>,
@@ -73,10 +75,11 @@
         }
     }
 
-    /// Notes a peer's answer.
-    pub fn answered(&mut self, from: K, ask: Ask) {
+    /// Notes a peer's answer. A late one doesn't count: a peer that is always late would neither be waited
+    /// for with success nor passed over.
+    pub fn answered(&mut self, now: Micros, from: K, ask: Ask) {
         let contact = self.all.entry(from).or_default();
-        if self.round == Some(ask.round) {
+        if self.round == Some(ask.round) && now.since(ask.sent) <= RECENT {
             contact.answered = contact.answered.max(Some(ask.sent));
             contact.open = 0;
         }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -19,7 +19,7 @@
 use model::Micros;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::contact::{Ask, Contacts};
+use crate::contact::{self, Ask, Contacts, RECENT};
 use crate::rollout::{self, Engine, Pool};
 use crate::versions::Versions;
 
@@ -29,15 +29,13 @@
 const LISTEN: Micros = Micros::from_millis(150);
 /// How long a process that has just started and has received nothing waits for an update.
 const ALONE: Micros = Micros::from_millis(1_500);
-/// Age up to which an answer to an ask counts, from the sending of the ask.
-const RECENT: Micros = Micros::from_millis(250);
 /// Age of an answer from which on the sidecar is asked again.
 const RENEW: Micros = Micros::from_millis(100);
 /// How long another sidecar's claim counts after it was received. Longer than answers count, so that a
 /// claim has ended, or its load has been reported, before others stop counting it.
 const CLAIM: Micros = Micros::from_millis(500);
-/// How long a claim may last.
-const PATIENCE: Micros = Micros::from_secs(2);
+/// Steps that a claim may last; enough to pass over all peers and see other claims withdrawn.
+const STEPS: u32 = 4 * contact::ASKS;
 /// Pause after an order that was refused or had no answer, and after a claim that came to nothing.
 const AGAIN: Micros = Micros::from_millis(300);
 /// Time after an order in which the engine's report may not show it yet.
@@ -134,6 +132,14 @@
     state: State,
 }
 
+/// A claim of a slot.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    since: Micros,
+    /// Steps that it has lasted. Time doesn't tell how often a slow process could ask.
+    steps: u32,
+}
+
 /// A load under way.
 #[derive(Clone, Copy, Debug)]
 struct Loading {
@@ -147,8 +153,7 @@
 pub struct Slots<K> {
     peers: HashMap<K, Peer>,
     contacts: Contacts<K>,
-    /// Since when a slot is claimed.
-    claim: Option<Micros>,
+    claim: Option<Claim>,
     /// Whether no claim of another sidecar stands in the way.
     free: bool,
     /// When the weights that are lacking were named.
@@ -206,8 +211,8 @@
     }
 
     /// Notes that another sidecar has answered an ask; its state is taken over by [`Self::receive`].
-    pub fn answered(&mut self, from: K, ask: Ask) {
-        self.contacts.answered(from, ask);
+    pub fn answered(&mut self, now: Micros, from: K, ask: Ask) {
+        self.contacts.answered(now, from, ask);
     }
 
     /// Whether asks may be answered: a process that has just started doesn't know yet whether its engine
@@ -300,8 +305,8 @@
             self.withdraw();
             return self.look_around(now, peers);
         };
-        let since = self.claim.unwrap_or_else(|| self.begin(now, draw));
-        if now.since(since) > PATIENCE {
+        let Claim { since, steps } = self.claim.unwrap_or_else(|| self.begin(now, draw));
+        if steps > STEPS {
             self.withdraw();
             self.pause = now + AGAIN;
             return Step::default();
@@ -309,7 +314,8 @@
         let peers = self.known(now, peers);
         let unanswered = |age| self.unanswered(&peers, now, since, age);
         let recent = unanswered(RECENT);
-        let waits = recent.iter().any(|k| !self.contacts.passed(k));
+        // A process that is slower than answers grow old goes by the last of them.
+        let waits = steps <= contact::ASKS && recent.iter().any(|k| !self.contacts.passed(k));
         if self.free && !waits && now > due {
             self.take(now);
             return Step {
@@ -319,6 +325,8 @@
             };
         }
         let again = unanswered(RENEW);
+        let steps = steps + 1;
+        self.claim = Some(Claim { since, steps });
         self.ask(now, again)
     }
 
@@ -331,10 +339,12 @@
         old.copied().collect()
     }
 
-    fn begin(&mut self, now: Micros, draw: u64) -> Micros {
+    fn begin(&mut self, now: Micros, draw: u64) -> Claim {
         self.contacts.begin(draw);
-        self.claim = Some(now);
-        now
+        Claim {
+            since: now,
+            steps: 0,
+        }
     }
 
     fn withdraw(&mut self) {
@@ -438,7 +448,8 @@
                     Some(l) => Some(l + since),
                     None => claims.then_some(since),
                 },
-                due: p.state.due.filter(|_| !claims).map(|d| d + since),
+                // A claim takes its time where hosts are slow; it is no unused slot.
+                due: p.state.due.filter(|_| !p.state.claims).map(|d| d + since),
             })
         };
         self.recent(now).filter_map(|(_, p)| engine(p)).collect()
