Name the engine's incarnation in orders though datagrams are lost

- A sidecar learned its engine's incarnation only from datagrams of entries.
Without it an order waits 2.5 s.
- A process counted a version that it received in its first 3 s as named 2.5 s earlier, also when the store's feed brought it as a change.
Engines that hadn't loaded it 2.3 s later were too old for every caller.
Only a read of the whole table, or a peer, leaves open when a row was written. weights_from_the_feed_are_new_at_a_process_that_has_just_started.

A job that all open engines refused while they load now waits for one of them like one that came later, if it has the time; before, it was refused as no_target.

--- a/crates/daemon/tests/hosted/slots.rs
+++ b/crates/daemon/tests/hosted/slots.rs
@@ -1,12 +1,15 @@
 //! Slots for loads of weights, with sidecars that are stopped and datagrams that don't arrive.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
+use serde_json::json;
+use standin::hosted::replica::Replica;
 use standin::switch::{Path, Switch};
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{Process, LIMIT};
+use crate::fleet::{ask, Platform, Process, LIMIT, MODEL};
 use crate::pool::Three;
 
 /// How long a load takes.
@@ -53,6 +56,61 @@
     }
 }
 
+/// A sidecar without its engine's incarnation holds its order back, or sends it to whatever listens there.
+#[tokio::test]
+async fn order_names_the_incarnation_though_no_datagram_arrives() {
+    let switch = Switch::new(1);
+    switch.set(Path {
+        loss: 1.0,
+        ..Path::GOOD
+    });
+    let mut platform = Platform::start().await;
+    platform.store.set_switch(Arc::clone(&switch));
+    let engine = Replica::new("e1", 2, Duration::ZERO);
+    engine.load(MODEL, 1);
+    let at = platform.replica(&engine, "engines").await;
+    let _entry = platform.entry("front-1", 1).await;
+    let sidecar = platform.sidecar("side-1", at);
+    let named = json!({"model": MODEL, "version": 2});
+    platform.store.write("op", "version/lekha", &named);
+    sidecar.event("ordered", |e| e["outcome"] == "begun").await;
+    let orders = engine.orders();
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(orders[0]["meant"], "e1");
+}
+
+/// Callers are refused as if no engine were there when loads are late and the versions look old.
+#[tokio::test]
+async fn callers_are_served_while_weights_change_and_datagrams_are_lost() {
+    join_all((0..8).map(served)).await;
+}
+
+async fn served(seed: u64) {
+    let switch = Switch::new(seed);
+    let three = Three::behind(&switch).await;
+    switch.set(Path {
+        loss: 0.3,
+        ..Path::GOOD
+    });
+    three.name(2);
+    let rolled = async {
+        let mut refused = 0;
+        for n in 0.. {
+            if three.have(2) {
+                break;
+            }
+            let _loading = three.loading();
+            let answer = ask(&three.entry, "/probe/1", &format!("lost-{n}")).await;
+            refused += usize::from(!answer.is_ok_and(|a| a.status == 200));
+        }
+        refused
+    };
+    let refused = timeout(LIMIT, rolled).await.expect("all have them");
+    let refusals = three.entry.process.events("refused");
+    let context = || format!("seed {seed}: {:?}; {:?}", refusals.first(), three.orders());
+    assert_eq!(refused, 0, "{}", context());
+}
+
 async fn run(c: &Case, stop: Stop, who: usize, seed: u64) {
     let switch = Switch::new(seed);
     let mut three = Three::behind(&switch).await;
--- a/crates/gate/src/entry/request.rs
+++ b/crates/gate/src/entry/request.rs
@@ -111,6 +111,8 @@
     pub(super) deadline: Micros,
     /// Targets that it was sent to.
     pub(super) tried: Vec<Key>,
+    /// Those of them that refused it.
+    pub(super) refused: Vec<Key>,
     /// Times it was sent.
     pub(super) sends: u32,
     /// Times it was sent and may have run.
@@ -123,6 +125,12 @@
         self.deadline.since(now).into()
     }
 
+    /// Lets targets that refused it be tried again.
+    pub(super) fn forget_refusals(&mut self) {
+        let refused = std::mem::take(&mut self.refused);
+        self.tried.retain(|k| !refused.contains(k));
+    }
+
     /// Whether it may run once more.
     pub(super) fn may_run(&self) -> bool {
         self.runs < self.route.attempts
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -135,6 +135,7 @@
         came,
         deadline: came + wait.into(),
         tried: Vec::new(),
+        refused: Vec::new(),
         sends: 0,
         runs: 0,
         route: Rc::new(route),
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -81,6 +81,7 @@
                 // Not shorter where the load should be over already: until the sidecar's next word each
                 // look finds the same.
                 sleep(LOOK).await;
+                job.forget_refusals();
                 continue;
             }
             Err(reason) if job.runs == 0 => return Err(reason),
@@ -90,7 +91,10 @@
         let mut status = None;
         let (seen, ran, reason) = match tried {
             Tried::Found(found) => return Ok(found),
-            Tried::NotRun { seen, reason } => (seen, false, reason),
+            Tried::NotRun { seen, reason } => {
+                job.refused.push(pick.key);
+                (seen, false, reason)
+            }
             Tried::Ran { reason, answer } => {
                 job.runs += 1;
                 status = answer.as_ref().map(Response::status);
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -14,8 +14,9 @@
 /// Age of an update after which an engine may have vanished with its host; sidecars send five a second.
 const FRESH: Micros = Micros::from_millis(700);
 
-/// Targets of a job's pool that take new work and pass a test, those not tried yet if there are any. A
-/// suspect goes where no other one is, if it can: a crash then tells which of them it was.
+/// Targets of a job's pool that take new work and pass a test, those not tried yet if there are any, else
+/// those that refused the job and load weights. A suspect goes where no other one is, if it can: a crash
+/// then tells which of them it was.
 ///
 /// The test comes first: tested afterwards, a group that looked best and failed it as a whole, such as an
 /// engine with too old weights, left nobody, and callers were refused while others could have served.
@@ -44,6 +45,7 @@
         .or_else(|| some(&|c| fresh(c) && usable(c) && stays(c)))
         .or_else(|| some(&|c| fresh(c) && usable(c)))
         .or_else(|| some(&|c| fresh(c)))
+        .or_else(|| some(&|c| job.refused.contains(&c.0) && load_left(c.1, now).is_some()))
         .unwrap_or_default()
 }
 
@@ -62,14 +64,16 @@
 
 /// How long all of some engines go on loading weights, if they do; they refuse what is new until then.
 pub(super) fn all_load(open: &[(Key, &Replica)], now: Micros) -> Option<Micros> {
-    let left = |r: &Replica| {
-        let heard = r.heard.filter(|h| h.busy && now.since(h.at) < HEARD)?;
-        Some(heard.loaded.unwrap_or(now).since(now))
-    };
-    let all: Option<Vec<_>> = open.iter().map(|(_, r)| left(r)).collect();
+    let all: Option<Vec<_>> = open.iter().map(|(_, r)| load_left(r, now)).collect();
     all?.into_iter().min()
 }
 
+/// How long an engine continues to load weights, if it does.
+fn load_left(r: &Replica, now: Micros) -> Option<Micros> {
+    let heard = r.heard.filter(|h| h.busy && now.since(h.at) < HEARD)?;
+    Some(heard.loaded.unwrap_or(now).since(now))
+}
+
 /// Those of a pool's engines that are heard of. Up to some number all are, or the words of those that
 /// aren't are lost; beyond it the others look idle, since nothing is known of what they have to do.
 pub(super) fn heard(open: Vec<(Key, &Replica)>, now: Micros) -> Vec<(Key, &Replica)> {
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::log::{self, Dependency, Event};
-use crate::world::{domain_key, Member, OperatorRow, Shared};
+use crate::world::{domain_key, Member, OperatorRow, Shared, Source};
 
 /// How long the store may hold a call; long calls are few, and a vanished connection is found by
 /// the kernel's probes, not by this.
@@ -68,14 +68,14 @@
             continue;
         };
         let mut after = rows.version;
-        adopt(&node, rows);
+        adopt(&node, rows, Source::Table);
         loop {
             let news = store.changes(OPERATOR, after, HOLD).await;
             note(&node, &mut dependency, &news);
             match news {
                 Ok(rows) => {
                     after = after.max(rows.version);
-                    adopt(&node, rows);
+                    adopt(&node, rows, Source::Feed);
                 }
                 // The history between is gone, so all is read again.
                 Err(StoreError::Gone) => break,
@@ -90,7 +90,7 @@
     }
 }
 
-fn adopt(node: &Shared, rows: Rows) {
+fn adopt(node: &Shared, rows: Rows, source: Source) {
     let now = node.now();
     let mut world = node.world.borrow_mut();
     world.clock = world.clock.max(rows.clock);
@@ -102,7 +102,7 @@
     {
         // The operator takes nothing back; a row that is gone leaves what was in force.
         if let Some(value) = value {
-            world.adopt(now, &key, OperatorRow { version, value }, "store");
+            world.adopt(now, &key, OperatorRow { version, value }, source);
         }
     }
 }
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -18,13 +18,14 @@
 use platform::Row;
 use prost::Message;
 use rand::seq::IteratorRandom;
+use site::{Boot, Target};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::log::{self, Event};
-use crate::world::{OperatorRow, Read, Shared};
+use crate::world::{OperatorRow, Read, Shared, Source};
 
 /// Pause between two rounds of questions; several fit into the time in which a configuration must
 /// be known.
@@ -48,6 +49,9 @@
     /// Whether it asks for the list of targets instead.
     #[prost(bool, tag = "2")]
     targets: bool,
+    /// An address; set, it asks for the rows of the targets there instead.
+    #[prost(string, tag = "3")]
+    target: String,
 }
 
 /// What is newer.
@@ -115,9 +119,10 @@
     let mut frames = framed(tcp);
     let asked = frames.next().await.ok_or(PeerError::Ended)??;
     let ask = Ask::decode(asked)?;
-    let told = match ask.targets {
-        true => listed(node),
-        false => newer(node, &ask),
+    let told = match ask.target.parse() {
+        Ok(addr) => at(node, addr),
+        Err(_) if ask.targets => listed(node),
+        Err(_) => newer(node, &ask),
     };
     frames.send(Bytes::from(told.encode_to_vec())).await?;
     Ok(())
@@ -139,6 +144,19 @@
     }
 }
 
+/// The rows of targets at an address, if this process has read the list of late.
+fn at(node: &Shared, addr: SocketAddr) -> Told {
+    let mut told = listed(node);
+    told.rows
+        .retain(|r| target(r).is_some_and(|t| t.addr == addr));
+    told
+}
+
+/// The target that a row of the list names; none if the row can't be read.
+fn target(row: &ToldRow) -> Option<Target> {
+    platform::directory::target(&row.key, row.version, &row.value).ok()
+}
+
 /// The list of targets, if this process has it of late.
 fn listed(node: &Shared) -> Told {
     let world = node.world.borrow();
@@ -185,6 +203,30 @@
     (version > 0).then_some(Read { at, version, rows })
 }
 
+/// The incarnation of the target at an address, as entries have it from the list of late.
+pub async fn incarnation(node: &Shared, addr: SocketAddr) -> Option<Boot> {
+    let entries: Vec<_> = {
+        let world = node.world.borrow();
+        let entries = world.entries();
+        entries.choose_multiple(&mut rand::rng(), ASKED)
+    };
+    let ask = Ask {
+        target: addr.to_string(),
+        ..Ask::default()
+    };
+    let asked = entries
+        .into_iter()
+        .map(|a| timeout(PATIENCE, question(a, &ask)));
+    let answers = futures::future::join_all(asked).await;
+    // An entry that doesn't answer is replaced by another one in the next round.
+    let rows = answers
+        .into_iter()
+        .filter_map(|a| a.ok()?.ok())
+        .flat_map(|a| a.rows);
+    let latest = rows.filter_map(|r| target(&r)).max_by_key(|t| t.renewed)?;
+    Some(latest.boot)
+}
+
 /// Asks others for as long as the store doesn't answer.
 pub async fn ask(node: Shared) {
     loop {
@@ -246,6 +288,6 @@
             version: row.version,
             value: row.value,
         };
-        world.adopt(now, &row.key, value, "peer");
+        world.adopt(now, &row.key, value, Source::Peer);
     }
 }
--- a/crates/gate/src/sidecar/mod.rs
+++ b/crates/gate/src/sidecar/mod.rs
@@ -25,13 +25,18 @@
 use crate::cache::{Cache, Follower};
 use crate::kept;
 use crate::log::Dependency;
-use crate::update::{self, Held, Life, Update};
+use crate::peer;
+use crate::update::{self, Held, Update};
 use crate::world::Shared;
 use report::{for_peers, fresh, send_whole, subscribers, summary, timeless};
 use weights::Rollout;
 
 /// Pause between two looks at the engine; a request's first token takes about as long.
 const LOOK: Duration = Duration::from_millis(50);
+/// Pause between two questions which incarnation the engine is.
+const IDENTIFY: Duration = Duration::from_millis(100);
+/// Pause between two looks whether that is still known.
+const IDENTIFIED: Duration = Duration::from_millis(400);
 /// How long the engine may take to answer; it is on the same host.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Changed load is reported at once, unchanged load after this time.
@@ -68,11 +73,7 @@
 impl Engine {
     /// Takes over which incarnation it is from an entry. One that hasn't read the list since the former
     /// one ended still names that one.
-    fn live(&mut self, life: &Life) {
-        let boot = Boot {
-            id: life.id.clone(),
-            born: life.born,
-        };
+    fn identify(&mut self, boot: Boot) {
         if self.former.as_ref() != Some(&boot) {
             self.boot = Some(boot);
         }
@@ -107,6 +108,7 @@
     );
     let look = look(&node, &engine, Conn::new(addr), &socket);
     tokio::select! {
+        () = identify(&node, &engine, addr) => {}
         () = events => {}
         () = look => {}
         () = receive => {}
@@ -122,7 +124,10 @@
     loop {
         let (update, from) = update::receive(&socket).await;
         if let Some(life) = &update.life {
-            engine.borrow_mut().live(life);
+            engine.borrow_mut().identify(Boot {
+                id: life.id.clone(),
+                born: life.born,
+            });
         }
         if update.asks {
             if engine.borrow_mut().subscribers.subscribe(node.now(), from) {
@@ -152,6 +157,27 @@
     }
 }
 
+/// Asks entries which incarnation the engine is, until one has said so.
+///
+/// Entries send it with their subscriptions as well. On that alone a sidecar whose datagrams were lost had
+/// no incarnation to name in an order for seconds.
+async fn identify(node: &Shared, engine: &Own, addr: SocketAddr) {
+    loop {
+        let unknown = {
+            let e = engine.borrow();
+            e.alive && e.boot.is_none() && e.report.as_ref().is_some_and(|r| r.boot.is_none())
+        };
+        if !unknown {
+            sleep(IDENTIFIED).await;
+            continue;
+        }
+        sleep(IDENTIFY).await;
+        if let Some(boot) = peer::incarnation(node, addr).await {
+            engine.borrow_mut().identify(boot);
+        }
+    }
+}
+
 /// Follows what the engine stores and drops.
 async fn events(engine: Own, addr: SocketAddr) {
     let mut follower = Follower::new(Conn::new(addr));
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -65,6 +65,27 @@
     pub value: Bytes,
 }
 
+/// Where a row of the operator's came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A read of the whole table, which doesn't say when a row was written.
+    Table,
+    /// The store's feed of changes: it was written just now.
+    Feed,
+    /// Another process.
+    Peer,
+}
+
+impl Source {
+    /// The word for it in log lines.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Table | Self::Feed => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Rows of the store, and when they were read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Read {
@@ -117,13 +138,13 @@
     ///
     /// Configurations and weights only ever go up within a process's life. A store that answers
     /// with an older state, or a peer that lags, can't bring back a key that was taken away.
-    pub fn adopt(&mut self, now: Micros, key: &str, row: OperatorRow, source: &str) {
+    pub fn adopt(&mut self, now: Micros, key: &str, row: OperatorRow, source: Source) {
         let known = self.rows.get(key);
         if known.is_some_and(|k| k.version >= row.version) {
             return;
         }
         let error = match () {
-            () if key == platform::config::CONFIG => self.configure(&row.value, source),
+            () if key == platform::config::CONFIG => self.configure(&row.value, source.word()),
             () if platform::config::names_weights(key) => self.name(now, &row.value, source),
             () => Ok(()),
         };
@@ -157,16 +178,16 @@
         &mut self,
         now: Micros,
         value: &Bytes,
-        source: &str,
+        source: Source,
     ) -> Result<(), platform::config::ConfigError> {
         let weights = platform::config::weights(value)?;
-        let start = now < START;
+        let start = source != Source::Feed && now < START;
         let known = self.named.entry(weights.model.clone()).or_default();
         if known.name(now, weights.version, start) {
             log::event(&Event::Named {
                 model: &weights.model,
                 version: weights.version,
-                source,
+                source: source.word(),
             });
         }
         Ok(())
--- /dev/null
+++ b/crates/gate/tests/world.rs
@@ -0,0 +1,43 @@
+//! What a process takes over from the store and from other processes.
+
+use bytes::Bytes;
+use gate::world::{OperatorRow, Source, World};
+use model::Micros;
+
+/// The key of a model's weights.
+const KEY: &str = "version/lekha";
+
+fn row(version: u64, weights: u64) -> OperatorRow {
+    let value = format!(r#"{{"model":"lekha","version":{weights}}}"#);
+    OperatorRow {
+        version,
+        value: Bytes::from(value),
+    }
+}
+
+/// Weights that were just named count as old at a process that has just started, which refuses callers.
+#[test]
+fn weights_from_the_feed_are_new_at_a_process_that_has_just_started() {
+    struct Case {
+        name: &'static str,
+        source: Source,
+        at: u64,
+        old: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "first read", source: Source::Table, at: 1_000, old: true },
+        Case { name: "read after a time", source: Source::Table, at: 60_000, old: false },
+        Case { name: "feed", source: Source::Feed, at: 1_000, old: false },
+        Case { name: "another process", source: Source::Peer, at: 1_000, old: true },
+    ];
+    for c in cases {
+        let mut world = World::default();
+        let now = Micros::from_millis(c.at);
+        world.adopt(now, KEY, row(7, 2), c.source);
+        let outdated = world.named["lekha"]
+            .outdated(now, 1)
+            .expect("a newer version");
+        assert_eq!(outdated > Micros::ZERO, c.old, "{}", c.name);
+    }
+}
