Entries act for engines that no sidecar reports on

A pool without sidecars kept its weights for good: no process ordered its engines, and once the weights were too old all callers were refused.

policy::delegate gives each engine without a recent report of a sidecar to one entry, by rendezvous and silence; policy::holder keeps orders of two processes a lease apart by the engine's own count of orders, which sidecars watch as well. What a sidecar does for its engine is now gate::agent, which entries run for engines on other hosts: cache events and prompts as before, reports only before orders and at a load's end. A prompt is sent to older weights only if it is expected to begin on them within the time allowed (versions::may_begin).

--- /dev/null
+++ b/crates/gate/src/entry/delegate.rs
@@ -0,0 +1,344 @@
+//! Engines that this entry is the delegate of: those that no sidecar reports on, as far as [`policy::delegate`]
+//! gives them to it.
+//!
+//! A delegate is an agent like a sidecar ([`crate::agent`]), in the process of an entry and for one incarnation
+//! of its engine.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::Micros;
+use platform::Conn;
+use policy::delegate::{self, Config, Engine, Reporter};
+use site::{Boot, Role, State};
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::replica::Replica;
+use super::Ctx;
+use crate::agent::{self, engine_key, Agent, AgentId, Env, Own};
+use crate::log::{self, Event};
+use crate::meter;
+use crate::update::{self, Note, Update};
+use crate::world::{domain_key, World};
+
+/// Pause between two looks at which engines lack an agent.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time between two looks after which this process was paused itself.
+const PAUSED: Micros = Micros::from_millis(1_000);
+/// Time without any datagram after which this process counts as cut off from the others.
+const ALONE: Micros = Micros::from_millis(2_000);
+
+/// An engine that this entry acts for.
+#[derive(Debug)]
+struct Delegate {
+    boot: Boot,
+    agent: Own,
+    task: AbortHandle,
+}
+
+impl Drop for Delegate {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The process that last reported on an engine.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    from: SocketAddr,
+    delegate: bool,
+    at: Micros,
+}
+
+/// The last order of an engine that this entry has given.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    at: Micros,
+    fence: u64,
+}
+
+/// What an entry knows of engines' agents, by the key of the engine's address.
+#[derive(Debug, Default)]
+pub(super) struct Delegates {
+    own: HashMap<u64, Delegate>,
+    reports: HashMap<u64, Report>,
+    orders: HashMap<u64, Order>,
+    /// When each incarnation was first seen in the list.
+    listed: HashMap<Boot, Micros>,
+    /// When the last datagram of another process was received.
+    received: Micros,
+    looked: Micros,
+    /// Since when this process has been running without a pause.
+    running: Micros,
+}
+
+/// Takes engines on and gives them back for as long as the process lives.
+pub(super) async fn run(ctx: Ctx) {
+    loop {
+        look(&ctx);
+        sleep(LOOK).await;
+    }
+}
+
+fn look(ctx: &Ctx) {
+    let now = ctx.now();
+    {
+        let mut d = ctx.delegates.borrow_mut();
+        if now.since(d.looked) > PAUSED {
+            // What others sent meanwhile hasn't been read yet.
+            d.running = now;
+        }
+        d.looked = now;
+    }
+    let engines = engines(ctx, now);
+    let unattended: BTreeSet<_> = {
+        let world = ctx.node.world.borrow();
+        let all = engines.values().map(|e| e.addr);
+        all.filter(|addr| !world.attended(*addr)).collect()
+    };
+    ctx.node.world.borrow_mut().unattended = unattended.into_iter().collect();
+    let gone =
+        |key: &u64, d: &Delegate| engines.get(key).is_none_or(|e| e.boot != d.boot || !e.acts);
+    let ended: Vec<_> = {
+        let d = ctx.delegates.borrow();
+        let own = d.own.iter().filter(|(k, d)| gone(k, d));
+        own.map(|(k, _)| *k).collect()
+    };
+    ended.into_iter().for_each(|key| give_back(ctx, key));
+    for (key, e) in engines.into_iter().filter(|(_, e)| e.acts) {
+        if !ctx.delegates.borrow().own.contains_key(&key) {
+            take_on(ctx, key, e);
+        }
+    }
+    let own = ctx.delegates.borrow().own.len();
+    meter::set(meter::DELEGATES, own as f64);
+}
+
+/// An engine in the list.
+#[derive(Debug)]
+struct Listed {
+    addr: SocketAddr,
+    boot: Boot,
+    /// Whether this entry acts for it.
+    acts: bool,
+}
+
+/// All engines that take new work.
+fn engines(ctx: &Ctx, now: Micros) -> HashMap<u64, Listed> {
+    let Some(plan) = ctx.node.plan() else {
+        return HashMap::new();
+    };
+    let fleet = ctx.fleet.borrow();
+    let world = ctx.node.world.borrow();
+    let mut d = ctx.delegates.borrow_mut();
+    let engine = |r: &&Replica| {
+        let pool = plan.pool(&r.target.pool);
+        r.target.state == State::Ready && r.there(now) && pool.is_some_and(|p| p.engine.is_some())
+    };
+    let mut listed = HashMap::new();
+    for r in fleet.replicas.values().filter(engine) {
+        let key = engine_key(r.target.addr);
+        let boot = r.target.boot.clone();
+        let since = *d.listed.entry(boot.clone()).or_insert(now);
+        let acts = acts(ctx, &world, &d, r, since.max(d.running));
+        let engine = Listed {
+            addr: r.target.addr,
+            boot,
+            acts,
+        };
+        listed.insert(key, engine);
+    }
+    let there = |b: &Boot| listed.values().any(|l| l.boot == *b);
+    d.listed.retain(|b, _| there(b));
+    d.reports.retain(|k, _| listed.contains_key(k));
+    listed
+}
+
+/// Whether this entry acts for an engine that it has known for a time.
+fn acts(ctx: &Ctx, world: &World, d: &Delegates, r: &Replica, since: Micros) -> bool {
+    let now = ctx.now();
+    let key = engine_key(r.target.addr);
+    let acting = d.own.get(&key).is_some_and(|o| o.boot == r.target.boot);
+    let alone = world.entries().next().is_some() && now.since(d.received) > ALONE;
+    if alone && !acting {
+        return false;
+    }
+    let report = d.reports.get(&key);
+    let heard = report.map_or(since, |r| r.at.max(since));
+    let domain = domain_key(&r.target.domain);
+    let place = |own: delegate::Entry| {
+        let others = entries(ctx, world).filter(|e| *e != own);
+        delegate::place(key, domain, own, others)
+    };
+    let reporter = match report {
+        None => Reporter::None,
+        Some(r) if !r.delegate => Reporter::Sidecar,
+        Some(r) => match entry(world, r.from) {
+            Some(other) => Reporter::Delegate(place(other)),
+            // An entry that isn't a member yet has no place before this one.
+            None => Reporter::Delegate(usize::MAX),
+        },
+    };
+    let engine = Engine {
+        sidecar: world.attended(r.target.addr),
+        reporter,
+        silence: now.since(heard),
+    };
+    delegate::acts(&Config::default(), &engine, place(own(ctx)), acting)
+}
+
+/// This entry, as places are given.
+fn own(ctx: &Ctx) -> delegate::Entry {
+    let s = ctx.node.settings.borrow();
+    delegate::Entry {
+        host: xxh3_64(s.host.as_bytes()),
+        domain: domain_key(&s.domain),
+    }
+}
+
+/// All entries, this one included.
+fn entries<'a>(ctx: &Ctx, world: &'a World) -> impl Iterator<Item = delegate::Entry> + 'a {
+    let others = world.members.iter().filter(|(_, m)| m.role == Role::Entry);
+    let others = others.map(|(host, m)| delegate::Entry {
+        host: xxh3_64(host.as_bytes()),
+        domain: m.domain,
+    });
+    others.chain([own(ctx)])
+}
+
+/// The entry at an address.
+fn entry(world: &World, addr: SocketAddr) -> Option<delegate::Entry> {
+    let (host, member) = world.members.iter().find(|(_, m)| m.addr == addr)?;
+    Some(delegate::Entry {
+        host: xxh3_64(host.as_bytes()),
+        domain: member.domain,
+    })
+}
+
+fn take_on(ctx: &Ctx, key: u64, engine: Listed) {
+    let lease = ctx.node.settings.borrow().bounds.lease;
+    let agent = Agent::delegate(engine.addr, engine.boot.clone(), lease.into());
+    let agent = Rc::new(RefCell::new(agent));
+    log::event(&Event::Delegate {
+        target: &engine.boot.id,
+        addr: engine.addr.to_string(),
+        acts: true,
+    });
+    let task = tokio::task::spawn_local(act(Rc::clone(ctx), Rc::clone(&agent), engine.addr));
+    let delegate = Delegate {
+        boot: engine.boot,
+        agent,
+        task: task.abort_handle(),
+    };
+    ctx.delegates.borrow_mut().own.insert(key, delegate);
+}
+
+async fn act(ctx: Ctx, agent: Own, addr: SocketAddr) {
+    let env = Env {
+        node: &ctx.node,
+        agent: &agent,
+        socket: &ctx.socket,
+    };
+    tokio::join!(
+        agent::events(Rc::clone(&agent), addr),
+        agent::look(env, Conn::new(addr)),
+    );
+}
+
+fn give_back(ctx: &Ctx, key: u64) {
+    let mut d = ctx.delegates.borrow_mut();
+    let Some(delegate) = d.own.remove(&key) else {
+        return;
+    };
+    let agent = delegate.agent.borrow();
+    log::event(&Event::Delegate {
+        target: &delegate.boot.id,
+        addr: agent.addr.to_string(),
+        acts: false,
+    });
+    if let Some((at, fence)) = agent.ordered() {
+        d.orders.insert(key, Order { at, fence });
+    }
+}
+
+/// Takes over a note on a prompt at an engine that this entry acts for.
+pub(super) fn prompt(ctx: &Ctx, engine: u64, note: Note) {
+    if let Some(d) = ctx.delegates.borrow().own.get(&engine) {
+        d.agent.borrow_mut().prompt(ctx.now(), note);
+    }
+}
+
+/// Takes over an agent's update.
+pub(super) fn receive(ctx: &Ctx, update: &Update, from: SocketAddr) {
+    let now = ctx.now();
+    let Ok(addr) = update.engine.parse::<SocketAddr>() else {
+        return;
+    };
+    let key = engine_key(addr);
+    let id = AgentId {
+        addr: from,
+        delegate: update.delegate,
+    };
+    if from != ctx.node.settings.borrow().peer {
+        let report = Report {
+            from,
+            delegate: update.delegate != 0,
+            at: now,
+        };
+        ctx.delegates.borrow_mut().reports.insert(key, report);
+    }
+    if update.delegate == 0 {
+        hand_over(ctx, key, addr, from);
+    }
+    let d = ctx.delegates.borrow();
+    let others = d.own.iter().filter(|(k, _)| **k != update.delegate);
+    others.for_each(|(_, o)| o.agent.borrow_mut().receive(now, update, id));
+    let asked = update
+        .slot_ask
+        .and_then(|a| Some((a, d.own.get(&a.delegate)?)));
+    if let Some((ask, asked)) = asked {
+        let env = Env {
+            node: &ctx.node,
+            agent: &asked.agent,
+            socket: &ctx.socket,
+        };
+        agent::answer(env, ask, from);
+    }
+}
+
+/// Reports to an engine's sidecar when this entry last ordered the engine, so that the sidecar keeps apart
+/// from that order.
+fn hand_over(ctx: &Ctx, key: u64, engine: SocketAddr, sidecar: SocketAddr) {
+    let now = ctx.now();
+    let lease = Micros::from(ctx.node.settings.borrow().bounds.lease);
+    let mut d = ctx.delegates.borrow_mut();
+    let current = d.own.get(&key).and_then(|o| o.agent.borrow().ordered());
+    let current = current.map(|(at, fence)| Order { at, fence });
+    let Some(order) = current.or_else(|| d.orders.get(&key).copied()) else {
+        return;
+    };
+    if now.since(order.at) > lease + lease {
+        d.orders.remove(&key);
+        return;
+    }
+    let update = Update {
+        engine: engine.to_string(),
+        delegate: key,
+        ordered_ms: u32::try_from(now.since(order.at).as_millis()).ok(),
+        fence: order.fence,
+        ..Update::default()
+    };
+    update::send(&ctx.socket, &update, [sidecar]);
+}
+
+/// Notes a datagram of another process.
+pub(super) fn received(ctx: &Ctx, from: SocketAddr) {
+    if from != ctx.node.settings.borrow().peer {
+        ctx.delegates.borrow_mut().received = ctx.now();
+    }
+}
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -9,6 +9,8 @@
 use slotmap::{new_key_type, SlotMap};
 
 use super::replica::{take_over, Heard, KeptStore, Replica};
+use super::usable::HEARD;
+use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::update::{Held, Update};
 
@@ -204,12 +206,20 @@
             let scope = update.expected.first().map_or(0, |h| h.scope);
             return replica.expect(now, scope, &parts);
         }
+        let sidecar = |h: &Heard| h.agent.delegate == 0 && now.since(h.at) < HEARD;
+        if update.delegate != 0 && replica.heard.as_ref().is_some_and(sidecar) {
+            return;
+        }
         replica.heard = Some(Heard::new(now, update, from));
     }
 
     /// The life of the engine beside a sidecar.
     pub fn life(&self, now: Micros, sidecar: SocketAddr) -> Option<&Boot> {
-        let beside = |r: &&Replica| r.there(now) && r.heard.is_some_and(|h| h.from == sidecar);
+        let agent = AgentId {
+            addr: sidecar,
+            delegate: 0,
+        };
+        let beside = |r: &&Replica| r.there(now) && r.heard.is_some_and(|h| h.agent == agent);
         let replica = self.replicas.values().find(beside)?;
         Some(&replica.target.boot)
     }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The process that takes callers' requests and goes to targets directly.
 
+mod delegate;
 mod fleet;
 mod idle;
 mod list;
@@ -34,6 +35,8 @@
 use tokio::time::{sleep, timeout_at, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::agent::AgentId;
+use crate::kept;
 use crate::meter;
 use crate::update::{self, Held, Life, Note, Update};
 use crate::world::{domain_key, Shared};
@@ -50,6 +53,10 @@
 
 /// Pause between two looks whether the sidecars are known yet; short beside a first request's wait.
 const LOOK: Duration = Duration::from_millis(20);
+/// Time after which sidecars that aren't known have not started with this process.
+const START: Micros = Micros::from_secs(4);
+/// Pause between two looks then.
+const AGAIN: Duration = Duration::from_millis(500);
 
 /// An entry's context.
 pub type Ctx = Rc<Entry>;
@@ -67,12 +74,14 @@
     list: list::Shared,
     /// Requests that crash targets.
     suspects: RefCell<suspects::Suspects>,
+    /// Engines that this entry is the delegate of.
+    delegates: RefCell<delegate::Delegates>,
     /// The work that prompts have brought of late.
     work: RefCell<apart::Work>,
     /// How fast engines read, by pool.
     paces: RefCell<HashMap<String, Pace>>,
     /// Receives and sends updates.
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     /// Whether it takes no more requests, since it is about to end.
     closing: Cell<bool>,
     /// Its callers' connections.
@@ -99,14 +108,15 @@
         meter::set(meter::VERSION, version as f64);
     }
 
-    /// Tells an engine's sidecar of a prompt.
-    fn tell_prompt(&self, sidecar: std::net::SocketAddr, note: Note) {
+    /// Reports a prompt to an engine's agent.
+    fn report_prompt(&self, agent: AgentId, note: Note) {
         let update = Update {
             entry: true,
             note: Some(note),
+            delegate: agent.delegate,
             ..Update::default()
         };
-        update::send(&self.socket, &update, [sidecar]);
+        update::send(&self.socket, &update, [agent.addr]);
     }
 
     /// Tells the other entries what an engine was sent to read, so that they don't send the same
@@ -170,15 +180,22 @@
         budgets: RefCell::default(),
         list: list::Shared::default(),
         suspects: RefCell::default(),
+        delegates: RefCell::default(),
         work: RefCell::default(),
         paces: RefCell::default(),
-        socket,
+        socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
     });
     tokio::task::spawn_local(list::follow(Rc::clone(&ctx)));
     tokio::task::spawn_local(hear(Rc::clone(&ctx)));
     tokio::task::spawn_local(ask(Rc::clone(&ctx)));
+    tokio::task::spawn_local(delegate::run(Rc::clone(&ctx)));
+    tokio::task::spawn_local(kept::follow(
+        Rc::clone(&ctx.node),
+        Rc::clone(&ctx.socket),
+        kept::Stores::default(),
+    ));
     let listening = listen::serve(&ctx).await?;
     let told = stop.await;
     leave(&ctx, told, &listening).await;
@@ -194,7 +211,7 @@
     loop {
         let wanted = wanted(&ctx);
         if wanted.is_empty() {
-            sleep(LOOK).await;
+            sleep(if ctx.now() < START { LOOK } else { AGAIN }).await;
             continue;
         }
         let mut all_confirmed = true;
@@ -236,6 +253,7 @@
     loop {
         let (update, from) = update::receive(&ctx.socket).await;
         let now = ctx.now();
+        delegate::received(&ctx, from);
         if let Some(listed) = update.list {
             if ctx.list.hear(now, listed, from) {
                 ctx.fleet.borrow_mut().confirm(now);
@@ -246,7 +264,14 @@
             suspects::hear(&ctx, strike, from);
             continue;
         }
+        if let Some(note) = update.note {
+            delegate::prompt(&ctx, update.delegate, note);
+            continue;
+        }
         ctx.fleet.borrow_mut().hear(now, &update, from);
+        if !update.entry && !update.kept {
+            delegate::receive(&ctx, &update, from);
+        }
         suspects::ended(&ctx);
     }
 }
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -8,6 +8,7 @@
 use policy::lateness::{self, Prospect, Verdict};
 use policy::quarantine::Verdict::Suspect;
 use policy::spot::{self, Sources};
+use policy::versions;
 use site::{Boot, Engine, Plan, Prompt, Scope};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -31,8 +32,6 @@
 const OWN_KEPT: f64 = 0.6;
 /// Milliseconds of waiting up to which an engine counts as idle; some requests that it answers.
 const IDLE: f64 = 10.0;
-/// Part of the time allowed after which no request begins on older weights.
-const OLD_END: f64 = 0.8;
 
 /// A target for a request, and how to use it.
 #[derive(Clone, Debug)]
@@ -94,13 +93,13 @@
         let version = r.weights.get(&prompt.model)?;
         Some(Scope::new(&prompt.model, *version, wall))
     };
-    // Past a part of the time allowed nothing begins on older weights.
     let named = named.unwrap_or_default();
-    let current = |r: &Replica| {
+    let may_begin = |r: &Replica, wait: Micros| {
         let version = r.weights.get(&prompt.model);
         let outdated = version.map(|v| named.outdated(now, *v).unwrap_or_default());
-        outdated.is_some_and(|age| age.0 as f64 <= allowed.0 as f64 * OLD_END)
+        outdated.is_some_and(|age| versions::may_begin(allowed, age, wait))
     };
+    let current = |r: &Replica| may_begin(r, Micros::ZERO);
     let suspect = suspects::verdict(ctx, job) == Suspect;
     let open = heard(open(&fleet, job, now, suspect, current), now);
     if let Some(left) = all_load(&open, now) {
@@ -139,7 +138,9 @@
     let candidates = open.iter().filter_map(|(key, r)| {
         let scope = scope(r)?.key();
         let held = r.will_hold(now, scope, &prompt.parts);
-        Some((view.candidate(*key, r, held), sources.get(&scope)?))
+        let candidate = view.candidate(*key, r, held);
+        let wait = Micros::from_millis(candidate.wait as u64);
+        may_begin(r, wait).then_some((candidate, sources.get(&scope)?))
     });
     let choice = spot::choose(prompt.input, candidates).ok_or(Reason::NoTarget)?;
     let prospect = Prospect {
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -12,6 +12,7 @@
 use site::{Part, PartId, Target};
 
 use super::idle::Idle;
+use crate::agent::AgentId;
 use crate::update::{Held, Update};
 
 /// How long an engine is expected to hold what it was sent to read; a long prompt in a queue.
@@ -25,8 +26,8 @@
 /// What a sidecar last told of its engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Heard {
-    /// Where the sidecar is reached.
-    pub from: SocketAddr,
+    /// The agent that sent it.
+    pub(crate) agent: AgentId,
     /// When it was heard.
     pub at: Micros,
     /// Whether the engine answers its sidecar.
@@ -57,7 +58,10 @@
         let told = unread_tokens.iter_mut().zip(&update.tokens);
         told.for_each(|(u, t)| *u = *t);
         Self {
-            from,
+            agent: AgentId {
+                addr: from,
+                delegate: update.delegate,
+            },
             at: now,
             alive: update.alive,
             busy: update.busy,
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -1,6 +1,5 @@
 //! One sending of a request to a target, up to the head of its answer.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +22,7 @@
 use super::pick::Pick;
 use super::request::Job;
 use super::{suspects, Ctx};
+use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
 use crate::update::Note;
@@ -32,8 +32,8 @@
 pub(super) struct Place {
     ctx: Ctx,
     key: Key,
-    /// The target's sidecar, if it has been heard, and what it was told of.
-    told: Option<(SocketAddr, u64)>,
+    /// The target's agent, if it has been received, and the key of the request that was reported to it.
+    told: Option<(AgentId, u64)>,
     /// Tokens that the target has yet to read; none once it has.
     unread: Option<u32>,
     /// Parts that it is expected to hold, and their scope.
@@ -62,8 +62,8 @@
             r.send(now, pick.read);
             r.suspects += u32::from(suspect);
             let request = xxh3_64(job.id.as_bytes());
-            let sidecar = r.heard.map(|h| (h.from, request));
-            told = sidecar.filter(|_| expected.is_some());
+            let agent = r.heard.map(|h| (h.agent, request));
+            told = agent.filter(|_| expected.is_some());
             if let Some((scope, parts)) = &expected {
                 r.expect(now, *scope, parts);
             }
@@ -73,12 +73,12 @@
             let reading = f64::from(pick.read) * ctx.pace(&job.pool, |p| p.read());
             ctx.work.borrow_mut().add(now, prompt.input, reading);
         }
-        if let Some((sidecar, request)) = told {
+        if let Some((agent, request)) = told {
             let note = Note {
                 request,
                 tokens: Some(pick.read),
             };
-            ctx.tell_prompt(sidecar, note);
+            ctx.report_prompt(agent, note);
         }
         if let (Some((_, parts)), Some(scope)) = (&expected, pick.scope.as_ref()) {
             if pick.cold > 0 {
@@ -119,12 +119,12 @@
             }
         }
         self.expected = None;
-        if let Some((sidecar, request)) = self.told.take() {
+        if let Some((agent, request)) = self.told.take() {
             let note = Note {
                 request,
                 tokens: None,
             };
-            self.ctx.tell_prompt(sidecar, note);
+            self.ctx.report_prompt(agent, note);
         }
     }
 }
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -34,6 +34,8 @@
     entry: bool,
     #[serde(default)]
     domain: String,
+    #[serde(default)]
+    engine: Option<std::net::SocketAddr>,
 }
 
 /// A random pause before the store is asked again.
@@ -93,7 +95,7 @@
 fn adopt(node: &Shared, rows: Rows, source: Source) {
     let now = node.now();
     let mut world = node.world.borrow_mut();
-    world.clock = world.clock.max(rows.clock);
+    world.set_clock(now, rows.clock);
     for Row {
         key,
         value,
@@ -115,6 +117,7 @@
             addr: s.peer,
             entry: s.role == Role::Entry,
             domain: s.domain.clone(),
+            engine: s.engine,
         };
         (s.store, s.host.clone(), own)
     };
@@ -196,6 +199,7 @@
         addr: entry.addr,
         role,
         domain: domain_key(&entry.domain),
+        engine: entry.engine,
     };
     Some((row.key, member))
 }
--- a/crates/gate/src/kept.rs
+++ b/crates/gate/src/kept.rs
@@ -1,7 +1,7 @@
 //! Following what the stores of kept KV cache hold, for all entries.
 //!
-//! A store answers only a few listeners at once, so not every entry can follow it. A few sidecars
-//! do, chosen by rank for each store, and tell the entries. More than one follows each store, so that
+//! A store answers only a few listeners at once, so not every entry can follow it. A few sidecars, or
+//! entries where there are no sidecars, do, chosen by rank for each store, and report to the entries. More than one follows each store, so that
 //! the loss of a host doesn't leave the entries without updates; the same one twice does no harm.
 
 use std::cell::RefCell;
@@ -17,15 +17,18 @@
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::agent::all_entries;
 use crate::cache::{Cache, Follower};
 use crate::log::Dependency;
 use crate::update::{self, Update};
-use crate::world::Shared;
+use crate::world::{Shared, World};
 
-/// Sidecars that follow each store; stores allow eight listeners or more.
+/// Processes that follow each store; stores allow eight listeners or more.
 const FOLLOWERS: usize = 2;
 /// Pause before the entries and stores are known. A process that starts has read both within some 40 ms.
 const START: Duration = Duration::from_millis(20);
+/// Time after an entry's start in which it leaves stores to sidecars.
+const SIDECARS: Duration = Duration::from_millis(2_000);
 /// How often the choice of followers is looked at.
 const LOOK: Duration = Duration::from_millis(1_000);
 /// Pause before a question after one that failed.
@@ -67,8 +70,13 @@
 
 /// Follows the stores that are this host's to follow, for as long as the process lives.
 pub async fn follow(node: Shared, socket: Rc<UdpSocket>, stores: Stores) {
-    // What is told before the entries are known reaches nobody.
-    while node.plan().is_none() || node.world.borrow().entries().next().is_none() {
+    let entry = node.settings.borrow().role == Role::Entry;
+    if entry {
+        // Until then sidecars that start as well may not be known.
+        sleep(SIDECARS).await;
+    }
+    // What is sent before the entries are known is lost.
+    while node.plan().is_none() || all_entries(&node).is_empty() {
         sleep(START).await;
     }
     let mut following: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
@@ -99,11 +107,12 @@
     };
     let world = node.world.borrow();
     let host = &node.settings.borrow().host;
-    let sidecars = world
-        .members
-        .iter()
-        .filter(|(_, m)| m.role == Role::Sidecar);
-    let others: Vec<_> = sidecars.map(|(h, _)| h).filter(|h| *h != host).collect();
+    let role = follower(node, &world);
+    if node.settings.borrow().role != role {
+        return Vec::new();
+    }
+    let followers = world.members.iter().filter(|(_, m)| m.role == role);
+    let others: Vec<_> = followers.map(|(h, _)| h).filter(|h| *h != host).collect();
     let stores = plan.kept().iter().map(|k| k.addr);
     let first = |addr: &SocketAddr| {
         let seed = u64::from(addr.port()) ^ xxh3_64_with_seed(addr.to_string().as_bytes(), 0);
@@ -114,6 +123,15 @@
     stores.filter(first).collect()
 }
 
+/// The role of processes that follow stores: sidecars, or entries where there are none.
+fn follower(node: &Shared, world: &World) -> Role {
+    let sidecar = node.settings.borrow().role == Role::Sidecar;
+    match sidecar || world.sidecars().next().is_some() {
+        true => Role::Sidecar,
+        false => Role::Entry,
+    }
+}
+
 /// Follows one store.
 async fn one(node: Shared, socket: Rc<UdpSocket>, stores: Stores, addr: SocketAddr) {
     let mut follower = Follower::new(Conn::new(addr));
@@ -122,7 +140,7 @@
     loop {
         let told = follower.changes().await;
         store.note(&told);
-        let entries: Vec<_> = node.world.borrow().entries().collect();
+        let entries = all_entries(&node);
         let Ok(told) = told else {
             // Nothing is fetched from a store that doesn't answer.
             stores.0.borrow_mut().insert(addr, View::default());
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 //! Each process runs on one thread. What it believes lies in a [`world::World`], borrowed for the
 //! length of a decision and never across a wait.
 
+mod agent;
 pub mod cache;
 pub mod entry;
 pub mod follow;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -250,6 +250,15 @@
         /// Milliseconds since the request came.
         after_ms: u64,
     },
+    /// This entry has become the delegate of an engine that no sidecar reports on, or is it no longer.
+    Delegate {
+        /// The engine's id.
+        target: &'a str,
+        /// Its address.
+        addr: String,
+        /// Whether this entry acts for it from now on.
+        acts: bool,
+    },
     /// An engine was ordered to load weights.
     Ordered {
         /// The model.
@@ -290,6 +299,7 @@
             Self::LeftOut { .. } => ("left_out", false),
             Self::Suspected { .. } => ("suspected", false),
             Self::Ordered { .. } => ("ordered", false),
+            Self::Delegate { .. } => ("delegate", false),
             Self::BadRow { .. } => ("bad_row", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
             _ => ("process", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -66,6 +66,10 @@
 pub const RETRIES: &str = "clementinestep_retries_left";
 /// Orders to engines, by outcome.
 pub const ORDERS: &str = "clementinestep_orders_total";
+/// Reports of engines that were read, by agent; those of delegates cost the engine time.
+pub const REPORTS: &str = "clementinestep_engine_reports_total";
+/// Engines that this entry is the delegate of.
+pub const DELEGATES: &str = "clementinestep_delegates";
 /// Datagrams that can't be read.
 pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
 /// Version of the configuration in force.
@@ -94,6 +98,8 @@
     describe_gauge!(RUNNING, "requests at targets");
     describe_gauge!(RETRIES, "retries left, by pool");
     describe_counter!(ORDERS, "orders to engines, by outcome");
+    describe_counter!(REPORTS, "reports of engines that were read, by agent");
+    describe_gauge!(DELEGATES, "engines that this entry is the delegate of");
     describe_counter!(BAD_UPDATES, "datagrams that can't be read");
     describe_gauge!(VERSION, "version of the configuration in force");
     describe_gauge!(MEMBERS, "other processes known");
--- /dev/null
+++ b/crates/gate/src/sidecar.rs
@@ -0,0 +1,117 @@
+//! The process beside an engine: its agent.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::Conn;
+use site::Boot;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, Instant};
+
+use crate::agent::{self, Agent, AgentId, Env, Own};
+use crate::world::Shared;
+use crate::{kept, peer, update};
+
+/// Pause between two questions which incarnation the engine is.
+const IDENTIFY: Duration = Duration::from_millis(100);
+/// Pause between two looks whether that is still known.
+const IDENTIFIED: Duration = Duration::from_millis(400);
+
+/// Runs a sidecar until it is told to stop.
+pub async fn run(
+    node: Shared,
+    socket: UdpSocket,
+    stop: impl Future<Output = Instant>,
+) -> io::Result<()> {
+    let (addr, lease) = {
+        let s = node.settings.borrow();
+        (s.engine, s.bounds.lease)
+    };
+    let Some(addr) = addr else {
+        return Err(io::Error::other(
+            "the settings name no engine beside this sidecar",
+        ));
+    };
+    let agent = Rc::new(RefCell::new(Agent::sidecar(addr, lease.into())));
+    let socket = Rc::new(socket);
+    let kept = kept::Stores::default();
+    tokio::task::spawn_local(kept::follow(
+        Rc::clone(&node),
+        Rc::clone(&socket),
+        kept.clone(),
+    ));
+    let env = Env {
+        node: &node,
+        agent: &agent,
+        socket: &socket,
+    };
+    tokio::select! {
+        () = identify(&node, &agent, addr) => {}
+        () = agent::events(Rc::clone(&agent), addr) => {}
+        () = agent::look(env, Conn::new(addr)) => {}
+        () = receive(env, kept) => {}
+        _ = stop => {}
+    }
+    Ok(())
+}
+
+/// Receives updates: incarnations, subscriptions and prompts from entries, slots from other agents.
+async fn receive(env: Env<'_>, kept: kept::Stores) {
+    let Env {
+        node,
+        agent,
+        socket,
+    } = env;
+    loop {
+        let (update, from) = update::receive(socket).await;
+        if let Some(life) = &update.life {
+            agent.borrow_mut().identify(Boot {
+                id: life.id.clone(),
+                born: life.born,
+            });
+        }
+        if update.asks {
+            if agent.borrow_mut().subscribers.subscribe(node.now(), from) {
+                let whole = agent::summary(node, agent);
+                agent::send_whole(agent, socket, &whole, [from]);
+                kept.tell(socket, [from]);
+            }
+            continue;
+        }
+        if update.entry {
+            if let Some(note) = update.note {
+                agent.borrow_mut().prompt(node.now(), note);
+            }
+            continue;
+        }
+        let id = AgentId {
+            addr: from,
+            delegate: update.delegate,
+        };
+        agent.borrow_mut().receive(node.now(), &update, id);
+        if let Some(ask) = update.slot_ask.filter(|a| a.delegate == 0) {
+            agent::answer(env, ask, from);
+        }
+    }
+}
+
+/// Asks entries which incarnation the engine is, until one has said so.
+///
+/// Entries send it with their subscriptions as well. On that alone a sidecar whose datagrams were lost had
+/// no incarnation to name in an order for seconds.
+async fn identify(node: &Shared, agent: &Own, addr: SocketAddr) {
+    loop {
+        if !agent.borrow().unidentified() {
+            sleep(IDENTIFIED).await;
+            continue;
+        }
+        sleep(IDENTIFY).await;
+        if let Some(boot) = peer::incarnation(node, addr).await {
+            agent.borrow_mut().identify(boot);
+        }
+    }
+}
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -67,6 +67,16 @@
     /// Microseconds since the sidecar's start.
     #[prost(uint64, tag = "29")]
     pub sent_us: u64,
+    /// Key of the engine if this comes from an entry that is its delegate; 0 otherwise. Of a note, the
+    /// delegate that it is for.
+    #[prost(fixed64, tag = "32")]
+    pub delegate: u64,
+    /// Milliseconds since its delegate ordered the engine, if it has.
+    #[prost(uint32, optional, tag = "33")]
+    pub ordered_ms: Option<u32>,
+    /// The delegate's fencing token.
+    #[prost(uint64, tag = "34")]
+    pub fence: u64,
     /// A sidecar's question for another one's state as of now.
     #[prost(message, optional, tag = "30")]
     pub slot_ask: Option<SlotAsk>,
@@ -117,6 +127,9 @@
     /// Microseconds since the asking sidecar's start.
     #[prost(uint64, tag = "2")]
     pub sent_us: u64,
+    /// Key of the engine whose delegate is asked; 0 for a sidecar.
+    #[prost(fixed64, tag = "3")]
+    pub delegate: u64,
 }
 
 /// The platform's list of targets as an entry has just read it.
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -18,6 +18,9 @@
 /// answers within it.
 const START: Micros = Micros::from_millis(3_000);
 
+/// Lowest bits of a fencing token, which keep apart hosts that draw one in the same millisecond.
+const FENCE_TIE: u32 = 10;
+
 /// A process's context, handed to all its parts.
 pub type Shared = Rc<Node>;
 
@@ -107,6 +110,8 @@
     pub role: Role,
     /// Key of its failure domain.
     pub domain: u64,
+    /// The engine beside it, if it is a sidecar.
+    pub engine: Option<SocketAddr>,
 }
 
 /// A failure domain's name as decisions compare it.
@@ -129,8 +134,10 @@
     pub targets: Option<Read>,
     /// Since when the store hasn't answered this process.
     pub lost: Option<Micros>,
-    /// The store's clock as last heard; it never goes back.
-    pub clock: u64,
+    /// The store's clock as last read, and when that was.
+    pub clock: Option<(u64, Micros)>,
+    /// Engines that no sidecar is a member for, in order.
+    pub unattended: Vec<SocketAddr>,
 }
 
 impl World {
@@ -199,6 +206,41 @@
         entries.map(|m| m.addr)
     }
 
+    /// Takes over the store's clock.
+    pub fn set_clock(&mut self, now: Micros, clock: u64) {
+        // A late answer shows a time that has passed.
+        let newer = self.clock_at(now).is_none_or(|c| clock > c);
+        if newer && clock > 0 {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// The store's clock as of now.
+    fn clock_at(&self, now: Micros) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at).as_millis())
+    }
+
+    /// A fencing token of a host, above all that any host has drawn before.
+    pub fn fence(&self, now: Micros, host: &str) -> Option<u64> {
+        let tie = xxh3_64(host.as_bytes()) >> (u64::BITS - FENCE_TIE);
+        Some(self.clock_at(now)? << FENCE_TIE | tie)
+    }
+
+    /// Sidecars on other hosts with their hosts' names, in order.
+    pub fn others(&self, own: &str) -> Vec<(&String, SocketAddr)> {
+        let sidecars = self.members.iter();
+        let others = sidecars.filter(|(h, m)| m.role == Role::Sidecar && *h != own);
+        let mut others: Vec<_> = others.map(|(h, m)| (h, m.addr)).collect();
+        others.sort_unstable();
+        others
+    }
+
+    /// Whether a sidecar is a member for an engine.
+    pub fn attended(&self, engine: SocketAddr) -> bool {
+        self.members.values().any(|m| m.engine == Some(engine))
+    }
+
     /// All sidecars but this process.
     pub fn sidecars(&self) -> impl Iterator<Item = Member> + '_ {
         let members = self.members.values().copied();
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -85,6 +85,11 @@
         self.unread = Unread::default();
     }
 
+    /// Prompts to read.
+    pub fn prompts(&self) -> u32 {
+        u32::try_from(self.open.len()).unwrap_or(u32::MAX)
+    }
+
     /// Tokens to read.
     pub fn unread(&self) -> Unread {
         self.unread
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,8 @@
 //! keeps all entries within one budget of retries, [`subscription`] says which engines an entry
 //! subscribes to, [`broken`] separates crashes from lost connections for [`quarantine`], [`rollout`] says
 //! which engines take new weights, and [`slots`] when one does, by what its peers answer ([`contact`]).
+//! [`delegate`] says which entry acts for an engine without a sidecar, [`holder`] when an engine's orders
+//! may pass from one process to another.
 //! [`cost`] and [`busy`] measure the engine for them, [`recent`] and [`reserve`] are the short
 //! memories that placement needs at either side.
 
@@ -26,8 +28,10 @@
 pub mod concurrency;
 pub mod contact;
 pub mod cost;
+pub mod delegate;
 pub mod drain;
 pub mod health;
+pub mod holder;
 pub mod lapse;
 pub mod lateness;
 pub mod ledger;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -40,6 +40,8 @@
 const AGAIN: Micros = Micros::from_millis(300);
 /// Time after an order in which the engine's report may not show it yet.
 const SHOWN: Micros = Micros::from_millis(500);
+/// Time after an order from which on a load of unknown length may have ended.
+const FIRST: Micros = Micros::from_millis(250);
 /// Weight of a new load's length.
 const SMOOTH: f64 = 0.5;
 
@@ -244,6 +246,14 @@
         self.desired > 0 || self.recent(now).any(|(_, p)| busy(p))
     }
 
+    /// Whether a remote engine's report is needed as of now: before an order, and once a load may have ended.
+    pub fn needs_report(&self, now: Micros) -> bool {
+        match &self.loading {
+            Some(l) => now.since(l.since) >= self.load.unwrap_or(FIRST),
+            None => self.due.is_some(),
+        }
+    }
+
     /// Takes over the engine's report: loads that have started or ended.
     pub fn report(&mut self, now: Micros, weights: &[(ModelKey, u64)], busy: bool) {
         self.settled.get_or_insert(now + SHOWN);
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -20,6 +20,19 @@
 /// Age of what a process hears of at its start.
 const HEAD_START: Micros = Micros::from_millis(2_500);
 
+/// Part of the time allowed for a change after which no request is sent to older weights.
+const SENT: f64 = 0.8;
+/// Part of it before which a request that is sent to older weights begins, by twice the wait that is
+/// expected for it.
+const BEGUN: f64 = 0.95;
+
+/// Whether a request may be sent to weights that have been out of date for a time, if some wait is expected
+/// there before it begins.
+pub fn may_begin(allowed: Micros, outdated: Micros, wait: Micros) -> bool {
+    let part = |p: f64| Micros((allowed.0 as f64 * p) as u64);
+    outdated <= part(SENT) && outdated + wait + wait <= part(BEGUN)
+}
+
 /// The versions of a model's weights that were named, the newest last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Versions(VecDeque<(u64, Option<Micros>, Micros)>);
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -19,6 +19,8 @@
     pub grace: Duration,
     /// From the naming of new weights until no request may begin on older ones.
     pub weights: Duration,
+    /// How long orders of two processes to one engine stay apart.
+    pub lease: Duration,
     /// Retries per request that all entries together may send to a pool.
     pub retry_ratio: f64,
     /// Retries beyond that ratio, for all entries together.
