Keep orders of a restarted sidecar apart from those of a delegate

A sidecar that starts again while an entry has acted for it knew nothing of the entry's last order, and ordered its engine within a lease of it; an engine that doesn't check tokens may carry out the older order last. A sidecar now waits for a lease after its first report unless an entry that has been up that long says that none has acted (asked over a connection), or the system starts for the first time. Tests: policy delegates; daemon hosted delegates (pools with no, some and all sidecars; sidecars and entries killed in turn, a paused sidecar, three of ten datagrams lost).

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -232,6 +232,8 @@
     pub fn sidecar_on(&self, name: &str, store: SocketAddr, engine: SocketAddr) -> Process {
         let mut lines = settings(name, store);
         lines.push(format!("app={engine}"));
+        let first = self.store.read("members", name).is_none();
+        lines.push(format!("bootstrap={first}"));
         lines.push("service=engines".to_owned());
         Process::start(&lines)
     }
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod callers;
+mod delegates;
 mod fatal;
 mod fleet;
 mod held;
--- a/crates/gate/src/agent/mod.rs
+++ b/crates/gate/src/agent/mod.rs
@@ -117,7 +117,7 @@
             since: Micros::ZERO,
             cache: Cache::default(),
             fresh: Vec::new(),
-            rollout: Rollout::new(Holder::regular(lease)),
+            rollout: Rollout::new(Holder::new(lease)),
             ledger: Ledger::default(),
             subscribers: Subscribers::default(),
         }
@@ -128,7 +128,6 @@
         Self {
             kind: Kind::Delegate,
             boot: Some(boot),
-            rollout: Rollout::new(Holder::delegate(lease)),
             ..Self::sidecar(addr, lease)
         }
     }
@@ -155,6 +154,21 @@
         self.alive && self.boot.is_none() && self.report.as_ref().is_some_and(unnamed)
     }
 
+    /// Takes over that the whole system starts for the first time.
+    pub(crate) fn bootstrap(&mut self) {
+        self.rollout.holder().bootstrap();
+    }
+
+    /// Whether another process may have ordered the engine before this one started.
+    pub(crate) fn unsure(&mut self, now: Micros) -> bool {
+        self.alive && self.rollout.holder().is_unsure(now)
+    }
+
+    /// Takes over how long no delegate has acted for the engine.
+    pub(crate) fn quiet(&mut self, now: Micros, quiet: Micros) {
+        self.rollout.holder().quiet(now, quiet);
+    }
+
     /// Takes over what an entry notes of a prompt.
     pub(crate) fn prompt(&mut self, now: Micros, note: Note) {
         match note.tokens {
--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// The right to order the engine.
+    pub(super) fn holder(&mut self) -> &mut Holder {
+        &mut self.holder
+    }
+
     /// When the engine was last ordered by this agent, and with which token.
     pub(super) fn ordered(&self) -> Option<(Micros, u64)> {
         Some((self.ordered?, self.fence))
--- a/crates/gate/src/entry/delegate.rs
+++ b/crates/gate/src/entry/delegate.rs
@@ -101,7 +101,12 @@
         let all = engines.values().map(|e| e.addr);
         all.filter(|addr| !world.attended(*addr)).collect()
     };
-    ctx.node.world.borrow_mut().unattended = unattended.into_iter().collect();
+    {
+        let mut world = ctx.node.world.borrow_mut();
+        world.unattended = unattended.into_iter().collect();
+        let listed = |addr: &SocketAddr| engines.contains_key(&engine_key(*addr));
+        world.delegated.retain(|addr, _| listed(addr));
+    }
     let gone =
         |key: &u64, d: &Delegate| engines.get(key).is_none_or(|e| e.boot != d.boot || !e.acts);
     let ended: Vec<_> = {
@@ -292,8 +297,12 @@
         };
         ctx.delegates.borrow_mut().reports.insert(key, report);
     }
-    if update.delegate == 0 {
-        hand_over(ctx, key, addr, from);
+    match update.delegate {
+        0 => hand_over(ctx, key, addr, from),
+        _ => {
+            let mut world = ctx.node.world.borrow_mut();
+            world.delegated.insert(addr, now);
+        }
     }
     let d = ctx.delegates.borrow();
     let others = d.own.iter().filter(|(k, _)| **k != update.delegate);
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -65,6 +65,12 @@
     /// Newest version in the store when the list of targets was read; 0 without a list.
     #[prost(uint64, tag = "3")]
     version: u64,
+    /// Whether a delegate of the engine that was asked about has reported.
+    #[prost(bool, tag = "4")]
+    delegated: bool,
+    /// Milliseconds for which none has, or since this process's start.
+    #[prost(uint64, tag = "5")]
+    quiet_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -149,6 +155,9 @@
     let mut told = listed(node);
     told.rows
         .retain(|r| target(r).is_some_and(|t| t.addr == addr));
+    let delegated = node.world.borrow().delegated.get(&addr).copied();
+    told.delegated = delegated.is_some();
+    told.quiet_ms = node.now().since(delegated.unwrap_or_default()).as_millis();
     told
 }
 
@@ -175,6 +184,7 @@
         rows: read.rows.iter().filter_map(told).collect(),
         age_ms: age(read).as_millis(),
         version: read.version,
+        ..Told::default()
     }
 }
 
@@ -203,8 +213,17 @@
     (version > 0).then_some(Read { at, version, rows })
 }
 
-/// The incarnation of the target at an address, as entries have it from the list of late.
-pub async fn incarnation(node: &Shared, addr: SocketAddr) -> Option<Boot> {
+/// What entries know of an engine beside a sidecar.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Its incarnation, by the list of late.
+    pub boot: Option<Boot>,
+    /// How long no entry has acted for its sidecar.
+    pub quiet: Option<Micros>,
+}
+
+/// Asks some entries about the engine at an address.
+pub async fn engine(node: &Shared, addr: SocketAddr) -> Known {
     let entries: Vec<_> = {
         let world = node.world.borrow();
         let entries = world.entries();
@@ -219,12 +238,19 @@
         .map(|a| timeout(PATIENCE, question(a, &ask)));
     let answers = futures::future::join_all(asked).await;
     // An entry that doesn't answer is replaced by another one in the next round.
-    let rows = answers
-        .into_iter()
-        .filter_map(|a| a.ok()?.ok())
-        .flat_map(|a| a.rows);
-    let latest = rows.filter_map(|r| target(&r)).max_by_key(|t| t.renewed)?;
-    Some(latest.boot)
+    let answers: Vec<_> = answers.into_iter().filter_map(|a| a.ok()?.ok()).collect();
+    let rows = answers.iter().flat_map(|a| &a.rows).filter_map(target);
+    // One that has seen a delegate knows better than one that hasn't.
+    let seen = answers
+        .iter()
+        .filter(|a| a.delegated)
+        .map(|a| a.quiet_ms)
+        .min();
+    let quiet = seen.or_else(|| answers.iter().map(|a| a.quiet_ms).max());
+    Known {
+        boot: rows.max_by_key(|t| t.renewed).map(|t| t.boot),
+        quiet: quiet.map(Micros::from_millis),
+    }
 }
 
 /// Asks others for as long as the store doesn't answer.
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -27,16 +27,20 @@
     socket: UdpSocket,
     stop: impl Future<Output = Instant>,
 ) -> io::Result<()> {
-    let (addr, lease) = {
+    let (addr, lease, bootstrap) = {
         let s = node.settings.borrow();
-        (s.engine, s.bounds.lease)
+        (s.engine, s.bounds.lease, s.bootstrap)
     };
     let Some(addr) = addr else {
         return Err(io::Error::other(
             "the settings name no engine beside this sidecar",
         ));
     };
-    let agent = Rc::new(RefCell::new(Agent::sidecar(addr, lease.into())));
+    let mut agent = Agent::sidecar(addr, lease.into());
+    if bootstrap {
+        agent.bootstrap();
+    }
+    let agent = Rc::new(RefCell::new(agent));
     let socket = Rc::new(socket);
     let kept = kept::Stores::default();
     tokio::task::spawn_local(kept::follow(
@@ -99,19 +103,28 @@
     }
 }
 
-/// Asks entries which incarnation the engine is, until one has said so.
+/// Asks entries which incarnation the engine is and whether one of them has acted for it, until both are known.
 ///
-/// Entries send it with their subscriptions as well. On that alone a sidecar whose datagrams were lost had
-/// no incarnation to name in an order for seconds.
+/// Entries send the incarnation with their subscriptions as well. On that alone a sidecar whose datagrams were
+/// lost had none to name in an order for seconds.
 async fn identify(node: &Shared, agent: &Own, addr: SocketAddr) {
     loop {
-        if !agent.borrow().unidentified() {
+        let (unidentified, unsure) = {
+            let mut a = agent.borrow_mut();
+            (a.unidentified(), a.unsure(node.now()))
+        };
+        if !unidentified && !unsure {
             sleep(IDENTIFIED).await;
             continue;
         }
         sleep(IDENTIFY).await;
-        if let Some(boot) = peer::incarnation(node, addr).await {
-            agent.borrow_mut().identify(boot);
+        let known = peer::engine(node, addr).await;
+        let mut a = agent.borrow_mut();
+        if let Some(boot) = known.boot.filter(|_| unidentified) {
+            a.identify(boot);
+        }
+        if let Some(quiet) = known.quiet.filter(|_| unsure) {
+            a.quiet(node.now(), quiet);
         }
     }
 }
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -136,6 +136,8 @@
     pub lost: Option<Micros>,
     /// The store's clock as last read, and when that was.
     pub clock: Option<(u64, Micros)>,
+    /// When a delegate of an engine last reported, by the engine's address.
+    pub delegated: HashMap<SocketAddr, Micros>,
     /// Engines that no sidecar is a member for, in order.
     pub unattended: Vec<SocketAddr>,
 }
--- a/crates/policy/src/holder.rs
+++ b/crates/policy/src/holder.rs
@@ -5,9 +5,11 @@
 //! on their way, and an engine that doesn't check fencing tokens carries out the older one last.
 //!
 //! The engine counts the orders that it has accepted, and every holder reads that count. A holder that finds
-//! it risen by an order that isn't its own waits for a lease. One that isn't the engine's regular holder does
-//! so from the first count that it has read. As an order also demands the count that was read, the second of
-//! two that come together is refused.
+//! it risen by an order that isn't its own waits for a lease. As an order also demands the count that was
+//! read, the second of two that come together is refused.
+//!
+//! What happened before its start a process doesn't know, so it waits for a lease from the first count that
+//! it has read. An engine's sidecar is spared that if an entry says that none has acted for the sidecar.
 
 use model::Micros;
 
@@ -17,49 +19,47 @@
 /// One process's right to order an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Holder {
-    /// Whether it is the engine's regular holder.
-    regular: bool,
     /// How long orders of two holders stay apart.
     lease: Micros,
     /// Orders that the engine has accepted, as last read.
     count: Option<u64>,
     /// Orders of this process that may have been accepted since the count was read.
     ours: u64,
-    /// From when on an order of another process may be followed by one of this process.
+    /// From when on an order of another process that is known may be followed.
     free: Micros,
+    /// The same for orders from before this process's start; none once there are none.
+    unknown: Option<Micros>,
 }
 
 impl Holder {
-    /// The process beside an engine.
-    pub fn regular(lease: Micros) -> Self {
+    /// A process that may order an engine.
+    pub fn new(lease: Micros) -> Self {
         Self {
-            regular: true,
             lease,
             count: None,
             ours: 0,
             free: Micros::ZERO,
+            unknown: Some(Micros::MAX),
         }
     }
 
-    /// A process that acts for the regular holder.
-    pub fn delegate(lease: Micros) -> Self {
-        Self {
-            regular: false,
-            ..Self::regular(lease)
-        }
+    /// How long after an order of another process this one may order.
+    fn apart(&self) -> Micros {
+        self.lease + LAG
     }
 
     /// Takes over the count of orders from the engine's report; true if another process has ordered it.
     pub fn read(&mut self, now: Micros, orders: u64) -> bool {
-        let known = self.count.replace(orders);
-        // A count that has fallen is that of another incarnation, which no process has ordered yet.
-        let Some(known) = known.filter(|k| *k <= orders) else {
-            self.ours = 0;
-            if !self.regular {
-                self.yielded(now);
-            }
+        let Some(known) = self.count.replace(orders) else {
+            let until = now + self.apart();
+            self.unknown = self.unknown.map(|_| until);
             return false;
         };
+        // A count that has fallen is that of another incarnation.
+        if orders < known {
+            self.ours = 0;
+            return false;
+        }
         let foreign = orders > known + self.ours;
         if foreign {
             self.yielded(now);
@@ -75,13 +75,31 @@
         self.ours += 1;
     }
 
-    /// Notes that another process may have ordered the engine at some time.
+    /// Notes that another process may have ordered the engine up to some time.
     pub fn yielded(&mut self, at: Micros) {
-        self.free = self.free.max(at + self.lease + LAG);
+        self.free = self.free.max(at + self.apart());
+    }
+
+    /// Takes over how long no other process has acted for the engine, as an entry knows it.
+    pub fn quiet(&mut self, now: Micros, quiet: Micros) {
+        if quiet >= self.apart() {
+            self.unknown = None;
+        }
+        self.yielded(now - quiet);
+    }
+
+    /// Takes over that the whole system starts for the first time.
+    pub fn bootstrap(&mut self) {
+        self.unknown = None;
+    }
+
+    /// Whether orders from before its start may still matter.
+    pub fn is_unsure(&self, now: Micros) -> bool {
+        self.unknown.is_some_and(|until| now < until)
     }
 
     /// Whether this process may order the engine.
     pub fn may_order(&self, now: Micros) -> bool {
-        self.count.is_some() && now >= self.free
+        self.count.is_some() && !self.is_unsure(now) && now >= self.free
     }
 }
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -46,6 +46,8 @@
     pub peer: SocketAddr,
     /// Hosts that are likely to be up, at the port of `peer`.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
     /// The engine beside a sidecar.
     pub engine: Option<SocketAddr>,
     /// The platform's store.
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -82,6 +82,7 @@
     /// How long its answer to an order takes.
     answers: Duration,
     life: u64,
+    addr: Option<SocketAddr>,
     /// Requests at work, and those whose caller left before the end.
     working: usize,
     left: usize,
@@ -107,6 +108,7 @@
     pub id: String,
     events: u64,
     pause: Duration,
+    began: Instant,
     state: Mutex<State>,
     changed: Notify,
 }
@@ -118,6 +120,7 @@
             id: id.to_owned(),
             events,
             pause,
+            began: Instant::now(),
             state: Mutex::default(),
             changed: Notify::new(),
         })
@@ -126,11 +129,13 @@
     /// Answers requests on a port of 127.0.0.1.
     pub async fn start(self: &Arc<Self>) -> std::io::Result<(SocketAddr, JoinSet<()>)> {
         let replica = Arc::clone(self);
-        serve(move |r| {
+        let (addr, served) = serve(move |r| {
             let replica = Arc::clone(&replica);
             async move { replica.answer(r).await }
         })
-        .await
+        .await?;
+        lock(&self.state).addr = Some(addr);
+        Ok((addr, served))
     }
 
     /// Misbehaves from now on.
@@ -224,7 +229,12 @@
         lock(&self.state).seen.clone()
     }
 
-    /// All orders taken; `meant` is the target that each named.
+    /// Where it answers, once it does.
+    pub fn addr(&self) -> Option<SocketAddr> {
+        lock(&self.state).addr
+    }
+
+    /// All orders taken; `meant` is the target that each named, `at_ms` when it came.
     pub fn orders(&self) -> Vec<Value> {
         lock(&self.state).orders.clone()
     }
@@ -432,6 +442,8 @@
             }
         }
         order["meant"] = meant.into();
+        let at = begun.duration_since(self.began).as_millis() as u64;
+        order["at_ms"] = at.into();
         state.orders.push(order);
         reply(StatusCode::ACCEPTED, "")
     }
