Follow the store's era, so that nothing from before a restore binds

In a drill the store comes back from a copy some seconds old: versions go back and are given out again. The landed code compared bare versions. Shown on it by the new tests of daemon hosted restore, which all fail there: a key taken away after the restore is served for 20 s and more, also where the store turns a process away; a process's row in members isn't written again; targets aren't told apart from those of the copy.

A position in the store is now (era, version) wherever a bare version was: feed, whole reads, rows between processes, datagrams on the list, targets' renewals. Each answer's era is read, refusals included; one of an older era is dropped, one that names none has the table read again. On a new era all tables are read again, at random within a quarter of a second, and what was in force stays until then; the operator's own versions decide. A process whose row is gone writes it again within 2 s. Targets' rows of the copy override nothing that is known until they are renewed (entry::copy). Fencing tokens rise with the era, should the store's clock be the copy's.

The stand-in restores copies, answers 410 past its end and checks expected versions.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -10,6 +10,7 @@
 mod held;
 mod losses;
 mod pool;
+mod restore;
 mod slots;
 mod soak;
 mod store;
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use model::Micros;
+use model::{Micros, Position};
 use policy::{lapse, standing};
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
 
+use super::copy::Copy;
 use super::replica::{take_over, Heard, KeptStore, Replica};
 use super::usable::HEARD;
 use crate::agent::AgentId;
@@ -38,16 +39,28 @@
     pub(super) ended: Vec<Boot>,
     /// Part of answers that usually fail, by pool.
     usual: HashMap<String, f64>,
+    /// What a restore of the store has made of the list.
+    copy: Copy,
 }
 
 impl Fleet {
-    /// Takes over the platform's list as it was at some time.
-    pub fn list(&mut self, at: Micros, targets: Vec<Target>, config: &lapse::Config) {
-        let listed: HashMap<_, _> = targets.into_iter().map(|t| (t.boot.clone(), t)).collect();
+    /// Takes over the platform's list as it was at some time and position.
+    pub fn list(
+        &mut self,
+        at: Micros,
+        position: Position,
+        targets: Vec<Target>,
+        config: &lapse::Config,
+    ) {
+        self.copy.read(at, position);
+        let targets = targets.into_iter().map(|t| self.copy.place(t));
+        let listed = targets.filter(|t| !self.copy.has_left(t));
+        let listed: HashMap<_, _> = listed.map(|t| (t.boot.clone(), t)).collect();
         let gap = lapse::Gap {
             known: self.listed,
             read: at,
             failed: self.failed > self.listed,
+            restored: self.copy.restored(),
         };
         // Kept only where its row may have lapsed, and until a time: kept for any absence soon after the
         // store's return, a target that had left got requests until the next read, and they were lost.
@@ -102,7 +115,7 @@
     /// entry lasts some seconds beyond the start of its successor; until it lapsed, each entry sent a
     /// request or two to the former one and took what the sidecar told of the new one for the former's.
     fn supersede(&mut self) {
-        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        let mut latest: HashMap<SocketAddr, Position> = HashMap::new();
         for r in self.replicas.values().filter(|r| !r.misdirected.marked()) {
             let heard = latest.entry(r.target.addr).or_default();
             *heard = r.target.renewed.max(*heard);
@@ -120,6 +133,7 @@
     }
 
     fn enter(&mut self, now: Micros, target: Target) {
+        self.copy.entered(&target.boot);
         let Some(key) = self.boots.get(&target.boot).copied() else {
             tell(&target, "ready");
             let boot = target.boot.clone();
@@ -130,6 +144,14 @@
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
+        if self.copy.is_older(&target, &replica.target) {
+            // A copy's row is older than what is known. One that may be new is believed that it leaves.
+            replica.missing = None;
+            if target.state == State::Draining {
+                replica.target.state = target.state;
+            }
+            return;
+        }
         for w in &target.weights {
             replica.loaded(now, &w.model, w.version);
         }
@@ -168,6 +190,7 @@
     fn remove(&mut self, boot: &Boot, key: Key) {
         self.boots.remove(boot);
         if let Some(replica) = self.replicas.remove(key) {
+            self.copy.left(self.listed, &replica.target);
             tell(&replica.target, "gone");
             self.ended.push(boot.clone());
         }
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -12,21 +12,22 @@
 
 use model::Micros;
 use platform::store::TARGETS;
-use platform::{Row, Store};
+use platform::{Row, Store, StoreError};
 use policy::lapse;
 use policy::readers::Readers;
 use rand::Rng;
 use site::Target;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::{suspects, Ctx};
+use crate::follow::{note_era, pause};
 use crate::log::{self, Dependency, Event};
 use crate::meter;
 use crate::peer;
 use crate::update::{self, Listed, Update};
-use crate::world::Read;
+use crate::world::{Read, Source};
 
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(250);
@@ -75,10 +76,11 @@
     };
     let mut store = Store::new(addr);
     let mut dependency = Dependency::new("list");
+    let mut era = ctx.node.era.subscribe();
     loop {
         if let Some(finder) = ctx.list.finder.take() {
             if ask(&ctx, finder).await {
-                wait(&ctx, rank).await;
+                wait(&ctx, rank, &mut era).await;
                 continue;
             }
         }
@@ -90,6 +92,11 @@
             read = store.rows(TARGETS) => read,
             () = ctx.list.found() => continue,
         };
+        note_era(&ctx.node, &mut store);
+        if matches!(read, Err(StoreError::Gone | StoreError::Outdated(..))) {
+            pause().await;
+            continue;
+        }
         dependency.note(&read);
         let now = ctx.now();
         meter::span(meter::STORE, now.since(asked).into());
@@ -98,12 +105,12 @@
             Ok(rows) => {
                 let list = Read {
                     at: now,
-                    version: rows.version,
+                    position: rows.at,
                     rows: rows.rows,
                 };
                 take(&ctx, list, "store");
                 tell(&ctx, rank);
-                wait(&ctx, rank).await;
+                wait(&ctx, rank, &mut era).await;
             }
             Err(_) => {
                 ctx.fleet.borrow_mut().fail(now);
@@ -132,9 +139,10 @@
 fn adopt(ctx: &Ctx, list: Read) -> bool {
     let own = {
         let world = ctx.node.world.borrow();
-        world.targets.as_ref().map_or(0, |own| own.version)
+        world.targets.as_ref().map(|own| own.position)
     };
-    if list.version > own {
+    if own.is_none_or(|own| list.position > own) {
+        ctx.node.raise_era(list.position.era, Source::Peer);
         take(ctx, list, "peer");
         return true;
     }
@@ -148,10 +156,11 @@
 /// Takes over a list, and tells of it if it says something new or lacks targets that are kept.
 fn take(ctx: &Ctx, list: Read, source: &str) {
     let targets = targets(&list.rows);
-    let (listed, at) = (targets.len(), list.at);
+    let (listed, at, position) = (targets.len(), list.at, list.position);
     let known = ctx.list.own.replace(hash(&targets));
     ctx.node.world.borrow_mut().targets = Some(list);
-    ctx.fleet.borrow_mut().list(at, targets, &lapse_config(ctx));
+    let config = lapse_config(ctx);
+    ctx.fleet.borrow_mut().list(at, position, targets, &config);
     suspects::ended(ctx);
     let missing = ctx.fleet.borrow().missing() > 0;
     if missing || ctx.list.own.get() != known {
@@ -178,7 +187,11 @@
     }
     let update = Update {
         entry: true,
-        list: Some(Listed { rank, hash }),
+        list: Some(Listed {
+            rank,
+            hash,
+            era: ctx.node.era.borrow().unwrap_or_default(),
+        }),
         ..Update::default()
     };
     update::send(&ctx.socket, &update, ctx.node.world.borrow().entries());
@@ -198,7 +211,7 @@
 }
 
 /// Waits until the list is to be read again.
-async fn wait(ctx: &Ctx, rank: u64) {
+async fn wait(ctx: &Ctx, rank: u64, era: &mut watch::Receiver<Option<u64>>) {
     let read = ctx.now();
     let draw = rand::rng().random();
     loop {
@@ -210,7 +223,13 @@
             return;
         }
         let left = next.since(now).into();
-        if timeout(left, ctx.list.changed.notified()).await.is_ok() {
+        let changed = async {
+            tokio::select! {
+                () = ctx.list.changed.notified() => {}
+                _ = era.changed() => pause().await,
+            }
+        };
+        if timeout(left, changed).await.is_ok() {
             return;
         }
     }
@@ -231,7 +250,7 @@
         let Some(value) = &row.value else {
             continue;
         };
-        match platform::directory::target(&row.key, row.version, value) {
+        match platform::directory::target(&row.key, row.at, value) {
             Ok(target) => targets.push(target),
             Err(e) => log::event(&Event::BadRow {
                 key: &row.key,
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The process that takes callers' requests and goes to targets directly.
 
+mod copy;
 mod delegate;
 mod fleet;
 mod idle;
@@ -39,7 +40,7 @@
 use crate::kept;
 use crate::meter;
 use crate::update::{self, Held, Life, Note, Update};
-use crate::world::{domain_key, Shared};
+use crate::world::{domain_key, Shared, Source};
 use site::{Part, Scope};
 
 pub use fleet::Fleet;
@@ -255,6 +256,12 @@
         let now = ctx.now();
         delegate::received(&ctx, from);
         if let Some(listed) = update.list {
+            let known = ctx.node.era.borrow().unwrap_or_default();
+            if listed.era < known {
+                // What it found is from before the store was restored.
+                continue;
+            }
+            ctx.node.raise_era(listed.era, Source::Peer);
             if ctx.list.hear(now, listed, from) {
                 ctx.fleet.borrow_mut().confirm(now);
             }
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use model::Micros;
+use model::{Micros, Position};
 use platform::replica::Load;
 use policy::ledger::Unread;
 use policy::misdirected::Marks;
@@ -119,8 +119,8 @@
     pub(super) missing: Option<Micros>,
     /// Whether another target has answered at its address.
     pub misdirected: Marks,
-    /// Version of its last heartbeat when its sidecar found that its process had ended.
-    pub(super) over: Option<u64>,
+    /// Position of its last heartbeat when its sidecar found that its process had ended.
+    pub(super) over: Option<Position>,
     /// Whether the list names another target at its address that was heard later.
     pub superseded: bool,
     pub(super) epoch: u64,
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use platform::store::{MEMBERS, OPERATOR};
-use platform::{Row, Rows, Store, StoreError};
+use platform::{Era, Position, Row, Rows, Store, StoreError};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use site::Role;
 use tokio::time::sleep;
 
 use crate::log::{self, Dependency, Event};
+use crate::meter;
 use crate::world::{domain_key, Member, OperatorRow, Shared, Source};
 
 /// How long the store may hold a call; long calls are few, and a vanished connection is found by
@@ -24,6 +25,10 @@
 const PAUSE: Duration = Duration::from_millis(80);
 /// How long changes of the members' list are gathered.
 const GATHER: Duration = Duration::from_millis(500);
+/// Pause after an answer that doesn't name the store's era.
+const UNNAMED: Duration = Duration::from_secs(1);
+/// Time over which processes write their rows again after a restore.
+const SPREAD: Duration = Duration::from_millis(2_000);
 /// Longest pause after a failed call; a tenth of the time in which a configuration must be known.
 const LONGEST: Duration = Duration::from_millis(250);
 
@@ -38,6 +43,13 @@
     engine: Option<std::net::SocketAddr>,
 }
 
+/// A random pause before this process's row is written again, so that the rows of hundreds fit into the rate
+/// of writes to one table.
+async fn spread() {
+    let ms = rand::rng().random_range(0..SPREAD.as_millis() as u64);
+    sleep(Duration::from_millis(ms)).await;
+}
+
 /// A random pause before the store is asked again.
 pub async fn pause() {
     let span = PAUSE.as_millis() as u64..LONGEST.as_millis() as u64;
@@ -45,13 +57,44 @@
     sleep(Duration::from_millis(ms)).await;
 }
 
+/// Takes over the era that the store's last answer named, and lets the client drop answers of earlier ones.
+pub fn note_era(node: &Shared, store: &mut Store) {
+    let known = *node.era.borrow();
+    let kind = match store.era() {
+        Era::Named(era) if known.is_none_or(|k| era >= k) => {
+            node.raise_era(era, Source::Table);
+            None
+        }
+        Era::Named(_) => Some("outdated"),
+        Era::Unreadable => Some("unreadable"),
+        // A store that has named none yet doesn't count them.
+        Era::Missing => known.map(|_| "missing"),
+    };
+    let known = node.era.borrow().unwrap_or_default();
+    store.raise(known);
+    if let Some(kind) = kind {
+        meter::count(meter::ERAS, "kind", kind);
+        log::event(&Event::BadEra { kind, known });
+    }
+}
+
 /// Notes whether the store answers this process, and tells it when that changes.
-fn note<T>(node: &Shared, store: &mut Dependency, result: &Result<T, StoreError>) {
-    // Lost history is an answer like any other.
-    if matches!(result, Err(StoreError::Gone)) {
+fn note<T>(
+    node: &Shared,
+    store: &mut Store,
+    dependency: &mut Dependency,
+    result: &Result<T, StoreError>,
+) {
+    note_era(node, store);
+    // Lost history and a late answer are answers like any other.
+    let answered = matches!(
+        result,
+        Err(StoreError::Gone | StoreError::Outdated(..) | StoreError::Unnamed)
+    );
+    if answered {
         return;
     }
-    store.note(result);
+    dependency.note(result);
     let now = node.now();
     let lost = &mut node.world.borrow_mut().lost;
     *lost = result.is_err().then(|| lost.unwrap_or(now));
@@ -62,25 +105,40 @@
     let addr = node.settings.borrow().store;
     let mut store = Store::new(addr);
     let mut dependency = Dependency::new("store");
+    let mut era = node.era.subscribe();
     loop {
+        era.mark_unchanged();
         let all = store.rows(OPERATOR).await;
-        note(&node, &mut dependency, &all);
+        note(&node, &mut store, &mut dependency, &all);
         let Ok(rows) = all else {
             pause().await;
             continue;
         };
-        let mut after = rows.version;
+        let mut after = rows.at;
+        reread(&node, OPERATOR, &rows, 0);
         adopt(&node, rows, Source::Table);
         loop {
-            let news = store.changes(OPERATOR, after, HOLD).await;
-            note(&node, &mut dependency, &news);
+            let news = tokio::select! {
+                biased;
+                news = store.changes(OPERATOR, after, HOLD) => news,
+                _ = era.changed() => Err(StoreError::Gone),
+            };
+            note(&node, &mut store, &mut dependency, &news);
             match news {
                 Ok(rows) => {
-                    after = after.max(rows.version);
+                    after = after.max(rows.at);
                     adopt(&node, rows, Source::Feed);
                 }
-                // The history between is gone, so all is read again.
-                Err(StoreError::Gone) => break,
+                // The history between is gone, so all is read again; not by all processes at one moment.
+                Err(StoreError::Gone | StoreError::Outdated(..)) => {
+                    pause().await;
+                    break;
+                }
+                // So it is until an answer names the era again.
+                Err(StoreError::Unnamed) => {
+                    sleep(UNNAMED).await;
+                    break;
+                }
                 Err(_) => {
                     pause().await;
                     // A fresh read shows at once whether the store answers, where a held call
@@ -92,19 +150,26 @@
     }
 }
 
+/// Logs that a table was read again, if the store has been restored.
+fn reread(node: &Shared, table: &str, rows: &Rows, written: usize) {
+    if node.restored.get() {
+        log::event(&Event::Reread {
+            table,
+            era: rows.at.era,
+            rows: rows.rows.len(),
+            written,
+        });
+    }
+}
+
 fn adopt(node: &Shared, rows: Rows, source: Source) {
     let now = node.now();
     let mut world = node.world.borrow_mut();
     world.set_clock(now, rows.clock);
-    for Row {
-        key,
-        value,
-        version,
-    } in rows.rows
-    {
+    for Row { key, value, at } in rows.rows {
         // The operator takes nothing back; a row that is gone leaves what was in force.
         if let Some(value) = value {
-            world.adopt(now, &key, OperatorRow { version, value }, source);
+            world.adopt(now, &key, OperatorRow { at, value }, source);
         }
     }
 }
@@ -133,8 +198,10 @@
         pause().await;
         sleep(LONGEST).await;
     }
+    let mut last = None;
     loop {
-        let read = list(&node, &mut store, &host).await;
+        let read = list(&node, &mut store, &host, &value, &mut last).await;
+        note_era(&node, &mut store);
         dependency.note(&read);
         if read.is_err() {
             sleep(LONGEST).await;
@@ -143,19 +210,56 @@
     }
 }
 
-/// Reads the list of members, then its changes until a call fails.
-async fn list(node: &Shared, store: &mut Store, own: &str) -> Result<(), StoreError> {
+/// Reads the list of members, enters this process again if it isn't there, then reads the list's changes
+/// until a call fails.
+async fn list(
+    node: &Shared,
+    store: &mut Store,
+    own: &str,
+    value: &[u8],
+    last: &mut Option<Position>,
+) -> Result<(), StoreError> {
+    let mut era = node.era.subscribe();
+    era.mark_unchanged();
     let all = store.rows(MEMBERS).await?;
-    let mut after = all.version;
+    note_era(node, store);
+    let mut after = all.at;
+    let listed = all.rows.iter().any(|r| r.key == own);
+    reread(node, MEMBERS, &all, usize::from(!listed));
     let mut members: HashMap<_, _> = all.rows.into_iter().filter_map(member).collect();
+    if last.replace(after).is_some_and(|l| after.era > l.era) {
+        // Members whose rows the restore has lost write them again; until then they are what they were.
+        let before = node.world.borrow().members.clone();
+        before.into_iter().for_each(|(host, member)| {
+            members.entry(host).or_insert(member);
+        });
+    }
     members.remove(own);
     know(node, members);
+    if !listed {
+        spread().await;
+        store.put(MEMBERS, own, value).await?;
+        note_era(node, store);
+    }
     loop {
-        let news = match store.changes(MEMBERS, after, HOLD).await {
-            Err(StoreError::Gone) => return Ok(()),
+        let news = tokio::select! {
+            biased;
+            news = store.changes(MEMBERS, after, HOLD) => news,
+            _ = era.changed() => Err(StoreError::Gone),
+        };
+        note_era(node, store);
+        let news = match news {
+            Err(StoreError::Gone | StoreError::Outdated(..)) => {
+                pause().await;
+                return Ok(());
+            }
+            Err(StoreError::Unnamed) => {
+                sleep(UNNAMED).await;
+                return Ok(());
+            }
             news => news?,
         };
-        after = after.max(news.version);
+        after = after.max(news.at);
         // Processes start together; without a pause each start is one more call of every process.
         sleep(GATHER).await;
         let changed = news.rows.into_iter().filter_map(member);
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -94,6 +94,33 @@
         /// Why.
         error: &'a str,
     },
+    /// The store has been restored from a copy.
+    Restored {
+        /// Its era now.
+        era: u64,
+        /// The highest era before.
+        before: u64,
+        /// Where the era came from: store or peer.
+        source: &'a str,
+    },
+    /// A table of the store was read again after a restore.
+    Reread {
+        /// The table.
+        table: &'a str,
+        /// The store's era.
+        era: u64,
+        /// Rows in it.
+        rows: usize,
+        /// Rows of this process's that it lacked and that were written again.
+        written: usize,
+    },
+    /// An answer's era can't be used.
+    BadEra {
+        /// What it named: missing, unreadable or outdated.
+        kind: &'a str,
+        /// The highest era that is known.
+        known: u64,
+    },
     /// New weights are named.
     Named {
         /// The model.
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -70,6 +70,8 @@
 pub const REPORTS: &str = "clementinestep_engine_reports_total";
 /// Engines that this entry is the delegate of.
 pub const DELEGATES: &str = "clementinestep_delegates";
+/// Eras of the store that were restored, and answers whose era can't be used, by kind.
+pub const ERAS: &str = "clementinestep_store_eras_total";
 /// Datagrams that can't be read.
 pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
 /// Version of the configuration in force.
@@ -100,6 +102,7 @@
     describe_counter!(ORDERS, "orders to engines, by outcome");
     describe_counter!(REPORTS, "reports of engines that were read, by agent");
     describe_gauge!(DELEGATES, "engines that this entry is the delegate of");
+    describe_counter!(ERAS, "restores of the store, and eras that can't be used");
     describe_counter!(BAD_UPDATES, "datagrams that can't be read");
     describe_gauge!(VERSION, "version of the configuration in force");
     describe_gauge!(MEMBERS, "other processes known");
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use model::Micros;
-use platform::Row;
+use platform::{Position, Row};
 use prost::Message;
 use rand::seq::IteratorRandom;
 use site::{Boot, Target};
@@ -43,9 +43,11 @@
 /// What a process has.
 #[derive(Clone, PartialEq, Message)]
 struct Ask {
-    /// Versions of its rows by their keys.
+    /// Versions of its rows by their keys, and the eras that they are of.
     #[prost(map = "string, uint64", tag = "1")]
     versions: HashMap<String, u64>,
+    #[prost(map = "string, uint64", tag = "4")]
+    eras: HashMap<String, u64>,
     /// Whether it asks for the list of targets instead.
     #[prost(bool, tag = "2")]
     targets: bool,
@@ -65,6 +67,9 @@
     /// Newest version in the store when the list of targets was read; 0 without a list.
     #[prost(uint64, tag = "3")]
     version: u64,
+    /// The era that it is of.
+    #[prost(uint64, tag = "6")]
+    era: u64,
     /// Whether a delegate of the engine that was asked about has reported.
     #[prost(bool, tag = "4")]
     delegated: bool,
@@ -81,6 +86,30 @@
     version: u64,
     #[prost(bytes = "bytes", tag = "3")]
     value: Bytes,
+    #[prost(uint64, tag = "4")]
+    era: u64,
+}
+
+impl ToldRow {
+    fn new(key: &str, at: Position, value: Bytes) -> Self {
+        Self {
+            key: key.to_owned(),
+            version: at.version,
+            era: at.era,
+            value,
+        }
+    }
+
+    fn at(&self) -> Position {
+        Position::new(self.era, self.version)
+    }
+}
+
+impl Told {
+    /// Where the list of targets was read.
+    fn position(&self) -> Position {
+        Position::new(self.era, self.version)
+    }
 }
 
 /// Why a question has no answer.
@@ -136,15 +165,12 @@
 
 fn newer(node: &Shared, ask: &Ask) -> Told {
     let world = node.world.borrow();
-    let known = |key: &String| ask.versions.get(key).copied().unwrap_or_default();
-    let rows = world.rows.iter().filter(|(k, r)| r.version > known(k));
+    let of = |map: &HashMap<String, u64>, key: &String| map.get(key).copied().unwrap_or_default();
+    let known = |key: &String| Position::new(of(&ask.eras, key), of(&ask.versions, key));
+    let rows = world.rows.iter().filter(|(k, r)| r.at > known(k));
     Told {
         rows: rows
-            .map(|(key, row)| ToldRow {
-                key: key.clone(),
-                version: row.version,
-                value: row.value.clone(),
-            })
+            .map(|(key, row)| ToldRow::new(key, row.at, row.value.clone()))
             .collect(),
         ..Told::default()
     }
@@ -163,7 +189,7 @@
 
 /// The target that a row of the list names; none if the row can't be read.
 fn target(row: &ToldRow) -> Option<Target> {
-    platform::directory::target(&row.key, row.version, &row.value).ok()
+    platform::directory::target(&row.key, row.at(), &row.value).ok()
 }
 
 /// The list of targets, if this process has it of late.
@@ -173,17 +199,12 @@
     let Some(read) = world.targets.as_ref().filter(|r| age(r) < FRESH) else {
         return Told::default();
     };
-    let told = |row: &Row| {
-        Some(ToldRow {
-            key: row.key.clone(),
-            version: row.version,
-            value: row.value.clone()?,
-        })
-    };
+    let told = |row: &Row| Some(ToldRow::new(&row.key, row.at, row.value.clone()?));
     Told {
         rows: read.rows.iter().filter_map(told).collect(),
         age_ms: age(read).as_millis(),
-        version: read.version,
+        version: read.position.version,
+        era: read.position.era,
         ..Told::default()
     }
 }
@@ -201,16 +222,16 @@
     let told = futures::future::join_all(asked).await;
     // Of those that don't answer the operator's rows are asked too, which tells how it failed.
     let told = told.into_iter().filter_map(|t| t.ok()?.ok());
-    let newest = told.max_by_key(|t| t.version)?;
+    let newest = told.max_by_key(Told::position)?;
     let at = node.now() - Micros::from_millis(newest.age_ms);
-    let version = newest.version;
+    let position = newest.position();
     let row = |r: ToldRow| Row {
+        at: r.at(),
         key: r.key,
         value: Some(r.value),
-        version: r.version,
     };
     let rows: Vec<_> = newest.rows.into_iter().map(row).collect();
-    (version > 0).then_some(Read { at, version, rows })
+    (position.version > 0).then_some(Read { at, position, rows })
 }
 
 /// What entries know of an engine beside a sidecar.
@@ -275,8 +296,10 @@
 }
 
 async fn round(node: &Shared, addr: SocketAddr) {
+    let known = positions(node);
     let ask = Ask {
-        versions: versions(node),
+        versions: known.iter().map(|(k, p)| (k.clone(), p.version)).collect(),
+        eras: known.into_iter().map(|(k, p)| (k, p.era)).collect(),
         ..Ask::default()
     };
     let told = match timeout(PATIENCE, question(addr, &ask)).await {
@@ -292,11 +315,11 @@
     }
 }
 
-/// Versions of the operator's rows that this process has.
-fn versions(node: &Shared) -> HashMap<String, u64> {
+/// Positions of the operator's rows that this process has.
+fn positions(node: &Shared) -> HashMap<String, Position> {
     let world = node.world.borrow();
     let rows = world.rows.iter();
-    rows.map(|(k, r)| (k.clone(), r.version)).collect()
+    rows.map(|(k, r)| (k.clone(), r.at)).collect()
 }
 
 async fn question(addr: SocketAddr, ask: &Ask) -> Result<Told, PeerError> {
@@ -308,10 +331,14 @@
 
 fn adopt(node: &Shared, told: Told) {
     let now = node.now();
+    let newest = told.rows.iter().map(|r| r.era).max();
+    if let Some(era) = newest.filter(|e| *e > 0) {
+        node.raise_era(era, Source::Peer);
+    }
     let mut world = node.world.borrow_mut();
     for row in told.rows {
         let value = OperatorRow {
-            version: row.version,
+            at: row.at(),
             value: row.value,
         };
         world.adopt(now, &row.key, value, Source::Peer);
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -141,6 +141,9 @@
     /// Hash of the list.
     #[prost(fixed64, tag = "2")]
     pub hash: u64,
+    /// Era of the store that it was read in.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 /// A crash held against a request.
--- a/crates/gate/src/world.rs
+++ b/crates/gate/src/world.rs
@@ -6,13 +6,15 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use model::Micros;
+use model::{Micros, Position};
 use policy::versions::Versions;
 use site::{Plan, Role, Settings};
+use tokio::sync::watch;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::log::{self, Event};
+use crate::meter;
 
 /// Time after its start in which a process first reads what was there before it; a slow store
 /// answers within it.
@@ -21,6 +23,9 @@
 /// Lowest bits of a fencing token, which keep apart hosts that draw one in the same millisecond.
 const FENCE_TIE: u32 = 10;
 
+/// Milliseconds that no copy of the store is older than.
+const COPY_AGE: u64 = 60_000;
+
 /// A process's context, handed to all its parts.
 pub type Shared = Rc<Node>;
 
@@ -35,6 +40,10 @@
     pub origin: Instant,
     /// Set once it was told to stop.
     pub stopping: Cell<bool>,
+    /// Highest era of the store that was read or received.
+    pub era: watch::Sender<Option<u64>>,
+    /// Whether the store has been restored since this process's start.
+    pub restored: Cell<bool>,
 }
 
 impl Node {
@@ -45,6 +54,31 @@
             world: RefCell::default(),
             origin: Instant::now(),
             stopping: Cell::new(false),
+            era: watch::Sender::new(None),
+            restored: Cell::new(false),
+        }
+    }
+
+    /// Takes over an era of the store; those who follow it read all again if it is a new one.
+    pub fn raise_era(&self, era: u64, source: Source) {
+        let known = *self.era.borrow();
+        if known.is_some_and(|k| era <= k) {
+            return;
+        }
+        self.world.borrow_mut().era = era;
+        // The first answer that names one is no restore.
+        self.era.send_if_modified(|e| {
+            *e = Some(era);
+            known.is_some()
+        });
+        if let Some(before) = known {
+            self.restored.set(true);
+            meter::count(meter::ERAS, "kind", "restored");
+            log::event(&Event::Restored {
+                era,
+                before,
+                source: source.word(),
+            });
         }
     }
 
@@ -62,8 +96,8 @@
 /// A row that the operator has written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OperatorRow {
-    /// Version in the store.
-    pub version: u64,
+    /// Where it was written in the store.
+    pub at: Position,
     /// Its value.
     pub value: Bytes,
 }
@@ -94,9 +128,9 @@
 pub struct Read {
     /// On this process's clock.
     pub at: Micros,
-    /// Newest version in the store at that time. It alone tells which of two reads is the newer: a row
+    /// Newest position in the store at that time. It alone tells which of two reads is the newer: a row
     /// that is taken away leaves nothing newer among the others.
-    pub version: u64,
+    pub position: Position,
     /// The rows.
     pub rows: Vec<platform::Row>,
 }
@@ -134,6 +168,8 @@
     pub targets: Option<Read>,
     /// Since when the store hasn't answered this process.
     pub lost: Option<Micros>,
+    /// Highest era of the store that was read or received.
+    pub era: u64,
     /// The store's clock as last read, and when that was.
     pub clock: Option<(u64, Micros)>,
     /// When a delegate of an engine last reported, by the engine's address.
@@ -146,10 +182,11 @@
     /// Takes over a row of the operator's if it is newer than what is in force.
     ///
     /// Configurations and weights only ever go up within a process's life. A store that answers
-    /// with an older state, or a peer that lags, can't bring back a key that was taken away.
+    /// with an older state, or a peer that lags, can't bring back a key that was taken away. A row of a
+    /// restored store counts as newer whatever its version there; the operator's own version decides.
     pub fn adopt(&mut self, now: Micros, key: &str, row: OperatorRow, source: Source) {
         let known = self.rows.get(key);
-        if known.is_some_and(|k| k.version >= row.version) {
+        if known.is_some_and(|k| k.at >= row.at) {
             return;
         }
         let error = match () {
@@ -226,7 +263,9 @@
     /// A fencing token of a host, above all that any host has drawn before.
     pub fn fence(&self, now: Micros, host: &str) -> Option<u64> {
         let tie = xxh3_64(host.as_bytes()) >> (u64::BITS - FENCE_TIE);
-        Some(self.clock_at(now)? << FENCE_TIE | tie)
+        // A restored store's clock may be the copy's.
+        let clock = self.clock_at(now)? + self.era * COPY_AGE;
+        Some(clock << FENCE_TIE | tie)
     }
 
     /// Sidecars on other hosts with their hosts' names, in order.
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use gate::entry::Fleet;
 use gate::update::{Held, Loaded, Update};
-use model::Micros;
+use model::{Micros, Position};
 use policy::lapse;
 use site::{Boot, Part, PartId, State, Target};
 
@@ -25,11 +25,16 @@
         domain: "a".to_owned(),
         state: State::Ready,
         slots: 8,
-        renewed,
+        renewed: Position::new(1, renewed),
         weights: Vec::new(),
     }
 }
 
+/// Takes over a list of the store's first era.
+fn list(fleet: &mut Fleet, at: Micros, targets: Vec<Target>) {
+    fleet.list(at, Position::new(1, 1_000), targets, &CONFIG);
+}
+
 /// A target at another address.
 fn other(id: &str, renewed: u64) -> Target {
     Target {
@@ -59,9 +64,9 @@
     // the sidecar told of the new engine was taken for the former's.
     let now = Micros::from_secs(100);
     let mut fleet = Fleet::default();
-    fleet.list(now, vec![target("old", 5)], &CONFIG);
+    list(&mut fleet, now, vec![target("old", 5)]);
     assert_eq!(there(&fleet, now), ["old"]);
-    fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
+    list(&mut fleet, now, vec![target("old", 5), target("new", 9)]);
     assert_eq!(there(&fleet, now), ["new"]);
     let update = Update {
         engine: ADDR.to_owned(),
@@ -85,7 +90,7 @@
     let now = Micros::from_secs(100);
     let mut fleet = Fleet::default();
     let listed = || vec![target("good", 5), target("false", 9)];
-    fleet.list(now, listed(), &CONFIG);
+    list(&mut fleet, now, listed());
     assert_eq!(there(&fleet, now), ["false"]);
     let found = fleet
         .replicas
@@ -93,7 +98,7 @@
         .find(|(_, r)| r.target.boot.id == "false");
     let key = found.map(|(k, _)| k).expect("the false one");
     fleet.replaced(now, key);
-    fleet.list(now, listed(), &CONFIG);
+    list(&mut fleet, now, listed());
     assert_eq!(there(&fleet, now), ["good"]);
 }
 
@@ -105,7 +110,7 @@
     let now = Micros::from_secs(100);
     let addr = ADDR.parse().expect("an address");
     let mut fleet = Fleet::default();
-    fleet.list(now, vec![target("old", 5)], &CONFIG);
+    list(&mut fleet, now, vec![target("old", 5)]);
     let update = |ended: bool| Update {
         engine: ADDR.to_owned(),
         alive: !ended,
@@ -118,13 +123,13 @@
     assert!(there(&fleet, now).is_empty());
     // The successor answers its sidecar before it is in the list.
     fleet.hear(now, &update(false), addr);
-    fleet.list(now, vec![target("old", 5)], &CONFIG);
+    list(&mut fleet, now, vec![target("old", 5)]);
     assert!(there(&fleet, now).is_empty());
-    fleet.list(now, vec![target("old", 5), target("new", 9)], &CONFIG);
+    list(&mut fleet, now, vec![target("old", 5), target("new", 9)]);
     assert_eq!(there(&fleet, now), ["new"]);
     // Nobody listened for a moment, but the engine's own heartbeats go on.
     fleet.hear(now, &update(true), addr);
-    fleet.list(now, vec![target("new", 12)], &CONFIG);
+    list(&mut fleet, now, vec![target("new", 12)]);
     assert_eq!(there(&fleet, now), ["new"]);
 }
 
@@ -136,7 +141,7 @@
     let addr = ADDR.parse().expect("an address");
     let mut fleet = Fleet::default();
     let at = |ms| Micros::from_secs(100) + Micros::from_millis(ms);
-    fleet.list(at(0), vec![target("e", 5)], &CONFIG);
+    list(&mut fleet, at(0), vec![target("e", 5)]);
     let reports = |fleet: &mut Fleet, ms, version| {
         let update = Update {
             engine: ADDR.to_owned(),
@@ -168,12 +173,12 @@
     let at = |ms: u64| Micros::from_millis(100_000 + ms);
     let mut fleet = Fleet::default();
     let all = || vec![target("stays", 5), other("leaves", 6)];
-    fleet.list(at(0), all(), &CONFIG);
+    list(&mut fleet, at(0), all());
     fleet.fail(at(700));
     fleet.fail(at(5_900));
-    fleet.list(at(6_000), all(), &CONFIG);
+    list(&mut fleet, at(6_000), all());
     assert_eq!(there(&fleet, at(6_000)).len(), 2);
-    fleet.list(at(7_300), vec![target("stays", 5)], &CONFIG);
+    list(&mut fleet, at(7_300), vec![target("stays", 5)]);
     assert_eq!(there(&fleet, at(7_300)), ["stays"]);
 }
 
@@ -185,12 +190,16 @@
     // up to 4 s away, and requests went on being sent there until then.
     let at = |ms: u64| Micros::from_millis(100_000 + ms);
     let mut fleet = Fleet::default();
-    fleet.list(at(0), vec![target("stays", 5), other("lapsed", 6)], &CONFIG);
+    list(
+        &mut fleet,
+        at(0),
+        vec![target("stays", 5), other("lapsed", 6)],
+    );
     fleet.fail(at(700));
-    fleet.list(at(6_000), vec![target("stays", 5)], &CONFIG);
+    list(&mut fleet, at(6_000), vec![target("stays", 5)]);
     // Other entries go on telling that the list is as it was.
     fleet.confirm(at(7_000));
-    fleet.list(at(8_000), vec![target("stays", 5)], &CONFIG);
+    list(&mut fleet, at(8_000), vec![target("stays", 5)]);
     assert_eq!(there(&fleet, at(8_100)).len(), 2);
     assert_eq!(there(&fleet, at(8_200)), ["stays"]);
 }
@@ -217,16 +226,114 @@
     for c in cases {
         let mut now = Micros::from_secs(100);
         let mut fleet = Fleet::default();
-        fleet.list(now, vec![target("one", 5)], &CONFIG);
+        list(&mut fleet, now, vec![target("one", 5)]);
         let key = fleet.replicas.keys().next().expect("one");
         for mark in 0..c.marks {
             fleet.replaced(now, key);
             let between: &[u64] = if mark + 1 < c.marks { &[1, 2] } else { c.rows };
             for row in between {
                 now = now + Micros::from_secs(1);
-                fleet.list(now, vec![target("one", *row)], &CONFIG);
+                list(&mut fleet, now, vec![target("one", *row)]);
             }
         }
         assert_eq!(!there(&fleet, now).is_empty(), c.there, "{}", c.name);
     }
 }
+
+/// A restored list brings back a target that has left, or takes away one that has joined.
+#[test]
+fn targets_of_a_restored_list_are_what_was_known_until_their_rows_are_renewed() {
+    struct Case {
+        name: &'static str,
+        /// Rows of the copy, and those of a later list.
+        copy: Vec<Target>,
+        later: Vec<Target>,
+        /// Targets that are used after each.
+        then: &'static [&'static str],
+        last: &'static [&'static str],
+    }
+    let second = |mut t: Target, version: u64| {
+        t.renewed = Position::new(2, version);
+        t
+    };
+    let draining = |mut t: Target| {
+        t.state = State::Draining;
+        t
+    };
+    let (a, b) = (|v| second(target("a", 0), v), |v| second(other("b", 0), v));
+    let cases = [
+        Case {
+            name: "a target that left is in the copy",
+            copy: vec![a(20), b(21)],
+            later: vec![a(20), b(95)],
+            then: &["b"],
+            last: &["b"],
+        },
+        Case {
+            name: "it comes back",
+            copy: vec![a(20), b(21)],
+            later: vec![a(96), b(95)],
+            then: &["b"],
+            last: &["a", "b"],
+        },
+        Case {
+            name: "a target that joined isn't in the copy and enters itself again",
+            copy: vec![a(20)],
+            later: vec![b(95)],
+            then: &["b"],
+            last: &["b"],
+        },
+        Case {
+            name: "a target that joined is gone",
+            copy: vec![],
+            later: vec![],
+            then: &["b"],
+            last: &[],
+        },
+        Case {
+            name: "one that leaves after the restore, before the first read",
+            copy: vec![draining(b(30))],
+            later: vec![draining(b(30))],
+            then: &[],
+            last: &[],
+        },
+    ];
+    for c in cases {
+        let mut fleet = Fleet::default();
+        let at = Micros::from_millis;
+        list(&mut fleet, at(1_000), vec![target("a", 40)]);
+        list(&mut fleet, at(2_000), vec![other("b", 60)]);
+        fleet.list(at(3_000), Position::new(2, 50), c.copy, &CONFIG);
+        assert_eq!(usable(&fleet, at(3_000)), c.then, "{}", c.name);
+        fleet.list(at(5_500), Position::new(2, 100), c.later, &CONFIG);
+        assert_eq!(usable(&fleet, at(5_500)), c.last, "{}", c.name);
+    }
+}
+
+/// A restored list names the former target of an address with a version of the new era.
+#[test]
+fn former_target_of_an_address_doesn_t_replace_the_present_one_after_a_restore() {
+    let mut fleet = Fleet::default();
+    let at = Micros::from_millis;
+    list(
+        &mut fleet,
+        at(1_000),
+        vec![target("old", 5), target("new", 9)],
+    );
+    let mut old = target("old", 0);
+    old.renewed = Position::new(2, 5);
+    fleet.list(at(3_000), Position::new(2, 7), vec![old], &CONFIG);
+    assert_eq!(there(&fleet, at(3_000)), ["new"]);
+}
+
+/// Targets that take new work.
+fn usable(fleet: &Fleet, now: Micros) -> Vec<&str> {
+    let ready = |id: &&str| {
+        let replica = fleet.replicas.values().find(|r| r.target.boot.id == **id);
+        replica.is_some_and(|r| r.target.state == State::Ready)
+    };
+    let mut ids = there(fleet, now);
+    ids.retain(ready);
+    ids.sort_unstable();
+    ids
+}
--- a/crates/gate/tests/world.rs
+++ b/crates/gate/tests/world.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use gate::world::{OperatorRow, Source, World};
-use model::Micros;
+use model::{Micros, Position};
 
 /// The key of a model's weights.
 const KEY: &str = "version/lekha";
@@ -10,7 +10,7 @@
 fn row(version: u64, weights: u64) -> OperatorRow {
     let value = format!(r#"{{"model":"lekha","version":{weights}}}"#);
     OperatorRow {
-        version,
+        at: Position::new(1, version),
         value: Bytes::from(value),
     }
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod code;
 pub mod ids;
+pub mod position;
 pub mod request;
 pub mod time;
 pub mod world;
 
 pub use code::{Code, Outcome};
 pub use ids::{Attempt, BlockHash, Incarnation, MemberId, RequestId, Version};
+pub use position::Position;
 pub use request::{Class, UnknownClass};
 pub use time::Micros;
 pub use world::{
--- a/crates/policy/src/lapse.rs
+++ b/crates/policy/src/lapse.rs
@@ -47,11 +47,16 @@
     pub read: Micros,
     /// Whether a read has failed in between.
     pub failed: bool,
+    /// When the first list was read since the store was restored.
+    pub restored: Option<Micros>,
 }
 
 /// Until when a target is kept that the list lacks; none if it has left.
 pub fn kept(config: &Config, gap: &Gap) -> Option<Micros> {
     let sure = Micros(config.heartbeat.0 * SURE);
     let may_lapse = gap.failed && gap.read.since(gap.known) >= sure;
-    may_lapse.then_some(gap.read + config.back)
+    let lapsed = may_lapse.then_some(gap.read + config.back);
+    // A target that entered itself after the copy was made has to do so again.
+    let lost = gap.restored.map(|at| at + config.back);
+    lapsed.max(lost.filter(|until| gap.read < *until))
 }
--- a/crates/policy/src/misdirected.rs
+++ b/crates/policy/src/misdirected.rs
@@ -8,7 +8,7 @@
 //! A target that writes its row after the refusal was alive after it. A row may also come from another
 //! writer, so that each further mark takes twice as many renewals to end.
 
-use model::Micros;
+use model::{Micros, Position};
 
 /// Marks beyond which the number of renewals doesn't grow.
 const MOST: u32 = 6;
@@ -24,8 +24,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Mark {
     at: Micros,
-    /// Version of the row in the last list that was read after the mark.
-    row: Option<u64>,
+    /// Position of the row in the last list that was read after the mark.
+    row: Option<Position>,
     renewals: u32,
 }
 
@@ -47,9 +47,9 @@
         });
     }
 
-    /// Takes over the version of the target's row in a list that was read at a time; true if that ends a
+    /// Takes over the position of the target's row in a list that was read at a time; true if that ends a
     /// mark.
-    pub fn listed(&mut self, read: Micros, row: u64) -> bool {
+    pub fn listed(&mut self, read: Micros, row: Position) -> bool {
         let Some(mark) = self.marked.as_mut().filter(|m| read > m.at) else {
             return false;
         };
--- a/crates/policy/tests/lapse.rs
+++ b/crates/policy/tests/lapse.rs
@@ -18,23 +18,28 @@
         known: u64,
         read: u64,
         failed: bool,
+        restored: Option<u64>,
         want: Option<u64>,
     }
     #[rustfmt::skip]
     let cases = [
-        Case { name: "a calm moment", known: 9_300, read: 10_000, failed: false, want: None },
-        Case { name: "named by the first read after an outage", known: 28_850, read: 30_170, failed: false, want: None },
-        Case { name: "turned away, but others tell that the list is as it was", known: 9_700, read: 10_000, failed: true, want: None },
-        Case { name: "one call failed", known: 8_000, read: 10_000, failed: true, want: None },
-        Case { name: "paused, with no call failed", known: 2_000, read: 10_000, failed: false, want: None },
-        Case { name: "the store was away for long", known: 4_000, read: 10_000, failed: true, want: Some(12_200) },
-        Case { name: "just long enough to lapse", known: 7_600, read: 10_000, failed: true, want: Some(12_200) },
+        Case { name: "a calm moment", known: 9_300, read: 10_000, failed: false, restored: None, want: None },
+        Case { name: "named by the first read after an outage", known: 28_850, read: 30_170, failed: false, restored: None, want: None },
+        Case { name: "turned away, but others tell that the list is as it was", known: 9_700, read: 10_000, failed: true, restored: None, want: None },
+        Case { name: "one call failed", known: 8_000, read: 10_000, failed: true, restored: None, want: None },
+        Case { name: "paused, with no call failed", known: 2_000, read: 10_000, failed: false, restored: None, want: None },
+        Case { name: "the store was away for long", known: 4_000, read: 10_000, failed: true, restored: None, want: Some(12_200) },
+        Case { name: "just long enough to lapse", known: 7_600, read: 10_000, failed: true, restored: None, want: Some(12_200) },
+        Case { name: "lost by a restore", known: 9_300, read: 10_000, failed: false, restored: Some(10_000), want: Some(12_200) },
+        Case { name: "lost by a restore, later", known: 11_300, read: 12_100, failed: false, restored: Some(10_000), want: Some(12_200) },
+        Case { name: "long after a restore", known: 12_100, read: 12_700, failed: false, restored: Some(10_000), want: None },
     ];
     for c in cases {
         let gap = Gap {
             known: ms(c.known),
             read: ms(c.read),
             failed: c.failed,
+            restored: c.restored.map(ms),
         };
         let want = c.want.map(ms);
         assert_eq!(kept(&Config::default(), &gap), want, "{}", c.name);
@@ -53,6 +58,7 @@
         known: ms(known),
         read: ms(20_000),
         failed: true,
+        restored: None,
     };
     assert_eq!(kept(&config, &gap(14_000)), None);
     assert_eq!(kept(&config, &gap(9_000)), Some(ms(22_200)));
--- a/crates/site/src/target.rs
+++ b/crates/site/src/target.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use model::Position;
+
 /// One life of a target. The same id with another start is another life, which holds nothing of
 /// the one before.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -47,7 +49,7 @@
     /// Requests that it runs at once.
     pub slots: u32,
     /// Version in the store of its last heartbeat; of two targets the higher one was heard later.
-    pub renewed: u64,
+    pub renewed: Position,
     /// What it had loaded when it last said so.
     pub weights: Vec<Weights>,
 }
--- a/crates/standin/src/hosted/rows.rs
+++ b/crates/standin/src/hosted/rows.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{json, Value};
 use tokio::sync::Notify;
@@ -34,17 +35,55 @@
     Slow(Duration),
 }
 
-#[derive(Debug, Default)]
+/// Rows by table and key, with their versions; none for rows that are gone.
+type Tables = BTreeMap<(String, String), (u64, Option<String>)>;
+
+/// A copy of the store.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    rows: Tables,
+    version: u64,
+}
+
+/// What the store's answers say of its era.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Named {
+    /// The era.
+    #[default]
+    True,
+    /// Nothing.
+    Nothing,
+    /// This text.
+    Text(&'static str),
+}
+
+#[derive(Debug)]
 struct State {
-    /// Rows by table and key, with their versions; none for rows that are gone.
-    rows: BTreeMap<(String, String), (u64, Option<String>)>,
+    rows: Tables,
     version: u64,
+    /// Rises with each restore.
+    era: u64,
+    named: Named,
     /// Changes up to here can no longer be asked for.
     forgotten: u64,
     fault: Fault,
     calls: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: Tables::new(),
+            version: 0,
+            era: 1,
+            named: Named::True,
+            forgotten: 0,
+            fault: Fault::None,
+            calls: 0,
+        }
+    }
+}
+
 /// A store of rows.
 #[derive(Debug)]
 pub struct Store {
@@ -96,6 +135,14 @@
         serde_json::from_slice(&bytes.ok()?).ok()
     }
 
+    /// Version of a row; 0 if there is none.
+    fn version(&self, table: &str, key: &str) -> u64 {
+        let state = lock(&self.state);
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()));
+        row.filter(|(_, value)| value.is_some())
+            .map_or(0, |(version, _)| *version)
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.put(table, key, None);
@@ -140,12 +187,52 @@
         state.forgotten = state.version;
     }
 
+    /// A copy as of now.
+    pub fn copy(&self) -> Copy {
+        let state = lock(&self.state);
+        Copy {
+            rows: state.rows.clone(),
+            version: state.version,
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = lock(&self.state);
+        state.rows.clone_from(&copy.rows);
+        state.version = copy.version;
+        state.forgotten = state.forgotten.min(copy.version);
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Names its era like this from now on.
+    pub fn set_named(&self, named: Named) {
+        lock(&self.state).named = named;
+    }
+
     /// Calls that arrived.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Option<Response<Body>> {
+        let mut answer = self.call(request).await?;
+        let state = lock(&self.state);
+        let era = match state.named {
+            Named::True => state.era.to_string(),
+            Named::Nothing => return Some(answer),
+            Named::Text(text) => text.to_owned(),
+        };
+        if let Ok(era) = HeaderValue::try_from(era) {
+            answer.headers_mut().insert("store-era", era);
+        }
+        drop(state);
+        Some(answer)
+    }
+
+    async fn call(&self, request: Request<Incoming>) -> Option<Response<Body>> {
         lock(&self.state).calls += 1;
         let fault = lock(&self.state).fault;
         match fault {
@@ -190,7 +277,9 @@
                     () if matches!(state.fault, Fault::Busy | Fault::Silent) => {
                         return reply(StatusCode::SERVICE_UNAVAILABLE, "")
                     }
-                    () if after < state.forgotten => return reply(StatusCode::GONE, ""),
+                    () if after < state.forgotten || after > state.version => {
+                        return reply(StatusCode::GONE, "")
+                    }
                     () => {}
                 }
                 let rows: Vec<_> = rows(&state, table, after).collect();
@@ -216,6 +305,13 @@
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return reply(StatusCode::BAD_REQUEST, "");
         };
+        let changed = tx["expected"].as_array().into_iter().flatten().any(|row| {
+            let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+            row["ver"].as_u64() != Some(self.version(&text("table"), &text("key")))
+        });
+        if changed {
+            return reply(StatusCode::PRECONDITION_FAILED, "");
+        }
         for put in tx["put"].as_array().into_iter().flatten() {
             let text = |name: &str| put[name].as_str().unwrap_or_default().to_owned();
             let (table, key, value) = (text("table"), text("key"), text("value"));
