Weigh shortage of memory by how much is short

Any shortage cost 400 ms, so that prompts left engines that held their openings and were short of 1% for others that read them anew, and the memory of prompts that waited there wasn't counted. Now the cost is the time until that much memory is released, with what waits. Test: policy outlook, fails on the code before.

--- a/crates/policy/src/outlook.rs
+++ b/crates/policy/src/outlook.rs
@@ -3,13 +3,13 @@
 //! Load pattern: engines differ in what they have to read, in what they generate, in memory, and some
 //! have just failed or still serve old weights. A prompt that is sent by
 //! one of these alone meets the others: the engine with least to read is the one that loads weights,
-//! the one with the opening has no memory left.
+//! the one with the opening has no memory left. With a quarter of the engines gone nearly all of the rest
+//! are short of some memory. If any shortage counts alike, prompts leave the engines that hold their
+//! openings for others that are short by more, and read them anew there.
 //!
 //! What costs time is told in milliseconds and added up; what makes an answer worth less or less sure
 //! is a factor on the whole.
 //!
-//! Grounds: with each constant.
-
 use model::Micros;
 
 /// Milliseconds that each request being answered at an engine costs a new one: its part of a step.
@@ -17,9 +17,10 @@
 /// Milliseconds that each unread request costs a new one at least, should the words that tell its
 /// tokens be lost; a short prompt's reading.
 const UNREAD: f64 = 8.0;
-/// Milliseconds added where memory would run out, so that what runs would be put off and read anew.
-/// Halved and doubled it makes no difference in worth on nine engines (0.544, 0.544, 0.543).
-const CROWDED: f64 = 400.0;
+/// Milliseconds in which an engine's requests release as much memory as it has.
+const TURNOVER: f64 = 3_200.0;
+/// Most milliseconds that are expected until enough memory is released.
+const CROWDED: f64 = 800.0;
 /// Age of newer weights from which older ones count as worse; before it nearly no engine can have
 /// the newer ones.
 const OLD: Micros = Micros::from_millis(900);
@@ -52,10 +53,17 @@
     /// many to read a token.
     pub fn wait(&self, memory: u32, read: f64) -> f64 {
         let reading = (self.tokens * read).max(f64::from(self.unread) * UNREAD);
-        let needed = u64::from(self.used) + u64::from(memory);
-        let crowded = self.total > 0 && needed > u64::from(self.total);
-        let when = |holds: bool, cost: f64| if holds { cost } else { 0.0 };
-        reading + f64::from(self.begun) * BEGUN + when(crowded, CROWDED) + self.loading
+        reading + f64::from(self.begun) * BEGUN + self.crowded(memory) + self.loading
+    }
+
+    /// Milliseconds until there is memory for a prompt, beside those that wait and will take theirs first.
+    fn crowded(&self, memory: u32) -> f64 {
+        let total = f64::from(self.total);
+        let needed = f64::from(self.used) + self.tokens + f64::from(memory);
+        match needed > total && self.total > 0 {
+            true => ((needed - total) / total * TURNOVER).min(CROWDED),
+            false => 0.0,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/policy/tests/outlook.rs
@@ -0,0 +1,59 @@
+//! Engines that are short of memory.
+
+use policy::outlook::Load;
+use policy::spot::{choose, Candidate, Sources};
+
+/// Tokens of an engine's memory.
+const MEMORY: u32 = 85_000;
+/// Tokens of a prompt, and of its opening.
+const PROMPT: u32 = 9_200;
+const OPENING: u32 = 6_300;
+/// Milliseconds to read a token.
+const READ: f64 = 0.0226;
+
+/// With a quarter of the engines gone, prompts leave the engines that hold their openings.
+#[test]
+fn opening_is_used_where_it_is_held_unless_much_memory_is_short_there() {
+    struct Case {
+        name: &'static str,
+        /// Memory that can't yield at the holder and at the other engine.
+        used: [u32; 2],
+        /// Tokens that wait to be read at both.
+        waiting: [u32; 2],
+        held: bool,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "both have room", used: [40_000, 40_000], waiting: [0, 0], held: true },
+        Case { name: "the holder is short of 1%", used: [76_700, 40_000], waiting: [0, 0], held: true },
+        Case { name: "the holder is short of 1%, the other one of more", used: [76_700, 84_000], waiting: [0, 0], held: true },
+        Case { name: "the holder is short of a fifth", used: [85_000, 40_000], waiting: [8_000, 0], held: false },
+        Case { name: "prompts that wait will fill the holder", used: [74_000, 60_000], waiting: [12_000, 12_000], held: false },
+    ];
+    for c in cases {
+        let sources = Sources::new([]);
+        let candidate = |i: usize| {
+            let load = Load {
+                tokens: f64::from(c.waiting[i]),
+                used: c.used[i],
+                total: MEMORY,
+                ..Load::default()
+            };
+            let candidate = Candidate {
+                key: i,
+                addr: i,
+                domain: 0,
+                wait: load.wait(PROMPT, READ),
+                read: READ,
+                held: if i == 0 { OPENING } else { 0 },
+                room: READ * 0.8,
+                way: 0.0,
+                bias: 0.0,
+                doubt: 1.0,
+            };
+            (candidate, &sources)
+        };
+        let choice = choose(PROMPT, [candidate(0), candidate(1)]).expect("an engine");
+        assert_eq!(choice.key == 0, c.held, "{}", c.name);
+    }
+}
