Soak: restores of the store, fleets with sidecars for some or no engines

Seeds from 1,000 on draw both; earlier seeds stay as they were. Orders of two holders have to be a lease apart with rising tokens there.

--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -8,7 +8,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::callers::Outcome;
-use super::world::{World, ENGINES, ENTRIES, EVENTS, REPLICAS};
+use super::world::{World, ENGINES, ENTRIES, EVENTS, REPLICAS, WIDER};
 use crate::fleet::{ask_at, ready_at, LIMIT, MODEL};
 
 /// Longest time until all is served again. What was asked for at each of several crashes in a row is
@@ -18,6 +18,8 @@
 const LEFT: Duration = Duration::from_secs(2);
 /// Time after the last fault from which on that holds.
 const TOUCH: Duration = Duration::from_secs(3);
+/// Milliseconds that orders of two holders are apart.
+const LEASE: u64 = 3_000;
 /// Requests to each entry after that; each of two targets would get some.
 const ASKED: usize = 12;
 /// Pause between two tries of what has to work again.
@@ -96,7 +98,10 @@
         answer(o, ran, &format!("seed {seed}: {o:?} ran {ran} times"));
     }
     for (n, behind) in world.replicas[..ENGINES].iter().enumerate() {
-        orders(seed, n, &behind.replica.orders());
+        match seed < WIDER {
+            true => orders(seed, n, &behind.replica.orders()),
+            false => passed_on(seed, n, &behind.replica.orders()),
+        }
     }
     for (n, front) in world.fronts.iter().enumerate() {
         let ended = front.host.ended();
@@ -150,6 +155,21 @@
     }
 }
 
+/// Orders of two holders are a lease apart, with rising tokens.
+fn passed_on(seed: u64, engine: usize, orders: &[Value]) {
+    for pair in orders.windows(2) {
+        let context = format!("seed {seed}: engine {engine}: {pair:?}");
+        let number = |i: usize, name: &str| pair[i][name].as_u64().expect("a number");
+        let (before, after) = (number(0, "fence"), number(1, "fence"));
+        assert!(before <= after, "a token fell: {context}");
+        if pair[0]["holder"] != pair[1]["holder"] {
+            assert!(before < after, "one token of two holders: {context}");
+            let apart = number(1, "at_ms") - number(0, "at_ms");
+            assert!(apart >= LEASE, "two holders within a lease: {context}");
+        }
+    }
+}
+
 /// One holder orders an engine, with tokens that never fall.
 fn orders(seed: u64, engine: usize, orders: &[Value]) {
     let holder = |o: &Value| o["holder"].as_str().map(str::to_owned);
--- a/crates/daemon/tests/hosted/soak/harm.rs
+++ b/crates/daemon/tests/hosted/soak/harm.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
-use super::world::{World, ENGINES, ENTRIES, REPLICAS};
+use super::world::{World, ENTRIES, REPLICAS, WIDER};
 
 /// Faults of replicas that may come.
 const FAULTS: [Fault; 11] = [
@@ -41,6 +41,8 @@
 
 /// Parts of the datagrams that may be lost.
 const LOSSES: [f64; 4] = [0.1, 0.3, 0.6, 1.0];
+/// Keeps the draws for restores apart from the others.
+const RESTORES: u64 = 1 << 62;
 /// Keeps the draws for datagrams apart from the others.
 const DATAGRAMS: u64 = 1 << 63;
 
@@ -55,6 +57,26 @@
     lasting.join_all().await;
 }
 
+/// Brings the store back from copies now and then until the end, at times twice in a row. It draws from
+/// numbers of its own.
+pub async fn restores(world: Arc<World>, seed: u64, end: Instant) {
+    if seed < WIDER {
+        return;
+    }
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORES);
+    let mut copy = world.platform.store.copy();
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.random_range(200..1_500))).await;
+        match rng.random_range(0..3) {
+            0 => copy = world.platform.store.copy(),
+            1 => world.platform.store.restore(&copy),
+            _ => {}
+        }
+        let after = Duration::from_millis(rng.random_range(0..1_500));
+        world.restore(&copy, after).await;
+    }
+}
+
 /// Loses, delays and reorders datagrams between processes now and then until the end. It draws from numbers
 /// of its own, so that a seed's other faults stay the same.
 pub async fn datagrams(world: Arc<World>, seed: u64, end: Instant) {
@@ -98,7 +120,7 @@
         13 => world.name_version(),
         14 => world.restart_replica(rng.random_range(0..REPLICAS)),
         15..=16 => {
-            let n = rng.random_range(0..ENTRIES + ENGINES);
+            let n = rng.random_range(0..ENTRIES + world.sides.len());
             signal(world, n, "STOP");
             let world = Arc::clone(world);
             lasting.spawn(async move {
@@ -106,8 +128,8 @@
                 signal(&world, n, "CONT");
             });
         }
-        17 => {
-            let n = rng.random_range(0..ENGINES);
+        17 if !world.sides.is_empty() => {
+            let n = rng.random_range(0..world.sides.len());
             let how = end(rng);
             let world = Arc::clone(world);
             lasting.spawn(async move { world.replace_side(n, how).await });
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -25,6 +25,8 @@
 
 /// Seeds of each CI run.
 const SEEDS: std::ops::Range<u64> = 1..2;
+/// Seeds of each CI run with restores of the store, and with sidecars for no and for one engine.
+const WIDE: [u64; 2] = [1_002, 1_003];
 /// Seeds that failed once. 3: a stream that its replica ended in order within an event, on a route
 /// whose streams may not be resumed, looked complete to its caller. 12: what all callers ask for was under way when engines ended
 /// three times, and was refused for ten minutes as if it had been the reason.
@@ -42,7 +44,12 @@
         asking.spawn(callers::ask(Arc::clone(&world), caller, seed, end));
     }
     let datagrams = harm::datagrams(Arc::clone(&world), seed, end);
-    tokio::join!(harm::harm(Arc::clone(&world), seed, end), datagrams);
+    let restores = harm::restores(Arc::clone(&world), seed, end);
+    tokio::join!(
+        harm::harm(Arc::clone(&world), seed, end),
+        datagrams,
+        restores
+    );
     world.heal();
     let healed = Instant::now();
     let outcomes: Vec<_> = asking.join_all().await.into_iter().flatten().collect();
@@ -62,7 +69,10 @@
     let named = std::env::var("SOAK_SEEDS").ok();
     let range = named.as_deref().and_then(|s| s.split_once(".."));
     let range = range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    FAILED.into_iter().chain(range.unwrap_or(SEEDS)).collect()
+    match range {
+        Some(named) => FAILED.into_iter().chain(named).collect(),
+        None => FAILED.into_iter().chain(SEEDS).chain(WIDE).collect(),
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/daemon/tests/hosted/soak/world.rs
+++ b/crates/daemon/tests/hosted/soak/world.rs
@@ -17,8 +17,10 @@
 
 /// Entries.
 pub const ENTRIES: usize = 3;
-/// Engines, each with a sidecar; the first of the replicas.
+/// Engines; the first of the replicas.
 pub const ENGINES: usize = 2;
+/// Seeds from here on also draw restores of the store, and fleets with sidecars for some or no engines.
+pub const WIDER: u64 = 1_000;
 /// Replicas in all; the others are of the plain service.
 pub const REPLICAS: usize = 4;
 /// Events of a whole stream.
@@ -135,6 +137,14 @@
     _links: Mutex<Vec<JoinSet<()>>>,
 }
 
+/// Engines with a sidecar.
+fn sidecars(seed: u64) -> usize {
+    match seed < WIDER {
+        true => ENGINES,
+        false => (seed % (ENGINES as u64 + 1)) as usize,
+    }
+}
+
 /// Opens a link that lasts as long as the run.
 async fn link(kept: &mut Vec<JoinSet<()>>, to: SocketAddr) -> Arc<Link> {
     let (link, tasks) = Link::start(to).await.expect("a link");
@@ -163,7 +173,7 @@
             });
         }
         let mut sides = Vec::new();
-        for (n, engine) in replicas[..ENGINES].iter().enumerate() {
+        for (n, engine) in replicas[..sidecars(seed)].iter().enumerate() {
             let name = format!("side-{n}");
             let store = link(&mut links, platform.at).await;
             let process = platform.sidecar_on(&name, store.addr(), engine.link.addr());
@@ -231,6 +241,20 @@
         self.platform.store.write("op", "version/lekha", &named);
     }
 
+    /// Brings the store back from a copy, and writes again what the operator and the replicas wrote.
+    pub async fn restore(&self, copy: &rows::Copy, after: Duration) {
+        self.platform.store.restore(copy);
+        sleep(after).await;
+        let version = *self.version.lock().expect("a version");
+        let named = json!({"model": MODEL, "version": version});
+        let store = &self.platform.store;
+        store.write("op", "config", &config(version));
+        store.write("op", "version/lekha", &named);
+        for behind in &self.replicas {
+            self.enter(behind, "ready");
+        }
+    }
+
     fn enter(&self, behind: &Behind, state: &str) {
         let (replica, at) = (&behind.replica, behind.link.addr());
         let born = replica.life() + 1;
