--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -23,9 +23,8 @@
 use crate::update::{self, SlotAsk, Update};
 use crate::world::{Shared, World};
 
-/// How long an order waits for an entry's update of which incarnation the engine is. An order that names
-/// none may reach the next incarnation: carried out late, it put older weights in the place of newer ones,
-/// and 60 of the requests of the next 2 s were refused.
+/// How long an order waits until it is known which incarnation the engine is. An order that names none may
+/// be carried out late by the next incarnation, and put older weights in the place of newer ones.
 const NAMED: Micros = Micros::from_millis(2_500);
 
 /// Age up to which a slot that was taken is used; a process that was paused in between takes another one.
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -145,7 +145,7 @@
             return;
         };
         if self.copy.is_older(&target, &replica.target) {
-            // A copy's row is older than what is known. One that may be new is believed that it leaves.
+            // A copy's row is older than what is known, but one that drains may have been written since.
             replica.missing = None;
             if target.state == State::Draining {
                 replica.target.state = target.state;
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -71,9 +71,9 @@
 
 /// What is newer.
 #[derive(Clone, PartialEq, Message)]
-struct Told {
+struct Reply {
     #[prost(message, repeated, tag = "1")]
-    rows: Vec<ToldRow>,
+    rows: Vec<ReplyRow>,
     /// Milliseconds since the list of targets was read.
     #[prost(uint64, tag = "2")]
     age_ms: u64,
@@ -95,7 +95,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct ToldRow {
+struct ReplyRow {
     #[prost(string, tag = "1")]
     key: String,
     #[prost(uint64, tag = "2")]
@@ -109,7 +109,7 @@
     gone: bool,
 }
 
-impl ToldRow {
+impl ReplyRow {
     fn new(key: &str, at: Position, value: Bytes) -> Self {
         Self {
             key: key.to_owned(),
@@ -133,7 +133,7 @@
     }
 }
 
-impl Told {
+impl Reply {
     /// Where the list of targets was read.
     fn position(&self) -> Position {
         Position::new(self.era, self.version)
@@ -182,30 +182,30 @@
     let mut frames = framed(tcp);
     let asked = frames.next().await.ok_or(PeerError::Ended)??;
     let ask = Ask::decode(asked)?;
-    let told = match ask.target.parse() {
+    let reply = match ask.target.parse() {
         Ok(addr) => at(node, addr),
         Err(_) if ask.targets => listed(node, ask.position()),
         Err(_) => newer(node, &ask),
     };
-    frames.send(Bytes::from(told.encode_to_vec())).await?;
+    frames.send(Bytes::from(reply.encode_to_vec())).await?;
     Ok(())
 }
 
-fn newer(node: &Shared, ask: &Ask) -> Told {
+fn newer(node: &Shared, ask: &Ask) -> Reply {
     let world = node.world.borrow();
     let of = |map: &HashMap<String, u64>, key: &String| map.get(key).copied().unwrap_or_default();
     let known = |key: &String| Position::new(of(&ask.eras, key), of(&ask.versions, key));
     let rows = world.rows.iter().filter(|(k, r)| r.at > known(k));
-    Told {
+    Reply {
         rows: rows
-            .map(|(key, row)| ToldRow::new(key, row.at, row.value.clone()))
+            .map(|(key, row)| ReplyRow::new(key, row.at, row.value.clone()))
             .collect(),
-        ..Told::default()
+        ..Reply::default()
     }
 }
 
 /// The rows of targets at an address, if this process has read the list of late.
-fn at(node: &Shared, addr: SocketAddr) -> Told {
+fn at(node: &Shared, addr: SocketAddr) -> Reply {
     let world = node.world.borrow();
     let now = node.now();
     let listed = world.targets.as_ref();
@@ -217,41 +217,41 @@
         value.windows(text.len()).any(|w| w == text.as_bytes())
     };
     let rows = listed.into_iter().flat_map(Listing::rows).filter(named);
-    let mut rows: Vec<_> = rows.map(ToldRow::listed).collect();
+    let mut rows: Vec<_> = rows.map(ReplyRow::listed).collect();
     rows.retain(|r| target(r).is_some_and(|t| t.addr == addr));
     let delegated = world.delegated.get(&addr).copied();
-    Told {
+    Reply {
         rows,
         delegated: delegated.is_some(),
         quiet_ms: now.since(delegated.unwrap_or_default()).as_millis(),
-        ..Told::default()
+        ..Reply::default()
     }
 }
 
 /// The target that a row of the list names; none if the row can't be read.
-fn target(row: &ToldRow) -> Option<Target> {
+fn target(row: &ReplyRow) -> Option<Target> {
     platform::directory::target(&row.key, row.at(), &row.value).ok()
 }
 
 /// The list of targets, if this process has it of late; its changes where the position that the other one
 /// has is still known.
-fn listed(node: &Shared, after: Option<Position>) -> Told {
+fn listed(node: &Shared, after: Option<Position>) -> Reply {
     let world = node.world.borrow();
     let age = |list: &Listing| node.now().since(list.at);
     let Some(list) = world.targets.as_ref().filter(|l| age(l) < FRESH) else {
-        return Told::default();
+        return Reply::default();
     };
     let changes = after.and_then(|after| list.since(after));
-    Told {
+    Reply {
         changes: changes.is_some(),
         rows: match changes {
-            Some(rows) => rows.map(ToldRow::listed).collect(),
-            None => list.rows().map(ToldRow::listed).collect(),
+            Some(rows) => rows.map(ReplyRow::listed).collect(),
+            None => list.rows().map(ReplyRow::listed).collect(),
         },
         age_ms: age(list).as_millis(),
         version: list.position.version,
         era: list.position.era,
-        ..Told::default()
+        ..Reply::default()
     }
 }
 
@@ -283,13 +283,13 @@
     let asked = some
         .into_iter()
         .map(|a| timeout(PATIENCE, question(a, &ask)));
-    let told = futures::future::join_all(asked).await;
+    let replies = futures::future::join_all(asked).await;
     // Of those that don't answer the operator's rows are asked too, which tells how it failed.
-    let told = told.into_iter().filter_map(|t| t.ok()?.ok());
-    let newest = told.max_by_key(Told::position)?;
+    let replies = replies.into_iter().filter_map(|t| t.ok()?.ok());
+    let newest = replies.max_by_key(Reply::position)?;
     let at = node.now() - Micros::from_millis(newest.age_ms);
     let position = newest.position();
-    let row = |r: ToldRow| Row {
+    let row = |r: ReplyRow| Row {
         at: r.at(),
         key: r.key,
         value: (!r.gone).then_some(r.value),
@@ -374,12 +374,12 @@
         eras: known.into_iter().map(|(k, p)| (k, p.era)).collect(),
         ..Ask::default()
     };
-    let told = match timeout(PATIENCE, question(addr, &ask)).await {
+    let reply = match timeout(PATIENCE, question(addr, &ask)).await {
         Ok(r) => r,
         Err(_) => Err(PeerError::Timeout),
     };
-    match told {
-        Ok(told) => adopt(node, told),
+    match reply {
+        Ok(reply) => adopt(node, reply),
         Err(e) => log::event(&Event::Lost {
             dependency: "peer",
             error: &e.to_string(),
@@ -394,21 +394,21 @@
     rows.map(|(k, r)| (k.clone(), r.at)).collect()
 }
 
-async fn question(addr: SocketAddr, ask: &Ask) -> Result<Told, PeerError> {
+async fn question(addr: SocketAddr, ask: &Ask) -> Result<Reply, PeerError> {
     let mut frames = framed(platform::call::connect(addr).await?);
     frames.send(Bytes::from(ask.encode_to_vec())).await?;
-    let told = frames.next().await.ok_or(PeerError::Ended)??;
-    Ok(Told::decode(told)?)
+    let reply = frames.next().await.ok_or(PeerError::Ended)??;
+    Ok(Reply::decode(reply)?)
 }
 
-fn adopt(node: &Shared, told: Told) {
+fn adopt(node: &Shared, reply: Reply) {
     let now = node.now();
-    let newest = told.rows.iter().map(|r| r.era).max();
+    let newest = reply.rows.iter().map(|r| r.era).max();
     if let Some(era) = newest.filter(|e| *e > 0) {
         node.raise_era(era, Source::Peer);
     }
     let mut world = node.world.borrow_mut();
-    for row in told.rows {
+    for row in reply.rows {
         let value = OperatorRow {
             at: row.at(),
             value: row.value,
