--- a/crates/daemon/tests/hosted/restore.rs
+++ b/crates/daemon/tests/hosted/restore.rs
@@ -236,3 +236,35 @@
     let answer = ask(&entry, "/log/1", "later").await;
     assert_eq!(answer.expect("an answer").status, 200);
 }
+
+/// A store that names no era has each of its answers logged as one whose era is missing.
+#[tokio::test]
+async fn store_that_names_no_era_is_followed_in_silence() {
+    let platform = Platform::start().await;
+    platform.store.set_named(Named::Nothing);
+    let entries = [
+        platform.entry("front-1", 0).await,
+        platform.entry("front-2", 0).await,
+    ];
+    for e in &entries {
+        e.process.event("members", |e| e["entries"] == 1).await;
+    }
+    // Each list of targets that one of them finds is reported to the other.
+    let plain = Replica::new("p1", 0, Duration::ZERO);
+    let (at, _served) = plain.start().await.expect("a replica");
+    platform.list(&plain, "plain", at, "ready");
+    platform.store.write("op", "config", &config(2));
+    for e in &entries {
+        e.process.event("target", |_| true).await;
+        e.process.event("configured", |e| e["version"] == 2).await;
+    }
+    platform.store.write("op", "config", &config(3));
+    for e in &entries {
+        e.process.event("configured", |e| e["version"] == 3).await;
+        assert!(
+            e.process.events("bad_era").is_empty(),
+            "{}",
+            e.process.tail()
+        );
+    }
+}
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -404,7 +404,7 @@
 fn adopt(node: &Shared, reply: Reply) {
     let now = node.now();
     let newest = reply.rows.iter().map(|r| r.era).max();
-    if let Some(era) = newest.filter(|e| *e > 0) {
+    if let Some(era) = newest {
         node.raise_era(era, Source::Peer);
     }
     let mut world = node.world.borrow_mut();
