--- a/crates/daemon/tests/hosted/delegates.rs
+++ b/crates/daemon/tests/hosted/delegates.rs
@@ -121,7 +121,7 @@
         delegates.chain(orders).collect()
     }
 
-    /// Waits until all engines have a version; tells how many callers were refused meanwhile.
+    /// Waits until all engines have a version; returns how many callers were refused meanwhile.
     async fn all_have(&self, version: u64) -> usize {
         let (mut n, mut refused) = (0, 0);
         while !self.have(version) {
--- a/crates/daemon/tests/hosted/restore.rs
+++ b/crates/daemon/tests/hosted/restore.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{ask, config, Entry, Platform, LIMIT, MODEL};
+use crate::store::fleet;
 
 /// Pause between two looks at something that is awaited.
 const LOOK: Duration = Duration::from_millis(20);
@@ -31,14 +32,6 @@
     Unreadable,
 }
 
-async fn fleet() -> (Platform, Arc<Replica>, Entry) {
-    let mut platform = Platform::start().await;
-    let plain = Replica::new("p1", 0, Duration::ZERO);
-    platform.replica(&plain, "plain").await;
-    let entry = platform.entry("front-1", 1).await;
-    (platform, plain, entry)
-}
-
 /// A configuration without the callers' key.
 fn revoked(version: u64) -> serde_json::Value {
     let mut config = config(version);
--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -11,7 +11,8 @@
 
 use crate::fleet::{ask, config, ready, Entry, Platform, LIMIT};
 
-async fn fleet() -> (Platform, Arc<Replica>, Entry) {
+/// A plain replica and an entry.
+pub async fn fleet() -> (Platform, Arc<Replica>, Entry) {
     let mut platform = Platform::start().await;
     let plain = Replica::new("p1", 0, Duration::ZERO);
     platform.replica(&plain, "plain").await;
--- a/crates/policy/src/outlook.rs
+++ b/crates/policy/src/outlook.rs
@@ -18,9 +18,9 @@
 /// tokens be lost; a short prompt's reading.
 const UNREAD: f64 = 8.0;
 /// Milliseconds in which an engine's requests release as much memory as it has.
-const TURNOVER: f64 = 3_200.0;
+const TURNOVER: f64 = 7_500.0;
 /// Most milliseconds that are expected until enough memory is released.
-const CROWDED: f64 = 800.0;
+const CROWDED: f64 = 400.0;
 /// Age of newer weights from which older ones count as worse; before it nearly no engine can have
 /// the newer ones.
 const OLD: Micros = Micros::from_millis(900);
