Keep answers whose target is alive though its checks are late

Callers lost streams and whole answers (target_lost, outcome unknown) while the engine went on computing them, and a slow engine whose connection closed counted as crashed: two of these refused the request for ten minutes.

Cause: the sidecar dropped each call for the engine's load after 1 s; two in a row made the target count as down, which cut all that ran there at once. A plain target with a full backlog lost its answers the same way.

Change: policy::liveness. A refused connection is an exit; late checks only keep new work away; bytes and late answers to checks are signs of life. After 4 s without any, what may be repeated moves elsewhere. Only an exit counts as a crash.

--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -49,6 +49,9 @@
 /// Requests that a sidecar didn't hand over, by code.
 pub const REFUSED: &str = "clementinestep_refused_total";
 
+/// Calls that the target's interface didn't answer as it should, by path.
+pub const FEED_FAULTS: &str = "clementinestep_feed_faults_total";
+
 /// Tells the recorder what the names mean.
 pub fn describe() {
     describe_counter!(REQUESTS, "requests answered or refused, by code");
@@ -57,6 +60,10 @@
     describe_histogram!(FIRST, Unit::Seconds, "arrival to first event, by class");
     describe_counter!(PROBES, "probes, by outcome");
     describe_counter!(PROBE_BYTES, Unit::Bytes, "probes sent");
+    describe_counter!(
+        FEED_FAULTS,
+        "calls for the target's state that failed, by path"
+    );
     describe_counter!(PROBE_FAULTS, "datagrams refused at the probe port");
     describe_counter!(OFFER_FAULTS, "datagrams refused as offers");
     describe_counter!(OFFERS_UNASKED, "offers that nobody waits for");
--- a/crates/daemon/src/sidecar/ask.rs
+++ b/crates/daemon/src/sidecar/ask.rs
@@ -4,9 +4,14 @@
 //! to say goes there as messages; what all of traffic waits for (the target's health, the wish for
 //! its whole cache, the leave to exit) comes back as watched values.
 
-use model::Incarnation;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use model::{Incarnation, Micros};
+use policy::liveness::{Check, State};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::clock;
 use crate::sidecar::decide::{Refusal, RunKey, Work};
 
 /// Told when a request's turn comes, or that it doesn't.
@@ -34,8 +39,10 @@
     Taken,
     /// An exchange has ended and its entry knows.
     Ended,
-    /// The target's load; `None` if it doesn't answer.
-    Load(Option<Load>),
+    /// The target's load.
+    Load(Load),
+    /// The target didn't say its load.
+    Missed(Check),
     /// Cache events.
     Events(Vec<prefix::Event>),
     /// The whole cache.
@@ -50,7 +57,7 @@
 }
 
 /// What a target reports of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Load {
     /// Its life.
     pub incarnation: Incarnation,
@@ -63,10 +70,10 @@
 }
 
 /// What the target was found to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Health {
-    /// Whether it answers.
-    pub up: bool,
+    /// Whether it is alive.
+    pub state: State,
     /// Its life.
     pub life: Incarnation,
 }
@@ -78,6 +85,8 @@
     health: watch::Receiver<Health>,
     need: watch::Receiver<u64>,
     gone: watch::Receiver<bool>,
+    /// When a byte of an answer came last.
+    byte: Arc<AtomicU64>,
 }
 
 /// Control's end of it.
@@ -87,6 +96,14 @@
     pub(super) health: watch::Sender<Health>,
     pub(super) need: watch::Sender<u64>,
     pub(super) gone: watch::Sender<bool>,
+    byte: Arc<AtomicU64>,
+}
+
+impl Asked {
+    /// When a byte of an answer came last.
+    pub fn received(&self) -> Micros {
+        Micros(self.byte.load(Ordering::Relaxed))
+    }
 }
 
 impl Asker {
@@ -95,21 +112,35 @@
         let _ = self.ask.send(ask);
     }
 
+    /// Notes a byte of the target's answers, which outweighs a late check.
+    pub fn received(&self) {
+        self.byte.store(clock::now().0, Ordering::Relaxed);
+    }
+
     /// What the target was last found to be.
     pub fn health(&self) -> Health {
         *self.health.borrow()
     }
 
-    /// Waits until the target is found to be down or in another life. The first life found is not
-    /// another one than that which wasn't known yet: a sidecar that serves as soon as it starts
+    /// Waits until the target's process has exited or another one is there. The first incarnation found
+    /// is not another one than that which wasn't known yet: a sidecar that serves as soon as it starts
     /// would else break off its first requests, and hold a crash against them.
-    pub async fn lost(&self, mut life: Incarnation) {
+    pub async fn exited(&self, life: Incarnation) {
+        self.lost(life, &[State::Exited]).await;
+    }
+
+    /// The same, or until the target hangs.
+    pub async fn stalled(&self, life: Incarnation) {
+        self.lost(life, &[State::Exited, State::Hung]).await;
+    }
+
+    async fn lost(&self, mut life: Incarnation, states: &[State]) {
         let mut health = self.health.clone();
         let is_lost = |h: &Health| {
             if life == Incarnation(0) {
                 life = h.life;
             }
-            !h.up || h.life != life
+            states.contains(&h.state) || h.life != life
         };
         let stopped = health.wait_for(is_lost).await.is_err();
         if stopped {
@@ -133,24 +164,23 @@
 /// A new way to a control thread.
 pub fn channel() -> (Asker, Asked) {
     let (tx, rx) = mpsc::unbounded_channel();
-    let first = Health {
-        up: true,
-        life: Incarnation(0),
-    };
-    let (health, is_healthy) = watch::channel(first);
+    let (health, is_healthy) = watch::channel(Health::default());
     let (need, needed) = watch::channel(0);
     let (gone, is_gone) = watch::channel(false);
+    let byte = Arc::<AtomicU64>::default();
     let asker = Asker {
         ask: tx,
         health: is_healthy,
         need: needed,
         gone: is_gone,
+        byte: Arc::clone(&byte),
     };
     let asked = Asked {
         ask: rx,
         health,
         need,
         gone,
+        byte,
     };
     (asker, asked)
 }
--- a/crates/daemon/src/sidecar/control/mod.rs
+++ b/crates/daemon/src/sidecar/control/mod.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use model::{Code, MemberId, Micros, Version};
 use policy::drain::{self, Drain};
+use policy::liveness::{Check, Liveness, State};
 use prefix::Need;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -81,6 +82,7 @@
         keys: s.settings.keys.clone(),
         life,
         decide: Decide::new(s.role.kind, s.role.slots, MemberId(life)),
+        liveness: Liveness::default(),
         drain: Drain::new(drain::Config { notice }, drain::Role::Sidecar),
         members,
         asked: s.asked,
@@ -100,6 +102,7 @@
     keys: Keys,
     life: u64,
     decide: Decide<Grant>,
+    liveness: Liveness,
     drain: Drain,
     members: Membership,
     convict: member::Asker,
@@ -162,7 +165,8 @@
             Ask::Finished(run, events) => self.decide.finished(now, run, events),
             Ask::Taken => self.step(drain::Event::Taken),
             Ask::Ended => self.step(drain::Event::Ended),
-            Ask::Load(load) => self.load(load),
+            Ask::Load(load) => self.found(load),
+            Ask::Missed(check) => self.missed(now, check),
             Ask::Events(events) => {
                 for e in events {
                     let need = self.decide.event(now, e);
@@ -232,24 +236,13 @@
         }
     }
 
-    /// The target said its load, or didn't answer.
-    fn load(&mut self, load: Option<Load>) {
-        match load {
-            Some(l) => self.found(l),
-            None => self.missed(),
-        }
-    }
-
+    /// The target said its load.
     fn found(&mut self, l: Load) {
-        let health = Health {
-            up: true,
+        self.liveness.checked(clock::now(), Check::Answered);
+        self.health(Health {
+            state: State::Alive,
             life: l.incarnation,
-        };
-        let before = *self.asked.health.borrow();
-        if before != health {
-            spdlog::info!(logger: log::sidecar(), "target is in life {}", l.incarnation);
-            self.asked.health.send_replace(health);
-        }
+        });
         let found = Found {
             life: l.incarnation,
             model: &l.model,
@@ -262,16 +255,45 @@
         }
     }
 
-    fn missed(&mut self) {
-        if self.asked.health.borrow().up {
-            spdlog::warn!(logger: log::sidecar(), "target doesn't answer");
-            let life = self.decide.life();
-            self.asked.health.send_replace(Health { up: false, life });
+    /// The target didn't say its load.
+    fn missed(&mut self, now: Micros, check: Check) {
+        self.liveness.checked(now, check);
+        self.liveness.received(self.asked.received());
+        let state = self.liveness.state(now);
+        if state == State::Alive {
+            return;
         }
+        let life = self.decide.life();
+        self.health(Health { state, life });
         let back = self.decide.down();
         refuse(back, Code::NoTarget, Some(Micros::from_secs(1)));
     }
 
+    /// Publishes what the target was found to be.
+    fn health(&self, found: Health) {
+        let changes = |h: &mut Health| std::mem::replace(h, found) != found;
+        if !self.asked.health.send_if_modified(changes) {
+            return;
+        }
+        match found.state {
+            State::Alive => {
+                spdlog::info!(logger: log::sidecar(), "target is in incarnation {}", found.life);
+            }
+            State::Unresponsive => spdlog::warn!(
+                logger: log::sidecar(),
+                "target answers no check and sends nothing; its requests continue, new ones are refused"
+            ),
+            State::Hung => spdlog::warn!(
+                logger: log::sidecar(),
+                "target has been silent for too long; requests that may be repeated move elsewhere"
+            ),
+            State::Exited => spdlog::warn!(
+                logger: log::sidecar(),
+                "target refuses connections; its requests are lost"
+            ),
+        }
+    }
+
     /// Asks for the engine's whole cache, if it is needed.
     fn want(&mut self, need: Need) {
         if need == Need::Snapshot {
--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -1,27 +1,55 @@
 //! What the engine says of itself: load, cache events, its whole cache when asked.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use model::Incarnation;
+use policy::liveness::Check;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
-use store::{Call, Client};
+use store::{Call, Client, HttpError};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::{interval, timeout};
 
+use crate::log;
+use crate::meter;
 use crate::settings::Kind;
 use crate::sidecar::ask::{Ask, Asker, Load};
 
 /// How often load and events are fetched; below the engines' own delay.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Longest wait for the engine. An engine that can't say its load in this time, twice in a row,
-/// isn't computing either.
-const LIMIT: Duration = Duration::from_millis(1_000);
-/// Failed calls in a row after which the engine counts as down.
-const MISSES: u32 = 2;
+/// Wait after which a check is late; longest wait for events and the cache.
+const LATE: Duration = Duration::from_millis(1_000);
+/// Longest wait for the engine's load.
+pub(super) const LIMIT: Duration = Duration::from_secs(5);
+
+/// Why the engine's word can't be had.
+#[derive(Debug, Error)]
+pub enum FeedError {
+    /// The call failed.
+    #[error(transparent)]
+    Call(#[from] HttpError),
+    /// The engine answered with a failure.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer isn't what the engine's interface says.
+    #[error("unreadable answer: {0}")]
+    Body(#[from] serde_json::Error),
+}
+
+impl FeedError {
+    /// The failure as a health check.
+    fn check(&self) -> Check {
+        match self {
+            Self::Call(e) if e.is_refused() => Check::Refused,
+            _ => Check::Late,
+        }
+    }
+}
 
 #[derive(Deserialize)]
 struct LoadBody {
@@ -82,21 +110,14 @@
 
 async fn plain(target: SocketAddr, control: Asker) {
     let mut tick = interval(PERIOD);
-    let mut misses = 0;
     loop {
         tick.tick().await;
-        let up = timeout(LIMIT, TcpStream::connect(target)).await;
-        misses = match up {
-            Ok(Ok(_)) => 0,
-            _ => misses + 1,
-        };
-        let load = Load {
-            incarnation: Incarnation(0),
-            model: String::new(),
-            weights: String::new(),
-            loading: false,
-        };
-        control.send(Ask::Load((misses < MISSES).then_some(load)));
+        control.send(match timeout(LATE, TcpStream::connect(target)).await {
+            Ok(Ok(_)) => Ask::Load(Load::default()),
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Ask::Missed(Check::Refused),
+            // Out of descriptors, or a full backlog: nothing of the target's process.
+            _ => Ask::Missed(Check::Late),
+        });
     }
 }
 
@@ -109,10 +130,9 @@
     };
     let mut tick = interval(PERIOD);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut misses = 0;
     loop {
         tokio::select! {
-            _ = tick.tick() => misses = feed.step(&control, misses).await,
+            _ = tick.tick() => feed.step(&control).await,
             () = control.wanted() => feed.cache(&control).await,
         }
     }
@@ -128,27 +148,36 @@
 }
 
 impl Feed {
-    async fn step(&mut self, control: &Asker, misses: u32) -> u32 {
-        let Some(l) = self.get::<LoadBody>("/load").await else {
-            if misses + 1 >= MISSES {
-                control.send(Ask::Load(None));
-            }
-            return misses + 1;
+    async fn step(&mut self, control: &Asker) {
+        let l = match self.load(control).await {
+            Ok(l) => l,
+            Err(e) => return control.send(Ask::Missed(e.check())),
         };
         let incarnation = Incarnation(l.incarnation);
-        control.send(Ask::Load(Some(Load {
+        control.send(Ask::Load(Load {
             incarnation,
             model: l.model,
             weights: l.weights,
             loading: l.loading,
-        })));
+        }));
         self.events(control).await;
-        0
+    }
+
+    /// The engine's load. An answer that is late is a sign of life all the same, so that it is waited for.
+    async fn load(&self, control: &Asker) -> Result<LoadBody, FeedError> {
+        let call = self.get("/load", LIMIT);
+        tokio::pin!(call);
+        loop {
+            match timeout(LATE, &mut call).await {
+                Ok(load) => return load,
+                Err(_) => control.send(Ask::Missed(Check::Late)),
+            }
+        }
     }
 
     async fn events(&mut self, control: &Asker) {
         let path = format!("/events?after={}", self.after);
-        let Some(e) = self.get::<EventsBody>(&path).await else {
+        let Ok(e) = self.get::<EventsBody>(&path, LATE).await else {
             return;
         };
         if e.incarnation != self.life {
@@ -171,29 +200,41 @@
     }
 
     async fn cache(&mut self, control: &Asker) {
-        let Some(c) = self.get::<CacheBody>("/cache").await else {
+        let Ok(c) = self.get::<CacheBody>("/cache", LATE).await else {
             return;
         };
         let blocks = c.blocks.into_iter().map(block).collect();
         control.send(Ask::Cache(Incarnation(c.incarnation), c.seq, blocks));
     }
 
-    async fn get<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
-        get(&self.client, self.target, path).await
+    async fn get<T: DeserializeOwned>(&self, path: &str, limit: Duration) -> Result<T, FeedError> {
+        get(&self.client, self.target, path, limit).await
     }
 }
 
-/// What the engine says at a path; `None` if it can't be had.
+/// What the engine says at a path.
 pub async fn get<T: DeserializeOwned>(
     client: &Client,
     target: SocketAddr,
     path: &str,
-) -> Option<T> {
-    let call = Call::new(Method::GET, format!("http://{target}{path}"), LIMIT);
-    match client.call(call).await {
-        Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).ok(),
-        _ => None,
+    limit: Duration,
+) -> Result<T, FeedError> {
+    let call = Call::new(Method::GET, format!("http://{target}{path}"), limit);
+    let answer = match client.call(call).await {
+        Ok((StatusCode::OK, body)) => serde_json::from_slice(&body).map_err(FeedError::from),
+        Ok((status, _)) => Err(FeedError::Status(status)),
+        Err(e) => Err(e.into()),
+    };
+    if let Err(e) = &answer {
+        metrics::counter!(meter::FEED_FAULTS, "path" => name(path)).increment(1);
+        spdlog::debug!(logger: log::sidecar(), "target {target}{path}: {e}");
     }
+    answer
+}
+
+/// A path without its query.
+fn name(path: &str) -> String {
+    path.split('?').next().unwrap_or_default().to_owned()
 }
 
 fn kind(k: KindBody) -> prefix::Kind {
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -21,6 +21,7 @@
 use std::io;
 use std::sync::Arc;
 
+use policy::liveness::State;
 use store::{Client, Platform};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -98,7 +99,10 @@
     tokio::spawn(listen);
     tokio::spawn(feed::run(role.target, role.kind, asker.clone()));
     let up = asker.clone();
-    tokio::spawn(admin::serve(admin, admin::router(move || up.health().up)));
+    tokio::spawn(admin::serve(
+        admin,
+        admin::router(move || up.health().state == State::Alive),
+    ));
     ready.print();
     spdlog::info!(logger: log::sidecar(), "serving pool {} at {}", role.pool, ready.peer);
 
--- a/crates/daemon/src/sidecar/orders.rs
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -162,7 +162,8 @@
     }
 
     async fn load(&self, client: &Client) -> Option<LoadBody> {
-        feed::get(client, self.target, "/load").await
+        let load = feed::get(client, self.target, "/load", feed::LIMIT).await;
+        load.ok()
     }
 
     fn wanted(&self) -> Option<Wanted> {
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -22,7 +22,7 @@
 use crate::sidecar::{claim, target};
 use crate::{hop, trace};
 
-/// Longest wait to learn whether an engine died: two failed calls of its feed.
+/// Longest wait to learn whether an engine died: two refused calls of its feed.
 const VERDICT: Duration = Duration::from_millis(400);
 
 /// What every exchange of this process shares.
@@ -112,7 +112,7 @@
     let answer = tokio::select! {
         r = target::answer(job, sender) => r,
         () = job.live.cancel.cancelled() => Err(Code::Cancelled),
-        () = cx.control.lost(life) => Err(Code::TargetLost),
+        () = lost(job, life) => Err(Code::TargetLost),
     };
     match answer {
         Ok(()) => Last::Done(ex.complete()),
@@ -130,11 +130,21 @@
     }
 }
 
+/// Waits until the target can't complete a request any more. One that may run only once isn't helped by
+/// another target, so that it is left to a target that hangs.
+async fn lost(job: &Job<'_>, life: Incarnation) {
+    let control = &job.slot.cx.control;
+    match job.open.idempotent {
+        true => control.stalled(life).await,
+        false => control.exited(life).await,
+    }
+}
+
 /// Whether an engine died, rather than one connection to it. Only then does the request count as
 /// one that may have killed it.
 async fn died(cx: &Context, life: Incarnation) -> bool {
     if !cx.model {
         return false;
     }
-    timeout(VERDICT, cx.control.lost(life)).await.is_ok()
+    timeout(VERDICT, cx.control.exited(life)).await.is_ok()
 }
--- a/crates/daemon/src/sidecar/target.rs
+++ b/crates/daemon/src/sidecar/target.rs
@@ -99,6 +99,7 @@
         let Ok(data) = frame.map_err(lost)?.into_data() else {
             continue;
         };
+        job.slot.received();
         if !std::mem::replace(&mut begun, true) {
             job.slot.first();
         }
--- a/crates/daemon/src/sidecar/turn.rs
+++ b/crates/daemon/src/sidecar/turn.rs
@@ -73,6 +73,11 @@
         Self { cx, run, events }
     }
 
+    /// The target sent some bytes.
+    pub fn received(&self) {
+        self.cx.control.received();
+    }
+
     /// The target sent a first byte.
     pub fn first(&self) {
         self.cx.control.send(Ask::First(self.run));
--- /dev/null
+++ b/crates/daemon/tests/alive.rs
@@ -0,0 +1,190 @@
+//! Answers whose target is alive are not cut, however late it answers its health checks.
+
+mod common;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use common::{any, completion, quick, wait_for, words, Caller, Child, Fleet, Program, QUICKSTART};
+use standin::engine::{Faults, Settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+
+/// Delay of a health check that is longer than the sidecar waits for one.
+const LATE: u64 = 1_100;
+/// Tokens of an answer that lasts five seconds.
+const TOKENS: usize = 100;
+/// Tokens after which an engine closes its stream: about when its second check in a row is late.
+const CLOSED: usize = 40;
+/// How long the plain target works at its request.
+const WORK: Duration = Duration::from_secs(5);
+
+fn late() -> Faults {
+    Faults {
+        late: LATE,
+        ..Faults::default()
+    }
+}
+
+fn slow() -> Settings {
+    Settings {
+        decode: Duration::from_millis(50),
+        ..quick()
+    }
+}
+
+/// An answer that an engine computes while its checks are late.
+struct Answer {
+    what: &'static str,
+    stream: bool,
+}
+
+/// Guards against cutting an answer because its engine's health checks are late.
+#[test]
+fn answer_continues_while_checks_are_late() {
+    let cases = [
+        Answer {
+            what: "stream",
+            stream: true,
+        },
+        Answer {
+            what: "whole answer",
+            stream: false,
+        },
+    ];
+    let run = |case: Answer| {
+        let fleet = Fleet::start(1, 1, &slow());
+        let engine = &fleet.replicas[0].engine;
+        engine.misbehave(late());
+        let body = completion(case.what, TOKENS, case.stream);
+        let answer = fleet.caller(0).post("/v1/completions", &body);
+        let text = answer.text();
+        assert_eq!((answer.status, answer.clean), (200, true), "{text}");
+        if case.stream {
+            assert!(answer.whole(), "{text}");
+            assert_eq!(answer.words(), words(case.what, TOKENS));
+        }
+        let ran = engine.ran();
+        assert_eq!(ran.len(), 1, "{}: {ran:?}", case.what);
+    };
+    std::thread::scope(|s| {
+        for case in cases {
+            s.spawn(move || run(case));
+        }
+    });
+}
+
+/// Guards against taking a closed connection to a slow engine for the engine's crash.
+#[test]
+fn closed_streams_of_slow_engines_are_no_crashes() {
+    let fleet = Fleet::start(1, 3, &slow());
+    let engines: Vec<_> = fleet.replicas.iter().map(|r| &r.engine).collect();
+    for e in &engines {
+        e.misbehave(Faults {
+            drop: 1,
+            after: CLOSED,
+            ..Faults::default()
+        });
+    }
+    let prompt = "closed by slow engines";
+    let body = completion(prompt, TOKENS, true);
+    let caller = fleet.caller(0);
+    let stream = caller.begin("POST", "/v1/completions", &[], &body);
+    let mut closed = Vec::new();
+    for _ in 0..2 {
+        let next = || (0..3).find(|n| engines[*n].running() > 0 && !closed.contains(n));
+        wait_for("an engine to run it", || next().is_some());
+        let n = next().expect("waited for");
+        engines[n].misbehave(late());
+        closed.push(n);
+    }
+    let answer = stream.end();
+    assert!(answer.whole(), "{} {}", answer.status, answer.text());
+    assert_eq!(answer.words(), words(prompt, TOKENS));
+}
+
+/// Guards against leaving a request with a paused engine although another one could answer it.
+#[test]
+fn request_that_may_be_repeated_leaves_a_paused_engine() {
+    let fleet = Fleet::start(1, 0, &quick());
+    let (url, seed) = (fleet.url(), fleet.seed());
+    let args = ["--weights", "1", "--decode-us", "20000"];
+    let engines = [0, 1].map(|_| {
+        let engine = Program::start("engine", &args);
+        let sidecar = Child::sidecar(&url, &seed, engine.at, "lekha-llm", "model");
+        (engine, sidecar)
+    });
+    wait_for("all members to be seen", || fleet.live(0) == 4);
+    let body = completion("asked for once", TOKENS, false);
+    let caller = fleet.caller(0);
+    let answer = caller.begin("POST", "/v1/completions", &[], &body);
+    let running = |engine: &Program| {
+        let load = Caller::new(engine.at, "").get("/load").json();
+        load["running"].as_u64() > Some(0)
+    };
+    let mut runner = None;
+    wait_for("an engine to run it", || {
+        runner = engines.iter().position(|(e, _)| running(e));
+        runner.is_some()
+    });
+    let (engine, _) = &engines[runner.expect("waited for")];
+    engine.signal("STOP");
+    let answer = answer.end();
+    engine.signal("CONT");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+/// A target that accepts no further connection once it works at a request.
+fn full_target() -> SocketAddr {
+    let (tx, at) = mpsc::channel();
+    std::thread::spawn(move || {
+        let run = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("runtime");
+        run.block_on(serve_one(tx)).expect("the record's answer");
+    });
+    at.recv().expect("address")
+}
+
+async fn serve_one(at: mpsc::Sender<SocketAddr>) -> io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(any())?;
+    let listener = socket.listen(1)?;
+    let _ = at.send(listener.local_addr()?);
+    let mut buf = [0; 4_096];
+    loop {
+        let (mut tcp, _) = listener.accept().await?;
+        // A health check connects and sends nothing.
+        if tcp.read(&mut buf).await? == 0 {
+            continue;
+        }
+        tokio::time::sleep(WORK).await;
+        let answer = b"HTTP/1.1 201 Created\r\ncontent-length: 4\r\n\r\nkept";
+        return tcp.write_all(answer).await;
+    }
+}
+
+/// Guards against cutting a plain target's answer because it accepts no further connection.
+#[test]
+fn record_is_answered_by_a_target_with_a_full_backlog() {
+    let mut fleet = Fleet::start(1, 0, &quick());
+    let (url, seed) = (fleet.url(), fleet.seed());
+    let sidecar = Child::sidecar(&url, &seed, full_target(), "ledger", "plain");
+    fleet.spares.push(sidecar);
+    fleet.wait_members();
+    let write =
+        "then = { pool = \"fieldops\", class = \"call\", deadline = \"10s\", idempotent = false }";
+    let ledger = QUICKSTART
+        .replace(write, &write.replace("fieldops", "ledger"))
+        .replace(
+            "[pool.fieldops]",
+            "[pool.ledger]\nkind = \"plain\"\n\n[pool.fieldops]",
+        );
+    assert_ne!(ledger, QUICKSTART);
+    fleet.apply(&ledger);
+    let answer = fleet.caller(0).post("/records/poll-1", "a record");
+    assert_eq!(answer.status, 201, "{}", answer.text());
+}
--- a/crates/daemon/tests/common/child.rs
+++ b/crates/daemon/tests/common/child.rs
@@ -91,9 +91,7 @@
 
     /// Sends it a signal.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &id]).status();
-        assert!(sent.expect("kill").success());
+        signal(&self.child, name);
     }
 
     /// Ends it at once.
@@ -131,3 +129,10 @@
         self.kill();
     }
 }
+
+/// Sends a process a signal.
+pub(super) fn signal(child: &std::process::Child, name: &str) {
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args(["-s", name, &id]).status();
+    assert!(sent.expect("kill").success());
+}
--- a/crates/daemon/tests/common/program.rs
+++ b/crates/daemon/tests/common/program.rs
@@ -36,6 +36,11 @@
         Self { child, at }
     }
 
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        super::child::signal(&self.child, name);
+    }
+
     /// Whether it runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! At an entry: [`limit`] and [`quarantine`] may refuse a request, [`place`] chooses the replicas
 //! to ask and the one to use, [`health`] leaves slow ones out, [`retry`] allows a second attempt.
 //! At a sidecar: [`admit`] takes or refuses a request at once, [`queue`] orders those taken,
-//! [`concurrency`] says how many the engine gets, [`drain`] ends it all without cutting a request.
+//! [`concurrency`] says how many the engine gets, [`liveness`] whether it is alive, [`drain`] ends it all
+//! without cutting a request.
 //! Where targets are reached without a sidecar: [`spot`] places a prompt of named parts by what
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
 //! late, [`standing`] says which targets to leave alone, [`lapse`] which to keep though they aren't
@@ -36,6 +37,7 @@
 pub mod lateness;
 pub mod ledger;
 pub mod limit;
+pub mod liveness;
 pub mod misdirected;
 pub mod outlook;
 pub mod pace;
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -25,6 +25,8 @@
     pub status: u16,
     /// Replicas, this one included, that load weights at the same time; more than two slow it.
     pub loads: u32,
+    /// Milliseconds that it takes to answer a call for its load.
+    pub late: u64,
 }
 
 impl Default for Faults {
@@ -37,6 +39,7 @@
             errors: 0,
             status: 503,
             loads: 1,
+            late: 0,
         }
     }
 }
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::json;
 use viz::{Method, Request, RequestExt, Response, Result, Router, StatusCode};
@@ -26,7 +27,11 @@
                 let id = req.header::<_, String>("x-request-id").unwrap_or_default();
                 self.complete(id, &body).await
             }
-            (&Method::GET, "/load") => self.load(),
+            (&Method::GET, "/load") => {
+                let late = Duration::from_millis(self.faults.get().late);
+                tokio::time::sleep(late).await;
+                self.load()
+            }
             (&Method::GET, "/events") => self.events(req.query_string().unwrap_or_default()),
             (&Method::GET, "/cache") => self.blocks(),
             (&Method::GET, "/log") => reply::json(StatusCode::OK, &self.ran()),
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP client over `hyper-util`, with one time limit a call.
 
+use std::error::Error as _;
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,6 +29,20 @@
     Timeout(Duration),
 }
 
+impl HttpError {
+    /// Whether nothing listens at the address.
+    pub fn is_refused(&self) -> bool {
+        let Self::Connect(e) = self else {
+            return false;
+        };
+        let causes = std::iter::successors(e.source(), |e| (*e).source());
+        let refused = |e: &io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+        causes
+            .filter_map(|e| e.downcast_ref::<io::Error>())
+            .any(refused)
+    }
+}
+
 /// One call.
 #[derive(Clone, Debug)]
 pub struct Call {
