Keep the slot of an engine that reports late while it loads weights

Callers met more engines loading at a time than may, each of them slower for it, where engines answer late while they load.

Cause: the first report that was 250 ms late ended the load in its sidecar's view, and the update that followed removed it from the other sidecars' view.

Change: Slots::missed keeps a load for as long as others count it without an update (twice its length, 1.6 s at least); only a refused connection ends it. Others keep the state of an engine that loads and doesn't answer.

--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -79,7 +79,9 @@
         if from.delegate != 0 {
             self.delegates.insert(from, now);
         }
-        let state = update.alive.then(|| state(update));
+        // An engine that loads may report late.
+        let known = update.alive || update.loading_ms.is_some();
+        let state = known.then(|| state(update));
         self.slots.receive(now, from, state);
         if let Some(ask) = update.slot_answer {
             let sent = Micros(ask.sent_us);
@@ -185,7 +187,10 @@
     }
     let Some(report) = a.report.as_ref().filter(|_| a.alive) else {
         rollout.lack = None;
-        return rollout.slots.lost(now);
+        return match a.ended {
+            true => rollout.slots.lost(now),
+            false => rollout.slots.missed(now),
+        };
     };
     let weights = report.weights.iter();
     let weights: Vec<_> = weights.map(|w| (model_key(&w.model), w.version)).collect();
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -162,6 +162,8 @@
     named: Micros,
     /// From when on the engine's report is known to show a load.
     settled: Option<Micros>,
+    /// When the engine's report was read last.
+    read: Micros,
     loading: Option<Loading>,
     /// How long a load took here.
     load: Option<Micros>,
@@ -186,6 +188,7 @@
             free: false,
             named: Micros::ZERO,
             settled: None,
+            read: Micros::ZERO,
             loading: None,
             load: None,
             desired: 0,
@@ -257,6 +260,7 @@
     /// Takes over the engine's report: loads that have started or ended.
     pub fn report(&mut self, now: Micros, weights: &[(ModelKey, u64)], busy: bool) {
         self.settled.get_or_insert(now + SHOWN);
+        self.read = now;
         let Some(loading) = self.loading else {
             let found = Loading {
                 since: now,
@@ -280,7 +284,16 @@
         }
     }
 
-    /// Notes that the engine doesn't answer its sidecar.
+    /// Notes that the engine's report is late. That doesn't end a load, which makes an engine slow: it keeps
+    /// its slot for as long as other sidecars would count it without an update.
+    pub fn missed(&mut self, now: Micros) {
+        let counts = |l: &Loading| now.since(l.since.max(self.read)) < self.load_lease(self.load);
+        if !self.loading.as_ref().is_some_and(counts) {
+            self.lost(now);
+        }
+    }
+
+    /// Notes that the engine has exited.
     pub fn lost(&mut self, now: Micros) {
         self.settled.get_or_insert(now);
         self.loading = None;
@@ -424,9 +437,8 @@
 
     /// Updates that count: recent ones, and of a load as long as it may last.
     fn recent(&self, now: Micros) -> impl Iterator<Item = (&K, &Peer)> {
-        let load = |p: &Peer| p.state.load.or(self.load).unwrap_or_default();
         let lease = move |p: &Peer| match p.state.loading {
-            Some(_) => Micros(2 * load(p).0).max(LEASE),
+            Some(_) => self.load_lease(p.state.load.or(self.load)),
             None => LEASE,
         };
         self.peers
@@ -434,6 +446,11 @@
             .filter(move |(_, p)| now.since(p.at) < lease(p))
     }
 
+    /// How long a load counts without an update, if it usually takes so long.
+    fn load_lease(&self, load: Option<Micros>) -> Micros {
+        Micros(2 * load.unwrap_or_default().0).max(LEASE)
+    }
+
     /// How long a load takes, as observed anywhere in the pool.
     fn load(&self, now: Micros) -> Option<Micros> {
         if self.load.is_some() {
--- a/crates/policy/tests/slots/main.rs
+++ b/crates/policy/tests/slots/main.rs
@@ -194,6 +194,8 @@
         Case { name: "two versions in a row", play: Play { named: vec![2_000, 2_100], apart: 400, ..base() } },
         Case { name: "two versions in a row, nine", play: Play { named: vec![2_000, 2_900], apart: 400, ..nine() } },
         Case { name: "orders have no answer", play: Play { unanswered: 0.5, load: 1_400, ..base() } },
+        Case { name: "engines that load report late", play: Play { late: 0.7, load: 2_500, ..base() } },
+        Case { name: "engines that load report late, nine", play: Play { late: 1.0, load: 1_400, loss: 0.1, ..nine() } },
         Case { name: "hosts are slow, answers late", play: Play { look: 300, delay: 300, load: 2_000, ..base() } },
         Case { name: "all of it", play: Play { named: vec![2_000, 3_500], apart: 300, loss: 0.2, delay: 60, pauses: 0.2, kills: 0.1, unanswered: 0.2, joins: 1, by: 40_000, ..base() } },
     ];
--- a/crates/policy/tests/slots/sim.rs
+++ b/crates/policy/tests/slots/sim.rs
@@ -41,6 +41,8 @@
     pub(crate) kills: f64,
     /// Part of the orders that have no answer.
     pub(crate) unanswered: f64,
+    /// Part of the reports of engines that load which are late.
+    pub(crate) late: f64,
     /// Sidecars that start only after the first version was named.
     pub(crate) joins: usize,
     /// A sidecar that is stopped once.
@@ -71,6 +73,7 @@
             pauses: 0.0,
             kills: 0.0,
             unanswered: 0.0,
+            late: 0.0,
             joins: 0,
             stop: None,
             by: 40_000,
@@ -82,7 +85,8 @@
 #[derive(Clone, Debug)]
 struct Datagram {
     from: usize,
-    state: State,
+    /// None of an engine that doesn't answer and isn't known to load.
+    state: Option<State>,
     ask: Option<Ask>,
     answer: Option<Ask>,
 }
@@ -101,7 +105,9 @@
     /// Loads of the engine: start, end and version.
     loads: Vec<(u64, u64, u64)>,
     inbox: Vec<Datagram>,
-    sent: State,
+    /// Whether the engine's last report was late.
+    silent: bool,
+    sent: Option<State>,
     renewed: u64,
 }
 
@@ -146,7 +152,8 @@
             },
             loads: Vec::new(),
             inbox: Vec::new(),
-            sent: State::default(),
+            silent: false,
+            sent: None,
             renewed: 0,
         };
         let nodes = (0..play.engines).map(|i| node(i, rng.random_range(1..u64::MAX)));
@@ -173,9 +180,10 @@
         let weights = vec![(MODEL, n.version(now.saturating_sub(REPORT)))];
         let mut state = n.slots.state(n.now(now), i as u64, weights);
         state.process = n.process;
+        let silent = n.silent && state.loading.is_none();
         Datagram {
             from: i,
-            state,
+            state: (!silent).then_some(state),
             ask: None,
             answer: None,
         }
@@ -209,7 +217,7 @@
                 n.inbox.clear();
                 n.slots = Slots::default();
                 n.named = Versions::default();
-                n.sent = State::default();
+                n.sent = None;
                 n.process = self.rng.random_range(1..u64::MAX);
                 n.start = n.dead;
             }
@@ -225,7 +233,7 @@
         for d in std::mem::take(&mut self.nodes[i].inbox) {
             let n = &mut self.nodes[i];
             let at = n.now(now);
-            n.slots.receive(at, d.from, Some(d.state));
+            n.slots.receive(at, d.from, d.state);
             if let Some(answer) = d.answer {
                 n.slots.answered(at, d.from, answer);
             }
@@ -251,14 +259,20 @@
         let n = &mut self.nodes[i];
         let (at, then) = (n.now(now), now.saturating_sub(REPORT));
         let (version, busy) = (n.version(then), n.busy(then));
-        n.slots.report(at, &[(MODEL, version)], busy);
-        let lack = (n.named.newest() > version).then_some(Lack {
-            model: MODEL,
-            version,
-            named: &n.named,
-        });
-        n.slots
-            .schedule(at, &group(i as u64, self.play.engines), lack.as_ref());
+        let late = self.play.late > 0.0 && n.busy(now);
+        n.silent = late && self.rng.random_bool(self.play.late);
+        if n.silent {
+            n.slots.missed(at);
+        } else {
+            n.slots.report(at, &[(MODEL, version)], busy);
+            let lack = (n.named.newest() > version).then_some(Lack {
+                model: MODEL,
+                version,
+                named: &n.named,
+            });
+            n.slots
+                .schedule(at, &group(i as u64, self.play.engines), lack.as_ref());
+        }
         let step = n.slots.step(at, &others, !busy, self.rng.random());
         if step.orders && !n.busy(now) {
             n.loads.push((now, now + self.play.load, n.named.newest()));
@@ -286,12 +300,12 @@
     /// Reports what has changed, and all of it now and then while weights change.
     fn renew(&mut self, now: u64, i: usize) {
         let update = self.datagram(now, i);
-        let timeless = State {
+        let timeless = update.state.clone().map(|state| State {
             sent: Micros::ZERO,
-            due: update.state.due.map(|_| Micros::ZERO),
-            loading: update.state.loading.map(|_| Micros::ZERO),
-            ..update.state.clone()
-        };
+            due: state.due.map(|_| Micros::ZERO),
+            loading: state.loading.map(|_| Micros::ZERO),
+            ..state
+        });
         let n = &mut self.nodes[i];
         let at = n.now(now);
         let renew = now >= n.renewed + RENEW && n.slots.under_way(at);
