Claim the run of a request that may crash its engine in the whole pool

Callers lost every stream on three or four engines where a request that crashes its engine should end with the second one: it came through two entries at once, and each sent it on after its own crash alone.

Cause: marks of crashes spread by rumour (200 ms a round), a try begins a few milliseconds after a crash, and nothing asked who else had crashed or still ran it.

Change: crashes have names that go with the request (Fail, Open). A sidecar that would run a suspect asks the others of the pool (policy::trial); they answer with their crashes and whether they run it, and claim their own runs from then on. A good answer clears the suspicion.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -145,6 +145,7 @@
             output,
             strikes: self.strikes(),
             probe,
+            crashes: self.named_crashes(),
         }
     }
 
@@ -168,6 +169,10 @@
                 Ok(Ok(Body::Beat(_))) => {}
                 Ok(Ok(Body::Accepted(a))) if a.token == at.token => at.life = a.incarnation,
                 Ok(Ok(Body::Head(h))) => self.out.head(h),
+                Ok(Ok(Body::Fail(f))) => {
+                    self.crashes.extend((f.crash != 0).then_some(f.crash));
+                    return Ok(event(f.into()));
+                }
                 Ok(Ok(body)) => return Ok(event(body)),
             }
         }
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -53,6 +53,7 @@
         attempt: 0,
         opened: false,
         suspect: false,
+        crashes: Vec::new(),
         cost: None,
         begun: Instant::now(),
         sent: Instant::now(),
@@ -79,6 +80,8 @@
     pub(super) opened: bool,
     /// Another process found that a target died under this request.
     suspect: bool,
+    /// Names of the crashes under this request.
+    pub(super) crashes: Vec<u64>,
     /// What the current replica told.
     pub(super) cost: Option<Told>,
     /// When the request came.
@@ -155,6 +158,17 @@
         self.relay.crashes() + u32::from(self.suspect)
     }
 
+    /// Names of the crashes that are held against this request, as far as this entry knows.
+    pub(super) fn named_crashes(&self) -> Vec<u64> {
+        let memory = self.cx.memory.lock();
+        let mut names = memory.crashes(clock::now(), self.job.want.fingerprint);
+        drop(memory);
+        names.extend(&self.crashes);
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
     /// Whether another attempt may be made after this failure.
     fn again(&mut self, failure: &Failure) -> bool {
         if self.strikes() >= CRASHES {
--- a/crates/daemon/src/entry/memory.rs
+++ b/crates/daemon/src/entry/memory.rs
@@ -71,6 +71,11 @@
         mark::told(&mut self.quarantine, now, mark, until);
     }
 
+    /// Names of the crashes that are held against a request.
+    pub fn crashes(&self, now: Micros, fingerprint: u64) -> Vec<u64> {
+        mark::crashes(&self.quarantine, now, mark::print(fingerprint))
+    }
+
     /// What is held against a request.
     pub fn verdict(&self, now: Micros, fingerprint: u64) -> quarantine::Verdict {
         self.quarantine.verdict(now, mark::print(fingerprint))
--- a/crates/daemon/src/mark.rs
+++ b/crates/daemon/src/mark.rs
@@ -66,6 +66,13 @@
     }
 }
 
+/// Names of the crashes that are held against a request; one that has no name isn't among them.
+pub fn crashes(q: &Quarantine, now: model::Micros, print: Fingerprint) -> Vec<u64> {
+    let held = q.crashes(now, print).map(|(crashes, _)| crashes);
+    let names = held.unwrap_or_default().iter().map(|c| c.member.0);
+    names.filter(|n| *n != 0).collect()
+}
+
 /// Takes over what another process found.
 pub fn told(q: &mut Quarantine, now: model::Micros, mark: Mark, until: model::Micros) -> Verdict {
     let p = print(mark.print);
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -49,6 +49,8 @@
 /// Requests that a sidecar didn't hand over, by code.
 pub const REFUSED: &str = "clementinestep_refused_total";
 
+/// Questions to other sidecars about requests that may crash targets.
+pub const INQUIRIES: &str = "clementinestep_inquiries_total";
 /// Calls that the target's interface didn't answer as it should, by path.
 pub const FEED_FAULTS: &str = "clementinestep_feed_faults_total";
 
@@ -64,6 +66,7 @@
         FEED_FAULTS,
         "calls for the target's state that failed, by path"
     );
+    describe_counter!(INQUIRIES, "questions about requests that may crash targets");
     describe_counter!(PROBE_FAULTS, "datagrams refused at the probe port");
     describe_counter!(OFFER_FAULTS, "datagrams refused as offers");
     describe_counter!(OFFERS_UNASKED, "offers that nobody waits for");
--- a/crates/daemon/src/sidecar/ask.rs
+++ b/crates/daemon/src/sidecar/ask.rs
@@ -31,6 +31,8 @@
     First(RunKey),
     /// The target died under a request.
     Crashed(RunKey),
+    /// The target answered a request well.
+    Served(RunKey),
     /// So many more events of a stream came.
     Progress(RunKey, u64),
     /// A request that had its turn has ended, after so many more events of its stream.
--- a/crates/daemon/src/sidecar/control/fleet.rs
+++ b/crates/daemon/src/sidecar/control/fleet.rs
@@ -1,25 +1,35 @@
 //! The control thread's dealings with the fleet: entries' probes, marks of requests that crash
 //! targets, the configuration in force.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use bytes::Bytes;
 use model::Micros;
-use wire::{Message, Offer, Packet, Probe};
+use policy::contact::Ask;
+use policy::trial::Claim;
+use wire::{Findings, Inquiry, Message, Offer, Packet, Probe, Suspect};
 
 use super::Control;
 use crate::clock;
 use crate::log;
-use crate::mark::Mark;
+use crate::mark::{self, Mark};
 use crate::meter;
-use crate::sidecar::decide::RunKey;
+use crate::sidecar::decide::{Finding, RunKey};
 use crate::sidecar::probe;
 use crate::tune::Tuning;
 
 impl Control {
-    /// The sealed offer to a sealed probe.
+    /// Takes a sealed datagram; gives the sealed answer, if there is one.
     pub(super) fn packet(&mut self, bytes: &Bytes) -> Option<Bytes> {
         match Packet::open(bytes, &self.keys) {
             Ok(Message::Probe(p)) => Packet::seal(self.offer(p), &self.keys).ok(),
-            _ => {
+            Ok(Message::Inquiry(i)) => Packet::seal(self.inquired(i), &self.keys).ok(),
+            Ok(Message::Findings(f)) => {
+                self.findings(f);
+                None
+            }
+            Ok(Message::Offer(_)) | Err(_) => {
                 metrics::counter!(meter::PROBE_FAULTS).increment(1);
                 None
             }
@@ -37,6 +47,97 @@
         }
     }
 
+    /// The next question about suspects, sealed, and whom to ask.
+    pub(super) fn inquiry(&mut self) -> Option<(Bytes, Vec<SocketAddr>)> {
+        let now = clock::now();
+        let step = self.decide.inquire(now)?;
+        let suspects = step.claims.iter().map(|c| Suspect {
+            fingerprint: c.print.body as u64,
+            rank: c.rank,
+            crashes: self.decide.crashes(now, c.print.body as u64),
+        });
+        let inquiry = Inquiry {
+            from: self.rank,
+            round: step.ask.round,
+            sent: step.ask.sent.0,
+            suspects: suspects.collect(),
+        };
+        metrics::counter!(meter::INQUIRIES).increment(step.peers.len() as u64);
+        let peers = step.peers.iter().filter_map(|k| self.peers.get(k));
+        let peers = peers.copied().collect();
+        Some((Packet::seal(inquiry, &self.keys).ok()?, peers))
+    }
+
+    /// Answers another sidecar that would run suspects.
+    fn inquired(&mut self, i: Inquiry) -> Findings {
+        let now = clock::now();
+        let mut findings = Vec::with_capacity(i.suspects.len());
+        for s in &i.suspects {
+            let mark = self.decide.learn(now, s.fingerprint, &s.crashes);
+            self.convicted(now, mark);
+            let claim = Claim {
+                print: mark::print(s.fingerprint),
+                rank: s.rank,
+            };
+            let f = self.decide.inquired(now, i.from, claim);
+            findings.push(wire::Finding {
+                fingerprint: f.print,
+                crashes: f.crashes,
+                busy: f.busy,
+                good: f.good,
+            });
+        }
+        Findings {
+            from: self.rank,
+            round: i.round,
+            sent: i.sent,
+            findings,
+        }
+    }
+
+    /// Takes over another sidecar's answer.
+    fn findings(&mut self, f: Findings) {
+        let now = clock::now();
+        let ask = Ask {
+            round: f.round,
+            sent: Micros(f.sent),
+        };
+        for finding in f.findings {
+            let finding = Finding {
+                print: finding.fingerprint,
+                crashes: finding.crashes,
+                busy: finding.busy,
+                good: finding.good,
+            };
+            let mark = self.decide.answered(now, f.from, ask, &finding);
+            self.convicted(now, mark);
+        }
+    }
+
+    /// Tells the fleet of a request that crashes here and elsewhere convict.
+    fn convicted(&mut self, now: Micros, mark: Option<Mark>) {
+        let Some(mark) = mark else { return };
+        spdlog::warn!(
+            logger: log::sidecar(),
+            "request {:016x} is convicted by crashes of several targets", mark.print
+        );
+        self.news.spread(now, mark);
+    }
+
+    /// Takes over which sidecars the pool has.
+    pub(super) fn follow(&mut self) {
+        let view = self.view.load_full();
+        if Arc::ptr_eq(&view, &self.seen) {
+            return;
+        }
+        let pool = view.world.pool(&self.pool);
+        let targets = pool.into_iter().flat_map(|p| view.world.pool_targets(p));
+        let peers = targets.map(|(_, t)| (t.rank, t.probe));
+        self.peers = peers.filter(|(rank, _)| *rank != self.rank).collect();
+        self.decide.set_peers(self.peers.keys().copied().collect());
+        self.seen = view;
+    }
+
     pub(super) fn crashed(&mut self, now: Micros, run: RunKey) {
         let Some(mark) = self.decide.crashed(now, run) else {
             return;
--- a/crates/daemon/src/sidecar/control/mod.rs
+++ b/crates/daemon/src/sidecar/control/mod.rs
@@ -6,7 +6,9 @@
 
 mod fleet;
 
+use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -30,7 +32,7 @@
 use crate::sidecar::ask::{Ask, Asked, Grant, Health, Load};
 use crate::sidecar::decide::{Decide, Found, Refusal};
 use crate::sidecar::news::News;
-use crate::view::Shared;
+use crate::view::{self, Shared, View};
 
 /// Longest sleep of the control thread.
 const SLEEP: Duration = Duration::from_millis(250);
@@ -74,9 +76,9 @@
     let udp = UdpSocket::from_std(s.probes)?;
     let gossip = UdpSocket::from_std(s.gossip)?;
     let life = s.me.life;
+    let rank = view::rank(&s.role.pool, s.me.peer);
     let notice = s.settings.notice.into();
-    let view = s.view;
-    let shared = Arc::clone(&view);
+    let shared = Arc::clone(&s.view);
     let members = Membership::new(&s.settings, s.me, gossip, shared, s.members)?;
     let state = Control {
         keys: s.settings.keys.clone(),
@@ -91,8 +93,11 @@
         rng: SmallRng::from_os_rng(),
         pool: s.role.pool,
         quiet: None,
-        view,
+        view: s.view,
         version: Version(0),
+        rank,
+        peers: HashMap::new(),
+        seen: Arc::default(),
     };
     state.run(udp).await;
     Ok(())
@@ -116,6 +121,11 @@
     view: Shared,
     /// Version that the decisions follow.
     version: Version,
+    /// Rank of this target among those of the pool.
+    rank: u64,
+    /// The other sidecars of the pool, as of a view.
+    peers: HashMap<u64, SocketAddr>,
+    seen: Arc<View>,
 }
 
 impl Control {
@@ -132,8 +142,8 @@
                 },
                 got = udp.recv_from(&mut buf) => if let Ok((n, from)) = got {
                     let bytes = Bytes::copy_from_slice(&buf[..n]);
-                    if let Some(offer) = self.packet(&bytes) {
-                        let _ = udp.send_to(&offer, from).await;
+                    if let Some(answer) = self.packet(&bytes) {
+                        let _ = udp.send_to(&answer, from).await;
                     }
                 },
                 on = self.members.run_once() => if !on {
@@ -143,8 +153,15 @@
             }
             self.marks();
             self.tune();
+            self.follow();
             self.news.tell(clock::now());
             self.grant();
+            if let Some((inquiry, to)) = self.inquiry() {
+                for peer in to {
+                    // A datagram that can't be sent is one that was lost; the next one repeats it.
+                    let _ = udp.send_to(&inquiry, peer).await;
+                }
+            }
             self.step(drain::Event::Tick);
         }
     }
@@ -161,6 +178,7 @@
             }
             Ask::First(run) => self.decide.first(now, run),
             Ask::Crashed(run) => self.crashed(now, run),
+            Ask::Served(run) => self.decide.served(now, run),
             Ask::Progress(run, events) => self.decide.progress(now, run, events),
             Ask::Finished(run, events) => self.decide.finished(now, run, events),
             Ask::Taken => self.step(drain::Event::Taken),
@@ -202,6 +220,7 @@
                 self.decide.finished(now, g.run, 0);
             }
         }
+        refuse(self.decide.rejected(), Code::Quarantined, None);
         if self.decide.running() == 0 {
             if let Some(done) = self.quiet.take() {
                 let _ = done.send(());
--- a/crates/daemon/src/sidecar/decide/admission.rs
+++ b/crates/daemon/src/sidecar/decide/admission.rs
@@ -20,7 +20,6 @@
     /// What it asks of the engine.
     work: Micros,
     wait: Micros,
-    suspect: bool,
 }
 
 impl<G> Decide<G> {
@@ -80,7 +79,6 @@
             deadline: work.deadline,
             payload: Waiting {
                 marks: Marks::new(&work.chain),
-                suspect: place.suspect,
                 work,
                 grant,
             },
@@ -91,8 +89,8 @@
         if let Some(r) = self.closed() {
             return Err(r);
         }
-        let verdict = self.verdict(now, work.fingerprint);
-        if verdict == Verdict::Convicted {
+        let _ = self.learn(now, work.fingerprint, &work.crashes);
+        if self.verdict(now, work.fingerprint) == Verdict::Convicted {
             let code = Code::Quarantined;
             return Err(Refusal { code, retry: None });
         }
@@ -112,7 +110,6 @@
             team,
             work: engine,
             wait,
-            suspect: work.strikes > 0 || verdict == Verdict::Suspect,
         })
     }
 
--- a/crates/daemon/src/sidecar/decide/mod.rs
+++ b/crates/daemon/src/sidecar/decide/mod.rs
@@ -5,13 +5,14 @@
 //!
 //! A request passes through `admission` into the queue, has its turn in `turns` and is followed
 //! in `running` until it ends. `engine` keeps what is known of the engine itself,
-//! `suspects` what is known of requests that crash engines.
+//! `suspects` what is known of requests that crash engines, and `trials` when one of them may run.
 
 mod admission;
 mod engine;
 mod running;
 mod suspects;
 mod terms;
+mod trials;
 mod turns;
 
 use std::collections::{HashMap, VecDeque};
@@ -24,6 +25,7 @@
 use policy::quarantine::{self, Fingerprint, Quarantine};
 use policy::queue::{self, Job, Queue};
 use policy::reserve::{self, Reserve};
+use policy::trial::Trials;
 use prefix::{Index, Marks};
 use rand::Rng;
 use slab::Slab;
@@ -32,7 +34,7 @@
 use crate::settings::Kind;
 use crate::tune::Tuning;
 use admission::refusal;
-pub use terms::{Found, Granted, Question, Refusal, RunKey, State, Told, Work};
+pub use terms::{Finding, Found, Granted, Question, Refusal, RunKey, State, Told, Work};
 use turns::today;
 
 /// First guess of a plain call's time.
@@ -55,8 +57,15 @@
     /// Whether the index waits for the engine's list of blocks before it takes events.
     unlisted: bool,
     queue: Queue<Waiting<G>>,
-    /// Suspects that wait for another suspect to end.
+    /// Suspects that wait until they may run.
     held: VecDeque<Job<Waiting<G>>>,
+    /// Suspects that were convicted while they waited.
+    rejected: Vec<G>,
+    trials: Trials<u64>,
+    /// The other sidecars of the pool.
+    peers: Vec<u64>,
+    /// Claims made so far.
+    claims: u64,
     running: Slab<Running>,
     cost: Cost,
     /// Mean time that a request is at the target; its first guess counts for plain services only.
@@ -83,7 +92,6 @@
 struct Waiting<G> {
     work: Work,
     marks: Marks,
-    suspect: bool,
     grant: G,
 }
 
@@ -120,6 +128,10 @@
             unlisted: false,
             queue: Queue::new(queue::Config::default()),
             held: VecDeque::new(),
+            rejected: Vec::new(),
+            trials: Trials::default(),
+            peers: Vec::new(),
+            claims: 0,
             running: Slab::new(),
             cost: Cost::new(cost::Config::default()),
             call: CALL,
@@ -202,6 +214,7 @@
         let all = self.running.iter().map(|(_, r)| r);
         let unseen = all.filter(|r| r.prefilling && !r.stream);
         let soonest = unseen.map(|r| r.handed + r.prefill).min();
-        [self.queue.wake(), soonest].into_iter().flatten().min()
+        let wakes = [self.queue.wake(), soonest, self.trials.wake()];
+        wakes.into_iter().flatten().min()
     }
 }
--- a/crates/daemon/src/sidecar/decide/terms.rs
+++ b/crates/daemon/src/sidecar/decide/terms.rs
@@ -22,6 +22,8 @@
     pub fingerprint: u64,
     /// Targets that died under it before.
     pub strikes: u32,
+    /// Names of the crashes that its entry holds against it.
+    pub crashes: Vec<u64>,
     /// The probe whose offer it takes up.
     pub probe: u64,
     /// Whether its first byte comes before its last.
@@ -71,6 +73,19 @@
     pub convicted: bool,
 }
 
+/// What a sidecar knows of a request that may crash its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Its fingerprint.
+    pub print: u64,
+    /// Names of the crashes that are held against it.
+    pub crashes: Vec<u64>,
+    /// Whether it runs there, or a claim of that sidecar goes ahead.
+    pub busy: bool,
+    /// Whether it was answered well there of late.
+    pub good: bool,
+}
+
 /// A request's turn has come.
 #[derive(Debug)]
 pub struct Granted<G> {
--- a/crates/daemon/src/sidecar/decide/turns.rs
+++ b/crates/daemon/src/sidecar/decide/turns.rs
@@ -1,10 +1,11 @@
 //! Turns: which waiting request is handed over next, and whether one may be now.
 //!
 //! The queue orders by urgency, share and cost; the limits say how many prompts and answers the
-//! engine may have at a time. Suspects take their turns one at a time.
+//! engine may have at a time. Suspects wait until they may run (`trials`).
 
 use model::{Class, Micros};
 use policy::cost::Cost;
+use policy::quarantine::Verdict;
 use policy::queue::{Job, JobKey};
 use prefix::Index;
 
@@ -16,10 +17,13 @@
     /// The next request whose turn has come.
     pub fn next(&mut self, now: Micros) -> Option<Granted<G>> {
         if !self.has_room(now) {
+            // A claim of what can't run would hold others up.
+            self.trials.retain(|_| false);
             return None;
         }
-        let job = self.pop()?;
+        let job = self.pop(now)?;
         let w = job.payload;
+        let suspect = self.standing(now, &w.work) == Verdict::Suspect;
         // Blocks may have been computed or evicted while it waited. What is only expected doesn't
         // count: its own blocks are among that since it came, and a prompt that seems to need no
         // computing is measured as none.
@@ -31,7 +35,7 @@
             blocks,
             handed: now,
             prefilling: self.kind == Kind::Model,
-            suspect: w.suspect,
+            suspect,
             class: job.class,
             stream: w.work.stream,
             first: None,
@@ -51,16 +55,14 @@
         self.queue.remove(key);
     }
 
-    fn pop(&mut self) -> Option<Job<Waiting<G>>> {
-        let alone = !self.running.iter().any(|(_, r)| r.suspect);
-        if let Some(job) = self.held.pop_front_if(|_| alone) {
-            return Some(job);
-        }
-        // Two suspects beside one another would both be convicted by one's crash.
+    fn pop(&mut self, now: Micros) -> Option<Job<Waiting<G>>> {
         loop {
+            if let Some(job) = self.release(now) {
+                return Some(job);
+            }
             let (index, cost, kind) = (&self.index, &self.cost, self.kind);
             let job = self.queue.pop_by(|job| today(kind, index, cost, job))?;
-            if !job.payload.suspect || alone {
+            if self.standing(now, &job.payload.work) == Verdict::Clear {
                 return Some(job);
             }
             self.held.push_back(job);
--- a/crates/daemon/src/sidecar/live.rs
+++ b/crates/daemon/src/sidecar/live.rs
@@ -25,6 +25,8 @@
     head: Option<Head>,
     retain: Retain,
     last: Option<Last>,
+    /// Name of the crash that ended it; 0 if none did.
+    crash: u64,
 }
 
 /// One exchange, shared by the task that runs it and the connection that carries it.
@@ -52,6 +54,7 @@
                 head: None,
                 retain,
                 last: None,
+                crash: 0,
             }),
             changed: watch::Sender::new(()),
             room: Notify::new(),
@@ -96,6 +99,11 @@
         self.changed.send_replace(());
     }
 
+    /// Its target died; `crash` names how.
+    pub fn crashed(&self, crash: u64) {
+        self.lock().crash = crash;
+    }
+
     /// It ended; only the first end counts.
     pub fn end(&self, last: Last) {
         let mut i = self.lock();
@@ -142,7 +150,7 @@
             at.seq += 1;
             return Ok(Some((Chunk { seq, data }.into(), false)));
         }
-        Ok(i.last.as_ref().map(|l| (last(l, &i.retain), true)))
+        Ok(i.last.as_ref().map(|l| (last(l, &i), true)))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -169,10 +177,10 @@
     }
 }
 
-fn last(l: &Last, retain: &Retain) -> Body {
+fn last(l: &Last, i: &Inner) -> Body {
     match l {
         Last::Done(_) => {
-            let (count, digest) = retain.total().unwrap_or_default();
+            let (count, digest) = i.retain.total().unwrap_or_default();
             End { count, digest }.into()
         }
         Last::NotRun(n, owner) => refuse(n, owner.clone()).into(),
@@ -180,6 +188,7 @@
             code: f.code.number(),
             known: f.known,
             crashed: f.crashed,
+            crash: i.crash,
         }
         .into(),
     }
--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -119,7 +119,7 @@
         Err(code) => {
             let crashed = code == Code::TargetLost && died(cx, life).await;
             if crashed {
-                job.slot.crashed();
+                job.live.crashed(job.slot.crashed(life));
             }
             spdlog::warn!(
                 logger: log::sidecar(),
--- a/crates/daemon/src/sidecar/serve.rs
+++ b/crates/daemon/src/sidecar/serve.rs
@@ -180,6 +180,7 @@
         code: Code::TargetLost.number(),
         known: false,
         crashed: false,
+        crash: 0,
     })
     .await
 }
--- a/crates/daemon/src/sidecar/target.rs
+++ b/crates/daemon/src/sidecar/target.rs
@@ -70,8 +70,12 @@
         return Err(Code::BadAnswer);
     }
     job.live.begin(head(&res, job.waited));
-    let streamed = is_events(&res);
-    body(job, res.into_body(), streamed).await
+    let (streamed, good) = (is_events(&res), res.status().is_success());
+    body(job, res.into_body(), streamed).await?;
+    if good {
+        job.slot.served();
+    }
+    Ok(())
 }
 
 fn request(o: &Open, hop: trace::Context) -> Result<Request<Full<Bytes>>, Code> {
--- a/crates/daemon/src/sidecar/turn.rs
+++ b/crates/daemon/src/sidecar/turn.rs
@@ -5,11 +5,12 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use model::{BlockHash, Class, Code, Micros};
+use model::{BlockHash, Class, Code, Incarnation, MemberId, Micros};
 use tokio::sync::oneshot;
 use wire::Open;
 
 use crate::clock;
+use crate::mark;
 use crate::sidecar::ask::Ask;
 use crate::sidecar::decide::{Refusal, RunKey, Work};
 use crate::sidecar::run::Context;
@@ -29,6 +30,7 @@
         deadline: clock::now() + Micros::from_millis(o.deadline),
         fingerprint: o.fingerprint,
         strikes: o.strikes,
+        crashes: o.crashes.clone(),
         probe: o.probe,
         stream: o.stream,
     };
@@ -83,9 +85,15 @@
         self.cx.control.send(Ask::First(self.run));
     }
 
-    /// The target died under the request.
-    pub fn crashed(&self) {
+    /// The target died under the request; gives the crash's name.
+    pub fn crashed(&self, life: Incarnation) -> u64 {
         self.cx.control.send(Ask::Crashed(self.run));
+        mark::crash(MemberId(self.cx.life), life)
+    }
+
+    /// The target answered well.
+    pub fn served(&self) {
+        self.cx.control.send(Ask::Served(self.run));
     }
 
     /// Counts an event of the stream. Control is told now and then, and not only at the end: from
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -54,6 +54,11 @@
     pub leaving: bool,
 }
 
+/// Rank of a target, the same for all processes.
+pub fn rank(pool: &str, peer: SocketAddr) -> u64 {
+    xxh3_64(format!("{pool}@{peer}").as_bytes())
+}
+
 impl View {
     /// A view without targets, seen from a failure domain.
     pub fn new(domain: &str, region: &str) -> Self {
@@ -81,7 +86,7 @@
             host,
             member: a.member,
             incarnation: a.incarnation,
-            rank: xxh3_64(format!("{}@{}", a.pool, a.peer).as_bytes()),
+            rank: rank(&a.pool, a.peer),
             probe: a.peer,
             exchange: a.peer,
         };
--- a/crates/daemon/tests/decide.rs
+++ b/crates/daemon/tests/decide.rs
@@ -2,10 +2,11 @@
 //! whom, and how crashes add up.
 
 use bytes::Bytes;
-use daemon::mark::Mark;
+use daemon::mark::{self, Mark};
 use daemon::settings::Kind;
-use daemon::sidecar::decide::{Decide, Found, Question, RunKey, State, Work};
+use daemon::sidecar::decide::{Decide, Finding, Found, Question, RunKey, State, Work};
 use model::{Class, Incarnation, MemberId, Micros};
+use policy::trial::Claim;
 use prefix::{chain, Block, Event, Marks, Seed, BLOCK};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -39,6 +40,7 @@
         deadline: FAR,
         fingerprint,
         strikes,
+        crashes: Vec::new(),
         probe: 0,
         stream: true,
     }
@@ -205,6 +207,89 @@
     }
 }
 
+/// What the other sidecar answers to a suspect's claim.
+struct Answer {
+    what: &'static str,
+    /// Its finding; none if it doesn't answer.
+    finding: Option<Finding>,
+    /// Whether the suspect runs, and whether it is refused for good.
+    runs: bool,
+    rejected: bool,
+}
+
+/// Guards against running a request that may crash engines while another engine runs it.
+#[test]
+fn suspect_waits_for_what_the_other_sidecars_answer() {
+    const PEER: u64 = 2;
+    let found = |crashes: &[u64], busy, good| {
+        Some(Finding {
+            print: 5,
+            crashes: crashes.to_vec(),
+            busy,
+            good,
+        })
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Answer { what: "no answer yet", finding: None, runs: false, rejected: false },
+        Answer { what: "it runs there", finding: found(&[7], true, false), runs: false, rejected: false },
+        Answer { what: "it crashed there as well", finding: found(&[8], false, false), runs: false, rejected: true },
+        Answer { what: "only the known crash", finding: found(&[7], false, false), runs: true, rejected: false },
+        Answer { what: "nothing is known there", finding: found(&[], false, false), runs: true, rejected: false },
+        Answer { what: "it was answered well there", finding: found(&[], true, true), runs: true, rejected: false },
+    ];
+    for c in cases {
+        let mut d = decide();
+        d.set_peers(vec![PEER]);
+        let work = Work {
+            crashes: vec![7],
+            ..work(5, 1)
+        };
+        assert!(open(&mut d, work, 1), "{}", c.what);
+        assert!(turns(&mut d).is_empty(), "{}: unasked", c.what);
+        let asked = d.inquire(NOW).expect("a question");
+        assert_eq!(asked.peers, [PEER], "{}", c.what);
+        if let Some(f) = &c.finding {
+            let mark = d.answered(NOW, PEER, asked.ask, f);
+            assert_eq!(mark.is_some(), c.rejected, "{}", c.what);
+        }
+        assert_eq!(turns(&mut d).len(), usize::from(c.runs), "{}", c.what);
+        assert_eq!(d.rejected().len(), usize::from(c.rejected), "{}", c.what);
+    }
+}
+
+/// Guards against a suspect that waits for ever for a sidecar that doesn't exist any more.
+#[test]
+fn suspect_passes_over_a_sidecar_that_does_not_answer() {
+    let mut d = decide();
+    d.set_peers(vec![2]);
+    assert!(open(&mut d, work(5, 1), 1));
+    let mut now = NOW;
+    while d.next(now).is_none() {
+        let _ = d.inquire(now);
+        now = d.wake().expect("a time to ask again");
+        assert!(now < NOW + Micros::from_secs(1), "it still waits");
+    }
+}
+
+/// Guards against telling another sidecar that a request doesn't run while a run may still crash.
+#[test]
+fn run_is_told_until_its_crash_is_counted() {
+    let claim = Claim {
+        print: mark::print(5),
+        rank: 1,
+    };
+    let mut d = decide();
+    assert!(open(&mut d, work(5, 0), 1));
+    let run = turns(&mut d).pop().expect("it runs").1;
+    let before = d.inquired(NOW, 2, claim);
+    assert_eq!((before.busy, before.crashes.len()), (true, 0));
+    d.crashed(NOW, run).expect("it runs");
+    d.finished(NOW, run, 0);
+    let after = d.inquired(NOW, 2, claim);
+    assert_eq!((after.busy, after.crashes.len()), (false, 1));
+}
+
 /// A mark goes through the fleet as one number.
 #[test]
 fn mark_comes_back_from_its_number() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod spot;
 pub mod standing;
 pub mod subscription;
+pub mod trial;
 pub mod urgency;
 pub mod versions;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -133,6 +133,9 @@
     /// The probe whose offer this takes up; 0 if none was answered.
     #[prost(fixed64, tag = "23")]
     pub probe: u64,
+    /// Names of the crashes that the entry holds against the request.
+    #[prost(fixed64, repeated, tag = "24")]
+    pub crashes: Vec<u64>,
 }
 
 /// Sidecar to entry: the request waits for its turn.
@@ -208,6 +211,9 @@
     /// Whether the target died under it.
     #[prost(bool, tag = "3")]
     pub crashed: bool,
+    /// Name of that crash; 0 if there is none.
+    #[prost(fixed64, tag = "4")]
+    pub crash: u64,
 }
 
 /// Entry to sidecar: go on with an exchange whose connection was lost.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,7 +21,7 @@
     Accepted, Ack, Beat, Body, Cancel, Chunk, End, Fail, Frame, Head, Header, Join, Open, Pull,
     Refuse, Resume, Text,
 };
-pub use packet::{Mark, Message, Offer, Packet, Probe, State};
+pub use packet::{Finding, Findings, Inquiry, Mark, Message, Offer, Packet, Probe, State, Suspect};
 pub use seal::{Key, Keys};
 
 /// Largest frame either side accepts, in bytes.
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -1,4 +1,4 @@
-//! Datagrams between entries and sidecars.
+//! Datagrams between entries and sidecars, and among sidecars.
 
 use bytes::Bytes;
 use prost::{Message as _, Oneof};
@@ -11,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Packet {
     /// What it says.
-    #[prost(oneof = "Message", tags = "1, 2")]
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4")]
     pub message: Option<Message>,
 }
 
@@ -24,6 +24,12 @@
     /// Sidecar to entry.
     #[prost(message, tag = "2")]
     Offer(Offer),
+    /// Sidecar to sidecar.
+    #[prost(message, tag = "3")]
+    Inquiry(Inquiry),
+    /// Sidecar to sidecar.
+    #[prost(message, tag = "4")]
+    Findings(Findings),
 }
 
 /// A prompt's first blocks, as one number.
@@ -111,6 +117,71 @@
     pub busy: u32,
 }
 
+/// May these requests run, which may crash their targets?
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Inquiry {
+    /// The target that asks, by its rank.
+    #[prost(fixed64, tag = "1")]
+    pub from: u64,
+    /// Draw of the round, returned with the answer.
+    #[prost(fixed64, tag = "2")]
+    pub round: u64,
+    /// Microseconds on the asking process's clock, returned with the answer.
+    #[prost(uint64, tag = "3")]
+    pub sent: u64,
+    /// The requests.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that may crash its target, and that a sidecar would run.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Its fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Of two claims the lower one goes ahead.
+    #[prost(fixed64, tag = "2")]
+    pub rank: u64,
+    /// Names of the crashes that are held against it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub crashes: Vec<u64>,
+}
+
+/// The answer to an inquiry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Findings {
+    /// The target that answers, by its rank.
+    #[prost(fixed64, tag = "1")]
+    pub from: u64,
+    /// The inquiry's.
+    #[prost(fixed64, tag = "2")]
+    pub round: u64,
+    /// The inquiry's.
+    #[prost(uint64, tag = "3")]
+    pub sent: u64,
+    /// What is known of each request.
+    #[prost(message, repeated, tag = "4")]
+    pub findings: Vec<Finding>,
+}
+
+/// What a sidecar knows of a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Finding {
+    /// Its fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Names of the crashes that are held against it.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub crashes: Vec<u64>,
+    /// Whether it runs there, or a claim of that sidecar goes ahead.
+    #[prost(bool, tag = "3")]
+    pub busy: bool,
+    /// Whether it was answered well there of late.
+    #[prost(bool, tag = "4")]
+    pub good: bool,
+}
+
 impl Packet {
     /// Encodes and seals.
     pub fn seal(message: impl Into<Message>, keys: &Keys) -> Result<Bytes, WireError> {
@@ -147,3 +218,15 @@
         Self::Offer(o)
     }
 }
+
+impl From<Inquiry> for Message {
+    fn from(i: Inquiry) -> Self {
+        Self::Inquiry(i)
+    }
+}
+
+impl From<Findings> for Message {
+    fn from(f: Findings) -> Self {
+        Self::Findings(f)
+    }
+}
