Refuse nobody by a guess at the length of a load

Callers with seconds to spare were refused with 503 (reason loading, wait_ms 2005) although the pool's only engine had loaded its weights in 0.9 s.

Cause: a load of unknown length is taken to last as long again as it has lasted; a sidecar that continues after a pause counts the pause as load, and the guess was compared with the caller's time as if it were known.

Change: policy::loading. While the length isn't known a request waits until half of its time is used; a known length decides as before.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -67,6 +67,14 @@
         of_kind.cloned().collect()
     }
 
+    /// The log lines on one request, and when the process started and stopped, for a failure's message.
+    pub fn about(&self, id: &str) -> String {
+        let lines = self.lines.lock().expect("lines");
+        let life = |l: &Value| l["event"] == "listening" || l["event"] == "stopping";
+        let said = lines.iter().filter(|l| l["request"] == id || life(l));
+        said.map(|l| format!("{l}\n")).collect()
+    }
+
     /// The last log lines, for a failure's message.
     pub fn tail(&self) -> String {
         let lines = self.lines.lock().expect("lines");
--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -40,6 +40,8 @@
     pub answer: Option<Answer>,
     /// Whether nothing came for longer than anything may take.
     pub forgotten: bool,
+    /// What its entry logged on it, if it was forgotten.
+    pub log: String,
 }
 
 /// Asks until the end.
@@ -55,10 +57,15 @@
         if !matches!(asked, Ok(Some(_))) {
             kept[front] = None;
         }
+        let log = match &asked {
+            Err(_) => world.fronts[front].host.runs().process.about(&id),
+            Ok(_) => String::new(),
+        };
         outcomes.push(Outcome {
             id,
             path,
             forgotten: asked.is_err(),
+            log,
             answer: asked.ok().flatten(),
         });
         sleep(Duration::from_millis(rng.random_range(0..20))).await;
--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -126,7 +126,7 @@
 }
 
 fn answer(o: &Outcome, ran: usize, told: &str) {
-    assert!(!o.forgotten, "never answered: {told}");
+    assert!(!o.forgotten, "never answered: {told}\n{}", o.log);
     // Routes here allow two runs.
     let most = if matches!(o.path, "/log/1" | "/code/1") {
         1
--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -159,7 +159,7 @@
     sleep(Duration::from_millis(250)).await;
     let answer = timeout(LIMIT, ask(&entry, "/probe/1", "patient")).await;
     let answer = answer.expect("in time").expect("an answer");
-    assert_eq!(answer.status, 200);
+    assert_eq!(answer.status, 200, "{}", entry.process.about("patient"));
     assert_eq!(engine.version(MODEL), 2, "served after the load");
     let tries = engine.seen().iter().filter(|s| s.id == "patient").count();
     assert_eq!(tries, 1, "sent once, when the engine takes it");
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use model::Micros;
+use policy::loading::Left;
 use rand::Rng;
 
 use super::listen::Watch;
@@ -47,8 +48,8 @@
     },
     /// All targets load weights, and refuse what is new until then.
     Loading {
-        /// How long the first of them goes on.
-        left: Micros,
+        /// How long the first of them continues.
+        left: Left,
     },
     /// It has crashed the targets that ran it.
     Quarantined {
@@ -116,7 +117,7 @@
             Self::NoTarget => Some(Duration::from_millis(800)),
             // What waits is worked off in its own length, if as much is turned away as comes.
             Self::Late { over, .. } => Some(over.into()),
-            Self::Loading { left } => Some(left.into()),
+            Self::Loading { left } => Some(left.time.into()),
             // A queue as long as an aim has gone by then.
             Self::NotRun => Some(Duration::from_millis(300)),
             _ => None,
@@ -193,7 +194,8 @@
         version: r.version,
         retry_ms: back.map(|b| b.as_millis() as u64),
         wait_ms: match r.reason {
-            Reason::Late { wait, .. } | Reason::Loading { left: wait } => Some(wait.as_millis()),
+            Reason::Late { wait, .. } => Some(wait.as_millis()),
+            Reason::Loading { left } => Some(left.time.as_millis()),
             _ => None,
         },
     });
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -6,6 +6,7 @@
 use model::{Micros, Position};
 use platform::replica::Load;
 use policy::ledger::Unread;
+use policy::loading::Left;
 use policy::misdirected::Marks;
 use policy::standing::Standing;
 use policy::urgency;
@@ -44,16 +45,23 @@
     pub total: u32,
     /// Whether its turn to load has come: what is sent there now is refused or met by the load.
     pub due: bool,
-    /// When it is expected to have loaded them, if it is loading.
-    pub loaded: Option<Micros>,
+    /// For how long it is expected to continue to load them since then, if it is loading.
+    pub load: Option<Left>,
     /// Prompt tokens that it has yet to read, for all entries, by step of urgency.
     pub unread_tokens: Unread,
 }
 
 impl Heard {
+    /// For how long it continues to load weights, if it is loading.
+    pub(super) fn load_left(&self, now: Micros) -> Option<Left> {
+        let load = self.load?;
+        let time = (self.at + load.time).since(now);
+        Some(Left { time, ..load })
+    }
+
     /// What a sidecar's word says of its engine.
     pub(super) fn new(now: Micros, update: &Update, from: SocketAddr) -> Self {
-        let at = |ms: u32| now + Micros::from_millis(ms.into());
+        let time = |ms: u32| Micros::from_millis(ms.into());
         let mut unread_tokens = Unread::default();
         let told = unread_tokens.iter_mut().zip(&update.tokens);
         told.for_each(|(u, t)| *u = *t);
@@ -70,24 +78,14 @@
             used: update.used,
             total: update.total,
             due: update.due_ms.is_some(),
-            loaded: update
+            load: update
                 .loading_ms
-                .map(|ms| at(load_left(ms, update.load_ms))),
+                .map(|ms| Left::new(time(ms), update.load_ms.map(time))),
             unread_tokens,
         }
     }
 }
 
-/// Milliseconds that a load is expected to go on. One of unknown length that has gone on for a time is
-/// taken to go on for as long again, so that the guess is wrong by a factor and never by a site's figure.
-fn load_left(gone: u32, takes: Option<u32>) -> u32 {
-    match takes {
-        Some(takes) if takes > gone => takes - gone,
-        Some(takes) => takes / 4,
-        None => gone.max(1),
-    }
-}
-
 /// A target and what is believed of it.
 #[derive(Debug)]
 pub struct Replica {
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -10,6 +10,7 @@
 use hyper::{Response, StatusCode};
 use model::Micros;
 use platform::replica;
+use policy::loading::Left;
 use policy::shared::Need;
 use site::{Boot, Mode};
 use tokio::time::{sleep, timeout};
@@ -36,8 +37,6 @@
 /// Shortest time in which a target can answer anything.
 const LEAST: Duration = Duration::from_millis(5);
 
-/// Part of the time left for which a job waits while all engines load; its answer needs the rest.
-const WAIT: f64 = 0.5;
 /// Pause between two looks whether one has loaded; sidecars look as often.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -114,11 +113,11 @@
     }
 }
 
-/// Whether engines that load will have done so early enough for a job to be answered. What is sent to
-/// them meanwhile is refused, and each such try costs the pool a retry.
-fn worth_waiting(job: &Job, now: Micros, left: Micros) -> bool {
-    let time = job.left(now).mul_f64(WAIT);
-    Duration::from(left) < time
+/// Whether a job waits for engines that load. What is sent to them meanwhile is refused, and each such try
+/// costs the pool a retry.
+fn worth_waiting(job: &Job, now: Micros, left: Left) -> bool {
+    let rest = job.left(now).into();
+    left.is_worth_waiting(rest, job.left(job.came).into())
 }
 
 fn convicted(ctx: &Ctx, job: &Job) -> Reason {
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -1,6 +1,7 @@
 //! Which targets a request may go to, by what is believed of each.
 
 use model::Micros;
+use policy::loading::Left;
 use policy::{outlook, subscription};
 use site::State;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -62,16 +63,20 @@
     heard.is_some_and(|h| h.due)
 }
 
-/// How long all of some engines go on loading weights, if they do; they refuse what is new until then.
-pub(super) fn all_load(open: &[(Key, &Replica)], now: Micros) -> Option<Micros> {
+/// How long all of some engines continue to load weights, if they do; they refuse what is new until then.
+pub(super) fn all_load(open: &[(Key, &Replica)], now: Micros) -> Option<Left> {
     let all: Option<Vec<_>> = open.iter().map(|(_, r)| load_left(r, now)).collect();
-    all?.into_iter().min()
+    all?.into_iter().min_by_key(|left| left.time)
 }
 
 /// How long an engine continues to load weights, if it does.
-fn load_left(r: &Replica, now: Micros) -> Option<Micros> {
+fn load_left(r: &Replica, now: Micros) -> Option<Left> {
     let heard = r.heard.filter(|h| h.busy && now.since(h.at) < HEARD)?;
-    Some(heard.loaded.unwrap_or(now).since(now))
+    let over = Left {
+        time: Micros::ZERO,
+        known: true,
+    };
+    Some(heard.load_left(now).unwrap_or(over))
 }
 
 /// Those of a pool's engines that are heard of. Up to some number all are, or the words of those that
--- a/crates/gate/src/entry/view.rs
+++ b/crates/gate/src/entry/view.rs
@@ -82,8 +82,8 @@
             used: h.used,
             total: h.total,
             loading: h
-                .loaded
-                .map_or(0.0, |at| at.since(self.now).as_millis() as f64),
+                .load_left(self.now)
+                .map_or(0.0, |left| left.time.as_millis() as f64),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,8 @@
 //! [`outlook`] says of each engine and [`pace`] of all of them, [`lateness`] refuses what would be
 //! late, [`standing`] says which targets to leave alone, [`lapse`] which to keep though they aren't
 //! listed, [`misdirected`] for how long one isn't used whose address answered for another, [`shared`]
-//! keeps all entries within one budget of retries, [`subscription`] says which engines an entry
+//! keeps all entries within one budget of retries, [`loading`] says how long a request waits while all
+//! engines load, [`subscription`] says which engines an entry
 //! subscribes to, [`broken`] separates crashes from lost connections for [`quarantine`], [`rollout`] says
 //! which engines take new weights, and [`slots`] when one does, by what its peers answer ([`contact`]).
 //! [`delegate`] says which entry acts for an engine without a sidecar, [`holder`] when an engine's orders
@@ -38,6 +39,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod liveness;
+pub mod loading;
 pub mod misdirected;
 pub mod outlook;
 pub mod pace;
