Try an engine again that has newer weights than it was asked for

Callers were refused with 503 (no_target, one attempt) by a pool whose only engine had newer weights than the entry knew.

Cause: the engine's refusal told the entry of the newer weights, but the engine counted as tried and was passed over.

Change: a target that is known by then to have newer weights than it was asked for isn't among those tried. It comes back once for each newer version.

--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -165,6 +165,22 @@
     assert_eq!(tries, 1, "sent once, when the engine takes it");
 }
 
+/// Guards against refusing a caller because the pool's only engine has newer weights than its entry knew.
+#[tokio::test]
+async fn engine_with_newer_weights_than_known_serves_the_same_request() {
+    let mut platform = Platform::start().await;
+    let engine = Replica::new("e1", 2, Duration::ZERO);
+    engine.load(MODEL, 1);
+    platform.replica(&engine, "engines").await;
+    let named = json!({"model": MODEL, "version": 2});
+    platform.store.write("op", "version/lekha", &named);
+    let entry = platform.entry("front-1", 1).await;
+    engine.load(MODEL, 2);
+    let answer = timeout(LIMIT, ask(&entry, "/probe/1", "newer")).await;
+    let answer = answer.expect("in time").expect("an answer");
+    assert_eq!(answer.status, 200, "{}", entry.process.about("newer"));
+}
+
 #[tokio::test]
 async fn an_engine_with_too_old_weights_hides_no_other_one() {
     // One engine has been left with old weights for too long to be used. The other one has the newest
--- a/crates/gate/src/entry/tries.rs
+++ b/crates/gate/src/entry/tries.rs
@@ -225,6 +225,9 @@
             if reason == "full" {
                 ctx.fleet.borrow_mut().bad(now, pick.key, reason);
             }
+            if has_newer(ctx, job, pick) {
+                job.tried.retain(|k| *k != pick.key);
+            }
             Tried::NotRun { seen: true, reason }
         }
         Sent::Unknown(reason) => {
@@ -238,6 +241,18 @@
     }
 }
 
+/// Whether a target is known by now to have newer weights than it was asked for. It may be the only one, and
+/// takes the job with those.
+fn has_newer(ctx: &Ctx, job: &Job, pick: &Pick) -> bool {
+    let (Some(prompt), Some(asked)) = (&job.prompt, pick.weights) else {
+        return false;
+    };
+    let fleet = ctx.fleet.borrow();
+    let replica = fleet.replicas.get(pick.key);
+    let known = replica.and_then(|r| r.weights.get(&prompt.model));
+    known.is_some_and(|version| *version > asked)
+}
+
 /// Takes an answer whose head is there.
 async fn take(ctx: &Ctx, job: &Job, live: Live) -> Tried {
     let status = live.response.status();
