End the time of an unanswered order with its load

Two engines of a pool of three loaded at a time after two orders in a row, for two versions, had had no answer.

Cause: the time from which an unanswered order's slot counts as unused was kept over the load that came, so that the next order's slot counted as unused at once.

The new test fails before with 2 engines.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -278,6 +278,9 @@
         }
         self.loading = None;
         if loading.version.is_some_and(has) {
+            // The next order is another version's.
+            self.tried = None;
+            self.unanswered = false;
             let old = self.load.map_or(took.0 as f64, |l| l.0 as f64);
             let new = old + (took.0 as f64 - old) * SMOOTH;
             self.load = Some(Micros(new as u64));
--- a/crates/policy/tests/slots/main.rs
+++ b/crates/policy/tests/slots/main.rs
@@ -219,6 +219,26 @@
     }
 }
 
+/// Guards against a slot that counts as unused since an order of an earlier version, which had no answer.
+#[test]
+fn second_order_without_an_answer_keeps_its_slot() {
+    let play = Play {
+        named: vec![2_000, 3_500],
+        apart: 300,
+        loss: 0.2,
+        delay: 60,
+        pauses: 0.2,
+        kills: 0.1,
+        unanswered: 0.2,
+        joins: 1,
+        by: 40_000,
+        ..Play::default()
+    };
+    let (most, done) = Sim::new(&play, 4_839).run();
+    assert_eq!(most, 1, "engines that load at a time");
+    assert!(done.is_some(), "not all have the newest");
+}
+
 /// A sidecar acts on what it knew before it was stopped, at whatever step of the change that was.
 #[test]
 fn stopped_sidecar_loads_beside_no_other_one() {
