--- a/crates/contract/tests/apply.rs
+++ b/crates/contract/tests/apply.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{seeded, Fate, Table};
+use common::{seeded, Loss, Table};
 use contract::apply::{Apply, ApplyStep, Change, Head, Past, KEY, READS};
 use contract::{Reply, Request, Row};
 use proptest::prelude::*;
@@ -148,10 +148,10 @@
         }
     }
 
-    fn step(&mut self, who: usize, fate: Fate) {
+    fn step(&mut self, who: usize, loss: Loss) {
         let (apply, step, _) = &mut self.all[who];
         if let ApplyStep::Call(request) = step.clone() {
-            *step = apply.step(self.table.call(request, fate));
+            *step = apply.step(self.table.call(request, loss));
         }
     }
 
@@ -205,13 +205,13 @@
 
 #[derive(Clone, Debug)]
 enum Turn {
-    Step(usize, Fate),
+    Step(usize, Loss),
     Deliver(usize),
 }
 
 fn turn() -> impl Strategy<Value = Turn> {
     prop_oneof![
-        6 => (0..4_usize, Fate::any()).prop_map(|(i, f)| Turn::Step(i, f)),
+        6 => (0..4_usize, Loss::any()).prop_map(|(i, f)| Turn::Step(i, f)),
         1 => any::<usize>().prop_map(Turn::Deliver),
     ]
 }
@@ -229,7 +229,7 @@
         let mut office = Office::new(&bases);
         for turn in turns {
             match turn {
-                Turn::Step(who, fate) => office.step(who, fate),
+                Turn::Step(who, loss) => office.step(who, loss),
                 Turn::Deliver(which) => office.table.deliver(which),
             }
             office.check();
--- a/crates/contract/tests/claim.rs
+++ b/crates/contract/tests/claim.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bytes::Bytes;
-use common::{seeded, Fate, Table};
+use common::{seeded, Loss, Table};
 use contract::claim::{Claim, ClaimStep, Holder, READS};
 use contract::{Reply, Request, Row};
 use proptest::prelude::*;
@@ -154,19 +154,19 @@
         }
     }
 
-    fn step(&mut self, who: usize, fate: Fate) {
+    fn step(&mut self, who: usize, loss: Loss) {
         let (claim, step) = &mut self.all[who];
         if let ClaimStep::Call(request) = step.clone() {
-            *step = claim.step(self.table.call(request, fate));
+            *step = claim.step(self.table.call(request, loss));
         }
     }
 
     /// Gives a claim back instead of running it.
-    fn release(&mut self, who: usize, fate: Fate) {
+    fn release(&mut self, who: usize, loss: Loss) {
         let (claim, step) = &self.all[who];
         if *step == ClaimStep::Ours && !self.back[who] {
             self.back[who] = true;
-            self.table.call(claim.release(), fate);
+            self.table.call(claim.release(), loss);
         }
     }
 
@@ -188,15 +188,15 @@
 
 #[derive(Clone, Debug)]
 enum Turn {
-    Step(usize, Fate),
-    Release(usize, Fate),
+    Step(usize, Loss),
+    Release(usize, Loss),
     Deliver(usize),
 }
 
 fn turn() -> impl Strategy<Value = Turn> {
     prop_oneof![
-        8 => (0..3_usize, Fate::any()).prop_map(|(i, f)| Turn::Step(i, f)),
-        1 => (0..3_usize, Fate::any()).prop_map(|(i, f)| Turn::Release(i, f)),
+        8 => (0..3_usize, Loss::any()).prop_map(|(i, f)| Turn::Step(i, f)),
+        1 => (0..3_usize, Loss::any()).prop_map(|(i, f)| Turn::Release(i, f)),
         2 => any::<usize>().prop_map(Turn::Deliver),
     ]
 }
@@ -211,8 +211,8 @@
         let mut race = Race::new(3);
         for turn in turns {
             match turn {
-                Turn::Step(who, fate) => race.step(who, fate),
-                Turn::Release(who, fate) => race.release(who, fate),
+                Turn::Step(who, loss) => race.step(who, loss),
+                Turn::Release(who, loss) => race.release(who, loss),
                 Turn::Deliver(which) => race.table.deliver(which),
             }
             race.check();
@@ -225,7 +225,7 @@
     fn one_claims_if_the_table_answers(order in prop::collection::vec(0..3_usize, 40)) {
         let mut race = Race::new(3);
         for who in order.into_iter().chain([0, 1, 2].repeat(4)) {
-            race.step(who, Fate::Good);
+            race.step(who, Loss::Good);
             race.check();
         }
         prop_assert_eq!(race.owners().len(), 1);
--- a/crates/contract/tests/common/mod.rs
+++ b/crates/contract/tests/common/mod.rs
@@ -13,7 +13,7 @@
 
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Loss {
     /// It is answered.
     Good,
     /// It is refused without effect.
@@ -26,7 +26,7 @@
     Late,
 }
 
-impl Fate {
+impl Loss {
     /// One of all, the good one as often as the others together.
     pub fn any() -> impl Strategy<Value = Self> {
         prop_oneof![
@@ -48,16 +48,16 @@
 
 impl Table {
     /// Calls it.
-    pub fn call(&mut self, request: Request, fate: Fate) -> Reply {
-        match fate {
-            Fate::Good => self.act(request),
-            Fate::Down => Reply::Down,
-            Fate::LostBefore => Reply::Lost,
-            Fate::LostAfter => {
+    pub fn call(&mut self, request: Request, loss: Loss) -> Reply {
+        match loss {
+            Loss::Good => self.act(request),
+            Loss::Down => Reply::Down,
+            Loss::LostBefore => Reply::Lost,
+            Loss::LostAfter => {
                 self.act(request);
                 Reply::Lost
             }
-            Fate::Late => {
+            Loss::Late => {
                 self.late.push(request);
                 Reply::Lost
             }
--- a/crates/contract/tests/lease.rs
+++ b/crates/contract/tests/lease.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{seeded, Fate, Table};
+use common::{seeded, Loss, Table};
 use contract::lease::Config;
 use contract::{Lease, LeaseStep, Reply};
 use model::Micros;
@@ -46,13 +46,13 @@
     }
 
     /// The table takes its call; the reply is on its way.
-    fn call(&mut self, table: &mut Table, fate: Fate) {
+    fn call(&mut self, table: &mut Table, loss: Loss) {
         if let (LeaseStep::Call(request), None) = (&self.step, &self.reply) {
-            self.reply = Some(table.call(request.clone(), fate));
+            self.reply = Some(table.call(request.clone(), loss));
         }
     }
 
-    fn hear(&mut self, now: Micros) {
+    fn receive(&mut self, now: Micros) {
         if let Some(reply) = self.reply.take() {
             self.step = self.lease.step(now + self.ahead, reply);
         }
@@ -66,8 +66,8 @@
     fn settle(&mut self, table: &mut Table, now: Micros) {
         self.tick(now);
         while matches!(self.step, LeaseStep::Call(_)) {
-            self.call(table, Fate::Good);
-            self.hear(now);
+            self.call(table, Loss::Good);
+            self.receive(now);
         }
     }
 }
@@ -187,24 +187,24 @@
 fn right_ends_by_itself_while_the_table_is_away() {
     struct Case {
         what: &'static str,
-        fate: Fate,
+        loss: Loss,
     }
     let cases = [
         Case {
             what: "away",
-            fate: Fate::Down,
+            loss: Loss::Down,
         },
         Case {
             what: "answers lost, no effect",
-            fate: Fate::LostBefore,
+            loss: Loss::LostBefore,
         },
         Case {
             what: "answers lost after the effect",
-            fate: Fate::LostAfter,
+            loss: Loss::LostAfter,
         },
         Case {
             what: "calls late",
-            fate: Fate::Late,
+            loss: Loss::Late,
         },
     ];
     for c in cases {
@@ -213,8 +213,8 @@
         assert_eq!(one.valid(s(0)), Some(1), "{}", c.what);
         for t in 0..20 {
             one.tick(s(t));
-            one.call(&mut table, c.fate);
-            one.hear(s(t));
+            one.call(&mut table, c.loss);
+            one.receive(s(t));
             assert_eq!(one.valid(s(t)).is_some(), t < 8, "{} at {t} s", c.what);
         }
         for t in 20..24 {
@@ -234,14 +234,14 @@
         for t in 0..8 {
             one.tick(s(t));
             while matches!(one.step, LeaseStep::Call(_)) {
-                let fate = if calls == lost {
-                    Fate::LostAfter
+                let loss = if calls == lost {
+                    Loss::LostAfter
                 } else {
-                    Fate::Good
+                    Loss::Good
                 };
                 calls += 1;
-                one.call(&mut table, fate);
-                one.hear(s(t));
+                one.call(&mut table, loss);
+                one.receive(s(t));
             }
         }
         assert_eq!(one.valid(s(7)), Some(1), "call {lost}");
@@ -273,42 +273,42 @@
         }
     }
     assert!(both.is_empty(), "two act at {both:?} s");
-    assert!(served.iter().any(|s| *s), "nobody acts");
+    assert!(served.iter().any(|s| *s), "neither acts");
 }
 
-/// Guards against a place in the row that its process has given up and nobody may use before it expires.
+/// Guards against a place in the row that is given up and stays taken until it expires.
 #[test]
 fn lease_that_is_given_up_leaves_the_row() {
     struct Case {
         what: &'static str,
         /// Whether it is given up before its first write is answered.
         early: bool,
-        fate: Fate,
+        loss: Loss,
     }
     #[rustfmt::skip]
     let cases = [
-        Case { what: "held", early: false, fate: Fate::Good },
-        Case { what: "held, the table away", early: false, fate: Fate::Down },
-        Case { what: "held, answer lost before the effect", early: false, fate: Fate::LostBefore },
-        Case { what: "held, answer lost after the effect", early: false, fate: Fate::LostAfter },
-        Case { what: "its first write on the way", early: true, fate: Fate::Good },
+        Case { what: "held", early: false, loss: Loss::Good },
+        Case { what: "held, the table away", early: false, loss: Loss::Down },
+        Case { what: "held, answer lost before the effect", early: false, loss: Loss::LostBefore },
+        Case { what: "held, answer lost after the effect", early: false, loss: Loss::LostAfter },
+        Case { what: "its first write on the way", early: true, loss: Loss::Good },
     ];
     for c in cases {
         let (mut table, mut one, _) = pair(config(1, Micros::ZERO));
-        one.call(&mut table, Fate::Good);
-        one.hear(s(0));
-        one.call(&mut table, Fate::Good);
+        one.call(&mut table, Loss::Good);
+        one.receive(s(0));
+        one.call(&mut table, Loss::Good);
         if c.early {
             one.lease.release();
         }
-        one.hear(s(0));
+        one.receive(s(0));
         one.lease.release();
         for t in [2, 3] {
             one.tick(s(t));
-            one.call(&mut table, Fate::Good);
-            one.hear(s(t));
-            one.call(&mut table, if t == 2 { c.fate } else { Fate::Good });
-            one.hear(s(t));
+            one.call(&mut table, Loss::Good);
+            one.receive(s(t));
+            one.call(&mut table, if t == 2 { c.loss } else { Loss::Good });
+            one.receive(s(t));
         }
         for t in 4..8 {
             one.settle(&mut table, s(t));
@@ -322,15 +322,15 @@
 /// Guards against a right that runs out because a call without an answer is repeated too late.
 #[test]
 fn call_without_an_answer_is_repeated_soon() {
-    for fate in [Fate::LostBefore, Fate::LostAfter] {
+    for loss in [Loss::LostBefore, Loss::LostAfter] {
         let (mut table, mut one, _) = pair(config(1, Micros::ZERO));
-        one.call(&mut table, Fate::Good);
-        one.hear(s(0));
-        one.call(&mut table, fate);
-        one.hear(s(0));
+        one.call(&mut table, Loss::Good);
+        one.receive(s(0));
+        one.call(&mut table, loss);
+        one.receive(s(0));
         assert_eq!(one.valid(s(0)), None);
         one.settle(&mut table, s(1));
-        assert_eq!(one.valid(s(1)), Some(1), "{fate:?}");
+        assert_eq!(one.valid(s(1)), Some(1), "{loss:?}");
     }
 }
 
@@ -338,8 +338,8 @@
 enum Turn {
     Pass(u64),
     Tick(usize),
-    Call(usize, Fate),
-    Hear(usize),
+    Call(usize, Loss),
+    Receive(usize),
     Deliver(usize),
     Release(usize),
     /// A whole round with a table that answers.
@@ -352,8 +352,8 @@
     prop_oneof![
         4 => (0..4_000_u64).prop_map(Turn::Pass),
         6 => (0..CONTENDERS).prop_map(Turn::Tick),
-        6 => (0..CONTENDERS, Fate::any()).prop_map(|(i, f)| Turn::Call(i, f)),
-        6 => (0..CONTENDERS).prop_map(Turn::Hear),
+        6 => (0..CONTENDERS, Loss::any()).prop_map(|(i, f)| Turn::Call(i, f)),
+        6 => (0..CONTENDERS).prop_map(Turn::Receive),
         1 => any::<usize>().prop_map(Turn::Deliver),
         1 => (0..CONTENDERS).prop_map(Turn::Release),
         8 => (0..CONTENDERS).prop_map(Turn::Round),
@@ -384,11 +384,11 @@
         match turn {
             Turn::Pass(ms) => self.now = self.now + Micros::from_millis(ms),
             Turn::Tick(i) => self.all[i].tick(self.now),
-            Turn::Call(i, fate) => self.all[i].call(&mut self.table, fate),
-            Turn::Hear(i) => self.all[i].hear(self.now),
+            Turn::Call(i, loss) => self.all[i].call(&mut self.table, loss),
+            Turn::Receive(i) => self.all[i].receive(self.now),
             Turn::Deliver(which) => self.table.deliver(which),
             Turn::Round(i) => {
-                self.all[i].hear(self.now);
+                self.all[i].receive(self.now);
                 self.all[i].settle(&mut self.table, self.now);
             }
             Turn::Release(i) => {
