Tests of crashes, loads and leases: a line each on what they guard against

Their stories, which stood in comments:

A holder is paused past its lease, as on a host that swaps. When it goes on it still means to order; were it let, it would load its weights over those of the new holder. An engine that ignores fencing numbers carries out an order that was on its way when its sender's lease ended. A new holder that orders at once could see its weights replaced. A holder dies after it took the lease from a silent one, or gives it up again at once: whoever comes next must not act while orders of the silent one may still be on their way. At most so many replicas of a pool load weights at once. The table is away at some step. The right must not outlive its term, and must come back. One answer is lost after its write took effect, the first or a later one. A holder that didn't find itself in the row would wait for itself. An engine crashes and comes back empty, or loads other weights. Claims on its old blocks would send requests there that wait for a recomputation nobody planned. After a crash all that ran on the engine are suspects, one of them the culprit. Two of them side by side would both be convicted by one's crash, and an honest caller be refused. A request crashed an engine elsewhere, and the news of it comes early, twice or not at all. Counted too low, a third engine dies; counted twice, an honest request is refused for having been beside a culprit once. A prompt's own blocks are expected from the moment it comes, so that others are sent after it. When these were taken for cached at its own turn, no prompt seemed to need any computing: the first guess of the cost stood for ever, an engine never seemed busy, and callers waited seconds at one replica while others idled. New weights come into force for a whole pool. If all its engines loaded them at once, nobody would serve, and each load would take twice as long. A host is replaced, and for a while an old and a new sidecar stand before one engine; both find that it has old weights. Were both to order, it would load the same weights twice, and what runs by then would be cut. A sidecar is paused after it took the lease and before it orders, while another takes its place and loads newer weights. When it goes on, its order would bring back the older ones. One engine refuses old fencing numbers, another carries out whatever comes. The table takes a write of permit or lease, but its answer is lost. A sidecar that took the write for failed would wait for itself, and its engine would never load. The table is away when new weights come into force. A sidecar that loaded all the same could do so together with all others; one that stopped serving would make an outage of the platform's into one of ours. One request kills the process of every engine that runs it. With ordinary retries it would go from replica to replica and take the pool down, with every stream on it. It stops at the second crash, with an answer that says so; the streams beside it go on at the engines left. The first crash is the end of a request that may run only once, and its caller sends it again under other keys, through other entries. The second crash is the last all the same. The caller of a request that crashed two engines sends it again, as a stream or not, through every entry. It is refused at once, before any engine sees it. Neither entry knows yet of the other's crash, and both send the request on.

--- a/crates/contract/tests/lease.rs
+++ b/crates/contract/tests/lease.rs
@@ -90,8 +90,7 @@
     (Table::default(), one, two)
 }
 
-/// A holder is paused past its lease, as on a host that swaps. When it goes on it still means to
-/// order; were it let, it would load its weights over those of the new holder.
+/// Guards against a holder that orders after a pause, over the weights of the new holder.
 #[test]
 fn paused_holder_loses_its_right_before_another_has_one() {
     let (mut table, mut one, mut two) = pair(config(1, Micros::ZERO));
@@ -113,8 +112,7 @@
     assert_eq!(one.valid(s(30)), None, "it goes on and finds another");
 }
 
-/// An engine that ignores fencing numbers carries out an order that was on its way when its
-/// sender's lease ended. A new holder that orders at once could see its weights replaced.
+/// Guards against a late order of the old holder at an engine that ignores fencing tokens.
 #[test]
 fn new_holder_waits_out_the_old_ones_orders() {
     for (settle, what) in [(s(0), "checks numbers"), (s(5), "ignores them")] {
@@ -133,8 +131,7 @@
     }
 }
 
-/// A holder dies after it took the lease from a silent one, or gives it up again at once: whoever
-/// comes next must not act while orders of the silent one may still be on their way.
+/// Guards against acting while orders of an evicted holder may be on their way.
 #[test]
 fn orders_of_the_silent_are_waited_out_by_all_who_follow() {
     let set = config(1, s(5));
@@ -160,7 +157,7 @@
     );
 }
 
-/// At most so many replicas of a pool load weights at once.
+/// Guards against more loads at a time than a pool has permits.
 #[test]
 fn no_more_hold_permits_than_there_are() {
     let set = config(2, Micros::ZERO);
@@ -182,7 +179,7 @@
     assert_eq!(served.len(), 5, "each had its turn");
 }
 
-/// The table is away at some step. The right must not outlive its term, and must come back.
+/// Guards against a right that outlives its term, or doesn't come back.
 #[test]
 fn right_ends_by_itself_while_the_table_is_away() {
     struct Case {
@@ -224,8 +221,7 @@
     }
 }
 
-/// One answer is lost after its write took effect, the first or a later one. A holder that didn't
-/// find itself in the row would wait for itself.
+/// Guards against a holder that waits for itself after a lost answer.
 #[test]
 fn lost_answer_of_any_write_costs_a_round_only() {
     for lost in 0..6 {
--- a/crates/daemon/tests/decide.rs
+++ b/crates/daemon/tests/decide.rs
@@ -75,8 +75,7 @@
     state: State,
 }
 
-/// An engine crashes and comes back empty, or loads other weights. Claims on its old blocks would
-/// send requests there that wait for a recomputation nobody planned.
+/// Guards against claims on blocks of an engine that has crashed or has other weights.
 #[test]
 fn claims_end_with_the_life_and_the_weights() {
     let prompt = "x".repeat(3 * BLOCK);
@@ -141,8 +140,7 @@
     d.offer(NOW, &question).matched
 }
 
-/// After a crash all that ran on the engine are suspects, one of them the culprit. Two of them
-/// side by side would both be convicted by one's crash, and an honest caller be refused.
+/// Guards against convicting a request for having run beside the one that crashed its engine.
 #[test]
 fn suspects_run_one_at_a_time_and_others_beside_them() {
     let mut d = decide();
@@ -167,9 +165,7 @@
     convicted: bool,
 }
 
-/// A request crashed an engine elsewhere, and the news of it comes early, twice or not at all.
-/// Counted too low, a third engine dies; counted twice, an honest request is refused for having
-/// been beside a culprit once.
+/// Guards against a crash that is counted twice or not at all.
 #[test]
 fn each_crash_counts_once() {
     #[rustfmt::skip]
@@ -305,10 +301,7 @@
     }
 }
 
-/// A prompt's own blocks are expected from the moment it comes, so that others are sent after it.
-/// When these were taken for cached at its own turn, no prompt seemed to need any computing: the
-/// first guess of the cost stood for ever, an engine never seemed busy, and callers waited seconds
-/// at one replica while others idled.
+/// Guards against a prompt's own blocks that count as cached at its turn.
 #[test]
 fn cost_and_use_are_learnt_from_prompts_that_are_computed() {
     const BLOCKS: usize = 100;
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -71,8 +71,7 @@
     assert_eq!(answer.words(), words(prompt, 8), "{prompt}");
 }
 
-/// New weights come into force for a whole pool. If all its engines loaded them at once, nobody
-/// would serve, and each load would take twice as long.
+/// Guards against a pool whose engines all load new weights at the same time.
 #[test]
 fn at_most_two_engines_load_at_once_and_the_others_serve() {
     let fleet = Fleet::start(1, 4, &engine(Fencing::Honour));
@@ -101,9 +100,7 @@
     println!("{sent} requests served meanwhile, {most:?} loads at once");
 }
 
-/// A host is replaced, and for a while an old and a new sidecar stand before one engine; both find
-/// that it has old weights. Were both to order, it would load the same weights twice, and what
-/// runs by then would be cut.
+/// Guards against loading the same weights twice while an old and a new sidecar stand before one engine.
 #[test]
 fn two_sidecars_before_one_engine_load_once() {
     let set = Settings {
@@ -138,9 +135,7 @@
     serves(&fleet, "after the load");
 }
 
-/// A sidecar is paused after it took the lease and before it orders, while another takes its
-/// place and loads newer weights. When it goes on, its order would bring back the older ones.
-/// One engine refuses old fencing numbers, another carries out whatever comes.
+/// Guards against an order of older weights by a sidecar that was paused past its lease.
 #[test]
 fn paused_holder_orders_nothing_when_it_goes_on() {
     std::thread::scope(|s| {
@@ -219,8 +214,7 @@
     assert_eq!(carried(&engine.orders()).len(), 1, "{:?}", engine.orders());
 }
 
-/// The table takes a write of permit or lease, but its answer is lost. A sidecar that took the
-/// write for failed would wait for itself, and its engine would never load.
+/// Guards against a sidecar that waits for itself, since the answer to its write was lost.
 #[test]
 fn answer_lost_at_any_step_delays_a_load_only() {
     std::thread::scope(|s| {
@@ -255,9 +249,7 @@
     serves(&fleet, "after the load");
 }
 
-/// The table is away when new weights come into force. A sidecar that loaded all the same could
-/// do so together with all others; one that stopped serving would make an outage of the
-/// platform's into one of ours.
+/// Guards against loads that nothing coordinates, and against an outage of the table that ends serving.
 #[test]
 fn nothing_is_loaded_while_the_table_is_away_and_serving_goes_on() {
     let fleet = Fleet::start(1, 1, &engine(Fencing::Honour));
--- a/crates/daemon/tests/poison.rs
+++ b/crates/daemon/tests/poison.rs
@@ -75,9 +75,7 @@
     );
 }
 
-/// One request kills the process of every engine that runs it. With ordinary retries it would go
-/// from replica to replica and take the pool down, with every stream on it. It stops at the
-/// second crash, with an answer that says so; the streams beside it go on at the engines left.
+/// Guards against a request that is retried until it has crashed the whole pool.
 #[test]
 fn second_crash_is_the_last_and_other_streams_survive() {
     let mut p = Processes::start(2, 4);
@@ -94,8 +92,7 @@
     assert_eq!(p.dead(), 2);
 }
 
-/// The first crash is the end of a request that may run only once, and its caller sends it again
-/// under other keys, through other entries. The second crash is the last all the same.
+/// Guards against counting crashes for each attempt of a caller alone.
 #[test]
 fn crashes_add_up_over_callers_attempts() {
     let mut p = Processes::start(3, 4);
@@ -116,8 +113,7 @@
     assert_eq!((third.header("x-outcome"), p.dead()), (Some("not-run"), 2));
 }
 
-/// The caller of a request that crashed two engines sends it again, as a stream or not, through
-/// every entry. It is refused at once, before any engine sees it.
+/// Guards against one more crash at each entry through which a convicted request comes again.
 #[test]
 fn convicted_request_is_refused_at_every_entry() {
     let mut p = Processes::start(3, 4);
@@ -136,7 +132,7 @@
     assert_eq!(answer.words(), words(prompt, 3));
 }
 
-/// Neither entry knows yet of the other's crash, and both send the request on.
+/// Guards against entries that send a request on without the crash that the other one knows of.
 #[test]
 fn request_sent_through_two_entries_at_once_stops_at_the_second_crash() {
     let mut p = Processes::start(2, 5);
