--- a/crates/daemon/src/sidecar/control/fleet.rs
+++ b/crates/daemon/src/sidecar/control/fleet.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    /// The next question about suspects, sealed, and whom to ask.
+    /// The next question about suspects, sealed, and the sidecars to ask.
     pub(super) fn inquiry(&mut self) -> Option<(Bytes, Vec<SocketAddr>)> {
         let now = clock::now();
         let step = self.decide.inquire(now)?;
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Tells the fleet of a request that crashes here and elsewhere convict.
+    /// Reports a request to the fleet that crashes here and elsewhere convict.
     fn convicted(&mut self, now: Micros, mark: Option<Mark>) {
         let Some(mark) = mark else { return };
         spdlog::warn!(
--- a/crates/daemon/src/sidecar/decide/trials.rs
+++ b/crates/daemon/src/sidecar/decide/trials.rs
@@ -48,7 +48,7 @@
         mark::crashes(&self.quarantine, now, mark::print(fingerprint))
     }
 
-    /// Counts crashes by their names; says what the fleet is to be told if they convict.
+    /// Counts crashes by their names; gives the mark to report to the fleet if they convict.
     pub fn learn(&mut self, now: Micros, fingerprint: u64, crashes: &[u64]) -> Option<Mark> {
         let before = self.verdict(now, fingerprint);
         let print = mark::print(fingerprint);
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Takes over another sidecar's answer; says what the fleet is to be told, if anything.
+    /// Takes over another sidecar's answer; gives the mark to report to the fleet, if any.
     pub fn answered(&mut self, now: Micros, from: u64, ask: Ask, f: &Finding) -> Option<Mark> {
         let print = mark::print(f.print);
         self.trials.answered(now, from, ask, print, f.busy);
--- a/crates/daemon/src/sidecar/orders.rs
+++ b/crates/daemon/src/sidecar/orders.rs
@@ -200,7 +200,7 @@
 struct Keeper {
     lease: Arc<Mutex<Lease>>,
     changed: watch::Receiver<()>,
-    /// Told when it is given up.
+    /// Notified when it is given up.
     released: Arc<Notify>,
 }
 
@@ -233,7 +233,7 @@
 
 impl Drop for Keeper {
     fn drop(&mut self) {
-        // The task goes on until the row says so; at once, since others wait for the place.
+        // The task continues until the row shows it; at once, since others wait for the place.
         lock(&self.lease).release();
         self.released.notify_one();
     }
--- a/crates/policy/src/loading.rs
+++ b/crates/policy/src/loading.rs
@@ -4,7 +4,7 @@
 //! meanwhile; each such try costs the pool a retry. A request that has the time waits for the first engine
 //! that has loaded. Before a load was observed its length is a guess, made from how long it has lasted, and
 //! a sidecar without processor time reports a load as lasting long after its end. Such a guess refuses
-//! nobody: the request waits as long as it can.
+//! no request: it waits as long as it can.
 
 use model::Micros;
 
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -22,7 +22,7 @@
 /// Interval at which the others are asked while a claim stands.
 pub const RENEW: Micros = Micros::from_millis(50);
 /// How long another sidecar's claim counts after it was received. Longer than answers count, so that a
-/// claim has ended, or its run is told of, before others stop counting it.
+/// claim has ended, or its run has been reported, before others stop counting it.
 const CLAIM: Micros = Micros::from_millis(500);
 /// Most claims in one ask; the others come with the next ones.
 const MOST: usize = 8;
@@ -41,7 +41,7 @@
 pub struct Step<K> {
     /// Names the ask.
     pub ask: Ask,
-    /// Whom to ask.
+    /// The sidecars to ask.
     pub peers: Vec<K>,
     /// The claims to ask about.
     pub claims: Vec<Claim>,
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Whether there are claims.
+    /// Whether no claim stands.
     pub fn is_empty(&self) -> bool {
         self.own.is_empty()
     }
