Ask also the sidecars that only others list before a suspect runs

Cause: a sidecar that would run a suspect asks the sidecars in its own list. The membership spreads in rounds of 200 ms, so that the list of a sidecar may lack one that has just joined and already runs the request.

Fix: an entry sends its list of the pool with a request under which a target has crashed, and a sidecar answers an inquiry with the eight sidecars that it listed last. The sidecar that runs the request has it from an entry, so that entries list it before other sidecars may. Both fields are new on the wire; older processes ignore them.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -13,7 +13,7 @@
 use model::{Code, Outcome};
 use policy::health;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
-use wire::{Ack, Body, Cancel, Open, Resume};
+use wire::{Ack, Body, Cancel, Open, Peer, Resume};
 
 use crate::clock;
 use crate::connection_pool::Connection;
@@ -65,9 +65,7 @@
     pub(super) async fn attempt(&mut self, candidate: Candidate, delivered: u64) -> AttemptEnd {
         self.record_attempt(&candidate);
         let mut ex = CurrentExchange::new(&candidate);
-        let mut known = self
-            .begin_exchange(&mut ex, candidate.probe_id, delivered)
-            .await;
+        let mut known = self.begin_exchange(&mut ex, &candidate, delivered).await;
         loop {
             let event = match known.take() {
                 Some(e) => Ok(e),
@@ -110,10 +108,10 @@
     async fn begin_exchange(
         &mut self,
         ex: &mut CurrentExchange,
-        probe: u64,
+        candidate: &Candidate,
         delivered: u64,
     ) -> Option<Event> {
-        let open = self.open(ex, probe, delivered);
+        let open = self.open(ex, candidate, delivered);
         ex.connection = self.cx.connections.take(ex.address).await.ok();
         let Some(connection) = &mut ex.connection else {
             return Some(Event::Unsent);
@@ -124,7 +122,7 @@
     }
 
     /// The frame that sends the request to the sidecar.
-    fn open(&self, ex: &CurrentExchange, probe: u64, delivered: u64) -> Open {
+    fn open(&self, ex: &CurrentExchange, candidate: &Candidate, delivered: u64) -> Open {
         let j = &self.job;
         let (body, output) = j.body(delivered);
         Open {
@@ -150,11 +148,28 @@
             stream: self.sink.is_stream(),
             output,
             strikes: self.crash_count(),
-            probe,
+            probe: candidate.probe_id,
             crashes: self.crash_ids(),
+            peers: self.pool_peers(candidate),
         }
     }
 
+    /// The other sidecars of the pool, which the candidate's sidecar has to query before it runs a
+    /// request that may crash its target. That sidecar may not list all of them yet.
+    fn pool_peers(&self, candidate: &Candidate) -> Vec<Peer> {
+        if self.crash_count() == 0 && self.crash_ids().is_empty() {
+            return Vec::new();
+        }
+        let view = self.cx.view.load();
+        let targets = view.world.pool_targets(self.job.criteria.pool);
+        let others = targets.filter(|(key, _)| *key != candidate.target);
+        let peers = others.map(|(_, t)| Peer {
+            rank: t.rank,
+            address: t.probe.to_string(),
+        });
+        peers.collect()
+    }
+
     /// Waits for the next event of the exchange.
     async fn next(&mut self, ex: &mut CurrentExchange) -> Result<Event, Abort> {
         let Some(connection) = &mut ex.connection else {
--- a/crates/daemon/src/sidecar/control/fleet.rs
+++ b/crates/daemon/src/sidecar/control/fleet.rs
@@ -8,7 +8,7 @@
 use model::Micros;
 use policy::contact::Query;
 use policy::trial::Claim;
-use wire::{Findings, Inquiry, Message, Offer, Packet, Probe, Suspect};
+use wire::{Findings, Inquiry, Message, Offer, Packet, Peer, Probe, Suspect};
 
 use super::Control;
 use crate::clock;
@@ -19,6 +19,10 @@
 use crate::sidecar::probe;
 use crate::sidecar::scheduler::{Finding, RunKey};
 
+/// Maximum number of sidecars in an answer to an inquiry; together with the findings they fit into a
+/// datagram.
+const MAX_REPORTED_PEERS: usize = 8;
+
 impl Control {
     /// Handles a sealed datagram; returns the sealed answer, if there is one.
     pub(super) fn handle_packet(&mut self, bytes: &Bytes) -> Option<Bytes> {
@@ -64,8 +68,8 @@
             suspects: suspects.collect(),
         };
         metrics::counter!(meter::INQUIRIES).increment(step.peers.len() as u64);
-        let peers = step.peers.iter().filter_map(|k| self.peers.get(k));
-        let peers = peers.copied().collect();
+        let peers = step.peers.iter().filter_map(|k| self.peers.address(k));
+        let peers = peers.collect();
         Some((Packet::seal(inquiry, &self.keys).ok()?, peers))
     }
 
@@ -90,17 +94,24 @@
                 good: f.good,
             });
         }
+        let newest = self.peers.newest(MAX_REPORTED_PEERS);
+        let newest = newest.into_iter().map(|(rank, address)| Peer {
+            rank,
+            address: address.to_string(),
+        });
         Findings {
             from: self.rank,
             round: i.round,
             sent: i.sent,
             findings,
+            peers: newest.collect(),
         }
     }
 
     /// Records another sidecar's answer.
     fn receive_findings(&mut self, f: Findings) {
         let now = clock::now();
+        self.add_reported_peers(now, &f.peers);
         let query = Query {
             round: f.round,
             sent: Micros(f.sent),
@@ -127,18 +138,38 @@
         self.crash_report_updates.add(now, report);
     }
 
+    /// Adds sidecars of the pool that another process lists.
+    pub(super) fn add_reported_peers(&mut self, now: Micros, peers: &[Peer]) {
+        let mut changed = false;
+        for p in peers.iter().filter(|p| p.rank != self.rank) {
+            match p.address.parse() {
+                Ok(address) => changed |= self.peers.report(now, p.rank, address),
+                Err(e) => spdlog::warn!(
+                    logger: log::sidecar(),
+                    "reported sidecar has the malformed address {:?}: {e}", p.address
+                ),
+            }
+        }
+        if changed {
+            self.scheduler.set_peers(self.peers.keys());
+        }
+    }
+
     /// Updates the sidecars of the pool if the view of the fleet has changed.
     pub(super) fn update_peers(&mut self) {
         let view = self.view.load_full();
         if Arc::ptr_eq(&view, &self.last_view) {
+            if self.peers.expire(clock::now()) {
+                self.scheduler.set_peers(self.peers.keys());
+            }
             return;
         }
         let pool = view.world.pool(&self.pool);
         let targets = pool.into_iter().flat_map(|p| view.world.pool_targets(p));
         let peers = targets.map(|(_, t)| (t.rank, t.probe));
-        self.peers = peers.filter(|(rank, _)| *rank != self.rank).collect();
-        self.scheduler
-            .set_peers(self.peers.keys().copied().collect());
+        self.peers
+            .set_listed(peers.filter(|(rank, _)| *rank != self.rank));
+        self.scheduler.set_peers(self.peers.keys());
         self.last_view = view;
     }
 
--- a/crates/daemon/src/sidecar/control/mod.rs
+++ b/crates/daemon/src/sidecar/control/mod.rs
@@ -6,7 +6,6 @@
 
 mod fleet;
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +16,7 @@
 use model::{Code, MemberId, Micros, Version};
 use policy::drain::{self, Drain};
 use policy::liveness::{Check, Liveness, State};
+use policy::pool_peers::PoolPeers;
 use prefix::Need;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -98,7 +98,7 @@
         view: s.view,
         version: Version(0),
         rank,
-        peers: HashMap::new(),
+        peers: PoolPeers::default(),
         last_view: Arc::default(),
     };
     state.run(udp).await;
@@ -125,9 +125,9 @@
     version: Version,
     /// Rank of this target, which identifies it in the pool.
     rank: u64,
-    /// Probe addresses of the pool's other sidecars by the rank of their targets, as of
-    /// `last_view`.
-    peers: HashMap<u64, SocketAddr>,
+    /// Probe addresses of the pool's other sidecars by the rank of their targets; those in this
+    /// process's own list as of `last_view`.
+    peers: PoolPeers<u64, SocketAddr>,
     last_view: Arc<View>,
 }
 
@@ -173,7 +173,12 @@
     fn handle(&mut self, message: ControlMessage) {
         let now = clock::now();
         match message {
-            ControlMessage::Enqueue { request, grant } => {
+            ControlMessage::Enqueue {
+                request,
+                peers,
+                grant,
+            } => {
+                self.add_reported_peers(now, &peers);
                 let result = self.scheduler.enqueue(now, request, grant, &mut self.rng);
                 if let Err((grant, r)) = result {
                     metrics::counter!(meter::REFUSED, "code" => r.code.as_str()).increment(1);
--- a/crates/daemon/src/sidecar/control_channel.rs
+++ b/crates/daemon/src/sidecar/control_channel.rs
@@ -25,6 +25,8 @@
     Enqueue {
         /// The request.
         request: RequestSpec,
+        /// Sidecars of the pool that its entry lists.
+        peers: Vec<wire::Peer>,
         /// Receives the result.
         grant: Grant,
     },
--- a/crates/daemon/src/sidecar/slot.rs
+++ b/crates/daemon/src/sidecar/slot.rs
@@ -34,7 +34,11 @@
         probe_id: open.probe,
         is_stream: open.stream,
     };
-    cx.control.send(ControlMessage::Enqueue { request, grant });
+    cx.control.send(ControlMessage::Enqueue {
+        request,
+        peers: open.peers.clone(),
+        grant,
+    });
     let stopped = Refusal {
         code: Code::Draining,
         retry: None,
--- a/crates/daemon/tests/poison.rs
+++ b/crates/daemon/tests/poison.rs
@@ -3,8 +3,14 @@
 
 mod common;
 
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use bytes::Bytes;
 use common::caller::{Answer, Pending};
+use common::child::FLEET_KEY;
 use common::{completion, quick, wait_for, words, Child, Fleet, Program, QUICKSTART};
+use wire::{Finding, Findings, Inquiry, Key, Keys, Message, Open, Packet, Peer, PACKET_MAX};
 
 /// A prompt that contains this text kills the process of the engine that runs it.
 const POISON: &str = "DEADLY";
@@ -174,3 +180,119 @@
     }
     assert_eq!(p.dead_engines(), 2);
 }
+
+/// A sidecar that isn't a member of the fleet, so that members learn of it only from the test.
+struct UnlistedSidecar {
+    udp: UdpSocket,
+    keys: Keys,
+    rank: u64,
+}
+
+impl UnlistedSidecar {
+    fn start(rank: u64) -> Self {
+        let udp = UdpSocket::bind("127.0.0.1:0").expect("socket");
+        udp.set_read_timeout(Some(Duration::from_millis(200)))
+            .expect("timeout");
+        Self {
+            udp,
+            keys: fleet_keys(),
+            rank,
+        }
+    }
+
+    fn peer(&self) -> Peer {
+        Peer {
+            rank: self.rank,
+            address: self.udp.local_addr().expect("address").to_string(),
+        }
+    }
+
+    /// The next inquiry and its sender; `None` if none arrives in time.
+    fn receive_inquiry(&self) -> Option<(Inquiry, SocketAddr)> {
+        let mut buf = [0; PACKET_MAX];
+        let (n, from) = self.udp.recv_from(&mut buf).ok()?;
+        match Packet::open(&Bytes::copy_from_slice(&buf[..n]), &self.keys) {
+            Ok(Message::Inquiry(i)) => Some((i, from)),
+            other => panic!("no inquiry: {other:?}"),
+        }
+    }
+
+    /// Answers that the request runs here, and that another sidecar is listed.
+    fn answer(&self, inquiry: &Inquiry, to: SocketAddr, listed: Peer) {
+        let finding = |s: &wire::Suspect| Finding {
+            fingerprint: s.fingerprint,
+            crashes: Vec::new(),
+            busy: true,
+            good: false,
+        };
+        let findings = Findings {
+            from: self.rank,
+            round: inquiry.round,
+            sent: inquiry.sent,
+            findings: inquiry.suspects.iter().map(finding).collect(),
+            peers: vec![listed],
+        };
+        let bytes = Packet::seal(findings, &self.keys).expect("small enough");
+        self.udp.send_to(&bytes, to).expect("send");
+    }
+}
+
+fn fleet_keys() -> Keys {
+    Keys::new(Key::from_hex(FLEET_KEY).expect("key"), None)
+}
+
+/// Sends a sidecar a request under which a target has crashed, as an entry does.
+async fn send_suspect(to: SocketAddr, listed: Peer) {
+    let tcp = tokio::net::TcpStream::connect(to).await.expect("connect");
+    let (mut tx, mut rx) = wire::connect(tcp, &fleet_keys(), rand::random())
+        .await
+        .expect("hello");
+    let open = Open {
+        token: Bytes::copy_from_slice(&rand::random::<[u8; 16]>()),
+        request: "suspect".to_owned(),
+        team: "team-one".to_owned(),
+        share: 1,
+        class: 1,
+        deadline: 1_000,
+        idempotent: true,
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        body: Bytes::from(completion("a suspect", 1, false)),
+        fingerprint: rand::random(),
+        strikes: 1,
+        crashes: vec![7],
+        peers: vec![listed],
+        ..Open::default()
+    };
+    tx.send(open).await.expect("send");
+    rx.next().await.expect("the request is queued");
+}
+
+/// Guards against running a suspect while a sidecar runs it that the membership hasn't spread to
+/// this one yet.
+#[test]
+fn sidecar_that_only_other_processes_list_is_asked_about_a_suspect() {
+    let fleet = Fleet::start(1, 1, &quick());
+    let sidecar = fleet.replicas[0].sidecar.address("peer");
+    let listed_by_entry = UnlistedSidecar::start(1);
+    let listed_by_peer = UnlistedSidecar::start(2);
+    let run = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    wait_for("the sidecar that the entry lists to be asked", || {
+        run.block_on(send_suspect(sidecar, listed_by_entry.peer()));
+        let inquiry = listed_by_entry.receive_inquiry();
+        if let Some((inquiry, from)) = &inquiry {
+            listed_by_entry.answer(inquiry, *from, listed_by_peer.peer());
+        }
+        inquiry.is_some()
+    });
+    wait_for("the sidecar that another one lists to be asked", || {
+        run.block_on(send_suspect(sidecar, listed_by_entry.peer()));
+        if let Some((inquiry, from)) = listed_by_entry.receive_inquiry() {
+            listed_by_entry.answer(&inquiry, from, listed_by_peer.peer());
+        }
+        listed_by_peer.receive_inquiry().is_some()
+    });
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,7 +30,7 @@
 //! - Weights: [`rollout`] decides which engines load new weights, [`slots`] when an engine does so, by
 //!   the answers of its peers ([`contact`]), and [`versions`] how long weights have been out of date.
 //! - Crashes: [`crash_attribution`] separates crashes from lost connections for [`quarantine`], and [`trial`]
-//!   decides when a suspect request runs.
+//!   decides when a suspect request runs, by the answers of the sidecars in [`pool_peers`].
 //! - Ownership: [`delegate`] selects the entry that acts for an engine without a sidecar, and
 //!   [`holder`] decides when an engine's orders may pass from one process to another.
 
@@ -53,6 +53,7 @@
 pub mod loading;
 pub mod misdirected;
 pub mod pollers;
+pub mod pool_peers;
 pub mod prefill_priority;
 pub mod prefill_rate;
 pub mod probe_placement;
--- a/crates/policy/tests/trial.rs
+++ b/crates/policy/tests/trial.rs
@@ -4,6 +4,7 @@
 
 use model::{Incarnation, MemberId, Micros};
 use policy::contact::Query;
+use policy::pool_peers::PoolPeers;
 use policy::quarantine::{Config, Crash, Fingerprint, Quarantine, Verdict};
 use policy::trial::{Claim, Trials};
 use rand::rngs::StdRng;
@@ -13,6 +14,8 @@
 const TICK: u64 = 5;
 /// Maximum duration of a simulation, in ms.
 const END: u64 = 20_000;
+/// Maximum number of sidecars in an answer.
+const MAX_REPORTED: usize = 8;
 const FINGERPRINT: Fingerprint = Fingerprint {
     body: 7,
     weights: 0,
@@ -44,6 +47,10 @@
     pause_rate: f64,
     /// Number of listed sidecars that don't exist.
     dead: usize,
+    /// Fraction of the other sidecars that a sidecar doesn't list.
+    unlisted_rate: f64,
+    /// Fraction of the sidecars that an entry doesn't list for the sidecar that it sends to.
+    unlisted_by_entry: f64,
 }
 
 impl Default for Scenario {
@@ -59,6 +66,8 @@
             max_pause: 0,
             pause_rate: 0.0,
             dead: 0,
+            unlisted_rate: 0.0,
+            unlisted_by_entry: 0.0,
         }
     }
 }
@@ -72,6 +81,8 @@
     sidecar: usize,
     /// When the copy arrives there.
     arrives_at: u64,
+    /// Sidecars that the copy's entry lists.
+    listed: Vec<usize>,
     done: bool,
 }
 
@@ -91,6 +102,8 @@
     query: Query,
     claim: Claim,
     crashes: Vec<Crash>,
+    /// Sidecars that the sender has listed last.
+    newest: Vec<usize>,
     /// Whether the sender runs the request or outranks the claim; `None` in a query.
     busy: Option<bool>,
 }
@@ -98,6 +111,7 @@
 #[derive(Debug)]
 struct Node {
     trials: Trials<usize>,
+    peers: PoolPeers<usize, ()>,
     quarantine: Quarantine,
     run: Option<Run>,
     crashed: bool,
@@ -121,24 +135,33 @@
 
 impl<'a> Sim<'a> {
     fn new(scenario: &'a Scenario, seed: u64) -> Self {
-        let node = |_| Node {
-            trials: Trials::default(),
-            quarantine: Quarantine::new(Config::default()),
-            run: None,
-            crashed: false,
-            paused_until: 0,
-            inbox: Vec::new(),
-        };
         let mut rng = StdRng::seed_from_u64(seed);
+        let mut nodes = Vec::new();
+        for i in 0..scenario.engines {
+            let listed = list(scenario, scenario.unlisted_rate, &mut rng);
+            let mut node = Node {
+                trials: Trials::default(),
+                peers: PoolPeers::default(),
+                quarantine: Quarantine::new(Config::default()),
+                run: None,
+                crashed: false,
+                paused_until: 0,
+                inbox: Vec::new(),
+            };
+            let others = listed.into_iter().filter(|p| *p != i);
+            node.peers.set_listed(others.map(|p| (p, ())));
+            nodes.push(node);
+        }
         let copy = |n| RequestCopy {
             crashes: Vec::new(),
             sidecar: n % scenario.engines,
             arrives_at: rng.random_range(0..scenario.arrival_spread),
+            listed: list(scenario, scenario.unlisted_by_entry, &mut rng),
             done: false,
         };
         Self {
             copies: (0..scenario.copies).map(copy).collect(),
-            nodes: (0..scenario.engines).map(node).collect(),
+            nodes,
             scenario,
             rng,
             in_flight: BTreeMap::new(),
@@ -169,6 +192,7 @@
                 n.quarantine.strike(ms(now), FINGERPRINT, *c);
             }
             if let Some(busy) = d.busy {
+                report(n, now, i, &d.newest);
                 n.trials
                     .answered(ms(now), d.from, d.query, FINGERPRINT, busy);
                 continue;
@@ -178,6 +202,12 @@
             let answer = Datagram {
                 from: i,
                 crashes: self.recorded_crashes(now, i),
+                newest: self.nodes[i]
+                    .peers
+                    .newest(MAX_REPORTED)
+                    .into_iter()
+                    .map(|(p, ())| p)
+                    .collect(),
                 busy: Some(busy),
                 ..d
             };
@@ -227,6 +257,7 @@
             if !here(&self.copies[copy]) || running.into_iter().any(|r| r.copy == copy) {
                 continue;
             }
+            report(&mut self.nodes[i], now, i, &self.copies[copy].listed);
             let quarantine = &mut self.nodes[i].quarantine;
             for crash in &self.copies[copy].crashes {
                 quarantine.strike(ms(now), FINGERPRINT, *crash);
@@ -245,7 +276,7 @@
             }
             if verdict == Verdict::Suspect {
                 n.trials.claim(ms(now), FINGERPRINT, self.rng.random());
-                let peers = peers(self.scenario, i);
+                let peers = n.peers.keys();
                 if n.run.is_some() || !n.trials.may_run(ms(now), FINGERPRINT, &peers) {
                     continue;
                 }
@@ -263,12 +294,13 @@
         let any_waiting = self.copies.iter().any(here);
         let n = &mut self.nodes[i];
         n.trials.retain(|_| any_waiting);
-        if let Some(step) = n.trials.step(ms(now), &peers(self.scenario, i)) {
+        if let Some(step) = n.trials.step(ms(now), &n.peers.keys()) {
             let datagram = Datagram {
                 from: i,
                 query: step.query,
                 claim: step.claims[0],
                 crashes: self.recorded_crashes(now, i),
+                newest: Vec::new(),
                 busy: None,
             };
             step.peers
@@ -310,9 +342,19 @@
     }
 }
 
-fn peers(scenario: &Scenario, i: usize) -> Vec<usize> {
+/// Sidecars that a process lists if it lacks this fraction of them.
+fn list(scenario: &Scenario, unlisted_rate: f64, rng: &mut StdRng) -> Vec<usize> {
     let all = 0..scenario.engines + scenario.dead;
-    all.filter(|p| *p != i).collect()
+    // A complete list uses no random numbers.
+    all.filter(|_| unlisted_rate == 0.0 || !rng.random_bool(unlisted_rate))
+        .collect()
+}
+
+/// Records the sidecars that another process lists.
+fn report(node: &mut Node, now: u64, i: usize, listed: &[usize]) {
+    for p in listed.iter().filter(|p| **p != i) {
+        node.peers.report(ms(now), *p, ());
+    }
 }
 
 struct Case {
@@ -337,6 +379,9 @@
         Case { name: "datagrams are delayed and reordered", scenario: Scenario { max_delay: 60, copies: 4, engines: 9, arrival_spread: 300, ..base() } },
         Case { name: "a dead sidecar is listed", scenario: Scenario { dead: 2, copies: 3, arrival_spread: 300, ..base() } },
         Case { name: "sidecars are paused briefly", scenario: Scenario { max_pause: 300, pause_rate: 0.5, copies: 4, engines: 9, arrival_spread: 300, ..base() } },
+        Case { name: "sidecars list half of the others", scenario: Scenario { unlisted_rate: 0.5, copies: 4, engines: 9, arrival_spread: 300, ..base() } },
+        Case { name: "sidecars list no other yet", scenario: Scenario { unlisted_rate: 1.0, copies: 3, arrival_spread: 300, ..base() } },
+        Case { name: "entries list no sidecar, sidecars most of the others", scenario: Scenario { unlisted_rate: 0.2, unlisted_by_entry: 1.0, copies: 4, engines: 9, arrival_spread: 300, ..base() } },
         Case { name: "many engines", scenario: Scenario { engines: 100, copies: 8, arrival_spread: 200, ..base() } },
     ];
     let seeds = std::env::var("TRIAL_SEEDS").ok();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -136,6 +136,20 @@
     /// Ids of the crashes that the entry attributes to the request.
     #[prost(fixed64, repeated, tag = "24")]
     pub crashes: Vec<u64>,
+    /// Sidecars of the pool as the entry lists them; empty unless the request may crash its target.
+    #[prost(message, repeated, tag = "25")]
+    pub peers: Vec<Peer>,
+}
+
+/// A sidecar of a pool.
+#[derive(Clone, PartialEq, Message)]
+pub struct Peer {
+    /// Rank of its target.
+    #[prost(fixed64, tag = "1")]
+    pub rank: u64,
+    /// Address for probes and inquiries.
+    #[prost(string, tag = "2")]
+    pub address: String,
 }
 
 /// Sidecar to entry: the request is queued.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,8 +18,8 @@
 pub use channel::{accept, connect, Rx, Tx};
 pub use error::WireError;
 pub use frame::{
-    Accepted, Ack, Beat, Body, Cancel, Chunk, End, Fail, Frame, Head, Header, Join, Open, Pull,
-    Refuse, Resume, Text,
+    Accepted, Ack, Beat, Body, Cancel, Chunk, End, Fail, Frame, Head, Header, Join, Open, Peer,
+    Pull, Refuse, Resume, Text,
 };
 pub use packet::{Finding, Findings, Inquiry, Mark, Message, Offer, Packet, Probe, State, Suspect};
 pub use seal::{Key, Keys};
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -4,6 +4,7 @@
 use prost::{Message as _, Oneof};
 
 use crate::error::WireError;
+use crate::frame::Peer;
 use crate::seal::Keys;
 use crate::PACKET_MAX;
 
@@ -163,6 +164,9 @@
     /// Finding for each request.
     #[prost(message, repeated, tag = "4")]
     pub findings: Vec<Finding>,
+    /// Sidecars of the pool that the sender has listed last, which others may not list yet.
+    #[prost(message, repeated, tag = "5")]
+    pub peers: Vec<Peer>,
 }
 
 /// What a sidecar has recorded about a request.
