Count a crash although its sidecar is paused after it

What callers saw: a request that crashes its engine crashed a third one, if the sidecar of the first was without processor time for a moment after the crash (`target died: false`).

Cause: after a broken answer the sidecar waits 400 ms for two refused calls of its feed, which is called every 100 ms. A pause uses up the wait without a call, the crash isn't recorded, and the entry sends the request to another engine as if only the connection had failed.

Fix: the wait is in four parts of 100 ms. Each starts when the process runs again, so that a pause uses up one of them. Without a pause the wait is as long as before. The future is kept over all parts, since it takes the first incarnation that it sees for the one at the dispatch.

--- a/crates/daemon/src/sidecar/run.rs
+++ b/crates/daemon/src/sidecar/run.rs
@@ -23,8 +23,10 @@
 use crate::sidecar::{claim, target};
 use crate::{hop, trace};
 
-/// Longest wait to find out whether an engine crashed: the time of two refused calls of its feed.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval of the waits to find out whether an engine crashed: that of the calls of its feed.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of these waits; two refused calls of the feed show the crash.
+const MAX_CRASH_CHECKS: u32 = 4;
 
 /// Data shared by all exchanges of this process.
 #[derive(Debug)]
@@ -148,7 +150,14 @@
     if !cx.is_model {
         return false;
     }
-    timeout(CRASH_CHECK_TIMEOUT, cx.control.until_exited(incarnation))
-        .await
-        .is_ok()
+    let exited = cx.control.until_exited(incarnation);
+    tokio::pin!(exited);
+    // A process that was paused has made no calls meanwhile. The pause uses up one of these waits; it
+    // would use up all of a single longer one.
+    for _ in 0..MAX_CRASH_CHECKS {
+        if timeout(CRASH_CHECK_INTERVAL, &mut exited).await.is_ok() {
+            return true;
+        }
+    }
+    false
 }
--- a/crates/daemon/tests/poison.rs
+++ b/crates/daemon/tests/poison.rs
@@ -16,6 +16,8 @@
 const POISON: &str = "DEADLY";
 /// Length of the long streams; at 10 ms per token, each lasts about two seconds.
 const TOKENS: usize = 200;
+/// Pause of a sidecar, longer than it waits for the checks that show a crash.
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// A fleet whose engines run as separate processes, so that a crash ends one engine only.
 struct EngineProcesses {
@@ -181,6 +183,27 @@
     assert_eq!(p.dead_engines(), 2);
 }
 
+/// Guards against taking a crash for a broken connection when the sidecar is paused between both: a
+/// further engine would crash.
+#[test]
+fn crash_counts_although_its_sidecar_is_paused_after_it() {
+    let mut p = EngineProcesses::start(1, 4);
+    let body = completion(&format!("{POISON} question"), 5, false);
+    let caller = p.fleet.caller(0);
+    let pending = caller.begin("POST", "/v1/completions", &[], &body);
+    let mut crashed = None;
+    wait_for("an engine to crash", || {
+        crashed = p.engines.iter_mut().position(|(e, _)| !e.is_running());
+        crashed.is_some()
+    });
+    let sidecar = &p.engines[crashed.expect("waited for")].1;
+    sidecar.signal("STOP");
+    std::thread::sleep(PAUSE);
+    sidecar.signal("CONT");
+    assert_quarantined(&pending.end());
+    assert_eq!(p.dead_engines(), 2);
+}
+
 /// A sidecar that isn't a member of the fleet, so that members learn of it only from the test.
 struct UnlistedSidecar {
     udp: UdpSocket,
