Test slots event by event: a scripted pool, and what holds

The script gives each pause, kill, late report, lost update and each order's outcome its time; nothing is random.

--- /dev/null
+++ b/crates/policy/tests/slots_order/main.rs
@@ -0,0 +1,183 @@
+//! Orders to load, forced event by event: what a claim, an answer, a load or a report rests on while nothing
+//! arrives. No event is random ([`pool`]).
+
+mod pool;
+
+use policy::slots::Outcome;
+
+use pool::{announcement, run, Announcement, Fate, Script, Span};
+
+/// Time after the end of every run, in ms.
+const ALWAYS: u64 = 30_000;
+/// Maximum length of the trace of an engine that never loads.
+const TRACE_LINES: usize = 12;
+
+fn span(host: usize, from: u64, to: u64) -> Span {
+    Span { host, from, to }
+}
+
+/// Hosts in the order in which their engines load `version` if nothing goes wrong.
+fn load_order(hosts: usize, version: u64) -> Vec<usize> {
+    let script = Script {
+        hosts,
+        announced: vec![announcement(version, 2_000)],
+        ..Script::default()
+    };
+    let run = run(&script);
+    assert_eq!(run.most, 1, "{}", run.trace);
+    run.orders.iter().map(|(host, _)| *host).collect()
+}
+
+/// Host and time of an order, by its number among all orders of a run.
+fn order_at(script: &Script, number: usize) -> (usize, u64) {
+    run(script).orders[number]
+}
+
+/// Runs scripts in which one engine may load at a time, and panics with the traces of all that break it.
+fn assert_one_loads(cases: impl IntoIterator<Item = (String, Script)>) {
+    let broken = cases.into_iter().filter_map(|(name, script)| {
+        let run = run(&script);
+        (run.most > 1).then(|| format!("{name}: {} load at a time{}", run.most, run.trace))
+    });
+    let broken: Vec<_> = broken.collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Runs scripts in which all engines but one can load, and panics with the traces of all in which one didn't.
+fn assert_others_load(except: usize, cases: impl IntoIterator<Item = (String, Script)>) {
+    let broken = cases.into_iter().filter_map(|(name, script)| {
+        let run = run(&script);
+        let mut versions = run.versions;
+        versions.remove(except);
+        let lacks = versions.iter().any(|v| *v < 2);
+        let trace = run.trace.lines().take(TRACE_LINES);
+        let trace = trace.collect::<Vec<_>>().join("\n");
+        lacks.then(|| format!("{name}: versions of the others {versions:?}{trace}"))
+    });
+    let broken: Vec<_> = broken.collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// A sidecar that is stopped right after its order, and whose pool knows how long loads take.
+fn stopped_after_order(killed: bool, lost: bool) -> Script {
+    let base = Script {
+        loads: vec![3_000],
+        announced: vec![announcement(2, 2_000), announcement(3, 16_000)],
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 3);
+    assert!(at > 16_000);
+    let stopped = vec![span(host, at + 5, at + 2_900)];
+    let lost = lost.then_some(span(host, at, at + 5));
+    let base = Script {
+        lost: lost.into_iter().collect(),
+        ..base
+    };
+    match killed {
+        true => Script {
+            killed: stopped,
+            ..base
+        },
+        false => Script {
+            paused: stopped,
+            ..base
+        },
+    }
+}
+
+/// Guards against a second load when a sidecar stops after its order and the others have its update.
+#[test]
+fn sidecar_stopped_after_its_order_loses_its_slot() {
+    assert_one_loads([
+        ("paused".to_owned(), stopped_after_order(false, false)),
+        ("killed".to_owned(), stopped_after_order(true, false)),
+    ]);
+}
+
+/// Two hosts, each of which has the version that puts its own engine first.
+fn disagreeing(poll: u64, phase: u64) -> Script {
+    let behind = load_order(2, 2)[0];
+    let newer = (3..20).find(|v| load_order(2, *v)[0] != behind);
+    let newer = newer.expect("ranks differ between versions");
+    Script {
+        hosts: 2,
+        poll,
+        phase,
+        loads: vec![3_000],
+        announced: vec![
+            announcement(2, 2_000),
+            Announcement {
+                except: Some(behind),
+                ..announcement(newer, 2_000)
+            },
+        ],
+        ..Script::default()
+    }
+}
+
+/// Guards against two claims at a time of sidecars that poll slowly.
+#[test]
+fn claims_of_slow_sidecars_both_succeed() {
+    let times = [(50, 0), (50, 25), (300, 0), (300, 150), (600, 300)];
+    let named = |(poll, phase)| (format!("{poll} ms, {phase}"), disagreeing(poll, phase));
+    assert_one_loads(times.map(named));
+}
+
+/// A script for each relation between the polls of the hosts.
+fn at_all_phases(name: &str, script: &Script) -> Vec<(String, Script)> {
+    let times = [(0, 0), (5, 0), (10, 0), (25, 0), (40, 0), (0, 5), (10, 15)];
+    let at = |(phase, drift)| {
+        let script = Script {
+            phase,
+            drift,
+            ..script.clone()
+        };
+        (
+            format!("{name}, phase {phase} ms, drift {drift} ms"),
+            script,
+        )
+    };
+    times.map(at).to_vec()
+}
+
+/// All further orders to an engine fail in the same way, and it carries out none.
+fn fails(host: usize, ends: u64, outcome: Outcome) -> Script {
+    Script {
+        last_fate: Some(Fate {
+            host,
+            number: 0,
+            starts: None,
+            ends,
+            outcome,
+        }),
+        ..Script::default()
+    }
+}
+
+/// Guards against an engine whose orders are lost and that keeps all engines behind it from loading.
+#[test]
+fn engine_whose_orders_are_lost_blocks_its_pool() {
+    let first = load_order(3, 2)[0];
+    let script = fails(first, 250, Outcome::Unknown);
+    assert_others_load(first, at_all_phases("no answer", &script));
+}
+
+/// Guards against an engine out of reach that keeps all engines behind it from loading.
+#[test]
+fn engine_out_of_reach_blocks_its_pool() {
+    let first = load_order(3, 2)[0];
+    let always = || vec![span(first, 0, ALWAYS)];
+    let dead = Script {
+        killed: always(),
+        ..Script::default()
+    };
+    let late = Script {
+        late: always(),
+        ..Script::default()
+    };
+    let scripts = [
+        at_all_phases("its sidecar is dead", &dead),
+        at_all_phases("its reports are late", &late),
+    ];
+    assert_others_load(first, scripts.concat());
+}
