Test: an engine that can't load blocks its pool for good

Seen: the engine that comes first can't be ordered, or refuses every order; of three engines the two others never load within 28 s, at 6 of 7 relations between the polls one or both (deterministic).

Order of events: the first engine is due for 1 s, so that the others pass it over; the next one claims; the first sidecar counts that claim as a load, isn't due any more and reports no `due`; the claiming sidecar no longer sees it as stuck, waits for it again and withdraws; the first is due anew, from 0.

Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -162,6 +162,22 @@
     assert_others_load(first, at_all_phases("no answer", &script));
 }
 
+/// Guards against an engine that is due and can't load, and that keeps all engines behind it from loading.
+#[test]
+fn engine_that_cannot_load_blocks_its_pool() {
+    let first = load_order(3, 2)[0];
+    let unorderable = Script {
+        unorderable: vec![span(first, 0, ALWAYS)],
+        ..Script::default()
+    };
+    let refuses = fails(first, 5, Outcome::Refused);
+    let scripts = [
+        at_all_phases("no order can be sent", &unorderable),
+        at_all_phases("all orders are refused", &refuses),
+    ];
+    assert_others_load(first, scripts.concat());
+}
+
 /// Guards against an engine out of reach that keeps all engines behind it from loading.
 #[test]
 fn engine_out_of_reach_blocks_its_pool() {
