Test: an engine that is never due blocks its pool for good

Seen: the sidecar of the engine that comes first has no right to order it (no fencing token, or the holder's wait), or doesn't have the announcement; it reports old weights and is never due. The two others never load within 28 s.

Cause, shown by a trial: an engine waits in the order by its version alone, and only one that reports `due` is passed over after 1 s. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -197,3 +197,21 @@
     ];
     assert_others_load(first, scripts.concat());
 }
+
+/// Guards against a sidecar without the right to order, or without the announcement, that keeps all engines
+/// behind its own from loading.
+#[test]
+fn engine_that_is_never_due_blocks_its_pool() {
+    struct Case {
+        name: &'static str,
+        script: fn(usize) -> Script,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "no right to order", script: |host| Script { barred: vec![span(host, 0, ALWAYS)], ..Script::default() } },
+        Case { name: "no announcement", script: |host| Script { announced: vec![Announcement { except: Some(host), ..announcement(2, 2_000) }], ..Script::default() } },
+    ];
+    let first = load_order(3, 2)[0];
+    let scripts = cases.map(|c| (c.name.to_owned(), (c.script)(first)));
+    assert_others_load(first, scripts);
+}
