Test: an unanswered order of an engine that reports late loses its slot

Seen: 2,200 ms order, carried out at once, no answer within 250 ms, reports late for the load of 1.4 s; 3,260 ms the next engine is ordered while the first loads to 3,600 ms.

Cause, shown by a trial: an unanswered order's slot expires 1 s after the order unless a report shows the load; a report that is missing counts like one that shows none. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -7,6 +7,8 @@
 
 use pool::{announcement, run, Announcement, Fate, Script, Span};
 
+/// Interval of polls in most cases, in ms.
+const POLL: u64 = 50;
 /// Time after the end of every run, in ms.
 const ALWAYS: u64 = 30_000;
 /// Maximum length of the trace of an engine that never loads.
@@ -58,6 +60,29 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against a second load when an engine neither answers its order nor reports while it loads.
+#[test]
+fn unanswered_order_of_an_engine_that_reports_late_loses_its_slot() {
+    let base = Script {
+        loads: vec![1_400],
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 0);
+    let fate = Fate {
+        host,
+        number: 0,
+        starts: Some(0),
+        ends: 250,
+        outcome: Outcome::Unknown,
+    };
+    let script = Script {
+        late: vec![span(host, at + POLL, at + 1_400)],
+        fates: vec![fate],
+        ..base
+    };
+    assert_one_loads([("reports late".to_owned(), script)]);
+}
+
 /// A sidecar that is stopped right after its order, and whose pool knows how long loads take.
 fn stopped_after_order(killed: bool, lost: bool) -> Script {
     let base = Script {
