Test: a restarted sidecar frees the slot of an engine that reports late

Seen: 2,200 ms order (load of 1.5 s), 2,400 ms the sidecar is killed, 2,600 ms it runs again and its engine's reports are late; it answers queries as an engine that isn't loading and sends an update without state, which deletes the load at the others; 3,110 ms the next engine is ordered, the first loads to 3,700 ms.

Cause, shown by a trial: the first report that is missed counts as the engine's exit, from which on the new process answers. If it doesn't, the test passes. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -60,6 +60,22 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against a restarted sidecar that takes a missing report for an engine that isn't loading.
+#[test]
+fn restarted_sidecar_frees_the_slot_of_an_engine_that_reports_late() {
+    let base = Script {
+        loads: vec![1_500],
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 0);
+    let script = Script {
+        killed: vec![span(host, at + 200, at + 400)],
+        late: vec![span(host, at + 200, at + 1_500)],
+        ..base
+    };
+    assert_one_loads([("killed 200 ms after the order".to_owned(), script)]);
+}
+
 /// Guards against a second load when an engine neither answers its order nor reports while it loads.
 #[test]
 fn unanswered_order_of_an_engine_that_reports_late_loses_its_slot() {
