Test: a paused claim takes a slot without an answer since the pause

The fault of `claim_from_before_a_pause_takes_no_slot`, without random numbers. Seen: one of three hosts is dead; host 0's claim has made its 11 steps and is paused; host 1 loads from 4,810 to 7,810 ms; host 0 resumes and orders at 5,700 ms in its first step.

Cause, shown by a trial: after 11 steps a claim waits for no answer. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -135,6 +135,24 @@
     ]);
 }
 
+/// Guards against a claim whose steps were used up before a pause and that waits for no answer after it.
+#[test]
+fn paused_claim_takes_a_slot_without_an_answer_since_the_pause() {
+    let order = load_order(3, 2);
+    let base = Script {
+        loads: vec![3_000],
+        killed: vec![span(order[2], 0, ALWAYS)],
+        allowed: 6_000,
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 0);
+    let script = Script {
+        paused: vec![span(host, at - POLL + 10, at + 3_000)],
+        ..base
+    };
+    assert_one_loads([("paused before the last step".to_owned(), script)]);
+}
+
 /// Guards against a sidecar that resumes after a pause and still skips a peer that has come back meanwhile.
 #[test]
 fn peer_skipped_before_a_pause_is_skipped_after_it() {
