Test: a stopped sidecar loses its slot with one lost update

Seen: loads take 3 s, and the pool knows it; 16,200 ms order, its update is lost, and the sidecar is paused or killed 5 ms later; 18,310 ms the next engine is ordered, while the first loads to 19,200 ms. With the update it holds (`sidecar_stopped_after_its_order_loses_its_slot`).

Cause, shown by a trial: what the others last have is the claim, whose state expires after 1.6 s. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -135,6 +135,15 @@
     ]);
 }
 
+/// Guards against a second load when a sidecar stops after its order and the update that names it is lost.
+#[test]
+fn stopped_sidecar_loses_its_slot_with_one_lost_update() {
+    assert_one_loads([
+        ("paused".to_owned(), stopped_after_order(false, true)),
+        ("killed".to_owned(), stopped_after_order(true, true)),
+    ]);
+}
+
 /// Guards against a claim whose steps were used up before a pause and that waits for no answer after it.
 #[test]
 fn paused_claim_takes_a_slot_without_an_answer_since_the_pause() {
