Test: a first load with late reports ignores the load time of its pool

Seen: loads take 3 s and the pool has seen one; the second engine reports late while it loads (5,460 to 8,460 ms); 7,120 ms the third is ordered.

Cause, shown by a trial: without reports a sidecar keeps its slot for its own load time, which it doesn't have yet, so for 1.6 s. With the load time of its pool the test passes. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -99,6 +99,21 @@
     assert_one_loads([("reports late".to_owned(), script)]);
 }
 
+/// Guards against an engine that loses its slot though its pool knows how long loads take.
+#[test]
+fn first_load_of_an_engine_that_reports_late_ignores_the_load_time_of_its_pool() {
+    let base = Script {
+        loads: vec![3_000],
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 1);
+    let script = Script {
+        late: vec![span(host, at + POLL, at + 3_000)],
+        ..base
+    };
+    assert_one_loads([("second of three".to_owned(), script)]);
+}
+
 /// A sidecar that is stopped right after its order, and whose pool knows how long loads take.
 fn stopped_after_order(killed: bool, lost: bool) -> Script {
     let base = Script {
