Test: a load that no engine waits for is forgotten

Seen: the last engine loads v2 for 6 s (3,920 to 9,920 ms), all others have it; v3 comes at 6,920 ms; the loading sidecar is paused from 6,820 ms for 1 s; 7,650 ms another engine is ordered.

Cause, shown by a trial: while no engine has to load, a loading sidecar doesn't renew its update, and the others drop it after 1.6 s though it was in touch for 2.9 s. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -204,6 +204,26 @@
     ]);
 }
 
+/// Guards against a load that the others forget while its sidecar is in touch, because no engine waits.
+#[test]
+fn load_that_no_engine_waits_for_is_forgotten() {
+    let last = load_order(3, 2)[2];
+    let mut loads = vec![600; 3];
+    loads[last] = 6_000;
+    let base = Script {
+        loads,
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 2);
+    assert_eq!(host, last);
+    let script = Script {
+        announced: vec![announcement(2, 2_000), announcement(3, at + 3_000)],
+        paused: vec![span(host, at + 2_900, at + 3_900)],
+        ..base
+    };
+    assert_one_loads([("paused 2.9 s after the order".to_owned(), script)]);
+}
+
 /// Guards against a claim whose steps were used up before a pause and that waits for no answer after it.
 #[test]
 fn paused_claim_takes_a_slot_without_an_answer_since_the_pause() {
