Test: a slow order frees its slot before the report shows the load

Seen: 2,710 ms the slot is taken, 3,110 ms the engine starts to load, 3,200 ms it is accepted, and the report (200 ms old) shows no load yet; 3,300 ms the engine that comes first, whose sidecar has just started, is ordered.

Cause, shown by a trial: the 500 ms until a report counts run from the claim, not from the order's outcome; connecting and the answer may take 250 ms each. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -144,6 +144,46 @@
     assert_one_loads(scripts);
 }
 
+/// Guards against a slot that ends before the report can show the load of an order that took long.
+#[test]
+fn slow_order_frees_its_slot_before_the_report_shows_the_load() {
+    struct Case {
+        name: &'static str,
+        starts: u64,
+        ends: u64,
+        outcome: Outcome,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "accepted", starts: 400, ends: 490, outcome: Outcome::Accepted },
+        Case { name: "unanswered", starts: 400, ends: 500, outcome: Outcome::Unknown },
+    ];
+    // The engine that loads first otherwise has its sidecar start late.
+    let late = load_order(3, 2)[0];
+    let scripts = cases.map(|c| {
+        let base = Script {
+            loads: vec![2_000],
+            killed: vec![span(late, 0, ALWAYS)],
+            ..Script::default()
+        };
+        let (host, at) = order_at(&base, 0);
+        let fate = Fate {
+            host,
+            number: 0,
+            starts: Some(c.starts),
+            ends: c.ends,
+            outcome: c.outcome,
+        };
+        let script = Script {
+            killed: vec![span(late, 0, at - 200)],
+            fates: vec![fate],
+            ..base
+        };
+        (c.name.to_owned(), script)
+    });
+    assert_one_loads(scripts);
+}
+
 /// Guards against an engine that loses its slot though its pool knows how long loads take.
 #[test]
 fn first_load_of_an_engine_that_reports_late_ignores_the_load_time_of_its_pool() {
