Test: an unreported load of unknown length loses its slot

Seen: first load of a pool, 3 s (2,200 to 5,200 ms); with late reports the next engine is ordered at 3,860 ms, with a paused sidecar at 4,360 ms. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -199,6 +199,45 @@
     assert_one_loads([("second of three".to_owned(), script)]);
 }
 
+/// Guards against a second load while the first load of a pool goes unreported.
+#[test]
+fn unreported_load_of_unknown_length_loses_its_slot() {
+    struct Case {
+        name: &'static str,
+        paused: bool,
+    }
+    let cases = [
+        Case {
+            name: "reports are late",
+            paused: false,
+        },
+        Case {
+            name: "sidecar is paused",
+            paused: true,
+        },
+    ];
+    let scripts = cases.map(|c| {
+        let base = Script {
+            loads: vec![3_000],
+            ..Script::default()
+        };
+        let (host, at) = order_at(&base, 0);
+        let unreported = vec![span(host, at + POLL, at + 2_900)];
+        let script = match c.paused {
+            true => Script {
+                paused: unreported,
+                ..base
+            },
+            false => Script {
+                late: unreported,
+                ..base
+            },
+        };
+        (c.name.to_owned(), script)
+    });
+    assert_one_loads(scripts);
+}
+
 /// A sidecar that is stopped right after its order, and whose pool knows how long loads take.
 fn stopped_after_order(killed: bool, lost: bool) -> Script {
     let base = Script {
