Test: an order answered during a pause loses its slot

Seen: 2,200 ms order, carried out at once; the sidecar is paused from 5 ms after it to 3,400 ms, so that its call ends without an answer, and its engine's reports are late until 3,700 ms; 3,460 ms the next engine is ordered, while the first loads to 4,200 ms and the others' lease of its load runs to 3,800 ms.

Cause, shown by a trial: an unanswered order's slot expires 1 s after the order, a pause included, before any report was read. Not fixed here.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -99,6 +99,30 @@
     assert_one_loads([("reports late".to_owned(), script)]);
 }
 
+/// Guards against an order whose answer comes during a pause, so that it counts as unanswered for as long.
+#[test]
+fn order_answered_during_a_pause_loses_its_slot() {
+    let base = Script {
+        loads: vec![2_000],
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 0);
+    let fate = Fate {
+        host,
+        number: 0,
+        starts: Some(0),
+        ends: 250,
+        outcome: Outcome::Unknown,
+    };
+    let script = Script {
+        paused: vec![span(host, at + 5, at + 1_200)],
+        late: vec![span(host, at + 1_200, at + 1_500)],
+        fates: vec![fate],
+        ..base
+    };
+    assert_one_loads([("paused for 1.2 s".to_owned(), script)]);
+}
+
 /// Guards against an unanswered order whose slot expires by the time of earlier orders that led to no load.
 #[test]
 fn unanswered_order_after_failed_orders_has_no_slot() {
