Keep the slot of an engine that answers an order with busy

What callers saw: nothing on record; two engines of a pool may load where one may.

Cause: a 409 was taken for an order that led to no load. It can mean that an earlier order, carried out late, is loading.

The count of own orders still holds only those that the engine may have accepted.

--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -451,9 +451,12 @@
     }
 }
 
+/// A busy engine is executing an order that isn't known here, so its load counts until the report shows that
+/// it has ended.
 fn load_outcome(result: &Result<OrderOutcome, EngineError>) -> Outcome {
     match result {
         Ok(OrderOutcome::Accepted) => Outcome::Accepted,
+        Ok(OrderOutcome::Busy) => Outcome::Unknown,
         r if may_be_accepted(r) => Outcome::Unknown,
         _ => Outcome::Refused,
     }
