End a load only on a report that can show its order

What callers saw: nothing on record; two engines of a pool load where one may.

Cause: a report within 500 ms of the moment at which the slot was taken may not show the load. Connecting and the answer take up to 500 ms themselves, so a report from before the order's arrival ended the load. An order without an answer may be carried out later still.

Change: the time counts from the outcome of the order, and is 2 s after an order without an answer. An order that is carried out later than that can't be known of; no call takes it back.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -60,6 +60,8 @@
 const LONGEST_LOAD: f64 = 0.5;
 /// Time after an order within which the engine's report may not show the load yet.
 const REPORT_DELAY: Micros = Micros::from_millis(500);
+/// Time for which an engine counts as loading after an order without an answer, which may be carried out late.
+const UNANSWERED_DELAY: Micros = Micros::from_millis(2_000);
 /// Time after an order before which a load of unknown duration is assumed not to have ended.
 const MIN_LOAD_TIME: Micros = Micros::from_millis(250);
 /// Weight of the latest load in the moving average of load times.
@@ -170,6 +172,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Loading {
     since: Micros,
+    /// Time from which the engine's report shows the load if the order is carried out; unlimited until the
+    /// outcome of the order is known.
+    shown_from: Micros,
     /// Version that this sidecar ordered; `None` if the load was already in progress when it was first seen.
     version: Option<u64>,
 }
@@ -318,6 +323,7 @@
         let Some(loading) = self.loading else {
             let found = Loading {
                 since: now,
+                shown_from: now,
                 version: None,
             };
             self.loading = busy.then_some(found);
@@ -325,7 +331,7 @@
         };
         let has = |v: u64| weights.iter().any(|(_, w)| *w >= v);
         let elapsed = now.since(loading.since);
-        if busy || (elapsed < REPORT_DELAY && !loading.version.is_some_and(has)) {
+        if busy || (now < loading.shown_from && !loading.version.is_some_and(has)) {
             return;
         }
         self.loading = None;
@@ -456,6 +462,7 @@
         self.due_since = Some(*self.first_order.get_or_insert(now));
         self.loading = Some(Loading {
             since: now,
+            shown_from: Micros::MAX,
             version: Some(self.desired),
         });
     }
@@ -497,6 +504,12 @@
     /// counts as loading until its report can show that it isn't.
     pub fn ordered(&mut self, now: Micros, outcome: Outcome) {
         self.paused_until = now + RETRY_DELAY;
+        if let Some(l) = &mut self.loading {
+            l.shown_from = match outcome {
+                Outcome::Unknown => now + UNANSWERED_DELAY,
+                Outcome::Accepted | Outcome::Refused => now + REPORT_DELAY,
+            };
+        }
         match outcome {
             Outcome::Accepted => self.clear_schedule(),
             Outcome::Refused => {
