Let engines that can't load delay no other engine of their pool

What callers saw: engines keep old weights until callers are refused for the weights' age.

Cause: an engine that is due for over a second without loading is passed over. Three ways undid that. A claim of the engine behind it made the first one no longer due, so that its time began anew and the other one withdrew. A sidecar without the right to order (after a restart, for a lease) or without the announcement reports old weights and never that it is due, and the others waited for it for good. And where load order and tie-break disagree, two sidecars withdrew for each other in turn.

Change: claims of others don't restart the time for which an engine has been due. An engine with old weights whose sidecar has nothing to load isn't waited for. Between two claims only the tie-break decides.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -187,6 +187,8 @@
     /// Peers in the list of members.
     listed: Vec<K>,
     claim: Option<Claim>,
+    /// Whether the engine is due, given the loads and those claims of other sidecars that precede its own.
+    due: bool,
     /// Whether the engine is due even if all claims of other sidecars count as loads.
     due_despite_claims: bool,
     /// When the version to load was received.
@@ -225,6 +227,7 @@
             }),
             listed: Vec::new(),
             claim: None,
+            due: false,
             due_despite_claims: false,
             announced: Micros::ZERO,
             allowed: Micros::ZERO,
@@ -393,9 +396,12 @@
         // Claims with a higher tie-break value are ignored here; their sidecars withdraw them.
         let precedes = |s: &State| !claiming || load_rank(s.engine, 0) < tie_break;
         let waiting_for_updates = now.since(self.announced) < INITIAL_WAIT || now < INITIAL_WAIT;
-        let due = !waiting_for_updates && self.is_due(now, group, outdated, precedes);
-        self.due_despite_claims = due && self.is_due(now, group, outdated, |_| true);
-        self.due_since = due.then(|| self.due_since.unwrap_or(now));
+        self.due = !waiting_for_updates && self.is_due(now, group, outdated, precedes);
+        self.due_despite_claims = self.due && self.is_due(now, group, outdated, |_| true);
+        // Claims of others don't restart the time: an engine that can't load would otherwise delay them anew
+        // with each of their claims.
+        let waits = !waiting_for_updates && self.is_due(now, group, outdated, |_| false);
+        self.due_since = waits.then(|| self.due_since.unwrap_or(now));
     }
 
     /// Advances the claim of a slot if the engine is due to load and `orderable`. Once the slot is taken the
@@ -405,7 +411,7 @@
         self.listed = peers.to_vec();
         let may_claim =
             orderable && self.loading.is_none() && self.can_answer(now) && now >= self.paused_until;
-        let Some(due) = self.due_since.filter(|_| may_claim) else {
+        let Some(due) = self.due_since.filter(|_| self.due && may_claim) else {
             self.withdraw();
             return self.query_quiet_peers(now, peers);
         };
@@ -523,6 +529,7 @@
     /// Clears the claim and everything that is known about the next load.
     fn clear_schedule(&mut self) {
         self.withdraw();
+        self.due = false;
         self.due_despite_claims = false;
         self.first_order = None;
         self.failed_orders = 0;
@@ -591,8 +598,15 @@
                     Some(l) => Some(l + since),
                     None => claims.then_some(since),
                 },
-                // On slow hosts a claim may last long; a claim is not an unused slot.
-                due: p.state.due.filter(|_| !p.state.claims).map(|d| d + since),
+                due: match p.state.due {
+                    // On slow hosts a claim may last long; a claim is not an unused slot.
+                    _ if claims => None,
+                    // Its sidecar withdraws the claim.
+                    _ if p.state.claims => Some(Micros::MAX),
+                    // The sidecar has no right to order its engine or lacks the announcement.
+                    None if p.state.desired == 0 && p.state.loading.is_none() => Some(Micros::MAX),
+                    due => due.map(|d| d + since),
+                },
             })
         };
         let known = self.recent_updates(now).filter_map(|(_, p)| engine(p));
