Soak: show what happened with a request that was never answered

A failure of the soak gave the entry's lines on the request. A failure now also shows

- the faults with their times, the replaced processes, and the requests that timed out (one, or all callers at once),
- how far the request got: not connected, no answer on a new or kept connection, an incomplete answer,
- which replica received it, when, and with which fault,
- that the entry dropped log lines,
- how long the test's own runtime stood still, from 100 ms on,
- for an entry that doesn't serve again: its lines on its state as well as the last ones.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -68,13 +68,16 @@
         of_kind.cloned().collect()
     }
 
-    /// The log lines on one request and on the start and stop of the process, for failure messages.
+    /// The log lines on one request, on the start and stop of the process and on lines that were
+    /// dropped, for failure messages.
     pub fn log_of_request(&self, id: &str) -> String {
         let lines = self.lines.lock().expect("lines");
-        let is_start_or_stop = |l: &Value| l["event"] == "listening" || l["event"] == "stopping";
-        let matching = lines
-            .iter()
-            .filter(|l| l["request"] == id || is_start_or_stop(l));
+        let is_context = |l: &Value| {
+            ["listening", "stopping", "dropped"]
+                .iter()
+                .any(|e| l["event"] == *e)
+        };
+        let matching = lines.iter().filter(|l| l["request"] == id || is_context(l));
         matching.map(|l| format!("{l}\n")).collect()
     }
 
@@ -85,6 +88,17 @@
         last.map(|l| format!("{l}\n")).collect()
     }
 
+    /// The last log lines on changes of the process's state instead of requests, for failure
+    /// messages.
+    pub fn log_of_state(&self) -> String {
+        let lines = self.lines.lock().expect("lines");
+        let of_state: Vec<_> = lines.iter().filter(|l| l["request"].is_null()).collect();
+        let last = of_state
+            .iter()
+            .skip(of_state.len().saturating_sub(TAIL_LINES));
+        last.map(|l| format!("{l}\n")).collect()
+    }
+
     /// Waits for a log line of one kind that satisfies a predicate.
     pub async fn wait_for_event(&self, kind: &str, predicate: impl Fn(&Value) -> bool) -> Value {
         let search = async {
--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that send one request after the other on keep-alive connections.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,7 +40,7 @@
     pub answer: Option<Answer>,
     /// Whether there was no answer within `ANSWER_TIMEOUT`.
     pub timed_out: bool,
-    /// The entry's log lines on the request, if it timed out.
+    /// The entry, how far the request got, and the entry's log lines on it, if it timed out.
     pub log: String,
 }
 
@@ -58,20 +58,23 @@
         let path = ["/code/1", "/probe/1", "/log/1", "/check/1"][rng.random_range(0..4)];
         let id = format!("{caller}-{}", outcomes.len());
         let entry = rng.random_range(0..ENTRIES);
-        let result = timeout(
-            ANSWER_TIMEOUT,
-            send_once(&cluster, entry, &mut kept[entry], path, &id),
-        )
-        .await;
+        let progress = Mutex::new("not sent");
+        let sending = send_once(&cluster, entry, &mut kept[entry], path, &id, &progress);
+        let result = timeout(ANSWER_TIMEOUT, sending).await;
         if !matches!(result, Ok(Some(_))) {
             kept[entry] = None;
         }
         let log = match &result {
-            Err(_) => cluster.entries[entry]
-                .host
-                .daemon()
-                .process
-                .log_of_request(&id),
+            Err(_) => {
+                let progress = *progress.lock().expect("a stage");
+                cluster.record(format_args!("{id} to entry {entry} timed out: {progress}"));
+                let lines = cluster.entries[entry]
+                    .host
+                    .daemon()
+                    .process
+                    .log_of_request(&id);
+                format!("entry {entry}, {progress}\n{lines}")
+            }
             Ok(_) => String::new(),
         };
         outcomes.push(Outcome {
@@ -87,20 +90,28 @@
 }
 
 /// Sends a request on the kept connection or a new one; returns nothing if the connection breaks.
+/// `progress` is set to how far the request got.
 async fn send_once(
     cluster: &Cluster,
     entry: usize,
     kept: &mut Option<SendRequest<Full<Bytes>>>,
     path: &str,
     id: &str,
+    progress: &Mutex<&'static str>,
 ) -> Option<Answer> {
+    let set_progress = |stage| *progress.lock().expect("a stage") = stage;
     let link = &cluster.entries[entry].link;
     let mut send = match kept.take().filter(SendRequest::is_ready) {
-        Some(s) => s,
+        Some(s) => {
+            set_progress("no answer on a kept connection");
+            s
+        }
         None => {
+            set_progress("not connected");
             let tcp = TcpStream::connect(link.addr()).await.ok()?;
             let (send, conn) = handshake(TokioIo::new(tcp)).await.ok()?;
             tokio::spawn(conn);
+            set_progress("no answer on a new connection");
             send
         }
     };
@@ -111,6 +122,7 @@
     }
     let request = request.body(Full::new(call.body)).expect("a request");
     let response = send.send_request(request).await.ok()?;
+    set_progress("incomplete answer");
     let header = |name: &str| {
         let value = response.headers().get(name)?;
         value.to_str().ok().map(str::to_owned)
--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -65,7 +65,11 @@
         }
     };
     let result = timeout(RECOVERY_TIMEOUT, recovery).await;
-    let log = || cluster.entries[n].host.daemon().process.log_tail();
+    let log = || {
+        let entry = cluster.entries[n].host.daemon();
+        let (tail, state) = (entry.process.log_tail(), entry.process.log_of_state());
+        format!("{tail}\n{state}\n{}", cluster.timeline())
+    };
     assert!(
         result.is_ok(),
         "seed {seed}: entry {n} doesn't serve again:\n{}",
@@ -101,7 +105,15 @@
     let runs = count_runs(cluster);
     for o in outcomes {
         let ran = runs.get(&o.id).copied().unwrap_or_default();
-        check_answer(o, ran, &format!("seed {seed}: {o:?} ran {ran} times"));
+        let context = format!("seed {seed}: {o:?} ran {ran} times");
+        assert!(
+            !o.timed_out,
+            "never answered: {context}\n{}{}{}",
+            o.log,
+            cluster.receipts(&o.id),
+            cluster.timeline()
+        );
+        check_answer(o, ran, &context);
     }
     for (n, engine) in cluster.replicas[..ENGINES].iter().enumerate() {
         match seed < FIRST_EXTENDED_SEED {
@@ -133,7 +145,6 @@
 
 /// Checks that a request ran no more often than allowed and that its answer is correct.
 fn check_answer(o: &Outcome, ran: usize, context: &str) {
-    assert!(!o.timed_out, "never answered: {context}\n{}", o.log);
     // Requests that may be repeated run at most twice on these routes.
     let max_runs = if matches!(o.path, "/log/1" | "/code/1") {
         1
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -1,12 +1,13 @@
 //! The processes, replicas and links of a soak run.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use serde_json::json;
-use standin::hosted::replica::{Fault, Replica};
+use standin::hosted::replica::{Fault, ReceivedRequest, Replica};
 use standin::hosted::row_store;
 use standin::link::{Link, LinkFault};
 use standin::switch::{Conditions, Switch};
@@ -145,6 +146,10 @@
     /// Carries datagrams and connections between entries and sidecars.
     pub switch: Arc<Switch>,
     _links: Mutex<Vec<JoinSet<()>>>,
+    /// When all processes had been started.
+    started: Instant,
+    /// What has happened since then, for failure messages.
+    timeline: Mutex<Vec<String>>,
 }
 
 /// Number of engines with a sidecar.
@@ -207,6 +212,8 @@
             version: Mutex::new(1),
             switch,
             _links: Mutex::new(links),
+            started: Instant::now(),
+            timeline: Mutex::default(),
         })
     }
 
@@ -220,6 +227,7 @@
         let entry = self.platform.start_entry(&replaced.host.name, store).await;
         replaced.link.redirect(entry.callers);
         replaced.host.replace(entry);
+        self.record(format_args!("{} replaced", replaced.host.name));
     }
 
     /// Ends a sidecar by a signal and then starts another sidecar on its host.
@@ -233,6 +241,7 @@
             .platform
             .sidecar_on(&sidecar.name, sidecar.store.addr(), engine);
         sidecar.replace(process);
+        self.record(format_args!("{} replaced", sidecar.name));
     }
 
     /// Ends a replica's incarnation and starts the next one at the same address.
@@ -277,12 +286,46 @@
             .list_incarnation(inner, replica.service, at, state, incarnation);
     }
 
-    /// All links, including those of the callers.
-    pub fn links(&self) -> Vec<Arc<Link>> {
-        let replicas = self.replicas.iter().map(|r| &r.link);
-        let entries = self.entries.iter().flat_map(|e| [&e.link, &e.host.store]);
-        let sidecars = self.sidecars.iter().map(|s| &s.store);
-        replicas.chain(entries).chain(sidecars).cloned().collect()
+    /// All links, including those of the callers, and their names.
+    pub fn links(&self) -> Vec<(String, Arc<Link>)> {
+        let store_link = |host: &str, link| (format!("{host} to store"), Arc::clone(link));
+        let replicas = self.replicas.iter();
+        let replicas = replicas.map(|r| (r.replica.id.clone(), Arc::clone(&r.link)));
+        let entries = self.entries.iter().flat_map(|e| {
+            let callers = (format!("callers to {}", e.host.name), Arc::clone(&e.link));
+            [callers, store_link(&e.host.name, &e.host.store)]
+        });
+        let sidecars = self.sidecars.iter();
+        let sidecars = sidecars.map(|s| store_link(&s.name, &s.store));
+        replicas.chain(entries).chain(sidecars).collect()
+    }
+
+    /// Adds a line to the timeline.
+    pub fn record(&self, line: impl Display) {
+        let line = format!("{:?} {line}\n", self.started.elapsed());
+        self.timeline.lock().expect("a timeline").push(line);
+    }
+
+    /// What has happened since the start, for failure messages.
+    pub fn timeline(&self) -> String {
+        self.timeline.lock().expect("a timeline").concat()
+    }
+
+    /// When and with which fault replicas received a request, for failure messages.
+    pub fn receipts(&self, id: &str) -> String {
+        let of_replica = |linked: &LinkedReplica| {
+            let received = linked.replica.requests();
+            let received = received.into_iter().filter(|r| r.id == id);
+            let line = |r: ReceivedRequest| {
+                let at = Instant::from_std(r.received).saturating_duration_since(self.started);
+                format!(
+                    "{at:?} {} received {id}, fault {:?}\n",
+                    linked.replica.id, r.fault
+                )
+            };
+            received.map(line).collect::<String>()
+        };
+        self.replicas.iter().map(of_replica).collect()
     }
 
     /// Removes all faults and resumes paused processes.
@@ -290,7 +333,7 @@
         self.platform.store.set_fault(row_store::Fault::None);
         self.links()
             .iter()
-            .for_each(|l| l.set_fault(LinkFault::None));
+            .for_each(|(_, l)| l.set_fault(LinkFault::None));
         self.switch.set_conditions(Conditions::IDEAL);
         for linked in &self.replicas {
             linked.replica.set_fault(Fault::None);
--- a/crates/daemon/tests/hosted/soak/faults.rs
+++ b/crates/daemon/tests/hosted/soak/faults.rs
@@ -99,33 +99,45 @@
     match rng.random_range(0..20) {
         0..=4 => {
             let replica = &cluster.replicas[rng.random_range(0..REPLICAS)].replica;
-            replica.set_fault(*REPLICA_FAULTS.choose(rng).expect("a fault"));
+            let fault = *REPLICA_FAULTS.choose(rng).expect("a fault");
+            cluster.record(format_args!("fault of {}: {fault:?}", replica.id));
+            replica.set_fault(fault);
         }
         5..=8 => {
-            let link = Arc::clone(cluster.links().choose(rng).expect("a link"));
-            link.set_fault(*LINK_FAULTS.choose(rng).expect("a fault"));
+            let (name, link) = cluster.links().choose(rng).expect("a link").clone();
+            let fault = *LINK_FAULTS.choose(rng).expect("a fault");
+            cluster.record(format_args!("link {name}: {fault:?} for {duration:?}"));
+            link.set_fault(fault);
             tasks.spawn(async move {
                 sleep(duration).await;
                 link.set_fault(LinkFault::None);
             });
         }
-        9..=10 => cluster.links().choose(rng).expect("a link").reset(),
+        9..=10 => {
+            let (name, link) = cluster.links().choose(rng).expect("a link").clone();
+            cluster.record(format_args!("link {name}: reset"));
+            link.reset();
+        }
         11 => {
             let faults = [
                 row_store::Fault::Busy,
                 row_store::Fault::Silent,
                 row_store::Fault::None,
             ];
-            cluster
-                .platform
-                .store
-                .set_fault(*faults.choose(rng).expect("a fault"));
+            let fault = *faults.choose(rng).expect("a fault");
+            cluster.record(format_args!("fault of the store: {fault:?}"));
+            cluster.platform.store.set_fault(fault);
         }
         12 => cluster.platform.store.drop_history(),
         13 => cluster.announce_version(),
-        14 => cluster.restart_replica(rng.random_range(0..REPLICAS)),
+        14 => {
+            let n = rng.random_range(0..REPLICAS);
+            cluster.record(format_args!("restart of replica {n}"));
+            cluster.restart_replica(n);
+        }
         15..=16 => {
             let n = rng.random_range(0..ENTRIES + cluster.sidecars.len());
+            cluster.record(format_args!("process {n} paused for {duration:?}"));
             signal(cluster, n, "STOP");
             let cluster = Arc::clone(cluster);
             tasks.spawn(async move {
@@ -136,12 +148,14 @@
         17 if !cluster.sidecars.is_empty() => {
             let n = rng.random_range(0..cluster.sidecars.len());
             let signal = draw_end_signal(rng);
+            cluster.record(format_args!("end of sidecar {n}: {signal}"));
             let cluster = Arc::clone(cluster);
             tasks.spawn(async move { cluster.replace_sidecar(n, signal).await });
         }
         _ => {
             let n = rng.random_range(0..ENTRIES);
             let signal = draw_end_signal(rng);
+            cluster.record(format_args!("end of entry {n}: {signal}"));
             let cluster = Arc::clone(cluster);
             tasks.spawn(async move { cluster.replace_entry(n, signal).await });
         }
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 use cluster::Cluster;
 
@@ -36,10 +36,29 @@
 /// Number of concurrent callers.
 const CALLERS: u64 = 10;
 
+/// Interval at which the test's runtime is checked for stalls.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Least stall of the test's runtime that is recorded.
+const MIN_STALL: Duration = Duration::from_millis(100);
+
+/// Records stalls of the test's runtime, which runs the links, replicas and callers.
+async fn record_stalls(cluster: Arc<Cluster>) {
+    loop {
+        let due = Instant::now() + STALL_CHECK_INTERVAL;
+        sleep_until(due).await;
+        let stall = due.elapsed();
+        if stall >= MIN_STALL {
+            cluster.record(format_args!("the test was stalled for {stall:?}"));
+        }
+    }
+}
+
 /// Runs the processes of a seed under its faults and checks the result.
 async fn run(seed: u64) {
     let cluster = Cluster::start(seed).await;
     let end = Instant::now() + FAULT_DURATION;
+    let mut stalls = JoinSet::new();
+    stalls.spawn(record_stalls(Arc::clone(&cluster)));
     let mut requests = JoinSet::new();
     for caller in 0..CALLERS {
         requests.spawn(callers::send_requests(
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -62,6 +62,10 @@
     pub body: Bytes,
     /// Whether the request ran.
     pub ran: bool,
+    /// When the request was received.
+    pub received: Instant,
+    /// Fault with which the request was handled.
+    pub fault: Fault,
 }
 
 #[derive(Debug, Default)]
@@ -334,6 +338,8 @@
             path: parts.uri.to_string(),
             body: body.clone(),
             ran: fault != Fault::Full,
+            received: Instant::now(),
+            fault,
         });
         if lock(&self.state).crash_path.as_deref() == Some(parts.uri.path()) {
             return None;
