Soak: calls on a process no longer stall the links and callers

Cause: starting and ending a process, and the removal of its folder, ran on the runtime's two workers, which also carry the links, replicas and callers. The worker that polls sockets and timers may be the one that waits for the disk.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -15,7 +15,7 @@
 use standin::hosted::row_store::Store;
 use standin::hosted::sample::{self, settings};
 pub use standin::hosted::sample::{config, HOST, KEY, MODEL};
-use tokio::task::JoinSet;
+use tokio::task::{spawn_blocking, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// Time limit for every awaited condition; only a failure reaches it.
@@ -235,7 +235,9 @@
         let mut lines = settings(name, store);
         lines.push("listen.front=127.0.0.1:0".to_owned());
         lines.push("listen.ready=127.0.0.2:0".to_owned());
-        let process = Process::start(&lines);
+        // The start may wait for the disk, and other tasks must go on meanwhile.
+        let process = spawn_blocking(move || Process::start(&lines)).await;
+        let process = process.expect("the start of an entry");
         let listening = process.wait_for_event("listening", |_| true).await;
         let addr = |n: &str| {
             listening[n]
--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -68,11 +68,7 @@
             Err(_) => {
                 let progress = *progress.lock().expect("a stage");
                 cluster.record(format_args!("{id} to entry {entry} timed out: {progress}"));
-                let lines = cluster.entries[entry]
-                    .host
-                    .daemon()
-                    .process
-                    .log_of_request(&id);
+                let lines = cluster.entries[entry].host.log_of_request(&id);
                 format!("entry {entry}, {progress}\n{lines}")
             }
             Ok(_) => String::new(),
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -35,6 +35,13 @@
 /// Interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Makes a call that may wait for the disk or another process, such as the start of a process. The
+/// links, replicas and callers share the runtime, and all of them would stall with a worker that
+/// waits.
+fn run_blocking<R>(call: impl FnOnce() -> R) -> R {
+    tokio::task::block_in_place(call)
+}
+
 /// A replica and the link through which it is reached.
 pub struct LinkedReplica {
     pub replica: Arc<Replica>,
@@ -84,17 +91,28 @@
         self.daemon.lock().expect("a process")
     }
 
+    /// Calls `f` with the host's process.
+    fn with_process<R>(&self, f: impl FnOnce(&mut Process) -> R) -> R {
+        run_blocking(|| f(self.daemon().process()))
+    }
+
     /// Whether the host's process has ended.
     pub fn has_ended(&self) -> bool {
-        self.daemon().process().has_ended()
+        self.with_process(Process::has_ended)
     }
 
     /// Signals the host's process, unless that has ended.
     pub fn signal(&self, name: &str) {
-        let mut daemon = self.daemon();
-        if !daemon.process().has_ended() {
-            daemon.process().signal(name);
-        }
+        self.with_process(|process| {
+            if !process.has_ended() {
+                process.signal(name);
+            }
+        });
+    }
+
+    /// The process's log lines on a request, for failure messages.
+    pub fn log_of_request(&self, id: &str) -> String {
+        self.with_process(|process| process.log_of_request(id))
     }
 
     /// Ends the host's process by a signal and waits until it has ended. Returns false at once if
@@ -113,7 +131,7 @@
             );
             sleep(POLL_INTERVAL).await;
         }
-        let success = self.daemon().process().wait_for_end();
+        let success = self.with_process(Process::wait_for_end);
         assert!(
             success || signal == "KILL",
             "{} exited with a failure",
@@ -124,7 +142,7 @@
 
     /// Replaces the daemon whose process has ended by a new one.
     fn replace(&self, daemon: T) {
-        *self.daemon() = daemon;
+        run_blocking(|| *self.daemon() = daemon);
         self.is_ending.store(false, Ordering::Relaxed);
     }
 }
@@ -237,9 +255,11 @@
             return;
         }
         let engine = self.replicas[n].link.addr();
-        let process = self
-            .platform
-            .sidecar_on(&sidecar.name, sidecar.store.addr(), engine);
+        let start = || {
+            self.platform
+                .sidecar_on(&sidecar.name, sidecar.store.addr(), engine)
+        };
+        let process = run_blocking(start);
         sidecar.replace(process);
         self.record(format_args!("{} replaced", sidecar.name));
     }
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -15,12 +15,14 @@
 mod cluster;
 mod faults;
 
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
+use crate::fleet::{fetch_from, TIMEOUT};
 use cluster::Cluster;
 
 /// Seeds of each CI run.
@@ -104,6 +106,61 @@
     }
 }
 
+/// Number of threads of the test's runtime.
+const WORKERS: usize = 2;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_calls_on_a_process_do_not_stall_the_callers() {
+    // A call on a process may wait for a slow disk. If that stalled the links, replicas and callers,
+    // callers would miss answers that were sent in time.
+    struct Case {
+        name: &'static str,
+        call: fn(&Cluster),
+    }
+    let cases = [
+        Case {
+            name: "signal",
+            call: |cluster| cluster.entries[0].host.signal("CONT"),
+        },
+        Case {
+            name: "check for the end",
+            call: |cluster| assert!(!cluster.entries[0].host.has_ended()),
+        },
+        Case {
+            name: "log",
+            call: |cluster| drop(cluster.entries[0].host.log_of_request("any")),
+        },
+    ];
+    let cluster = Cluster::start(1).await;
+    for case in cases {
+        let (locked, is_locked) = oneshot::channel();
+        let (release, released) = mpsc::channel();
+        let blocker = std::thread::spawn({
+            let cluster = Arc::clone(&cluster);
+            move || {
+                let _daemon = cluster.entries[0].host.daemon();
+                locked.send(()).expect("a test that waits");
+                released.recv_timeout(TIMEOUT)
+            }
+        });
+        is_locked.await.expect("a blocked process");
+        let mut calls = JoinSet::new();
+        for _ in 0..WORKERS {
+            let cluster = Arc::clone(&cluster);
+            calls.spawn(async move { (case.call)(&cluster) });
+        }
+        sleep(STALL_CHECK_INTERVAL).await;
+        let link = cluster.entries[1].link.addr();
+        let answer = fetch_from(link, "/log/1", case.name).await;
+        assert_eq!(answer.expect("an answer").status, 200, "{}", case.name);
+        // The blocker has given up if the answer arrived only after the calls had ended.
+        let _ = release.send(());
+        let released = blocker.join().expect("a blocker");
+        assert!(released.is_ok(), "{}: no answer meanwhile", case.name);
+        calls.join_all().await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_overlapping_faults() {
     // Faults that overlap lead to wrong or repeated answers, to requests that ran but are reported
