Read the settings again on a thread of their own

What callers would see: no request of a process is answered, whatever its deadline, while its settings file can't be read because the volume hangs. No case in operation is known; it was found when the path of a request was read for waits without a bound (soak, a request that was never answered; this isn't its cause).

Cause: the file is read every 2 s by a blocking call on the thread that serves all requests.

The file is now read on a blocking thread, one read at a time. A read that takes longer than 1 s is logged as `not_reloaded` and waited for; the previous settings stay in force, and a stop doesn't wait for it.

Test: settings_file_on_a_hung_volume_delays_no_request, with a pipe that never ends in the place of the file.

--- a/crates/daemon/tests/hosted/callers.rs
+++ b/crates/daemon/tests/hosted/callers.rs
@@ -1,5 +1,6 @@
 //! Malformed and forged requests, and requests to an entry that stops or reloads its settings.
 
+use std::process::Command;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,11 +10,15 @@
 use hyper_util::rt::TokioIo;
 use standin::hosted::replica::Replica;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::unix::pipe;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::fleet::{fetch, ready, request, Entry, Platform, HOST, KEY, MODEL, TIMEOUT};
 
+/// Interval between two checks of an awaited condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Starts a platform with an engine, a plain replica and an entry.
 async fn fleet(
     events: u64,
@@ -183,3 +188,38 @@
     let answer = fetch(&entry, "/log/1", "after").await.expect("an answer");
     assert_eq!(answer.status, 200);
 }
+
+#[tokio::test]
+async fn settings_file_on_a_hung_volume_delays_no_request() {
+    // A read of the settings file that never ends must be logged and delay neither requests nor the
+    // stop: the entry reads the file every few seconds, and the volume may hang.
+    let (_platform, _plain, mut entry) = fleet(1, Duration::ZERO).await;
+    let file = entry.process.settings_file();
+    let pipe = file.with_extension("pipe");
+    let made = Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.expect("mkfifo").success());
+    std::fs::rename(&pipe, &file).expect("the pipe in place of the file");
+    entry.process.signal("HUP");
+    // The pipe can be opened as soon as the entry reads it; the read lasts while it is open.
+    let open_pipe = async {
+        loop {
+            match pipe::OpenOptions::new().open_sender(&file) {
+                Ok(sender) => return sender,
+                Err(_) => sleep(POLL_INTERVAL).await,
+            }
+        }
+    };
+    let sender = timeout(TIMEOUT, open_pipe).await.expect("a read");
+    let answer = fetch(&entry, "/log/1", "during").await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    entry.process.wait_for_event("not_reloaded", |_| true).await;
+    entry.process.signal("TERM");
+    let stop = async {
+        while !entry.process.has_ended() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(TIMEOUT, stop).await.expect("a stop");
+    assert!(entry.process.wait_for_end());
+    drop(sender);
+}
--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -22,6 +23,8 @@
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between two checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Name of a daemon's settings file.
+const SETTINGS_FILE: &str = "boot.conf";
 /// Number of log lines shown with a failure.
 const TAIL_LINES: usize = 60;
 
@@ -29,14 +32,14 @@
 pub struct Process {
     child: Child,
     lines: Arc<Mutex<Vec<Value>>>,
-    _settings: tempfile::TempDir,
+    settings: tempfile::TempDir,
 }
 
 impl Process {
     /// Starts a daemon with a settings file of these lines.
     pub fn start(lines: &[String]) -> Self {
         let dir = tempfile::tempdir().expect("a folder");
-        let path = dir.path().join("boot.conf");
+        let path = dir.path().join(SETTINGS_FILE);
         std::fs::write(&path, lines.join("\n")).expect("the settings");
         let mut child = Command::new(env!("CARGO_BIN_EXE_clementinestepd"))
             .env("CLEMENTINESTEP_SETTINGS", &path)
@@ -57,10 +60,15 @@
         Self {
             child,
             lines,
-            _settings: dir,
+            settings: dir,
         }
     }
 
+    /// Path of the settings file.
+    pub fn settings_file(&self) -> PathBuf {
+        self.settings.path().join(SETTINGS_FILE)
+    }
+
     /// All log lines of one kind up to now.
     pub fn events(&self, kind: &str) -> Vec<Value> {
         let lines = self.lines.lock().expect("lines");
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -1,6 +1,6 @@
 //! Start and stop of a process: settings, signals and the tasks common to all roles.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,8 +9,8 @@
 use site::{Role, Settings};
 use thiserror::Error;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::LocalSet;
-use tokio::time::Instant;
+use tokio::task::{JoinError, LocalSet};
+use tokio::time::{timeout, Instant};
 
 use crate::node::{Node, SharedNode};
 use crate::{entry, follow, log, meter, peer, sidecar};
@@ -18,6 +18,10 @@
 /// Interval at which the settings file is read again, since it may change without a signal.
 const REREAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Duration of a read of the settings file after which the read is logged as failed. A local file
+/// is read in microseconds.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Error that prevents a process from starting.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -32,6 +36,20 @@
     System(#[from] std::io::Error),
 }
 
+/// Error that prevents changed settings from coming into force.
+#[derive(Debug, Error)]
+enum ReloadError {
+    /// The read of the settings file has not ended in time.
+    #[error("the settings file isn't read in time")]
+    Slow,
+    /// The thread that reads the settings file has failed.
+    #[error("the reader of the settings file has failed: {0}")]
+    Reader(#[from] JoinError),
+    /// The settings file can't be read or is invalid.
+    #[error("{0}")]
+    Settings(#[from] StartError),
+}
+
 /// Runs the process that a settings file describes until it receives a signal to stop.
 pub fn run(path: PathBuf) -> ExitCode {
     match start(path) {
@@ -55,9 +73,24 @@
     result
 }
 
-fn read_settings(path: &PathBuf) -> Result<Settings, StartError> {
-    let text = std::fs::read_to_string(path).map_err(|e| StartError::File(path.clone(), e))?;
-    parse_settings(&text).map_err(|e| StartError::Settings(path.clone(), e))
+/// Reads the settings on a thread of their own, because the file's volume may hang and all requests
+/// of the process are served by one thread. A read that takes long is logged and waited for.
+async fn read_settings_again(path: &Path) -> Result<Settings, ReloadError> {
+    let path = path.to_owned();
+    let mut read = tokio::task::spawn_blocking(move || read_settings(&path));
+    let result = match timeout(READ_TIMEOUT, &mut read).await {
+        Ok(result) => result,
+        Err(_) => {
+            log::not_reloaded(&ReloadError::Slow.to_string());
+            read.await
+        }
+    };
+    Ok(result??)
+}
+
+fn read_settings(path: &Path) -> Result<Settings, StartError> {
+    let text = std::fs::read_to_string(path).map_err(|e| StartError::File(path.to_owned(), e))?;
+    parse_settings(&text).map_err(|e| StartError::Settings(path.to_owned(), e))
 }
 
 async fn run_process(path: PathBuf, settings: Settings) -> Result<(), StartError> {
@@ -99,10 +132,8 @@
 /// Applies changed settings; if the file can't be read, the previous settings stay in force.
 async fn reload(node: SharedNode, path: PathBuf, mut hup: Signal) {
     loop {
-        let signaled = tokio::time::timeout(REREAD_INTERVAL, hup.recv())
-            .await
-            .is_ok();
-        match read_settings(&path) {
+        let signaled = timeout(REREAD_INTERVAL, hup.recv()).await.is_ok();
+        match read_settings_again(&path).await {
             Ok(new) => {
                 // The bound addresses stay in use until the process restarts.
                 let mut settings = node.settings.borrow_mut();
