Soak: show the timeline with every failure

The timeline is now printed with any failure of a run, not only for unanswered requests. The recorder of stalls ends within its run, so that the processes of a seed don't end while the next one runs.

--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -68,7 +68,7 @@
     let log = || {
         let entry = cluster.entries[n].host.daemon();
         let (tail, state) = (entry.process.log_tail(), entry.process.log_of_state());
-        format!("{tail}\n{state}\n{}", cluster.timeline())
+        format!("{tail}\n{state}")
     };
     assert!(
         result.is_ok(),
@@ -108,10 +108,9 @@
         let context = format!("seed {seed}: {o:?} ran {ran} times");
         assert!(
             !o.timed_out,
-            "never answered: {context}\n{}{}{}",
+            "never answered: {context}\n{}{}",
             o.log,
-            cluster.receipts(&o.id),
-            cluster.timeline()
+            cluster.receipts(&o.id)
         );
         check_answer(o, ran, &context);
     }
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -185,6 +185,17 @@
     link
 }
 
+/// Prints the timeline of a cluster if the test fails.
+pub struct TimelineOnFailure(pub Arc<Cluster>);
+
+impl Drop for TimelineOnFailure {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.0.timeline.lock().expect("a timeline").concat());
+        }
+    }
+}
+
 impl Cluster {
     /// Starts the processes and replicas of a seed's run.
     pub async fn start(seed: u64) -> Arc<Self> {
@@ -326,11 +337,6 @@
         self.timeline.lock().expect("a timeline").push(line);
     }
 
-    /// What has happened since the start, for failure messages.
-    pub fn timeline(&self) -> String {
-        self.timeline.lock().expect("a timeline").concat()
-    }
-
     /// When and with which fault replicas received a request, for failure messages.
     pub fn receipts(&self, id: &str) -> String {
         let of_replica = |linked: &LinkedReplica| {
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::fleet::{fetch_from, TIMEOUT};
-use cluster::Cluster;
+use cluster::{Cluster, TimelineOnFailure};
 
 /// Seeds of each CI run.
 const SEEDS: std::ops::Range<u64> = 1..2;
@@ -58,6 +58,7 @@
 /// Runs the processes of a seed under its faults and checks the result.
 async fn run(seed: u64) {
     let cluster = Cluster::start(seed).await;
+    let _timeline = TimelineOnFailure(Arc::clone(&cluster));
     let end = Instant::now() + FAULT_DURATION;
     let mut stalls = JoinSet::new();
     stalls.spawn(record_stalls(Arc::clone(&cluster)));
@@ -83,6 +84,8 @@
     check::check_recovery(seed, &cluster).await;
     check::check_departed_target(seed, &cluster, faults_cleared).await;
     check::check_promises(seed, &cluster, &outcomes);
+    // The processes end here, and not on a worker while the next seed runs.
+    stalls.shutdown().await;
     let is_served = |o: &&callers::Outcome| o.answer.as_ref().is_some_and(|a| a.status == 200);
     let served = outcomes.iter().filter(is_served).count();
     println!(
