Hosted tests: settings files in memory, so that a start needs no disk

The folders are now made in /dev/shm, or where that is missing in the usual place. The check is as before.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -23,6 +23,9 @@
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between two checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Folder that is kept in memory on Linux, so that the start and end of a process don't wait for a
+/// slow disk.
+const MEMORY_FOLDER: &str = "/dev/shm";
 /// Name of a daemon's settings file.
 const SETTINGS_FILE: &str = "boot.conf";
 /// Number of log lines shown with a failure.
@@ -38,7 +41,8 @@
 impl Process {
     /// Starts a daemon with a settings file of these lines.
     pub fn start(lines: &[String]) -> Self {
-        let dir = tempfile::tempdir().expect("a folder");
+        let dir = tempfile::tempdir_in(MEMORY_FOLDER).or_else(|_| tempfile::tempdir());
+        let dir = dir.expect("a folder");
         let path = dir.path().join(SETTINGS_FILE);
         std::fs::write(&path, lines.join("\n")).expect("the settings");
         let mut child = Command::new(env!("CARGO_BIN_EXE_clementinestepd"))
