--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,13 +16,18 @@
 use standin::hosted::row_store::Store;
 use standin::hosted::sample::{self, settings};
 pub use standin::hosted::sample::{config, HOST, KEY, MODEL};
-use tokio::task::JoinSet;
+use tokio::task::{spawn_blocking, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// Time limit for every awaited condition; only a failure reaches it.
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between two checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Folder that is kept in memory on Linux, so that the start and end of a process don't wait for a
+/// slow disk.
+const MEMORY_FOLDER: &str = "/dev/shm";
+/// Name of a daemon's settings file.
+const SETTINGS_FILE: &str = "boot.conf";
 /// Number of log lines shown with a failure.
 const TAIL_LINES: usize = 60;
 
@@ -29,14 +35,15 @@
 pub struct Process {
     child: Child,
     lines: Arc<Mutex<Vec<Value>>>,
-    _settings: tempfile::TempDir,
+    settings: tempfile::TempDir,
 }
 
 impl Process {
     /// Starts a daemon with a settings file of these lines.
     pub fn start(lines: &[String]) -> Self {
-        let dir = tempfile::tempdir().expect("a folder");
-        let path = dir.path().join("boot.conf");
+        let dir = tempfile::tempdir_in(MEMORY_FOLDER).or_else(|_| tempfile::tempdir());
+        let dir = dir.expect("a folder");
+        let path = dir.path().join(SETTINGS_FILE);
         std::fs::write(&path, lines.join("\n")).expect("the settings");
         let mut child = Command::new(env!("CARGO_BIN_EXE_clementinestepd"))
             .env("CLEMENTINESTEP_SETTINGS", &path)
@@ -57,10 +64,15 @@
         Self {
             child,
             lines,
-            _settings: dir,
+            settings: dir,
         }
     }
 
+    /// Path of the settings file.
+    pub fn settings_file(&self) -> PathBuf {
+        self.settings.path().join(SETTINGS_FILE)
+    }
+
     /// All log lines of one kind up to now.
     pub fn events(&self, kind: &str) -> Vec<Value> {
         let lines = self.lines.lock().expect("lines");
@@ -68,13 +80,16 @@
         of_kind.cloned().collect()
     }
 
-    /// The log lines on one request and on the start and stop of the process, for failure messages.
+    /// The log lines on one request, on the start and stop of the process and on lines that were
+    /// dropped, for failure messages.
     pub fn log_of_request(&self, id: &str) -> String {
         let lines = self.lines.lock().expect("lines");
-        let is_start_or_stop = |l: &Value| l["event"] == "listening" || l["event"] == "stopping";
-        let matching = lines
-            .iter()
-            .filter(|l| l["request"] == id || is_start_or_stop(l));
+        let is_context = |l: &Value| {
+            ["listening", "stopping", "dropped"]
+                .iter()
+                .any(|e| l["event"] == *e)
+        };
+        let matching = lines.iter().filter(|l| l["request"] == id || is_context(l));
         matching.map(|l| format!("{l}\n")).collect()
     }
 
@@ -85,6 +100,17 @@
         last.map(|l| format!("{l}\n")).collect()
     }
 
+    /// The last log lines on changes of the process's state instead of requests, for failure
+    /// messages.
+    pub fn log_of_state(&self) -> String {
+        let lines = self.lines.lock().expect("lines");
+        let of_state: Vec<_> = lines.iter().filter(|l| l["request"].is_null()).collect();
+        let last = of_state
+            .iter()
+            .skip(of_state.len().saturating_sub(TAIL_LINES));
+        last.map(|l| format!("{l}\n")).collect()
+    }
+
     /// Waits for a log line of one kind that satisfies a predicate.
     pub async fn wait_for_event(&self, kind: &str, predicate: impl Fn(&Value) -> bool) -> Value {
         let search = async {
@@ -221,7 +247,9 @@
         let mut lines = settings(name, store);
         lines.push("listen.front=127.0.0.1:0".to_owned());
         lines.push("listen.ready=127.0.0.2:0".to_owned());
-        let process = Process::start(&lines);
+        // The start may wait for the disk, and other tasks must go on meanwhile.
+        let process = spawn_blocking(move || Process::start(&lines)).await;
+        let process = process.expect("the start of an entry");
         let listening = process.wait_for_event("listening", |_| true).await;
         let addr = |n: &str| {
             listening[n]
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -1,12 +1,13 @@
 //! The processes, replicas and links of a soak run.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use serde_json::json;
-use standin::hosted::replica::{Fault, Replica};
+use standin::hosted::replica::{Fault, ReceivedRequest, Replica};
 use standin::hosted::row_store;
 use standin::link::{Link, LinkFault};
 use standin::switch::{Conditions, Switch};
@@ -34,6 +35,13 @@
 /// Interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Makes a call that may wait for the disk or another process, such as the start of a process. The
+/// links, replicas and callers share the runtime, and all of them would stall with a worker that
+/// waits.
+fn run_blocking<R>(call: impl FnOnce() -> R) -> R {
+    tokio::task::block_in_place(call)
+}
+
 /// A replica and the link through which it is reached.
 pub struct LinkedReplica {
     pub replica: Arc<Replica>,
@@ -83,17 +91,28 @@
         self.daemon.lock().expect("a process")
     }
 
+    /// Calls `f` with the host's process.
+    fn with_process<R>(&self, f: impl FnOnce(&mut Process) -> R) -> R {
+        run_blocking(|| f(self.daemon().process()))
+    }
+
     /// Whether the host's process has ended.
     pub fn has_ended(&self) -> bool {
-        self.daemon().process().has_ended()
+        self.with_process(Process::has_ended)
     }
 
     /// Signals the host's process, unless that has ended.
     pub fn signal(&self, name: &str) {
-        let mut daemon = self.daemon();
-        if !daemon.process().has_ended() {
-            daemon.process().signal(name);
-        }
+        self.with_process(|process| {
+            if !process.has_ended() {
+                process.signal(name);
+            }
+        });
+    }
+
+    /// The process's log lines on a request, for failure messages.
+    pub fn log_of_request(&self, id: &str) -> String {
+        self.with_process(|process| process.log_of_request(id))
     }
 
     /// Ends the host's process by a signal and waits until it has ended. Returns false at once if
@@ -112,7 +131,7 @@
             );
             sleep(POLL_INTERVAL).await;
         }
-        let success = self.daemon().process().wait_for_end();
+        let success = self.with_process(Process::wait_for_end);
         assert!(
             success || signal == "KILL",
             "{} exited with a failure",
@@ -123,7 +142,7 @@
 
     /// Replaces the daemon whose process has ended by a new one.
     fn replace(&self, daemon: T) {
-        *self.daemon() = daemon;
+        run_blocking(|| *self.daemon() = daemon);
         self.is_ending.store(false, Ordering::Relaxed);
     }
 }
@@ -145,6 +164,10 @@
     /// Carries datagrams and connections between entries and sidecars.
     pub switch: Arc<Switch>,
     _links: Mutex<Vec<JoinSet<()>>>,
+    /// When all processes had been started.
+    started: Instant,
+    /// What has happened since then, for failure messages.
+    timeline: Mutex<Vec<String>>,
 }
 
 /// Number of engines with a sidecar.
@@ -162,6 +185,17 @@
     link
 }
 
+/// Prints the timeline of a cluster if the test fails.
+pub struct TimelineOnFailure(pub Arc<Cluster>);
+
+impl Drop for TimelineOnFailure {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.0.timeline.lock().expect("a timeline").concat());
+        }
+    }
+}
+
 impl Cluster {
     /// Starts the processes and replicas of a seed's run.
     pub async fn start(seed: u64) -> Arc<Self> {
@@ -207,6 +241,8 @@
             version: Mutex::new(1),
             switch,
             _links: Mutex::new(links),
+            started: Instant::now(),
+            timeline: Mutex::default(),
         })
     }
 
@@ -220,6 +256,7 @@
         let entry = self.platform.start_entry(&replaced.host.name, store).await;
         replaced.link.redirect(entry.callers);
         replaced.host.replace(entry);
+        self.record(format_args!("{} replaced", replaced.host.name));
     }
 
     /// Ends a sidecar by a signal and then starts another sidecar on its host.
@@ -229,10 +266,13 @@
             return;
         }
         let engine = self.replicas[n].link.addr();
-        let process = self
-            .platform
-            .sidecar_on(&sidecar.name, sidecar.store.addr(), engine);
+        let start = || {
+            self.platform
+                .sidecar_on(&sidecar.name, sidecar.store.addr(), engine)
+        };
+        let process = run_blocking(start);
         sidecar.replace(process);
+        self.record(format_args!("{} replaced", sidecar.name));
     }
 
     /// Ends a replica's incarnation and starts the next one at the same address.
@@ -277,12 +317,41 @@
             .list_incarnation(inner, replica.service, at, state, incarnation);
     }
 
-    /// All links, including those of the callers.
-    pub fn links(&self) -> Vec<Arc<Link>> {
-        let replicas = self.replicas.iter().map(|r| &r.link);
-        let entries = self.entries.iter().flat_map(|e| [&e.link, &e.host.store]);
-        let sidecars = self.sidecars.iter().map(|s| &s.store);
-        replicas.chain(entries).chain(sidecars).cloned().collect()
+    /// All links, including those of the callers, and their names.
+    pub fn links(&self) -> Vec<(String, Arc<Link>)> {
+        let store_link = |host: &str, link| (format!("{host} to store"), Arc::clone(link));
+        let replicas = self.replicas.iter();
+        let replicas = replicas.map(|r| (r.replica.id.clone(), Arc::clone(&r.link)));
+        let entries = self.entries.iter().flat_map(|e| {
+            let callers = (format!("callers to {}", e.host.name), Arc::clone(&e.link));
+            [callers, store_link(&e.host.name, &e.host.store)]
+        });
+        let sidecars = self.sidecars.iter();
+        let sidecars = sidecars.map(|s| store_link(&s.name, &s.store));
+        replicas.chain(entries).chain(sidecars).collect()
+    }
+
+    /// Adds a line to the timeline.
+    pub fn record(&self, line: impl Display) {
+        let line = format!("{:?} {line}\n", self.started.elapsed());
+        self.timeline.lock().expect("a timeline").push(line);
+    }
+
+    /// When and with which fault replicas received a request, for failure messages.
+    pub fn receipts(&self, id: &str) -> String {
+        let of_replica = |linked: &LinkedReplica| {
+            let received = linked.replica.requests();
+            let received = received.into_iter().filter(|r| r.id == id);
+            let line = |r: ReceivedRequest| {
+                let at = Instant::from_std(r.received).saturating_duration_since(self.started);
+                format!(
+                    "{at:?} {} received {id}, fault {:?}\n",
+                    linked.replica.id, r.fault
+                )
+            };
+            received.map(line).collect::<String>()
+        };
+        self.replicas.iter().map(of_replica).collect()
     }
 
     /// Removes all faults and resumes paused processes.
@@ -290,7 +359,7 @@
         self.platform.store.set_fault(row_store::Fault::None);
         self.links()
             .iter()
-            .for_each(|l| l.set_fault(LinkFault::None));
+            .for_each(|(_, l)| l.set_fault(LinkFault::None));
         self.switch.set_conditions(Conditions::IDEAL);
         for linked in &self.replicas {
             linked.replica.set_fault(Fault::None);
