--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -6,10 +6,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use model::Micros;
 use platform::replica::{self, EngineError, LoadOrder, OrderOutcome};
-use platform::Conn;
+use platform::{CallError, Conn};
 use policy::contact::Query;
 use policy::holder::Holder;
 use policy::rollout;
@@ -30,7 +31,7 @@
 const IDENTITY_WAIT: Micros = Micros::from_millis(2_500);
 
 /// Time after a claim succeeds within which the order must be sent. A process that was paused in
-/// between claims a slot again.
+/// between, or that could not connect in time, claims a slot again.
 const SLOT_LIFETIME: Micros = Micros::from_millis(250);
 
 /// How long a delegate is queried for slots after its last update: three of its update intervals.
@@ -395,15 +396,7 @@
     conn: &mut Conn,
     order: &Order,
 ) {
-    if node.now().since(order.claimed_at) > SLOT_LIFETIME {
-        // The other agents no longer count the claim.
-        agent
-            .borrow_mut()
-            .rollout
-            .slots
-            .ordered(node.now(), Outcome::Refused);
-        return log_order(order, "not sent: the slot has expired", "expired");
-    }
+    let left = SLOT_LIFETIME.since(node.now().since(order.claimed_at));
     let host = node.settings.borrow().host.clone();
     let load = LoadOrder {
         weights: &order.load.weights,
@@ -412,12 +405,13 @@
         fencing_token: order.fencing_token,
         expected_seq: order.expected_seq,
         engine_id: order.engine_id.as_deref(),
+        latest: Instant::now() + left.into(),
     };
     agent.borrow_mut().rollout.ordered_at = Some(node.now());
     let result = replica::send_order(conn, &load, ENGINE_TIMEOUT).await;
     let outcome = load_outcome(&result);
     let mut a = agent.borrow_mut();
-    if outcome != Outcome::Refused {
+    if may_be_accepted(&result) {
         a.rollout.holder.record_order();
     }
     a.rollout.slots.ordered(node.now(), outcome);
@@ -426,6 +420,9 @@
         Ok(OrderOutcome::Accepted) => ("begun".to_owned(), "begun"),
         Ok(OrderOutcome::AlreadyLoaded) => ("done".to_owned(), "done"),
         Ok(OrderOutcome::Busy) => ("busy".to_owned(), "busy"),
+        Err(EngineError::Call(CallError::Expired)) => {
+            ("not sent: the slot has expired".to_owned(), "expired")
+        }
         Err(e) => (e.to_string(), "failed"),
     };
     log_order(order, &text, label);
@@ -445,12 +442,22 @@
     });
 }
 
+/// Whether the engine may have accepted the order.
+fn may_be_accepted(result: &Result<OrderOutcome, EngineError>) -> bool {
+    match result {
+        Ok(outcome) => *outcome == OrderOutcome::Accepted,
+        Err(EngineError::Refused(status)) => !status.is_client_error(),
+        Err(e) => !e.is_unsent(),
+    }
+}
+
+/// A busy engine is executing an order that isn't known here, so its load counts until the report shows that
+/// it has ended.
 fn load_outcome(result: &Result<OrderOutcome, EngineError>) -> Outcome {
     match result {
         Ok(OrderOutcome::Accepted) => Outcome::Accepted,
-        Ok(OrderOutcome::AlreadyLoaded | OrderOutcome::Busy) | Err(EngineError::Refused(_)) => {
-            Outcome::Refused
-        }
-        Err(EngineError::Call(_) | EngineError::Malformed(_)) => Outcome::Unknown,
+        Ok(OrderOutcome::Busy) => Outcome::Unknown,
+        r if may_be_accepted(r) => Outcome::Unknown,
+        _ => Outcome::Refused,
     }
 }
--- a/crates/policy/src/contact.rs
+++ b/crates/policy/src/contact.rs
@@ -1,19 +1,36 @@
 //! Which peers answer queries, and how old their answers are.
 //!
 //! A peer that leaves several queries unanswered is skipped, so that no process waits for a dead host. Once
-//! anything is received from a skipped peer, its answers are awaited again. The limit is a number of queries
-//! and not a time, because a process that resumes after a pause has sent none meanwhile, and a slow process
-//! sends few.
+//! anything is received from a skipped peer, its answers are awaited again. A peer that still sends updates is
+//! alive, so more of its answers may be missing before it is skipped. The limits are numbers of queries and
+//! not times, because a process that resumes after a pause has sent none meanwhile, and a slow process sends
+//! few.
 
 use std::collections::HashMap;
 use std::hash::Hash;
 
 use model::Micros;
 
-/// Number of queries without a recent answer after which a peer is skipped.
-pub const MAX_UNANSWERED: u32 = 10;
-/// How long an answer is valid, counted from the time when the query was sent.
-pub const ANSWER_LIFETIME: Micros = Micros::from_millis(250);
+/// Limits on the answers of peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// How long an answer is valid, counted from the time when the query was sent; 250 ms.
+    pub lifetime: Micros,
+    /// Number of queries, with nothing received meanwhile, after which a peer is skipped; 10.
+    pub max_silent: u32,
+    /// Number of queries without a valid answer after which a peer is skipped; 10.
+    pub max_unanswered: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            lifetime: Micros::from_millis(250),
+            max_silent: 10,
+            max_unanswered: 10,
+        }
+    }
+}
 
 /// Query for a peer's current state. The answer repeats the query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,25 +44,38 @@
 /// Answers of one peer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
-    /// Number of queries since the peer's last recent answer.
+    /// Number of queries since anything was received from the peer.
+    silence: u32,
+    /// Number of queries since the peer's last valid answer.
     unanswered: u32,
     /// When the latest query of the round that the peer has answered was sent.
     last_answered: Option<Micros>,
     /// Whether the peer is skipped and nothing was received from it since.
     silent: bool,
+    /// Whether anything was ever received from the peer.
+    received: bool,
+}
+
+impl Config {
+    fn skips(&self, contact: &Contact) -> bool {
+        contact.silence > self.max_silent || contact.unanswered > self.max_unanswered
+    }
 }
 
 /// Answers of all peers. `K` identifies a peer.
 #[derive(Debug)]
 pub struct Contacts<K> {
+    config: Config,
     by_peer: HashMap<K, Contact>,
     /// Random number of the current round, if any.
     round: Option<u64>,
 }
 
-impl<K> Default for Contacts<K> {
-    fn default() -> Self {
+impl<K> Contacts<K> {
+    /// No peer was queried yet.
+    pub fn new(config: Config) -> Self {
         Self {
+            config,
             by_peer: HashMap::new(),
             round: None,
         }
@@ -58,7 +88,10 @@
         self.round = Some(round);
         for c in self.by_peer.values_mut() {
             c.last_answered = None;
-            c.unanswered = if c.silent { c.unanswered } else { 0 };
+            if !c.silent {
+                c.silence = 0;
+                c.unanswered = 0;
+            }
         }
     }
 
@@ -71,6 +104,8 @@
     pub fn received(&mut self, from: K) {
         let contact = self.by_peer.entry(from).or_default();
         contact.silent = false;
+        contact.received = true;
+        contact.silence = 0;
         if self.round.is_none() {
             contact.unanswered = 0;
         }
@@ -80,7 +115,7 @@
     /// skipped, and waiting for it would never succeed.
     pub fn answered(&mut self, now: Micros, from: K, query: Query) {
         let contact = self.by_peer.entry(from).or_default();
-        if self.round == Some(query.round) && now.since(query.sent) <= ANSWER_LIFETIME {
+        if self.round == Some(query.round) && now.since(query.sent) <= self.config.lifetime {
             contact.last_answered = contact.last_answered.max(Some(query.sent));
             contact.unanswered = 0;
         }
@@ -90,8 +125,9 @@
     pub fn query(&mut self, now: Micros, peers: Vec<K>) -> Option<(Query, Vec<K>)> {
         for k in &peers {
             let contact = self.by_peer.entry(*k).or_default();
+            contact.silence = contact.silence.saturating_add(1);
             contact.unanswered = contact.unanswered.saturating_add(1);
-            contact.silent |= contact.unanswered > MAX_UNANSWERED;
+            contact.silent |= self.config.skips(contact);
         }
         let query = Query {
             round: self.round.unwrap_or_default(),
@@ -109,6 +145,11 @@
     /// Whether a peer is skipped for lack of answers.
     pub fn is_skipped(&self, peer: &K) -> bool {
         let contact = self.by_peer.get(peer).copied().unwrap_or_default();
-        contact.silent || contact.unanswered > MAX_UNANSWERED
+        contact.silent || self.config.skips(&contact)
+    }
+
+    /// Whether anything was ever received from a peer.
+    pub fn has_received(&self, peer: &K) -> bool {
+        self.by_peer.get(peer).is_some_and(|c| c.received)
     }
 }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -10,10 +10,20 @@
 //! Updates alone may be out of date: a process that resumes after a pause still has updates from before the
 //! pause, and a process whose updates were lost lacks the latest ones. A sidecar therefore claims a slot
 //! first. It queries the other sidecars, each answers with its current state, and the engine loads only if
-//! all answers are recent and leave a slot free. A sidecar that answers counts the claim as a load for a
-//! while, so of two claims at least the later one sees the other. Among claims that see one another the one
-//! with the lower tie-break value proceeds. A claim ends before the sidecars that answered it stop counting
-//! it. A sidecar that doesn't answer is skipped ([`crate::contact`]), and its last known state is used.
+//! all answers are valid and leave a slot free. A sidecar that answers counts the claim as a load, so of two
+//! claims at least the later one sees the other. Among claims that see one another the one with the lower
+//! tie-break value proceeds.
+//!
+//! A sidecar that doesn't answer is skipped ([`crate::contact`]), and its last known state is used. While
+//! nothing arrives from it, it may have taken the slot that it last claimed, and its engine may still be
+//! loading. A claim therefore counts until the last moment at which its slot can be taken plus the time of a
+//! load, unless a later state shows otherwise. That time is a fraction of the time allowed for the change, or
+//! twice the usual time of a load if that is longer: a load may take far longer than those before it, and a
+//! sidecar that is lost during a load delays its pool by no more than the change can bear.
+//!
+//! A newly started process has no state of a peer that ordered a load before the start and is silent since.
+//! If it starts during a change, it counts every peer from which it has received nothing as loading, until
+//! such a load must have ended.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -21,7 +31,7 @@
 use model::Micros;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::contact::{self, Contacts, Query, ANSWER_LIFETIME};
+use crate::contact::{self, Contacts, Query};
 use crate::rollout::{self, Engine, Pool};
 use crate::versions::Versions;
 
@@ -33,15 +43,25 @@
 const STARTUP_WAIT: Micros = Micros::from_millis(1_500);
 /// Age of an answer after which the sidecar is queried again.
 const ANSWER_REFRESH: Micros = Micros::from_millis(100);
-/// How long another sidecar's claim counts after it was received. Longer than answers are valid, so that a
-/// claim has ended, or its load has been reported, before the other sidecars stop counting the claim.
-const CLAIM_LEASE: Micros = Micros::from_millis(500);
+/// Age of the state of a peer that claims or loads after which the peer is queried again.
+const STATE_REFRESH: Micros = Micros::from_millis(600);
+/// How long an answer is valid for a claim. Long enough for a slow process to receive the answers of all
+/// peers, and shorter than [`UPDATE_LEASE`], so that the state in a valid answer still counts.
+const ANSWER_LIFETIME: Micros = Micros::from_millis(1_500);
+/// Number of queries after which a peer is skipped that sends updates but no answers.
+const MAX_UNANSWERED: u32 = 30;
 /// Maximum number of steps of a claim: enough to skip all silent peers and to see other claims withdrawn.
-const MAX_CLAIM_STEPS: u32 = 4 * contact::MAX_UNANSWERED;
-/// Pause after an order was refused or got no answer, and after a claim failed.
+const MAX_CLAIM_STEPS: u32 = MAX_UNANSWERED + 10;
+/// Pause after a claim failed or an order was sent; doubled after each order that led to no load.
 const RETRY_DELAY: Micros = Micros::from_millis(300);
+/// Maximum number of times that the pause is doubled.
+const MAX_DOUBLINGS: u32 = 4;
+/// Fraction of the time allowed for a change for which a load counts while nothing shows its end.
+const LONGEST_LOAD: f64 = 0.5;
 /// Time after an order within which the engine's report may not show the load yet.
 const REPORT_DELAY: Micros = Micros::from_millis(500);
+/// Time for which an engine counts as loading after an order without an answer, which may be carried out late.
+const UNANSWERED_DELAY: Micros = Micros::from_millis(2_000);
 /// Time after an order before which a load of unknown duration is assumed not to have ended.
 const MIN_LOAD_TIME: Micros = Micros::from_millis(250);
 /// Weight of the latest load in the moving average of load times.
@@ -135,6 +155,8 @@
 struct Peer {
     received_at: Micros,
     state: State,
+    /// Process that ran before the one that sent the state.
+    previous: Option<u64>,
 }
 
 /// This sidecar's claim of a slot.
@@ -150,6 +172,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Loading {
     since: Micros,
+    /// Time from which the engine's report shows the load if the order is carried out; unlimited until the
+    /// outcome of the order is known.
+    shown_from: Micros,
     /// Version that this sidecar ordered; `None` if the load was already in progress when it was first seen.
     version: Option<u64>,
 }
@@ -159,11 +184,19 @@
 pub struct Slots<K> {
     peers: HashMap<K, Peer>,
     contacts: Contacts<K>,
+    /// Peers in the list of members.
+    listed: Vec<K>,
     claim: Option<Claim>,
+    /// Whether the engine is due, given the loads and those claims of other sidecars that precede its own.
+    due: bool,
     /// Whether the engine is due even if all claims of other sidecars count as loads.
     due_despite_claims: bool,
     /// When the version to load was received.
     announced: Micros,
+    /// Time allowed for the whole pool to change weights.
+    allowed: Micros,
+    /// When this process first read a report or noticed its absence.
+    started: Option<Micros>,
     /// Time from which the engine's report is certain to show a load.
     report_reliable_from: Option<Micros>,
     /// When the engine's report was last read.
@@ -177,8 +210,8 @@
     due_since: Option<Micros>,
     /// When the first of the orders was sent that haven't led to a load yet.
     first_order: Option<Micros>,
-    /// Whether the last order got no answer.
-    order_unanswered: bool,
+    /// Number of those orders.
+    failed_orders: u32,
     /// Earliest time of the next order or claim.
     paused_until: Micros,
 }
@@ -187,10 +220,18 @@
     fn default() -> Self {
         Self {
             peers: HashMap::new(),
-            contacts: Contacts::default(),
+            contacts: Contacts::new(contact::Config {
+                lifetime: ANSWER_LIFETIME,
+                max_unanswered: MAX_UNANSWERED,
+                ..contact::Config::default()
+            }),
+            listed: Vec::new(),
             claim: None,
+            due: false,
             due_despite_claims: false,
             announced: Micros::ZERO,
+            allowed: Micros::ZERO,
+            started: None,
             report_reliable_from: None,
             last_report: Micros::ZERO,
             loading: None,
@@ -198,7 +239,7 @@
             desired: 0,
             due_since: None,
             first_order: None,
-            order_unanswered: false,
+            failed_orders: 0,
             paused_until: Micros::ZERO,
         }
     }
@@ -212,17 +253,24 @@
             self.peers.remove(&from);
             return;
         };
-        // A later update of the same process has arrived before this one.
-        let reordered = |p: &Peer| p.state.process == state.process && p.state.sent > state.sent;
-        if !self.peers.get(&from).is_some_and(reordered) {
-            self.peers.insert(
-                from,
-                Peer {
-                    received_at: now,
-                    state,
-                },
-            );
+        let known = self.peers.get(&from);
+        let is_outdated = |p: &Peer| match p.state.process == state.process {
+            true => p.state.sent > state.sent,
+            false => p.previous == Some(state.process),
+        };
+        if known.is_some_and(is_outdated) {
+            return;
         }
+        let previous = known.and_then(|p| match p.state.process == state.process {
+            true => p.previous,
+            false => Some(p.state.process),
+        });
+        let peer = Peer {
+            received_at: now,
+            state,
+            previous,
+        };
+        self.peers.insert(from, peer);
     }
 
     /// Records that another sidecar has answered a query. Its state is passed to [`Self::receive`].
@@ -233,13 +281,13 @@
     /// Whether queries may be answered. A newly started process can't know yet whether its engine loads
     /// weights that the previous process ordered.
     pub fn can_answer(&self, now: Micros) -> bool {
-        self.loading.is_some() || self.report_reliable_from.is_some_and(|at| now >= at)
+        let is_reliable = |at: Micros| now >= at && self.last_report >= at;
+        self.loading.is_some() || self.report_reliable_from.is_some_and(is_reliable)
     }
 
     /// State of this engine to report to the other sidecars.
     pub fn state(&self, now: Micros, engine: u64, weights: Vec<(ModelKey, u64)>) -> State {
-        // An order that got no answer may never be carried out, so its slot expires like an unused one.
-        let unused = self.loading.is_none() || self.order_unanswered;
+        let unused = self.loading.is_none();
         State {
             engine,
             weights,
@@ -256,7 +304,9 @@
     /// Whether any engine of the pool still has to load weights or is loading them.
     pub fn under_way(&self, now: Micros) -> bool {
         let changing = |p: &Peer| p.state.desired > 0 || p.state.loading.is_some();
-        self.desired > 0 || self.recent_updates(now).any(|(_, p)| changing(p))
+        self.desired > 0
+            || self.loading.is_some()
+            || self.recent_updates(now).any(|(_, p)| changing(p))
     }
 
     /// Whether an engine without a sidecar needs a fresh report: before an order, and once a load may have
@@ -270,54 +320,69 @@
 
     /// Records the engine's report and the start or end of a load that it shows.
     pub fn report(&mut self, now: Micros, weights: &[(ModelKey, u64)], busy: bool) {
+        self.started.get_or_insert(now);
         self.report_reliable_from.get_or_insert(now + REPORT_DELAY);
         self.last_report = now;
         let Some(loading) = self.loading else {
             let found = Loading {
                 since: now,
+                shown_from: now,
                 version: None,
             };
             self.loading = busy.then_some(found);
             return;
         };
-        // A busy engine has received the order that got no answer.
-        self.order_unanswered &= !busy;
         let has = |v: u64| weights.iter().any(|(_, w)| *w >= v);
         let elapsed = now.since(loading.since);
-        if busy || (elapsed < REPORT_DELAY && !loading.version.is_some_and(has)) {
+        if busy || (now < loading.shown_from && !loading.version.is_some_and(has)) {
             return;
         }
         self.loading = None;
         if loading.version.is_some_and(has) {
             // The next order will be for another version.
             self.first_order = None;
-            self.order_unanswered = false;
+            self.failed_orders = 0;
             let old = self.load_time.map_or(elapsed.0 as f64, |l| l.0 as f64);
             let new = old + (elapsed.0 as f64 - old) * LOAD_TIME_WEIGHT;
             self.load_time = Some(Micros(new as u64));
+        } else if loading.version.is_some() {
+            self.back_off(now);
         }
     }
 
+    /// Pauses after an order that led to no load, so that other engines can use the slot meanwhile.
+    fn back_off(&mut self, now: Micros) {
+        let doublings = self.failed_orders.min(MAX_DOUBLINGS);
+        self.failed_orders += 1;
+        self.paused_until = now + Micros(RETRY_DELAY.0 << doublings);
+    }
+
     /// Records that the engine's report is overdue. Loading slows an engine down, so a load isn't taken to
     /// have ended: it keeps its slot for as long as other sidecars would count it without an update.
     pub fn report_missed(&mut self, now: Micros) {
+        self.started.get_or_insert(now);
         let counts = |l: &Loading| {
-            now.since(l.since.max(self.last_report)) < self.load_lease(self.load_time)
+            let lease = self.load_lease(self.pool_load_time(now), true);
+            now.since(l.since.max(self.last_report)) < lease
         };
         if !self.loading.as_ref().is_some_and(counts) {
-            self.engine_exited(now);
+            self.loading = None;
+            self.clear_schedule();
         }
     }
 
     /// Records that the engine has exited.
     pub fn engine_exited(&mut self, now: Micros) {
+        self.started.get_or_insert(now);
         self.report_reliable_from.get_or_insert(now);
+        self.last_report = now;
         self.loading = None;
         self.clear_schedule();
     }
 
     /// Updates whether the engine is due to load; `outdated` are the weights that it has to replace, if any.
     pub fn schedule(&mut self, now: Micros, group: &Group, outdated: Option<&OutdatedWeights<'_>>) {
+        self.allowed = group.allowed;
         let Some(outdated) = outdated else {
             return self.clear_schedule();
         };
@@ -331,18 +396,22 @@
         // Claims with a higher tie-break value are ignored here; their sidecars withdraw them.
         let precedes = |s: &State| !claiming || load_rank(s.engine, 0) < tie_break;
         let waiting_for_updates = now.since(self.announced) < INITIAL_WAIT || now < INITIAL_WAIT;
-        let due = !waiting_for_updates && self.is_due(now, group, outdated, precedes);
-        self.due_despite_claims = due && self.is_due(now, group, outdated, |_| true);
-        self.due_since = due.then(|| self.due_since.unwrap_or(now));
+        self.due = !waiting_for_updates && self.is_due(now, group, outdated, precedes);
+        self.due_despite_claims = self.due && self.is_due(now, group, outdated, |_| true);
+        // Claims of others don't restart the time: an engine that can't load would otherwise delay them anew
+        // with each of their claims.
+        let waits = !waiting_for_updates && self.is_due(now, group, outdated, |_| false);
+        self.due_since = waits.then(|| self.due_since.unwrap_or(now));
     }
 
     /// Advances the claim of a slot if the engine is due to load and `orderable`. Once the slot is taken the
     /// engine counts as loading. `peers` are the listed sidecars; `draw` is a random number that identifies
     /// a new claim.
     pub fn step(&mut self, now: Micros, peers: &[K], orderable: bool, draw: u64) -> Step<K> {
+        self.listed = peers.to_vec();
         let may_claim =
             orderable && self.loading.is_none() && self.can_answer(now) && now >= self.paused_until;
-        let Some(due) = self.due_since.filter(|_| may_claim) else {
+        let Some(due) = self.due_since.filter(|_| self.due && may_claim) else {
             self.withdraw();
             return self.query_quiet_peers(now, peers);
         };
@@ -355,10 +424,7 @@
         let peers = self.known_peers(now, peers);
         let without_answer = |age| self.peers_without_answer(&peers, now, since, age);
         let missing = without_answer(ANSWER_LIFETIME);
-        // In a slow process answers expire before all of them have arrived: after enough steps it stops
-        // waiting and relies on the last answers.
-        let must_wait = steps <= contact::MAX_UNANSWERED
-            && missing.iter().any(|k| !self.contacts.is_skipped(k));
+        let must_wait = missing.iter().any(|k| !self.contacts.is_skipped(k));
         if self.due_despite_claims && !must_wait && now > due {
             self.take_slot(now);
             return Step {
@@ -402,21 +468,23 @@
         self.due_since = Some(*self.first_order.get_or_insert(now));
         self.loading = Some(Loading {
             since: now,
+            shown_from: Micros::MAX,
             version: Some(self.desired),
         });
     }
 
     /// Queries the peers that have sent nothing since the weights were announced, so that a dead peer is
-    /// detected before a claim has to wait for it.
+    /// detected before a claim has to wait for it, and those whose claim or load may have ended.
     fn query_quiet_peers(&mut self, now: Micros, peers: &[K]) -> Step<K> {
-        if self.desired == 0 || self.loading.is_some() || now.since(self.announced) < INITIAL_WAIT {
+        let waits = self.desired > 0 && self.loading.is_none() && self.can_answer(now);
+        if !waits || now.since(self.announced) < INITIAL_WAIT {
             return Step::default();
         }
-        let received = |k: &K| {
-            self.peers
-                .get(k)
-                .is_some_and(|p| p.received_at >= self.announced)
+        let is_current = |p: &Peer| match p.state.claims || p.state.loading.is_some() {
+            true => now.since(p.received_at) < STATE_REFRESH,
+            false => p.received_at >= self.announced,
         };
+        let received = |k: &K| self.peers.get(k).is_some_and(is_current);
         let quiet = peers
             .iter()
             .filter(|k| !received(k) && !self.contacts.is_skipped(k));
@@ -442,10 +510,18 @@
     /// counts as loading until its report can show that it isn't.
     pub fn ordered(&mut self, now: Micros, outcome: Outcome) {
         self.paused_until = now + RETRY_DELAY;
-        self.order_unanswered = outcome == Outcome::Unknown;
+        if let Some(l) = &mut self.loading {
+            l.shown_from = match outcome {
+                Outcome::Unknown => now + UNANSWERED_DELAY,
+                Outcome::Accepted | Outcome::Refused => now + REPORT_DELAY,
+            };
+        }
         match outcome {
             Outcome::Accepted => self.clear_schedule(),
-            Outcome::Refused => self.loading = None,
+            Outcome::Refused => {
+                self.loading = None;
+                self.back_off(now);
+            }
             Outcome::Unknown => {}
         }
     }
@@ -453,27 +529,41 @@
     /// Clears the claim and everything that is known about the next load.
     fn clear_schedule(&mut self) {
         self.withdraw();
+        self.due = false;
         self.due_despite_claims = false;
         self.first_order = None;
-        self.order_unanswered = false;
+        self.failed_orders = 0;
         self.desired = 0;
         self.due_since = None;
     }
 
-    /// Valid updates: recent ones, and those of a loading engine for as long as the load may last.
+    /// Valid updates: recent ones, and those of an engine that loads, or whose sidecar claims a slot, for as
+    /// long as the load may last.
     fn recent_updates(&self, now: Micros) -> impl Iterator<Item = (&K, &Peer)> {
-        let lease = move |p: &Peer| match p.state.loading {
-            Some(_) => self.load_lease(p.state.load_time.or(self.load_time)),
-            None => UPDATE_LEASE,
+        let lease = move |k: &K, p: &Peer| {
+            let load_time = p.state.load_time.or(self.load_time);
+            let load = self.load_lease(load_time, self.listed.contains(k));
+            match p.state.loading {
+                Some(_) => load,
+                None if p.state.claims => ANSWER_LIFETIME + load,
+                None => UPDATE_LEASE,
+            }
         };
         self.peers
             .iter()
-            .filter(move |(_, p)| now.since(p.received_at) < lease(p))
+            .filter(move |(k, p)| now.since(p.received_at) < lease(k, p))
     }
 
-    /// How long a load counts without an update, given its usual duration.
-    fn load_lease(&self, load_time: Option<Micros>) -> Micros {
-        Micros(2 * load_time.unwrap_or_default().0).max(UPDATE_LEASE)
+    /// How long a load counts without an update, given its usual duration and whether the sidecar is listed.
+    /// A single load may take far longer than usual; a sidecar that has left the list was silent for longer
+    /// than most pauses last.
+    fn load_lease(&self, load_time: Option<Micros>, listed: bool) -> Micros {
+        let usual = Micros(2 * load_time.unwrap_or_default().0).max(UPDATE_LEASE);
+        let longest = Micros((self.allowed.0 as f64 * LONGEST_LOAD) as u64);
+        match listed {
+            true => usual.max(longest),
+            false => usual,
+        }
     }
 
     /// How long a load takes: this engine's average, or else the median of the pool.
@@ -500,7 +590,7 @@
         let engine = |p: &Peer| {
             let (_, version) = p.state.weights.iter().find(|(m, _)| *m == outdated.model)?;
             let since = now.since(p.received_at);
-            let claims = p.state.claims && since < CLAIM_LEASE && counts(&p.state);
+            let claims = p.state.claims && counts(&p.state);
             Some(Engine {
                 version: *version,
                 rank: load_rank(p.state.engine, newest),
@@ -508,13 +598,40 @@
                     Some(l) => Some(l + since),
                     None => claims.then_some(since),
                 },
-                // On slow hosts a claim may last long; a claim is not an unused slot.
-                due: p.state.due.filter(|_| !p.state.claims).map(|d| d + since),
+                due: match p.state.due {
+                    // On slow hosts a claim may last long; a claim is not an unused slot.
+                    _ if claims => None,
+                    // Its sidecar withdraws the claim.
+                    _ if p.state.claims => Some(Micros::MAX),
+                    // The sidecar has no right to order its engine or lacks the announcement.
+                    None if p.state.desired == 0 && p.state.loading.is_none() => Some(Micros::MAX),
+                    due => due.map(|d| d + since),
+                },
             })
         };
-        self.recent_updates(now)
-            .filter_map(|(_, p)| engine(p))
-            .collect()
+        let known = self.recent_updates(now).filter_map(|(_, p)| engine(p));
+        let unknown = (0..self.unknown_peers(now)).map(|_| Engine {
+            version: newest,
+            rank: 0,
+            loading: Some(Micros::ZERO),
+            due: None,
+        });
+        known.chain(unknown).collect()
+    }
+
+    /// Number of peers that have been silent since this process started, and that may be loading since before.
+    fn unknown_peers(&self, now: Micros) -> usize {
+        let started = self.started.unwrap_or(now);
+        let during_change = self.announced < started + UPDATE_LEASE;
+        let lease = self.load_lease(self.pool_load_time(now), true);
+        let unknown = self
+            .listed
+            .iter()
+            .filter(|k| !self.contacts.has_received(k));
+        match during_change && now.since(started) < lease {
+            true => unknown.count(),
+            false => 0,
+        }
     }
 
     fn is_due(
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -16,7 +16,7 @@
 
 use model::Micros;
 
-use crate::contact::{Contacts, Query, ANSWER_LIFETIME};
+use crate::contact::{self, Contacts, Query};
 use crate::quarantine::Fingerprint;
 
 /// Interval between queries while a claim is open.
@@ -85,7 +85,7 @@
 impl<K> Default for Trials<K> {
     fn default() -> Self {
         Self {
-            contacts: Contacts::default(),
+            contacts: Contacts::new(contact::Config::default()),
             own: HashMap::new(),
             others: HashMap::new(),
             last_query: None,
@@ -127,7 +127,8 @@
         let Some(own) = self.own.get(&fingerprint) else {
             return false;
         };
-        let oldest = Micros(now.0.saturating_sub(ANSWER_LIFETIME.0)).max(own.since);
+        let lifetime = contact::Config::default().lifetime;
+        let oldest = Micros(now.0.saturating_sub(lifetime.0)).max(own.since);
         let allows = |a: &Answer| !a.busy && a.sent >= oldest;
         let free = |k: &K| own.answers.get(k).is_some_and(allows);
         let precedes = |(key, o): (&(K, Fingerprint), &PeerClaim)| {
