--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -15,13 +15,15 @@
 mod cluster;
 mod faults;
 
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{sleep, sleep_until, Instant};
 
-use cluster::Cluster;
+use crate::fleet::{fetch_from, TIMEOUT};
+use cluster::{Cluster, TimelineOnFailure};
 
 /// Seeds of each CI run.
 const SEEDS: std::ops::Range<u64> = 1..2;
@@ -36,10 +38,30 @@
 /// Number of concurrent callers.
 const CALLERS: u64 = 10;
 
+/// Interval at which the test's runtime is checked for stalls.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Least stall of the test's runtime that is recorded.
+const MIN_STALL: Duration = Duration::from_millis(100);
+
+/// Records stalls of the test's runtime, which runs the links, replicas and callers.
+async fn record_stalls(cluster: Arc<Cluster>) {
+    loop {
+        let due = Instant::now() + STALL_CHECK_INTERVAL;
+        sleep_until(due).await;
+        let stall = due.elapsed();
+        if stall >= MIN_STALL {
+            cluster.record(format_args!("the test was stalled for {stall:?}"));
+        }
+    }
+}
+
 /// Runs the processes of a seed under its faults and checks the result.
 async fn run(seed: u64) {
     let cluster = Cluster::start(seed).await;
+    let _timeline = TimelineOnFailure(Arc::clone(&cluster));
     let end = Instant::now() + FAULT_DURATION;
+    let mut stalls = JoinSet::new();
+    stalls.spawn(record_stalls(Arc::clone(&cluster)));
     let mut requests = JoinSet::new();
     for caller in 0..CALLERS {
         requests.spawn(callers::send_requests(
@@ -62,6 +84,8 @@
     check::check_recovery(seed, &cluster).await;
     check::check_departed_target(seed, &cluster, faults_cleared).await;
     check::check_promises(seed, &cluster, &outcomes);
+    // The processes end here, and not on a worker while the next seed runs.
+    stalls.shutdown().await;
     let is_served = |o: &&callers::Outcome| o.answer.as_ref().is_some_and(|a| a.status == 200);
     let served = outcomes.iter().filter(is_served).count();
     println!(
@@ -85,6 +109,61 @@
     }
 }
 
+/// Number of threads of the test's runtime.
+const WORKERS: usize = 2;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_calls_on_a_process_do_not_stall_the_callers() {
+    // A call on a process may wait for a slow disk. If that stalled the links, replicas and callers,
+    // callers would miss answers that were sent in time.
+    struct Case {
+        name: &'static str,
+        call: fn(&Cluster),
+    }
+    let cases = [
+        Case {
+            name: "signal",
+            call: |cluster| cluster.entries[0].host.signal("CONT"),
+        },
+        Case {
+            name: "check for the end",
+            call: |cluster| assert!(!cluster.entries[0].host.has_ended()),
+        },
+        Case {
+            name: "log",
+            call: |cluster| drop(cluster.entries[0].host.log_of_request("any")),
+        },
+    ];
+    let cluster = Cluster::start(1).await;
+    for case in cases {
+        let (locked, is_locked) = oneshot::channel();
+        let (release, released) = mpsc::channel();
+        let blocker = std::thread::spawn({
+            let cluster = Arc::clone(&cluster);
+            move || {
+                let _daemon = cluster.entries[0].host.daemon();
+                locked.send(()).expect("a test that waits");
+                released.recv_timeout(TIMEOUT)
+            }
+        });
+        is_locked.await.expect("a blocked process");
+        let mut calls = JoinSet::new();
+        for _ in 0..WORKERS {
+            let cluster = Arc::clone(&cluster);
+            calls.spawn(async move { (case.call)(&cluster) });
+        }
+        sleep(STALL_CHECK_INTERVAL).await;
+        let link = cluster.entries[1].link.addr();
+        let answer = fetch_from(link, "/log/1", case.name).await;
+        assert_eq!(answer.expect("an answer").status, 200, "{}", case.name);
+        // The blocker has given up if the answer arrived only after the calls had ended.
+        let _ = release.send(());
+        let released = blocker.join().expect("a blocker");
+        assert!(released.is_ok(), "{}: no answer meanwhile", case.name);
+        calls.join_all().await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_overlapping_faults() {
     // Faults that overlap lead to wrong or repeated answers, to requests that ran but are reported
