Add a failing test of a paused sidecar whose suspect run is forgotten

A claim counts for 500 ms and a silent sidecar is skipped after 11 queries, while a claimed run may crash its target for 2 s. Seen: the second run starts 510 ms after the paused sidecar's claim.

--- a/crates/policy/tests/trial.rs
+++ b/crates/policy/tests/trial.rs
@@ -399,3 +399,25 @@
         }
     }
 }
+
+/// Guards against a second run of a suspect while a sidecar that claimed the first one is paused and its run may
+/// still crash its target.
+#[test]
+fn paused_sidecar_loses_its_claim_while_its_run_may_crash() {
+    const PEER: u64 = 1;
+    /// Time after which a run no longer crashes its target at the start, in ms.
+    const CRASH_AGE: u64 = 2_000;
+    let mut trials: Trials<u64> = Trials::default();
+    let claim = Claim {
+        fingerprint: FINGERPRINT,
+        rank: 1,
+    };
+    trials.receive(ms(0), PEER, claim);
+    trials.claim(ms(10), FINGERPRINT, 2);
+    let run = (10..10_000).step_by(10).find(|now| {
+        trials.step(ms(*now), &[PEER]);
+        trials.may_run(ms(*now), FINGERPRINT, &[PEER])
+    });
+    let run = run.expect("a dead sidecar is skipped");
+    assert!(run >= CRASH_AGE, "runs {run} ms after the peer's claim");
+}
