Add a failing test of a late update of a peer's previous process

Slots::receive takes a process that it doesn't know for a newer one, and from then on ignores the running one as the process before. Seen: after the updates of processes 2, 1 the peer answers each query that it loads, and the engine is ordered all the same, for as long as both processes run.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -2,6 +2,7 @@
 //! arrives. No event is random ([`pool`]).
 
 mod pool;
+mod state;
 
 use policy::slots::Outcome;
 
