Add a failing test of an order ended by the version of another model

Slots::report compares the ordered version with those of all models of the engine. Seen: with a second model at a higher version, the slot of an order without an answer is free 50 ms after the outcome instead of 2 s.

--- a/crates/policy/tests/slots_order/state.rs
+++ b/crates/policy/tests/slots_order/state.rs
@@ -92,3 +92,24 @@
     let broken: Vec<_> = broken.collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Guards against an order without an answer that loses its slot because another model of the engine has a higher
+/// version.
+#[test]
+fn version_of_another_model_ends_an_unanswered_load() {
+    let weights = [(MODEL, 2), (OTHER_MODEL, 10)];
+    let broken = [&weights[..1], &weights[..]].map(|weights| {
+        let mut slots = Slots::default();
+        let idle = |now| Some(peer_state(1, now, false));
+        let at = order_time(&mut slots, weights, idle, 0..8_000).expect("a free slot is taken");
+        slots.ordered(ms(at + 250), Outcome::Unknown);
+        slots.report(ms(at + 300), weights, false);
+        let state = slots.state(ms(at + 300), 0, Vec::new());
+        state.loading.is_none().then_some(weights.len())
+    });
+    let broken: Vec<_> = broken.into_iter().flatten().collect();
+    assert!(
+        broken.is_empty(),
+        "slot lost after 50 ms with models: {broken:?}"
+    );
+}
