Add a failing test of an old update without a state that removes a load

Slots::receive removes a peer without comparing when the update was sent. Seen: the engine is ordered 1.5 s after the peer's load was reported.

--- a/crates/policy/tests/slots_order/state.rs
+++ b/crates/policy/tests/slots_order/state.rs
@@ -113,3 +113,16 @@
         "slot lost after 50 ms with models: {broken:?}"
     );
 }
+
+/// Guards against an update from before a load, overtaken by later ones, that removes the load.
+#[test]
+fn late_update_of_an_engine_that_did_not_answer_removes_its_later_load() {
+    let mut slots = Slots::default();
+    slots.receive(ms(500), PEER, Some(peer_state(1, 490, true)));
+    slots.receive(ms(505), PEER, None);
+    let ordered = order_time(&mut slots, &[(MODEL, 2)], |_| None, 0..8_000);
+    assert_eq!(
+        ordered, None,
+        "ordered though the silent peer may still load"
+    );
+}
