Add a failing test of a load that a restarted sidecar forgets

Peers that are silent since the start count as loading only if the version was announced within 1.6 s of the start. Seen: of three engines two load when the version comes 2 s after the start of a sidecar whose own engine was up to date.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -493,3 +493,38 @@
     let scripts = cases.map(|c| (c.name.to_owned(), (c.script)(first)));
     assert_others_load(first, scripts);
 }
+
+/// Guards against a restarted sidecar that forgets a load of a silent peer because its own engine was up to date
+/// when it started.
+#[test]
+fn load_from_before_a_restart_is_forgotten_by_an_engine_that_was_up_to_date() {
+    let order = load_order(3, 2);
+    let (restarted, loading) = (order[0], order[2]);
+    let first = (3..40).find(|v| {
+        let next = load_order(3, *v);
+        let place = |host| next.iter().position(|h| *h == host);
+        place(restarted) < place(order[1])
+    });
+    let first = first.expect("ranks differ between versions");
+    let mut loads = vec![600; 3];
+    loads[loading] = 12_000;
+    let base = Script {
+        loads,
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 2);
+    assert_eq!(host, loading);
+    let scripts = [1_000, 1_500, 2_000, 3_000].map(|after| {
+        let script = Script {
+            announced: vec![
+                announcement(2, 2_000),
+                announcement(first, at + 300 + after),
+            ],
+            killed: vec![span(restarted, at + 100, at + 300)],
+            paused: vec![span(loading, at + 5, at + 12_000)],
+            ..base.clone()
+        };
+        (format!("announced {after} ms after the start"), script)
+    });
+    assert_one_loads(scripts);
+}
