--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -528,3 +528,36 @@
     });
     assert_one_loads(scripts);
 }
+
+/// Guards against a pool of any size that doesn't finish, with all sidecars in touch and with one that was never
+/// there.
+#[test]
+fn pool_of_any_size_never_finishes() {
+    for hosts in [1, 2, 3, 9, 96] {
+        for absent in [None, Some(hosts - 1)]
+            .into_iter()
+            .filter(|a| hosts > 1 || a.is_none())
+        {
+            let script = Script {
+                hosts,
+                poll: 50,
+                phase: 5,
+                killed: absent.map(|h| span(h, 0, 200_000)).into_iter().collect(),
+                deadline: 70_000,
+                ..Script::default()
+            };
+            let run = run(&script);
+            let last = run.orders.iter().map(|(_, at)| *at).max();
+            println!(
+                "{hosts} hosts, absent {absent:?}: most {}, last order {last:?} ms",
+                run.most
+            );
+            let lacking = run
+                .versions
+                .iter()
+                .enumerate()
+                .filter(|(h, v)| Some(*h) != absent && **v < 2);
+            assert_eq!(lacking.count(), 0, "{hosts} hosts, absent {absent:?}");
+        }
+    }
+}
