Add a failing test of sidecars that are killed for good one after the other

A lost load counts for half of the time allowed. Seen: two sidecars of four killed after their orders, the last engine is ordered 61 s after the announcement, with 60 s allowed.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -561,3 +561,58 @@
         }
     }
 }
+
+/// Guards against sidecars that are killed for good after their claims or orders, and that keep the others from
+/// loading in the time allowed.
+#[test]
+fn sidecars_killed_for_good_block_their_pool_for_longer_than_allowed() {
+    struct Case {
+        name: &'static str,
+        hosts: usize,
+        /// Time from the order of a sidecar to its death, in ms, by the number of the sidecar.
+        deaths: &'static [i64],
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "order", hosts: 3, deaths: &[5] },
+        Case { name: "claim", hosts: 3, deaths: &[-20] },
+        Case { name: "two orders, one after the other", hosts: 4, deaths: &[5, 5] },
+        Case { name: "two orders of nine", hosts: 9, deaths: &[5, 5] },
+    ];
+    let broken = cases.iter().filter_map(|c| {
+        let mut script = Script {
+            hosts: c.hosts,
+            deadline: 130_000,
+            ..Script::default()
+        };
+        for (number, after) in c.deaths.iter().enumerate() {
+            let (host, at) = order_at(&script, number);
+            let from = at.saturating_add_signed(*after);
+            script.killed.push(span(host, from, 200_000));
+        }
+        let run = run(&script);
+        let dead = |host| script.killed.iter().any(|s| s.host == host);
+        let last = run
+            .orders
+            .iter()
+            .filter(|(h, _)| !dead(*h))
+            .map(|(_, at)| *at)
+            .max();
+        let lacking = (0..c.hosts)
+            .filter(|h| !dead(*h) && run.versions[*h] < 2)
+            .count();
+        println!(
+            "{}: last order {last:?} ms, {lacking} lack the version, most {}",
+            c.name, run.most
+        );
+        let in_time = last.is_some_and(|at| at < 2_000 + script.allowed) && lacking == 0;
+        (!in_time).then(|| {
+            format!(
+                "{}: last order {last:?} ms, {lacking} lack the version",
+                c.name
+            )
+        })
+    });
+    let broken: Vec<_> = broken.collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
