Add a failing test of two sidecars that can't reach each other

After 11 queries without an answer a peer is skipped, and its last state counts. Seen: of three engines two load when one link is cut for 1 s at the time of the announcement, though both sidecars reach the third.

--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -616,3 +616,18 @@
     let broken: Vec<_> = broken.collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Guards against two loads while two sidecars can't reach each other and both reach a third.
+#[test]
+fn sidecars_that_reach_each_other_only_through_a_third_both_load() {
+    let order = load_order(3, 2);
+    let scripts = [500, 1_000, 1_500, 2_000, 3_000, 5_000].map(|length| {
+        let script = Script {
+            loads: vec![4_000],
+            cuts: vec![(order[0], span(order[1], 2_000, 2_000 + length))],
+            ..Script::default()
+        };
+        (format!("cut for {length} ms"), script)
+    });
+    assert_one_loads(scripts);
+}
--- a/crates/policy/tests/slots_order/pool.rs
+++ b/crates/policy/tests/slots_order/pool.rs
@@ -74,6 +74,8 @@
     pub(crate) barred: Vec<Span>,
     /// Sidecars whose updates are lost, other than those that come with a query or an answer.
     pub(crate) lost: Vec<Span>,
+    /// Pairs of sidecars between which all datagrams are lost.
+    pub(crate) cuts: Vec<(usize, Span)>,
     pub(crate) fates: Vec<Fate>,
     /// Fate of all further orders of a host.
     pub(crate) last_fate: Option<Fate>,
@@ -98,6 +100,7 @@
             unorderable: Vec::new(),
             barred: Vec::new(),
             lost: Vec::new(),
+            cuts: Vec::new(),
             fates: Vec::new(),
             last_fate: None,
             allowed: 60_000,
@@ -277,6 +280,13 @@
         if is_update && holds(&self.script.lost, datagram.from, now) {
             return;
         }
+        let joins = |one: usize, other: usize| (one, other) == (datagram.from, to);
+        let mut cuts = self.script.cuts.iter();
+        if cuts.any(|(one, s)| {
+            (joins(*one, s.host) || joins(s.host, *one)) && s.from <= now && now < s.to
+        }) {
+            return;
+        }
         self.sequence += 1;
         let key = (now + DELAY, self.sequence);
         self.in_flight.insert(key, (to, datagram));
