Add a failing test of a permit that expires during a load

The permit of a stopped sidecar expires after its term of 10 s, whether or not its engine still loads. Seen: with one permit and loads of 16 s, the second engine was ordered 10.4 s after the first.

--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -298,3 +298,30 @@
     let load = Caller::new(fleet.replicas[0].standin.at, "").get("/load");
     assert_eq!(load.json()["model"], "lekha");
 }
+
+/// Guards against a second load while the sidecar of a loading engine is stopped and its permit expires.
+#[test]
+fn sidecar_stopped_during_its_load_loses_its_permit() {
+    let load_time = Duration::from_secs(16);
+    let set = Settings {
+        load_time,
+        ..engine(Fencing::Honour)
+    };
+    let fleet = Fleet::start(1, 2, &set);
+    let one_permit = "fencing = true\npermits = 1";
+    fleet.apply(&config_with_weights("2", Fencing::Honour).replace("fencing = true", one_permit));
+    let ordered = |at: usize| !fleet.replicas[at].engine.orders().is_empty();
+    wait_for("an engine to load", || ordered(0) || ordered(1));
+    let first = usize::from(ordered(1));
+    fleet.replicas[first].sidecar.signal("STOP");
+    let stopped = Instant::now();
+    while !ordered(1 - first) && stopped.elapsed() < load_time * 3 {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.replicas[first].sidecar.signal("CONT");
+    let start = |at: usize| fleet.replicas[at].engine.orders().first().map(|o| o.at);
+    let (one, other) = (start(first), start(1 - first));
+    println!("orders at {one:?} and {other:?} us, each load takes {load_time:?}");
+    let gap = Duration::from_micros(other.unwrap_or_default() - one.unwrap_or_default());
+    assert!(gap >= load_time, "second load {gap:?} after the first");
+}
