--- a/crates/policy/tests/slots_order/main.rs
+++ b/crates/policy/tests/slots_order/main.rs
@@ -2,6 +2,7 @@
 //! arrives. No event is random ([`pool`]).
 
 mod pool;
+mod state;
 
 use policy::slots::Outcome;
 
@@ -492,3 +493,141 @@
     let scripts = cases.map(|c| (c.name.to_owned(), (c.script)(first)));
     assert_others_load(first, scripts);
 }
+
+/// Guards against a restarted sidecar that forgets a load of a silent peer because its own engine was up to date
+/// when it started.
+#[test]
+fn load_from_before_a_restart_is_forgotten_by_an_engine_that_was_up_to_date() {
+    let order = load_order(3, 2);
+    let (restarted, loading) = (order[0], order[2]);
+    let first = (3..40).find(|v| {
+        let next = load_order(3, *v);
+        let place = |host| next.iter().position(|h| *h == host);
+        place(restarted) < place(order[1])
+    });
+    let first = first.expect("ranks differ between versions");
+    let mut loads = vec![600; 3];
+    loads[loading] = 12_000;
+    let base = Script {
+        loads,
+        ..Script::default()
+    };
+    let (host, at) = order_at(&base, 2);
+    assert_eq!(host, loading);
+    let scripts = [1_000, 1_500, 2_000, 3_000].map(|after| {
+        let script = Script {
+            announced: vec![
+                announcement(2, 2_000),
+                announcement(first, at + 300 + after),
+            ],
+            killed: vec![span(restarted, at + 100, at + 300)],
+            paused: vec![span(loading, at + 5, at + 12_000)],
+            ..base.clone()
+        };
+        (format!("announced {after} ms after the start"), script)
+    });
+    assert_one_loads(scripts);
+}
+
+/// Guards against a pool of any size that doesn't finish, with all sidecars in touch and with one that was never
+/// there.
+#[test]
+fn pool_of_any_size_never_finishes() {
+    for hosts in [1, 2, 3, 9, 96] {
+        for absent in [None, Some(hosts - 1)]
+            .into_iter()
+            .filter(|a| hosts > 1 || a.is_none())
+        {
+            let script = Script {
+                hosts,
+                poll: 50,
+                phase: 5,
+                killed: absent.map(|h| span(h, 0, 200_000)).into_iter().collect(),
+                deadline: 70_000,
+                ..Script::default()
+            };
+            let run = run(&script);
+            let last = run.orders.iter().map(|(_, at)| *at).max();
+            println!(
+                "{hosts} hosts, absent {absent:?}: most {}, last order {last:?} ms",
+                run.most
+            );
+            let lacking = run
+                .versions
+                .iter()
+                .enumerate()
+                .filter(|(h, v)| Some(*h) != absent && **v < 2);
+            assert_eq!(lacking.count(), 0, "{hosts} hosts, absent {absent:?}");
+        }
+    }
+}
+
+/// Guards against sidecars that are killed for good after their claims or orders, and that keep the others from
+/// loading in the time allowed.
+#[test]
+fn sidecars_killed_for_good_block_their_pool_for_longer_than_allowed() {
+    struct Case {
+        name: &'static str,
+        hosts: usize,
+        /// Time from the order of a sidecar to its death, in ms, by the number of the sidecar.
+        deaths: &'static [i64],
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "order", hosts: 3, deaths: &[5] },
+        Case { name: "claim", hosts: 3, deaths: &[-20] },
+        Case { name: "two orders, one after the other", hosts: 4, deaths: &[5, 5] },
+        Case { name: "two orders of nine", hosts: 9, deaths: &[5, 5] },
+    ];
+    let broken = cases.iter().filter_map(|c| {
+        let mut script = Script {
+            hosts: c.hosts,
+            deadline: 130_000,
+            ..Script::default()
+        };
+        for (number, after) in c.deaths.iter().enumerate() {
+            let (host, at) = order_at(&script, number);
+            let from = at.saturating_add_signed(*after);
+            script.killed.push(span(host, from, 200_000));
+        }
+        let run = run(&script);
+        let dead = |host| script.killed.iter().any(|s| s.host == host);
+        let last = run
+            .orders
+            .iter()
+            .filter(|(h, _)| !dead(*h))
+            .map(|(_, at)| *at)
+            .max();
+        let lacking = (0..c.hosts)
+            .filter(|h| !dead(*h) && run.versions[*h] < 2)
+            .count();
+        println!(
+            "{}: last order {last:?} ms, {lacking} lack the version, most {}",
+            c.name, run.most
+        );
+        let in_time = last.is_some_and(|at| at < 2_000 + script.allowed) && lacking == 0;
+        (!in_time).then(|| {
+            format!(
+                "{}: last order {last:?} ms, {lacking} lack the version",
+                c.name
+            )
+        })
+    });
+    let broken: Vec<_> = broken.collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Guards against two loads while two sidecars can't reach each other and both reach a third.
+#[test]
+fn sidecars_that_reach_each_other_only_through_a_third_both_load() {
+    let order = load_order(3, 2);
+    let scripts = [500, 1_000, 1_500, 2_000, 3_000, 5_000].map(|length| {
+        let script = Script {
+            loads: vec![4_000],
+            cuts: vec![(order[0], span(order[1], 2_000, 2_000 + length))],
+            ..Script::default()
+        };
+        (format!("cut for {length} ms"), script)
+    });
+    assert_one_loads(scripts);
+}
