Take the latest received state of a peer, whatever process sent it

Cause: a state of the process that ran before a peer's current one was ignored. A datagram of it that is delayed past the peer's restart made the running process count as the former one, so that all it said was ignored until a restart.

`Contact::silent` is `skipped`, which it says; trials take the lifetime of answers from their own contacts.

--- a/crates/policy/src/contact.rs
+++ b/crates/policy/src/contact.rs
@@ -51,7 +51,7 @@
     /// When the latest query of the round that the peer has answered was sent.
     last_answered: Option<Micros>,
     /// Whether the peer is skipped and nothing was received from it since.
-    silent: bool,
+    skipped: bool,
     /// Whether anything was ever received from the peer.
     received: bool,
 }
@@ -88,7 +88,7 @@
         self.round = Some(round);
         for c in self.by_peer.values_mut() {
             c.last_answered = None;
-            if !c.silent {
+            if !c.skipped {
                 c.silence = 0;
                 c.unanswered = 0;
             }
@@ -103,7 +103,7 @@
     /// Records that something was received from a peer.
     pub fn received(&mut self, from: K) {
         let contact = self.by_peer.entry(from).or_default();
-        contact.silent = false;
+        contact.skipped = false;
         contact.received = true;
         contact.silence = 0;
         if self.round.is_none() {
@@ -127,7 +127,7 @@
             let contact = self.by_peer.entry(*k).or_default();
             contact.silence = contact.silence.saturating_add(1);
             contact.unanswered = contact.unanswered.saturating_add(1);
-            contact.silent |= self.config.skips(contact);
+            contact.skipped |= self.config.skips(contact);
         }
         let query = Query {
             round: self.round.unwrap_or_default(),
@@ -145,7 +145,12 @@
     /// Whether a peer is skipped for lack of answers.
     pub fn is_skipped(&self, peer: &K) -> bool {
         let contact = self.by_peer.get(peer).copied().unwrap_or_default();
-        contact.silent || self.config.skips(&contact)
+        contact.skipped || self.config.skips(&contact)
+    }
+
+    /// How long an answer is valid.
+    pub fn lifetime(&self) -> Micros {
+        self.config.lifetime
     }
 
     /// Whether anything was ever received from a peer.
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -22,8 +22,8 @@
 //! sidecar that is lost during a load delays its pool by no more than the change can bear.
 //!
 //! A newly started process has no state of a peer that ordered a load before the start and is silent since.
-//! If it starts during a change, it counts every peer from which it has received nothing as loading, until
-//! such a load must have ended.
+//! If a change is under way at the start or shortly after it, the process counts every peer from which it has
+//! received nothing as loading, until such a load must have ended.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -39,6 +39,8 @@
 const UPDATE_LEASE: Micros = Micros::from_millis(1_600);
 /// How long the first updates are awaited after new weights were announced or the process started.
 const INITIAL_WAIT: Micros = Micros::from_millis(150);
+/// Time after the start of a process up to which a change counts as under way at the start.
+const STARTUP_PERIOD: Micros = Micros::from_millis(1_600);
 /// How long a newly started process that has received no update waits for one.
 const STARTUP_WAIT: Micros = Micros::from_millis(1_500);
 /// Age of an answer after which the sidecar is queried again.
@@ -155,8 +157,6 @@
 struct Peer {
     received_at: Micros,
     state: State,
-    /// Process that ran before the one that sent the state.
-    previous: Option<u64>,
 }
 
 /// This sidecar's claim of a slot.
@@ -253,24 +253,15 @@
             self.peers.remove(&from);
             return;
         };
-        let known = self.peers.get(&from);
-        let is_outdated = |p: &Peer| match p.state.process == state.process {
-            true => p.state.sent > state.sent,
-            false => p.previous == Some(state.process),
-        };
-        if known.is_some_and(is_outdated) {
-            return;
+        // A later update of the same process has arrived before this one.
+        let reordered = |p: &Peer| p.state.process == state.process && p.state.sent > state.sent;
+        if !self.peers.get(&from).is_some_and(reordered) {
+            let peer = Peer {
+                received_at: now,
+                state,
+            };
+            self.peers.insert(from, peer);
         }
-        let previous = known.and_then(|p| match p.state.process == state.process {
-            true => p.previous,
-            false => Some(p.state.process),
-        });
-        let peer = Peer {
-            received_at: now,
-            state,
-            previous,
-        };
-        self.peers.insert(from, peer);
     }
 
     /// Records that another sidecar has answered a query. Its state is passed to [`Self::receive`].
@@ -622,7 +613,7 @@
     /// Number of peers that have been silent since this process started, and that may be loading since before.
     fn unknown_peers(&self, now: Micros) -> usize {
         let started = self.started.unwrap_or(now);
-        let during_change = self.announced < started + UPDATE_LEASE;
+        let during_change = self.announced < started + STARTUP_PERIOD;
         let lease = self.load_lease(self.pool_load_time(now), true);
         let unknown = self
             .listed
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -127,7 +127,7 @@
         let Some(own) = self.own.get(&fingerprint) else {
             return false;
         };
-        let lifetime = contact::Config::default().lifetime;
+        let lifetime = self.contacts.lifetime();
         let oldest = Micros(now.0.saturating_sub(lifetime.0)).max(own.since);
         let allows = |a: &Answer| !a.busy && a.sent >= oldest;
         let free = |k: &K| own.answers.get(k).is_some_and(allows);
