End a load only on the version of its own model

What callers saw: nothing on record; two engines of a pool with several models load where one may.

Cause: an engine that reports a version of any model at or above the ordered one counted as done. With a second model at a higher version an order without an answer lost its slot with the next report, and its time was learned as a load's.

Evidence: policy slots_order, version_of_another_model_ends_an_unanswered_load, fails before: the slot is free 50 ms after an order without an answer, in place of 2 s.

Change: a load knows the model that was ordered.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -175,8 +175,9 @@
     /// Time from which the engine's report shows the load if the order is carried out; unlimited until the
     /// outcome of the order is known.
     shown_from: Micros,
-    /// Version that this sidecar ordered; `None` if the load was already in progress when it was first seen.
-    version: Option<u64>,
+    /// Model and version that this sidecar ordered; `None` if the load was already in progress when it was
+    /// first seen.
+    ordered: Option<(ModelKey, u64)>,
 }
 
 /// What one sidecar records about the weight loads of its pool. `K` identifies the other sidecars.
@@ -204,6 +205,8 @@
     loading: Option<Loading>,
     /// Moving average of this engine's load times.
     load_time: Option<Micros>,
+    /// Model of the weights that the engine still has to load.
+    model: ModelKey,
     /// Version that the engine still has to load; 0 if it is up to date.
     desired: u64,
     /// When the engine became due to load.
@@ -236,6 +239,7 @@
             last_report: Micros::ZERO,
             loading: None,
             load_time: None,
+            model: ModelKey(0),
             desired: 0,
             due_since: None,
             first_order: None,
@@ -318,25 +322,25 @@
             let found = Loading {
                 since: now,
                 shown_from: now,
-                version: None,
+                ordered: None,
             };
             self.loading = busy.then_some(found);
             return;
         };
-        let has = |v: u64| weights.iter().any(|(_, w)| *w >= v);
+        let has = |(model, version)| weights.iter().any(|(m, v)| *m == model && *v >= version);
         let elapsed = now.since(loading.since);
-        if busy || (now < loading.shown_from && !loading.version.is_some_and(has)) {
+        if busy || (now < loading.shown_from && !loading.ordered.is_some_and(has)) {
             return;
         }
         self.loading = None;
-        if loading.version.is_some_and(has) {
+        if loading.ordered.is_some_and(has) {
             // The next order will be for another version.
             self.first_order = None;
             self.failed_orders = 0;
             let old = self.load_time.map_or(elapsed.0 as f64, |l| l.0 as f64);
             let new = old + (elapsed.0 as f64 - old) * LOAD_TIME_WEIGHT;
             self.load_time = Some(Micros(new as u64));
-        } else if loading.version.is_some() {
+        } else if loading.ordered.is_some() {
             self.back_off(now);
         }
     }
@@ -380,6 +384,7 @@
         if self.loading.is_some() {
             return;
         }
+        self.model = outdated.model;
         self.desired = outdated.announced.newest();
         self.announced = outdated.announced.received_at();
         let tie_break = load_rank(group.engine, 0);
@@ -460,7 +465,7 @@
         self.loading = Some(Loading {
             since: now,
             shown_from: Micros::MAX,
-            version: Some(self.desired),
+            ordered: Some((self.model, self.desired)),
         });
     }
 
