Gate tests: a target that leaves after a restored store listed it is kept

Cause: for 2.2 s after its first read of a new era, an entry takes any missing target as lost by the restore. retain_until gets the time of that read, but not whether the read listed the target.

The new test needs no processes and fails on this code.

--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -311,6 +311,57 @@
     }
 }
 
+/// Guards against requests to a target that left after a restored store had listed it.
+#[test]
+fn target_that_leaves_after_being_listed_by_a_restored_store_is_kept() {
+    struct Case {
+        name: &'static str,
+        /// Version of the target's row when it was last listed, 0.5 s after the first read.
+        row: u64,
+        /// Time from then to the first list without the target.
+        left: Micros,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "row unchanged since the first read, left at once", row: 45, left: Micros::from_millis(1) },
+        Case { name: "row unchanged since the first read, left later", row: 45, left: Micros::from_millis(680) },
+        Case { name: "row renewed since the first read", row: 55, left: Micros::from_millis(680) },
+    ];
+    let stays = || vec![other("stays", 7)];
+    let leaves = |era, version| Target {
+        renewed: Position::new(era, version),
+        ..target("leaves", 0)
+    };
+    for c in cases {
+        let mut fleet = Fleet::default();
+        let mut read = |at, position, leaves: Option<Target>| {
+            let targets = stays().into_iter().chain(leaves).collect();
+            fleet.apply_list(at, position, targets, &CONFIG);
+            fleet.replicas.len()
+        };
+        let first = Micros::from_millis(14_000);
+        let last = first + Micros::from_millis(500);
+        read(
+            Micros::from_millis(10_000),
+            Position::new(1, 60),
+            Some(leaves(1, 40)),
+        );
+        read(first, Position::new(2, 50), Some(leaves(2, 45)));
+        assert_eq!(
+            read(last, Position::new(2, 56), Some(leaves(2, c.row))),
+            2,
+            "{}",
+            c.name
+        );
+        assert_eq!(
+            read(last + c.left, Position::new(2, 57), None),
+            1,
+            "{}",
+            c.name
+        );
+    }
+}
+
 /// Guards against a restored list in which the previous target of an address has a position of the
 /// new era.
 #[test]
