Compute the parts of late peers from use before their last reports

Totals are now kept for 5 s and looked up at the time of a peer's last report, and two seconds of the rate count as used by all alike.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -29,7 +29,7 @@
 use model::Micros;
 
 use account::Account;
-use peers::Peers;
+use peers::{Peers, TeamTotal};
 
 /// A team's limit over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -91,9 +91,11 @@
 const BURST_SHARE: f64 = 0.2;
 /// Share of the margin that a fleet may use when all its processes have just started, and all
 /// records of earlier use are lost.
-const START_SHARE: f64 = 0.25;
+const START_SHARE: f64 = 0.5;
 /// Time after its start within which an entry receives the levels of others.
 const STARTUP: Micros = Micros::from_millis(500);
+/// Seconds of a team's rate that count as used by all entries alike.
+const PRIOR_SECS: f64 = 2.0;
 /// Share of the margin that further runs of admitted requests may use.
 const RERUN_SHARE: f64 = 0.25;
 
@@ -395,8 +397,13 @@
 
     fn update_totals(&mut self, now: Micros) {
         let window = self.config.window;
-        let used = self.accounts.iter();
-        let used = used.map(|(team, a)| (*team, a.recent(now, window)));
+        let used = self.accounts.iter().map(|(team, a)| {
+            let own = TeamTotal {
+                recent: a.recent(now, window),
+                prior: a.limit().rate * PRIOR_SECS,
+            };
+            (*team, own)
+        });
         self.peers.update_totals(now, window, used);
     }
 }
--- a/crates/policy/src/limit/peers.rs
+++ b/crates/policy/src/limit/peers.rs
@@ -1,7 +1,7 @@
 //! What an entry has received of the other entries' use, and the part of each limit that it leaves
 //! to those out of contact.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use model::Micros;
@@ -29,6 +29,11 @@
 /// Time after which a majority leaves a peer out of contact only the equal share. Later than
 /// [`KEEP_PART`], as both sides don't lose contact at the same moment.
 const FORGET: Micros = Micros::from_secs(30);
+/// Interval at which the use of all teams is recorded.
+const TOTALS_INTERVAL: Micros = Micros::from_millis(200);
+/// Time for which records of the use of all teams are kept; peers that have been late for longer are
+/// out of contact.
+const TOTALS_KEPT: Micros = Micros::from_secs(5);
 /// Number of entries up to which reports are sent at the configured intervals.
 const FULL_RATE_ENTRIES: f64 = 100.0;
 
@@ -53,17 +58,21 @@
     }
 }
 
-/// A team's recent use through all entries.
+/// Use of a team through all entries.
 #[derive(Clone, Copy, Debug)]
-struct Total {
-    recent: f64,
-    at: Micros,
+pub(super) struct TeamTotal {
+    /// Units used recently.
+    pub(super) recent: f64,
+    /// Units that count as used by all entries alike. A single request of a team that has just begun
+    /// to send doesn't make its entry the one with all of the use.
+    pub(super) prior: f64,
 }
 
-impl Total {
-    fn at(&self, now: Micros, window: Micros) -> f64 {
-        self.recent * decay(now.since(self.at), window)
-    }
+/// Use of all teams at one time.
+#[derive(Debug)]
+struct Totals {
+    at: Micros,
+    teams: HashMap<TeamKey, TeamTotal>,
 }
 
 /// Part of a team's limit.
@@ -154,8 +163,8 @@
     /// When the last report of any peer was received.
     received_at: Micros,
     majority: Majority,
-    /// Recent use of each team while all reports were in time.
-    totals: HashMap<TeamKey, Total>,
+    /// Recent use at earlier times, the latest last.
+    totals: VecDeque<Totals>,
 }
 
 impl Peers {
@@ -164,7 +173,7 @@
             peers: HashMap::new(),
             received_at: now,
             majority: Majority::Kept,
-            totals: HashMap::new(),
+            totals: VecDeque::new(),
         }
     }
 
@@ -313,14 +322,10 @@
     /// Shares of a team's rate and burst that peers may be using although their reports are late.
     /// They grow with the age of the last reports, up to the peers' share of the recent use.
     fn uncertain_shares(&self, now: Micros, team: TeamKey, window: Micros) -> (f64, f64) {
-        let total = self.totals.get(&team).map_or(0.0, |t| t.at(now, window));
-        if total <= 0.0 {
-            return (0.0, 0.0);
-        }
         let live = self.peers.values().filter(|p| p.contact == Contact::Live);
         let late = live.filter(|p| p.missed_beats(now) > BURST_LATE_BEATS);
         late.fold((0.0, 0.0), |(rate, burst), p| {
-            let share = p.recent(now, team, window) / total;
+            let share = self.last_share(now, p, team, window);
             let missed = p.missed_beats(now);
             (
                 rate + share * (missed - RATE_LATE_BEATS).clamp(0.0, 1.0),
@@ -329,6 +334,20 @@
         })
     }
 
+    /// A peer's share of a team's use when it sent its last report. Both sides of a lost connection
+    /// compute their parts from use before it.
+    fn last_share(&self, now: Micros, peer: &Peer, team: TeamKey, window: Micros) -> f64 {
+        let mut earlier = self.totals.iter().rev();
+        let earlier = earlier.find(|t| t.at <= peer.received_at);
+        let totals = earlier.or(self.totals.front());
+        let Some((at, total)) = totals.and_then(|t| Some((t.at, t.teams.get(&team)?))) else {
+            return 0.0;
+        };
+        let prior = total.prior / self.entries() as f64;
+        let all = total.recent * decay(now.since(at), window) + total.prior;
+        ((peer.recent(now, team, window) + prior) / all.max(1.0)).min(1.0)
+    }
+
     /// Moves peers that have sent no reports lately out of contact. `hold` takes a share of a team's
     /// units that is left to a peer.
     pub(super) fn update_contact(
@@ -343,39 +362,52 @@
             let is_cut_off = quiet > cut_off * p.beat.as_secs_f64();
             p.contact == Contact::Live && (is_cut_off || p.missed_beats(now) > MISSED_BEATS)
         };
-        for peer in self.peers.values_mut().filter(|p| is_silent(p)) {
+        let silent = self.peers.iter().filter(|(_, p)| is_silent(p));
+        let silent: Vec<_> = silent.map(|(addr, _)| *addr).collect();
+        for addr in silent {
+            let teams = self.totals.back().into_iter().flat_map(|t| t.teams.keys());
+            let shares = self.peers.get(&addr).into_iter().flat_map(|p| {
+                let share = |team: &TeamKey| (*team, self.last_share(now, p, *team, window));
+                teams.clone().map(share)
+            });
+            let shares: Vec<_> = shares.collect();
+            let Some(peer) = self.peers.get_mut(&addr) else {
+                continue;
+            };
             peer.contact = Contact::Silent { since: now };
-            for (team, used) in &mut peer.uses {
-                let total = self.totals.get(team).map_or(0.0, |t| t.at(now, window));
-                if total > 0.0 {
-                    used.share = used.recent_at(now, window) / total;
-                    used.held = hold(*team, used.share);
-                }
+            for (team, share) in shares {
+                let used = peer.uses.entry(team).or_default();
+                used.share = share;
+                used.held = hold(team, share);
             }
         }
         self.update_majority(now);
     }
 
-    /// Records the recent use of all teams, unless reports are late. `own` is the use through this
-    /// entry. After a loss of contact both sides compute their parts from use before it.
+    /// Records the use of all teams. `own` is the use through this entry.
     pub(super) fn update_totals(
         &mut self,
         now: Micros,
         window: Micros,
-        own: impl Iterator<Item = (TeamKey, f64)>,
+        own: impl Iterator<Item = (TeamKey, TeamTotal)>,
     ) {
-        let mut live = self.peers.values().filter(|p| p.contact == Contact::Live);
-        if live.any(|p| p.missed_beats(now) > BURST_LATE_BEATS) {
+        let last = self.totals.back().map(|t| t.at);
+        if last.is_some_and(|at| now.since(at) < TOTALS_INTERVAL) {
             return;
         }
-        let totals = own.map(|(team, own)| {
-            let total = Total {
-                recent: own + self.recent(now, team, window),
-                at: now,
-            };
-            (team, total)
+        let teams = own.map(|(team, own)| {
+            let recent = own.recent + self.recent(now, team, window);
+            (team, TeamTotal { recent, ..own })
         });
-        self.totals = totals.collect();
+        let teams = teams.collect();
+        self.totals.push_back(Totals { at: now, teams });
+        while self
+            .totals
+            .front()
+            .is_some_and(|t| now.since(t.at) > TOTALS_KEPT)
+        {
+            self.totals.pop_front();
+        }
     }
 
     /// A team's recent use through all peers.
