Report the use of more teams than fit into one datagram

Cause, from reading the diff: a report took the first 30 changed teams in the order of a hash map, so with more active teams the same ones were left out again and again, and two reports of the same moment counted as one. Reports are now split, each with a later time. Tolerances that change with the settings file come into force without a new configuration.

--- a/crates/gate/src/entry/limits.rs
+++ b/crates/gate/src/entry/limits.rs
@@ -27,6 +27,7 @@
     limiter: Limiter,
     /// Version of the configuration that the limits are from.
     version: u64,
+    config: Config,
     peers_at: Option<Micros>,
 }
 
@@ -35,24 +36,26 @@
         Self {
             limiter: Limiter::new(Micros::ZERO, Config::default(), rand::random()),
             version: 0,
+            config: Config::default(),
             peers_at: None,
         }
     }
 }
 
 impl Limits {
-    /// Applies a configuration that isn't applied yet.
+    /// Applies a configuration and tolerances, unless they are applied already.
     fn apply(&mut self, now: Micros, plan: &Plan, bounds: &Bounds) {
-        if plan.version() == self.version {
-            return;
-        }
-        self.version = plan.version();
-        self.limiter.set_config(Config {
+        let config = Config {
             window: bounds.limit_window.into(),
             overage: bounds.limit_overage,
             slack: bounds.limit_slack,
             ..Config::default()
-        });
+        };
+        if plan.version() == self.version && config == self.config {
+            return;
+        }
+        (self.version, self.config) = (plan.version(), config);
+        self.limiter.set_config(config);
         let limits = plan.team_limits().map(|(team, l)| {
             let limit = Limit {
                 rate: l.rate,
@@ -168,7 +171,7 @@
             limits.peers_at = Some(now);
             limits.limiter.set_peers(now, cluster.entries());
         }
-        if let Some(report) = limits.limiter.poll(now) {
+        for report in limits.limiter.poll(now) {
             update::send(&ctx.socket, &encode(report), cluster.entries());
         }
     }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -269,13 +269,30 @@
         }
     }
 
-    /// The report that is due now, for all peers.
-    pub fn poll(&mut self, now: Micros) -> Option<Report> {
+    /// The reports that are due now, for all peers.
+    pub fn poll(&mut self, now: Micros) -> Vec<Report> {
         self.update_contact(now);
         if self.accounts.is_empty() {
-            return None;
+            return Vec::new();
         }
         self.update_totals(now);
+        let unreported_due = self.refill_changed(now);
+        // The interval may have become shorter since it was announced.
+        let due = self.report_due.min(self.reported_at + self.beat());
+        if now < due && !unreported_due {
+            return Vec::new();
+        }
+        self.reported_at = now;
+        self.report_due = now + self.beat();
+        let teams = self.accounts.iter_mut();
+        let changed = teams.filter_map(|(team, a)| a.mark_reported(now, REPEAT).then_some(*team));
+        let changed: Vec<_> = changed.collect();
+        self.reports(now, &changed)
+    }
+
+    /// Refills the accounts that have changed. Returns whether any has so many units unreported that
+    /// all entries together might overlook too many.
+    fn refill_changed(&mut self, now: Micros) -> bool {
         let window = self.config.window;
         let entries = self.peers.entries() as f64;
         let mut unreported_due = false;
@@ -288,17 +305,7 @@
             let overlooked = account.level().max(0.0) / 2.0 + account.margin() / 4.0;
             unreported_due |= account.unreported() >= overlooked / entries;
         }
-        // The interval may have become shorter since it was announced.
-        let due = self.report_due.min(self.reported_at + self.beat());
-        if now < due && !unreported_due {
-            return None;
-        }
-        self.reported_at = now;
-        self.report_due = now + self.beat();
-        let teams = self.accounts.iter_mut();
-        let changed = teams.filter_map(|(team, a)| a.mark_reported(now, REPEAT).then_some(*team));
-        let changed: Vec<_> = changed.take(MAX_TEAMS).collect();
-        Some(self.report(now, changed))
+        unreported_due
     }
 
     /// Receives a report. Returns reports for its sender alone, if its process isn't known yet.
@@ -348,16 +355,30 @@
         let used =
             used.filter(|(_, a)| a.recent(now, window) >= 1.0 || a.level() < a.limit().burst);
         let teams: Vec<_> = used.map(|(team, _)| *team).collect();
+        self.reports(now, &teams)
+    }
+
+    /// Reports of these teams, at least one.
+    fn reports(&self, now: Micros, teams: &[TeamKey]) -> Vec<Report> {
+        let sent = now.since(self.started);
         let chunks = teams.chunks(MAX_TEAMS);
-        chunks.map(|c| self.report(now, c.to_vec())).collect()
+        let mut reports: Vec<_> = chunks.map(|c| self.report(now, sent, c)).collect();
+        if reports.is_empty() {
+            reports.push(self.report(now, sent, &[]));
+        }
+        // A peer ignores reports that aren't newer than the last one.
+        for (later, report) in reports.iter_mut().enumerate() {
+            report.sent = sent + Micros(later as u64);
+        }
+        reports
     }
 
-    fn report(&self, now: Micros, teams: Vec<TeamKey>) -> Report {
+    fn report(&self, now: Micros, sent: Micros, teams: &[TeamKey]) -> Report {
         let settled = self.is_settled(now);
-        let team_report = |team: TeamKey| {
-            let a = self.accounts.get(&team)?;
+        let team_report = |team: &TeamKey| {
+            let a = self.accounts.get(team)?;
             Some(TeamReport {
-                team,
+                team: *team,
                 spent: a.spent(),
                 recent: a.recent(now, self.config.window) as u64,
                 level: (settled || a.is_settled()).then(|| a.level() as i64),
@@ -365,9 +386,9 @@
         };
         Report {
             process: self.process,
-            sent: now.since(self.started),
+            sent,
             beat: self.beat(),
-            teams: teams.into_iter().filter_map(team_report).collect(),
+            teams: teams.iter().filter_map(team_report).collect(),
         }
     }
 
--- a/crates/policy/tests/limit/main.rs
+++ b/crates/policy/tests/limit/main.rs
@@ -236,3 +236,38 @@
     assert!((595.0..=605.0).contains(&level), "{level}");
     assert_eq!(limiter.level(TeamKey(8)), None);
 }
+
+#[test]
+fn use_of_many_teams_is_reported_in_several_datagrams() {
+    // Guards against teams that are left out of reports, or ignored, because others fill a datagram.
+    let teams = || (0..100).map(TeamKey);
+    let limit = Limit {
+        rate: 1.0,
+        burst: 100.0,
+    };
+    let addrs = [2, 3].map(|n| std::net::SocketAddr::from(([10, 0, 0, n], 7_000)));
+    let [mut sender, mut receiver] = [5, 6].map(|process| {
+        let config = Config {
+            overage: 0.0,
+            ..Config::default()
+        };
+        let mut limiter = Limiter::new(Micros::ZERO, config, process);
+        limiter.set_limits(at(10_000), teams().map(|t| (t, limit)));
+        limiter
+    });
+    sender.set_peers(at(10_000), [addrs[1]]);
+    receiver.set_peers(at(10_000), [addrs[0]]);
+    for team in teams() {
+        let taken = sender.take(at(10_000), team, 60, Purpose::First, at(4_000));
+        assert!(taken.is_ok());
+    }
+    let reports = sender.poll(at(10_000));
+    assert!(reports.iter().all(|r| r.teams.len() <= 30));
+    for report in &reports {
+        receiver.receive(at(10_001), addrs[0], report);
+    }
+    for team in teams() {
+        let level = receiver.level(team).expect("a limit");
+        assert!(level < 50.0, "{team:?}: {level}");
+    }
+}
--- a/crates/policy/tests/limit/sim.rs
+++ b/crates/policy/tests/limit/sim.rs
@@ -264,7 +264,7 @@
         let entry = &mut self.entries[index];
         entry.next_poll = now + POLL_INTERVAL;
         entry.limiter.set_peers(now, peers);
-        if let Some(report) = entry.limiter.poll(now) {
+        for report in entry.limiter.poll(now) {
             for to in (0..self.entries.len()).filter(|to| *to != index) {
                 self.send(index, to, &report);
             }
