Keep connections longer for streams that another target may resume

A resumable stream that is lost on a closed connection runs elsewhere, so it now uses connections as idempotent requests do, for 0.6 of the target's timeout. The decision is `policy::connection_reuse`.

--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -177,8 +177,7 @@
 
 /// Whether a job may be sent again.
 fn may_retry(ctx: &Ctx, job: &Job, delivered: bool, ran: bool) -> bool {
-    let harmless = !ran || matches!(job.route.mode, Mode::Idempotent | Mode::Resumable);
-    if !harmless {
+    if ran && !job.route.mode.may_rerun() {
         return false;
     }
     if !job.may_run_again() {
--- a/crates/gate/src/entry/connection_pool.rs
+++ b/crates/gate/src/entry/connection_pool.rs
@@ -1,24 +1,16 @@
-//! Idle connections to one target.
-//!
-//! The target may have closed an idle connection without this process having noticed. A request
-//! sent on such a connection is lost, and it is unknown whether it ran. A connection is therefore
-//! reused only if it has been idle for clearly less than the target's idle timeout, and for
-//! requests that must not run twice only shortly after its last use.
+//! Idle connections to one target; `policy::connection_reuse` decides how long they are used.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
+use policy::connection_reuse::max_idle;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Idle timeout assumed for a target that doesn't state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Fraction of the target's idle timeout up to which a connection is reused.
-const MAX_IDLE_SHARE: f64 = 0.6;
-/// Longest idle time of a connection that is reused for a request that must not run twice.
-const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(1_500);
 /// Maximum number of idle connections per target; an entry rarely has more requests at one target
 /// at once.
 const MAX_CONNECTIONS: usize = 32;
@@ -49,14 +41,8 @@
         self.idle_timeout = idle_timeout;
     }
 
-    fn is_reusable(&self, non_repeatable: bool) -> bool {
-        let max_idle = match non_repeatable {
-            true => self
-                .idle_timeout
-                .mul_f64(MAX_IDLE_SHARE)
-                .min(MAX_IDLE_NON_REPEATABLE),
-            false => self.idle_timeout.mul_f64(MAX_IDLE_SHARE),
-        };
+    fn is_reusable(&self, may_rerun: bool) -> bool {
+        let max_idle: Duration = max_idle(self.idle_timeout.into(), may_rerun).into();
         self.last_used.elapsed() < max_idle && self.send.is_ready()
     }
 }
@@ -73,10 +59,10 @@
 
 impl ConnectionPool {
     /// Takes a connection that can be used for the request, if there is one.
-    pub(super) fn take(&mut self, non_repeatable: bool) -> Option<Connection> {
-        self.0.retain(|c| c.is_reusable(false));
+    pub(super) fn take(&mut self, may_rerun: bool) -> Option<Connection> {
+        self.0.retain(|c| c.is_reusable(true));
         let last = self.0.last()?;
-        match last.is_reusable(non_repeatable) {
+        match last.is_reusable(may_rerun) {
             true => self.0.pop(),
             false => None,
         }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -179,7 +179,7 @@
     let idle = {
         let mut fleet = ctx.fleet.borrow_mut();
         let replica = fleet.replicas.get_mut(pick.key);
-        replica.and_then(|r| r.connections.take(!job.route.mode.is_repeatable()))
+        replica.and_then(|r| r.connections.take(job.route.mode.may_rerun()))
     };
     let connection = match idle {
         Some(c) => c,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,8 @@
 //!   keeps long prompts on engines of their own.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
 //!   long a request waits while all engines load weights.
+//! - Limits: [`limit`] keeps all entries together within a team's limit.
+//! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget.
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
 //!   a target isn't used whose address answered for another, and [`row_expiry`] which targets are retained
@@ -38,6 +40,7 @@
 pub mod backlog;
 pub mod circuit_breaker;
 pub mod concurrency;
+pub mod connection_reuse;
 pub mod contact;
 pub mod cost;
 pub mod crash_attribution;
--- a/crates/site/src/plan.rs
+++ b/crates/site/src/plan.rs
@@ -24,9 +24,10 @@
 }
 
 impl Mode {
-    /// Whether a request that may already have run can be sent again.
-    pub fn is_repeatable(self) -> bool {
-        self == Self::Idempotent
+    /// Whether another replica may answer a request that may already have run, from its start or from
+    /// the last event that the caller has.
+    pub fn may_rerun(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Resumable)
     }
 
     /// Whether the answer is an event stream.
