--- a/crates/policy/src/limit/peers.rs
+++ b/crates/policy/src/limit/peers.rs
@@ -63,8 +63,8 @@
 pub(super) struct TeamTotal {
     /// Units used recently.
     pub(super) recent: f64,
-    /// Units that count as used by all entries alike. A single request of a team that has just begun
-    /// to send doesn't make its entry the one with all of the use.
+    /// Units that count as used by all entries alike, so that a single request of a team that has
+    /// sent nothing before doesn't make its entry the one with all of the use.
     pub(super) prior: f64,
 }
 
--- a/crates/policy/tests/limit/sim.rs
+++ b/crates/policy/tests/limit/sim.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// What was measured in a run.
+/// Results of a run.
 #[derive(Debug, Default)]
 pub(crate) struct Outcome {
     pub(crate) admitted: f64,
