--- a/crates/policy/tests/limit/main.rs
+++ b/crates/policy/tests/limit/main.rs
@@ -103,6 +103,30 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[test]
+fn limit_is_kept_if_a_team_turns_hot_at_the_moment_of_a_split() {
+    // Guards against a burst that both sides of a split use before they notice it.
+    let large = Limit {
+        rate: 578_000.0,
+        burst: 578_000.0,
+    };
+    for at in (10_900..=11_100).step_by(50) {
+        let case = Case {
+            limit: large,
+            faults: vec![
+                (11_000, Fault::Split(0, 15)),
+                (at, Fault::Demand(5.0)),
+                (22_000, Fault::Heal),
+            ],
+            ..Case::default()
+        };
+        for seed in 0..seeds() {
+            let excess = play(&case, seed).excess;
+            assert!(excess <= 0.0, "hot at {at} ms, {seed}: {excess:.0} over");
+        }
+    }
+}
+
 const MS: Micros = Micros::from_millis(1);
 
 fn at(ms: u64) -> Micros {
