Relay states of silent peers between sidecars that claim slots

Callers saw two engines of three load new weights at a time while the link between their sidecars was cut for a second, with late and refused requests.

Cause: a peer that left ten queries unanswered counted as dead although a third sidecar had its claim; each sidecar answered only for itself.

Change: during a change each sidecar names the engines of silent peers in its state, and a sidecar with a recent state of such an engine relays it (policy::relay). Of two claims at the same third sidecar the later one sees the earlier one; an answer covers a skipped peer only if its query named the peer. Claims that come relayed are confirmed on the way back, so any number of sidecars may lie in between. A relayed state is valid no longer than at its first receiver and replaces only what it certainly follows, so a third sidecar that is out of date neither frees nor takes a slot.

--- a/crates/gate/src/agent/mod.rs
+++ b/crates/gate/src/agent/mod.rs
@@ -10,6 +10,7 @@
 //! keeps no state over a restart; its fencing token rises nevertheless, because it is derived from
 //! the store's monotonic clock.
 
+mod relay;
 mod report;
 mod run;
 mod weights;
--- a/crates/gate/src/agent/report.rs
+++ b/crates/gate/src/agent/report.rs
@@ -6,7 +6,8 @@
 use site::{Role, Weights};
 use tokio::net::UdpSocket;
 
-use super::{Kind, SharedAgent, STARTUP_PERIOD};
+use super::relay;
+use super::{engine_key, Kind, SharedAgent, STARTUP_PERIOD};
 use crate::node::SharedNode;
 use crate::update::{self, HeldPart, LoadedWeights, Update};
 
@@ -117,13 +118,16 @@
         loading_ms: update.loading_ms.map(|_| 0),
         ordered_ms: update.ordered_ms.map(|_| 0),
         sent_us: 0,
+        confirmed: relay::claims_without_times(&update.confirmed),
+        relays: relay::without_times(&update.relays),
         ..update.clone()
     }
 }
 
-/// Copy of an update with only those fields that other agents need.
-pub(super) fn for_peers(update: &Update) -> Update {
-    Update {
+/// Copy of an update with only those fields that other agents need, and with those about engines out of
+/// reach, which only they need.
+pub(super) fn for_peers(node: &SharedNode, agent: &SharedAgent, update: &Update) -> Update {
+    let mut update = Update {
         weights: update.weights.clone(),
         engine: update.engine.clone(),
         delegate: update.delegate,
@@ -139,5 +143,9 @@
         process: update.process,
         sent_us: update.sent_us,
         ..Update::default()
-    }
+    };
+    let a = agent.borrow();
+    a.rollout
+        .fill_relays(node.now(), engine_key(a.addr), &mut update);
+    update
 }
--- a/crates/gate/src/agent/run.rs
+++ b/crates/gate/src/agent/run.rs
@@ -115,7 +115,7 @@
             agent,
             socket,
         } = env;
-        let update = for_peers(update);
+        let update = for_peers(node, agent, update);
         let without_times = without_times(&update);
         let since = self.last_sent.map(|at| at.elapsed());
         let (due, can_answer) = {
--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -19,6 +19,7 @@
 use site::{Report, Swap, Weights};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::relay;
 use super::report::{all_entries, current_update, for_peers};
 use super::{engine_key, Agent, AgentId, Env, Kind, SharedAgent, ENGINE_TIMEOUT};
 use crate::log::{self, Event};
@@ -152,13 +153,19 @@
             update.fence = self.fencing_token;
         }
     }
+
+    /// Sets the fields about engines out of reach in an update to other agents. `key` is the key of the
+    /// agent's engine.
+    pub(super) fn fill_relays(&self, now: Micros, key: u64, update: &mut Update) {
+        relay::fill_update(&self.slots.state(now, key, Vec::new()), update);
+    }
 }
 
 /// Converts an agent's update to the state that [`policy::slots`] uses.
 fn peer_state(update: &Update) -> State {
     let ms = |ms: u32| Micros::from_millis(ms.into());
     let weights = update.weights.iter();
-    State {
+    let mut state = State {
         engine: xxh3_64(update.engine.as_bytes()),
         weights: weights.map(|w| (model_key(&w.model), w.version)).collect(),
         loading: update
@@ -170,7 +177,10 @@
         claims: update.claims,
         process: update.process,
         sent: Micros(update.sent_us),
-    }
+        ..State::default()
+    };
+    relay::add_to_state(update, &mut state);
+    state
 }
 
 fn model_key(model: &str) -> ModelKey {
@@ -324,7 +334,7 @@
     let peers = peers(node, agent);
     let (step, order) = advance_claim(node, agent, &peers);
     if let Some((query, mut to)) = step.query {
-        let update = for_peers(&current_update(node, agent));
+        let update = for_peers(node, agent, &current_update(node, agent));
         to.sort_unstable_by_key(|a| a.delegate);
         for agents in to.chunk_by(|a, b| a.delegate == b.delegate) {
             let slot_query = SlotQuery {
@@ -354,7 +364,7 @@
     }
     let update = Update {
         slot_answer: Some(query),
-        ..for_peers(&current_update(node, agent))
+        ..for_peers(node, agent, &current_update(node, agent))
     };
     update::send(socket, &update, [to]);
 }
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -84,6 +84,18 @@
     /// The query that this update answers.
     #[prost(message, optional, tag = "31")]
     pub slot_answer: Option<SlotQuery>,
+    /// Engines whose agents are silent, by the lower half of their keys.
+    #[prost(fixed32, repeated, tag = "36")]
+    pub silent: Vec<u32>,
+    /// Digest of the engines that the agent knows, if it lacks the state of a listed one; 0 otherwise.
+    #[prost(fixed64, tag = "37")]
+    pub known: u64,
+    /// Claims of slots that the agent has received through other agents.
+    #[prost(message, repeated, tag = "38")]
+    pub confirmed: Vec<ClaimConfirmation>,
+    /// States of the engines that other agents have named as silent.
+    #[prost(message, repeated, tag = "39")]
+    pub relays: Vec<RelayedState>,
     /// Incarnation of the engine according to its cache events.
     #[prost(uint64, tag = "10")]
     pub epoch: u64,
@@ -171,6 +183,66 @@
     pub delegate: u64,
 }
 
+/// Confirmation of a slot claim that was received through other agents.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct ClaimConfirmation {
+    /// Lower half of the key of the claim's engine.
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    /// When the claim was sent, in microseconds since the start of its agent's process.
+    #[prost(uint64, tag = "2")]
+    pub sent_us: u64,
+}
+
+/// State of an engine as another agent has received it, with the fields of an [`Update`].
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayedState {
+    /// Key of the engine.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Weights that the engine has loaded.
+    #[prost(message, repeated, tag = "2")]
+    pub weights: Vec<RelayedWeights>,
+    /// Milliseconds since the engine became due to load, if it is due.
+    #[prost(uint32, optional, tag = "3")]
+    pub due_ms: Option<u32>,
+    /// Milliseconds since the engine started to load weights, if it is loading.
+    #[prost(uint32, optional, tag = "4")]
+    pub loading_ms: Option<u32>,
+    /// Duration of a load in milliseconds, if known.
+    #[prost(uint32, optional, tag = "5")]
+    pub load_ms: Option<u32>,
+    /// Version that the engine still has to load; 0 if it is up to date.
+    #[prost(uint64, tag = "6")]
+    pub wanted: u64,
+    /// Whether the engine's agent claims a slot to load.
+    #[prost(bool, tag = "7")]
+    pub claims: bool,
+    /// Random number of the process of the engine's agent.
+    #[prost(fixed64, tag = "8")]
+    pub process: u64,
+    /// When the state was sent, in microseconds since the start of that process.
+    #[prost(uint64, tag = "9")]
+    pub sent_us: u64,
+    /// When the state was received, in microseconds since the start of the relaying process.
+    #[prost(uint64, tag = "10")]
+    pub received_us: u64,
+    /// Claims of slots that the engine's agent has received through other agents.
+    #[prost(message, repeated, tag = "11")]
+    pub confirmed: Vec<ClaimConfirmation>,
+}
+
+/// Loaded weights in a relayed state.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RelayedWeights {
+    /// Hash of the model's name.
+    #[prost(fixed64, tag = "1")]
+    pub model: u64,
+    /// Version of its weights.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
 /// Result of an entry's read of the platform's list of targets.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct ListRead {
--- a/crates/policy/src/contact.rs
+++ b/crates/policy/src/contact.rs
@@ -11,6 +11,10 @@
 
 use model::Micros;
 
+/// Number of queries, with nothing received meanwhile, from which a peer counts as silent: more than are
+/// often lost in a row.
+const SILENT_QUERIES: u32 = 3;
+
 /// Limits on the answers of peers.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -46,6 +50,8 @@
 struct Contact {
     /// Number of queries since anything was received from the peer.
     silence: u32,
+    /// When the query was sent from which the peer counts as silent.
+    silent_since: Option<Micros>,
     /// Number of queries since the peer's last valid answer.
     unanswered: u32,
     /// When the latest query of the round that the peer has answered was sent.
@@ -90,6 +96,7 @@
             c.last_answered = None;
             if !c.skipped {
                 c.silence = 0;
+                c.silent_since = None;
                 c.unanswered = 0;
             }
         }
@@ -106,6 +113,7 @@
         contact.skipped = false;
         contact.received = true;
         contact.silence = 0;
+        contact.silent_since = None;
         if self.round.is_none() {
             contact.unanswered = 0;
         }
@@ -127,6 +135,9 @@
             let contact = self.by_peer.entry(*k).or_default();
             contact.silence = contact.silence.saturating_add(1);
             contact.unanswered = contact.unanswered.saturating_add(1);
+            if contact.silence >= SILENT_QUERIES {
+                contact.silent_since.get_or_insert(now);
+            }
             contact.skipped |= self.config.skips(contact);
         }
         let query = Query {
@@ -148,6 +159,11 @@
         contact.skipped || self.config.skips(&contact)
     }
 
+    /// When the query was sent from which a peer counts as silent; `None` if it isn't silent.
+    pub fn silent_since(&self, peer: &K) -> Option<Micros> {
+        self.by_peer.get(peer)?.silent_since
+    }
+
     /// How long an answer is valid.
     pub fn lifetime(&self) -> Micros {
         self.config.lifetime
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,7 +30,7 @@
 //! - Sources of state: [`subscription`] selects the engines that an entry subscribes to, and [`pollers`]
 //!   the processes that read a list for all.
 //! - Weights: [`rollout`] decides which engines load new weights, [`slots`] when an engine does so, by
-//!   the answers of its peers ([`contact`]), and [`versions`] how long weights have been out of date.
+//!   the answers of its peers ([`contact`]) and the states that they relay ([`relay`]), and [`versions`] how long weights have been out of date.
 //! - Crashes: [`crash_attribution`] separates crashes from lost connections for [`quarantine`], and [`trial`]
 //!   decides when a suspect request runs, by the answers of the sidecars in [`pool_peers`].
 //! - Ownership: [`delegate`] selects the entry that acts for an engine without a sidecar, and
@@ -63,6 +63,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod recent_replicas;
+pub mod relay;
 pub mod reserve;
 pub mod retry;
 pub mod retry_budget;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -21,6 +21,11 @@
 //! twice the usual time of a load if that is longer: a load may take far longer than those before it, and a
 //! sidecar that is lost during a load delays its pool by no more than the change can bear.
 //!
+//! A peer may be out of reach only from here: other sidecars relay the states of silent peers ([`crate::relay`]).
+//! Of two sidecars that reach each other only through a third one, the one whose claim the third one receives
+//! later sees the claim of the other in its answer. An answer from before a peer fell silent doesn't cover
+//! that peer, since it didn't have to relay anything.
+//!
 //! A newly started process has no state of a peer that ordered a load before the start and is silent since.
 //! If a change is under way at the start or shortly after it, the process counts every peer from which it has
 //! received nothing as loading, until such a load must have ended.
@@ -32,6 +37,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::contact::{self, Contacts, Query};
+use crate::relay::{Confirmation, Peer, Relay, Relays, ShortKey};
 use crate::rollout::{self, Engine, Pool};
 use crate::versions::Versions;
 
@@ -66,6 +72,10 @@
 const UNANSWERED_DELAY: Micros = Micros::from_millis(2_000);
 /// Time after an order before which a load of unknown duration is assumed not to have ended.
 const MIN_LOAD_TIME: Micros = Micros::from_millis(250);
+/// Maximum number of states that are relayed at a time, so that an update fits into one datagram.
+pub const MAX_RELAYS: usize = 7;
+/// Maximum number of relayed claims that are confirmed in one state.
+pub const MAX_CONFIRMED: usize = 2;
 /// Weight of the latest load in the moving average of load times.
 const LOAD_TIME_WEIGHT: f64 = 0.5;
 
@@ -94,6 +104,21 @@
     pub process: u64,
     /// When the sidecar sent the state, on its own clock.
     pub sent: Micros,
+    /// Engines of silent peers, whose states are to be relayed.
+    pub silent: Vec<ShortKey>,
+    /// Digest of the engines that the sidecar knows, if it lacks the state of a listed peer; 0 otherwise.
+    pub known: u64,
+    /// Claims that were received through other sidecars.
+    pub confirmed: Vec<Confirmation>,
+    /// States of the engines that other sidecars have named as silent.
+    pub relays: Vec<Relay>,
+}
+
+impl State {
+    /// Whether the engine loads or its sidecar claims a slot.
+    pub(crate) fn takes_slot(&self) -> bool {
+        self.loading.is_some() || self.claims
+    }
 }
 
 /// Next action of a sidecar.
@@ -152,13 +177,6 @@
     Unknown,
 }
 
-/// Latest update of another sidecar.
-#[derive(Clone, Debug)]
-struct Peer {
-    received_at: Micros,
-    state: State,
-}
-
 /// This sidecar's claim of a slot.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -183,10 +201,16 @@
 /// What one sidecar records about the weight loads of its pool. `K` identifies the other sidecars.
 #[derive(Debug)]
 pub struct Slots<K> {
+    /// Latest update of each other sidecar.
     peers: HashMap<K, Peer>,
+    relays: Relays<K>,
     contacts: Contacts<K>,
     /// Peers in the list of members.
     listed: Vec<K>,
+    /// Engine of this sidecar, once it is known.
+    engine: Option<u64>,
+    /// Since when a change has been under way, as of the last step.
+    under_way_since: Option<Micros>,
     claim: Option<Claim>,
     /// Whether the engine is due, given the loads and those claims of other sidecars that precede its own.
     due: bool,
@@ -223,12 +247,15 @@
     fn default() -> Self {
         Self {
             peers: HashMap::new(),
+            relays: Relays::default(),
             contacts: Contacts::new(contact::Config {
                 lifetime: ANSWER_LIFETIME,
                 max_unanswered: MAX_UNANSWERED,
                 ..contact::Config::default()
             }),
             listed: Vec::new(),
+            engine: None,
+            under_way_since: None,
             claim: None,
             due: false,
             due_despite_claims: false,
@@ -253,13 +280,18 @@
     /// Records another sidecar's update; `None` if its engine doesn't answer.
     pub fn receive(&mut self, now: Micros, from: K, state: Option<State>) {
         self.contacts.received(from);
-        let Some(state) = state else {
-            self.peers.remove(&from);
+        let Some(mut state) = state else {
+            if let Some(p) = self.peers.remove(&from) {
+                self.relays.remove(p.state.engine);
+            }
             return;
         };
         // A later update of the same process has arrived before this one.
         let reordered = |p: &Peer| p.state.process == state.process && p.state.sent > state.sent;
         if !self.peers.get(&from).is_some_and(reordered) {
+            let relays = std::mem::take(&mut state.relays);
+            self.receive_relays(now, (from, state.sent), &relays);
+            self.relays.drop_before(&state);
             let peer = Peer {
                 received_at: now,
                 state,
@@ -268,6 +300,21 @@
         }
     }
 
+    /// Records the states of other engines that a sidecar has relayed with its own state.
+    fn receive_relays(&mut self, now: Micros, source: (K, Micros), relays: &[Relay]) {
+        let Some(own) = self.engine else { return };
+        for relay in relays.iter().filter(|r| r.state.engine != own) {
+            let mut peers = self.peers.values();
+            let direct = peers.find(|p| p.state.engine == relay.state.engine);
+            self.relays.record(now, source, relay, direct);
+        }
+    }
+
+    /// The latest update of the sidecar of an engine.
+    fn direct_state(&self, engine: u64) -> Option<(&K, &Peer)> {
+        self.peers.iter().find(|(_, p)| p.state.engine == engine)
+    }
+
     /// Records that another sidecar has answered a query. Its state is passed to [`Self::receive`].
     pub fn answered(&mut self, now: Micros, from: K, query: Query) {
         self.contacts.answered(now, from, query);
@@ -293,15 +340,105 @@
             claims: self.claim.is_some(),
             process: 0,
             sent: now,
+            silent: self.silent_engines(now),
+            known: match self.lacks_state(now) {
+                true => self.known_engines(engine),
+                false => 0,
+            },
+            confirmed: self.confirmed_claims(now),
+            relays: self.requested_relays(now, engine),
+        }
+    }
+
+    /// Whether the engine waits to load.
+    fn waits(&self) -> bool {
+        self.desired > 0 && self.loading.is_none()
+    }
+
+    /// Engines of silent peers, and engines whose states were relayed before.
+    fn silent_engines(&self, now: Micros) -> Vec<ShortKey> {
+        if self.under_way_since.is_none() {
+            return Vec::new();
+        }
+        let silent = self.listed.iter().filter(|k| self.is_silent(now, k));
+        let silent = silent.filter_map(|k| self.peers.get(k));
+        let relayed = self.valid_relays(now);
+        let engines = silent.chain(relayed).map(|p| p.state.engine.into());
+        let mut engines: Vec<ShortKey> = engines.collect();
+        engines.sort_unstable();
+        engines.dedup();
+        engines
+    }
+
+    /// Whether a peer is silent: it leaves queries unanswered, or its updates are missing during a change.
+    fn is_silent(&self, now: Micros, peer: &K) -> bool {
+        let changing = self
+            .under_way_since
+            .is_some_and(|at| now.since(at) >= UPDATE_LEASE);
+        let is_recent = |p: &Peer| now.since(p.received_at) < UPDATE_LEASE;
+        let received = self.peers.get(peer).is_some_and(is_recent);
+        self.contacts.silent_since(peer).is_some() || (changing && !received)
+    }
+
+    /// Whether a change is under way and a silent peer has sent no state since this process started.
+    fn lacks_state(&self, now: Micros) -> bool {
+        let unknown = |k: &K| self.is_silent(now, k) && !self.peers.contains_key(k);
+        self.under_way_since.is_some() && self.listed.iter().any(unknown)
+    }
+
+    /// The claims that were received through other sidecars.
+    fn confirmed_claims(&self, now: Micros) -> Vec<Confirmation> {
+        let claims = self.valid_relays(now).filter(|p| p.state.claims);
+        let mut confirmed: Vec<_> = claims.map(|p| Confirmation::of(&p.state)).collect();
+        confirmed.sort_unstable_by_key(|c| c.engine);
+        confirmed.truncate(MAX_CONFIRMED);
+        confirmed
+    }
+
+    /// Digest of this engine and those of the listed peers from which a state was received.
+    fn known_engines(&self, own: u64) -> u64 {
+        let known = self.listed.iter().filter_map(|k| self.peers.get(k));
+        known.fold(own, |digest, p| digest ^ p.state.engine)
+    }
+
+    /// The states that other sidecars lack, those that take a slot first.
+    fn requested_relays(&self, now: Micros, own: u64) -> Vec<Relay> {
+        let is_recent = |p: &&Peer| now.since(p.received_at) < UPDATE_LEASE;
+        let asks = |p: &&Peer| !p.state.silent.is_empty() || p.state.known != 0;
+        let asking: Vec<_> = self.peers.values().filter(is_recent).filter(asks).collect();
+        if asking.is_empty() {
+            return Vec::new();
         }
+        let digest = self.known_engines(own);
+        let all = asking
+            .iter()
+            .any(|p| p.state.known != 0 && p.state.known != digest);
+        let is_named = |engine: u64| {
+            let key = ShortKey::from(engine);
+            asking.iter().any(|p| p.state.silent.contains(&key))
+        };
+        let requested = self
+            .recent_peers(now)
+            .filter(|p| is_named(p.state.engine) || (all && p.state.takes_slot()));
+        let mut requested: Vec<_> = requested.collect();
+        let rank = |s: &State| (!s.takes_slot(), s.confirmed.is_empty(), s.engine);
+        requested.sort_unstable_by_key(|p| rank(&p.state));
+        requested.truncate(MAX_RELAYS);
+        let relay = |p: &Peer| Relay {
+            received: p.received_at,
+            state: State {
+                silent: Vec::new(),
+                known: 0,
+                ..p.state.clone()
+            },
+        };
+        requested.into_iter().map(relay).collect()
     }
 
     /// Whether any engine of the pool still has to load weights or is loading them.
     pub fn under_way(&self, now: Micros) -> bool {
         let changing = |p: &Peer| p.state.desired > 0 || p.state.loading.is_some();
-        self.desired > 0
-            || self.loading.is_some()
-            || self.recent_updates(now).any(|(_, p)| changing(p))
+        self.desired > 0 || self.loading.is_some() || self.recent_peers(now).any(changing)
     }
 
     /// Whether an engine without a sidecar needs a fresh report: before an order, and once a load may have
@@ -378,6 +515,7 @@
     /// Updates whether the engine is due to load; `outdated` are the weights that it has to replace, if any.
     pub fn schedule(&mut self, now: Micros, group: &Group, outdated: Option<&OutdatedWeights<'_>>) {
         self.allowed = group.allowed;
+        self.engine = Some(group.engine);
         let Some(outdated) = outdated else {
             return self.clear_schedule();
         };
@@ -405,22 +543,27 @@
     /// a new claim.
     pub fn step(&mut self, now: Micros, peers: &[K], orderable: bool, draw: u64) -> Step<K> {
         self.listed = peers.to_vec();
+        let started = self.under_way_since.unwrap_or(now);
+        self.under_way_since = self.under_way(now).then_some(started);
         let may_claim =
             orderable && self.loading.is_none() && self.can_answer(now) && now >= self.paused_until;
         let Some(due) = self.due_since.filter(|_| self.due && may_claim) else {
             self.withdraw();
             return self.query_quiet_peers(now, peers);
         };
-        let Claim { since, steps } = self.claim.unwrap_or_else(|| self.begin_claim(now, draw));
-        if steps > MAX_CLAIM_STEPS {
+        let claim = self.claim.unwrap_or_else(|| self.begin_claim(now, draw));
+        if claim.steps > MAX_CLAIM_STEPS {
             self.withdraw();
             self.paused_until = now + RETRY_DELAY;
             return Step::default();
         }
         let peers = self.known_peers(now, peers);
+        let since = claim.since.max(self.silent_from(&peers));
         let without_answer = |age| self.peers_without_answer(&peers, now, since, age);
         let missing = without_answer(ANSWER_LIFETIME);
-        let must_wait = missing.iter().any(|k| !self.contacts.is_skipped(k));
+        let unconfirmed =
+            claim.steps <= MAX_UNANSWERED && self.unconfirmed_relays(now, since).next().is_some();
+        let must_wait = unconfirmed || missing.iter().any(|k| !self.contacts.is_skipped(k));
         if self.due_despite_claims && !must_wait && now > due {
             self.take_slot(now);
             return Step {
@@ -430,11 +573,33 @@
             };
         }
         let to_query = without_answer(ANSWER_REFRESH);
-        let steps = steps + 1;
-        self.claim = Some(Claim { since, steps });
+        let steps = claim.steps + 1;
+        self.claim = Some(Claim { steps, ..claim });
         self.query(now, to_query)
     }
 
+    /// Peers that are out of reach, have been alive since they were, and have not confirmed a claim that was
+    /// sent both at `claim` or later and within the lifetime of an answer.
+    fn unconfirmed_relays(&self, now: Micros, claim: Micros) -> impl Iterator<Item = &Peer> {
+        let from = (now - ANSWER_LIFETIME).max(claim);
+        let own = self.engine.map(ShortKey::from);
+        let confirms = move |c: &Confirmation| Some(c.engine) == own && c.sent >= from;
+        let is_alive = move |p: &Peer| {
+            let direct = self.direct_state(p.state.engine);
+            let silent_since = direct.and_then(|(k, _)| self.contacts.silent_since(k));
+            now.since(p.received_at) < UPDATE_LEASE && Some(p.received_at) >= silent_since
+        };
+        let relayed = self.relays.peers().filter(move |p| is_alive(p));
+        relayed.filter(move |p| !p.state.confirmed.iter().any(confirms))
+    }
+
+    /// Time from which the answers of the other peers cover all skipped ones.
+    fn silent_from(&self, peers: &[K]) -> Micros {
+        let skipped = peers.iter().filter(|k| self.contacts.is_skipped(k));
+        let silent = skipped.filter_map(|k| self.contacts.silent_since(k));
+        silent.max().unwrap_or_default()
+    }
+
     /// Peers that have answered no query sent both after the claim began and within the last `age`.
     fn peers_without_answer(&self, peers: &[K], now: Micros, claim: Micros, age: Micros) -> Vec<K> {
         let from = Micros(now.0.saturating_sub(age.0)).max(claim);
@@ -472,11 +637,11 @@
     /// Queries the peers that have sent nothing since the weights were announced, so that a dead peer is
     /// detected before a claim has to wait for it, and those whose claim or load may have ended.
     fn query_quiet_peers(&mut self, now: Micros, peers: &[K]) -> Step<K> {
-        let waits = self.desired > 0 && self.loading.is_none() && self.can_answer(now);
+        let waits = self.waits() && self.can_answer(now);
         if !waits || now.since(self.announced) < INITIAL_WAIT {
             return Step::default();
         }
-        let is_current = |p: &Peer| match p.state.claims || p.state.loading.is_some() {
+        let is_current = |p: &Peer| match p.state.takes_slot() {
             true => now.since(p.received_at) < STATE_REFRESH,
             false => p.received_at >= self.announced,
         };
@@ -533,21 +698,52 @@
         self.due_since = None;
     }
 
-    /// Valid updates: recent ones, and those of an engine that loads, or whose sidecar claims a slot, for as
-    /// long as the load may last.
+    /// Valid updates of the peers themselves.
     fn recent_updates(&self, now: Micros) -> impl Iterator<Item = (&K, &Peer)> {
-        let lease = move |k: &K, p: &Peer| {
-            let load_time = p.state.load_time.or(self.load_time);
-            let load = self.load_lease(load_time, self.listed.contains(k));
-            match p.state.loading {
-                Some(_) => load,
-                None if p.state.claims => ANSWER_LIFETIME + load,
-                None => UPDATE_LEASE,
-            }
-        };
         self.peers
             .iter()
-            .filter(move |(k, p)| now.since(p.received_at) < lease(k, p))
+            .filter(|(_, p)| !self.relays.contains(p.state.engine))
+            .filter(move |(k, p)| self.is_valid(now, p, Some(k)))
+    }
+
+    /// Valid states of all peers, of each the latest one.
+    fn recent_peers(&self, now: Micros) -> impl Iterator<Item = &Peer> {
+        let direct = self.recent_updates(now).map(|(_, p)| p);
+        direct.chain(self.valid_relays(now))
+    }
+
+    /// Valid states that were relayed.
+    fn valid_relays(&self, now: Micros) -> impl Iterator<Item = &Peer> {
+        let relayed = self.relays.peers();
+        relayed.filter(move |p| self.is_valid(now, p, None))
+    }
+
+    /// Whether a state is valid: a recent one, or that of an engine that loads, or whose sidecar claims a
+    /// slot, for as long as the load may last. `from` is the peer that sent it, unless it was relayed.
+    fn is_valid(&self, now: Micros, peer: &Peer, from: Option<&K>) -> bool {
+        let load = || {
+            let load_time = peer.state.load_time.or(self.load_time);
+            let listed = match from {
+                Some(k) => self.listed.contains(k),
+                None => self.is_listed(peer.state.engine),
+            };
+            self.load_lease(load_time, listed)
+        };
+        let lease = match peer.state.loading {
+            Some(_) => load(),
+            None if peer.state.claims => ANSWER_LIFETIME + load(),
+            None => UPDATE_LEASE,
+        };
+        now.since(peer.received_at) < lease
+    }
+
+    /// Whether the sidecar of an engine is listed. If nothing was received from it, it may be any listed peer
+    /// whose engine isn't known.
+    fn is_listed(&self, engine: u64) -> bool {
+        match self.direct_state(engine) {
+            Some((k, _)) => self.listed.contains(k),
+            None => self.listed.iter().any(|k| !self.peers.contains_key(k)),
+        }
     }
 
     /// How long a load counts without an update, given its usual duration and whether the sidecar is listed.
@@ -568,8 +764,8 @@
             return self.load_time;
         }
         let mut seen: Vec<_> = self
-            .recent_updates(now)
-            .filter_map(|(_, p)| p.state.load_time)
+            .recent_peers(now)
+            .filter_map(|p| p.state.load_time)
             .collect();
         seen.sort_unstable();
         seen.get(seen.len() / 2).copied()
@@ -605,7 +801,7 @@
                 },
             })
         };
-        let known = self.recent_updates(now).filter_map(|(_, p)| engine(p));
+        let known = self.recent_peers(now).filter_map(engine);
         let unknown = (0..self.unknown_peers(now)).map(|_| Engine {
             version: newest,
             rank: 0,
