Keep a permit until its load has ended

Callers saw a second engine of a pool with one permit ordered to load 10 s after the first one, whose load takes 16 s, when the sidecar of the first one was stopped.

Cause: a permit ended with the heartbeats of the process that took it, a term of 10 s, while the load continues at the engine. In the same way a permit was released after 180 s, after an order without an answer and at a busy engine.

Change: a holder records in the row where its work runs before it sends the order (contract::lease). Once its heartbeats stop for a term, contenders fetch the report of that engine: they evict the holder when the load has ended or nothing listens there, and renew its entry while the engine loads. A holder without recorded work is evicted after a term as before. A restarted sidecar watches the entry of its predecessor. A sidecar in touch holds its permit until the engine's report shows the end, whatever the length. Out of reach the limit goes first: the entry stays for twice the time of the latest load, 180 s until one has ended.

--- a/crates/daemon/src/sidecar/feed.rs
+++ b/crates/daemon/src/sidecar/feed.rs
@@ -43,7 +43,7 @@
 
 impl FeedError {
     /// Result of a health check that failed with this error.
-    fn check(&self) -> Check {
+    pub fn check(&self) -> Check {
         match self {
             Self::Call(e) if e.is_refused() => Check::Refused,
             _ => Check::Late,
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod control_channel;
 pub mod crash_report_updates;
+pub mod engine_work;
 pub mod feed;
 pub mod probe;
 pub mod run;
@@ -78,6 +79,7 @@
     let table = settings.platform.clone();
     let table = table.map(|p| Platform::new(p, Client::default()));
     let loader = table.clone().map(|table| WeightLoader {
+        host: announced.ip(),
         target: role.target,
         pool: role.pool.clone(),
         view,
