--- a/crates/contract/src/lease.rs
+++ b/crates/contract/src/lease.rs
@@ -35,7 +35,8 @@
 /// Settings of a lease.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
-    /// Maximum number of holders; default 1.
+    /// Maximum number of holders; default 1. With 0 a lease is never acquired and only watches the
+    /// work of silent holders.
     pub size: usize,
     /// How long a holder without heartbeats keeps the lease; default 10 s, several times the
     /// platform's longest response time.
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -30,6 +30,8 @@
 //! If a change is under way at the start or shortly after it, the process counts every peer from which it has
 //! received nothing as loading, until such a load must have ended.
 
+mod reach;
+
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -300,21 +302,6 @@
         }
     }
 
-    /// Records the states of other engines that a sidecar has relayed with its own state.
-    fn receive_relays(&mut self, now: Micros, source: (K, Micros), relays: &[Relay]) {
-        let Some(own) = self.engine else { return };
-        for relay in relays.iter().filter(|r| r.state.engine != own) {
-            let mut peers = self.peers.values();
-            let direct = peers.find(|p| p.state.engine == relay.state.engine);
-            self.relays.record(now, source, relay, direct);
-        }
-    }
-
-    /// The latest update of the sidecar of an engine.
-    fn direct_state(&self, engine: u64) -> Option<(&K, &Peer)> {
-        self.peers.iter().find(|(_, p)| p.state.engine == engine)
-    }
-
     /// Records that another sidecar has answered a query. Its state is passed to [`Self::receive`].
     pub fn answered(&mut self, now: Micros, from: K, query: Query) {
         self.contacts.answered(now, from, query);
@@ -341,10 +328,7 @@
             process: 0,
             sent: now,
             silent: self.silent_engines(now),
-            known: match self.lacks_state(now) {
-                true => self.known_engines(engine),
-                false => 0,
-            },
+            known: self.digest_if_unknown(now, engine),
             confirmed: self.confirmed_claims(now),
             relays: self.requested_relays(now, engine),
         }
@@ -355,86 +339,6 @@
         self.desired > 0 && self.loading.is_none()
     }
 
-    /// Engines of silent peers, and engines whose states were relayed before.
-    fn silent_engines(&self, now: Micros) -> Vec<ShortKey> {
-        if self.under_way_since.is_none() {
-            return Vec::new();
-        }
-        let silent = self.listed.iter().filter(|k| self.is_silent(now, k));
-        let silent = silent.filter_map(|k| self.peers.get(k));
-        let relayed = self.valid_relays(now);
-        let engines = silent.chain(relayed).map(|p| p.state.engine.into());
-        let mut engines: Vec<ShortKey> = engines.collect();
-        engines.sort_unstable();
-        engines.dedup();
-        engines
-    }
-
-    /// Whether a peer is silent: it leaves queries unanswered, or its updates are missing during a change.
-    fn is_silent(&self, now: Micros, peer: &K) -> bool {
-        let changing = self
-            .under_way_since
-            .is_some_and(|at| now.since(at) >= UPDATE_LEASE);
-        let is_recent = |p: &Peer| now.since(p.received_at) < UPDATE_LEASE;
-        let received = self.peers.get(peer).is_some_and(is_recent);
-        self.contacts.silent_since(peer).is_some() || (changing && !received)
-    }
-
-    /// Whether a change is under way and a silent peer has sent no state since this process started.
-    fn lacks_state(&self, now: Micros) -> bool {
-        let unknown = |k: &K| self.is_silent(now, k) && !self.peers.contains_key(k);
-        self.under_way_since.is_some() && self.listed.iter().any(unknown)
-    }
-
-    /// The claims that were received through other sidecars.
-    fn confirmed_claims(&self, now: Micros) -> Vec<Confirmation> {
-        let claims = self.valid_relays(now).filter(|p| p.state.claims);
-        let mut confirmed: Vec<_> = claims.map(|p| Confirmation::of(&p.state)).collect();
-        confirmed.sort_unstable_by_key(|c| c.engine);
-        confirmed.truncate(MAX_CONFIRMED);
-        confirmed
-    }
-
-    /// Digest of this engine and those of the listed peers from which a state was received.
-    fn known_engines(&self, own: u64) -> u64 {
-        let known = self.listed.iter().filter_map(|k| self.peers.get(k));
-        known.fold(own, |digest, p| digest ^ p.state.engine)
-    }
-
-    /// The states that other sidecars lack, those that take a slot first.
-    fn requested_relays(&self, now: Micros, own: u64) -> Vec<Relay> {
-        let is_recent = |p: &&Peer| now.since(p.received_at) < UPDATE_LEASE;
-        let asks = |p: &&Peer| !p.state.silent.is_empty() || p.state.known != 0;
-        let asking: Vec<_> = self.peers.values().filter(is_recent).filter(asks).collect();
-        if asking.is_empty() {
-            return Vec::new();
-        }
-        let digest = self.known_engines(own);
-        let all = asking
-            .iter()
-            .any(|p| p.state.known != 0 && p.state.known != digest);
-        let is_named = |engine: u64| {
-            let key = ShortKey::from(engine);
-            asking.iter().any(|p| p.state.silent.contains(&key))
-        };
-        let requested = self
-            .recent_peers(now)
-            .filter(|p| is_named(p.state.engine) || (all && p.state.takes_slot()));
-        let mut requested: Vec<_> = requested.collect();
-        let rank = |s: &State| (!s.takes_slot(), s.confirmed.is_empty(), s.engine);
-        requested.sort_unstable_by_key(|p| rank(&p.state));
-        requested.truncate(MAX_RELAYS);
-        let relay = |p: &Peer| Relay {
-            received: p.received_at,
-            state: State {
-                silent: Vec::new(),
-                known: 0,
-                ..p.state.clone()
-            },
-        };
-        requested.into_iter().map(relay).collect()
-    }
-
     /// Whether any engine of the pool still has to load weights or is loading them.
     pub fn under_way(&self, now: Micros) -> bool {
         let changing = |p: &Peer| p.state.desired > 0 || p.state.loading.is_some();
@@ -578,28 +482,6 @@
         self.query(now, to_query)
     }
 
-    /// Peers that are out of reach, have been alive since they were, and have not confirmed a claim that was
-    /// sent both at `claim` or later and within the lifetime of an answer.
-    fn unconfirmed_relays(&self, now: Micros, claim: Micros) -> impl Iterator<Item = &Peer> {
-        let from = (now - ANSWER_LIFETIME).max(claim);
-        let own = self.engine.map(ShortKey::from);
-        let confirms = move |c: &Confirmation| Some(c.engine) == own && c.sent >= from;
-        let is_alive = move |p: &Peer| {
-            let direct = self.direct_state(p.state.engine);
-            let silent_since = direct.and_then(|(k, _)| self.contacts.silent_since(k));
-            now.since(p.received_at) < UPDATE_LEASE && Some(p.received_at) >= silent_since
-        };
-        let relayed = self.relays.peers().filter(move |p| is_alive(p));
-        relayed.filter(move |p| !p.state.confirmed.iter().any(confirms))
-    }
-
-    /// Time from which the answers of the other peers cover all skipped ones.
-    fn silent_from(&self, peers: &[K]) -> Micros {
-        let skipped = peers.iter().filter(|k| self.contacts.is_skipped(k));
-        let silent = skipped.filter_map(|k| self.contacts.silent_since(k));
-        silent.max().unwrap_or_default()
-    }
-
     /// Peers that have answered no query sent both after the claim began and within the last `age`.
     fn peers_without_answer(&self, peers: &[K], now: Micros, claim: Micros, age: Micros) -> Vec<K> {
         let from = Micros(now.0.saturating_sub(age.0)).max(claim);
@@ -712,12 +594,6 @@
         direct.chain(self.valid_relays(now))
     }
 
-    /// Valid states that were relayed.
-    fn valid_relays(&self, now: Micros) -> impl Iterator<Item = &Peer> {
-        let relayed = self.relays.peers();
-        relayed.filter(move |p| self.is_valid(now, p, None))
-    }
-
     /// Whether a state is valid: a recent one, or that of an engine that loads, or whose sidecar claims a
     /// slot, for as long as the load may last. `from` is the peer that sent it, unless it was relayed.
     fn is_valid(&self, now: Micros, peer: &Peer, from: Option<&K>) -> bool {
@@ -737,15 +613,6 @@
         now.since(peer.received_at) < lease
     }
 
-    /// Whether the sidecar of an engine is listed. If nothing was received from it, it may be any listed peer
-    /// whose engine isn't known.
-    fn is_listed(&self, engine: u64) -> bool {
-        match self.direct_state(engine) {
-            Some((k, _)) => self.listed.contains(k),
-            None => self.listed.iter().any(|k| !self.peers.contains_key(k)),
-        }
-    }
-
     /// How long a load counts without an update, given its usual duration and whether the sidecar is listed.
     /// A single load may take far longer than usual; a sidecar that has left the list was silent for longer
     /// than most pauses last.
