Judge the work of a silent holder by any load of its engine

The recorded incarnation came from a report before the running requests had ended. An engine that restarted in between would have loaded as another incarnation, and its permit would have been freed.

--- a/crates/daemon/src/sidecar/engine_work.rs
+++ b/crates/daemon/src/sidecar/engine_work.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use contract::lease::Work;
-use model::Incarnation;
 use policy::liveness::Check;
 use store::Client;
 use thiserror::Error;
@@ -30,18 +29,16 @@
     pub host: IpAddr,
     /// Address of the engine on that host.
     pub target: SocketAddr,
-    /// Incarnation of the engine that works.
-    pub incarnation: Incarnation,
 }
 
 /// An entry that names no engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("expected host, target and incarnation of an engine, separated by spaces")]
+#[error("expected the addresses of a host and an engine, separated by a space")]
 pub struct ParseWorkError;
 
 impl Display for EngineWork {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} {} {}", self.host, self.target, self.incarnation.0)
+        write!(f, "{} {}", self.host, self.target)
     }
 }
 
@@ -49,13 +46,10 @@
     type Err = ParseWorkError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut parts = text.split(' ');
-        let mut next = || parts.next().ok_or(ParseWorkError);
-        let (host, target, incarnation) = (next()?, next()?, next()?);
+        let (host, target) = text.split_once(' ').ok_or(ParseWorkError)?;
         Ok(Self {
             host: host.parse().map_err(|_| ParseWorkError)?,
             target: target.parse().map_err(|_| ParseWorkError)?,
-            incarnation: Incarnation(incarnation.parse().map_err(|_| ParseWorkError)?),
         })
     }
 }
@@ -66,10 +60,10 @@
         self.host == from || !self.target.ip().is_loopback()
     }
 
-    /// Judges the work by the engine's report.
-    pub fn judge(&self, report: &Result<TargetReport, FeedError>) -> Work {
+    /// Judges the work of an engine by its report. Any load counts, also one of a later incarnation.
+    pub fn judge(report: &Result<TargetReport, FeedError>) -> Work {
         match report {
-            Ok(r) if r.incarnation == self.incarnation && r.loading => Work::Running,
+            Ok(r) if r.loading => Work::Running,
             Ok(_) => Work::Ended,
             Err(e) if e.check() == Check::Refused => Work::Ended,
             Err(_) => Work::Unknown,
@@ -89,7 +83,7 @@
     let result = match work.is_reachable(from) {
         true => timeout(CHECK_TIMEOUT, feed::fetch_report(client, work.target))
             .await
-            .map_or(Work::Unknown, |report| work.judge(&report)),
+            .map_or(Work::Unknown, |report| EngineWork::judge(&report)),
         false => Work::Unknown,
     };
     spdlog::info!(logger: log::sidecar(), "holder of a permit is silent, work of its engine {} is {result:?}", work.target);
--- a/crates/daemon/src/sidecar/weight_loader.rs
+++ b/crates/daemon/src/sidecar/weight_loader.rs
@@ -17,7 +17,7 @@
 use contract::lease::Config;
 use contract::{Lease, LeaseStep};
 use hyper::{Method, StatusCode};
-use model::{Incarnation, Micros};
+use model::Micros;
 use policy::liveness::Check;
 use serde_json::json;
 use store::{Call, Client, Platform, Table};
@@ -160,8 +160,8 @@
         loop {
             permit.until_valid().await;
             lease.until_valid().await;
-            let incarnation = self.quiesce(client, desired).await?;
-            permit.start_work(self.work(incarnation));
+            self.quiesce(client, desired).await?;
+            permit.start_work(self.work());
             permit.until_work_recorded().await;
             // Last check before the order: a process that was paused until here finds its lease
             // expired.
@@ -191,19 +191,14 @@
                 spdlog::info!(logger: log::sidecar(), "earlier load of weights {} has ended", r.weights)
             }
             Err(e) => {
-                spdlog::warn!(logger: log::sidecar(), "earlier load has ended without weights {}: {e}", desired.weights)
+                spdlog::warn!(logger: log::sidecar(), "earlier load is no longer watched, weights {} not loaded: {e}", desired.weights)
             }
         }
         drop(watcher);
     }
 
     /// Waits until nothing runs at the engine; fails if the load is no longer necessary.
-    /// Returns the engine's incarnation.
-    async fn quiesce(
-        &self,
-        client: &Client,
-        desired: &DesiredWeights,
-    ) -> Result<Incarnation, LoadError> {
+    async fn quiesce(&self, client: &Client, desired: &DesiredWeights) -> Result<(), LoadError> {
         // Another sidecar of the same engine may have loaded the weights while this one waited.
         // Loading them again would break off the requests that run now.
         let report = self.report(client).await.ok_or(LoadError::NoReport)?;
@@ -212,8 +207,7 @@
         }
         let (quiesced, when_quiesced) = oneshot::channel();
         self.control.send(ControlMessage::Quiesce(quiesced));
-        when_quiesced.await.map_err(|_| LoadError::TimedOut)?;
-        Ok(report.incarnation)
+        when_quiesced.await.map_err(|_| LoadError::TimedOut)
     }
 
     /// Waits until the engine's report shows that a load has ended. Before `settled` the report may
@@ -290,11 +284,10 @@
     }
 
     /// The work of this sidecar's engine.
-    fn work(&self, incarnation: Incarnation) -> EngineWork {
+    fn work(&self) -> EngineWork {
         EngineWork {
             host: self.host,
             target: self.target,
-            incarnation,
         }
     }
 
@@ -315,6 +308,7 @@
 /// What an order to the engine requires.
 struct Rights {
     permit: HeldLease,
+    /// The engine's lease, held until the load has ended.
     _lease: HeldLease,
     fencing_token: u64,
 }
--- a/crates/gate/src/agent/relay.rs
+++ b/crates/gate/src/agent/relay.rs
@@ -22,7 +22,7 @@
     state.relays = update.relays.iter().map(decode).collect();
 }
 
-/// Copy of relayed states without times and the order in which they changed, for comparison: which
+/// Copy of relayed states for comparison, with only what other agents must receive at once: which
 /// engines load, claim a slot or have confirmed a claim.
 pub(super) fn without_times(relays: &[RelayedState]) -> Vec<RelayedState> {
     let constant = |r: &RelayedState| RelayedState {
