--- a/crates/daemon/tests/permits.rs
+++ b/crates/daemon/tests/permits.rs
@@ -19,7 +19,7 @@
     engines: usize,
     /// What happens to the replica whose engine loads first.
     event: fn(&mut Fleet, usize),
-    /// Whether the load of that engine goes on.
+    /// Whether the load of that engine continues.
     continues: bool,
 }
 
