Known red: a target gets more requests than it states

Stand-ins state Server-Limit and have a build. The test sends through four entries to two targets, one of which states 1.5 requests a second and later none; it fails on the current code.

--- a/crates/daemon/tests/hosted/limits.rs
+++ b/crates/daemon/tests/hosted/limits.rs
@@ -1,4 +1,4 @@
-//! A team's limit over several entries.
+//! The limits of teams and targets over several entries.
 
 use std::time::{Duration, Instant};
 
@@ -77,3 +77,78 @@
     };
     timeout(TIMEOUT, passes).await.expect("a request passes");
 }
+
+/// Requests per second that a target in need states.
+const STATED_RATE: f64 = 1.5;
+/// Window in which requests to the target are counted.
+const TARGET_WINDOW: Duration = Duration::from_secs(4);
+/// Factor and number of requests by which a window may exceed the stated rate.
+const TARGET_FACTOR: f64 = 1.5;
+const TARGET_SLACK: f64 = 5.0;
+/// Interval between the requests of all callers together.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Sends requests to the entries in turn for `time`, all of which are answered.
+async fn send_for(entries: &[Entry], numbers: &mut std::ops::RangeFrom<usize>, time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        let number = numbers.next().expect("a number");
+        assert_eq!(send(entries, number).await.status, 200);
+        sleep(REQUEST_INTERVAL).await;
+    }
+}
+
+/// Most requests that a replica received in a window after `from`.
+fn most_received(replica: &Replica, from: Instant) -> usize {
+    let received = replica.requests().into_iter().map(|r| r.received);
+    let received: Vec<_> = received.filter(|at| *at >= from).collect();
+    let in_window = |start: &Instant| {
+        let later = received.iter().filter(|at| *at >= start);
+        later.filter(|at| **at < *start + TARGET_WINDOW).count()
+    };
+    received.iter().map(in_window).max().unwrap_or_default()
+}
+
+#[tokio::test]
+async fn target_gets_no_more_than_it_states_from_all_entries_together() {
+    // Guards against entries that ignore a target's stated limit or keep it each on its own, and
+    // against a limit that stays in force after the target states none.
+    let mut platform = Platform::start().await;
+    let [limited, other] = ["p1", "p2"].map(|id| Replica::new(id, 0, Duration::ZERO));
+    for r in [&limited, &other] {
+        platform.replica(r, "plain").await;
+    }
+    let mut entries = Vec::new();
+    for n in 0..4 {
+        entries.push(platform.entry(&format!("front-{n}"), 2).await);
+    }
+    let mut numbers = 0..;
+    send_for(&entries, &mut numbers, Duration::from_secs(1)).await;
+    limited.set_limit(Some(STATED_RATE));
+    let stated = Instant::now();
+    send_for(&entries, &mut numbers, Duration::from_secs(9)).await;
+    let most = most_received(&limited, stated + Duration::from_millis(500));
+    let allowed = STATED_RATE * TARGET_WINDOW.as_secs_f64() * TARGET_FACTOR + TARGET_SLACK;
+    assert!(most as f64 <= allowed, "{most} of {allowed}");
+    let later = stated + Duration::from_secs(1);
+    let used = limited
+        .requests()
+        .iter()
+        .filter(|r| r.received >= later)
+        .count();
+    assert!(used as f64 >= STATED_RATE * 8.0 * 0.6, "only {used} used");
+
+    limited.set_limit(None);
+    send_for(&entries, &mut numbers, Duration::from_secs(2)).await;
+    let unlimited = Instant::now();
+    send_for(&entries, &mut numbers, Duration::from_secs(2)).await;
+    let used = limited
+        .requests()
+        .iter()
+        .filter(|r| r.received >= unlimited)
+        .count();
+    assert!(
+        used as f64 > allowed,
+        "only {used} after the end of the limit"
+    );
+}
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -21,6 +21,9 @@
 use super::{reply, serve, Body, CutOff};
 use crate::lock;
 
+/// Version of the software of a replica without another one.
+const FIRST_BUILD: &str = "v1";
+
 /// A fault of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -88,6 +91,10 @@
     order_delay: Duration,
     restarts: u64,
     addr: Option<SocketAddr>,
+    /// Requests per second that the replica states in its answers.
+    limit: Option<f64>,
+    /// Version of the replica's software, if it isn't the first one.
+    build: Option<String>,
     /// Number of requests being run.
     running: usize,
     /// Number of requests whose caller disconnected before the end.
@@ -201,6 +208,23 @@
         lock(&self.state).loads.clone()
     }
 
+    /// Sets the requests per second that the replica states in its answers from now on.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        lock(&self.state).limit = limit;
+    }
+
+    /// Sets the version of the replica's software. Events of other builds than the first one name
+    /// it.
+    pub fn set_build(&self, build: &str) {
+        lock(&self.state).build = Some(build.to_owned());
+    }
+
+    /// Version of the replica's software.
+    pub fn build(&self) -> String {
+        let build = lock(&self.state).build.clone();
+        build.unwrap_or_else(|| FIRST_BUILD.to_owned())
+    }
+
     /// Restarts the replica: it keeps its weights and loses all other state.
     pub fn restart(&self) {
         let mut state = lock(&self.state);
@@ -281,6 +305,17 @@
     }
 
     async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let mut answer = self.answer_without_limit(request).await?;
+        if let Some(limit) = lock(&self.state).limit {
+            set_header(&mut answer, "server-limit", &limit.to_string());
+        }
+        Some(answer)
+    }
+
+    async fn answer_without_limit(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
         match parts.uri.path() {
@@ -388,30 +423,35 @@
         let first = after.and_then(|a| a.parse::<u64>().ok()).unwrap_or(0) + 1;
         let running = RunningRequest::new(self);
         let (last, pause) = (self.events, self.pause);
+        let build = lock(&self.state).build.clone();
+        let build = build.map_or_else(String::new, |b| format!(" by {b}"));
         let short = fault == Fault::Short;
         let cut = (short || fault == Fault::Cut).then_some(first + 3);
-        let events = stream::unfold((first, running), move |(n, running)| async move {
-            if cut == Some(n) {
-                let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
-                return Some((Ok(half), (u64::MAX, running)));
-            }
-            if n == u64::MAX && short {
-                return None;
-            }
-            if n == u64::MAX {
-                // The pause lets the half event leave before the connection breaks. The stream ends
-                // with the error, which drops `running`.
+        let events = stream::unfold(
+            (first, running, build),
+            move |(n, running, build)| async move {
+                if cut == Some(n) {
+                    let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
+                    return Some((Ok(half), (u64::MAX, running, build)));
+                }
+                if n == u64::MAX && short {
+                    return None;
+                }
+                if n == u64::MAX {
+                    // The pause lets the half event leave before the connection breaks. The stream ends
+                    // with the error, which drops `running`.
+                    sleep(pause).await;
+                    return Some((Err(CutOff), (n, running, build)));
+                }
+                if n > last {
+                    running.end();
+                    return None;
+                }
                 sleep(pause).await;
-                return Some((Err(CutOff), (n, running)));
-            }
-            if n > last {
-                running.end();
-                return None;
-            }
-            sleep(pause).await;
-            let event = Bytes::from(format!("id: {n}\ndata: token {n}\n\n"));
-            Some((Ok(Frame::data(event)), (n + 1, running)))
-        });
+                let event = Bytes::from(format!("id: {n}\ndata: token {n}{build}\n\n"));
+                Some((Ok(Frame::data(event)), (n + 1, running, build)))
+            },
+        );
         let mut answer = Response::new(StreamBody::new(events).boxed_unsync());
         set_header(&mut answer, "content-type", "text/event-stream");
         answer
--- a/crates/standin/src/hosted/sample.rs
+++ b/crates/standin/src/hosted/sample.rs
@@ -19,7 +19,7 @@
         "engines" => json!([{"name": MODEL, "version": replica.version(MODEL), "adapters": []}]),
         _ => json!([]),
     };
-    json!({"service": service, "address": at.to_string(), "zone": "a", "version": "v1",
+    json!({"service": service, "address": at.to_string(), "zone": "a", "version": replica.build(),
         "slots": 8, "born": born, "state": state, "cold_left_ms": 0, "seq": 1, "models": models})
 }
 
