--- a/crates/daemon/src/entry/limits.rs
+++ b/crates/daemon/src/entry/limits.rs
@@ -7,7 +7,7 @@
 use std::hash::{Hash, Hasher};
 
 use model::Micros;
-use policy::limit::{Config, Limit, Limiter, Purpose, TeamKey};
+use policy::limit::{Config, Limit, LimitKey, Limiter, Purpose};
 use rules::Limits as Allowed;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -27,10 +27,10 @@
 }
 
 impl Key<'_> {
-    fn digest(self) -> TeamKey {
+    fn digest(self) -> LimitKey {
         let mut hasher = Xxh3::new();
         self.hash(&mut hasher);
-        TeamKey(hasher.finish())
+        LimitKey(hasher.finish())
     }
 }
 
--- a/crates/gate/src/entry/limits.rs
+++ b/crates/gate/src/entry/limits.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use model::Micros;
-use policy::limit::{self, Config, Limit, Limiter, Purpose, Refusal, Report, TeamKey, TeamReport};
+use policy::limit::{self, Config, Limit, LimitKey, Limiter, Purpose, Refusal, Report, Usage};
 use site::{Bounds, Plan};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -67,8 +67,8 @@
     }
 }
 
-fn team_key(team: &str) -> TeamKey {
-    TeamKey(xxh3_64(team.as_bytes()))
+fn team_key(team: &str) -> LimitKey {
+    LimitKey(xxh3_64(team.as_bytes()))
 }
 
 /// Units of a team's limit for the next run of a request. Dropping them returns units that no run
@@ -76,7 +76,7 @@
 #[derive(Debug)]
 pub(super) struct Charge {
     ctx: Ctx,
-    team: TeamKey,
+    team: LimitKey,
     units: u64,
     /// Whether the units are taken and no run has used them yet.
     held: bool,
@@ -187,8 +187,8 @@
 }
 
 fn encode(report: Report) -> Update {
-    let team = |t: TeamReport| TeamUse {
-        team: t.team.0,
+    let team = |t: Usage| TeamUse {
+        team: t.key.0,
         spent: t.spent,
         recent: t.recent,
         level: t.level,
@@ -199,15 +199,15 @@
             process: report.process,
             sent_us: report.sent.0,
             beat_ms: report.beat.as_millis() as u32,
-            teams: report.teams.into_iter().map(team).collect(),
+            teams: report.usage.into_iter().map(team).collect(),
         }),
         ..Update::default()
     }
 }
 
 fn decode(received: &LimitUse) -> Report {
-    let team = |t: &TeamUse| TeamReport {
-        team: TeamKey(t.team),
+    let team = |t: &TeamUse| Usage {
+        key: LimitKey(t.team),
         spent: t.spent,
         recent: t.recent,
         level: t.level,
@@ -216,6 +216,6 @@
         process: received.process,
         sent: Micros(received.sent_us),
         beat: Micros::from_millis(received.beat_ms.into()),
-        teams: received.teams.iter().map(team).collect(),
+        usage: received.teams.iter().map(team).collect(),
     }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -29,9 +29,9 @@
 use model::Micros;
 
 use account::Account;
-use peers::{Peers, TeamTotal};
+use peers::{Peers, Total};
 
-/// A team's limit over the whole fleet.
+/// A key's limit over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units per second.
@@ -40,9 +40,9 @@
     pub burst: f64,
 }
 
-/// Hash of a team's name.
+/// Hash of the name of what is limited: a key or a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct TeamKey(pub u64);
+pub struct LimitKey(pub u64);
 
 /// How closely limits are kept.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,7 +55,7 @@
     pub slack: f64,
     /// Longest interval between two reports; 500 ms.
     pub beat: Micros,
-    /// Longest interval between two reports while a team has less than half of its burst left; 150
+    /// Longest interval between two reports while a key has less than half of its burst left; 150
     /// ms.
     pub fast_beat: Micros,
 }
@@ -82,19 +82,19 @@
 
 /// Interval at which [`Limiter::poll`] should be called.
 pub const POLL_INTERVAL: Micros = Micros::from_millis(50);
-/// Time for which the teams of a report are repeated in later ones, in case it was lost.
+/// Time for which the keys of a report are repeated in later ones, in case it was lost.
 const REPEAT: Micros = Micros::from_secs(2);
-/// Number of teams in one report, which has to fit into a datagram.
-const MAX_TEAMS: usize = 30;
+/// Number of keys in one report, which has to fit into a datagram.
+const MAX_KEYS: usize = 30;
 /// Share of the tolerance that is added to the burst, so that reports which arrive late refuse
-/// nothing of a team that is within its limit. The rest is for use that an entry doesn't know of.
+/// nothing of a key that is within its limit. The rest is for use that an entry doesn't know of.
 const BURST_SHARE: f64 = 0.2;
 /// Share of the margin that a fleet may use when all its processes have just started, and all
 /// records of earlier use are lost.
 const START_SHARE: f64 = 0.5;
 /// Time after its start within which an entry receives the levels of others.
 const STARTUP: Micros = Micros::from_millis(500);
-/// Seconds of a team's rate that count as used by all entries alike.
+/// Seconds of a key's rate that count as used by all entries alike.
 const PRIOR_SECS: f64 = 2.0;
 /// Share of the margin that further runs of admitted requests may use.
 const RERUN_SHARE: f64 = 0.25;
@@ -122,11 +122,11 @@
     pub age: Micros,
 }
 
-/// Use of a team's limit through one entry.
+/// Use of a key's limit through one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TeamReport {
-    /// The team.
-    pub team: TeamKey,
+pub struct Usage {
+    /// The key.
+    pub key: LimitKey,
     /// Units used since the start of the process.
     pub spent: i64,
     /// Units used recently, decaying with the length of the window.
@@ -146,16 +146,16 @@
     /// Longest interval until the next report.
     pub beat: Micros,
     /// Teams with recent use.
-    pub teams: Vec<TeamReport>,
+    pub usage: Vec<Usage>,
 }
 
-/// The limits of all teams at one entry.
+/// The limits of all keys at one entry.
 #[derive(Debug)]
 pub struct Limiter {
     config: Config,
     process: u64,
     started: Micros,
-    accounts: HashMap<TeamKey, Account>,
+    accounts: HashMap<LimitKey, Account>,
     peers: Peers,
     reported_at: Micros,
     /// When the next report is due, as the last one has announced.
@@ -181,19 +181,19 @@
         self.config = config;
     }
 
-    /// Sets the limits of all teams; a rate of 0 is no limit. Use of teams whose limit changes
+    /// Sets the limits of all keys; a rate of 0 is no limit. Use of keys whose limit changes
     /// remains counted.
-    pub fn set_limits(&mut self, now: Micros, limits: impl IntoIterator<Item = (TeamKey, Limit)>) {
+    pub fn set_limits(&mut self, now: Micros, limits: impl IntoIterator<Item = (LimitKey, Limit)>) {
         let mut accounts = HashMap::new();
-        for (team, limit) in limits.into_iter().filter(|(_, l)| l.rate > 0.0) {
-            self.set_limit(now, team, limit);
-            accounts.extend(self.accounts.remove_entry(&team));
+        for (key, limit) in limits.into_iter().filter(|(_, l)| l.rate > 0.0) {
+            self.set_limit(now, key, limit);
+            accounts.extend(self.accounts.remove_entry(&key));
         }
         self.accounts = accounts;
     }
 
-    /// Sets the limit of one team.
-    pub fn set_limit(&mut self, now: Micros, team: TeamKey, limit: Limit) {
+    /// Sets the limit of one key.
+    pub fn set_limit(&mut self, now: Micros, key: LimitKey, limit: Limit) {
         let settled = self.is_settled(now);
         let tolerance = self.config.tolerance(limit);
         let margin = tolerance * (1.0 - BURST_SHARE);
@@ -207,7 +207,7 @@
         };
         let new = || Account::new(now, limit, margin, start, settled);
         self.accounts
-            .entry(team)
+            .entry(key)
             .or_insert_with(new)
             .set_limit(limit, margin);
     }
@@ -217,28 +217,28 @@
         self.peers.set(now, peers);
     }
 
-    /// Whether any team has a limit.
+    /// Whether any key has a limit.
     pub fn has_limits(&self) -> bool {
         !self.accounts.is_empty()
     }
 
-    /// Takes units of a team, or returns when the request would pass. `time_left` is how long its
+    /// Takes units of a key, or returns when the request would pass. `time_left` is how long its
     /// caller waits.
     pub fn take(
         &mut self,
         now: Micros,
-        team: TeamKey,
+        key: LimitKey,
         units: u64,
         purpose: Purpose,
         time_left: Micros,
     ) -> Result<(), Refusal> {
         self.update_contact(now);
-        let Some(account) = self.accounts.get_mut(&team) else {
+        let Some(account) = self.accounts.get_mut(&key) else {
             return Ok(());
         };
         let window = self.config.window;
         let own = account.recent(now, window);
-        let part = self.peers.part(now, team, window);
+        let part = self.peers.part(now, key, window);
         account.refill(now, part.share);
         let margin = account.margin();
         let least = match purpose {
@@ -253,7 +253,7 @@
             account.add(now, units as i64, self.config.window);
             return Ok(());
         }
-        let own = self.peers.own_share(now, team, own, window);
+        let own = self.peers.own_share(now, key, own, window);
         Err(Refusal {
             wait: account.wait(now, part.share, own, least, units, time_left),
             level: account.level() as i64,
@@ -263,8 +263,8 @@
     }
 
     /// Returns the units of a request that has not run.
-    pub fn give_back(&mut self, now: Micros, team: TeamKey, units: u64) {
-        if let Some(a) = self.accounts.get_mut(&team) {
+    pub fn give_back(&mut self, now: Micros, key: LimitKey, units: u64) {
+        if let Some(a) = self.accounts.get_mut(&key) {
             a.add(now, -(units as i64), self.config.window);
         }
     }
@@ -284,8 +284,8 @@
         }
         self.reported_at = now;
         self.report_due = now + self.beat();
-        let teams = self.accounts.iter_mut();
-        let changed = teams.filter_map(|(team, a)| a.mark_reported(now, REPEAT).then_some(*team));
+        let keys = self.accounts.iter_mut();
+        let changed = keys.filter_map(|(key, a)| a.mark_reported(now, REPEAT).then_some(*key));
         let changed: Vec<_> = changed.collect();
         self.reports(now, &changed)
     }
@@ -296,11 +296,11 @@
         let window = self.config.window;
         let entries = self.peers.entries() as f64;
         let mut unreported_due = false;
-        for (team, account) in &mut self.accounts {
+        for (key, account) in &mut self.accounts {
             if account.unreported() == 0.0 && account.short_since().is_none() {
                 continue;
             }
-            let part = self.peers.part(now, *team, window);
+            let part = self.peers.part(now, *key, window);
             account.refill(now, part.share);
             let overlooked = account.level().max(0.0) / 2.0 + account.margin() / 4.0;
             unreported_due |= account.unreported() >= overlooked / entries;
@@ -316,16 +316,16 @@
         let own_age = now.since(self.started);
         let settled = self.is_settled(now);
         let window = self.config.window;
-        for (team, held) in self.peers.release(from) {
-            if let Some(a) = self.accounts.get_mut(&team) {
+        for (key, held) in self.peers.release(from) {
+            if let Some(a) = self.accounts.get_mut(&key) {
                 a.subtract(-held);
             }
         }
-        for t in &report.teams {
-            let Some(account) = self.accounts.get_mut(&t.team) else {
+        for t in &report.usage {
+            let Some(account) = self.accounts.get_mut(&t.key) else {
                 continue;
             };
-            let part = self.peers.part(now, t.team, window);
+            let part = self.peers.part(now, t.key, window);
             account.refill(now, part.share);
             let used = self.peers.used(now, from, t, account.limit());
             match t.level {
@@ -343,25 +343,25 @@
         }
     }
 
-    /// Units left of a team, for metrics.
-    pub fn level(&self, team: TeamKey) -> Option<f64> {
-        self.accounts.get(&team).map(Account::level)
+    /// Units left of a key, for metrics.
+    pub fn level(&self, key: LimitKey) -> Option<f64> {
+        self.accounts.get(&key).map(Account::level)
     }
 
-    /// Reports of all teams with recent use.
+    /// Reports of all keys with recent use.
     fn full_reports(&self, now: Micros) -> Vec<Report> {
         let window = self.config.window;
         let used = self.accounts.iter();
         let used =
             used.filter(|(_, a)| a.recent(now, window) >= 1.0 || a.level() < a.limit().burst);
-        let teams: Vec<_> = used.map(|(team, _)| *team).collect();
-        self.reports(now, &teams)
+        let keys: Vec<_> = used.map(|(key, _)| *key).collect();
+        self.reports(now, &keys)
     }
 
-    /// Reports of these teams, at least one.
-    fn reports(&self, now: Micros, teams: &[TeamKey]) -> Vec<Report> {
+    /// Reports of these keys, at least one.
+    fn reports(&self, now: Micros, keys: &[LimitKey]) -> Vec<Report> {
         let sent = now.since(self.started);
-        let chunks = teams.chunks(MAX_TEAMS);
+        let chunks = keys.chunks(MAX_KEYS);
         let mut reports: Vec<_> = chunks.map(|c| self.report(now, sent, c)).collect();
         if reports.is_empty() {
             reports.push(self.report(now, sent, &[]));
@@ -373,12 +373,12 @@
         reports
     }
 
-    fn report(&self, now: Micros, sent: Micros, teams: &[TeamKey]) -> Report {
+    fn report(&self, now: Micros, sent: Micros, keys: &[LimitKey]) -> Report {
         let settled = self.is_settled(now);
-        let team_report = |team: &TeamKey| {
-            let a = self.accounts.get(team)?;
-            Some(TeamReport {
-                team: *team,
+        let usage = |key: &LimitKey| {
+            let a = self.accounts.get(key)?;
+            Some(Usage {
+                key: *key,
                 spent: a.spent(),
                 recent: a.recent(now, self.config.window) as u64,
                 level: (settled || a.is_settled()).then(|| a.level() as i64),
@@ -388,7 +388,7 @@
             process: self.process,
             sent,
             beat: self.beat(),
-            teams: teams.iter().filter_map(team_report).collect(),
+            usage: keys.iter().filter_map(usage).collect(),
         }
     }
 
@@ -409,7 +409,7 @@
     }
 
     fn update_contact(&mut self, now: Micros) {
-        let hold = |team: TeamKey, share: f64| match self.accounts.get_mut(&team) {
+        let hold = |key: LimitKey, share: f64| match self.accounts.get_mut(&key) {
             Some(a) => a.hold(share),
             None => 0.0,
         };
@@ -418,12 +418,12 @@
 
     fn update_totals(&mut self, now: Micros) {
         let window = self.config.window;
-        let used = self.accounts.iter().map(|(team, a)| {
-            let own = TeamTotal {
+        let used = self.accounts.iter().map(|(key, a)| {
+            let own = Total {
                 recent: a.recent(now, window),
                 prior: a.limit().rate * PRIOR_SECS,
             };
-            (*team, own)
+            (*key, own)
         });
         self.peers.update_totals(now, window, used);
     }
--- a/crates/policy/src/limit/account.rs
+++ b/crates/policy/src/limit/account.rs
@@ -1,4 +1,4 @@
-//! One entry's copy of a team's token bucket.
+//! One entry's copy of a key's token bucket.
 
 use model::Micros;
 
@@ -7,10 +7,10 @@
 /// Shortest time whose units fit into a bucket; without it, a limit without a burst would refuse
 /// every request.
 const MIN_BURST_SECS: f64 = 0.1;
-/// Share of the burst below which a team counts as short of units.
+/// Share of the burst below which a key counts as short of units.
 const SHORT_SHARE: f64 = 0.5;
 
-/// Units that a team may still use, and those it has used through this entry.
+/// Units that a key may still use, and those it has used through this entry.
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     limit: Limit,
@@ -25,7 +25,7 @@
     changed_at: Option<Micros>,
     recent: f64,
     recent_at: Micros,
-    /// Since when the team is short of units.
+    /// Since when the key is short of units.
     short_since: Option<Micros>,
     /// When all requests that were refused have returned.
     returned_at: Micros,
@@ -138,7 +138,7 @@
         due
     }
 
-    /// Since when the team has been short of units, if it is.
+    /// Since when the key has been short of units, if it is.
     pub(super) fn short_since(&self) -> Option<Micros> {
         self.short_since
     }
--- a/crates/policy/src/limit/peers.rs
+++ b/crates/policy/src/limit/peers.rs
@@ -7,10 +7,10 @@
 use model::Micros;
 
 use super::account::decay;
-use super::{Limit, Report, TeamKey, TeamReport};
+use super::{Limit, LimitKey, Report, Usage};
 
-/// Share of a limit that is divided equally, so that a team's first request passes at an entry that
-/// the team hasn't used.
+/// Share of a limit that is divided equally, so that a key's first request passes at an entry that
+/// the key hasn't used.
 const EQUAL_SHARE: f64 = 0.1;
 /// Number of intervals between reports after which a peer without any counts as out of contact.
 const MISSED_BEATS: f64 = 3.2;
@@ -29,22 +29,22 @@
 /// Time after which a majority leaves a peer out of contact only the equal share. Later than
 /// [`KEEP_PART`], as both sides don't lose contact at the same moment.
 const FORGET: Micros = Micros::from_secs(30);
-/// Interval at which the use of all teams is recorded.
+/// Interval at which the use of all keys is recorded.
 const TOTALS_INTERVAL: Micros = Micros::from_millis(200);
-/// Time for which records of the use of all teams are kept; peers that have been late for longer are
+/// Time for which records of the use of all keys are kept; peers that have been late for longer are
 /// out of contact.
 const TOTALS_KEPT: Micros = Micros::from_secs(5);
 /// Number of entries up to which reports are sent at the configured intervals.
 const FULL_RATE_ENTRIES: f64 = 100.0;
 
-/// A team's use through a peer.
+/// A key's use through a peer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     /// Units since the start of the process, if it has reported them.
     spent: Option<i64>,
     recent: f64,
     at: Micros,
-    /// Share of the team's use when the peer went out of contact.
+    /// Share of the key's use when the peer went out of contact.
     share: f64,
     /// Units left to the peer when it went out of contact.
     held: f64,
@@ -58,24 +58,24 @@
     }
 }
 
-/// Use of a team through all entries.
+/// Use of a key through all entries.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct TeamTotal {
+pub(super) struct Total {
     /// Units used recently.
     pub(super) recent: f64,
-    /// Units that count as used by all entries alike, so that a single request of a team that has
+    /// Units that count as used by all entries alike, so that a single request of a key that has
     /// sent nothing before doesn't make its entry the one with all of the use.
     pub(super) prior: f64,
 }
 
-/// Use of all teams at one time.
+/// Use of all keys at one time.
 #[derive(Debug)]
 struct Totals {
     at: Micros,
-    teams: HashMap<TeamKey, TeamTotal>,
+    keys: HashMap<LimitKey, Total>,
 }
 
-/// Part of a team's limit.
+/// Part of a key's limit.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Part {
     /// Share of the limit.
@@ -114,7 +114,7 @@
     /// Longest interval until its next report, as it has announced.
     beat: Micros,
     contact: Contact,
-    uses: HashMap<TeamKey, Use>,
+    uses: HashMap<LimitKey, Use>,
 }
 
 impl Peer {
@@ -129,12 +129,12 @@
         }
     }
 
-    /// Part of a team's limit that is left to the peer.
-    fn reserved(&self, team: TeamKey, entries: f64) -> f64 {
+    /// Part of a key's limit that is left to the peer.
+    fn reserved(&self, key: LimitKey, entries: f64) -> f64 {
         match self.contact {
             Contact::Live => 0.0,
             Contact::Unheard { .. } => 1.0 / entries,
-            Contact::Silent { .. } => self.silent_part(team, entries),
+            Contact::Silent { .. } => self.silent_part(key, entries),
             Contact::Forgotten => EQUAL_SHARE / entries,
         }
     }
@@ -144,14 +144,14 @@
         now.since(self.received_at).as_secs_f64() / self.beat.as_secs_f64().max(1e-3)
     }
 
-    /// A team's recent use through the peer.
-    fn recent(&self, now: Micros, team: TeamKey, window: Micros) -> f64 {
-        let used = self.uses.get(&team);
+    /// A key's recent use through the peer.
+    fn recent(&self, now: Micros, key: LimitKey, window: Micros) -> f64 {
+        let used = self.uses.get(&key);
         used.map_or(0.0, |u| u.recent_at(now, window))
     }
 
-    fn silent_part(&self, team: TeamKey, entries: f64) -> f64 {
-        let share = self.uses.get(&team).map_or(0.0, |u| u.share);
+    fn silent_part(&self, key: LimitKey, entries: f64) -> f64 {
+        let share = self.uses.get(&key).map_or(0.0, |u| u.share);
         EQUAL_SHARE / entries + (1.0 - EQUAL_SHARE) * share
     }
 }
@@ -237,22 +237,22 @@
         Some(first)
     }
 
-    /// Records a team's use through a peer. Returns the units that weren't known before.
+    /// Records a key's use through a peer. Returns the units that weren't known before.
     pub(super) fn used(
         &mut self,
         now: Micros,
         from: SocketAddr,
-        report: &TeamReport,
+        report: &Usage,
         limit: Limit,
     ) -> f64 {
         let entries = self.entries() as f64;
         let Some(peer) = self.peers.get_mut(&from) else {
             return 0.0;
         };
-        let known = peer.uses.get(&report.team).copied();
-        let part = peer.silent_part(report.team, entries);
+        let known = peer.uses.get(&report.key).copied();
+        let part = peer.silent_part(report.key, entries);
         peer.uses.insert(
-            report.team,
+            report.key,
             Use {
                 spent: Some(report.spent),
                 recent: report.recent as f64,
@@ -272,11 +272,11 @@
         }
     }
 
-    /// Part of a team's limit for this entry and the peers in contact.
-    pub(super) fn part(&self, now: Micros, team: TeamKey, window: Micros) -> Part {
+    /// Part of a key's limit for this entry and the peers in contact.
+    pub(super) fn part(&self, now: Micros, key: LimitKey, window: Micros) -> Part {
         let entries = self.entries() as f64;
-        let reserved: f64 = self.peers.values().map(|p| p.reserved(team, entries)).sum();
-        let (late_rate, late_burst) = self.uncertain_shares(now, team, window);
+        let reserved: f64 = self.peers.values().map(|p| p.reserved(key, entries)).sum();
+        let (late_rate, late_burst) = self.uncertain_shares(now, key, window);
         let least = EQUAL_SHARE * self.live() as f64 / entries;
         let part = match self.majority {
             Majority::Kept | Majority::LostAt(_) => 1.0 - reserved - late_rate,
@@ -288,9 +288,9 @@
         }
     }
 
-    /// This entry's share of a team's use through all entries in contact.
-    pub(super) fn own_share(&self, now: Micros, team: TeamKey, own: f64, window: Micros) -> f64 {
-        let others = self.recent(now, team, window);
+    /// This entry's share of a key's use through all entries in contact.
+    pub(super) fn own_share(&self, now: Micros, key: LimitKey, own: f64, window: Micros) -> f64 {
+        let others = self.recent(now, key, window);
         let least = EQUAL_SHARE / self.entries() as f64;
         match own + others {
             all if all > 0.0 => (own / all).max(least),
@@ -312,20 +312,20 @@
     }
 
     /// Units that were left to a peer while it was out of contact.
-    pub(super) fn release(&mut self, from: SocketAddr) -> Vec<(TeamKey, f64)> {
+    pub(super) fn release(&mut self, from: SocketAddr) -> Vec<(LimitKey, f64)> {
         let uses = self.peers.get_mut(&from).into_iter();
         let held = uses.flat_map(|p| &mut p.uses).filter(|(_, u)| u.held > 0.0);
-        held.map(|(team, u)| (*team, std::mem::take(&mut u.held)))
+        held.map(|(key, u)| (*key, std::mem::take(&mut u.held)))
             .collect()
     }
 
-    /// Shares of a team's rate and burst that peers may be using although their reports are late.
+    /// Shares of a key's rate and burst that peers may be using although their reports are late.
     /// They grow with the age of the last reports, up to the peers' share of the recent use.
-    fn uncertain_shares(&self, now: Micros, team: TeamKey, window: Micros) -> (f64, f64) {
+    fn uncertain_shares(&self, now: Micros, key: LimitKey, window: Micros) -> (f64, f64) {
         let live = self.peers.values().filter(|p| p.contact == Contact::Live);
         let late = live.filter(|p| p.missed_beats(now) > BURST_LATE_BEATS);
         late.fold((0.0, 0.0), |(rate, burst), p| {
-            let share = self.last_share(now, p, team, window);
+            let share = self.last_share(now, p, key, window);
             let missed = p.missed_beats(now);
             (
                 rate + share * (missed - RATE_LATE_BEATS).clamp(0.0, 1.0),
@@ -334,27 +334,27 @@
         })
     }
 
-    /// A peer's share of a team's use when it sent its last report. Both sides of a lost connection
+    /// A peer's share of a key's use when it sent its last report. Both sides of a lost connection
     /// compute their parts from use before it.
-    fn last_share(&self, now: Micros, peer: &Peer, team: TeamKey, window: Micros) -> f64 {
+    fn last_share(&self, now: Micros, peer: &Peer, key: LimitKey, window: Micros) -> f64 {
         let mut earlier = self.totals.iter().rev();
         let earlier = earlier.find(|t| t.at <= peer.received_at);
         let totals = earlier.or(self.totals.front());
-        let Some((at, total)) = totals.and_then(|t| Some((t.at, t.teams.get(&team)?))) else {
+        let Some((at, total)) = totals.and_then(|t| Some((t.at, t.keys.get(&key)?))) else {
             return 0.0;
         };
         let prior = total.prior / self.entries() as f64;
         let all = total.recent * decay(now.since(at), window) + total.prior;
-        ((peer.recent(now, team, window) + prior) / all.max(1.0)).min(1.0)
+        ((peer.recent(now, key, window) + prior) / all.max(1.0)).min(1.0)
     }
 
-    /// Moves peers that have sent no reports lately out of contact. `hold` takes a share of a team's
+    /// Moves peers that have sent no reports lately out of contact. `hold` takes a share of a key's
     /// units that is left to a peer.
     pub(super) fn update_contact(
         &mut self,
         now: Micros,
         window: Micros,
-        mut hold: impl FnMut(TeamKey, f64) -> f64,
+        mut hold: impl FnMut(LimitKey, f64) -> f64,
     ) {
         let cut_off = CUT_OFF_BEATS.max(MISSED_REPORTS / (self.live() as f64 - 1.0));
         let quiet = now.since(self.received_at).as_secs_f64();
@@ -365,42 +365,42 @@
         let silent = self.peers.iter().filter(|(_, p)| is_silent(p));
         let silent: Vec<_> = silent.map(|(addr, _)| *addr).collect();
         for addr in silent {
-            let teams = self.totals.back().into_iter().flat_map(|t| t.teams.keys());
+            let keys = self.totals.back().into_iter().flat_map(|t| t.keys.keys());
             let shares = self.peers.get(&addr).into_iter().flat_map(|p| {
-                let share = |team: &TeamKey| (*team, self.last_share(now, p, *team, window));
-                teams.clone().map(share)
+                let share = |key: &LimitKey| (*key, self.last_share(now, p, *key, window));
+                keys.clone().map(share)
             });
             let shares: Vec<_> = shares.collect();
             let Some(peer) = self.peers.get_mut(&addr) else {
                 continue;
             };
             peer.contact = Contact::Silent { since: now };
-            for (team, share) in shares {
-                let used = peer.uses.entry(team).or_default();
+            for (key, share) in shares {
+                let used = peer.uses.entry(key).or_default();
                 used.share = share;
-                used.held = hold(team, share);
+                used.held = hold(key, share);
             }
         }
         self.update_majority(now);
     }
 
-    /// Records the use of all teams. `own` is the use through this entry.
+    /// Records the use of all keys. `own` is the use through this entry.
     pub(super) fn update_totals(
         &mut self,
         now: Micros,
         window: Micros,
-        own: impl Iterator<Item = (TeamKey, TeamTotal)>,
+        own: impl Iterator<Item = (LimitKey, Total)>,
     ) {
         let last = self.totals.back().map(|t| t.at);
         if last.is_some_and(|at| now.since(at) < TOTALS_INTERVAL) {
             return;
         }
-        let teams = own.map(|(team, own)| {
-            let recent = own.recent + self.recent(now, team, window);
-            (team, TeamTotal { recent, ..own })
+        let keys = own.map(|(key, own)| {
+            let recent = own.recent + self.recent(now, key, window);
+            (key, Total { recent, ..own })
         });
-        let teams = teams.collect();
-        self.totals.push_back(Totals { at: now, teams });
+        let keys = keys.collect();
+        self.totals.push_back(Totals { at: now, keys });
         while self
             .totals
             .front()
@@ -410,11 +410,11 @@
         }
     }
 
-    /// A team's recent use through all peers.
-    fn recent(&self, now: Micros, team: TeamKey, window: Micros) -> f64 {
+    /// A key's recent use through all peers.
+    fn recent(&self, now: Micros, key: LimitKey, window: Micros) -> f64 {
         self.peers
             .values()
-            .map(|p| p.recent(now, team, window))
+            .map(|p| p.recent(now, key, window))
             .sum()
     }
 
--- a/crates/policy/tests/limit/main.rs
+++ b/crates/policy/tests/limit/main.rs
@@ -4,7 +4,7 @@
 mod sim;
 
 use model::Micros;
-use policy::limit::{Config, Limit, Limiter, Purpose, Report, TeamKey};
+use policy::limit::{Config, Limit, LimitKey, Limiter, Purpose, Report};
 
 use sim::{play, Case, Fault, TEAM};
 
@@ -240,8 +240,8 @@
         process: 5,
         sent: at(sent),
         beat: at(500),
-        teams: vec![policy::limit::TeamReport {
-            team: TEAM,
+        usage: vec![policy::limit::Usage {
+            key: TEAM,
             spent,
             recent: spent as u64,
             level: None,
@@ -256,13 +256,13 @@
     limiter.receive(now, from, &report(300, 400));
     let level = limiter.level(TEAM).expect("a limit");
     assert!((595.0..=605.0).contains(&level), "{level}");
-    assert_eq!(limiter.level(TeamKey(8)), None);
+    assert_eq!(limiter.level(LimitKey(8)), None);
 }
 
 #[test]
 fn use_of_many_teams_is_reported_in_several_datagrams() {
     // Guards against teams that are left out of reports, or ignored, because others fill a datagram.
-    let teams = || (0..100).map(TeamKey);
+    let teams = || (0..100).map(LimitKey);
     let limit = Limit {
         rate: 1.0,
         burst: 100.0,
@@ -284,7 +284,7 @@
         assert!(taken.is_ok());
     }
     let reports = sender.poll(at(10_000));
-    assert!(reports.iter().all(|r| r.teams.len() <= 30));
+    assert!(reports.iter().all(|r| r.usage.len() <= 30));
     for report in &reports {
         receiver.receive(at(10_001), addrs[0], report);
     }
--- a/crates/policy/tests/limit/sim.rs
+++ b/crates/policy/tests/limit/sim.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 
 use model::Micros;
-use policy::limit::{Config, Limit, Limiter, Purpose, Report, TeamKey, POLL_INTERVAL};
+use policy::limit::{Config, Limit, LimitKey, Limiter, Purpose, Report, POLL_INTERVAL};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 /// The only team.
-pub(crate) const TEAM: TeamKey = TeamKey(7);
+pub(crate) const TEAM: LimitKey = LimitKey(7);
 /// Length of a step of virtual time.
 const STEP: Micros = Micros::from_millis(5);
 /// Datagrams that wait at a paused process; more are lost.
