Soak: targets state, change and drop limits

A random sequence of its own varies the limits during the faults. At the end a target states 2 requests a second: all entries together must keep it, and all requests be served once it states none.

--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -23,6 +23,18 @@
 /// Number of requests to each entry after a target has left, enough for each of two targets to get
 /// some.
 const REQUESTS: usize = 12;
+/// Requests a second that a target states at the end of a run.
+const STATED_RATE: f64 = 2.0;
+/// Time for which it does so.
+const LIMITED_TIME: Duration = Duration::from_secs(5);
+/// Time after a statement from which on requests count.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Window in which requests to the target are counted, and the most allowed in it: one and a half
+/// times the rate, and five.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const MAX_IN_WINDOW: f64 = STATED_RATE * 4.0 * 1.5 + 5.0;
+/// Interval between the requests to that target.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between two checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -100,6 +112,59 @@
     }
 }
 
+/// Lets a target state a limit and checks that all entries together keep it, and that all requests
+/// are served again once the target states none.
+pub async fn check_stated_limit(seed: u64, cluster: &Cluster) {
+    let target = &cluster.replicas[ENGINES].replica;
+    let callers = |n: usize| cluster.entries[n % ENTRIES].host.daemon().callers;
+    target.set_limit(Some(STATED_RATE));
+    let stated = Instant::now();
+    for n in 0.. {
+        if stated.elapsed() > LIMITED_TIME {
+            break;
+        }
+        // The request may be refused.
+        let _ = fetch_from(callers(n), "/log/1", &format!("limited-{n}")).await;
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let from = stated + LIMIT_SETTLE_TIME;
+    let received = target.requests().into_iter();
+    let received: Vec<_> = received
+        .map(|r| Instant::from_std(r.received))
+        .filter(|at| *at >= from)
+        .collect();
+    let in_window = |start: &Instant| {
+        let window = received.iter().filter(|at| *at >= start);
+        window.filter(|at| **at < *start + LIMIT_WINDOW).count()
+    };
+    let most = received.iter().map(in_window).max().unwrap_or_default();
+    assert!(
+        most as f64 <= MAX_IN_WINDOW,
+        "seed {seed}: a target got {most} requests, {MAX_IN_WINDOW} allowed"
+    );
+    assert!(
+        !received.is_empty(),
+        "seed {seed}: a limited target is idle"
+    );
+    target.set_limit(None);
+    let all_served = async {
+        let mut served = 0;
+        for n in 0.. {
+            let answer = fetch_from(callers(n), "/log/1", &format!("unlimited-{n}")).await;
+            served = match answer {
+                Ok(a) if a.status == 200 => served + 1,
+                _ => 0,
+            };
+            if served == REQUESTS * ENTRIES {
+                break;
+            }
+            sleep(REQUEST_INTERVAL).await;
+        }
+    };
+    let all_served = timeout(TIMEOUT, all_served).await;
+    assert!(all_served.is_ok(), "seed {seed}: the limit stays in force");
+}
+
 /// Checks all answers, the orders to all engines, and that no process has ended by itself.
 pub fn check_promises(seed: u64, cluster: &Cluster, outcomes: &[Outcome]) {
     let runs = count_runs(cluster);
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -363,6 +363,7 @@
         self.switch.set_conditions(Conditions::IDEAL);
         for linked in &self.replicas {
             linked.replica.set_fault(Fault::None);
+            linked.replica.set_limit(None);
             self.list(linked, "ready");
         }
         for entry in &self.entries {
--- a/crates/daemon/tests/hosted/soak/faults.rs
+++ b/crates/daemon/tests/hosted/soak/faults.rs
@@ -43,6 +43,10 @@
 const LOSS_RATES: [f64; 4] = [0.1, 0.3, 0.6, 1.0];
 /// Seed mask that gives the restores a random sequence of their own.
 const RESTORE_MASK: u64 = 1 << 62;
+/// Seed mask that gives the limits of replicas a random sequence of their own.
+const LIMIT_MASK: u64 = 1 << 61;
+/// Requests a second that replicas may state.
+const LIMITS: [Option<f64>; 5] = [None, Some(0.0), Some(1.2), Some(5.0), Some(40.0)];
 /// Seed mask that gives the datagram faults a random sequence of their own.
 const DATAGRAM_MASK: u64 = 1 << 63;
 
@@ -93,6 +97,19 @@
     }
 }
 
+/// Lets replicas state, change and drop limits at random times until `end`. It has a random sequence
+/// of its own.
+pub async fn vary_limits(cluster: Arc<Cluster>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed ^ LIMIT_MASK);
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.random_range(50..900))).await;
+        let replica = &cluster.replicas[rng.random_range(0..REPLICAS)].replica;
+        let limit = *LIMITS.choose(&mut rng).expect("a limit");
+        cluster.record(format_args!("limit of {}: {limit:?}", replica.id));
+        replica.set_limit(limit);
+    }
+}
+
 /// Injects one fault at random. `tasks` collects the tasks that end lasting faults.
 fn inject_one(cluster: &Arc<Cluster>, rng: &mut StdRng, tasks: &mut JoinSet<()>) {
     let duration = Duration::from_millis(rng.random_range(50..900));
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers keep sending requests on open connections through all entries. Meanwhile replicas fail
 //! and restart, the store has outages, links are delayed, cut in one direction, silenced and reset,
-//! datagrams are lost and reordered, and entries and sidecars are stopped, paused, killed and
+//! datagrams are lost and reordered, replicas state limits, and entries and sidecars are stopped, paused, killed and
 //! restarted. These faults overlap ([`faults`]). The answers that callers got and the requests that
 //! replicas got are checked ([`check`]). After the last fault every entry must serve again, every
 //! engine must have the newest weights, and a target that leaves must get no new request.
@@ -73,16 +73,19 @@
     }
     let datagrams = faults::disturb_datagrams(Arc::clone(&cluster), seed, end);
     let restores = faults::restore_store(Arc::clone(&cluster), seed, end);
+    let limits = faults::vary_limits(Arc::clone(&cluster), seed, end);
     tokio::join!(
         faults::inject(Arc::clone(&cluster), seed, end),
         datagrams,
-        restores
+        restores,
+        limits
     );
     cluster.clear_faults();
     let faults_cleared = Instant::now();
     let outcomes: Vec<_> = requests.join_all().await.into_iter().flatten().collect();
     check::check_recovery(seed, &cluster).await;
     check::check_departed_target(seed, &cluster, faults_cleared).await;
+    check::check_stated_limit(seed, &cluster).await;
     check::check_promises(seed, &cluster, &outcomes);
     // The processes end here, and not on a worker while the next seed runs.
     stalls.shutdown().await;
