Let a stream go on only at the build that began it

Cause: nothing knew builds. relay resumed a stream wherever pick said, and an entry that a caller's next attempt reached didn't know where the stream began; what a new attempt needs existed only in the entry that relayed the first one.

Change: a job has an origin. Until its first event it may run at any build, then only at the build that sent it, in races, second attempts and after silence. Before the first event is passed on, the entry sends the build to two processes that the attempt's hash selects: an entry and a sidecar. An attempt with Resumes finds the build here, at those, or at any entry, within 250 ms; unknown or gone is refused. A target whose connection broke has an unknown build until its next heartbeat, unless an older connection is still open: another build may listen under its id.

Price: two datagrams of 29 bytes for a resumable stream (57 with headers of IP and UDP, 114 for both). At 300 machines and 600 streams a second that is 68 KB/s over all, 0.23 KB/s a machine; at the aim of 2,900 a second 0.94 KB/s a machine of 350. A stream that is taken up at an entry that doesn't know it: 6 queries, then one to each entry if none of them knows. Kept: at most 50,000 origins a process, until 2 s after the caller gives up, 120 s at most.

The one within one answer breaks all streams of one engine of each build now: with one break after another each engine's build became uncertain, as stand-ins send no heartbeats, and the streams were cut, which is correct.

--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::join_all;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::Response;
@@ -153,14 +154,19 @@
 async fn broken_stream_goes_on_at_its_build_within_one_answer() {
     // Guards against an entry that resumes a stream at a replica which writes other events.
     let fleet = Fleet::start(1, false).await;
-    for n in 0..STREAMS {
-        Replica::set_first_fault(&fleet.engines, Fault::Cut);
-        let response = request(&fleet.entries[0], "/probe/1", &format!("cut-{n}"))
-            .send()
-            .await;
-        let events = rest(response.expect("an answer")).await;
+    // One engine of each build breaks all of its streams.
+    fleet.engines[..2]
+        .iter()
+        .for_each(|r| r.set_fault(Fault::Cut));
+    let streams = (0..STREAMS).map(|n| {
+        let call = request(&fleet.entries[0], "/probe/1", &format!("cut-{n}"));
+        async { rest(call.send().await.expect("an answer")).await }
+    });
+    for events in join_all(streams).await {
         assert_one_build(&events.expect("a complete stream"), "stream");
     }
+    let broken = fleet.engines[..2].iter().flat_map(|r| r.requests());
+    assert!(broken.count() > 0, "no stream was broken");
 }
 
 /// What happens between the tries of a caller.
@@ -207,7 +213,12 @@
         }
         for (n, stream) in streams.iter().enumerate() {
             let (status, events) = fleet.take_up(c.entry, stream, &format!("taken-{n}")).await;
-            assert_eq!(status, 200, "{}: {n}", c.name);
+            let log = || {
+                fleet.entries[c.entry]
+                    .process
+                    .log_of_request(&format!("taken-{n}"))
+            };
+            assert_eq!(status, 200, "{}: {n}\n{}", c.name, log());
             assert_one_build(&format!("{}{events}", stream.events), c.name);
         }
         drop(streams.into_iter().map(|s| s.response).collect::<Vec<_>>());
--- a/crates/gate/src/entry/connection_pool.rs
+++ b/crates/gate/src/entry/connection_pool.rs
@@ -22,6 +22,7 @@
     pub(super) send: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_timeout: Duration,
+    opened: Instant,
     last_used: Instant,
 }
 
@@ -32,10 +33,16 @@
             send,
             task,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            opened: Instant::now(),
             last_used: Instant::now(),
         }
     }
 
+    /// When the connection was opened.
+    pub(super) fn opened(&self) -> Instant {
+        self.opened
+    }
+
     /// Sets the idle timeout that the target states.
     pub(super) fn set_idle_timeout(&mut self, idle_timeout: Duration) {
         self.idle_timeout = idle_timeout;
@@ -76,6 +83,11 @@
         }
     }
 
+    /// Whether a connection that was opened before a given time is still open.
+    pub(super) fn has_open_since(&self, at: Instant) -> bool {
+        self.0.iter().any(|c| c.opened < at && !c.send.is_closed())
+    }
+
     /// Closes all connections.
     pub(super) fn clear(&mut self) {
         self.0.clear();
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -237,6 +237,7 @@
             return log_state(&replica.target, "ended");
         }
         if !update.entry && update.epoch != replica.epoch {
+            replica.record_epoch(update.epoch);
             replica.epoch = update.epoch;
             replica.held.clear();
         }
@@ -311,12 +312,20 @@
         self.mark_superseded();
     }
 
+    /// Records that a connection to a target broke, so that another process may take its place.
+    pub(super) fn record_break(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.record_break();
+        }
+    }
+
     /// Records that a target can't be reached.
     pub fn record_unreachable(&mut self, now: Micros, key: ReplicaKey, reason: &str) {
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
         replica.connections.clear();
+        replica.record_break();
         let was_usable = replica.breaker.usable(now);
         replica
             .breaker
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod list;
 mod listen;
+mod origins;
 mod pick;
 mod plain;
 mod refuse;
@@ -32,7 +33,7 @@
 use model::Micros;
 use policy::prefill_rate::PrefillRate;
 use policy::subscription::{self, Sidecar};
-use policy::{length_partition, retry_budget};
+use policy::{length_partition, retry_budget, stream_origin};
 use tokio::net::UdpSocket;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout_at, Instant};
@@ -85,6 +86,10 @@
     recent_work: RefCell<length_partition::RecentWork>,
     /// Limits of teams.
     limits: RefCell<limits::Limits>,
+    /// Builds that began streams.
+    origins: RefCell<stream_origin::Origins>,
+    /// Searches for such builds.
+    inquiries: origins::Inquiries,
     /// Limits that targets state.
     target_limits: RefCell<target_limits::State>,
     /// Prefill rates of engines, by pool.
@@ -110,6 +115,7 @@
         meter::set(meter::RUNNING, running.into());
         let limited = self.target_limits.borrow().limited();
         meter::set(meter::LIMITED_TARGETS, limited as f64);
+        meter::set(meter::STREAM_ORIGINS, self.origins.borrow().len() as f64);
         for (pool, budget) in self.retry_budgets.borrow().iter() {
             metrics::gauge!(meter::RETRIES_LEFT, "pool" => pool.clone()).set(budget.remaining());
         }
@@ -194,6 +200,8 @@
         delegates: RefCell::default(),
         recent_work: RefCell::default(),
         limits: RefCell::default(),
+        origins: RefCell::default(),
+        inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
         socket: Rc::new(socket),
@@ -300,6 +308,10 @@
             limits::receive(&ctx, from, used);
             continue;
         }
+        if let Some(origin) = &update.origin {
+            origins::receive(&ctx, from, origin);
+            continue;
+        }
         if let Some(used) = &update.target_use {
             target_limits::receive(&ctx, from, used);
             continue;
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -20,7 +20,7 @@
 use super::replica::{held_prefix, Replica};
 use super::request::Job;
 use super::usable::{all_loading, eligible_targets, with_recent_report};
-use super::{suspects, target_limits, Ctx};
+use super::{origins, suspects, target_limits, Ctx};
 
 /// Largest penalty, in milliseconds, for an engine's position in a subject's own order of engines.
 /// With this order, entries that have no data on one another's choices prefill a new opening on the
@@ -76,6 +76,7 @@
 
 /// Chooses a target for a job.
 pub(super) fn pick(ctx: &Ctx, plan: &Plan, job: &Job) -> Result<Pick, Reason> {
+    origins::check(ctx, job)?;
     let engine = plan.pool(&job.pool).and_then(|p| p.engine);
     match (&job.prompt, engine) {
         (Some(prompt), Some(engine)) => pick_engine(ctx, plan, job, prompt, engine),
@@ -116,10 +117,11 @@
     };
     let is_current = |r: &Replica| may_begin(r, Micros::ZERO);
     let suspect = suspects::verdict(ctx, job) == Suspect;
-    let accepted = |r: &Replica| is_current(r) && target_limits::admits(ctx, now, &r.target.boot);
+    let is_usable = |r: &Replica| is_current(r) && job.origin.accepts(r);
+    let accepted = |r: &Replica| is_usable(r) && target_limits::admits(ctx, now, &r.target.boot);
     let eligible = with_recent_report(eligible_targets(&fleet, job, now, suspect, accepted), now);
     if eligible.is_empty() {
-        return Err(target_limits::no_target(ctx, &fleet, job, is_current));
+        return Err(target_limits::no_target(ctx, &fleet, job, is_usable));
     }
     if let Some(remaining) = all_loading(&eligible, now) {
         return Err(Reason::Loading { remaining });
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -20,14 +20,15 @@
     let domain = ctx.node.settings.borrow().domain.clone();
     let fleet = ctx.fleet.borrow();
     let suspect = suspects::verdict(ctx, job) == Suspect;
-    let admits = |r: &Replica| target_limits::admits(ctx, now, &r.target.boot);
-    let eligible = eligible_targets(&fleet, job, now, suspect, admits);
+    let is_usable = |r: &Replica| job.origin.accepts(r);
+    let accepted = |r: &Replica| is_usable(r) && target_limits::admits(ctx, now, &r.target.boot);
+    let eligible = eligible_targets(&fleet, job, now, suspect, accepted);
     let start = start_index(job, eligible.len());
     let candidates = eligible[start..].iter().chain(&eligible[..start]);
     let best = candidates
         .map(|(key, r)| (*key, *r, plain_cost(r, &domain, now)))
         .min_by(|a, b| a.2.total_cmp(&b.2));
-    let none_left = || target_limits::no_target(ctx, &fleet, job, |_| true);
+    let none_left = || target_limits::no_target(ctx, &fleet, job, is_usable);
     let (key, r, cost) = best.ok_or_else(none_left)?;
     Ok(Pick {
         key,
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -47,6 +47,10 @@
         /// Time until one of them may get the request.
         wait: Micros,
     },
+    /// The build that began the stream is unknown.
+    BuildUnknown,
+    /// No target has the build that began the stream.
+    BuildGone,
     /// No target of the pool is available.
     NoTarget,
     /// No target can answer in time.
@@ -88,6 +92,8 @@
             Self::TooLarge => "too_large",
             Self::OverLimit(_) => "over_limit",
             Self::TargetLimits { .. } => "target_limits",
+            Self::BuildUnknown => "build_unknown",
+            Self::BuildGone => "build_gone",
             Self::NoTarget => "no_target",
             Self::Late { .. } => "late",
             Self::Loading { .. } => "loading",
@@ -109,6 +115,8 @@
             Self::Unconfigured
             | Self::Stopping
             | Self::TargetLimits { .. }
+            | Self::BuildUnknown
+            | Self::BuildGone
             | Self::NoTarget
             | Self::Late { .. }
             | Self::Loading { .. }
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -24,7 +24,7 @@
 use super::pick;
 use super::request::{AnswerBody, IncompleteAnswer, Job};
 use super::send::{self, LiveAnswer, SendOutcome};
-use super::{limits, suspects, Ctx};
+use super::{limits, origins, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -229,6 +229,10 @@
         self.tail.extend_from_slice(&bytes);
         let end = last_event_end(&self.tail)?;
         let events = self.tail.split_to(end).freeze();
+        if let (0, Some(live)) = (self.events, &self.live) {
+            let (key, opened) = (live.in_flight.key(), live.connection.opened());
+            origins::record_first_event(&self.ctx, &mut self.job, key, opened);
+        }
         self.events += 1;
         if let Some(id) = last_id(&events) {
             self.job.last_event_id = Some(id);
@@ -324,10 +328,10 @@
         if let Some(live) = self.live.take() {
             let key = live.in_flight.key();
             attempts::log_failed(&self.job, &live.in_flight.boot, reason, None, true);
-            self.ctx
-                .fleet
-                .borrow_mut()
-                .record_failure(self.ctx.now(), key, reason);
+            let mut fleet = self.ctx.fleet.borrow_mut();
+            fleet.record_failure(self.ctx.now(), key, reason);
+            fleet.record_break(key);
+            drop(fleet);
             if self.first_event_after.is_none() {
                 suspects::record_broken_answer(
                     &self.ctx,
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -11,6 +11,7 @@
 use policy::misdirected::Exclusion;
 use policy::prefill_priority;
 use site::{Part, PartId, Target};
+use tokio::time::Instant;
 
 use super::connection_pool::ConnectionPool;
 use crate::agent::AgentId;
@@ -127,6 +128,11 @@
     /// Position of the target's last heartbeat at the time when its agent found that the process
     /// had ended.
     pub(super) renewed_at_end: Option<Position>,
+    /// Position of the target's last heartbeat when a connection to it last broke, and the time of
+    /// that.
+    broken: Option<(Position, Instant)>,
+    /// Last known epoch of the target's cache events; 0 if none is known.
+    known_epoch: u64,
     /// Whether the list contains a target with the same address and a later heartbeat.
     pub superseded: bool,
     /// Epoch of the target's cache events; a change means that the cached parts are gone.
@@ -154,12 +160,52 @@
             missing_until: None,
             exclusion: Exclusion::default(),
             renewed_at_end: None,
+            broken: None,
+            known_epoch: 0,
             superseded: false,
             epoch: 0,
             weights_raised_at: Micros::ZERO,
         }
     }
 
+    /// Records that a connection to the target broke, or that its process may have ended.
+    pub(super) fn record_break(&mut self) {
+        self.broken = Some((self.target.renewed, Instant::now()));
+    }
+
+    /// Records an epoch of the target's cache events, unless its agent doesn't know it yet. Another one
+    /// than before is of another process.
+    pub(super) fn record_epoch(&mut self, epoch: u64) {
+        if epoch == 0 {
+            return;
+        }
+        let known = std::mem::replace(&mut self.known_epoch, epoch);
+        if known != 0 && known != epoch {
+            self.record_break();
+        }
+    }
+
+    /// Version of the target's software; `None` if unknown. After a connection broke, another build
+    /// may listen under the same id until the next heartbeat, unless an older connection is still
+    /// open.
+    pub(super) fn build(&self) -> Option<&str> {
+        self.build_if(|broken_at| self.connections.has_open_since(broken_at))
+    }
+
+    /// Version of the software that has answered on a connection opened at this time.
+    pub(super) fn build_on(&self, opened: Instant) -> Option<&str> {
+        self.build_if(|broken_at| opened < broken_at)
+    }
+
+    /// Version of the target's software, if no connection broke since its last heartbeat or the
+    /// process is known to be the same.
+    fn build_if(&self, is_same: impl Fn(Instant) -> bool) -> Option<&str> {
+        let uncertain = self
+            .broken
+            .is_some_and(|(renewed, at)| self.target.renewed <= renewed && !is_same(at));
+        (!uncertain && !self.target.build.is_empty()).then_some(self.target.build.as_str())
+    }
+
     /// Whether the target is, as far as known, the process that listens at its address.
     pub fn is_present(&self, now: Micros) -> bool {
         let listed_or_kept = self.missing_until.is_none_or(|until| now < until);
--- a/crates/gate/src/entry/request.rs
+++ b/crates/gate/src/entry/request.rs
@@ -17,6 +17,7 @@
 use super::fleet::ReplicaKey;
 use super::limits::Charge;
 use super::listen::ConnectionState;
+use super::origins::Origin;
 
 /// An answer that ended before it was complete. The connection to the caller is closed, so that the
 /// answer doesn't look complete.
@@ -111,6 +112,10 @@
     pub(super) last_event_id: Option<String>,
     /// Id of the attempt that brought the first event of the stream that the caller takes up.
     pub(super) resumes: Option<String>,
+    /// Where the job may run, as its caller may have events of a stream already.
+    pub(super) origin: Origin,
+    /// When the caller gives up on the request.
+    pub(super) gives_up: Micros,
     /// When the head of the request was received.
     pub(super) received_at: Micros,
     /// When the caller or the route gives up on the request.
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -21,7 +21,7 @@
 use super::fleet::ReplicaKey;
 use super::pick::Pick;
 use super::request::Job;
-use super::{suspects, target_limits, Ctx};
+use super::{origins, suspects, target_limits, Ctx};
 use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
@@ -262,7 +262,10 @@
         Err(mut e) => {
             return match e.take_message() {
                 Some(_) => SendOutcome::NotDelivered("connection gone"),
-                None => SendOutcome::Unknown("connection broken"),
+                None => {
+                    ctx.fleet.borrow_mut().record_break(pick.key);
+                    SendOutcome::Unknown("connection broken")
+                }
             }
         }
     };
@@ -281,6 +284,9 @@
             keep_connection(ctx, pick.key, connection, &head, response).await;
             SendOutcome::NotRun("full")
         }
+        _ if !origins::is_at_build(ctx, job, pick.key, connection.opened()) => {
+            SendOutcome::Unknown("another build's answer")
+        }
         _ => SendOutcome::Answer(Box::new(LiveAnswer {
             response,
             head,
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -21,6 +21,7 @@
 use super::attempts::{self, FirstAnswer};
 use super::limits::{self, Charge};
 use super::listen::ConnectionState;
+use super::origins::{self, Origin};
 use super::refuse::{self, Reason};
 use super::relay;
 use super::request::{AnswerBody, Job};
@@ -152,6 +153,8 @@
         fingerprint: Fingerprint::default(),
         last_event_id: head.last_event_id,
         resumes: head.resumes,
+        origin: Origin::default(),
+        gives_up: received_at + head.deadline.unwrap_or(route.timeout).into(),
         received_at,
         deadline: received_at + wait.into(),
         attempted: Vec::new(),
@@ -180,6 +183,9 @@
     if let Err(refusal) = limits::admit(&mut job, ctx.now()) {
         return refuse::job(ctx, connection, &job, Reason::OverLimit(refusal));
     }
+    if let Err(reason) = origins::resolve(ctx, &mut job).await {
+        return refuse::job(ctx, connection, &job, reason);
+    }
     meter::record_duration(meter::WAITING, ctx.now().since(job.received_at).into());
     match attempts::first_answer(ctx, &mut job).await {
         Ok(FirstAnswer::Stream(live)) => {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peer;
 pub mod sidecar;
 pub mod start;
+mod stream_origins;
 pub mod target_list;
 pub mod update;
 
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -192,6 +192,15 @@
         /// Description of the error.
         error: &'a str,
     },
+    /// The build that began a stream was searched for.
+    Origin {
+        /// Hash of the attempt that brought the stream's first event, in hexadecimal.
+        stream: String,
+        /// Whether it was found.
+        known: bool,
+        /// Milliseconds that the search took.
+        after_ms: u64,
+    },
     /// A target was ejected after failures.
     LeftOut {
         /// Id of the target.
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -45,6 +45,10 @@
 pub const LIMIT_UNITS: &str = "clementinestep_limit_units_total";
 /// Targets that state a limit.
 pub const LIMITED_TARGETS: &str = "clementinestep_limited_targets";
+/// Origins of streams that the process keeps.
+pub const STREAM_ORIGINS: &str = "clementinestep_stream_origins";
+/// Streams that callers have taken up, by whether the build that began them was known.
+pub const RESUMED_STREAMS: &str = "clementinestep_resumed_streams_total";
 /// New connections to targets.
 pub const TARGET_CONNECTIONS: &str = "clementinestep_target_connections_total";
 /// Ended streams, by how they ended.
@@ -94,6 +98,11 @@
         "units of teams' limits: admitted, refused, returned"
     );
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
+    describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
+    describe_counter!(
+        RESUMED_STREAMS,
+        "streams that callers have taken up, by origin: known, unknown"
+    );
     describe_counter!(TARGET_CONNECTIONS, "new connections to targets");
     describe_counter!(STREAMS, "streams ended, by how");
     describe_histogram!(ANSWER_HEAD, Unit::Seconds, "arrival to the answer's head");
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -14,7 +14,7 @@
 
 use crate::agent::{self, Agent, AgentId, Env, SharedAgent};
 use crate::node::SharedNode;
-use crate::{kv_stores, peer, update};
+use crate::{kv_stores, peer, stream_origins, update};
 
 /// Interval of queries to entries while the engine's incarnation is unknown.
 const IDENTITY_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,14 +66,15 @@
     Ok(())
 }
 
-/// Receives updates: incarnations, subscriptions and prompts from entries, and slot queries,
-/// answers and states from other agents.
+/// Receives updates: incarnations, subscriptions, prompts and origins of streams from entries, and
+/// slot queries, answers and states from other agents.
 async fn receive(env: Env<'_>, stores: kv_stores::FollowedStores) {
     let Env {
         node,
         agent,
         socket,
     } = env;
+    let origins = RefCell::default();
     loop {
         let (update, from) = update::receive(socket).await;
         if let Some(incarnation) = &update.life {
@@ -90,6 +91,10 @@
             }
             continue;
         }
+        if let Some(origin) = &update.origin {
+            stream_origins::receive(&origins, node.now(), socket, from, origin);
+            continue;
+        }
         if update.entry {
             if let Some(note) = update.note {
                 agent.borrow_mut().record_prompt(node.now(), note);
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -133,6 +133,9 @@
     /// An entry's use of the rates that targets state.
     #[prost(message, optional, tag = "40")]
     pub target_use: Option<TargetUse>,
+    /// Which build began a stream, or a query for it.
+    #[prost(message, optional, tag = "41")]
+    pub origin: Option<StreamOrigin>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
@@ -172,6 +175,35 @@
     pub level: Option<i64>,
 }
 
+/// Which build began a stream.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StreamOrigin {
+    /// Whether this is a record, a query or the answer to one.
+    #[prost(enumeration = "OriginKind", tag = "1")]
+    pub kind: i32,
+    /// Hash of the id of the attempt that brought the first event.
+    #[prost(fixed64, tag = "2")]
+    pub stream: u64,
+    /// Hash of the service and its version; `None` if unknown.
+    #[prost(fixed64, optional, tag = "3")]
+    pub build: Option<u64>,
+    /// Milliseconds for which the origin is kept.
+    #[prost(uint32, tag = "4")]
+    pub keep_ms: u32,
+}
+
+/// Kind of a [`StreamOrigin`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum OriginKind {
+    /// The sender has passed on the stream's first event.
+    Record = 0,
+    /// The sender asks for the build.
+    Query = 1,
+    /// The sender answers a query.
+    Answer = 2,
+}
+
 /// An entry's use of the rates that targets state, as in [`policy::target_limit::Report`].
 #[derive(Clone, PartialEq, Message)]
 pub struct TargetUse {
--- a/crates/gate/tests/update.rs
+++ b/crates/gate/tests/update.rs
@@ -1,8 +1,8 @@
 //! Sizes of updates between agents.
 
 use gate::update::{
-    ClaimConfirmation, LimitUse, LoadedWeights, RelayedState, RelayedWeights, SlotQuery,
-    StatedRate, TargetUse, TeamUse, Update, MAX_DATAGRAM,
+    ClaimConfirmation, LimitUse, LoadedWeights, OriginKind, RelayedState, RelayedWeights,
+    SlotQuery, StatedRate, StreamOrigin, TargetUse, TeamUse, Update, MAX_DATAGRAM,
 };
 use policy::slots::{MAX_CONFIRMED, MAX_RELAYS};
 use prost::Message;
@@ -149,3 +149,20 @@
         assert!(update.encoded_len() <= MAX_DATAGRAM, "{}", c.name);
     }
 }
+
+/// Guards against a record that costs more than the stream it is for: two are sent for each.
+#[test]
+fn record_of_a_streams_origin_is_small() {
+    let update = Update {
+        entry: true,
+        origin: Some(StreamOrigin {
+            kind: OriginKind::Answer.into(),
+            stream: u64::MAX,
+            build: Some(u64::MAX),
+            keep_ms: 120_000,
+        }),
+        ..Update::default()
+    };
+    println!("{} bytes", update.encoded_len());
+    assert!(update.encoded_len() <= 40);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 //!   long a request waits while all engines load weights.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
 //!   rate that a target states.
+//! - Streams: [`stream_origin`] finds the build at which a stream may go on.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget.
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
@@ -71,6 +72,7 @@
 pub mod rollout;
 pub mod row_expiry;
 pub mod slots;
+pub mod stream_origin;
 pub mod subscription;
 pub mod target_limit;
 pub mod trial;
--- /dev/null
+++ b/crates/policy/tests/stream_origin.rs
@@ -0,0 +1,147 @@
+//! Which build began a stream: what processes keep, who holds it, and how it is found.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use assert_matches::assert_matches;
+use model::Micros;
+use policy::stream_origin::{
+    holders, BuildKey, Config, Inquiry, Members, Origins, Step, StreamKey,
+};
+
+const STREAM: StreamKey = StreamKey(7);
+
+fn at(ms: u64) -> Micros {
+    Micros::from_millis(ms)
+}
+
+fn addrs(kind: u8, count: u8) -> Vec<SocketAddr> {
+    let addr = |n| SocketAddr::from(([10, 0, kind, n], 7_000));
+    (0..count).map(addr).collect()
+}
+
+fn members(entries: u8, sidecars: u8) -> Members {
+    Members {
+        entries: addrs(1, entries),
+        sidecars: addrs(2, sidecars),
+    }
+}
+
+#[test]
+fn origin_is_kept_until_its_end_and_the_first_one_stays() {
+    // Guards against a stream whose build changes, and against records that are never dropped.
+    let mut origins = Origins::default();
+    origins.record(at(0), STREAM, BuildKey(1), at(1_000));
+    origins.record(at(100), STREAM, BuildKey(2), at(2_000));
+    assert_eq!(
+        origins.get(at(1_500), STREAM),
+        Some((BuildKey(1), at(2_000)))
+    );
+    // A shorter time doesn't end it sooner.
+    origins.record(at(1_500), STREAM, BuildKey(1), at(1_600));
+    assert_eq!(
+        origins.get(at(1_900), STREAM),
+        Some((BuildKey(1), at(2_000)))
+    );
+    assert_eq!(origins.get(at(2_000), STREAM), None);
+    assert!(origins.is_empty());
+}
+
+#[test]
+fn number_of_origins_has_a_bound() {
+    // Guards against memory that grows with the number of streams.
+    let mut origins = Origins::default();
+    let capacity = Config::default().capacity as u64;
+    for n in 0..capacity + 100 {
+        origins.record(at(0), StreamKey(n), BuildKey(1), at(1_000 + n));
+    }
+    assert_eq!(origins.len() as u64, capacity);
+    // Those that end first are dropped.
+    assert_eq!(origins.get(at(1), StreamKey(99)), None);
+    assert!(origins.get(at(1), StreamKey(100)).is_some());
+}
+
+#[test]
+fn holder_is_queried_first_although_members_have_changed() {
+    // Guards against a stream that doesn't go on because processes have started or ended since.
+    struct Case {
+        name: &'static str,
+        before: Members,
+        after: Members,
+    }
+    let others = |members: &Members, without: usize| Members {
+        entries: members.entries[without..].to_vec(),
+        ..members.clone()
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "the same", before: members(29, 52), after: members(29, 52) },
+        Case { name: "the first entry is gone", before: members(29, 52), after: others(&members(29, 52), 1) },
+        Case { name: "two have started", before: members(28, 51), after: members(29, 52) },
+        Case { name: "no sidecars", before: members(3, 0), after: members(3, 0) },
+        Case { name: "no other entry", before: members(0, 3), after: members(0, 3) },
+    ];
+    for c in cases {
+        for n in 0..500 {
+            let stream = StreamKey(n);
+            let held = holders(stream, &c.before);
+            assert!((1..=2).contains(&held.len()), "{}", c.name);
+            let mut inquiry = Inquiry::new(at(0), Config::default(), stream, &c.after);
+            let queried = inquiry.next(at(0));
+            assert_matches!(queried, Step::Query(to) if held.iter().any(|h| to.contains(h)));
+        }
+    }
+}
+
+#[test]
+fn holders_are_spread_over_all_processes() {
+    // Guards against one process that holds the origins of all streams.
+    let held: HashSet<_> = (0..2_000)
+        .flat_map(|n| holders(StreamKey(n), &members(29, 52)))
+        .collect();
+    assert_eq!(held.len(), 29 + 52);
+}
+
+#[test]
+fn search_ends_at_once_if_no_process_knows_the_origin() {
+    // Guards against a caller that waits although its request can't be served.
+    let config = Config::default();
+    let members = members(5, 2);
+    let mut inquiry = Inquiry::new(at(0), config, STREAM, &members);
+    let mut queried = HashSet::new();
+    let mut now = at(0);
+    loop {
+        match inquiry.next(now) {
+            Step::Query(to) => {
+                now = now + at(2);
+                queried.extend(to.iter().copied());
+                to.iter()
+                    .for_each(|from| inquiry.record_unknown(now, *from));
+            }
+            Step::Wait(_) => panic!("nothing to wait for"),
+            Step::Unknown => break,
+        }
+    }
+    assert_eq!(queried.len(), 7);
+    assert!(now < at(10), "{now:?}");
+}
+
+#[test]
+fn silent_processes_are_queried_again_until_the_search_ends() {
+    // Guards against a stream that doesn't go on because a datagram was lost, and a search without
+    // an end.
+    let config = Config::default();
+    let mut inquiry = Inquiry::new(at(0), config, STREAM, &members(10, 10));
+    let mut counts = Vec::new();
+    let mut now = at(0);
+    loop {
+        match inquiry.next(now) {
+            Step::Query(to) => counts.push(to.len()),
+            Step::Wait(until) => now = until,
+            Step::Unknown => break,
+        }
+    }
+    // The first candidates of both kinds, then all entries as well.
+    assert_eq!(counts, [6, 13, 13, 13, 13]);
+    assert_eq!(now, config.timeout);
+}
