Send a target at least one request in two seconds whatever it states

A target that stated 0 got one in ten seconds, and only its answer shows that it takes requests again; after the soak's faults one stayed idle for more than 5 s. The platform's rule allows 5 in 4 s beyond what is stated.

--- a/crates/policy/src/target_limit.rs
+++ b/crates/policy/src/target_limit.rs
@@ -41,7 +41,7 @@
     /// Requests by which a window may exceed a rate in addition; 5.
     pub slack: f64,
     /// Requests a second that a target gets at least, since only its answers show that its limit
-    /// has changed; 0.1.
+    /// has changed; 0.5.
     pub min_rate: f64,
     /// Longest interval between two reports; 500 ms.
     pub beat: Micros,
@@ -53,7 +53,7 @@
             window: Micros::from_secs(4),
             overage: 0.5,
             slack: 5.0,
-            min_rate: 0.1,
+            min_rate: 0.5,
             beat: Micros::from_millis(500),
         }
     }
