Confirm the build of a target before a stream goes on there

The soak restarts targets under their ids at other builds.

A continued stream is now passed on only if the list was read after the connection was opened, and waits up to 1 s for that; entries usually receive a read each 0.3 s. Connections that are kept need no wait. Nothing is sent for it.

--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -10,7 +10,7 @@
 use policy::stream_origin::{self, BuildKey, Config, Inquiry, Step, StreamKey};
 use site::State;
 use tokio::sync::Notify;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::fleet::ReplicaKey;
@@ -26,6 +26,14 @@
 /// Time for which an origin is kept after the caller has given up, as its clock differs.
 const KEEP_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest usual time between a read of the list and its receipt.
+const LIST_DELAY: Duration = Duration::from_millis(100);
+/// Time that a continued stream waits for the build of its target to be confirmed. Entries usually
+/// receive a read of the list each 0.3 s.
+const CONFIRM_TIMEOUT: Micros = Micros::from_millis(1_000);
+/// Interval of checks whether it is.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Where a job may run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -129,9 +137,24 @@
 }
 
 /// Whether a target that answers on a connection opened at this time has the build at which a job
-/// goes on.
-pub(super) fn is_at_build(ctx: &Ctx, job: &Job, key: ReplicaKey, opened: Instant) -> bool {
-    job.origin == Origin::Open || build_on(ctx, key, opened).map(Origin::Build) == Some(job.origin)
+/// goes on. If the list hasn't been read since, another process may have taken the target's place;
+/// then this waits for the next read.
+pub(super) async fn confirm_build(ctx: &Ctx, job: &Job, key: ReplicaKey, opened: Instant) -> bool {
+    if job.origin == Origin::Open {
+        return true;
+    }
+    let end = ctx.now() + CONFIRM_TIMEOUT.min(job.time_left(ctx.now()).into());
+    while build_on(ctx, key, opened).map(Origin::Build) == Some(job.origin) {
+        let listed = ctx.node.origin + ctx.fleet.borrow().list_confirmed_at.into();
+        if listed >= opened + LIST_DELAY {
+            return true;
+        }
+        if ctx.now() >= end {
+            break;
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+    false
 }
 
 fn build_on(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -277,6 +277,10 @@
     if head.matches_request && response.status() != StatusCode::MISDIRECTED_REQUEST {
         target_limits::observe(ctx, &pick.boot, &head, in_flight.sent_at);
     }
+    let at_build = match response.status().is_success() {
+        true => origins::confirm_build(ctx, job, pick.key, connection.opened()).await,
+        false => true,
+    };
     match response.status() {
         _ if !head.matches_request => SendOutcome::Unknown("another request's answer"),
         StatusCode::MISDIRECTED_REQUEST => handle_misdirected(ctx, pick, job, &head),
@@ -284,9 +288,7 @@
             keep_connection(ctx, pick.key, connection, &head, response).await;
             SendOutcome::NotRun("full")
         }
-        _ if !origins::is_at_build(ctx, job, pick.key, connection.opened()) => {
-            SendOutcome::Unknown("another build's answer")
-        }
+        _ if !at_build => SendOutcome::Unknown("another build's answer"),
         _ => SendOutcome::Answer(Box::new(LiveAnswer {
             response,
             head,
