--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -25,6 +25,8 @@
 pub const FIRST_EXTENDED_SEED: u64 = 1_000;
 /// Number of replicas; those that aren't engines belong to the plain service.
 pub const REPLICAS: usize = 4;
+/// Builds that replicas may have.
+pub const BUILDS: [&str; 2] = ["v1", "v2"];
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 12;
 /// Time limit for the end of a process after a signal: its grace period and the time for which it
@@ -208,6 +210,7 @@
             let service = if n < ENGINES { "engines" } else { "plain" };
             let replica = Replica::new(&format!("r{n}"), EVENTS, EVENT_INTERVAL);
             replica.set_version(MODEL, 1);
+            replica.set_build(BUILDS[n % BUILDS.len()]);
             let at = platform.start_replica(&replica).await;
             let link = open_link(&mut links, at).await;
             platform.list(&replica, service, link.addr(), "ready");
@@ -337,6 +340,12 @@
         self.timeline.lock().expect("a timeline").push(line);
     }
 
+    /// What entries logged of a request and which replicas received it, for failure messages.
+    pub fn account(&self, id: &str) -> String {
+        let entries = self.entries.iter().map(|e| e.host.log_of_request(id));
+        entries.chain([self.receipts(id)]).collect()
+    }
+
     /// When and with which fault replicas received a request, for failure messages.
     pub fn receipts(&self, id: &str) -> String {
         let of_replica = |linked: &LinkedReplica| {
