Let a stream of a caller that names no attempt go on at a sole build

Such an attempt now goes on if its pool has had a single build for as long as this entry has known it, 120 s at most; with two it is refused.

It may be used again once the list was read a heartbeat after the connection was opened, within which a restarted process registers; a stream waits up to 2 s for that. Its new streams take the pool's sole build as their origin.

--- a/crates/gate/src/entry/connection_pool.rs
+++ b/crates/gate/src/entry/connection_pool.rs
@@ -83,11 +83,6 @@
         }
     }
 
-    /// Whether a connection that was opened before a given time is still open.
-    pub(super) fn has_open_since(&self, at: Instant) -> bool {
-        self.0.iter().any(|c| c.opened < at && !c.send.is_closed())
-    }
-
     /// Closes all connections.
     pub(super) fn clear(&mut self) {
         self.0.clear();
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -8,7 +8,7 @@
 
 use model::Micros;
 use policy::stream_origin::{self, BuildKey, Config, Inquiry, Step, StreamKey};
-use site::State;
+use site::{State, Target};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -29,8 +29,8 @@
 /// Longest usual time between a read of the list and its receipt.
 const LIST_DELAY: Duration = Duration::from_millis(100);
 /// Time that a continued stream waits for the build of its target to be confirmed. Entries usually
-/// receive a read of the list each 0.3 s.
-const CONFIRM_TIMEOUT: Micros = Micros::from_millis(1_000);
+/// receive a read of the list each 0.3 s, and processes register within a heartbeat.
+const CONFIRM_TIMEOUT: Micros = Micros::from_millis(2_000);
 /// Interval of checks whether it is.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -51,7 +51,7 @@
     pub(super) fn accepts(self, replica: &Replica) -> bool {
         match self {
             Self::Open => true,
-            Self::Build(build) => replica.build().map(|b| key_of(replica, b)) == Some(build),
+            Self::Build(build) => build_key(&replica.target) == Some(build),
             Self::Unknown => false,
         }
     }
@@ -79,9 +79,11 @@
     }
 }
 
-fn key_of(replica: &Replica, build: &str) -> BuildKey {
-    let pool = xxh3_64(replica.target.pool.as_bytes());
-    BuildKey(xxh3_64_with_seed(build.as_bytes(), pool))
+/// Key of a target's build; `None` if the list doesn't name it.
+pub(super) fn build_key(target: &Target) -> Option<BuildKey> {
+    let pool = xxh3_64(target.pool.as_bytes());
+    let key = xxh3_64_with_seed(target.build.as_bytes(), pool);
+    (!target.build.is_empty()).then_some(BuildKey(key))
 }
 
 /// Key of the stream that a job begins or takes up.
@@ -98,7 +100,8 @@
     }
     let known = match job.resumes {
         Some(_) => find(ctx, stream_key(job)).await,
-        None => None,
+        // Callers that don't name the first attempt expect a pool with a single build.
+        None => ctx.fleet.borrow().sole_build(ctx.now(), &job.pool),
     };
     job.origin = known.map_or(Origin::Unknown, Origin::Build);
     let outcome = if known.is_some() { "known" } else { "unknown" };
@@ -117,58 +120,73 @@
 
 /// Why a stream can't go on anywhere, if no target has its build.
 pub(super) fn check(ctx: &Ctx, job: &Job) -> Result<(), Reason> {
-    let Origin::Build(build) = job.origin else {
-        return match job.origin {
-            Origin::Unknown => Err(Reason::BuildUnknown),
-            _ => Ok(()),
-        };
-    };
+    match job.origin {
+        Origin::Open => return Ok(()),
+        Origin::Unknown => return Err(Reason::BuildUnknown),
+        Origin::Build(_) => {}
+    }
     let now = ctx.now();
     let fleet = ctx.fleet.borrow();
-    // A target whose build is uncertain at the moment may have it in a moment.
-    let has_build = |r: &Replica| key_of(r, &r.target.build) == build;
     let mut ready = fleet.replicas.values().filter(|r| {
         r.target.pool == job.pool && r.target.state == State::Ready && r.is_present(now)
     });
-    match ready.any(has_build) {
+    match ready.any(|r| job.origin.accepts(r)) {
         true => Ok(()),
         false => Err(Reason::BuildGone),
     }
 }
 
+/// Build of a target that answers on a connection opened at this time, according to the list, and
+/// whether the list has been read late enough to show a process that took the target's place
+/// before.
+fn build_on(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<(BuildKey, bool)> {
+    let fleet = ctx.fleet.borrow();
+    let replica = fleet.replicas.get(key)?;
+    // A process registers within a heartbeat of its start.
+    let delay = match replica.may_be_replaced(opened) {
+        true => ctx.node.settings.borrow().heartbeat,
+        false => LIST_DELAY,
+    };
+    let read_at = ctx.node.origin + fleet.list_confirmed_at.into();
+    Some((build_key(&replica.target)?, read_at >= opened + delay))
+}
+
 /// Whether a target that answers on a connection opened at this time has the build at which a job
-/// goes on. If the list hasn't been read since, another process may have taken the target's place;
-/// then this waits for the next read.
+/// goes on. Waits for the next read of the list if the last one isn't late enough to show that.
 pub(super) async fn confirm_build(ctx: &Ctx, job: &Job, key: ReplicaKey, opened: Instant) -> bool {
-    if job.origin == Origin::Open {
-        return true;
-    }
+    let Origin::Build(origin) = job.origin else {
+        return job.origin == Origin::Open;
+    };
     let end = ctx.now() + CONFIRM_TIMEOUT.min(job.time_left(ctx.now()).into());
-    while build_on(ctx, key, opened).map(Origin::Build) == Some(job.origin) {
-        let listed = ctx.node.origin + ctx.fleet.borrow().list_confirmed_at.into();
-        if listed >= opened + LIST_DELAY {
-            return true;
-        }
-        if ctx.now() >= end {
-            break;
+    loop {
+        match build_on(ctx, key, opened) {
+            Some((build, confirmed)) if build == origin && confirmed => return true,
+            Some((build, _)) if build == origin && ctx.now() < end => {}
+            _ => return false,
         }
         sleep(CONFIRM_INTERVAL).await;
     }
-    false
 }
 
-fn build_on(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
+/// The build that has sent a stream's first event on a connection opened at this time. After a
+/// connection broke, the list counts only if it has been read since, or if the pool has no other
+/// build.
+fn beginning_build(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
+    let (build, confirmed) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
-    Some(key_of(replica, replica.build_on(opened)?))
+    let is_sole = || fleet.sole_build(ctx.now(), &replica.target.pool) == Some(build);
+    let certain = confirmed || !replica.may_be_replaced(opened) || is_sole();
+    certain.then_some(build)
 }
 
-/// Records the build of the target that has sent a stream's first event on a connection opened at
-/// this time, and sends it to the holders. Called before the event is passed on, so that an entry that ends right after is not the
-/// only one that knew.
-pub(super) fn record_first_event(ctx: &Ctx, job: &mut Job, key: ReplicaKey, opened: Instant) {
-    if job.origin == Origin::Open {
-        job.origin = build_on(ctx, key, opened).map_or(Origin::Unknown, Origin::Build);
+/// Records the build that began a job's stream, and sends it to the holders. Called before an event
+/// from a connection opened at this time is passed on, so that an entry that ends right after isn't
+/// the only one that knew. Does nothing once the build is known.
+pub(super) fn record(ctx: &Ctx, job: &mut Job, key: ReplicaKey, opened: Instant) {
+    if !matches!(job.origin, Origin::Build(_)) {
+        let build = beginning_build(ctx, key, opened);
+        job.origin = build.map_or(Origin::Unknown, Origin::Build);
     }
     let Origin::Build(build) = job.origin else {
         return;
@@ -176,9 +194,8 @@
     let now = ctx.now();
     let stream = stream_key(job);
     let keep: Micros = (Duration::from(job.gives_up.since(now)) + KEEP_MARGIN).into();
-    ctx.origins
-        .borrow_mut()
-        .record(now, stream, build, now + keep);
+    let mut origins = ctx.origins.borrow_mut();
+    origins.record(now, stream, build, now + keep);
     let holders = stream_origin::holders(stream, &members(&ctx.node.cluster.borrow()));
     let record = encode(OriginKind::Record, stream, Some((build, keep)));
     update::send(&ctx.socket, &record, holders);
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -21,6 +21,7 @@
 
 use super::attempts::{self, ANSWER_GRACE};
 use super::listen::ConnectionState;
+use super::origins::Origin;
 use super::pick;
 use super::request::{AnswerBody, IncompleteAnswer, Job};
 use super::send::{self, LiveAnswer, SendOutcome};
@@ -211,6 +212,11 @@
         }
     }
 
+    /// Whether the build that began the stream has to be recorded before the next event.
+    fn needs_origin(&self) -> bool {
+        self.events == 0 || self.job.origin == Origin::Unknown
+    }
+
     /// Adds received bytes; returns those that can be passed on now.
     fn forward(&mut self, bytes: Bytes) -> Option<Bytes> {
         if bytes.is_empty() {
@@ -229,9 +235,9 @@
         self.tail.extend_from_slice(&bytes);
         let end = last_event_end(&self.tail)?;
         let events = self.tail.split_to(end).freeze();
-        if let (0, Some(live)) = (self.events, &self.live) {
+        if let Some(live) = self.live.as_ref().filter(|_| self.needs_origin()) {
             let (key, opened) = (live.in_flight.key(), live.connection.opened());
-            origins::record_first_event(&self.ctx, &mut self.job, key, opened);
+            origins::record(&self.ctx, &mut self.job, key, opened);
         }
         self.events += 1;
         if let Some(id) = last_id(&events) {
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -185,25 +185,11 @@
         }
     }
 
-    /// Version of the target's software; `None` if unknown. After a connection broke, another build
-    /// may listen under the same id until the next heartbeat, unless an older connection is still
-    /// open.
-    pub(super) fn build(&self) -> Option<&str> {
-        self.build_if(|broken_at| self.connections.has_open_since(broken_at))
-    }
-
-    /// Version of the software that has answered on a connection opened at this time.
-    pub(super) fn build_on(&self, opened: Instant) -> Option<&str> {
-        self.build_if(|broken_at| opened < broken_at)
-    }
-
-    /// Version of the target's software, if no connection broke since its last heartbeat or the
-    /// process is known to be the same.
-    fn build_if(&self, is_same: impl Fn(Instant) -> bool) -> Option<&str> {
-        let uncertain = self
-            .broken
-            .is_some_and(|(renewed, at)| self.target.renewed <= renewed && !is_same(at));
-        (!uncertain && !self.target.build.is_empty()).then_some(self.target.build.as_str())
+    /// Whether a connection to the target broke before this time and no heartbeat was read since, so
+    /// that another process may have taken its place.
+    pub(super) fn may_be_replaced(&self, opened: Instant) -> bool {
+        self.broken
+            .is_some_and(|(renewed, at)| at <= opened && self.target.renewed <= renewed)
     }
 
     /// Whether the target is, as far as known, the process that listens at its address.
