--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -172,9 +172,9 @@
 
 /// Sends a request and waits up to `head_timeout` for the head of its answer.
 pub(super) async fn send(ctx: &Ctx, job: &Job, pick: &Pick, head_timeout: Duration) -> SendOutcome {
-    target_limits::record_send(ctx, &pick.boot);
+    let counted = target_limits::record_send(ctx, &pick.boot);
     let outcome = send_counted(ctx, job, pick, head_timeout).await;
-    if let SendOutcome::NotDelivered(_) = outcome {
+    if matches!(outcome, SendOutcome::NotDelivered(_)) && counted {
         target_limits::give_back(ctx, &pick.boot);
     }
     outcome
--- a/crates/gate/src/entry/target_limits.rs
+++ b/crates/gate/src/entry/target_limits.rs
@@ -87,19 +87,19 @@
 }
 
 /// Counts a request that is about to be sent. Its target was chosen at this moment, and admits it.
-pub(super) fn record_send(ctx: &Ctx, boot: &Boot) {
-    if ctx.target_limits.borrow().limited() == 0 {
-        return;
+/// Returns whether the target has a limit.
+pub(super) fn record_send(ctx: &Ctx, boot: &Boot) -> bool {
+    let counted = {
+        let mut state = ctx.target_limits.borrow_mut();
+        state.limits.record_send(ctx.now(), key(boot))
+    };
+    if counted {
+        send_due(ctx);
     }
-    let now = ctx.now();
-    ctx.target_limits
-        .borrow_mut()
-        .limits
-        .record_send(now, key(boot));
-    send_due(ctx);
+    counted
 }
 
-/// Returns the unit of a request that hasn't reached its target.
+/// Returns the unit of a counted request that hasn't reached its target.
 pub(super) fn give_back(ctx: &Ctx, boot: &Boot) {
     let mut state = ctx.target_limits.borrow_mut();
     state.limits.give_back(ctx.now(), key(boot));
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,4 +1,4 @@
-//! Rate limits of teams over the whole fleet.
+//! Rate limits over the whole fleet: of teams, and of targets in need.
 //!
 //! Load pattern: a team's client misbehaves, or its nightly run starts at noon, and sends many
 //! times the team's usual load. Fair queueing keeps the waits of other teams short, but the engine's
@@ -17,6 +17,8 @@
 //! the same reports, so the parts add up to the limit. An entry that has just started takes the
 //! level of an older one; if there is none, its bucket is nearly empty.
 //!
+//! The rates that targets state ([`crate::target_limit`]) are kept in the same way, in requests.
+//!
 //! A request passes while the level is above zero, whatever its size, and may leave a debt:
 //! otherwise long requests would be refused more often than short ones.
 
@@ -32,7 +34,7 @@
 use account::Account;
 use peers::{Peers, Total};
 
-/// A key's limit over the whole fleet.
+/// A limit over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units per second.
@@ -41,7 +43,7 @@
     pub burst: f64,
 }
 
-/// Hash of the name of what is limited: a key or a target.
+/// Hash of the name of what is limited: a team, or an incarnation of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct LimitKey(pub u64);
 
@@ -59,9 +61,8 @@
     /// Longest interval between two reports while a key has less than half of its burst left; 150
     /// ms.
     pub fast_beat: Micros,
-    /// Whether entries pass single requests at different levels. Without that, all of them pass one
-    /// at the moment at which a unit is left, which matters for rates of a few requests a second;
-    /// false.
+    /// Whether entries pass requests at levels that they draw at random, so that they don't all pass
+    /// one at the moment at which a unit is left; for limits of a few requests a second. False.
     pub staggered: bool,
 }
 
@@ -132,6 +133,12 @@
     stagger: f64,
 }
 
+impl State {
+    fn admits(&self, level: f64) -> bool {
+        level > self.least + self.stagger
+    }
+}
+
 /// Refusal of a request, with the state that it rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Refusal {
@@ -168,7 +175,7 @@
     pub sent: Micros,
     /// Longest interval until the next report.
     pub beat: Micros,
-    /// Teams with recent use.
+    /// Keys with recent use.
     pub usage: Vec<Usage>,
 }
 
@@ -282,7 +289,7 @@
             return Ok(());
         };
         match self.accounts.get_mut(&key) {
-            Some(a) if a.level() > state.least + state.stagger => {
+            Some(a) if state.admits(a.level()) => {
                 a.add(now, units as i64, self.config.window);
                 Ok(())
             }
@@ -290,20 +297,21 @@
         }
     }
 
-    /// Counts units of a request that has been admitted.
-    pub fn spend(&mut self, now: Micros, key: LimitKey, units: u64) {
-        if let Some(a) = self.accounts.get_mut(&key) {
+    /// Counts units of a request that has been admitted; returns whether the key has a limit.
+    pub fn spend(&mut self, now: Micros, key: LimitKey, units: u64) -> bool {
+        let account = self.accounts.get_mut(&key);
+        account.is_some_and(|a| {
             a.add(now, units as i64, self.config.window);
-        }
+            true
+        })
     }
 
     /// Whether a request would pass now.
     pub fn admits(&mut self, now: Micros, key: LimitKey) -> bool {
         let state = self.state(now, key, Purpose::First);
-        state.is_none_or(|s| {
-            self.level(key)
-                .is_none_or(|level| level > s.least + s.stagger)
-        })
+        state
+            .zip(self.level(key))
+            .is_none_or(|(state, level)| state.admits(level))
     }
 
     /// Time until a request would pass that is refused now.
@@ -316,6 +324,9 @@
 
     /// State of a limit for a request, after a refill; `None` without a limit.
     fn state(&mut self, now: Micros, key: LimitKey, purpose: Purpose) -> Option<State> {
+        if !self.accounts.contains_key(&key) {
+            return None;
+        }
         self.update_contact(now);
         let account = self.accounts.get_mut(&key)?;
         let window = self.config.window;
@@ -333,6 +344,7 @@
             }
             Purpose::First => burst * part.late_burst,
         };
+        // A full bucket exceeds the draws of this many entries; those with more use draw lower.
         let at_once = (margin * AT_ONCE_SHARE).max(1.0);
         let stagger = match self.config.staggered {
             true => burst * self.draw(now, key) / (at_once * own_share),
--- a/crates/policy/src/limit/account.rs
+++ b/crates/policy/src/limit/account.rs
@@ -18,7 +18,8 @@
     margin: f64,
     level: f64,
     refilled_at: Micros,
-    /// When the level contains all earlier use; earlier if another entry's level is adopted.
+    /// When no use from before the account existed matters any more, or zero once the level of
+    /// another entry, which contains that use, is adopted.
     settles_at: Micros,
     spent: i64,
     reported: i64,
--- a/crates/policy/src/target_limit.rs
+++ b/crates/policy/src/target_limit.rs
@@ -182,9 +182,9 @@
         self.limiter.admits(now, key)
     }
 
-    /// Counts a request to a target that admits it.
-    pub fn record_send(&mut self, now: Micros, key: LimitKey) {
-        self.limiter.spend(now, key, 1);
+    /// Counts a request to a target that admits it; returns whether the target has a limit.
+    pub fn record_send(&mut self, now: Micros, key: LimitKey) -> bool {
+        self.limiter.spend(now, key, 1)
     }
 
     /// Returns the unit of a request that hasn't reached its target.
--- a/crates/policy/tests/target_limit/main.rs
+++ b/crates/policy/tests/target_limit/main.rs
@@ -98,7 +98,9 @@
 
 /// Whether a target has a limit that is used up.
 fn is_limited(limits: &mut TargetLimits, now: Micros) -> bool {
-    (0..100).for_each(|_| limits.record_send(now, TARGET));
+    for _ in 0..100 {
+        limits.record_send(now, TARGET);
+    }
     !limits.admits(now, TARGET)
 }
 
