--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -19,6 +19,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of streams in each test; by chance all of them stay at their build once in 2^16 times.
 const STREAMS: usize = 16;
+/// Time within which an entry reads the list again.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The builds of the engines, two of each.
 const BUILDS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 
@@ -61,6 +63,12 @@
         fleet
     }
 
+    /// Writes an engine's row again.
+    fn list(&self, engine: &Replica) {
+        let addr = engine.addr().expect("an address");
+        self.platform.list(engine, "engines", addr, "ready");
+    }
+
     async fn add_entry(&mut self, name: &str) {
         let entry = self.platform.entry(name, BUILDS.len()).await;
         self.platform.wait_for_member(name).await;
@@ -166,20 +174,32 @@
 #[tokio::test]
 async fn broken_stream_goes_on_at_its_build_within_one_answer() {
     // Guards against an entry that resumes a stream at a replica which writes other events.
-    let fleet = Fleet::start(1, false).await;
-    // One engine of each build breaks all of its streams.
-    fleet.engines[..2]
-        .iter()
-        .for_each(|r| r.set_fault(Fault::Cut));
-    let streams = (0..STREAMS).map(|n| {
-        let call = request(&fleet.entries[0], "/probe/1", &format!("cut-{n}"));
-        async { rest(call.send().await.expect("an answer")).await }
-    });
-    for events in join_all(streams).await {
-        assert_one_build(&events.expect("a complete stream"), "stream");
+    let pairings = [
+        ["v1", "v2", "v1", "v2"],
+        ["v1", "v1", "v2", "v2"],
+        ["v1", "v2", "v2", "v1"],
+    ];
+    for builds in pairings {
+        let fleet = Fleet::start(1, false).await;
+        for (engine, build) in fleet.engines.iter().zip(builds) {
+            engine.set_build(build);
+            fleet.list(engine);
+        }
+        sleep(LIST_INTERVAL).await;
+        // Streams with this prompt go to the engine that has got the first of them.
+        rest(fleet.begin(0, "first").await.response).await;
+        fleet.received("first")[0].set_fault(Fault::Cut);
+        let streams = (0..STREAMS).map(|n| {
+            let call = request(&fleet.entries[0], "/probe/1", &format!("cut-{n}"));
+            async { rest(call.send().await.expect("an answer")).await }
+        });
+        for events in join_all(streams).await {
+            assert_one_build(&events.expect("a complete stream"), "stream");
+        }
+        let resumed = fleet.engines.iter().flat_map(|r| r.requests());
+        let resumed = resumed.filter(|s| s.headers.contains_key("last-event-id"));
+        assert!(resumed.count() > 0, "no stream was broken");
     }
-    let broken = fleet.engines[..2].iter().flat_map(|r| r.requests());
-    assert!(broken.count() > 0, "no stream was broken");
 }
 
 /// What happens between the tries of a caller.
@@ -276,7 +296,7 @@
     let engine = Replica::new("e1", EVENTS, EVENT_INTERVAL);
     engine.set_version(MODEL, 1);
     engine.set_build("v1");
-    let addr = platform.replica(&engine, "engines").await;
+    platform.replica(&engine, "engines").await;
     let entry = platform.entry("front-0", 1).await;
     let fleet = Fleet {
         platform,
@@ -295,7 +315,7 @@
     let taken = fleet.take_up(0, &stream, "taken");
     let registered = async {
         sleep(Duration::from_millis(500)).await;
-        fleet.platform.list(&engine, "engines", addr, "ready");
+        fleet.list(&engine);
     };
     let ((status, events), ()) = tokio::join!(taken, registered);
     assert_ne!(status, 200, "{events}");
