Confirm builds by the entry's own read of the list

What counted as a read of the list after the connection was opened was the report of another entry, which the soak delays by up to 0.2 s.

Now only a read of the store that this entry began after the connection was opened counts; one is requested if there is none, for all streams that wait.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -36,6 +36,8 @@
     keys: HashMap<Boot, ReplicaKey>,
     /// When the list was last read or confirmed to be unchanged.
     pub(super) list_confirmed_at: Micros,
+    /// When the last successful read of the store began; the list shows all that was written before.
+    pub(super) list_read_from: Micros,
     /// When a read of the list last failed.
     list_failed_at: Micros,
     /// Contents of the KV stores, by address.
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -41,6 +41,8 @@
     own_hash: Cell<u64>,
     /// Notified when another entry reports a change.
     changed: Notify,
+    /// Notified when a read of the store is needed, whatever other entries report.
+    read_wanted: Notify,
     /// The poller that last reported a change.
     change_reporter: Cell<Option<SocketAddr>>,
 }
@@ -51,6 +53,11 @@
         self.own_hash.get() != 0
     }
 
+    /// Requests a read of the store.
+    pub(super) fn request_read(&self) {
+        self.read_wanted.notify_one();
+    }
+
     /// Waits until another entry reports a change.
     async fn change_found(&self) {
         while self.change_reporter.get().is_none() {
@@ -107,6 +114,7 @@
         match read {
             Ok(list) => {
                 apply(&ctx, list, "store");
+                ctx.fleet.borrow_mut().list_read_from = started;
                 announce(&ctx, rank);
                 wait(&ctx, rank, &mut era).await;
             }
@@ -259,6 +267,7 @@
         let changed = async {
             tokio::select! {
                 () = ctx.list.changed.notified() => {}
+                () = ctx.list.read_wanted.notified() => {}
                 _ = era.changed() => retry_pause().await,
             }
         };
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -31,13 +31,11 @@
 /// Time for which an origin is kept after the caller has given up, as its clock differs.
 const KEEP_MARGIN: Duration = Duration::from_secs(2);
 
-/// Longest usual time between a read of the list and its receipt.
-const LIST_DELAY: Duration = Duration::from_millis(100);
-/// Time that a continued stream waits for the build of its target to be confirmed. Entries usually
-/// receive a read of the list each 0.3 s, and processes register within a heartbeat.
+/// Time that a continued stream waits for the build of its target to be confirmed: a heartbeat of
+/// its target, and a read of the list.
 const CONFIRM_TIMEOUT: Micros = Micros::from_millis(2_000);
 /// Interval of checks whether it is.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Where a job may run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -142,22 +140,26 @@
 }
 
 /// Build of a target that answers on a connection opened at this time, according to the list, and
-/// whether the list has been read late enough to show a process that took the target's place
-/// before.
-fn build_on(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<(BuildKey, bool)> {
+/// from when on a read of the list shows a process that took the target's place before.
+fn build_on(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<(BuildKey, Instant)> {
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
     // A process registers within a heartbeat of its start.
     let delay = match replica.may_be_replaced(opened) {
         true => ctx.node.settings.borrow().heartbeat,
-        false => LIST_DELAY,
+        false => Duration::ZERO,
     };
-    let read_at = ctx.node.origin + fleet.list_confirmed_at.into();
-    Some((build_key(&replica.target)?, read_at >= opened + delay))
+    Some((build_key(&replica.target)?, opened + delay))
+}
+
+/// Whether this entry has read the list since a given time. What other entries report of the list
+/// doesn't count, as it may be delayed.
+fn has_read_since(ctx: &Ctx, time: Instant) -> bool {
+    ctx.node.origin + Duration::from(ctx.fleet.borrow().list_read_from) >= time
 }
 
 /// Whether a target that answers on a connection opened at this time has the build at which a job
-/// goes on. Waits for the next read of the list if the last one isn't late enough to show that.
+/// goes on. Reads the list again if the last read isn't late enough to show that.
 pub(super) async fn confirm_build(ctx: &Ctx, job: &Job, key: ReplicaKey, opened: Instant) -> bool {
     let Origin::Build(origin) = job.origin else {
         return job.origin == Origin::Open;
@@ -165,8 +167,12 @@
     let end = ctx.now() + CONFIRM_TIMEOUT.min(job.time_left(ctx.now()).into());
     loop {
         match build_on(ctx, key, opened) {
-            Some((build, confirmed)) if build == origin && confirmed => return true,
-            Some((build, _)) if build == origin && ctx.now() < end => {}
+            Some((build, from)) if build == origin && has_read_since(ctx, from) => return true,
+            Some((build, from)) if build == origin && ctx.now() < end => {
+                if Instant::now() >= from {
+                    ctx.list.request_read();
+                }
+            }
             _ => return false,
         }
         sleep(CONFIRM_INTERVAL).await;
@@ -177,11 +183,11 @@
 /// connection broke, the list counts only if it has been read since, or if the pool has no other
 /// build.
 fn beginning_build(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
-    let (build, confirmed) = build_on(ctx, key, opened)?;
+    let (build, from) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
     let is_sole = || fleet.sole_build(ctx.now(), &replica.target.pool) == Some(build);
-    let certain = confirmed || !replica.may_be_replaced(opened) || is_sole();
+    let certain = !replica.may_be_replaced(opened) || has_read_since(ctx, from) || is_sole();
     certain.then_some(build)
 }
 
