--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -78,6 +78,8 @@
     /// Whether a silent replica is waited for until the deadline, because another replica has been
     /// requested already.
     ignores_silence: bool,
+    /// Whether the last replica's answer has a length or chunks.
+    delimited: Option<bool>,
     end: End,
 }
 
@@ -93,6 +95,7 @@
     let relay = Relay {
         ctx: Rc::clone(ctx),
         job,
+        delimited: Some(live.head.delimited),
         live: Some(live),
         tail: BytesMut::new(),
         events: 0,
@@ -401,6 +404,7 @@
             SendOutcome::Answer(live) => {
                 let succeeded = live.response.status().is_success();
                 if succeeded && live.head.signed && !live.head.encoded {
+                    self.delimited = Some(live.head.delimited);
                     self.live = Some(*live);
                     return ResumeOutcome::Resumed;
                 }
@@ -434,6 +438,7 @@
         log::event(&Event::Streamed {
             request: &self.job.id,
             end: self.end.name(),
+            delimited: self.delimited,
             events: self.events,
             first_ms: self.first_event_after.map(|f| f.as_millis() as u64),
             after_ms: after.as_millis(),
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -320,6 +320,9 @@
         request: &'a str,
         /// How the stream ended: `whole`, `cut`, `left` by the caller, or `overdue`.
         end: &'a str,
+        /// Whether the replica's answer had a length or chunks, so that its end shows that it is
+        /// complete; `None` if no replica was left.
+        delimited: Option<bool>,
         /// Number of events sent to the caller.
         events: u64,
         /// Milliseconds from the request's arrival to the first event.
