Known red: a prompt part crashes engine after engine

Stand-in engines crash on a prompt part before, within or at the end of an event, and answer without length or chunks.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod builds;
 mod callers;
+mod crashing_parts;
 mod delegates;
 mod fatal;
 mod fleet;
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -10,8 +10,8 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
+use hyper::{Request, Response, StatusCode, Version};
 use serde_json::{json, Value};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -52,6 +52,17 @@
     Short,
 }
 
+/// When a replica crashes that runs a request with a certain prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Before it has sent any of the answer.
+    BeforeHead,
+    /// In the middle of the first event.
+    WithinEvent,
+    /// At the end of the first event.
+    AfterEvent,
+}
+
 /// A request that a replica received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -77,6 +88,14 @@
     /// A fault for only the first request to any of several replicas, and whether it has occurred.
     first_fault: Option<(Fault, Arc<AtomicBool>)>,
     crash_path: Option<String>,
+    /// Prompt parts that crash the replica, and when.
+    crash_parts: Vec<(String, CrashPoint)>,
+    /// Number of crashes by prompt parts.
+    crashes: u64,
+    /// Whether the replica is down after a crash.
+    down: bool,
+    /// Whether answers have neither a length nor chunks.
+    undelimited: bool,
     requests: Vec<ReceivedRequest>,
     cache: PromptCache,
     orders: Vec<Value>,
@@ -180,6 +199,62 @@
         lock(&self.state).crash_path = Some(path.to_owned());
     }
 
+    /// Adds a prompt part that crashes the replica from now on: all answers break, and requests get
+    /// none until [`Self::recover`].
+    pub fn add_crash_part(&self, part: &str, point: CrashPoint) {
+        lock(&self.state).crash_parts.push((part.to_owned(), point));
+    }
+
+    /// Number of crashes by prompt parts.
+    pub fn crashes(&self) -> u64 {
+        lock(&self.state).crashes
+    }
+
+    /// Crashes the replica.
+    pub fn crash(&self) {
+        let mut state = lock(&self.state);
+        state.crashes += 1;
+        state.down = true;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether the replica is down after a crash.
+    pub fn is_down(&self) -> bool {
+        lock(&self.state).down
+    }
+
+    /// Lets a replica that has crashed answer again.
+    pub fn recover(&self) {
+        lock(&self.state).down = false;
+    }
+
+    /// Waits until the replica has crashed more often than `crashes` times.
+    async fn wait_for_crash(&self, crashes: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.crashes() > crashes {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Sets whether answers have neither a length nor chunks from now on.
+    pub fn set_undelimited(&self, undelimited: bool) {
+        lock(&self.state).undelimited = undelimited;
+    }
+
+    /// When a request with these prompt parts crashes the replica.
+    fn crash_point(&self, parts: &str) -> Option<CrashPoint> {
+        let ids = parts.split(',').filter_map(|p| p.split(':').next());
+        let ids: Vec<_> = ids.map(str::trim).collect();
+        let state = lock(&self.state);
+        let mut bad = state.crash_parts.iter();
+        let (_, point) = bad.find(|(part, _)| ids.contains(&part.as_str()))?;
+        Some(*point)
+    }
+
     /// Sets how long a load of weights takes from now on; requests that arrive during a load are
     /// refused.
     pub fn set_load_time(&self, load_time: Duration) {
@@ -318,6 +393,9 @@
     ) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
+        if self.is_down() {
+            return None;
+        }
         match parts.uri.path() {
             "/api/report" => return Some(reply(StatusCode::OK, self.report().to_string())),
             "/api/order" => {
@@ -379,6 +457,11 @@
         if lock(&self.state).crash_path.as_deref() == Some(parts.uri.path()) {
             return None;
         }
+        let crash = text("prompt-prefix").and_then(|p| self.crash_point(&p));
+        if crash == Some(CrashPoint::BeforeHead) {
+            self.crash();
+            return None;
+        }
         match fault {
             Fault::Full => {
                 let mut answer = reply(StatusCode::SERVICE_UNAVAILABLE, "");
@@ -397,7 +480,7 @@
         let mut answer = match fault {
             Fault::Vague => reply(StatusCode::SERVICE_UNAVAILABLE, "busy"),
             Fault::Error => reply(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-            _ if streams => self.stream(text("last-event-id"), fault),
+            _ if streams => self.stream(text("last-event-id"), fault, crash),
             _ => reply(StatusCode::OK, [b"echo ".as_slice(), &body].concat()),
         };
         let echoed = if fault == Fault::Crossed {
@@ -416,15 +499,25 @@
         if fault == Fault::Encoded {
             set_header(&mut answer, "content-encoding", "gzip");
         }
+        if lock(&self.state).undelimited {
+            *answer.version_mut() = Version::HTTP_10;
+            answer.headers_mut().remove(CONTENT_LENGTH);
+        }
         Some(answer)
     }
 
-    fn stream(self: &Arc<Self>, after: Option<String>, fault: Fault) -> Response<Body> {
+    fn stream(
+        self: &Arc<Self>,
+        after: Option<String>,
+        fault: Fault,
+        crash: Option<CrashPoint>,
+    ) -> Response<Body> {
         let first = after.and_then(|a| a.parse::<u64>().ok()).unwrap_or(0) + 1;
         let running = RunningRequest::new(self);
         let (last, pause) = (self.events, self.pause);
         let build = lock(&self.state).build.clone();
         let build = build.map_or_else(String::new, |b| format!(" by {b}"));
+        let crashes = self.crashes();
         let short = fault == Fault::Short;
         let cut = (short || fault == Fault::Cut).then_some(first + 3);
         let events = stream::unfold(
@@ -447,7 +540,23 @@
                     running.end();
                     return None;
                 }
-                sleep(pause).await;
+                let replica = Arc::clone(&running.replica);
+                let cut_off = tokio::select! {
+                    biased;
+                    () = replica.wait_for_crash(crashes) => true,
+                    () = sleep(pause) => false,
+                };
+                if cut_off {
+                    return Some((Err(CutOff), (u64::MAX, running, build)));
+                }
+                if crash.is_some() && n > first {
+                    replica.crash();
+                    return Some((Err(CutOff), (u64::MAX, running, build)));
+                }
+                if crash == Some(CrashPoint::WithinEvent) {
+                    let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
+                    return Some((Ok(half), (n + 1, running, build)));
+                }
                 let event = Bytes::from(format!("id: {n}\ndata: token {n}{build}\n\n"));
                 Some((Ok(Frame::data(event)), (n + 1, running, build)))
             },
