Count an answer that ends with its connection only once its target goes on

What callers saw: a request crashed engine after engine and was not refused.

Cause: the end of a connection was taken for the end of an answer. Such an answer is now kept for the time in which the end of a target becomes known; if the target ends it counts as broken, else as complete.

BrokenAnswer got a type parameter, so one field in policy crashes was renamed.

--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -281,8 +281,8 @@
         return AttemptOutcome::Answered(FirstAnswer::Stream(Box::new(live)));
     }
     let left = job.time_left(ctx.now()) + ANSWER_GRACE;
-    let not_run = live.head.not_run;
     let (boot, sent_at) = (live.in_flight.boot.clone(), live.in_flight.sent_at);
+    let head = live.head.clone();
     let whole = match timeout(left, collect(ctx, live)).await {
         Ok(Some(w)) => w,
         _ => {
@@ -299,7 +299,7 @@
     match succeeded || status.is_client_error() {
         true => {
             ctx.fleet.borrow_mut().record_success(key);
-            suspects::record_success(ctx, job);
+            suspects::record_end(ctx, job, &head, &boot, sent_at);
         }
         false => ctx
             .fleet
@@ -312,7 +312,7 @@
         StatusCode::SERVICE_UNAVAILABLE
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::REQUEST_TIMEOUT
-            if !not_run =>
+            if !head.not_run =>
         {
             AttemptOutcome::Ran {
                 reason: "refusal without a promise",
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -273,8 +273,9 @@
     /// Records that the replica completed the stream, and returns its connection to the pool.
     fn finish(&mut self) {
         self.end = End::Whole;
-        suspects::record_success(&self.ctx, &self.job);
         if let Some(live) = self.live.take() {
+            let (boot, sent_at) = (&live.in_flight.boot, live.in_flight.sent_at);
+            suspects::record_end(&self.ctx, &self.job, &live.head, boot, sent_at);
             let mut fleet = self.ctx.fleet.borrow_mut();
             let replica = fleet.replicas.get_mut(live.in_flight.key());
             if let (Some(r), false) = (replica, live.head.closes) {
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use model::{Incarnation, MemberId, Micros};
+use platform::replica::AnswerHead;
 use policy::crash_attribution::{BrokenAnswer, CrashAttribution};
 use policy::quarantine::{self, Crash, Fingerprint, ProcessRank, Quarantine, Verdict};
 use site::Boot;
@@ -45,7 +46,7 @@
 #[derive(Debug)]
 pub(super) struct Suspects {
     quarantine: Quarantine,
-    crash_attribution: CrashAttribution,
+    crash_attribution: CrashAttribution<Run>,
 }
 
 impl Default for Suspects {
@@ -61,6 +62,13 @@
     }
 }
 
+/// A request that has run at a target.
+#[derive(Clone, Debug)]
+struct Run {
+    id: String,
+    fingerprint: Fingerprint,
+}
+
 /// Fingerprint of a request, the same for all requests of one team with the same method, path and
 /// content.
 pub(super) fn fingerprint(job: &Job) -> Fingerprint {
@@ -122,21 +130,54 @@
     next.map_or(Micros::ZERO, |at| at.since(now))
 }
 
-/// Records that a job's answer broke off at the target to which the job was sent at `sent`.
-pub(super) fn record_broken_answer(ctx: &Ctx, job: &Job, boot: &Boot, sent: Micros) {
-    let run = BrokenAnswer {
+fn broken_answer(ctx: &Ctx, job: &Job, boot: &Boot, sent: Micros) -> BrokenAnswer<Run> {
+    let run = Run {
+        id: job.id.clone(),
         fingerprint: job.fingerprint,
+    };
+    BrokenAnswer {
+        request: run,
         crash: crash(boot),
         sent,
         at: ctx.now(),
+    }
+}
+
+/// Records that a job's answer broke off at the target to which the job was sent at `sent`.
+pub(super) fn record_broken_answer(ctx: &Ctx, job: &Job, boot: &Boot, sent: Micros) {
+    let run = broken_answer(ctx, job, boot, sent);
+    let mut suspects = ctx.suspects.borrow_mut();
+    let ended = suspects.crash_attribution.answer_broken(run.clone());
+    drop(suspects);
+    if ended {
+        strike(ctx, &run.request, run.crash);
+    }
+}
+
+/// Records the end of a successful answer. If it has neither a length nor chunks, only its target's
+/// state shows whether it was complete.
+pub(super) fn record_end(ctx: &Ctx, job: &Job, head: &AnswerHead, boot: &Boot, sent: Micros) {
+    if head.delimited {
+        return record_success(ctx, job);
+    }
+    let run = broken_answer(ctx, job, boot, sent);
+    let mut suspects = ctx.suspects.borrow_mut();
+    let ended = suspects.crash_attribution.answer_closed(run.clone());
+    drop(suspects);
+    if ended {
+        strike(ctx, &run.request, run.crash);
+    }
+}
+
+/// Records the answers that ended with their connections and whose targets have gone on.
+pub(super) fn record_survived(ctx: &Ctx) {
+    let now = ctx.now();
+    let survived = {
+        let mut suspects = ctx.suspects.borrow_mut();
+        suspects.crash_attribution.take_survived(now)
     };
-    if ctx
-        .suspects
-        .borrow_mut()
-        .crash_attribution
-        .answer_broken(run)
-    {
-        strike(ctx, run.fingerprint, run.crash, Some(&job.id));
+    for run in survived {
+        clear(ctx, &run);
     }
 }
 
@@ -145,34 +186,42 @@
     let boots = std::mem::take(&mut ctx.fleet.borrow_mut().ended_targets);
     for boot in boots {
         let crash = crash(&boot);
-        let fingerprints = ctx
+        let runs = ctx
             .suspects
             .borrow_mut()
             .crash_attribution
             .target_ended(ctx.now(), crash);
-        for fingerprint in fingerprints {
-            strike(ctx, fingerprint, crash, None);
+        for run in runs {
+            strike(ctx, &run, crash);
         }
     }
 }
 
-/// Records a successful answer to a job.
-pub(super) fn record_success(ctx: &Ctx, job: &Job) {
+/// Records a complete answer to a job.
+fn record_success(ctx: &Ctx, job: &Job) {
+    let run = Run {
+        id: job.id.clone(),
+        fingerprint: job.fingerprint,
+    };
+    clear(ctx, &run);
+}
+
+fn clear(ctx: &Ctx, run: &Run) {
     let cleared = {
         let mut suspects = ctx.suspects.borrow_mut();
         suspects
             .quarantine
-            .record_success(ctx.now(), job.fingerprint)
+            .record_success(ctx.now(), run.fingerprint)
     };
     if cleared {
         log_suspected(
-            job.fingerprint,
-            Some(&job.id),
+            run.fingerprint,
+            Some(&run.id),
             None,
             &Record::default(),
             "own",
         );
-        broadcast(ctx, strike_update(job.fingerprint, None));
+        broadcast(ctx, strike_update(run.fingerprint, None));
     }
 }
 
@@ -247,15 +296,15 @@
     }
 }
 
-fn strike(ctx: &Ctx, fingerprint: Fingerprint, crash: Crash, request: Option<&str>) {
-    let now = ctx.now();
+fn strike(ctx: &Ctx, run: &Run, crash: Crash) {
+    let (now, fingerprint) = (ctx.now(), run.fingerprint);
     ctx.suspects
         .borrow_mut()
         .quarantine
         .strike(now, fingerprint, crash);
     log_suspected(
         fingerprint,
-        request,
+        Some(&run.id),
         Some(crash),
         &record(ctx, fingerprint),
         "own",
--- a/crates/policy/src/crash_attribution.rs
+++ b/crates/policy/src/crash_attribution.rs
@@ -9,6 +9,9 @@
 //! Breaks and ends are therefore both kept for a while and matched in whichever order they come. A request
 //! that was sent after the end was known can't have caused it.
 //!
+//! An answer without a length or chunks ends with its connection, whether it is complete or its target has
+//! crashed. Such an answer counts as complete only once its target hasn't ended for as long.
+//!
 //! The platform's list drops a silent target some three seconds after its last heartbeat, and is read within
 //! one more second; five seconds cover both. A break and an end that fall into these five seconds by chance
 //! cost one strike of several, and a successful answer removes it.
@@ -17,18 +20,18 @@
 
 use model::Micros;
 
-use crate::quarantine::{Crash, Fingerprint};
+use crate::quarantine::Crash;
 
 /// Longest time between a broken answer and the end of its target for them to match.
 const MATCH_WINDOW: Micros = Micros::from_secs(5);
 /// Most broken answers, and most ends, remembered; a few times the requests that an engine runs at once.
 const CAPACITY: usize = 512;
 
-/// A request whose answer broke off.
+/// A request whose answer broke off. `R` describes the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BrokenAnswer {
+pub struct BrokenAnswer<R> {
     /// The request.
-    pub fingerprint: Fingerprint,
+    pub request: R,
     /// The target and its incarnation.
     pub crash: Crash,
     /// When the request was sent.
@@ -38,19 +41,30 @@
 }
 
 /// Recent broken answers and ends of targets, as seen by one process.
-#[derive(Debug, Default)]
-pub struct CrashAttribution {
-    breaks: VecDeque<BrokenAnswer>,
+#[derive(Debug)]
+pub struct CrashAttribution<R> {
+    breaks: VecDeque<BrokenAnswer<R>>,
+    /// Answers that ended with their connections.
+    closed: VecDeque<BrokenAnswer<R>>,
     ends: VecDeque<(Micros, Crash)>,
 }
 
-impl CrashAttribution {
+impl<R> Default for CrashAttribution<R> {
+    fn default() -> Self {
+        Self {
+            breaks: VecDeque::new(),
+            closed: VecDeque::new(),
+            ends: VecDeque::new(),
+        }
+    }
+}
+
+impl<R: Clone> CrashAttribution<R> {
     /// Records a broken answer; true if its target is known to have ended after the request was sent.
-    pub fn answer_broken(&mut self, run: BrokenAnswer) -> bool {
+    pub fn answer_broken(&mut self, run: BrokenAnswer<R>) -> bool {
         self.expire(run.at);
-        let end = self.ends.iter().find(|(_, c)| *c == run.crash);
-        match end {
-            Some((at, _)) => run.sent < *at,
+        match self.end_of(run.crash) {
+            Some(at) => run.sent < at,
             None => {
                 self.breaks.push_back(run);
                 false
@@ -58,16 +72,55 @@
         }
     }
 
+    /// Records an answer that ended with its connection, and so may be broken; true if its target is known
+    /// to have ended after the request was sent.
+    pub fn answer_closed(&mut self, run: BrokenAnswer<R>) -> bool {
+        self.expire(run.at);
+        if self.closed.len() >= CAPACITY {
+            self.closed.pop_front();
+        }
+        match self.end_of(run.crash) {
+            Some(at) => run.sent < at,
+            None => {
+                self.closed.push_back(run);
+                false
+            }
+        }
+    }
+
+    /// Requests whose answers ended with their connections and whose targets haven't ended since, so that
+    /// the answers were complete.
+    pub fn take_survived(&mut self, now: Micros) -> Vec<R> {
+        let mut survived = Vec::new();
+        while self
+            .closed
+            .front()
+            .is_some_and(|c| now.since(c.at) > MATCH_WINDOW)
+        {
+            survived.extend(self.closed.pop_front().map(|c| c.request));
+        }
+        survived
+    }
+
     /// Records the end of a target; returns the requests whose answers had broken off there.
-    pub fn target_ended(&mut self, now: Micros, crash: Crash) -> Vec<Fingerprint> {
+    pub fn target_ended(&mut self, now: Micros, crash: Crash) -> Vec<R> {
         self.expire(now);
         if !self.ends.iter().any(|(_, c)| *c == crash) {
             self.ends.push_back((now, crash));
         }
-        let there = self.breaks.iter().filter(|b| b.crash == crash);
-        let fingerprints = there.map(|b| b.fingerprint).collect();
-        self.breaks.retain(|b| b.crash != crash);
-        fingerprints
+        let mut there = Vec::new();
+        for answers in [&mut self.breaks, &mut self.closed] {
+            let broken = answers.iter().filter(|b| b.crash == crash);
+            there.extend(broken.map(|b| b.request.clone()));
+            answers.retain(|b| b.crash != crash);
+        }
+        there
+    }
+
+    /// When a target is known to have ended.
+    fn end_of(&self, crash: Crash) -> Option<Micros> {
+        let end = self.ends.iter().find(|(_, c)| *c == crash);
+        end.map(|(at, _)| *at)
     }
 
     fn expire(&mut self, now: Micros) {
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -41,7 +41,7 @@
         let mut broken = CrashAttribution::default();
         let end = crash(if case.same { 1 } else { 2 });
         let run = BrokenAnswer {
-            fingerprint,
+            request: fingerprint,
             crash: crash(1),
             sent: ms(case.sent),
             at: ms(case.broke),
@@ -61,6 +61,52 @@
     }
 }
 
+#[test]
+fn answer_that_ends_with_its_connection_is_complete_only_if_its_target_goes_on() {
+    // Guards against clearing a request whose answer ended because its target had crashed.
+    struct Case {
+        name: &'static str,
+        ended: Option<u64>,
+        struck: bool,
+        complete: bool,
+    }
+    let crash = Crash {
+        member: MemberId(7),
+        incarnation: Incarnation(1),
+    };
+    let closed = |at| BrokenAnswer {
+        request: 1,
+        crash,
+        sent: ms(100),
+        at: ms(at),
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "target goes on", ended: None, struck: false, complete: true },
+        Case { name: "end known later", ended: Some(2_000), struck: true, complete: false },
+        Case { name: "end known before", ended: Some(800), struck: true, complete: false },
+        Case { name: "sent after the end", ended: Some(50), struck: false, complete: false },
+    ];
+    for case in cases {
+        let mut answers = CrashAttribution::default();
+        let struck = match case.ended {
+            None => answers.answer_closed(closed(900)),
+            Some(at) if at < 900 => {
+                answers.target_ended(ms(at), crash);
+                answers.answer_closed(closed(900))
+            }
+            Some(at) => {
+                assert!(!answers.answer_closed(closed(900)), "{}", case.name);
+                assert_eq!(answers.take_survived(ms(at)), [0; 0], "{}", case.name);
+                answers.target_ended(ms(at), crash) == [1]
+            }
+        };
+        assert_eq!(struck, case.struck, "{}", case.name);
+        let complete = answers.take_survived(ms(6_000)) == [1];
+        assert_eq!(complete, case.complete, "{}", case.name);
+    }
+}
+
 #[test]
 fn successful_answer_clears_a_request_and_protects_it_for_a_while() {
     // Guards against refusing frequently requested content after its third crash, when the engines of a failure
