Record a stream that breaks after its first event

What callers saw: streams cut after one or more events, engine after engine, with no suspected line for their requests.

Cause: relay recorded a broken answer only before the first event, on the assumption that a request crashes its target before it writes anything.

A harmless stream in progress at a crash is now suspected as well; it is cleared when it is completed elsewhere. The test fails before (with chunks, no suspected line in 20 s) and passes now.

--- a/crates/daemon/tests/hosted/fatal.rs
+++ b/crates/daemon/tests/hosted/fatal.rs
@@ -141,29 +141,31 @@
 
 #[tokio::test]
 async fn request_that_crashes_engines_at_the_end_of_an_event_is_refused() {
-    // Guards against answers that end with their connections and count as complete, so that the
-    // request is never refused.
-    let mut fleet = Fleet::start().await;
-    for (engine, _, _) in &fleet.engines {
-        engine.set_crash_path("/none");
-        // The last part is the request's own.
-        engine.add_crash_part("c3", CrashPoint::AfterEvent);
-        engine.set_undelimited(true);
-    }
-    for n in 0..3 {
-        let before = fleet.runs_per_engine();
-        let _ = fetch(&fleet.entries[n % 2], CRASHING_PATH, &format!("f{n}")).await;
-        fleet.restart_crashed(&before);
-        fleet.engines.iter().for_each(|(e, _, _)| e.recover());
-        let crashes = n as u64 + 1;
-        let is_counted = |s: &serde_json::Value| s["crashes"].as_u64() >= Some(crashes);
-        for e in &fleet.entries {
-            e.process.wait_for_event("suspected", is_counted).await;
+    // Guards against breaks after the first event that aren't recorded, and against answers that end
+    // with their connections and count as complete.
+    for undelimited in [false, true] {
+        let mut fleet = Fleet::start().await;
+        for (engine, _, _) in &fleet.engines {
+            engine.set_crash_path("/none");
+            // The last part is the request's own.
+            engine.add_crash_part("c3", CrashPoint::AfterEvent);
+            engine.set_undelimited(undelimited);
+        }
+        for n in 0..3 {
+            let before = fleet.runs_per_engine();
+            let _ = fetch(&fleet.entries[n % 2], CRASHING_PATH, &format!("f{n}")).await;
+            fleet.restart_crashed(&before);
+            fleet.engines.iter().for_each(|(e, _, _)| e.recover());
+            let crashes = n as u64 + 1;
+            let is_counted = |s: &serde_json::Value| s["crashes"].as_u64() >= Some(crashes);
+            for e in &fleet.entries {
+                e.process.wait_for_event("suspected", is_counted).await;
+            }
+        }
+        for (entry, id) in fleet.entries.iter().zip(["f4", "f5"]) {
+            let refused = fetch(entry, CRASHING_PATH, id).await.expect("an answer");
+            assert_eq!(refused.status, 503, "undelimited: {undelimited}");
         }
-    }
-    for (entry, id) in fleet.entries.iter().zip(["f4", "f5"]) {
-        let refused = fetch(entry, CRASHING_PATH, id).await.expect("an answer");
-        assert_eq!(refused.status, 503);
     }
 }
 
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -342,14 +342,12 @@
             fleet.record_failure(self.ctx.now(), key, reason);
             fleet.record_break(key);
             drop(fleet);
-            if self.first_event_after.is_none() {
-                suspects::record_broken_answer(
-                    &self.ctx,
-                    &self.job,
-                    &live.in_flight.boot,
-                    live.in_flight.sent_at,
-                );
-            }
+            suspects::record_broken_answer(
+                &self.ctx,
+                &self.job,
+                &live.in_flight.boot,
+                live.in_flight.sent_at,
+            );
         }
         self.tail.clear();
         self.job.run_count += 1;
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -7,8 +7,9 @@
 //! request recently succeeded elsewhere. So a process that has just started costs at most one
 //! target, and doesn't suspect content that other entries serve all the time.
 //!
-//! Only runs without any output are suspected. Streams that have delivered events are in progress
-//! during every crash, and a request that crashes its target does so at its beginning.
+//! Streams that have delivered events are suspected too, since a request may crash its target at its
+//! first event or later. Harmless ones are in progress during every crash, but are completed in
+//! between, which clears them.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
