Convict prompt parts that crash targets, by evidence of all entries

Cause: suspicion was tied to the hash of a whole request, so requests that share only the bad part never added up. Class: evidence kept per instance although its cause lies in what instances share.

Change: policy::crashing_parts counts crashes and complete answers per part and over all entries. A part without a complete answer is convicted after three crashes, one with answers after four in a row while other prompts are answered; a proposal waits 150 ms for entries that know of an answer. Trials of a part, three by all entries together, and convictions are kept in a table of the platform's store, so entries that start know them.

--- a/crates/daemon/tests/hosted/fatal.rs
+++ b/crates/daemon/tests/hosted/fatal.rs
@@ -155,12 +155,12 @@
             let before = fleet.runs_per_engine();
             let _ = fetch(&fleet.entries[n % 2], CRASHING_PATH, &format!("f{n}")).await;
             fleet.restart_crashed(&before);
-            fleet.engines.iter().for_each(|(e, _, _)| e.recover());
             let crashes = n as u64 + 1;
             let is_counted = |s: &serde_json::Value| s["crashes"].as_u64() >= Some(crashes);
             for e in &fleet.entries {
                 e.process.wait_for_event("suspected", is_counted).await;
             }
+            fleet.engines.iter().for_each(|(e, _, _)| e.recover());
         }
         for (entry, id) in fleet.entries.iter().zip(["f4", "f5"]) {
             let refused = fetch(entry, CRASHING_PATH, id).await.expect("an answer");
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -74,8 +74,11 @@
         if job.time_left(ctx.now()) < MIN_TIME_LEFT {
             return last.map(FirstAnswer::Whole).ok_or(timed_out(job));
         }
-        if !suspects::may_run(ctx, job) {
-            return Err(quarantined(ctx, job));
+        if let Err(remaining) = suspects::may_run(ctx, job) {
+            return Err(match job.run_count {
+                0 => Reason::Quarantined { remaining },
+                _ => Reason::Unknown,
+            });
         }
         let pick = match pick::pick(ctx, &plan, job) {
             Ok(p) => p,
@@ -128,15 +131,6 @@
     remaining.is_worth_waiting(rest, job.time_left(job.received_at).into())
 }
 
-fn quarantined(ctx: &Ctx, job: &Job) -> Reason {
-    match job.run_count {
-        0 => Reason::Quarantined {
-            remaining: suspects::time_to_retry(ctx, job),
-        },
-        _ => Reason::Unknown,
-    }
-}
-
 fn timed_out(job: &Job) -> Reason {
     match job.run_count {
         0 => Reason::Expired,
@@ -281,30 +275,31 @@
         return AttemptOutcome::Answered(FirstAnswer::Stream(Box::new(live)));
     }
     let left = job.time_left(ctx.now()) + ANSWER_GRACE;
-    let (boot, sent_at) = (live.in_flight.boot.clone(), live.in_flight.sent_at);
-    let head = live.head.clone();
+    let sent_to = live.in_flight.sent_to();
+    let (not_run, delimited) = (live.head.not_run, live.head.delimited);
     let whole = match timeout(left, collect(ctx, live)).await {
         Ok(Some(w)) => w,
         _ => {
             ctx.fleet
                 .borrow_mut()
                 .record_failure(ctx.now(), key, "cut answer");
-            suspects::record_broken_answer(ctx, job, &boot, sent_at);
+            suspects::record_broken_answer(ctx, job, &sent_to.boot, sent_to.at);
             return AttemptOutcome::Ran {
                 reason: "cut answer",
                 answer: None,
             };
         }
     };
+    let mut fleet = ctx.fleet.borrow_mut();
     match succeeded || status.is_client_error() {
-        true => {
-            ctx.fleet.borrow_mut().record_success(key);
-            suspects::record_end(ctx, job, &head, &boot, sent_at);
-        }
-        false => ctx
-            .fleet
-            .borrow_mut()
-            .record_failure(ctx.now(), key, "error answer"),
+        true => fleet.record_success(key),
+        false => fleet.record_failure(ctx.now(), key, "error answer"),
+    }
+    drop(fleet);
+    match status {
+        s if s.is_success() => suspects::record_end(ctx, job, delimited, sent_to),
+        s if s.is_client_error() => suspects::record_rejection(ctx, job),
+        _ => {}
     }
     match status {
         // These statuses promise that the request didn't run, but only if the target itself sent
@@ -312,7 +307,7 @@
         StatusCode::SERVICE_UNAVAILABLE
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::REQUEST_TIMEOUT
-            if !head.not_run =>
+            if !not_run =>
         {
             AttemptOutcome::Ran {
                 reason: "refusal without a promise",
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -260,7 +260,6 @@
         let next = ctx.list.pollers.borrow().next_poll(read, rank, draw);
         let now = ctx.now();
         ctx.fleet.borrow_mut().expire(now);
-        suspects::record_survived(ctx);
         if now >= next {
             return;
         }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -3,12 +3,14 @@
 mod attempts;
 mod candidates;
 mod connection_pool;
+mod crashing_parts;
 mod delegate;
 mod fleet;
 mod limits;
 mod list;
 mod listen;
 mod origins;
+mod part_store;
 mod pick;
 mod plain;
 mod refuse;
@@ -80,6 +82,8 @@
     list: list::ListState,
     /// Requests that are suspected of crashing targets.
     suspects: RefCell<suspects::Suspects>,
+    /// Prompt parts that crash targets.
+    crashing_parts: crashing_parts::State,
     /// Engines that this entry is the delegate of.
     delegates: RefCell<delegate::Delegates>,
     /// Recent work of long and short prompts.
@@ -115,6 +119,10 @@
         meter::set(meter::RUNNING, running.into());
         let limited = self.target_limits.borrow().limited();
         meter::set(meter::LIMITED_TARGETS, limited as f64);
+        meter::set(
+            meter::CONVICTED_PARTS,
+            self.crashing_parts.convicted() as f64,
+        );
         meter::set(meter::STREAM_ORIGINS, self.origins.borrow().len() as f64);
         for (pool, budget) in self.retry_budgets.borrow().iter() {
             metrics::gauge!(meter::RETRIES_LEFT, "pool" => pool.clone()).set(budget.remaining());
@@ -197,6 +205,7 @@
         retry_budgets: RefCell::default(),
         list: list::ListState::default(),
         suspects: RefCell::default(),
+        crashing_parts: crashing_parts::State::default(),
         delegates: RefCell::default(),
         recent_work: RefCell::default(),
         limits: RefCell::default(),
@@ -214,6 +223,8 @@
     tokio::task::spawn_local(delegate::run(Rc::clone(&ctx)));
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
         Rc::clone(&ctx.socket),
@@ -304,6 +315,10 @@
             suspects::receive(&ctx, strike, from);
             continue;
         }
+        if let Some(evidence) = &update.part_evidence {
+            crashing_parts::receive(&ctx, from, evidence);
+            continue;
+        }
         if let Some(used) = &update.limit_use {
             limits::receive(&ctx, from, used);
             continue;
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -15,7 +15,6 @@
 use hyper::body::Frame;
 use hyper::Response;
 use platform::replica;
-use policy::quarantine::Verdict;
 use policy::retry_budget::{Budget, RetryReason};
 use tokio::time::timeout;
 
@@ -274,8 +273,8 @@
     fn finish(&mut self) {
         self.end = End::Whole;
         if let Some(live) = self.live.take() {
-            let (boot, sent_at) = (&live.in_flight.boot, live.in_flight.sent_at);
-            suspects::record_end(&self.ctx, &self.job, &live.head, boot, sent_at);
+            let sent_to = live.in_flight.sent_to();
+            suspects::record_end(&self.ctx, &self.job, live.head.delimited, sent_to);
             let mut fleet = self.ctx.fleet.borrow_mut();
             let replica = fleet.replicas.get_mut(live.in_flight.key());
             if let (Some(r), false) = (replica, live.head.closes) {
@@ -296,7 +295,7 @@
     async fn race_other_replica(&mut self) -> Received {
         self.ignores_silence = true;
         let spend = |b: &mut Budget| b.spend(self.ctx.now(), RetryReason::HasRun);
-        let convicted = suspects::verdict(&self.ctx, &self.job) == Verdict::Convicted;
+        let convicted = suspects::is_convicted(&self.ctx, &self.job);
         if convicted || !self.ctx.retry_budget(&self.job.pool, spend) {
             attempts::log_no_retry(&self.job, "silent, and no retry left");
             return Received::Silent;
@@ -358,7 +357,7 @@
             attempts::log_no_retry(&self.job, "no try left");
         }
         while self.job.may_run_again() && !self.job.time_left(self.ctx.now()).is_zero() {
-            if suspects::verdict(&self.ctx, &self.job) == Verdict::Convicted {
+            if suspects::is_convicted(&self.ctx, &self.job) {
                 attempts::log_no_retry(&self.job, "quarantined");
                 return false;
             }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -1,5 +1,6 @@
 //! Sending a request to one target, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 use crate::meter;
 use crate::update::PromptNote;
 
+/// Time limit for a connection that shows that a target is running.
+const REACH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Accounting of a request that is in flight at a target. Dropping it removes the request from the
 /// target's counts.
 #[derive(Debug)]
@@ -108,6 +112,15 @@
         self.key
     }
 
+    /// The target, and when the request was sent there.
+    pub(super) fn sent_to(&self) -> SentTo {
+        SentTo {
+            key: self.key,
+            boot: self.boot.clone(),
+            at: self.sent_at,
+        }
+    }
+
     /// Records that the target has prefilled the prompt.
     pub(super) fn record_prefilled(&mut self) {
         self.settle(true);
@@ -144,6 +157,17 @@
     }
 }
 
+/// A target to which a request was sent.
+#[derive(Clone, Debug)]
+pub(super) struct SentTo {
+    /// Key of the target.
+    pub(super) key: ReplicaKey,
+    /// Incarnation of the target.
+    pub(super) boot: Boot,
+    /// When the request was sent.
+    pub(super) at: Micros,
+}
+
 /// An answer whose head has been received.
 #[derive(Debug)]
 pub(super) struct LiveAnswer {
@@ -193,7 +217,7 @@
     };
     let connection = match idle {
         Some(c) => c,
-        None => match connect(pick).await {
+        None => match connect(pick.addr).await {
             Some(c) => c,
             None => {
                 let now = ctx.now();
@@ -237,8 +261,26 @@
     Some(request)
 }
 
-async fn connect(pick: &Pick) -> Option<Connection> {
-    let tcp = platform::call::connect(pick.addr).await.ok()?;
+/// Opens a connection to a target and keeps it for a later request; returns whether that succeeded.
+pub(super) async fn reach(ctx: &Ctx, key: ReplicaKey) -> bool {
+    let addr = {
+        let fleet = ctx.fleet.borrow();
+        fleet.replicas.get(key).map(|r| r.target.addr)
+    };
+    let Some(addr) = addr else {
+        return false;
+    };
+    let Ok(Some(connection)) = timeout(REACH_TIMEOUT, connect(addr)).await else {
+        return false;
+    };
+    if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(key) {
+        r.connections.keep(connection);
+    }
+    true
+}
+
+async fn connect(addr: SocketAddr) -> Option<Connection> {
+    let tcp = platform::call::connect(addr).await.ok()?;
     let (send, conn) = http1::handshake(TokioIo::new(tcp)).await.ok()?;
     metrics::counter!(meter::TARGET_CONNECTIONS).increment(1);
     let task = tokio::task::spawn_local(async move {
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -16,15 +16,16 @@
 use std::time::Duration;
 
 use model::{Incarnation, MemberId, Micros};
-use platform::replica::AnswerHead;
 use policy::crash_attribution::{BrokenAnswer, CrashAttribution};
+use policy::crashing_parts::{PartKey, RunningPart};
 use policy::quarantine::{self, Crash, Fingerprint, ProcessRank, Quarantine, Verdict};
 use site::Boot;
 use tokio::time::sleep;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::request::Job;
-use super::Ctx;
+use super::send::{self, SentTo};
+use super::{crashing_parts, Ctx};
 use crate::log::{self, Event};
 use crate::update::{self, Strike, Update};
 
@@ -43,6 +44,9 @@
     Duration::from_secs(2),
 ];
 
+/// Delay of the check whether a target still runs after an answer that ended with its connection.
+const CHECK_DELAY: Duration = Duration::from_millis(20);
+
 /// Crashes that an entry has recorded against requests.
 #[derive(Debug)]
 pub(super) struct Suspects {
@@ -68,6 +72,23 @@
 struct Run {
     id: String,
     fingerprint: Fingerprint,
+    parts: Vec<PartKey>,
+    sent: Micros,
+    /// When the answer ended.
+    ended: Micros,
+}
+
+impl Run {
+    /// A job whose answer ends now at the target to which it was sent at `sent`.
+    fn new(ctx: &Ctx, job: &Job, sent: Micros) -> Self {
+        Self {
+            id: job.id.clone(),
+            fingerprint: job.fingerprint,
+            parts: crashing_parts::keys(job),
+            sent,
+            ended: ctx.now(),
+        }
+    }
 }
 
 /// Fingerprint of a request, the same for all requests of one team with the same method, path and
@@ -102,42 +123,40 @@
     suspects.quarantine.verdict(ctx.now(), job.fingerprint)
 }
 
-/// Whether a job may be sent: either it isn't convicted, or this process uses one of the retries
-/// allowed after a conviction.
-pub(super) fn may_run(ctx: &Ctx, job: &Job) -> bool {
-    if verdict(ctx, job) != Verdict::Convicted {
-        return true;
+/// Whether a job is refused for what it or a part of its prompt does to targets.
+pub(super) fn is_convicted(ctx: &Ctx, job: &Job) -> bool {
+    verdict(ctx, job) == Verdict::Convicted || crashing_parts::is_convicted(ctx, job)
+}
+
+/// Whether a job may be sent: either neither it nor a part of its prompt is convicted, or this
+/// process uses one of the retries allowed after a conviction. If not, returns the time until it may
+/// run again.
+pub(super) fn may_run(ctx: &Ctx, job: &Job) -> Result<(), Micros> {
+    let rank = process_rank(ctx);
+    if verdict(ctx, job) == Verdict::Convicted {
+        let (now, fingerprint) = (ctx.now(), job.fingerprint);
+        let mut suspects = ctx.suspects.borrow_mut();
+        if !suspects.quarantine.take_retry(now, fingerprint, rank) {
+            let next = suspects.quarantine.next_retry(now, fingerprint);
+            return Err(next.map_or(Micros::ZERO, |at| at.since(now)));
+        }
     }
-    let own = ctx.node.settings.borrow().peer;
-    let entries = ctx.node.cluster.borrow();
-    let process_rank = ProcessRank {
-        rank: entries.entries().filter(|a| *a < own).count(),
-        total: entries.entries().count() + 1,
-    };
-    let mut suspects = ctx.suspects.borrow_mut();
-    suspects
-        .quarantine
-        .take_retry(ctx.now(), job.fingerprint, process_rank)
+    crashing_parts::admit(ctx, job, rank)
 }
 
-/// Shortest time until a convicted job may run again.
-pub(super) fn time_to_retry(ctx: &Ctx, job: &Job) -> Micros {
-    let now = ctx.now();
-    let next = ctx
-        .suspects
-        .borrow()
-        .quarantine
-        .next_retry(now, job.fingerprint);
-    next.map_or(Micros::ZERO, |at| at.since(now))
+/// Rank of this process among the entries.
+fn process_rank(ctx: &Ctx) -> ProcessRank {
+    let own = ctx.node.settings.borrow().peer;
+    let cluster = ctx.node.cluster.borrow();
+    ProcessRank {
+        rank: cluster.entries().filter(|a| *a < own).count(),
+        total: cluster.entries().count() + 1,
+    }
 }
 
 fn broken_answer(ctx: &Ctx, job: &Job, boot: &Boot, sent: Micros) -> BrokenAnswer<Run> {
-    let run = Run {
-        id: job.id.clone(),
-        fingerprint: job.fingerprint,
-    };
     BrokenAnswer {
-        request: run,
+        request: Run::new(ctx, job, sent),
         crash: crash(boot),
         sent,
         at: ctx.now(),
@@ -151,25 +170,46 @@
     let ended = suspects.crash_attribution.answer_broken(run.clone());
     drop(suspects);
     if ended {
-        strike(ctx, &run.request, run.crash);
+        strike_all(ctx, &[run.request], run.crash);
     }
 }
 
-/// Records the end of a successful answer. If it has neither a length nor chunks, only its target's
-/// state shows whether it was complete.
-pub(super) fn record_end(ctx: &Ctx, job: &Job, head: &AnswerHead, boot: &Boot, sent: Micros) {
-    if head.delimited {
-        return record_success(ctx, job);
+/// Records the end of a successful answer from a target. If it has neither a length nor chunks, only
+/// the target's state shows whether it was complete.
+pub(super) fn record_end(ctx: &Ctx, job: &Job, delimited: bool, to: SentTo) {
+    if delimited {
+        return clear(ctx, &Run::new(ctx, job, to.at));
     }
-    let run = broken_answer(ctx, job, boot, sent);
-    let mut suspects = ctx.suspects.borrow_mut();
-    let ended = suspects.crash_attribution.answer_closed(run.clone());
-    drop(suspects);
-    if ended {
-        strike(ctx, &run.request, run.crash);
+    let run = broken_answer(ctx, job, &to.boot, to.at);
+    let ended = {
+        let mut suspects = ctx.suspects.borrow_mut();
+        suspects.crash_attribution.answer_closed(run.clone())
+    };
+    match ended {
+        true => strike_all(ctx, &[run.request], run.crash),
+        // Evidence on prompt parts can't wait until a crash would be known.
+        false if !run.request.parts.is_empty() => {
+            tokio::task::spawn_local(check_target(Rc::clone(ctx), to, run.at));
+        }
+        false => {}
     }
 }
 
+/// Checks whether a target still accepts connections after an answer that has ended with its own at
+/// `at`, and keeps the new one for the next request.
+async fn check_target(ctx: Ctx, to: SentTo, at: Micros) {
+    sleep(CHECK_DELAY).await;
+    let reached = send::reach(&ctx, to.key).await;
+    let complete = {
+        let mut suspects = ctx.suspects.borrow_mut();
+        let target = crash(&to.boot);
+        suspects
+            .crash_attribution
+            .target_checked(target, at, reached)
+    };
+    complete.iter().for_each(|run| clear(&ctx, run));
+}
+
 /// Records the answers that ended with their connections and whose targets have gone on.
 pub(super) fn record_survived(ctx: &Ctx) {
     let now = ctx.now();
@@ -192,37 +232,29 @@
             .borrow_mut()
             .crash_attribution
             .target_ended(ctx.now(), crash);
-        for run in runs {
-            strike(ctx, &run, crash);
-        }
+        strike_all(ctx, &runs, crash);
     }
 }
 
-/// Records a complete answer to a job.
-fn record_success(ctx: &Ctx, job: &Job) {
-    let run = Run {
-        id: job.id.clone(),
-        fingerprint: job.fingerprint,
-    };
-    clear(ctx, &run);
+/// Records that a target has rejected a job, which shows nothing about the parts of its prompt.
+pub(super) fn record_rejection(ctx: &Ctx, job: &Job) {
+    clear_request(ctx, &job.id, job.fingerprint);
 }
 
+/// Records a complete answer.
 fn clear(ctx: &Ctx, run: &Run) {
+    crashing_parts::record_answer(ctx, &run.parts);
+    clear_request(ctx, &run.id, run.fingerprint);
+}
+
+fn clear_request(ctx: &Ctx, id: &str, fingerprint: Fingerprint) {
     let cleared = {
         let mut suspects = ctx.suspects.borrow_mut();
-        suspects
-            .quarantine
-            .record_success(ctx.now(), run.fingerprint)
+        suspects.quarantine.record_success(ctx.now(), fingerprint)
     };
     if cleared {
-        log_suspected(
-            run.fingerprint,
-            Some(&run.id),
-            None,
-            &Record::default(),
-            "own",
-        );
-        broadcast(ctx, strike_update(run.fingerprint, None));
+        log_suspected(fingerprint, Some(id), None, &Record::default(), "own");
+        broadcast(ctx, strike_update(fingerprint, None));
     }
 }
 
@@ -297,6 +329,21 @@
     }
 }
 
+/// Counts a crash against all requests that were running there, and against the parts of their
+/// prompts.
+fn strike_all(ctx: &Ctx, runs: &[Run], crash: Crash) {
+    runs.iter().for_each(|run| strike(ctx, run, crash));
+    let now = ctx.now();
+    let running = runs.iter().flat_map(|run| {
+        let sent = now.since(run.sent);
+        run.parts
+            .iter()
+            .map(move |p| RunningPart { part: *p, sent })
+    });
+    let ended = runs.iter().map(|run| run.ended).min().unwrap_or(now);
+    crashing_parts::record_crash(ctx, crash, now.since(ended), running);
+}
+
 fn strike(ctx: &Ctx, run: &Run, crash: Crash) {
     let (now, fingerprint) = (ctx.now(), run.fingerprint);
     ctx.suspects
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -225,6 +225,27 @@
         /// Source of the information: own or peer.
         source: &'a str,
     },
+    /// Requests with a prompt part are refused from now on, since the part crashes targets, or no
+    /// longer.
+    Part {
+        /// Hash of the model and the part, in hexadecimal.
+        part: String,
+        /// Verdict: convicted or clear.
+        verdict: &'a str,
+        /// Number of crashes counted against the part.
+        crashes: usize,
+        /// Source of the verdict: own or peer.
+        source: &'a str,
+    },
+    /// An entry has claimed a trial of a convicted prompt part in the store, or failed to.
+    Trial {
+        /// Hash of the model and the part, in hexadecimal.
+        part: String,
+        /// Number of trials before this one.
+        trials: u32,
+        /// Outcome: claimed, outdated or unknown.
+        outcome: &'a str,
+    },
     /// A request was sent to a target.
     Sent {
         /// Id of the request.
@@ -379,6 +400,7 @@
             Self::Listed { .. } => ("listed", false),
             Self::LeftOut { .. } => ("left_out", false),
             Self::Suspected { .. } => ("suspected", false),
+            Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
             Self::Delegate { .. } => ("delegate", false),
             Self::BadRow { .. } => ("bad_row", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -47,6 +47,8 @@
 pub const LIMITED_TARGETS: &str = "clementinestep_limited_targets";
 /// Origins of streams that the process keeps.
 pub const STREAM_ORIGINS: &str = "clementinestep_stream_origins";
+/// Prompt parts that an entry refuses because they crash targets.
+pub const CONVICTED_PARTS: &str = "clementinestep_convicted_parts";
 /// Streams that callers have taken up, by whether the build that began them was known.
 pub const RESUMED_STREAMS: &str = "clementinestep_resumed_streams_total";
 /// New connections to targets.
@@ -99,6 +101,10 @@
     );
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
     describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
+    describe_gauge!(
+        CONVICTED_PARTS,
+        "prompt parts refused because they crash targets"
+    );
     describe_counter!(
         RESUMED_STREAMS,
         "streams that callers have taken up, by origin: known, unknown"
--- a/crates/gate/src/node.rs
+++ b/crates/gate/src/node.rs
@@ -257,8 +257,8 @@
         }
     }
 
-    /// The store's clock now, extrapolated from the last read.
-    fn store_clock_at(&self, now: Micros) -> Option<u64> {
+    /// The store's clock in milliseconds now, extrapolated from the last read.
+    pub fn store_clock_at(&self, now: Micros) -> Option<u64> {
         let (clock, at) = self.store_clock?;
         Some(clock + now.since(at).as_millis())
     }
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -136,6 +136,9 @@
     /// Which build began a stream, or a query for it.
     #[prost(message, optional, tag = "41")]
     pub origin: Option<StreamOrigin>,
+    /// Evidence on prompt parts that crash targets.
+    #[prost(message, optional, tag = "42")]
+    pub part_evidence: Option<PartEvidence>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
@@ -229,6 +232,50 @@
     pub number: u64,
 }
 
+/// Evidence on prompt parts that crash targets, as in [`policy::crashing_parts::Message`]. Ages are in
+/// milliseconds at the time of sending.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartEvidence {
+    /// Hash of the id of a target that crashed; 0 if the message is about no crash.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Start time of the incarnation that crashed.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Age of the crash.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Parts that were running there, with the age of the latest request.
+    #[prost(message, repeated, tag = "4")]
+    pub running: Vec<AgedPart>,
+    /// Parts that the sender is about to convict.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub proposed: Vec<u64>,
+    /// Parts with complete answers, with the age of the latest one.
+    #[prost(message, repeated, tag = "6")]
+    pub answered: Vec<AgedPart>,
+    /// Parts that the sender has convicted, with the age of the first crash.
+    #[prost(message, repeated, tag = "7")]
+    pub convicted: Vec<AgedPart>,
+    /// Whether the sender asks for the receiver's convictions.
+    #[prost(bool, tag = "8")]
+    pub asks: bool,
+}
+
+/// A prompt part and an age.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct AgedPart {
+    /// Hash of the model and the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Age in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Number of trials of a convicted part.
+    #[prost(uint32, tag = "3")]
+    pub trials: u32,
+}
+
 /// Query for the current state of another agent. The answer repeats the query.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct SlotQuery {
--- a/crates/policy/src/crash_attribution.rs
+++ b/crates/policy/src/crash_attribution.rs
@@ -10,7 +10,8 @@
 //! that was sent after the end was known can't have caused it.
 //!
 //! An answer without a length or chunks ends with its connection, whether it is complete or its target has
-//! crashed. Such an answer counts as complete only once its target hasn't ended for as long.
+//! crashed. Such an answer counts as complete if its target is reached right after, or hasn't ended for
+//! as long. If the target has ended, only the last answers from it can have been broken by that.
 //!
 //! The platform's list drops a silent target some three seconds after its last heartbeat, and is read within
 //! one more second; five seconds cover both. A break and an end that fall into these five seconds by chance
@@ -24,6 +25,8 @@
 
 /// Longest time between a broken answer and the end of its target for them to match.
 const MATCH_WINDOW: Micros = Micros::from_secs(5);
+/// Time within which the answers that a crash breaks end.
+const SAME_CRASH: Micros = Micros::from_millis(50);
 /// Most broken answers, and most ends, remembered; a few times the requests that an engine runs at once.
 const CAPACITY: usize = 512;
 
@@ -88,6 +91,20 @@
         }
     }
 
+    /// Records whether a target was reached right after an answer that had ended with its connection at
+    /// `at`. Returns the request if the answer was complete; otherwise it counts as broken.
+    pub fn target_checked(&mut self, target: Crash, at: Micros, reached: bool) -> Vec<R> {
+        let is_checked = |c: &BrokenAnswer<R>| c.crash == target && c.at == at;
+        let checked = self.closed.iter().filter(|c| is_checked(c));
+        let checked: Vec<_> = checked.cloned().collect();
+        self.closed.retain(|c| !is_checked(c));
+        if reached {
+            return checked.into_iter().map(|c| c.request).collect();
+        }
+        self.breaks.extend(checked);
+        Vec::new()
+    }
+
     /// Requests whose answers ended with their connections and whose targets haven't ended since, so that
     /// the answers were complete.
     pub fn take_survived(&mut self, now: Micros) -> Vec<R> {
@@ -108,13 +125,15 @@
         if !self.ends.iter().any(|(_, c)| *c == crash) {
             self.ends.push_back((now, crash));
         }
-        let mut there = Vec::new();
-        for answers in [&mut self.breaks, &mut self.closed] {
-            let broken = answers.iter().filter(|b| b.crash == crash);
-            there.extend(broken.map(|b| b.request.clone()));
-            answers.retain(|b| b.crash != crash);
-        }
-        there
+        let breaks = self.breaks.iter().filter(|b| b.crash == crash);
+        let closed = self.closed.iter().filter(|b| b.crash == crash);
+        let last = breaks.clone().chain(closed.clone()).map(|b| b.at).max();
+        let is_last = |b: &&BrokenAnswer<R>| last.is_some_and(|last| b.at + SAME_CRASH >= last);
+        let broken = breaks.chain(closed.filter(is_last));
+        let broken = broken.map(|b| b.request.clone()).collect();
+        self.breaks.retain(|b| b.crash != crash);
+        self.closed.retain(|b| b.crash != crash);
+        broken
     }
 
     /// When a target is known to have ended.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,7 +33,8 @@
 //!   the processes that read a list for all.
 //! - Weights: [`rollout`] decides which engines load new weights, [`slots`] when an engine does so, by
 //!   the answers of its peers ([`contact`]) and the states that they relay ([`relay`]), and [`versions`] how long weights have been out of date.
-//! - Crashes: [`crash_attribution`] separates crashes from lost connections for [`quarantine`], and [`trial`]
+//! - Crashes: [`crash_attribution`] separates crashes from lost connections for [`quarantine`], which refuses
+//!   requests, and [`crashing_parts`], which refuses parts of prompts; [`trial`]
 //!   decides when a suspect request runs, by the answers of the sidecars in [`pool_peers`].
 //! - Ownership: [`delegate`] selects the entry that acts for an engine without a sidecar, and
 //!   [`holder`] decides when an engine's orders may pass from one process to another.
@@ -46,6 +47,7 @@
 pub mod contact;
 pub mod cost;
 pub mod crash_attribution;
+pub mod crashing_parts;
 pub mod delegate;
 pub mod drain;
 pub mod engine_load;
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -107,6 +107,50 @@
     }
 }
 
+#[test]
+fn only_the_last_answers_of_a_crashed_target_are_broken() {
+    // Guards against counting complete answers as broken because their target crashed some time later.
+    struct Case {
+        name: &'static str,
+        /// Answers after which the target was checked, and whether it was reached.
+        checks: &'static [(u64, bool)],
+        /// Answers that count as complete after that.
+        complete: &'static [u64],
+        /// Answers that count as broken when the target ends.
+        broken: &'static [u64],
+    }
+    let crash = Crash {
+        member: MemberId(7),
+        incarnation: Incarnation(1),
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "not checked", checks: &[], complete: &[], broken: &[380, 400] },
+        Case { name: "reached after an earlier one", checks: &[(380, true)], complete: &[380], broken: &[400] },
+        Case { name: "reached after the last", checks: &[(400, true)], complete: &[400], broken: &[380] },
+        Case { name: "another process reached later", checks: &[(100, false), (400, true)], complete: &[400], broken: &[100, 380] },
+    ];
+    for case in cases {
+        let mut answers = CrashAttribution::default();
+        for at in [100, 380, 400] {
+            let run = BrokenAnswer {
+                request: at,
+                crash,
+                sent: ms(50),
+                at: ms(at),
+            };
+            answers.answer_closed(run);
+        }
+        let mut complete = Vec::new();
+        for (at, reached) in case.checks {
+            complete.extend(answers.target_checked(crash, ms(*at), *reached));
+        }
+        assert_eq!(complete, case.complete, "{}", case.name);
+        let broken = answers.target_ended(ms(800), crash);
+        assert_eq!(broken, case.broken, "{}", case.name);
+    }
+}
+
 #[test]
 fn successful_answer_clears_a_request_and_protects_it_for_a_while() {
     // Guards against refusing frequently requested content after its third crash, when the engines of a failure
--- a/crates/standin/src/hosted/row_store.rs
+++ b/crates/standin/src/hosted/row_store.rs
@@ -318,6 +318,10 @@
             let switched = (table == MEMBERS_TABLE).then(|| self.with_switch_address(&key, &value));
             self.put(&table, &key, Some(switched.flatten().unwrap_or(value)));
         }
+        for row in tx["remove"].as_array().into_iter().flatten() {
+            let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+            self.put(&text("table"), &text("key"), None);
+        }
         let version = lock(&self.state).version;
         let now = self.created.elapsed().as_millis() as u64 + 1;
         reply(
