Follow demand in the order of entries at a stated limit

What callers saw: nothing yet; a play of the policy showed it.

Cause: entries draw the level at which they pass a request by their share of the recent use, and an entry whose callers have just arrived has used nothing. Reports now carry the demand as well, averaged over 0.7 s, and the larger of both shares counts while all entries are in contact.

--- a/crates/gate/src/entry/limits.rs
+++ b/crates/gate/src/entry/limits.rs
@@ -201,6 +201,7 @@
         spent: t.spent,
         recent: t.recent,
         level: t.level,
+        demand: t.demand,
     };
     LimitUse {
         process: report.process,
@@ -217,6 +218,7 @@
         spent: t.spent,
         recent: t.recent,
         level: t.level,
+        demand: t.demand,
     };
     Report {
         process: received.process,
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -176,6 +176,9 @@
     /// Units left, if the entry knows the use before its start.
     #[prost(sint64, optional, tag = "4")]
     pub level: Option<i64>,
+    /// Requests lately that may have needed units, in hundredths.
+    #[prost(uint32, tag = "5")]
+    pub demand: u32,
 }
 
 /// Which build began a stream.
--- a/crates/gate/tests/update.rs
+++ b/crates/gate/tests/update.rs
@@ -125,6 +125,7 @@
         spent: 1_000_000,
         recent: 1_000,
         level: Some(-1_000),
+        demand: 10_000,
     };
     let stated = StatedRate {
         target: u64::MAX,
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -32,7 +32,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use account::Account;
-use peers::{Peers, Total};
+use peers::{Peers, Total, DEMAND_UNIT};
 
 /// A limit over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -161,6 +161,8 @@
     pub spent: i64,
     /// Units used recently, decaying with the length of the window.
     pub recent: u64,
+    /// Requests lately that may have needed units, in hundredths; counted only for staggered limits.
+    pub demand: u32,
     /// Units left as the reporting entry knows it; `None` if it doesn't know the use before its
     /// start.
     pub level: Option<i64>,
@@ -306,8 +308,11 @@
         })
     }
 
-    /// Whether a request would pass now.
+    /// Whether a request would pass now; it counts as demand.
     pub fn admits(&mut self, now: Micros, key: LimitKey) -> bool {
+        if let Some(a) = self.accounts.get_mut(&key) {
+            a.count_demand(now);
+        }
         let state = self.state(now, key, Purpose::First);
         state
             .zip(self.level(key))
@@ -335,7 +340,11 @@
         account.refill(now, part.share);
         let margin = account.margin();
         let burst = account.limit().burst;
-        let own_share = self.peers.own_share(now, key, own, window);
+        let mut own_share = self.peers.own_share(now, key, own, window);
+        if self.config.staggered {
+            let demand_share = self.peers.demand_share(key, account.demand(now));
+            own_share = own_share.max(demand_share.unwrap_or_default());
+        }
         let least = match purpose {
             Purpose::Rerun => -margin * RERUN_SHARE,
             // There was no time to receive the level of another entry.
@@ -514,6 +523,7 @@
                 key: *key,
                 spent: a.spent(),
                 recent: a.recent(now, self.config.window) as u64,
+                demand: (a.demand(now) * DEMAND_UNIT) as u32,
                 level: a.is_settled(now).then(|| a.level() as i64),
             })
         };
--- a/crates/policy/src/limit/account.rs
+++ b/crates/policy/src/limit/account.rs
@@ -7,6 +7,10 @@
 /// Shortest time whose units fit into a bucket; without it, a limit without a burst would refuse
 /// every request.
 const MIN_BURST_SECS: f64 = 0.1;
+/// Time over which demand is averaged; short, since callers may all move to another entry at once.
+pub(super) const DEMAND_WINDOW: Micros = Micros::from_millis(700);
+/// Least demand that is reported, in requests.
+const MIN_DEMAND: f64 = 0.1;
 /// Share of the burst below which a key counts as short of units.
 const SHORT_SHARE: f64 = 0.5;
 
@@ -26,6 +30,8 @@
     changed_at: Option<Micros>,
     recent: f64,
     recent_at: Micros,
+    demand: f64,
+    demand_at: Micros,
     /// Since when the key is short of units.
     short_since: Option<Micros>,
     /// When all requests that were refused have returned.
@@ -51,6 +57,8 @@
             changed_at: None,
             recent: 0.0,
             recent_at: now,
+            demand: 0.0,
+            demand_at: now,
             short_since: None,
             returned_at: now,
         };
@@ -133,6 +141,17 @@
         self.recent * decay(now.since(self.recent_at), window)
     }
 
+    /// Counts a request at this entry that may need units, whether or not it gets any.
+    pub(super) fn count_demand(&mut self, now: Micros) {
+        self.demand = self.demand(now) + 1.0;
+        self.demand_at = now;
+    }
+
+    /// Requests at this entry lately that may have needed units.
+    pub(super) fn demand(&self, now: Micros) -> f64 {
+        self.demand * decay(now.since(self.demand_at), DEMAND_WINDOW)
+    }
+
     /// Units that haven't been reported to the other entries.
     pub(super) fn unreported(&self) -> f64 {
         (self.spent - self.reported).abs() as f64
@@ -141,7 +160,8 @@
     /// Whether the account belongs into a report, which then counts as sent.
     pub(super) fn mark_reported(&mut self, now: Micros, repeat: Micros) -> bool {
         let recent = self.changed_at.is_some_and(|at| now.since(at) < repeat);
-        let due = recent || self.reported != self.spent;
+        let wanted = self.demand(now) >= MIN_DEMAND;
+        let due = recent || wanted || self.reported != self.spent;
         self.reported = self.spent;
         due
     }
--- a/crates/policy/src/limit/peers.rs
+++ b/crates/policy/src/limit/peers.rs
@@ -6,7 +6,7 @@
 
 use model::Micros;
 
-use super::account::decay;
+use super::account::{decay, DEMAND_WINDOW};
 use super::{Limit, LimitKey, Report, Usage};
 
 /// Share of a limit that is divided equally, so that a key's first request passes at an entry that
@@ -37,12 +37,18 @@
 /// Number of entries up to which reports are sent at the configured intervals.
 const FULL_RATE_ENTRIES: f64 = 100.0;
 
+/// Reported demand that counts as one request.
+pub(super) const DEMAND_UNIT: f64 = 100.0;
+
 /// A key's use through a peer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     /// Units since the start of the process, if it has reported them.
     spent: Option<i64>,
     recent: f64,
+    /// Requests that may have needed units, and when they were last reported.
+    demand: f64,
+    demand_at: Micros,
     at: Micros,
     /// Share of the key's use when the peer went out of contact.
     share: f64,
@@ -245,7 +251,10 @@
         if let Contact::Silent { since } = peer.contact {
             let silent_for = now.since(since);
             let uses = peer.uses.values_mut();
-            uses.for_each(|u| u.silent_for = u.silent_for + silent_for);
+            uses.for_each(|u| {
+                u.silent_for = u.silent_for + silent_for;
+                u.demand_at = now;
+            });
         }
         peer.sent = report.sent;
         peer.beat = report.beat;
@@ -274,6 +283,8 @@
             Use {
                 spent: Some(report.spent),
                 recent: report.recent as f64,
+                demand: f64::from(report.demand) / DEMAND_UNIT,
+                demand_at: now,
                 at: now,
                 ..Use::default()
             },
@@ -316,6 +327,24 @@
         }
     }
 
+    /// This entry's share of the demand for a key at all entries, which follows callers that move to
+    /// another entry sooner than the use. `None` while an entry is out of contact, as its demand isn't
+    /// known then.
+    pub(super) fn demand_share(&self, key: LimitKey, own: f64) -> Option<f64> {
+        let is_known = |p: &Peer| matches!(p.contact, Contact::Live | Contact::Forgotten);
+        if !self.peers.values().all(is_known) || own == 0.0 {
+            return None;
+        }
+        let live = self.peers.values().filter(|p| p.contact == Contact::Live);
+        // Demand that a peer doesn't report any more has passed, but not that of one that is late.
+        let demand = |p: &Peer| {
+            let used = p.uses.get(&key)?;
+            Some(used.demand * decay(p.received_at.since(used.demand_at), DEMAND_WINDOW))
+        };
+        let others: f64 = live.filter_map(demand).sum();
+        Some(own / (own + others))
+    }
+
     /// Age of the oldest last report among the peers in contact.
     pub(super) fn oldest_report(&self, now: Micros) -> Micros {
         let live = self.peers.values().filter(|p| p.contact == Contact::Live);
--- a/crates/policy/tests/limit/main.rs
+++ b/crates/policy/tests/limit/main.rs
@@ -37,6 +37,8 @@
         Case { name: "below the limit, an entry killed", faults: vec![(10_000, Fault::Kill(2, 3))], below: true, ..base() },
         Case { name: "below the limit, entries restarted in turn", faults: rolling(29).collect(), below: true, ..base() },
         Case { name: "below the limit, entries added", faults: vec![(10_000, Fault::Add(12))], below: true, ..base() },
+        Case { name: "below the limit, all to one entry, then to another", faults: vec![(10_000, Fault::Focus(Some(4))), (16_000, Fault::Focus(Some(20))), (22_000, Fault::Focus(None))], below: true, ..base() },
+        Case { name: "hot, all to one entry, then to another", demand: 5.0, faults: vec![(10_000, Fault::Focus(Some(4))), (16_000, Fault::Focus(Some(20))), (30_000, Fault::Focus(None))], ..base() },
         Case { name: "hot", demand: 5.0, ..base() },
         Case { name: "hot, large team", demand: 5.0, limit: large, ..base() },
         Case { name: "hot, small team", demand: 7.5, limit: small, ..base() },
@@ -244,6 +246,7 @@
             key: TEAM,
             spent,
             recent: spent as u64,
+            demand: 0,
             level: None,
         }],
     };
--- a/crates/policy/tests/limit/sim.rs
+++ b/crates/policy/tests/limit/sim.rs
@@ -42,6 +42,8 @@
     Add(usize),
     /// The limit becomes this multiple of the first one.
     Limit(f64),
+    /// All requests reach one entry from now on, or any.
+    Focus(Option<usize>),
 }
 
 /// A run.
@@ -117,6 +119,7 @@
     /// Until when the previous, higher limit binds.
     lowered_at: Option<(Micros, Limit)>,
     demand: f64,
+    focus: Option<usize>,
     runs: VecDeque<(Micros, f64)>,
     outcome: Outcome,
 }
@@ -131,6 +134,7 @@
         limit: case.limit,
         lowered_at: None,
         demand: case.demand,
+        focus: None,
         runs: VecDeque::new(),
         outcome: Outcome::default(),
     };
@@ -201,6 +205,7 @@
                 (from..to).for_each(|i| self.entries[i].paused_until = until);
             }
             Fault::Add(n) => (0..n).for_each(|_| self.start()),
+            Fault::Focus(entry) => self.focus = entry,
             Fault::Limit(x) => {
                 let old = self.limit;
                 self.limit = Limit {
@@ -294,9 +299,10 @@
                 false => 860.0 * self.rng.random_range(0.3..1.7),
             };
             let first = self.rng.random_bool(self.case.first_share);
-            let entry = match first {
-                true => 0,
-                false => self.rng.random_range(0..self.entries.len()),
+            let entry = match self.focus {
+                Some(entry) => entry,
+                None if first => 0,
+                None => self.rng.random_range(0..self.entries.len()),
             };
             // A caller whose entry is gone connects to another one.
             let entry = (0..self.entries.len())
--- a/crates/policy/tests/target_limit/main.rs
+++ b/crates/policy/tests/target_limit/main.rs
@@ -35,6 +35,8 @@
         Case { name: "100 entries", entries: 100, demand: 400.0, seconds: 35, ..base() },
         Case { name: "one entry gets all", first_share: 1.0, ..base() },
         Case { name: "one entry gets most", first_share: 0.8, ..base() },
+        Case { name: "all to one entry, then to another", events: vec![(40_000, Event::Focus(Some(3))), (45_000, Event::Focus(Some(9))), (50_000, Event::Focus(None))], seconds: 52, ..base() },
+        Case { name: "all to one entry, 20 a second", rate: 20.0, demand: 100.0, events: vec![(40_000, Event::Focus(Some(3))), (45_000, Event::Focus(Some(9)))], ..base() },
         Case { name: "idle, then all at once", events: vec![(12_000, Event::Demand(0.0)), (25_000, Event::Demand(1_000.0))], ..base() },
         Case { name: "one datagram in three lost", loss: 0.33, ..base() },
         Case { name: "entries added", events: vec![(15_000, Event::Add(1)), (20_000, Event::Add(8))], ..base() },
--- a/crates/policy/tests/target_limit/sim.rs
+++ b/crates/policy/tests/target_limit/sim.rs
@@ -39,6 +39,8 @@
     Kill(usize, usize),
     /// This number of entries is added.
     Add(usize),
+    /// All requests reach one entry from now on, or any.
+    Focus(Option<usize>),
 }
 
 /// A run.
@@ -108,6 +110,7 @@
     now: Micros,
     entries: Vec<Entry>,
     demand: f64,
+    focus: Option<usize>,
     target: LimitKey,
     stated: Option<f64>,
     /// When the limit in force and the one before it were stated.
@@ -124,6 +127,7 @@
         now: Micros::ZERO,
         entries: Vec::new(),
         demand: case.demand,
+        focus: None,
         target: LimitKey(1),
         stated: None,
         history: Vec::new(),
@@ -195,6 +199,7 @@
                 }
             }
             Event::Kill(from, to) => (from..to).for_each(|i| self.entries[i].killed = true),
+            Event::Focus(entry) => self.focus = entry,
             Event::Add(n) => (0..n).for_each(|_| self.start(self.now)),
         }
     }
@@ -284,9 +289,11 @@
         let per_step = self.demand * STEP.as_secs_f64();
         let count = per_step.floor() as u64 + u64::from(self.rng.random_bool(per_step.fract()));
         for _ in 0..count {
-            let entry = match self.rng.random_bool(self.case.first_share) {
-                true => 0,
-                false => self.rng.random_range(0..self.entries.len()),
+            let first = self.rng.random_bool(self.case.first_share);
+            let entry = match self.focus {
+                Some(entry) => entry,
+                None if first => 0,
+                None => self.rng.random_range(0..self.entries.len()),
             };
             if self.runs_now(entry) {
                 self.request(entry);
