Lend retries to an entry that gets the callers of others

An entry has an equal part of each pool's slack of retries. If all new connections go to one entry for seconds, that entry has its own part only and the others' lie idle: with 28 entries 1.6 of 45 retries in 10 s.

An entry that runs short now asks up to 16 others for four retries each. A lender does without them until the latest use has left the window, so all together stay within the budget in every window, also if loans are lost. No message is sent while nothing runs short.

Policy test retries_follow_callers_that_all_move_to_one_entry: the entry uses at least 0.6 of the slack (0.4 with 28 entries, whose parts of 1.6 lend one each), no window is over, also with every third loan lost.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -12,6 +12,7 @@
 mod held;
 mod limits;
 mod losses;
+mod moved_callers;
 mod pool;
 mod restore;
 mod slots;
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod replica;
 mod request;
 mod restored_list;
+mod retries;
 mod send;
 mod serve;
 mod suspects;
@@ -169,28 +170,6 @@
             None => f(prefill_rates.entry(pool.to_owned()).or_default()),
         }
     }
-
-    /// Calls `f` with this entry's retry budget for a pool.
-    fn retry_budget<T>(&self, pool: &str, f: impl FnOnce(&mut retry_budget::Budget) -> T) -> T {
-        let mut retry_budgets = self.retry_budgets.borrow_mut();
-        if !retry_budgets.contains_key(pool) {
-            let bounds = self.node.settings.borrow().bounds;
-            let config = retry_budget::Config {
-                ratio: bounds.retry_ratio,
-                slack: bounds.retry_slack,
-                entries: self.node.cluster.borrow().entries().count() + 1,
-                window: bounds.retry_window.into(),
-            };
-            retry_budgets.insert(pool.to_owned(), retry_budget::Budget::new(config));
-        }
-        match retry_budgets.get_mut(pool) {
-            Some(b) => {
-                b.set_entries(self.node.cluster.borrow().entries().count() + 1);
-                f(b)
-            }
-            None => unreachable!("inserted above"),
-        }
-    }
 }
 
 /// Runs an entry until `stop` completes and the accepted requests have been served.
@@ -319,6 +298,10 @@
             crashing_parts::receive(&ctx, from, evidence);
             continue;
         }
+        if let Some(loan) = &update.retry_loan {
+            retries::receive(&ctx, from, loan);
+            continue;
+        }
         if let Some(used) = &update.limit_use {
             limits::receive(&ctx, from, used);
             continue;
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -139,6 +139,9 @@
     /// Evidence on prompt parts that crash targets.
     #[prost(message, optional, tag = "42")]
     pub part_evidence: Option<PartEvidence>,
+    /// Retries that an entry asks for or lends.
+    #[prost(message, optional, tag = "43")]
+    pub retry_loan: Option<RetryLoan>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
@@ -265,6 +268,20 @@
     pub asks: bool,
 }
 
+/// Retries of a pool's budget that an entry asks of another one, or lends to it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RetryLoan {
+    /// Hash of the pool's name.
+    #[prost(fixed64, tag = "1")]
+    pub pool: u64,
+    /// Number of retries that the sender asks for; 0 in an answer.
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
+    /// Number of retries that the sender lends.
+    #[prost(uint32, tag = "3")]
+    pub lent: u32,
+}
+
 /// A prompt part and an age.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct AgedPart {
--- a/crates/policy/tests/hosted.rs
+++ b/crates/policy/tests/hosted.rs
@@ -58,6 +58,77 @@
     );
 }
 
+#[test]
+fn retries_follow_callers_that_all_move_to_one_entry() {
+    // Guards against an entry that gets all callers and has only its own small part of the slack, and
+    // against loans that let all entries together exceed the pool's budget in some window.
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 56.0;
+    struct Case {
+        name: &'static str,
+        entries: usize,
+        /// Time for which one entry gets all requests, before the next one does.
+        turn: u64,
+        /// Share of the loans that are lost.
+        lost: u64,
+        /// Least share of the slack that is used in the first ten seconds.
+        used: f64,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "6 entries", entries: 6, turn: 60_000, lost: 0, used: 0.6 },
+        // Only whole retries are lent, one of each part of 1.6.
+        Case { name: "28 entries", entries: 28, turn: 60_000, lost: 0, used: 0.4 },
+        Case { name: "moving on", entries: 6, turn: 3_000, lost: 0, used: 0.3 },
+        Case { name: "loans lost", entries: 6, turn: 7_000, lost: 3, used: 0.3 },
+    ];
+    let window = Micros::from_secs(10);
+    for case in cases {
+        let config = retry_budget::Config {
+            ratio: RATIO,
+            slack: SLACK,
+            entries: case.entries,
+            window,
+        };
+        let new = |_| retry_budget::Budget::new(config);
+        let mut entries: Vec<_> = (0..case.entries).map(new).collect();
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for step in 0..4_000u64 {
+            let now = ms(step * 10);
+            let hot = (step * 10 / case.turn) as usize % case.entries;
+            // Half of the requests come with a stream that was cut elsewhere.
+            if step % 20 == 0 {
+                entries[hot].record_request(now);
+                requests.push(now);
+            }
+            if step % 2 == 0 && entries[hot].spend(now, RetryReason::HasRun) {
+                retries.push(now);
+            }
+            let Some(wanted) = entries[hot].ask(now) else {
+                continue;
+            };
+            for other in (0..case.entries).filter(|i| *i != hot) {
+                let lent = entries[other].lend(now, wanted);
+                if case.lost == 0 || (step + other as u64) % case.lost != 0 {
+                    entries[hot].borrow(now, lent);
+                }
+            }
+        }
+        let within = |times: &[Micros], from: Micros| {
+            let inside = times.iter().filter(|t| **t >= from && **t < from + window);
+            inside.count() as f64
+        };
+        for from in (0..30_000).step_by(100).map(ms) {
+            let allowed = RATIO * within(&requests, from) + SLACK;
+            let used = within(&retries, from);
+            assert!(used <= allowed, "{}: {used} of {allowed}", case.name);
+        }
+        let earned = RATIO * within(&requests, ms(0));
+        let used = (within(&retries, ms(0)) - earned) / SLACK;
+        assert!(used >= case.used, "{}: {used}", case.name);
+    }
+}
+
 #[test]
 fn an_entry_with_little_traffic_may_still_retry() {
     // Guards against an idle entry that has no retry for the only request in a minute, which fails by chance.
