--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -10,6 +10,7 @@
 mod fatal;
 mod fleet;
 mod held;
+mod leaving;
 mod limits;
 mod losses;
 mod moved_callers;
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -96,6 +96,10 @@
     down: bool,
     /// Whether answers have neither a length nor chunks.
     undelimited: bool,
+    /// Whether the replica says in its answers that it leaves.
+    leaving: bool,
+    /// Text of the header by which the replica asks for rest in its refusals.
+    rest: Option<String>,
     requests: Vec<ReceivedRequest>,
     cache: PromptCache,
     orders: Vec<Value>,
@@ -245,6 +249,16 @@
         lock(&self.state).undelimited = undelimited;
     }
 
+    /// Sets whether the replica says in all answers that it leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        lock(&self.state).leaving = leaving;
+    }
+
+    /// Sets the text of the header by which the replica asks for rest in its refusals.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        lock(&self.state).rest = rest.map(str::to_owned);
+    }
+
     /// When a request with these prompt parts crashes the replica.
     fn crash_point(&self, parts: &str) -> Option<CrashPoint> {
         let ids = parts.split(',').filter_map(|p| p.split(':').next());
@@ -380,14 +394,24 @@
     }
 
     async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
-        let mut answer = self.answer_without_limit(request).await?;
-        if let Some(limit) = lock(&self.state).limit {
+        let mut answer = self.answer_without_notices(request).await?;
+        let state = lock(&self.state);
+        if let Some(limit) = state.limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
+        if state.leaving {
+            set_header(&mut answer, "server-leaving", "1");
+        }
+        let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(rest) = state.rest.as_ref().filter(|_| refused) {
+            set_header(&mut answer, "retry-after", rest);
+        }
+        drop(state);
         Some(answer)
     }
 
-    async fn answer_without_limit(
+    /// Answers a request, without what the replica says about itself in each answer.
+    async fn answer_without_notices(
         self: &Arc<Self>,
         request: Request<Incoming>,
     ) -> Option<Response<Body>> {
