--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -15,6 +15,7 @@
 mod losses;
 mod moved_callers;
 mod pool;
+mod rest;
 mod restore;
 mod slots;
 mod soak;
