Send nothing to a target that has said in an answer that it leaves

What callers saw: nothing yet; a target got requests 2.3 and 2.5 s after its answers had said that it leaves (allowed 2.0 s), as the store was away and the list still said ready. Such a request is lost when the target exits.

Cause: only the list decided which targets take requests. Class: what a party says itself is ignored in favour of what a third one says of it.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -8,6 +8,7 @@
 use policy::{circuit_breaker, row_expiry};
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::origins::build_key;
 use super::replica::{apply_parts, AgentReport, KvStoreContents, Replica};
@@ -22,6 +23,17 @@
     pub struct ReplicaKey;
 }
 
+/// Key of one incarnation of a target, also while it isn't listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct BootKey(pub(super) u64);
+
+impl BootKey {
+    /// Key of an incarnation.
+    pub(super) fn new(boot: &Boot) -> Self {
+        Self(xxh3_64_with_seed(boot.id.as_bytes(), boot.born))
+    }
+}
+
 /// Time for which a build is remembered after no target has had it; longer than streams last.
 const BUILD_MEMORY: Micros = Micros::from_secs(120);
 /// Weight of a new answer in a pool's usual failure rate.
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use super::{suspects, Ctx};
+use super::{leaving, suspects, Ctx};
 use crate::follow::{record_era, retry_pause};
 use crate::log::{self, Dependency, Event};
 use crate::meter;
@@ -203,6 +203,7 @@
         .borrow_mut()
         .apply_list(at, position, targets, &config);
     suspects::record_ended_targets(ctx);
+    leaving::retain_listed(ctx);
     let missing = ctx.fleet.borrow().missing_count() > 0;
     if missing || ctx.list.own_hash.get() != previous {
         log_listed(ctx, source, listed, at, true);
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod crashing_parts;
 mod delegate;
 mod fleet;
+mod leaving;
 mod limits;
 mod list;
 mod listen;
@@ -85,6 +86,8 @@
     suspects: RefCell<suspects::Suspects>,
     /// Prompt parts that crash targets.
     crashing_parts: crashing_parts::State,
+    /// Targets that have said that they leave.
+    leaving: RefCell<policy::leaving::Leaving<fleet::BootKey>>,
     /// Engines that this entry is the delegate of.
     delegates: RefCell<delegate::Delegates>,
     /// Recent work of long and short prompts.
@@ -120,6 +123,7 @@
         meter::set(meter::RUNNING, running.into());
         let limited = self.target_limits.borrow().limited();
         meter::set(meter::LIMITED_TARGETS, limited as f64);
+        meter::set(meter::LEAVING_TARGETS, self.leaving.borrow().len() as f64);
         meter::set(
             meter::CONVICTED_PARTS,
             self.crashing_parts.convicted() as f64,
@@ -185,6 +189,7 @@
         list: list::ListState::default(),
         suspects: RefCell::default(),
         crashing_parts: crashing_parts::State::default(),
+        leaving: RefCell::default(),
         delegates: RefCell::default(),
         recent_work: RefCell::default(),
         limits: RefCell::default(),
@@ -298,6 +303,10 @@
             crashing_parts::receive(&ctx, from, evidence);
             continue;
         }
+        if !update.leaving.is_empty() {
+            leaving::receive(&ctx, &update.leaving);
+            continue;
+        }
         if let Some(loan) = &update.retry_loan {
             retries::receive(&ctx, from, loan);
             continue;
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -22,7 +22,7 @@
 use super::refuse::Reason;
 use super::replica::Replica;
 use super::request::Job;
-use super::Ctx;
+use super::{leaving, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 use crate::stream_origins::{encode, members, receive as receive_origin};
@@ -133,7 +133,8 @@
     let mut ready = fleet.replicas.values().filter(|r| {
         r.target.pool == job.pool && r.target.state == State::Ready && r.is_present(now)
     });
-    match ready.any(|r| job.origin.accepts(r)) {
+    let stays = |r: &Replica| !leaving::is_leaving(ctx, &r.target.boot);
+    match ready.any(|r| stays(r) && job.origin.accepts(r)) {
         true => Ok(()),
         false => Err(Reason::BuildGone),
     }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -22,7 +22,7 @@
 use super::fleet::ReplicaKey;
 use super::pick::Pick;
 use super::request::Job;
-use super::{origins, suspects, target_limits, Ctx};
+use super::{leaving, origins, suspects, target_limits, Ctx};
 use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
@@ -228,6 +228,10 @@
             }
         },
     };
+    // Another answer may have arrived while the connection was opened.
+    if leaving::is_leaving(ctx, &pick.boot) {
+        return SendOutcome::NotDelivered("target leaves");
+    }
     match timeout(
         head_timeout,
         exchange(ctx, job, pick, connection, in_flight, request),
@@ -316,6 +320,11 @@
         connection.set_idle_timeout(timeout);
     }
     record_head(ctx, pick, job, &head);
+    let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    // Without the right id, a misdirected answer is of another process at the address.
+    if !misdirected || head.target_id.as_ref() == Some(&pick.boot.id) {
+        leaving::observe(ctx, &pick.boot, &head);
+    }
     if head.matches_request && response.status() != StatusCode::MISDIRECTED_REQUEST {
         target_limits::observe(ctx, &pick.boot, &head, in_flight.sent_at);
     }
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -225,6 +225,13 @@
         /// Source of the information: own or peer.
         source: &'a str,
     },
+    /// A target has said in an answer that it leaves.
+    Leaving {
+        /// Target id.
+        target: &'a str,
+        /// Source of the information: own or peer.
+        source: &'a str,
+    },
     /// Requests with a prompt part are refused from now on, since the part crashes targets, or no
     /// longer.
     Part {
@@ -400,6 +407,7 @@
             Self::Listed { .. } => ("listed", false),
             Self::LeftOut { .. } => ("left_out", false),
             Self::Suspected { .. } => ("suspected", false),
+            Self::Leaving { .. } => ("leaving", false),
             Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
             Self::Delegate { .. } => ("delegate", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -45,6 +45,8 @@
 pub const LIMIT_UNITS: &str = "clementinestep_limit_units_total";
 /// Targets that state a limit.
 pub const LIMITED_TARGETS: &str = "clementinestep_limited_targets";
+/// Targets that have said in an answer that they leave.
+pub const LEAVING_TARGETS: &str = "clementinestep_leaving_targets";
 /// Origins of streams that the process keeps.
 pub const STREAM_ORIGINS: &str = "clementinestep_stream_origins";
 /// Prompt parts that an entry refuses because they crash targets.
@@ -100,6 +102,7 @@
         "units of teams' limits: admitted, refused, returned"
     );
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
+    describe_gauge!(LEAVING_TARGETS, "targets that say that they leave");
     describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
     describe_gauge!(
         CONVICTED_PARTS,
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -142,6 +142,9 @@
     /// Retries that an entry asks for or lends.
     #[prost(message, optional, tag = "43")]
     pub retry_loan: Option<RetryLoan>,
+    /// Hashes of the incarnations of targets that have said to an entry that they leave.
+    #[prost(fixed64, repeated, tag = "44")]
+    pub leaving: Vec<u64>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 //! - Streams: [`stream_origin`] finds the build at which a stream may go on.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget.
+//! - What targets say about themselves: [`leaving`] excludes those that leave.
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
 //!   a target isn't used whose address answered for another, and [`row_expiry`] which targets are retained
 //!   although the list lacks them.
@@ -54,6 +55,7 @@
 pub mod health;
 pub mod holder;
 pub mod latency_admission;
+pub mod leaving;
 pub mod length_partition;
 pub mod limit;
 pub mod liveness;
