--- a/crates/policy/tests/hosted.rs
+++ b/crates/policy/tests/hosted.rs
@@ -109,7 +109,7 @@
             };
             for other in (0..case.entries).filter(|i| *i != hot) {
                 let lent = entries[other].lend(now, wanted);
-                if case.lost == 0 || (step + other as u64) % case.lost != 0 {
+                if case.lost == 0 || !(step + other as u64).is_multiple_of(case.lost) {
                     entries[hot].borrow(now, lent);
                 }
             }
