Send nothing to a target for as long as it has asked for rest

What callers saw: nothing yet; targets that had answered 503 with Retry-After: 3 got three requests in that time (allowed 2), all of them second or third attempts.

Cause: no code read a target's Retry-After, and the breaker, which opened after such refusals, is a preference only: if all others have been tried, the target is used. Class: a wish that binds is treated as a preference.

policy::rest keeps the time for each start of a target at the entry that it has asked. Such targets are left out before any preference, in first and second attempts, races and resumed streams, and once more when a connection has been opened. If none is left, the request is refused at once, with the time at which the first target may be used.

--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod replica;
 mod request;
 mod restored_list;
+mod rests;
 mod retries;
 mod send;
 mod serve;
@@ -88,6 +89,8 @@
     crashing_parts: crashing_parts::State,
     /// Targets that have said that they leave.
     leaving: RefCell<policy::leaving::Leaving<fleet::BootKey>>,
+    /// Targets that have asked this entry for rest.
+    rests: RefCell<policy::rest::Rests<fleet::BootKey>>,
     /// Engines that this entry is the delegate of.
     delegates: RefCell<delegate::Delegates>,
     /// Recent work of long and short prompts.
@@ -190,6 +193,7 @@
         suspects: RefCell::default(),
         crashing_parts: crashing_parts::State::default(),
         leaving: RefCell::default(),
+        rests: RefCell::default(),
         delegates: RefCell::default(),
         recent_work: RefCell::default(),
         limits: RefCell::default(),
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -20,7 +20,7 @@
 use super::replica::{held_prefix, Replica};
 use super::request::Job;
 use super::usable::{all_loading, eligible_targets, with_recent_report};
-use super::{leaving, origins, suspects, target_limits, Ctx};
+use super::{leaving, origins, rests, suspects, target_limits, Ctx};
 
 /// Largest penalty, in milliseconds, for an engine's position in a subject's own order of engines.
 /// With this order, entries that have no data on one another's choices prefill a new opening on the
@@ -119,7 +119,12 @@
     let suspect = suspects::verdict(ctx, job) == Suspect;
     let stays = |r: &Replica| !leaving::is_leaving(ctx, &r.target.boot);
     let is_usable = |r: &Replica| stays(r) && is_current(r) && job.origin.accepts(r);
-    let accepted = |r: &Replica| is_usable(r) && target_limits::admits(ctx, now, &r.target.boot);
+    let accepted = |r: &Replica| {
+        let boot = &r.target.boot;
+        is_usable(r)
+            && rests::left(ctx, now, boot).is_none()
+            && target_limits::admits(ctx, now, boot)
+    };
     let eligible = with_recent_report(eligible_targets(&fleet, job, now, suspect, accepted), now);
     if eligible.is_empty() {
         return Err(target_limits::no_target(ctx, &fleet, job, is_usable));
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -9,7 +9,7 @@
 use super::replica::Replica;
 use super::request::Job;
 use super::usable::{eligible_targets, failure_factor, start_index};
-use super::{leaving, suspects, target_limits, Ctx};
+use super::{leaving, rests, suspects, target_limits, Ctx};
 
 /// Maximum age of the load that a target has stated itself.
 const LOAD_LIFETIME: Micros = Micros::from_millis(400);
@@ -22,7 +22,12 @@
     let suspect = suspects::verdict(ctx, job) == Suspect;
     let stays = |r: &Replica| !leaving::is_leaving(ctx, &r.target.boot);
     let is_usable = |r: &Replica| stays(r) && job.origin.accepts(r);
-    let accepted = |r: &Replica| is_usable(r) && target_limits::admits(ctx, now, &r.target.boot);
+    let accepted = |r: &Replica| {
+        let boot = &r.target.boot;
+        is_usable(r)
+            && rests::left(ctx, now, boot).is_none()
+            && target_limits::admits(ctx, now, boot)
+    };
     let eligible = eligible_targets(&fleet, job, now, suspect, accepted);
     let start = start_index(job, eligible.len());
     let candidates = eligible[start..].iter().chain(&eligible[..start]);
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -47,6 +47,11 @@
         /// Time until one of them may get the request.
         wait: Micros,
     },
+    /// The targets that could serve the request have asked for rest.
+    Resting {
+        /// Time until the first of them may get the request.
+        wait: Micros,
+    },
     /// The build that began the stream is unknown.
     BuildUnknown,
     /// No target has the build that began the stream.
@@ -92,6 +97,7 @@
             Self::TooLarge => "too_large",
             Self::OverLimit(_) => "over_limit",
             Self::TargetLimits { .. } => "target_limits",
+            Self::Resting { .. } => "resting",
             Self::BuildUnknown => "build_unknown",
             Self::BuildGone => "build_gone",
             Self::NoTarget => "no_target",
@@ -115,6 +121,7 @@
             Self::Unconfigured
             | Self::Stopping
             | Self::TargetLimits { .. }
+            | Self::Resting { .. }
             | Self::BuildUnknown
             | Self::BuildGone
             | Self::NoTarget
@@ -212,7 +219,7 @@
         Reason::Quarantined { remaining } => Some(remaining.into()),
         // Each refused request gets its own time.
         Reason::OverLimit(refusal) => Some(refusal.wait.into()),
-        Reason::TargetLimits { wait } => Some(wait.into()),
+        Reason::TargetLimits { wait } | Reason::Resting { wait } => Some(wait.into()),
         _ => r
             .reason
             .retry_after()
@@ -230,7 +237,9 @@
         version: r.version,
         retry_ms: retry_after.map(|after| after.as_millis() as u64),
         wait_ms: match r.reason {
-            Reason::Late { wait, .. } | Reason::TargetLimits { wait } => Some(wait.as_millis()),
+            Reason::Late { wait, .. }
+            | Reason::TargetLimits { wait }
+            | Reason::Resting { wait } => Some(wait.as_millis()),
             Reason::Loading { remaining } => Some(remaining.time.as_millis()),
             _ => None,
         },
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -22,7 +22,7 @@
 use super::fleet::ReplicaKey;
 use super::pick::Pick;
 use super::request::Job;
-use super::{leaving, origins, suspects, target_limits, Ctx};
+use super::{leaving, origins, rests, suspects, target_limits, Ctx};
 use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
@@ -229,8 +229,8 @@
         },
     };
     // Another answer may have arrived while the connection was opened.
-    if leaving::is_leaving(ctx, &pick.boot) {
-        return SendOutcome::NotDelivered("target leaves");
+    if leaving::is_leaving(ctx, &pick.boot) || rests::left(ctx, ctx.now(), &pick.boot).is_some() {
+        return SendOutcome::NotDelivered("target leaves or rests");
     }
     match timeout(
         head_timeout,
@@ -320,10 +320,12 @@
         connection.set_idle_timeout(timeout);
     }
     record_head(ctx, pick, job, &head);
+    let mut rests = false;
     let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     // Without the right id, a misdirected answer is of another process at the address.
     if !misdirected || head.target_id.as_ref() == Some(&pick.boot.id) {
         leaving::observe(ctx, &pick.boot, &head);
+        rests = rests::observe(ctx, &pick.boot, &head);
     }
     if head.matches_request && response.status() != StatusCode::MISDIRECTED_REQUEST {
         target_limits::observe(ctx, &pick.boot, &head, in_flight.sent_at);
@@ -337,7 +339,7 @@
         StatusCode::MISDIRECTED_REQUEST => handle_misdirected(ctx, pick, job, &head),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if head.not_run => {
             keep_connection(ctx, pick.key, connection, &head, response).await;
-            SendOutcome::NotRun("full")
+            SendOutcome::NotRun(if rests { "rests" } else { "full" })
         }
         _ if !at_build => SendOutcome::Unknown("another build's answer"),
         _ => SendOutcome::Answer(Box::new(LiveAnswer {
--- a/crates/gate/src/entry/target_limits.rs
+++ b/crates/gate/src/entry/target_limits.rs
@@ -19,7 +19,7 @@
 use super::refuse::Reason;
 use super::replica::Replica;
 use super::request::Job;
-use super::Ctx;
+use super::{rests, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 use crate::update::{self, LimitUse, StatedRate, TargetUse, Update};
@@ -105,7 +105,8 @@
     state.limits.give_back(ctx.now(), key(boot));
 }
 
-/// Why no target is left for a job: the limits of those that `accepted` accepts, or none is there.
+/// Why no target is left for a job: the rests or limits of those that `accepted` accepts, or none is
+/// there.
 pub(super) fn no_target(
     ctx: &Ctx,
     fleet: &Fleet,
@@ -113,26 +114,27 @@
     accepted: impl Fn(&Replica) -> bool,
 ) -> Reason {
     let now = ctx.now();
+    let time_left = job.time_left(now).into();
     let mut state = ctx.target_limits.borrow_mut();
+    let is_open = |key| !job.attempted.contains(&key) || job.refused_by.contains(&key);
     let ready = fleet.replicas.iter().filter(|(key, r)| {
         r.target.pool == job.pool
             && r.target.state == TargetState::Ready
             && r.is_present(now)
-            && !job.attempted.contains(key)
+            && is_open(*key)
             && accepted(r)
     });
-    let waits = ready.filter_map(|(_, r)| {
-        let key = key(&r.target.boot);
-        let wait = state.limits.wait(now, key, Micros::ZERO);
-        (!state.limits.admits(now, key)).then_some((wait, key))
+    let reasons = ready.filter_map(|(_, r)| {
+        let boot = &r.target.boot;
+        if let Some(wait) = rests::left(ctx, now, boot) {
+            return Some((wait, Reason::Resting { wait }));
+        }
+        let wait = state.limits.wait(now, key(boot), time_left);
+        let is_limited = !state.limits.admits(now, key(boot));
+        is_limited.then_some((wait, Reason::TargetLimits { wait }))
     });
-    let Some((_, key)) = waits.min() else {
-        return Reason::NoTarget;
-    };
-    let time_left = job.time_left(now).into();
-    Reason::TargetLimits {
-        wait: state.limits.wait(now, key, time_left),
-    }
+    let first = reasons.min_by_key(|(wait, _)| *wait);
+    first.map_or(Reason::NoTarget, |(_, reason)| reason)
 }
 
 /// Sends reports to the other entries for as long as the process runs.
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -232,6 +232,22 @@
         /// Source of the information: own or peer.
         source: &'a str,
     },
+    /// A target has asked this entry for rest.
+    Rest {
+        /// Target id.
+        target: &'a str,
+        /// Milliseconds that it gets.
+        rest_ms: u64,
+        /// Milliseconds that it has asked for.
+        asked_ms: u64,
+    },
+    /// A target has asked for rest without a valid time; it gets none.
+    BadRest {
+        /// Target id.
+        target: &'a str,
+        /// Description of the error.
+        error: &'a str,
+    },
     /// Requests with a prompt part are refused from now on, since the part crashes targets, or no
     /// longer.
     Part {
@@ -407,6 +423,7 @@
             Self::Listed { .. } => ("listed", false),
             Self::LeftOut { .. } => ("left_out", false),
             Self::Suspected { .. } => ("suspected", false),
+            Self::Rest { .. } | Self::BadRest { .. } => ("rest", false),
             Self::Leaving { .. } => ("leaving", false),
             Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,7 +26,8 @@
 //! - Streams: [`stream_origin`] finds the build at which a stream may go on.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget.
-//! - What targets say about themselves: [`leaving`] excludes those that leave.
+//! - What targets say about themselves: [`leaving`] excludes those that leave, and [`rest`] those that have
+//!   asked for rest.
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
 //!   a target isn't used whose address answered for another, and [`row_expiry`] which targets are retained
 //!   although the list lacks them.
@@ -71,6 +72,7 @@
 pub mod recent_replicas;
 pub mod relay;
 pub mod reserve;
+pub mod rest;
 pub mod retry;
 pub mod retry_budget;
 pub mod rollout;
