Convict parts that had answers before, and try ambiguous ones soon

Crashes in a row are now kept before others, five answers to other prompts suffice instead of 20, three in a row suffice if the last answer was 3 s or more before, and ambiguous parts are tried at 0, 1.5 and 5 s.

--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -44,6 +44,12 @@
 const TRIAL_LEASE: Micros = Micros::from_secs(10);
 /// Time by which each further entry leaves a trial to the entry before it.
 const TRIAL_STAGGER: Micros = Micros::from_millis(500);
+/// Time from the conviction of an ambiguous part to its first trial, and from each trial to the next.
+const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] = [
+    Micros::ZERO,
+    Micros::from_millis(1_500),
+    Micros::from_secs(5),
+];
 /// Interval per entry at which all convictions are sent again.
 const SYNC_INTERVAL: Micros = Micros::from_millis(500);
 /// Time after the start in which an entry asks the others for their convictions.
@@ -62,9 +68,13 @@
 pub struct Config {
     /// Crashes that convict a part without a complete answer; 3.
     pub crashes: usize,
-    /// Crashes one after another that convict a part with complete answers; 4.
+    /// Crashes one after another that convict a part with a recent complete answer; 4.
     pub in_row: usize,
-    /// Complete answers to other prompts between these; 20.
+    /// The same for a part whose last answer was longer before the first crash than `recent`; 3.
+    pub in_row_later: usize,
+    /// How long before the first crash an answer is recent; 3 s.
+    pub recent: Micros,
+    /// Complete answers to other prompts meanwhile; 5.
     pub others: u64,
     /// How long evidence and convictions last without a request for the part; 600 s.
     pub lasts: Micros,
@@ -81,7 +91,9 @@
         Self {
             crashes: 3,
             in_row: 4,
-            others: 20,
+            in_row_later: 3,
+            recent: Micros::from_secs(3),
+            others: 5,
             lasts: Micros::from_secs(600),
             objection: Micros::from_millis(150),
             trials: [10, 40, 120].map(Micros::from_secs),
@@ -196,9 +208,11 @@
     claiming: bool,
     /// Until when the claimed trial waits for a request.
     granted: Option<Micros>,
-    /// Whether all its crashes are those of another part, convicted at the same moment. Such a part
-    /// is tried at once with a request that has none of the others.
+    /// Whether another part was convicted at the same moment, so that either may be harmless. Such
+    /// a part is soon tried with a request that has none of the others.
     ambiguous: bool,
+    /// When the last trial was claimed, or the part was convicted.
+    tried: Micros,
 }
 
 /// State of a part.
@@ -546,6 +560,7 @@
                     claiming: false,
                     granted: None,
                     ambiguous: false,
+                    tried: now,
                 };
                 conviction.set_trials(now, trials, &delays);
                 state.conviction = Some(Box::new(conviction));
@@ -623,8 +638,11 @@
         let c = self.conviction_mut(part)?;
         let assigned = (part.0 as usize).wrapping_add(c.trials as usize) % process.total.max(1);
         let turn = (process.rank + process.total - assigned) % process.total.max(1);
-        let at_once = c.ambiguous && sole && c.trials == 0;
-        let due = if at_once { c.first } else { c.next_trial };
+        let soon = AMBIGUOUS_TRIALS.get(c.trials as usize);
+        let due = match soon {
+            Some(delay) if c.ambiguous && sole => c.tried + *delay,
+            _ => c.next_trial,
+        };
         let is_due = now >= due + Micros(TRIAL_STAGGER.0 * turn as u64);
         let is_granted = c.granted.is_some_and(|until| now < until);
         if c.claiming || is_granted || c.trials >= TRIALS || !is_due {
@@ -730,6 +748,7 @@
 impl Conviction {
     fn set_trials(&mut self, now: Micros, trials: u32, delays: &[Micros]) {
         self.trials = trials;
+        self.tried = now;
         let delay = delays.get(trials as usize).copied().unwrap_or_default();
         self.next_trial = now + delay;
     }
--- a/crates/policy/src/crashing_parts/evidence.rs
+++ b/crates/policy/src/crashing_parts/evidence.rs
@@ -47,13 +47,32 @@
             c.crash == crash && !other.follows(c.at) && !c.follows(at)
         };
         let is_old = self.answered.is_some_and(|answered| at <= answered);
-        if is_old || self.counted.len() >= MAX_CRASHES || self.counted.iter().any(is_known) {
+        if is_old || self.counted.iter().any(is_known) {
             return;
         }
         if self.counted.is_empty() {
             self.answers = answers;
         }
         self.counted.push(Counted { crash, sent, at });
+        if self.counted.len() > MAX_CRASHES {
+            self.drop_one();
+        }
+    }
+
+    /// Drops a crash at the same time as others, or the latest one.
+    fn drop_one(&mut self) {
+        self.counted.sort_unstable_by_key(|c| c.at);
+        let mut last = None;
+        let follows = |c: &Counted| {
+            let follows = last.is_none_or(|at| c.follows(at));
+            if follows {
+                last = Some(c.at);
+            }
+            follows
+        };
+        let in_row: Vec<_> = self.counted.iter().map(follows).collect();
+        let spare = in_row.iter().position(|in_row| !in_row);
+        self.counted.remove(spare.unwrap_or(MAX_CRASHES));
     }
 
     /// Records a complete answer, which outweighs all crashes before it.
@@ -95,22 +114,21 @@
         answers: u64,
         explained: impl Fn(Crash) -> bool,
     ) -> bool {
-        let enough = match self.answered {
-            None => config.crashes,
-            Some(_) => config.in_row,
-        };
-        if self.counted.len() < enough {
+        if self.counted.len() < config.crashes.min(config.in_row_later) {
             return false;
         }
         let mut counted = self.counted.to_vec();
         counted.retain(|c| !explained(c.crash));
-        match self.answered {
-            None => counted.len() >= config.crashes,
-            Some(_) => {
-                let others = answers.saturating_sub(self.answers);
-                in_row(&mut counted) >= config.in_row && others >= config.others
-            }
-        }
+        let Some(answered) = self.answered else {
+            return counted.len() >= config.crashes;
+        };
+        let first = counted.iter().map(|c| c.at).min().unwrap_or_default();
+        let enough = match first.since(answered) < config.recent {
+            true => config.in_row,
+            false => config.in_row_later,
+        };
+        let others = answers.saturating_sub(self.answers);
+        in_row(&mut counted) >= enough && others >= config.others
     }
 }
 
