--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::cluster::{Cluster, ENTRIES};
+use super::cluster::{Cluster, BAD_PART, ENTRIES};
 use crate::fleet;
 
 /// Time limit for an answer: the request's deadline, the longest fault of the link, a pause of the
@@ -55,6 +55,7 @@
     end: Instant,
 ) -> Vec<Outcome> {
     let mut rng = StdRng::seed_from_u64(seed * 1_000 + caller);
+    let mut parts = StdRng::seed_from_u64((seed * 1_000 + caller) ^ PART_MASK);
     let mut kept: Vec<Option<SendRequest<Full<Bytes>>>> = (0..ENTRIES).map(|_| None).collect();
     let mut outcomes = Vec::new();
     let mut broken: Option<BrokenStream> = None;
@@ -68,7 +69,12 @@
         let entry = rng.random_range(0..ENTRIES);
         let progress = Mutex::new("not sent");
         let events = Mutex::new(String::new());
+        let bad = path == RESUMABLE_PATH
+            && taken_up.is_none()
+            && Cluster::has_bad_part(seed)
+            && parts.random_range(0..BAD_SHARE) == 0;
         let attempt = Attempt {
+            bad,
             path,
             id: &id,
             takes_up: taken_up.as_ref(),
@@ -108,6 +114,10 @@
     outcomes
 }
 
+/// One in this many streams has the part that crashes engines.
+const BAD_SHARE: u32 = 8;
+/// Seed mask that gives these streams a random sequence of their own.
+const PART_MASK: u64 = 1 << 58;
 /// Path of streams that may be resumed.
 const RESUMABLE_PATH: &str = "/probe/1";
 
@@ -128,6 +138,8 @@
 
 /// One attempt at a request.
 struct Attempt<'a> {
+    /// Whether the prompt has the part that crashes engines.
+    bad: bool,
     path: &'static str,
     id: &'a str,
     /// The stream that the attempt takes up.
@@ -177,6 +189,11 @@
         }
     };
     let mut call = fleet::request_to(link.addr(), attempt.path, attempt.id);
+    if attempt.bad {
+        call.headers.retain(|(name, _)| *name != "prompt-prefix");
+        let parts = format!("a1:20,{BAD_PART}:20,{:x}:10", attempt.id.len());
+        call.headers.push(("prompt-prefix", parts));
+    }
     if let Some(stream) = attempt.takes_up {
         call.headers
             .push(("last-event-id", stream.last_id().to_owned()));
--- a/crates/daemon/tests/hosted/soak/faults.rs
+++ b/crates/daemon/tests/hosted/soak/faults.rs
@@ -47,6 +47,10 @@
 const LIMIT_MASK: u64 = 1 << 61;
 /// Seed mask that gives the builds of replicas a random sequence of their own.
 const BUILD_MASK: u64 = 1 << 60;
+/// Seed mask that gives what replicas say about themselves a random sequence of its own.
+const NOTICE_MASK: u64 = 1 << 59;
+/// Seconds of rest that replicas may ask for.
+const RESTS: [&str; 5] = ["0.3", "2", "0", "soon", "1e30"];
 /// Requests a second that replicas may state.
 const LIMITS: [Option<f64>; 6] = [None, None, Some(0.0), Some(1.2), Some(5.0), Some(40.0)];
 /// Seed mask that gives the datagram faults a random sequence of their own.
@@ -112,6 +116,41 @@
     }
 }
 
+/// Lets replicas say that they leave or want rest, and answer without length or chunks, at random
+/// times until `end`, and starts crashed ones again. It has a random sequence of its own.
+pub async fn vary_notices(cluster: Arc<Cluster>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed ^ NOTICE_MASK);
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.random_range(50..500))).await;
+        let n = rng.random_range(0..REPLICAS);
+        let replica = &cluster.replicas[n].replica;
+        match rng.random_range(0..6) {
+            0 => {
+                cluster.record(format_args!("{} leaves", replica.id));
+                replica.set_leaving(true);
+            }
+            1 => {
+                let rest = *RESTS.choose(&mut rng).expect("a rest");
+                cluster.record(format_args!("{} wants rest: {rest}", replica.id));
+                replica.set_rest(Some(rest));
+                replica.set_fault(Fault::Full);
+            }
+            2 if !Cluster::has_bad_part(seed) => {
+                let undelimited = rng.random();
+                cluster.record(format_args!("{} undelimited: {undelimited}", replica.id));
+                replica.set_undelimited(undelimited);
+            }
+            _ => {}
+        }
+        for n in 0..REPLICAS {
+            if cluster.replicas[n].replica.is_down() || rng.random_range(0..8) == 0 {
+                cluster.record(format_args!("replica {n} starts again"));
+                cluster.start_again(n);
+            }
+        }
+    }
+}
+
 /// Restarts replicas under their ids, often at another build, at random times until `end`. It has a
 /// random sequence of its own.
 pub async fn vary_builds(cluster: Arc<Cluster>, seed: u64, end: Instant) {
