--- a/crates/gate/tests/update.rs
+++ b/crates/gate/tests/update.rs
@@ -1,9 +1,11 @@
 //! Sizes of updates between agents.
 
 use gate::update::{
-    ClaimConfirmation, LimitUse, LoadedWeights, OriginKind, RelayedState, RelayedWeights,
-    SlotQuery, StatedRate, StreamOrigin, TargetUse, TeamUse, Update, MAX_DATAGRAM,
+    AgedPart, ClaimConfirmation, LimitUse, LoadedWeights, OriginKind, PartEvidence, RelayedState,
+    RelayedWeights, RetryLoan, SlotQuery, StatedRate, StreamOrigin, TargetUse, TeamUse, Update,
+    MAX_DATAGRAM,
 };
+use policy::crashing_parts::MAX_PARTS;
 use policy::slots::{MAX_CONFIRMED, MAX_RELAYS};
 use prost::Message;
 
@@ -167,3 +169,86 @@
     println!("{} bytes", update.encoded_len());
     assert!(update.encoded_len() <= 40);
 }
+
+/// Guards against a crash of a busy engine that every entry reports in several datagrams.
+#[test]
+fn evidence_on_prompt_parts_fits_into_a_datagram() {
+    struct Case {
+        name: &'static str,
+        parts: usize,
+        running: bool,
+    }
+    let cases = [
+        Case {
+            name: "crash with one part",
+            parts: 1,
+            running: true,
+        },
+        Case {
+            name: "crash with most parts",
+            parts: MAX_PARTS,
+            running: true,
+        },
+        Case {
+            name: "one convicted part",
+            parts: 1,
+            running: false,
+        },
+        Case {
+            name: "most convicted parts",
+            parts: MAX_PARTS,
+            running: false,
+        },
+    ];
+    let part = AgedPart {
+        part: u64::MAX,
+        age_ms: 600_000,
+        trials: 3,
+    };
+    for c in cases {
+        let parts = vec![part; c.parts];
+        let evidence = match c.running {
+            true => PartEvidence {
+                target: u64::MAX,
+                born: 1_000,
+                age_ms: 5_000,
+                running: parts,
+                ..PartEvidence::default()
+            },
+            false => PartEvidence {
+                convicted: parts,
+                ..PartEvidence::default()
+            },
+        };
+        let update = Update {
+            entry: true,
+            part_evidence: Some(evidence),
+            ..Update::default()
+        };
+        println!("{}: {} bytes", c.name, update.encoded_len());
+        assert!(update.encoded_len() <= MAX_DATAGRAM, "{}", c.name);
+    }
+}
+
+/// Guards against small messages that grow.
+#[test]
+fn loans_of_retries_and_notices_of_leaving_are_small() {
+    let loan = Update {
+        entry: true,
+        retry_loan: Some(RetryLoan {
+            pool: u64::MAX,
+            wanted: 0,
+            lent: 4,
+        }),
+        ..Update::default()
+    };
+    let leaving = Update {
+        entry: true,
+        leaving: vec![u64::MAX],
+        ..Update::default()
+    };
+    for update in [loan, leaving] {
+        println!("{} bytes", update.encoded_len());
+        assert!(update.encoded_len() <= 20);
+    }
+}
