--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -210,7 +210,7 @@
     complete.iter().for_each(|run| clear(&ctx, run));
 }
 
-/// Records the answers that ended with their connections and whose targets have gone on.
+/// Records the answers that ended with their connections and whose targets still run.
 pub(super) fn record_survived(ctx: &Ctx) {
     let now = ctx.now();
     let survived = {
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -5,7 +5,7 @@
 //! come through all entries. Each costs an engine with all streams on it, and all other parts of its
 //! prompt, and those of all requests that ran beside it, are parts of harmless requests too.
 //!
-//! Evidence is therefore kept per part ([`evidence`]) and over all entries: in which crashes it was
+//! Evidence is therefore kept per part (`evidence`) and over all entries: in which crashes it was
 //! running, and when an answer to a prompt with it was last complete. The cause of the crashes never
 //! gets a complete answer, whereas harmless parts in regular use get one within moments. A part that
 //! never got one is convicted after a few crashes. For a part that did, crashes count only one after
@@ -22,7 +22,10 @@
 //! be lost and entries end. The conviction ends with a complete answer, or when no request has asked
 //! for the part for some time.
 
+mod conviction;
 mod evidence;
+mod exchange;
+mod message;
 mod outbox;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -31,31 +34,16 @@
 use model::Micros;
 
 use crate::quarantine::{Crash, ProcessRank};
+use conviction::Conviction;
+pub use conviction::{Claim, ClaimOutcome, TRIALS};
 use evidence::Evidence;
+pub use message::{ConvictedPart, CrashReport, Message, RunningPart};
 use outbox::{Item, Outbox};
 
 /// Interval at which [`CrashingParts::poll`] has to be called.
 pub const POLL_INTERVAL: Micros = Micros::from_millis(25);
 /// Maximum number of parts in a message, which has to fit into a datagram.
 pub const MAX_PARTS: usize = 40;
-/// Number of requests with a convicted part that are let through, by all entries together.
-pub const TRIALS: u32 = 3;
-/// How long a claimed trial waits for a request.
-const TRIAL_LEASE: Micros = Micros::from_secs(10);
-/// Time by which each further entry leaves a trial to the entry before it.
-const TRIAL_STAGGER: Micros = Micros::from_millis(500);
-/// Time from the conviction of an ambiguous part to its first trial, and from each trial to the next.
-const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] = [
-    Micros::ZERO,
-    Micros::from_millis(1_500),
-    Micros::from_secs(5),
-];
-/// Interval per entry at which all convictions are sent again.
-const SYNC_INTERVAL: Micros = Micros::from_millis(500);
-/// Time after the start in which an entry asks the others for their convictions.
-const ASK_PERIOD: Micros = Micros::from_secs(4);
-/// Interval of these questions.
-const ASK_INTERVAL: Micros = Micros::from_millis(300);
 /// Interval after which a part that is still in use moves to the end of the expiry order.
 const RENEWAL_INTERVAL: Micros = Micros::from_secs(10);
 
@@ -102,52 +90,6 @@
     }
 }
 
-/// A part of a prompt that was running at a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunningPart {
-    /// The part.
-    pub part: PartKey,
-    /// Age of the latest request with it.
-    pub sent: Micros,
-}
-
-/// A crash, and the parts that one entry had running there.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The target that crashed.
-    pub crash: Crash,
-    /// Age of the crash.
-    pub age: Micros,
-    /// The parts.
-    pub parts: Vec<RunningPart>,
-}
-
-/// A convicted part as it is sent to other entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConvictedPart {
-    /// The part.
-    pub part: PartKey,
-    /// Age of the first crash that counts.
-    pub first: Micros,
-    /// Number of trials claimed.
-    pub trials: u32,
-}
-
-/// What entries send one another. All ages are those at the time of sending.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Message {
-    /// A crash.
-    pub crash: Option<CrashReport>,
-    /// Parts that the sender is about to convict.
-    pub proposed: Vec<PartKey>,
-    /// Parts with complete answers, and the ages of the latest ones.
-    pub answered: Vec<(PartKey, Micros)>,
-    /// Parts that the sender has convicted.
-    pub convicted: Vec<ConvictedPart>,
-    /// Whether the sender asks for the receiver's convictions.
-    pub asks: bool,
-}
-
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -164,26 +106,6 @@
     },
 }
 
-/// A trial that an entry wants to claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claim {
-    /// The part.
-    pub part: PartKey,
-    /// Number of trials before this one.
-    pub trials: u32,
-}
-
-/// Outcome of claiming a trial.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimOutcome {
-    /// The trial belongs to this entry.
-    Claimed,
-    /// This number of trials had been claimed already.
-    Outdated(u32),
-    /// The store did not answer; the trial may have been claimed.
-    Unknown,
-}
-
 /// A change of a part's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -197,24 +119,6 @@
     pub own: bool,
 }
 
-/// A conviction in force.
-#[derive(Debug)]
-struct Conviction {
-    /// First crash that counts.
-    first: Micros,
-    trials: u32,
-    next_trial: Micros,
-    /// Whether the trial is being claimed.
-    claiming: bool,
-    /// Until when the claimed trial waits for a request.
-    granted: Option<Micros>,
-    /// Whether another part was convicted at the same moment, so that either may be harmless. Such
-    /// a part is soon tried with a request that has none of the others.
-    ambiguous: bool,
-    /// When the last trial was claimed, or the part was convicted.
-    tried: Micros,
-}
-
 /// State of a part.
 #[derive(Debug, Default)]
 struct State {
@@ -288,10 +192,7 @@
             return Admission::Clear;
         }
         convicted.iter().for_each(|p| self.touch(now, *p));
-        let is_granted = |p: &PartKey| {
-            let conviction = self.conviction(*p);
-            conviction.is_some_and(|c| c.granted.is_some_and(|until| now < until))
-        };
+        let is_granted = |p: &PartKey| self.conviction(*p).is_some_and(|c| c.is_granted(now));
         if convicted.iter().all(is_granted) {
             for part in convicted {
                 if let Some(c) = self.conviction_mut(part) {
@@ -305,7 +206,7 @@
         let wait = waits.max().unwrap_or_default();
         let claim = convicted
             .into_iter()
-            .find_map(|p| self.claim(now, p, sole, process));
+            .find_map(|p| self.conviction_mut(p)?.claim(now, p, sole, process));
         Admission::Refused { wait, claim }
     }
 
@@ -317,22 +218,9 @@
     /// Records the outcome of claiming a trial.
     pub fn record_claim(&mut self, now: Micros, claim: Claim, outcome: ClaimOutcome) {
         let delays = self.config.trials;
-        let Some(c) = self.conviction_mut(claim.part) else {
-            return;
-        };
-        c.claiming = false;
-        let trials = match outcome {
-            ClaimOutcome::Claimed => {
-                c.granted = Some(now + TRIAL_LEASE);
-                claim.trials + 1
-            }
-            ClaimOutcome::Outdated(trials) => trials,
-            ClaimOutcome::Unknown => {
-                c.next_trial = now + delays[0];
-                return;
-            }
-        };
-        c.set_trials(now, trials, &delays);
+        if let Some(c) = self.conviction_mut(claim.part) {
+            c.record_claim(now, claim, outcome, &delays);
+        }
         if outcome == ClaimOutcome::Claimed {
             self.outbox.push(now, Item::Convicted(claim.part));
         }
@@ -343,83 +231,6 @@
         self.adopt(now, part, now, trials, false);
     }
 
-    /// Sets the other entries.
-    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = SocketAddr>) {
-        let peers: HashSet<_> = peers.into_iter().collect();
-        let is_new = peers.difference(&self.peers).next().is_some();
-        self.peers = peers;
-        if is_new {
-            self.synced_at = None;
-            self.asked_at = None;
-        }
-    }
-
-    /// Messages to all other entries that are due now.
-    pub fn poll(&mut self, now: Micros) -> Vec<Message> {
-        self.expire(now);
-        self.decide(now);
-        let mut messages = self.due_items(now);
-        let interval = self.sync_interval();
-        let is_synced = self.synced_at.is_some_and(|at| now.since(at) < interval);
-        if !self.convicted.is_empty() && !is_synced {
-            self.synced_at = Some(now);
-            messages.extend(self.convictions(now));
-        }
-        let asks = now.since(self.started) < ASK_PERIOD || self.asked_at.is_none();
-        let asked = self.asked_at.is_some_and(|at| now.since(at) < ASK_INTERVAL);
-        if asks && !asked && !self.peers.is_empty() {
-            self.asked_at = Some(now);
-            messages.push(Message {
-                asks: true,
-                ..Message::default()
-            });
-        }
-        messages
-    }
-
-    /// Receives a message; returns those for its sender.
-    pub fn receive(&mut self, now: Micros, message: &Message) -> Vec<Message> {
-        if let Some(crash) = &message.crash {
-            self.count_crash(now, crash);
-        }
-        for (part, age) in &message.answered {
-            let at = now - *age;
-            if self.clear(now, *part, at, false) {
-                self.outbox.push(now, Item::Answered(*part));
-            }
-        }
-        let mut answered = self.answers_to(now, &message.proposed, |_, _| true);
-        for c in &message.convicted {
-            let first = now - c.first;
-            let since = |_: PartKey, at: Micros| at >= first;
-            let objection = self.answers_to(now, &[c.part], since);
-            if objection.is_empty() {
-                self.adopt(now, c.part, first, c.trials, false);
-            }
-            answered.extend(objection);
-        }
-        let mut replies = Vec::new();
-        let crashed = message.crash.iter().flat_map(|c| &c.parts);
-        let known = crashed.filter_map(|r| self.convicted_part(now, r.part));
-        let convicted: Vec<_> = known.collect();
-        if !convicted.is_empty() {
-            replies.push(Message {
-                convicted,
-                ..Message::default()
-            });
-        }
-        if !answered.is_empty() {
-            replies.push(Message {
-                answered,
-                ..Message::default()
-            });
-        }
-        if message.asks {
-            replies.extend(self.convictions(now));
-        }
-        replies
-    }
-
     /// Whether [`Self::poll`] has to be called again soon.
     pub fn has_pending(&self) -> bool {
         !self.outbox.is_empty() || !self.proposed.is_empty()
@@ -445,10 +256,6 @@
         self.parts.is_empty()
     }
 
-    fn sync_interval(&self) -> Micros {
-        Micros(SYNC_INTERVAL.0 * (self.peers.len() as u64 + 1))
-    }
-
     fn conviction(&self, part: PartKey) -> Option<&Conviction> {
         self.parts.get(&part)?.conviction.as_deref()
     }
@@ -553,16 +360,7 @@
             Some(c) if c.trials < trials => c.set_trials(now, trials, &delays),
             Some(_) => {}
             None => {
-                let mut conviction = Conviction {
-                    first,
-                    trials: 0,
-                    next_trial: now + delays[0],
-                    claiming: false,
-                    granted: None,
-                    ambiguous: false,
-                    tried: now,
-                };
-                conviction.set_trials(now, trials, &delays);
+                let conviction = Conviction::new(now, first, trials, &delays);
                 state.conviction = Some(Box::new(conviction));
                 self.convicted.insert(part);
                 self.changes.push(Change {
@@ -599,20 +397,6 @@
         true
     }
 
-    /// The latest complete answers to prompts with these parts, if `accepts` accepts them.
-    fn answers_to(
-        &self,
-        now: Micros,
-        parts: &[PartKey],
-        accepts: impl Fn(PartKey, Micros) -> bool,
-    ) -> Vec<(PartKey, Micros)> {
-        let answered = parts.iter().filter_map(|p| {
-            let at = self.parts.get(p)?.evidence.answered()?;
-            accepts(*p, at).then(|| (*p, now.since(at)))
-        });
-        answered.collect()
-    }
-
     /// Time until a trial of a part may begin, or until its conviction ends.
     fn wait(&self, now: Micros, part: PartKey) -> Micros {
         let Some(state) = self.parts.get(&part) else {
@@ -627,90 +411,6 @@
         next.since(now)
     }
 
-    /// The trial that this entry claims for a part, if one is due.
-    fn claim(
-        &mut self,
-        now: Micros,
-        part: PartKey,
-        sole: bool,
-        process: ProcessRank,
-    ) -> Option<Claim> {
-        let c = self.conviction_mut(part)?;
-        let assigned = (part.0 as usize).wrapping_add(c.trials as usize) % process.total.max(1);
-        let turn = (process.rank + process.total - assigned) % process.total.max(1);
-        let soon = AMBIGUOUS_TRIALS.get(c.trials as usize);
-        let due = match soon {
-            Some(delay) if c.ambiguous && sole => c.tried + *delay,
-            _ => c.next_trial,
-        };
-        let is_due = now >= due + Micros(TRIAL_STAGGER.0 * turn as u64);
-        let is_granted = c.granted.is_some_and(|until| now < until);
-        if c.claiming || is_granted || c.trials >= TRIALS || !is_due {
-            return None;
-        }
-        c.claiming = true;
-        Some(Claim {
-            part,
-            trials: c.trials,
-        })
-    }
-
-    /// All convictions.
-    fn convictions(&self, now: Micros) -> Vec<Message> {
-        let convicted: Vec<_> = self.convicted.iter().copied().collect();
-        let chunks = convicted.chunks(MAX_PARTS);
-        let message = |parts: &[PartKey]| Message {
-            convicted: parts
-                .iter()
-                .filter_map(|p| self.convicted_part(now, *p))
-                .collect(),
-            ..Message::default()
-        };
-        chunks.map(message).collect()
-    }
-
-    fn convicted_part(&self, now: Micros, part: PartKey) -> Option<ConvictedPart> {
-        let c = self.conviction(part)?;
-        Some(ConvictedPart {
-            part,
-            first: now.since(c.first),
-            trials: c.trials,
-        })
-    }
-
-    /// Messages for the items of the outbox that are due and still hold.
-    fn due_items(&mut self, now: Micros) -> Vec<Message> {
-        let due = self.outbox.take_due(now);
-        let mut messages = Vec::new();
-        let mut others = Message::default();
-        for item in &due {
-            match item {
-                Item::Crash(report, at) => messages.push(Message {
-                    crash: Some(report.aged(now.since(*at))),
-                    ..Message::default()
-                }),
-                Item::Proposed(part) if self.proposed.contains(part) => {
-                    others.proposed.push(*part);
-                }
-                Item::Answered(part) => {
-                    others
-                        .answered
-                        .extend(self.answers_to(now, &[*part], |_, _| true))
-                }
-                Item::Convicted(part) => others.convicted.extend(self.convicted_part(now, *part)),
-                Item::Proposed(_) => {}
-            }
-            let parts = others.proposed.len() + others.answered.len() + others.convicted.len();
-            if parts >= MAX_PARTS {
-                messages.push(std::mem::take(&mut others));
-            }
-        }
-        if others != Message::default() {
-            messages.push(others);
-        }
-        messages
-    }
-
     /// Drops parts without a recent request, and the longest unused ones of too many.
     fn expire(&mut self, now: Micros) {
         while let Some((at, part)) = self.order.front().copied() {
@@ -744,27 +444,3 @@
         }
     }
 }
-
-impl Conviction {
-    fn set_trials(&mut self, now: Micros, trials: u32, delays: &[Micros]) {
-        self.trials = trials;
-        self.tried = now;
-        let delay = delays.get(trials as usize).copied().unwrap_or_default();
-        self.next_trial = now + delay;
-    }
-}
-
-impl CrashReport {
-    /// The report when its ages have grown by `by`.
-    fn aged(&self, by: Micros) -> Self {
-        let parts = self.parts.iter().map(|r| RunningPart {
-            part: r.part,
-            sent: r.sent + by,
-        });
-        Self {
-            crash: self.crash,
-            age: self.age + by,
-            parts: parts.collect(),
-        }
-    }
-}
--- a/crates/policy/tests/crashes.rs
+++ b/crates/policy/tests/crashes.rs
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn answer_that_ends_with_its_connection_is_complete_only_if_its_target_goes_on() {
+fn answer_that_ends_with_its_connection_is_complete_only_if_its_target_keeps_running() {
     // Guards against clearing a request whose answer ended because its target had crashed.
     struct Case {
         name: &'static str,
@@ -82,7 +82,7 @@
     };
     #[rustfmt::skip]
     let cases = [
-        Case { name: "target goes on", ended: None, struck: false, complete: true },
+        Case { name: "target keeps running", ended: None, struck: false, complete: true },
         Case { name: "end known later", ended: Some(2_000), struck: true, complete: false },
         Case { name: "end known before", ended: Some(800), struck: true, complete: false },
         Case { name: "sent after the end", ended: Some(50), struck: false, complete: false },
