Don't isolate continued streams, nor use up a retry of a refused part

Two effects of recording streams that break after their first event. Continued streams are placed as before, and reported once.

The part is asked first now, and its trial is one of the request too.

--- a/crates/gate/src/entry/crashing_parts.rs
+++ b/crates/gate/src/entry/crashing_parts.rs
@@ -105,15 +105,16 @@
     parts.convicted() > 0 && parts.is_convicted(&keys(job))
 }
 
-/// Whether a job may be sent; if not, returns the time until a request like it may be.
-pub(super) fn admit(ctx: &Ctx, job: &Job, rank: ProcessRank) -> Result<(), Micros> {
+/// Whether a job may be sent, and is a trial; if not, returns the time until a request like it may be.
+pub(super) fn admit(ctx: &Ctx, job: &Job, rank: ProcessRank) -> Result<bool, Micros> {
     if ctx.crashing_parts.convicted() == 0 {
-        return Ok(());
+        return Ok(false);
     }
     let now = ctx.now();
     let mut parts = ctx.crashing_parts.parts.borrow_mut();
     match parts.admit(now, &keys(job), rank) {
-        Admission::Clear | Admission::Trial => Ok(()),
+        Admission::Clear => Ok(false),
+        Admission::Trial => Ok(true),
         Admission::Refused { wait, claim } => {
             if let Some(claim) = claim {
                 tokio::task::spawn_local(part_store::claim(Rc::clone(ctx), claim));
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -7,7 +7,6 @@
 use model::Micros;
 use policy::latency_admission::{self, Decision, Estimate};
 use policy::length_partition;
-use policy::quarantine::Verdict::Suspect;
 use policy::ttft_placement::{self, Sources};
 use policy::versions;
 use site::{Boot, Engine, Plan, Prompt, Scope};
@@ -116,7 +115,7 @@
         outdated.is_some_and(|age| versions::may_begin(allowed, age, wait))
     };
     let is_current = |r: &Replica| may_begin(r, Micros::ZERO);
-    let suspect = suspects::verdict(ctx, job) == Suspect;
+    let suspect = suspects::is_isolated(ctx, job);
     let stays = |r: &Replica| !leaving::is_leaving(ctx, &r.target.boot);
     let is_usable = |r: &Replica| stays(r) && is_current(r) && job.origin.accepts(r);
     let accepted = |r: &Replica| {
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -2,7 +2,6 @@
 //! slots in use.
 
 use model::Micros;
-use policy::quarantine::Verdict::Suspect;
 
 use super::pick::Pick;
 use super::refuse::Reason;
@@ -19,7 +18,7 @@
     let now = ctx.now();
     let domain = ctx.node.settings.borrow().domain.clone();
     let fleet = ctx.fleet.borrow();
-    let suspect = suspects::verdict(ctx, job) == Suspect;
+    let suspect = suspects::is_isolated(ctx, job);
     let stays = |r: &Replica| !leaving::is_leaving(ctx, &r.target.boot);
     let is_usable = |r: &Replica| stays(r) && job.origin.accepts(r);
     let accepted = |r: &Replica| {
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -13,7 +13,6 @@
 use model::Micros;
 use platform::replica::{self, AddedHeaders, AnswerHead};
 use policy::prefill_priority;
-use policy::quarantine::Verdict;
 use site::{Boot, Part};
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -61,7 +60,7 @@
             (Some(p), Some(s)) => Some((s.key(), p.shared().to_vec())),
             _ => None,
         };
-        let suspect = suspects::verdict(ctx, job) == Verdict::Suspect;
+        let suspect = suspects::is_isolated(ctx, job);
         let mut fleet = ctx.fleet.borrow_mut();
         let mut reported_to = None;
         if let Some(r) = fleet.replicas.get_mut(pick.key) {
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -72,6 +72,8 @@
 struct Run {
     id: String,
     fingerprint: Fingerprint,
+    /// Whether events of its stream had been passed on.
+    began: bool,
     parts: Vec<PartKey>,
     sent: Micros,
     /// When the answer ended.
@@ -84,6 +86,7 @@
         Self {
             id: job.id.clone(),
             fingerprint: job.fingerprint,
+            began: job.last_event_id.is_some(),
             parts: crashing_parts::keys(job),
             sent,
             ended: ctx.now(),
@@ -118,11 +121,17 @@
 }
 
 /// How a job is to be treated.
-pub(super) fn verdict(ctx: &Ctx, job: &Job) -> Verdict {
+fn verdict(ctx: &Ctx, job: &Job) -> Verdict {
     let suspects = ctx.suspects.borrow();
     suspects.quarantine.verdict(ctx.now(), job.fingerprint)
 }
 
+/// Whether a job should not run beside another suspect. A stream that continues is no likely cause
+/// of a crash, and is better placed where its prompt is cached.
+pub(super) fn is_isolated(ctx: &Ctx, job: &Job) -> bool {
+    job.last_event_id.is_none() && verdict(ctx, job) == Verdict::Suspect
+}
+
 /// Whether a job is refused for what it or a part of its prompt does to targets.
 pub(super) fn is_convicted(ctx: &Ctx, job: &Job) -> bool {
     verdict(ctx, job) == Verdict::Convicted || crashing_parts::is_convicted(ctx, job)
@@ -133,15 +142,17 @@
 /// run again.
 pub(super) fn may_run(ctx: &Ctx, job: &Job) -> Result<(), Micros> {
     let rank = process_rank(ctx);
-    if verdict(ctx, job) == Verdict::Convicted {
-        let (now, fingerprint) = (ctx.now(), job.fingerprint);
-        let mut suspects = ctx.suspects.borrow_mut();
-        if !suspects.quarantine.take_retry(now, fingerprint, rank) {
-            let next = suspects.quarantine.next_retry(now, fingerprint);
-            return Err(next.map_or(Micros::ZERO, |at| at.since(now)));
-        }
+    // A trial of a part is one of the request too. A retry is not used up if a part is refused.
+    if crashing_parts::admit(ctx, job, rank)? || verdict(ctx, job) != Verdict::Convicted {
+        return Ok(());
     }
-    crashing_parts::admit(ctx, job, rank)
+    let (now, fingerprint) = (ctx.now(), job.fingerprint);
+    let mut suspects = ctx.suspects.borrow_mut();
+    if suspects.quarantine.take_retry(now, fingerprint, rank) {
+        return Ok(());
+    }
+    let next = suspects.quarantine.next_retry(now, fingerprint);
+    Err(next.map_or(Micros::ZERO, |at| at.since(now)))
 }
 
 /// Rank of this process among the entries.
@@ -357,7 +368,12 @@
         &record(ctx, fingerprint),
         "own",
     );
-    broadcast(ctx, strike_update(fingerprint, Some(crash)));
+    let update = strike_update(fingerprint, Some(crash));
+    match run.began {
+        // There are many of these at a crash, and hardly any is its cause.
+        true => update::send(&ctx.socket, &update, ctx.node.cluster.borrow().entries()),
+        false => broadcast(ctx, update),
+    }
 }
 
 fn log_suspected(
