--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -33,8 +33,9 @@
 const EXTENDED_SEEDS: [u64; 2] = [1_002, 1_003];
 /// Seeds that have failed. 3: a stream that its replica ended normally within an event, on a route
 /// whose streams may not be resumed, looked complete to its caller. 12: a request that all callers
-/// send was running at three crashes of engines and was refused for ten minutes as their cause.
-const REGRESSION_SEEDS: [u64; 2] = [3, 12];
+/// send was running at three crashes of engines and was refused for ten minutes as their cause. 9117: a
+/// request and a part of its prompt were both refused, and the request's retry was used up for nothing.
+const REGRESSION_SEEDS: [u64; 3] = [3, 12, 9_117];
 /// Time for which faults are injected in a run.
 const FAULT_DURATION: Duration = Duration::from_secs(4);
 /// Number of concurrent callers.
