Claim the trials of all convicted parts of a request at one entry

All its parts were convicted together while both engines were down, before any complete answer; each part's trial was claimed at another entry, so no entry had those of all parts, and no request passed. Quick trials of ambiguous parts needed a request with a single convicted part.

One entry now claims the trials of all parts of a request, and a request that lacks any convicted part may be a quick trial.

--- a/crates/gate/src/entry/crashing_parts.rs
+++ b/crates/gate/src/entry/crashing_parts.rs
@@ -115,8 +115,8 @@
     match parts.admit(now, &keys(job), rank) {
         Admission::Clear => Ok(false),
         Admission::Trial => Ok(true),
-        Admission::Refused { wait, claim } => {
-            if let Some(claim) = claim {
+        Admission::Refused { wait, claims } => {
+            for claim in claims {
                 tokio::task::spawn_local(part_store::claim(Rc::clone(ctx), claim));
             }
             Err(wait)
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -91,7 +91,7 @@
 }
 
 /// Whether a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// None of its parts is convicted.
     Clear,
@@ -101,8 +101,8 @@
     Refused {
         /// Time until a request with that part may be let through.
         wait: Micros,
-        /// Trial to claim in the store; [`CrashingParts::record_claim`] takes the outcome.
-        claim: Option<Claim>,
+        /// Trials to claim in the store; [`CrashingParts::record_claim`] takes each outcome.
+        claims: Vec<Claim>,
     },
 }
 
@@ -201,13 +201,37 @@
             }
             return Admission::Trial;
         }
-        let sole = convicted.len() == 1;
         let waits = convicted.iter().map(|p| self.wait(now, *p));
         let wait = waits.max().unwrap_or_default();
-        let claim = convicted
-            .into_iter()
-            .find_map(|p| self.conviction_mut(p)?.claim(now, p, sole, process));
-        Admission::Refused { wait, claim }
+        let claims = self.claim(now, &convicted, process);
+        Admission::Refused { wait, claims }
+    }
+
+    /// The trials that this entry claims for a request with these convicted parts, if they are due. One
+    /// entry claims those of all parts, since a request needs all of them.
+    fn claim(&mut self, now: Micros, parts: &[PartKey], process: ProcessRank) -> Vec<Claim> {
+        let Some((lead, trials)) = parts
+            .iter()
+            .filter_map(|p| Some((*p, self.conviction(*p)?.trials)))
+            .min()
+        else {
+            return Vec::new();
+        };
+        let total = process.total.max(1);
+        let assigned = (lead.0 as usize).wrapping_add(trials as usize) % total;
+        let turn = (process.rank + total - assigned) % total;
+        let discerns = parts.len() < self.convicted.len() || parts.len() == 1;
+        let may_claim = |p: &PartKey| {
+            let conviction = self.conviction(*p);
+            conviction.is_some_and(|c| c.may_claim(now, discerns, turn))
+        };
+        if !parts.iter().all(may_claim) {
+            return Vec::new();
+        }
+        let claims = parts
+            .iter()
+            .filter_map(|p| self.conviction_mut(*p)?.claim(now, *p));
+        claims.collect()
     }
 
     /// Whether any of these parts is convicted.
--- a/crates/policy/src/crashing_parts/conviction.rs
+++ b/crates/policy/src/crashing_parts/conviction.rs
@@ -3,8 +3,6 @@
 use model::Micros;
 
 use super::PartKey;
-use crate::quarantine::ProcessRank;
-
 /// Number of requests with a convicted part that are let through, by all entries together.
 pub const TRIALS: u32 = 3;
 /// How long a claimed trial waits for a request.
@@ -85,25 +83,21 @@
         self.granted.is_some_and(|until| now < until)
     }
 
-    /// The trial that an entry claims now, if one is due. `sole` says that the request has no other
-    /// convicted part. Entries claim a trial in an order that all compute alike.
-    pub(super) fn claim(
-        &mut self,
-        now: Micros,
-        part: PartKey,
-        sole: bool,
-        process: ProcessRank,
-    ) -> Option<Claim> {
-        let total = process.total.max(1);
-        let assigned = (part.0 as usize).wrapping_add(self.trials as usize) % total;
-        let turn = (process.rank + total - assigned) % total;
+    /// Whether an entry may claim a trial now, or has one. `turn` is the entry's place in the order in
+    /// which they do, and `discerns` says that the request lacks another convicted part.
+    pub(super) fn may_claim(&self, now: Micros, discerns: bool, turn: usize) -> bool {
         let soon = AMBIGUOUS_TRIALS.get(self.trials as usize);
         let due = match soon {
-            Some(delay) if self.ambiguous && sole => self.tried + *delay,
+            Some(delay) if self.ambiguous && discerns => self.tried + *delay,
             _ => self.next_trial,
         };
         let is_due = now >= due + Micros(TRIAL_STAGGER.0 * turn as u64);
-        if self.claiming || self.is_granted(now) || self.trials >= TRIALS || !is_due {
+        self.is_granted(now) || (!self.claiming && self.trials < TRIALS && is_due)
+    }
+
+    /// The trial that an entry claims now, unless it has one.
+    pub(super) fn claim(&mut self, now: Micros, part: PartKey) -> Option<Claim> {
+        if self.is_granted(now) {
             return None;
         }
         self.claiming = true;
--- a/crates/policy/tests/crashing_parts/sim.rs
+++ b/crates/policy/tests/crashing_parts/sim.rs
@@ -66,6 +66,8 @@
     /// are no requests with it in the last seconds before that.
     pub(crate) first_bad: u64,
     pub(crate) turns_bad: u64,
+    /// Whether all requests share two parts.
+    pub(crate) common: bool,
     /// Share of the harmless requests that have a part which no other request has.
     pub(crate) fresh: f64,
     pub(crate) events: Vec<(u64, Event)>,
@@ -88,6 +90,7 @@
             attempts: 2,
             first_bad: 5,
             turns_bad: 0,
+            common: false,
             fresh: 0.2,
             events: Vec::new(),
             seconds: 70,
@@ -315,8 +318,11 @@
     }
 
     fn request(&mut self, bad: Option<u64>) {
-        let first = PartKey(self.rng.random_range(0..FIRST_PARTS));
-        let document = PartKey(100 + self.rng.random_range(0..DOCUMENTS));
+        let mut first = PartKey(self.rng.random_range(0..FIRST_PARTS));
+        let mut document = PartKey(100 + self.rng.random_range(0..DOCUMENTS));
+        if self.case.common {
+            (first, document) = (PartKey(0), PartKey(100));
+        }
         let parts = match bad {
             Some(bad) if self.case.bad_first => vec![PartKey(BAD + bad), first, document],
             Some(bad) => vec![first, PartKey(BAD + bad), document],
@@ -371,9 +377,9 @@
         if counts {
             self.outcome.good += 1;
         }
-        if let Admission::Refused { claim, .. } = admission {
+        if let Admission::Refused { claims, .. } = admission {
             self.outcome.refused += usize::from(counts);
-            if let Some(claim) = claim {
+            for claim in claims {
                 let answered = self.now + Micros::from_millis(self.rng.random_range(5..40));
                 self.entries[entry].claims.push((answered, claim));
             }
