Spread the trials of ambiguous parts over 17 s, return those not sent

They come at 0, 2 and 15 s now, and a trial whose request was sent to no target waits for the next one.

--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -20,7 +20,7 @@
 use super::refuse::Reason;
 use super::request::Job;
 use super::send::{self, LiveAnswer, SendOutcome};
-use super::{limits, suspects, Ctx};
+use super::{crashing_parts, limits, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -74,13 +74,16 @@
         if job.time_left(ctx.now()) < MIN_TIME_LEFT {
             return last.map(FirstAnswer::Whole).ok_or(timed_out(job));
         }
-        if let Err(remaining) = suspects::may_run(ctx, job) {
-            return Err(match job.run_count {
-                0 => Reason::Quarantined { remaining },
-                _ => Reason::Unknown,
-            });
+        let is_trial = match suspects::may_run(ctx, job) {
+            Ok(is_trial) => is_trial,
+            Err(_) if job.run_count > 0 => return Err(Reason::Unknown),
+            Err(remaining) => return Err(Reason::Quarantined { remaining }),
+        };
+        let picked = pick::pick(ctx, &plan, job);
+        if is_trial && picked.is_err() {
+            crashing_parts::return_trial(ctx, job);
         }
-        let pick = match pick::pick(ctx, &plan, job) {
+        let pick = match picked {
             Ok(p) => p,
             Err(Reason::Loading { remaining }) if is_worth_waiting(job, ctx.now(), remaining) => {
                 // The interval isn't shortened for a load that is overdue: each check would find
@@ -101,6 +104,9 @@
         let (delivered, ran, reason) = match outcome {
             AttemptOutcome::Answered(found) => return Ok(found),
             AttemptOutcome::NotRun { delivered, reason } => {
+                if is_trial && !delivered {
+                    crashing_parts::return_trial(ctx, job);
+                }
                 job.refused_by.push(pick.key);
                 limits::keep(job);
                 (delivered, false, reason)
--- a/crates/gate/src/entry/crashing_parts.rs
+++ b/crates/gate/src/entry/crashing_parts.rs
@@ -124,6 +124,12 @@
     }
 }
 
+/// Returns the trial of a job that was sent to no target.
+pub(super) fn return_trial(ctx: &Ctx, job: &Job) {
+    let mut parts = ctx.crashing_parts.parts.borrow_mut();
+    parts.return_trial(ctx.now(), &keys(job));
+}
+
 /// Sends messages to the other entries for as long as the process runs.
 pub(super) async fn report(ctx: Ctx) {
     loop {
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -138,18 +138,19 @@
 }
 
 /// Whether a job may be sent: either neither it nor a part of its prompt is convicted, or this
-/// process uses one of the retries allowed after a conviction. If not, returns the time until it may
-/// run again.
-pub(super) fn may_run(ctx: &Ctx, job: &Job) -> Result<(), Micros> {
+/// process uses one of the retries allowed after a conviction. Returns whether it is a trial of parts
+/// of its prompt, or the time until it may run again.
+pub(super) fn may_run(ctx: &Ctx, job: &Job) -> Result<bool, Micros> {
     let rank = process_rank(ctx);
     // A trial of a part is one of the request too. A retry is not used up if a part is refused.
-    if crashing_parts::admit(ctx, job, rank)? || verdict(ctx, job) != Verdict::Convicted {
-        return Ok(());
+    let is_trial = crashing_parts::admit(ctx, job, rank)?;
+    if is_trial || verdict(ctx, job) != Verdict::Convicted {
+        return Ok(is_trial);
     }
     let (now, fingerprint) = (ctx.now(), job.fingerprint);
     let mut suspects = ctx.suspects.borrow_mut();
     if suspects.quarantine.take_retry(now, fingerprint, rank) {
-        return Ok(());
+        return Ok(false);
     }
     let next = suspects.quarantine.next_retry(now, fingerprint);
     Err(next.map_or(Micros::ZERO, |at| at.since(now)))
--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -234,6 +234,15 @@
         claims.collect()
     }
 
+    /// Lets the trials of these parts wait for another request, as theirs was sent to no target.
+    pub fn return_trial(&mut self, now: Micros, parts: &[PartKey]) {
+        for part in parts {
+            if let Some(c) = self.conviction_mut(*part) {
+                c.return_trial(now);
+            }
+        }
+    }
+
     /// Whether any of these parts is convicted.
     pub fn is_convicted(&self, parts: &[PartKey]) -> bool {
         parts.iter().any(|p| self.convicted.contains(p))
--- a/crates/policy/src/crashing_parts/conviction.rs
+++ b/crates/policy/src/crashing_parts/conviction.rs
@@ -10,11 +10,8 @@
 /// Time by which each further entry leaves a trial to the entry before it.
 const TRIAL_STAGGER: Micros = Micros::from_millis(500);
 /// Time from the conviction of an ambiguous part to its first trial, and from each trial to the next.
-const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] = [
-    Micros::ZERO,
-    Micros::from_millis(1_500),
-    Micros::from_secs(5),
-];
+const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] =
+    [Micros::ZERO, Micros::from_secs(2), Micros::from_secs(15)];
 
 /// A trial that an entry wants to claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,6 +104,11 @@
         })
     }
 
+    /// Lets a trial wait for another request, as its own was sent to no target.
+    pub(super) fn return_trial(&mut self, now: Micros) {
+        self.granted = Some(now + TRIAL_LEASE);
+    }
+
     /// Records the outcome of a claim.
     pub(super) fn record_claim(
         &mut self,
