Try parts soon wherever several are convicted

Which parts are ambiguous was known only to the entry that had convicted them, and that entry had been killed, so the others waited for the trials of a single part. Any entry now tries parts at 0, 2 and 15 s with a request that lacks another convicted part.

--- a/crates/policy/src/crashing_parts/conviction.rs
+++ b/crates/policy/src/crashing_parts/conviction.rs
@@ -9,8 +9,9 @@
 const TRIAL_LEASE: Micros = Micros::from_secs(10);
 /// Time by which each further entry leaves a trial to the entry before it.
 const TRIAL_STAGGER: Micros = Micros::from_millis(500);
-/// Time from the conviction of an ambiguous part to its first trial, and from each trial to the next.
-const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] =
+/// The same if several parts are convicted, of which some may be harmless, for requests that lack one
+/// of them: time from the conviction to the first trial, and from each trial to the next.
+const QUICK_TRIALS: [Micros; TRIALS as usize] =
     [Micros::ZERO, Micros::from_secs(2), Micros::from_secs(15)];
 
 /// A trial that an entry wants to claim.
@@ -44,9 +45,6 @@
     claiming: bool,
     /// Until when the claimed trial waits for a request.
     pub(super) granted: Option<Micros>,
-    /// Whether another part was convicted at the same moment, so that either may be harmless. Such
-    /// a part is soon tried with a request that has none of the others.
-    pub(super) ambiguous: bool,
     /// When the last trial was claimed, or the part was convicted.
     tried: Micros,
 }
@@ -60,7 +58,6 @@
             next_trial: now,
             claiming: false,
             granted: None,
-            ambiguous: false,
             tried: now,
         };
         conviction.set_trials(now, trials, delays);
@@ -83,9 +80,9 @@
     /// Whether an entry may claim a trial now, or has one. `turn` is the entry's place in the order in
     /// which they do, and `discerns` says that the request lacks another convicted part.
     pub(super) fn may_claim(&self, now: Micros, discerns: bool, turn: usize) -> bool {
-        let soon = AMBIGUOUS_TRIALS.get(self.trials as usize);
+        let soon = QUICK_TRIALS.get(self.trials as usize);
         let due = match soon {
-            Some(delay) if self.ambiguous && discerns => self.tried + *delay,
+            Some(delay) if discerns => self.tried + *delay,
             _ => self.next_trial,
         };
         let is_due = now >= due + Micros(TRIAL_STAGGER.0 * turn as u64);
