--- a/crates/policy/src/crashing_parts/conviction.rs
+++ b/crates/policy/src/crashing_parts/conviction.rs
@@ -14,6 +14,9 @@
 const QUICK_TRIALS: [Micros; TRIALS as usize] =
     [Micros::ZERO, Micros::from_secs(2), Micros::from_secs(15)];
 
+/// Time after which an entry claims again that knew too few trials.
+const OUTDATED_DELAY: Micros = Micros::from_secs(2);
+
 /// A trial that an entry wants to claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claim {
@@ -120,7 +123,12 @@
                 self.granted = Some(now + TRIAL_LEASE);
                 self.set_trials(now, claim.trials + 1, delays);
             }
-            ClaimOutcome::Outdated(trials) => self.set_trials(now, trials, delays),
+            // It isn't known when those trials were; another one may be due.
+            ClaimOutcome::Outdated(trials) => {
+                self.trials = trials;
+                self.tried = now;
+                self.next_trial = now + OUTDATED_DELAY;
+            }
             ClaimOutcome::Unknown => self.next_trial = now + delays[0],
         }
     }
