--- a/crates/policy/src/crashing_parts.rs
+++ b/crates/policy/src/crashing_parts.rs
@@ -220,7 +220,7 @@
         let total = process.total.max(1);
         let assigned = (lead.0 as usize).wrapping_add(trials as usize) % total;
         let turn = (process.rank + total - assigned) % total;
-        let discerns = parts.len() < self.convicted.len();
+        let discerns = parts.len() < self.convicted.len() || parts.len() == 1;
         let may_claim = |p: &PartKey| {
             let conviction = self.conviction(*p);
             conviction.is_some_and(|c| c.may_claim(now, discerns, turn))
@@ -374,6 +374,9 @@
                 continue;
             };
             self.adopt(now, *part, first, 0, true);
+            if let Some(c) = self.conviction_mut(*part).filter(|_| guilty.len() > 1) {
+                c.ambiguous = true;
+            }
             self.outbox.push(now, Item::Convicted(*part));
         }
     }
--- a/crates/policy/src/crashing_parts/conviction.rs
+++ b/crates/policy/src/crashing_parts/conviction.rs
@@ -9,14 +9,10 @@
 const TRIAL_LEASE: Micros = Micros::from_secs(10);
 /// Time by which each further entry leaves a trial to the entry before it.
 const TRIAL_STAGGER: Micros = Micros::from_millis(500);
-/// The same if several parts are convicted, of which some may be harmless, for requests that lack one
-/// of them: time from the conviction to the first trial, and from each trial to the next.
-const QUICK_TRIALS: [Micros; TRIALS as usize] =
+/// Time from the conviction of an ambiguous part to its first trial, and from each trial to the next.
+const AMBIGUOUS_TRIALS: [Micros; TRIALS as usize] =
     [Micros::ZERO, Micros::from_secs(2), Micros::from_secs(15)];
 
-/// Time after which an entry claims again that knew too few trials.
-const OUTDATED_DELAY: Micros = Micros::from_secs(2);
-
 /// A trial that an entry wants to claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Claim {
@@ -48,6 +44,9 @@
     claiming: bool,
     /// Until when the claimed trial waits for a request.
     pub(super) granted: Option<Micros>,
+    /// Whether another part was convicted at the same moment, so that either may be harmless. Such
+    /// a part is soon tried with a request that has none of the others.
+    pub(super) ambiguous: bool,
     /// When the last trial was claimed, or the part was convicted.
     tried: Micros,
 }
@@ -61,6 +60,7 @@
             next_trial: now,
             claiming: false,
             granted: None,
+            ambiguous: false,
             tried: now,
         };
         conviction.set_trials(now, trials, delays);
@@ -83,9 +83,9 @@
     /// Whether an entry may claim a trial now, or has one. `turn` is the entry's place in the order in
     /// which they do, and `discerns` says that the request lacks another convicted part.
     pub(super) fn may_claim(&self, now: Micros, discerns: bool, turn: usize) -> bool {
-        let soon = QUICK_TRIALS.get(self.trials as usize);
+        let soon = AMBIGUOUS_TRIALS.get(self.trials as usize);
         let due = match soon {
-            Some(delay) if discerns => self.tried + *delay,
+            Some(delay) if self.ambiguous && discerns => self.tried + *delay,
             _ => self.next_trial,
         };
         let is_due = now >= due + Micros(TRIAL_STAGGER.0 * turn as u64);
@@ -123,12 +123,7 @@
                 self.granted = Some(now + TRIAL_LEASE);
                 self.set_trials(now, claim.trials + 1, delays);
             }
-            // It isn't known when those trials were; another one may be due.
-            ClaimOutcome::Outdated(trials) => {
-                self.trials = trials;
-                self.tried = now;
-                self.next_trial = now + OUTDATED_DELAY;
-            }
+            ClaimOutcome::Outdated(trials) => self.set_trials(now, trials, delays),
             ClaimOutcome::Unknown => self.next_trial = now + delays[0],
         }
     }
