Identify engines by id and start, and reject reports and rows with missing fields

Sidecars ordered loads from engines whose reports state their start but no id: the missing id was read as an empty one, and engines refused each order as misdirected, without end. The same default stood in reports (a missing count of orders, memory or load), cache events (epoch, next), rows (start) and updates (an empty id).

An engine's incarnation is now its id and its start. The id comes from the report, from the list of targets if the start agrees, or from the engine's own refusal of an order; an id that the engine has denied isn't used again. A delegate's order always names its engine.

--- a/crates/daemon/tests/hosted/store.rs
+++ b/crates/daemon/tests/hosted/store.rs
@@ -155,8 +155,11 @@
 #[tokio::test]
 async fn malformed_target_rows_are_ignored_and_hide_no_target() {
     // Other writers leave target rows with missing or mistyped fields, unknown states, or bytes
-    // that aren't JSON. The well-formed rows must still be used.
-    let (platform, _plain, entry) = fleet().await;
+    // that aren't JSON, or an unknown service. The well-formed rows must still be used.
+    let (platform, plain, entry) = fleet().await;
+    let mut unknown_service = platform.store.read("servers", &plain.id).expect("a row");
+    unknown_service["service"] = "unknown".into();
+    platform.store.write("servers", "x0", &unknown_service);
     platform
         .store
         .write_raw("servers", "x1", b"\xff\xfe not json");
--- a/crates/daemon/tests/hosted/weights.rs
+++ b/crates/daemon/tests/hosted/weights.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{json, Value};
 use standin::hosted::replica::{Fault, Replica};
+use standin::hosted::sample;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
@@ -56,6 +57,74 @@
     assert_eq!(received.headers["cache-salt"], "lekha.2");
 }
 
+#[tokio::test]
+async fn engine_that_states_its_start_but_no_id_is_ordered() {
+    // Guards against orders to an empty or denied id, which the engine refuses without end.
+    struct Case {
+        name: &'static str,
+        listed: &'static str,
+        start: u64,
+    }
+    let cases = [
+        Case {
+            name: "listed under its id and start",
+            listed: "e1",
+            start: 1,
+        },
+        Case {
+            name: "listed under the id of another engine",
+            listed: "other",
+            start: 1,
+        },
+    ];
+    for c in cases {
+        let mut platform = Platform::start().await;
+        let engine = Replica::new("e1", 2, Duration::ZERO);
+        engine.set_version(MODEL, 1);
+        engine.set_born(c.start);
+        let at = platform.start_replica(&engine).await;
+        let row = sample::entry(&engine, "engines", at, "ready", c.start);
+        platform.store.write("servers", c.listed, &row);
+        let _entry = platform.entry("front-1", 1).await;
+        let sidecar = platform.sidecar("side-1", at);
+        let announcement = json!({"model": MODEL, "version": 2});
+        platform.store.write("op", "version/lekha", &announcement);
+        sidecar
+            .wait_for_event("ordered", |e| e["outcome"] == "begun")
+            .await;
+        let orders = engine.orders();
+        assert_eq!(orders.len(), 1, "{}: {orders:?}", c.name);
+        assert_eq!(orders[0]["meant"], "e1", "{}", c.name);
+    }
+}
+
+#[tokio::test]
+async fn engine_that_restarts_under_its_id_is_ordered_again() {
+    // Guards against the count of orders and the identity of an engine's former start.
+    let mut platform = Platform::start().await;
+    let engine = Replica::new("e1", 2, Duration::ZERO);
+    engine.set_version(MODEL, 1);
+    engine.set_born(1);
+    let at = platform.replica(&engine, "engines").await;
+    let _entry = platform.entry("front-1", 1).await;
+    let sidecar = platform.sidecar("side-1", at);
+    for version in [2, 3] {
+        let announcement = json!({"model": MODEL, "version": version});
+        platform.store.write("op", "version/lekha", &announcement);
+        sidecar
+            .wait_for_event("ordered", |e| {
+                e["outcome"] == "begun" && e["version"] == version
+            })
+            .await;
+        engine.restart_under_its_id(version);
+        platform.list_incarnation(&engine, "engines", at, "ready", version);
+    }
+    let orders = engine.orders();
+    assert_eq!(orders.len(), 2, "{orders:?}");
+    assert_eq!(orders[1]["expected"], 0);
+    assert_eq!(orders[1]["meant"], "e1");
+}
+
 #[tokio::test]
 async fn restarted_sidecar_orders_with_a_higher_fencing_token() {
     // A sidecar that is killed loses its state. If its next order doesn't carry a higher token than
--- a/crates/gate/src/agent/mod.rs
+++ b/crates/gate/src/agent/mod.rs
@@ -96,6 +96,8 @@
     pub(crate) boot: Option<Boot>,
     /// Previous incarnation of the engine, if known.
     previous: Option<Boot>,
+    /// Incarnation that the engine has last denied to be.
+    denied: Option<Boot>,
     /// When the engine last became reachable.
     alive_since: Micros,
     /// Parts in the engine's cache.
@@ -126,6 +128,7 @@
             events_failed: false,
             boot: None,
             previous: None,
+            denied: None,
             alive_since: Micros::ZERO,
             cache: Cache::default(),
             part_changes: Vec::new(),
@@ -152,18 +155,32 @@
         }
     }
 
-    /// Records the engine's incarnation. The previous incarnation is ignored: an entry that hasn't
-    /// read the list of targets since that one ended still reports it.
+    /// Records the engine's incarnation as an entry has read it from the list of targets. The entry's
+    /// list may be out of date: an incarnation that has ended, or that the engine has denied to be, is
+    /// ignored.
     pub(crate) fn identify(&mut self, boot: Boot) {
-        if self.previous.as_ref() != Some(&boot) {
+        let report = self.report.as_ref();
+        let reported = report.and_then(|r| r.born).unwrap_or(boot.born);
+        let outdated = boot.born != 0 && boot.born != reported;
+        let ruled_out = [&self.previous, &self.denied].contains(&&Some(boot.clone()));
+        if !outdated && !ruled_out {
             self.boot = Some(boot);
         }
     }
 
+    /// Records that the engine isn't the incarnation that an order was sent to, and which id it states.
+    fn record_misdirected(&mut self, id: Option<String>) {
+        self.denied = self.boot.take().or(self.denied.take());
+        let born = self.report.as_ref().and_then(|r| r.born).unwrap_or(0);
+        // A delegate's engine is the listed one; another engine at its address has another delegate.
+        self.boot = id
+            .filter(|_| self.kind == Kind::Sidecar)
+            .map(|id| Boot { id, born });
+    }
+
     /// Whether entries have to be queried for the engine's incarnation.
     pub(crate) fn needs_identity(&self) -> bool {
-        let unidentified = |r: &Report| r.boot.is_none();
-        self.alive && self.boot.is_none() && self.report.as_ref().is_some_and(unidentified)
+        self.alive && self.boot.is_none() && self.report.is_some()
     }
 
     /// Records that the whole system starts for the first time.
@@ -215,6 +232,21 @@
         }
     }
 
+    /// Updates the engine's incarnation from its report. An engine may restart under its id, and may
+    /// state its start but not its id.
+    fn record_incarnation(&mut self, report: &Report) {
+        let started = |b: &Boot| report.born.is_none_or(|at| b.born == 0 || b.born == at);
+        if self.boot.as_ref().is_some_and(|b| !started(b)) {
+            self.previous = self.boot.take();
+        }
+        if let (Some(id), Some(born)) = (&report.id, report.born) {
+            self.boot = Some(Boot {
+                id: id.clone(),
+                born,
+            });
+        }
+    }
+
     /// Records the engine's report, or the failure to read it.
     fn record_report(&mut self, now: Micros, report: Result<Report, EngineError>) {
         if report.is_ok() && !self.alive {
@@ -231,6 +263,7 @@
             self.previous = self.boot.take().or(self.previous.take());
         }
         if let Ok(report) = report {
+            self.record_incarnation(&report);
             self.rollout.update_order_count(now, report.seq);
             self.report = Some(report);
         }
--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -383,8 +383,9 @@
     let (Some(pending), Some(report)) = (&r.pending, &a.report) else {
         return (r.slots.step(now, peers, false, 0), None);
     };
-    let boot = report.boot.as_ref().or(a.boot.as_ref());
-    let identified = boot.is_some() || now.since(a.alive_since) > IDENTITY_WAIT;
+    // The engine at a delegate's address may be another one, so a delegate's order names its engine.
+    let waited = a.kind == Kind::Sidecar && now.since(a.alive_since) > IDENTITY_WAIT;
+    let identified = a.boot.is_some() || waited;
     let can_order = !report.busy && identified;
     let step = r.slots.step(now, peers, can_order, rand::random());
     let order = step.orders.then(|| Order {
@@ -392,7 +393,7 @@
         fencing_token: r.fencing_token,
         expected_seq: report.seq,
         active_requests: report.active,
-        engine_id: boot.map(|b| b.id.clone()),
+        engine_id: a.boot.as_ref().map(|b| b.id.clone()),
         claimed_at: now,
         skipped: step.skipped,
     });
@@ -421,6 +422,9 @@
     let result = replica::send_order(conn, &load, ENGINE_TIMEOUT).await;
     let outcome = load_outcome(&result);
     let mut a = agent.borrow_mut();
+    if let Err(EngineError::Misdirected(id)) = &result {
+        a.record_misdirected(id.clone());
+    }
     if may_be_accepted(&result) {
         a.rollout.holder.record_order();
     }
@@ -456,6 +460,7 @@
 fn may_be_accepted(result: &Result<OrderOutcome, EngineError>) -> bool {
     match result {
         Ok(outcome) => *outcome == OrderOutcome::Accepted,
+        Err(EngineError::Misdirected(_)) => false,
         Err(EngineError::Refused(status)) => !status.is_client_error(),
         Err(e) => !e.is_unsent(),
     }
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -7,10 +7,11 @@
 //! and the requests already under way fit into that time.
 
 use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::Micros;
+use model::{Micros, Position};
 use platform::store::TARGETS_TABLE;
 use platform::{Row, Store, StoreError};
 use policy::pollers::Pollers;
@@ -45,6 +46,8 @@
     read_wanted: Notify,
     /// The poller that last reported a change.
     change_reporter: Cell<Option<SocketAddr>>,
+    /// Malformed rows of the last list, by key, which have been logged.
+    bad_rows: RefCell<HashMap<String, Position>>,
 }
 
 impl ListState {
@@ -194,7 +197,12 @@
             true => own.merge(at, list.rows),
             false => own.replace(at, list.rows),
         }
-        decode_targets(own.rows())
+        let targets = decode_targets(own.rows(), &ctx.list.bad_rows);
+        let known = |pool: &str| {
+            let plan = cluster.plan.as_ref();
+            plan.is_none_or(|p| p.pool(pool).is_some())
+        };
+        without_foreign(targets, known)
     };
     let listed = targets.len();
     let previous = ctx.list.own_hash.replace(list_hash(&targets));
@@ -286,20 +294,42 @@
     }
 }
 
-/// Decodes the targets of all rows, and skips and logs rows that are invalid.
-fn decode_targets<'a>(rows: impl Iterator<Item = &'a Row>) -> Vec<Target> {
+/// Decodes the targets of all rows. Malformed rows are skipped, and logged when they change.
+fn decode_targets<'a>(
+    rows: impl Iterator<Item = &'a Row>,
+    logged: &RefCell<HashMap<String, Position>>,
+) -> Vec<Target> {
     let mut targets = Vec::new();
+    let mut bad = HashMap::new();
     for row in rows {
         let Some(value) = &row.value else {
             continue;
         };
         match platform::directory::decode_target(&row.key, row.at, value) {
             Ok(target) => targets.push(target),
-            Err(e) => log::event(&Event::BadRow {
-                key: &row.key,
-                error: &e.to_string(),
-            }),
+            Err(e) => {
+                bad.insert(row.key.clone(), row.at);
+                if logged.borrow().get(&row.key) != Some(&row.at) {
+                    log::event(&Event::BadRow {
+                        key: &row.key,
+                        error: &e.to_string(),
+                    });
+                }
+            }
         }
     }
+    logged.replace(bad);
+    targets
+}
+
+/// Removes targets of unknown pools at the address of a target of a known one. Another writer may
+/// have written their rows, which would hide the other target, as only one counts at an address.
+fn without_foreign(mut targets: Vec<Target>, known: impl Fn(&str) -> bool) -> Vec<Target> {
+    let addrs: HashSet<_> = targets
+        .iter()
+        .filter(|t| known(&t.pool))
+        .map(|t| t.addr)
+        .collect();
+    targets.retain(|t| known(&t.pool) || !addrs.contains(&t.addr));
     targets
 }
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -77,7 +77,7 @@
     let origins = RefCell::default();
     loop {
         let (update, from) = update::receive(socket).await;
-        if let Some(incarnation) = &update.life {
+        if let Some(incarnation) = update.life.as_ref().filter(|i| !i.id.is_empty()) {
             agent.borrow_mut().identify(Boot {
                 id: incarnation.id.clone(),
                 born: incarnation.born,
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -58,6 +58,8 @@
     pub engine: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the deployment's engines run short of room at times, so that entries share it out.
+    pub pressure: bool,
     /// Interval at which a target renews its entry in the store.
     pub heartbeat: Duration,
     /// Limits that the platform guarantees or requires.
--- a/crates/site/src/target.rs
+++ b/crates/site/src/target.rs
@@ -61,8 +61,10 @@
 /// State that an engine reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
-    /// Incarnation of the engine, if reported.
-    pub boot: Option<Boot>,
+    /// Id of the engine, if reported.
+    pub id: Option<String>,
+    /// Start time of the engine in milliseconds of its own clock, if reported.
+    pub born: Option<u64>,
     /// Loaded weights.
     pub weights: Vec<Weights>,
     /// Whether the engine is executing an order.
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -107,6 +107,8 @@
     orders: Vec<Value>,
     versions: HashMap<String, u64>,
     seq: u64,
+    /// Start time in the report, which has no id.
+    born: Option<u64>,
     /// How long a load of weights takes.
     load_time: Duration,
     /// The load in progress, if any.
@@ -277,6 +279,11 @@
         lock(&self.state).load_time = load_time;
     }
 
+    /// Sets the start time that the report states; the report has no id.
+    pub fn set_born(&self, born: u64) {
+        lock(&self.state).born = Some(born);
+    }
+
     /// From now on carries out orders at once, but delays the answers to them.
     pub fn set_order_delay(&self, order_delay: Duration) {
         lock(&self.state).order_delay = order_delay;
@@ -325,6 +332,12 @@
         state.cache.restart();
     }
 
+    /// Restarts the replica under its id; its report states the new start.
+    pub fn restart_under_its_id(&self, born: u64) {
+        self.restart();
+        self.set_born(born);
+    }
+
     /// Number of restarts.
     pub fn restarts(&self) -> u64 {
         lock(&self.state).restarts
@@ -425,7 +438,11 @@
                 let instance = parts.headers.get("expect-instance");
                 let instance = instance.and_then(|v| v.to_str().ok());
                 let answer = match instance {
-                    Some(id) if id != self.id => reply(StatusCode::MISDIRECTED_REQUEST, ""),
+                    Some(id) if id != self.id => {
+                        let mut answer = reply(StatusCode::MISDIRECTED_REQUEST, "");
+                        set_header(&mut answer, "instance-id", &self.id);
+                        answer
+                    }
                     _ => self.order(&body, instance),
                 };
                 let order_delay = lock(&self.state).order_delay;
@@ -599,8 +616,13 @@
             .iter()
             .map(|(m, v)| json!({"name": m, "version": v, "adapters": []}))
             .collect();
-        json!({"stage": "unified", "models": models, "busy": busy, "seq": state.seq,
-            "queued": 0, "active": state.running, "kv_used": 0, "kv_total": 100_000, "runs": []})
+        let mut report = json!({"stage": "unified", "models": models, "busy": busy,
+            "seq": state.seq, "queued": 0, "active": state.running, "kv_used": 0,
+            "kv_total": 100_000, "runs": []});
+        if let Some(born) = state.born {
+            report["born"] = born.into();
+        }
+        report
     }
 
     fn order(&self, body: &Bytes, instance: Option<&str>) -> Response<Body> {
