Send long answers to engines that don't load before they end

Sidecars estimate when their engine's turn to load comes and add it to their updates. Entries estimate how long an answer takes and count the part after the load against an engine, in proportion to the latency goal. Effective where the settings name `pressure`.

--- a/crates/gate/src/agent/report.rs
+++ b/crates/gate/src/agent/report.rs
@@ -115,6 +115,7 @@
 pub(super) fn without_times(update: &Update) -> Update {
     Update {
         due_ms: update.due_ms.map(|_| 0),
+        load_in_ms: update.load_in_ms.map(|_| 0),
         loading_ms: update.loading_ms.map(|_| 0),
         ordered_ms: update.ordered_ms.map(|_| 0),
         sent_us: 0,
--- a/crates/gate/src/agent/weights.rs
+++ b/crates/gate/src/agent/weights.rs
@@ -144,6 +144,7 @@
         update.due_ms = state.due.map(ms);
         update.loading_ms = state.loading.map(ms);
         update.load_ms = state.load_time.map(ms);
+        update.load_in_ms = self.slots.time_to_load().map(ms);
         update.wanted = state.desired;
         update.claims = state.claims;
         update.process = self.process;
--- a/crates/gate/src/entry/candidates.rs
+++ b/crates/gate/src/entry/candidates.rs
@@ -7,6 +7,7 @@
 use model::Micros;
 use policy::engine_load::{self, Load};
 use policy::length_partition;
+use policy::load_overlap;
 use policy::prefill_priority;
 use policy::ttft_placement::{Candidate, Source, Sources};
 use policy::versions::Versions;
@@ -44,6 +45,10 @@
     pub(super) max_order_penalty: f64,
     /// Milliseconds to prefill a token.
     pub(super) prefill_per_token: f64,
+    /// Expected milliseconds from the first event to the last, if loads of weights during the answer count.
+    pub(super) answer_ms: Option<f64>,
+    /// Latency goal of the route in milliseconds.
+    pub(super) latency_goal: f64,
     /// Ids of the engines that are reserved for long prompts, if any.
     pub(super) long_engines: Option<HashSet<String>>,
 }
@@ -64,26 +69,48 @@
             )
         });
         let load = self.load(r, self.prompt.input_tokens.saturating_sub(held));
+        let wait = load.wait(
+            self.prompt.input_tokens + self.prompt.max_output_tokens,
+            self.prefill_per_token,
+        );
+        let missing = self.prompt.input_tokens.saturating_sub(held);
+        let first = wait + f64::from(missing) * self.prefill_per_token;
         let version = r.weights.get(&self.prompt.model);
         let outdated = version.and_then(|v| self.announced.outdated(self.now, *v));
         Candidate {
             key,
             addr: r.target.addr,
             domain: domain_key(&r.target.domain),
-            wait: load.wait(
-                self.prompt.input_tokens + self.prompt.max_output_tokens,
-                self.prefill_per_token,
-            ),
+            wait,
             prefill_per_token: self.prefill_per_token,
             held,
             eviction_cost: self.prefill_per_token * EVICTION_COST_SHARE,
             network_delay: delay,
-            penalty: mismatch + self.order_penalty(r),
+            penalty: mismatch + self.order_penalty(r) + self.overlap_penalty(r, first),
             cost_factor: failure_factor(r, self.now)
                 * engine_load::outdated_weights_factor(outdated),
         }
     }
 
+    /// Milliseconds that count against an engine because it loads new weights before the answer ends, if the
+    /// first event is expected after `first` milliseconds.
+    fn overlap_penalty(&self, r: &Replica, first: f64) -> f64 {
+        let Some(answer) = self.answer_ms else {
+            return 0.0;
+        };
+        let report = r
+            .agent_report
+            .filter(|report| self.now.since(report.at) < REPORT_LIFETIME);
+        let Some((load_in, at)) = report.and_then(|r| Some((r.load_in?, r.at))) else {
+            return 0.0;
+        };
+        let load = (at + load_in).since(self.now).as_millis() as f64;
+        load_overlap::penalty(
+            load_overlap::lost_share(load, first, answer),
+            self.latency_goal,
+        )
+    }
+
     /// Load of an engine for a prompt of which it has to prefill `tokens` tokens.
     fn load(&self, r: &Replica, tokens: u32) -> Load {
         let Some(report) = r
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -36,6 +36,7 @@
 use std::time::Duration;
 
 use model::Micros;
+use policy::load_overlap::AnswerTime;
 use policy::prefill_rate::PrefillRate;
 use policy::subscription::{self, Sidecar};
 use policy::{length_partition, retry_budget, stream_origin};
@@ -105,6 +106,8 @@
     target_limits: RefCell<target_limits::State>,
     /// Prefill rates of engines, by pool.
     prefill_rates: RefCell<HashMap<String, PrefillRate>>,
+    /// Durations of engines' answers, by pool.
+    answer_times: RefCell<HashMap<String, AnswerTime>>,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
     /// Whether new requests are refused because the process is about to exit.
@@ -201,6 +204,7 @@
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
+        answer_times: RefCell::default(),
         socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -91,9 +91,10 @@
     engine: Engine,
 ) -> Result<Pick, Reason> {
     let now = ctx.now();
-    let (domain, allowed) = {
+    let (domain, allowed, pressure) = {
         let s = ctx.node.settings.borrow();
-        (s.domain.clone(), Micros::from(s.bounds.weights_deadline))
+        let allowed = Micros::from(s.bounds.weights_deadline);
+        (s.domain.clone(), allowed, s.pressure)
     };
     let announced = ctx
         .node
@@ -156,6 +157,8 @@
         max_order_penalty: MAX_ORDER_PENALTY
             + f64::from(missing) * prefill_per_token * COLD_PENALTY_SHARE,
         prefill_per_token,
+        answer_ms: pressure.then(|| answer_ms(ctx, job, prompt)),
+        latency_goal: job.route.latency_goal.as_secs_f64() * 1e3,
     };
     // Engines with the same weights share their sources; rarely more than two or three versions are
     // loaded at the same time.
@@ -216,6 +219,13 @@
     })
 }
 
+/// Milliseconds that the answer is expected to take after its first event.
+fn answer_ms(ctx: &Ctx, job: &Job, prompt: &Prompt) -> f64 {
+    let times = ctx.answer_times.borrow();
+    let time = times.get(&job.pool).copied().unwrap_or_default();
+    time.estimate(prompt.max_output_tokens)
+}
+
 /// The KV store to which an engine saves the prompt's shared parts: the store that the subject
 /// hashes to, if it lacks enough of them.
 ///
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -269,9 +269,25 @@
             .record_success(live.in_flight.key());
     }
 
+    /// Records how long the answer took from its first event, if a single replica gave it.
+    fn record_answer_time(&self) {
+        let (Some(prompt), Some(first)) = (&self.job.prompt, self.first_event_after) else {
+            return;
+        };
+        if self.job.send_count > 1 {
+            return;
+        }
+        let after: Duration = self.ctx.now().since(self.job.received_at).into();
+        let ms = after.saturating_sub(first).as_secs_f64() * 1e3;
+        let mut times = self.ctx.answer_times.borrow_mut();
+        let time = times.entry(self.job.pool.clone()).or_default();
+        time.record(prompt.max_output_tokens, ms);
+    }
+
     /// Records that the replica completed the stream, and returns its connection to the pool.
     fn finish(&mut self) {
         self.end = End::Whole;
+        self.record_answer_time();
         if let Some(live) = self.live.take() {
             let sent_to = live.in_flight.sent_to();
             suspects::record_end(&self.ctx, &self.job, live.head.delimited, sent_to);
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -49,6 +49,8 @@
     /// Whether the engine's slot to load weights has come: new requests sent there are refused or
     /// interrupted by the load.
     pub due_to_load: bool,
+    /// Estimated time from the report until the engine starts to load newer weights, if it lacks them.
+    pub load_in: Option<Micros>,
     /// Remaining time of the load at the time of the report, if the engine is loading weights.
     pub remaining_load: Option<RemainingLoad>,
     /// Prompt tokens of all entries that the engine has yet to prefill, by tier
@@ -83,6 +85,7 @@
             memory_used: update.used,
             memory_total: update.total,
             due_to_load: update.due_ms.is_some(),
+            load_in: update.load_in_ms.map(time),
             remaining_load: update
                 .loading_ms
                 .map(|ms| RemainingLoad::new(time(ms), update.load_ms.map(time))),
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -53,6 +53,9 @@
     /// Milliseconds since the engine started to load weights, if it is loading.
     #[prost(uint32, optional, tag = "24")]
     pub loading_ms: Option<u32>,
+    /// Estimated milliseconds until the engine starts to load newer weights, if it lacks them.
+    #[prost(uint32, optional, tag = "49")]
+    pub load_in_ms: Option<u32>,
     /// Duration of a load in milliseconds, if the agent knows it.
     #[prost(uint32, optional, tag = "25")]
     pub load_ms: Option<u32>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod length_partition;
 pub mod limit;
 pub mod liveness;
+pub mod load_overlap;
 pub mod loading;
 pub mod misdirected;
 pub mod pollers;
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -85,8 +85,26 @@
     pub outdated_for: Micros,
 }
 
+/// Time from a free slot to the order: one exchange of queries and answers, and one poll of the sidecar.
+const CLAIM_TIME: Micros = Micros::from_millis(150);
+/// Duration of a load that is assumed until one was observed.
+const INITIAL_LOAD_TIME: Micros = Micros::from_millis(400);
+
 /// Whether an engine that lacks the newest weights is due to load.
 pub fn is_due(config: &Config, pool: &Pool<'_>, own: &Engine) -> bool {
+    let (ahead, slots) = place(config, pool, own);
+    ahead < slots
+}
+
+/// Estimated time until an engine that lacks the newest weights starts to load; zero if it is due.
+pub fn time_to_load(config: &Config, pool: &Pool<'_>, own: &Engine) -> Micros {
+    let (ahead, slots) = place(config, pool, own);
+    let round = pool.load_time.unwrap_or(INITIAL_LOAD_TIME) + CLAIM_TIME;
+    Micros(round.0 * (ahead / slots) as u64)
+}
+
+/// Number of engines that load or will load before this one, and number of slots.
+fn place(config: &Config, pool: &Pool<'_>, own: &Engine) -> (usize, usize) {
     let is_stuck = |e: &&Engine| e.due.is_some_and(|d| d > config.stuck_after);
     let others = pool.others.iter().filter(|e| !is_stuck(e));
     let is_waiting = |e: &&Engine| e.version < pool.newest && e.loading.is_none();
@@ -97,7 +115,7 @@
         .filter(|e| load_order(e) < load_order(own))
         .count();
     let pending = waiting.count() + 1;
-    before + loading < max_loading(config, pool, pending)
+    (before + loading, max_loading(config, pool, pending))
 }
 
 /// Sort key of the engines that wait to load.
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -237,6 +237,8 @@
     desired: u64,
     /// When the engine became due to load.
     due_since: Option<Micros>,
+    /// Estimated time until the engine starts to load, if it lacks the newest weights.
+    time_to_load: Option<Micros>,
     /// When the first of the orders was sent that haven't led to a load yet.
     first_order: Option<Micros>,
     /// Number of those orders.
@@ -271,6 +273,7 @@
             model: ModelKey(0),
             desired: 0,
             due_since: None,
+            time_to_load: None,
             first_order: None,
             failed_orders: 0,
             paused_until: Micros::ZERO,
@@ -424,6 +427,7 @@
             return self.clear_schedule();
         };
         if self.loading.is_some() {
+            self.time_to_load = None;
             return;
         }
         self.model = outdated.model;
@@ -440,6 +444,16 @@
         // with each of their claims.
         let waits = !waiting_for_updates && self.is_due(now, group, outdated, |_| false);
         self.due_since = waits.then(|| self.due_since.unwrap_or(now));
+        self.time_to_load = Some(match self.due {
+            true => Micros::ZERO,
+            false => self.start_delay(now, group, outdated, |_| true),
+        });
+    }
+
+    /// Estimated time until the engine starts to load, as of the last [`Self::schedule`]; `None` if it is up to
+    /// date or loading.
+    pub fn time_to_load(&self) -> Option<Micros> {
+        self.time_to_load
     }
 
     /// Advances the claim of a slot if the engine is due to load and `orderable`. Once the slot is taken the
@@ -578,6 +592,7 @@
         self.failed_orders = 0;
         self.desired = 0;
         self.due_since = None;
+        self.time_to_load = None;
     }
 
     /// Valid updates of the peers themselves.
@@ -700,12 +715,24 @@
         outdated: &OutdatedWeights<'_>,
         counts: impl Fn(&State) -> bool,
     ) -> bool {
+        self.start_delay(now, group, outdated, counts) == Micros::ZERO
+    }
+
+    /// Estimated time until the engine starts to load; zero if it is due.
+    fn start_delay(
+        &self,
+        now: Micros,
+        group: &Group,
+        outdated: &OutdatedWeights<'_>,
+        counts: impl Fn(&State) -> bool,
+    ) -> Micros {
         let config = rollout::Config::default();
         let announced = outdated.announced;
         let others = self.other_engines(now, outdated, counts);
         if others.is_empty() && group.hosts > 1 {
             let start = rollout::isolated_start(&config, group.rank, group.hosts, group.allowed);
-            return now >= STARTUP_WAIT.max(announced.received_at() + start);
+            let start = STARTUP_WAIT.max(announced.received_at() + start);
+            return start.since(now);
         }
         let oldest = others.iter().map(|o| o.version).min();
         let oldest = oldest.unwrap_or(outdated.version).min(outdated.version);
@@ -722,7 +749,7 @@
             loading: None,
             due: self.due_since.map(|at| now.since(at)),
         };
-        rollout::is_due(&config, &pool, &own)
+        rollout::time_to_load(&config, &pool, &own)
     }
 }
 
