Tell a crash from a complete answer by a connection opened before its end

Cause: after a stream with neither a length nor chunks, an entry connects to the target again 20 ms later, and counts the answer as complete if that works. An engine that is back by then, or a process in front of it, accepts the connection, so a prompt part that crashes its engine between two events had complete answers and was never convicted.

Change: the connection is opened when the head of such an answer arrives, and the answer counts as complete only if it is still open 20 ms after the end. It is one connection per answer as before, and serves the next request. If it is closed although the target is reached, whether the target's end becomes known within 5 s decides.

--- a/crates/daemon/tests/hosted/crashing_parts.rs
+++ b/crates/daemon/tests/hosted/crashing_parts.rs
@@ -16,8 +16,6 @@
 const EVENTS: u64 = 5;
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(3);
-/// Time from an engine's crash to its next start.
-const RESTART_TIME: Duration = Duration::from_millis(150);
 /// Interval between two checks for crashed engines.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Crashes after which requests with a part are counted, and how many may still follow.
@@ -45,6 +43,8 @@
     first: bool,
     bad_parts: usize,
     undelimited: bool,
+    /// Time from an engine's crash to its next start.
+    restart_time: Duration,
 }
 
 impl Default for Case {
@@ -56,6 +56,7 @@
             first: false,
             bad_parts: 1,
             undelimited: false,
+            restart_time: Duration::from_millis(150),
         }
     }
 }
@@ -126,14 +127,14 @@
     }
 
     /// Starts engines again after their crashes, under their ids.
-    async fn restart_engines(&self) {
+    async fn restart_engines(&self, restart_time: Duration) {
         let mut incarnations = [1; ENGINES];
         loop {
             for (engine, incarnation) in self.engines.iter().zip(&mut incarnations) {
                 if !engine.is_down() {
                     continue;
                 }
-                sleep(RESTART_TIME).await;
+                sleep(restart_time).await;
                 *incarnation += 1;
                 let at = engine.addr().expect("an address");
                 self.platform
@@ -208,6 +209,25 @@
     }
 }
 
+/// Parts that crash engines between two events of a stream with neither a length nor chunks, whose
+/// answers look complete.
+#[tokio::test]
+async fn part_that_crashes_engines_between_events_is_refused() {
+    // Guards against taking a crash for a complete answer because the engine's next start, or a
+    // process in front of the engine, accepts connections right after it.
+    let between = Case {
+        point: CrashPoint::BetweenEvents,
+        undelimited: true,
+        ..Case::default()
+    };
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "restarts later", ..between },
+        Case { name: "restarts at once", restart_time: Duration::ZERO, ..between },
+    ];
+    run_cases(cases).await;
+}
+
 #[tokio::test]
 async fn part_that_crashes_engines_is_refused_and_others_are_served() {
     // Guards against requests that crash one engine after the other although no two are alike, and
@@ -222,11 +242,15 @@
         Case { name: "one entry", entries: 1, ..Case::default() },
         Case { name: "two bad parts", bad_parts: 2, ..Case::default() },
     ];
+    run_cases(cases).await;
+}
+
+async fn run_cases(cases: impl IntoIterator<Item = Case>) {
     for case in cases {
         let fleet = Arc::new(Fleet::start(&case).await);
         let mut restarts = JoinSet::new();
         let restarting = Arc::clone(&fleet);
-        restarts.spawn(async move { restarting.restart_engines().await });
+        restarts.spawn(async move { restarting.restart_engines(case.restart_time).await });
         // The shared parts are known from earlier answers.
         for number in 0..8 {
             let entry = &fleet.entries[number % case.entries];
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -264,7 +264,7 @@
 }
 
 /// Handles an answer whose head has been received.
-async fn handle_answer(ctx: &Ctx, job: &Job, live: LiveAnswer) -> AttemptOutcome {
+async fn handle_answer(ctx: &Ctx, job: &Job, mut live: LiveAnswer) -> AttemptOutcome {
     let status = live.response.status();
     let succeeded = status.is_success();
     let key = live.in_flight.key();
@@ -283,6 +283,7 @@
     let left = job.time_left(ctx.now()) + ANSWER_GRACE;
     let sent_to = live.in_flight.sent_to();
     let (not_run, delimited) = (live.head.not_run, live.head.delimited);
+    let witness = live.witness.take();
     let whole = match timeout(left, collect(ctx, live)).await {
         Ok(Some(w)) => w,
         _ => {
@@ -303,7 +304,7 @@
     }
     drop(fleet);
     match status {
-        s if s.is_success() => suspects::record_end(ctx, job, delimited, sent_to),
+        s if s.is_success() => suspects::record_end(ctx, job, delimited, sent_to, witness),
         s if s.is_client_error() => suspects::record_rejection(ctx, job),
         _ => {}
     }
@@ -335,6 +336,7 @@
         head,
         connection,
         in_flight,
+        witness: _,
     } = live;
     let (mut parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER)
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -272,9 +272,10 @@
     /// Records that the replica completed the stream, and returns its connection to the pool.
     fn finish(&mut self) {
         self.end = End::Whole;
-        if let Some(live) = self.live.take() {
-            let sent_to = live.in_flight.sent_to();
-            suspects::record_end(&self.ctx, &self.job, live.head.delimited, sent_to);
+        if let Some(mut live) = self.live.take() {
+            let (sent_to, witness) = (live.in_flight.sent_to(), live.witness.take());
+            let delimited = live.head.delimited;
+            suspects::record_end(&self.ctx, &self.job, delimited, sent_to, witness);
             let mut fleet = self.ctx.fleet.borrow_mut();
             let replica = fleet.replicas.get_mut(live.in_flight.key());
             if let (Some(r), false) = (replica, live.head.closes) {
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -14,6 +14,7 @@
 use platform::replica::{self, AddedHeaders, AnswerHead};
 use policy::prefill_priority;
 use site::{Boot, Part};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -178,6 +179,25 @@
     pub(super) connection: Connection,
     /// Accounting of the request at the target.
     pub(super) in_flight: InFlight,
+    /// Shows whether the target outlives an answer that has neither a length nor chunks.
+    pub(super) witness: Option<Witness>,
+}
+
+/// A connection that is opened while an answer arrives. It breaks with the target's process, while a
+/// connection that is opened after the answer may reach the next start of the target.
+#[derive(Debug)]
+pub(super) struct Witness(JoinHandle<Option<Connection>>);
+
+impl Witness {
+    fn open(addr: SocketAddr) -> Self {
+        Self(tokio::task::spawn_local(connect(addr)))
+    }
+
+    /// The connection, if it was opened and hasn't been closed.
+    pub(super) async fn connection(self) -> Option<Connection> {
+        let opened = timeout(REACH_TIMEOUT, self.0).await.ok()?;
+        opened.ok()?.filter(|c| !c.send.is_closed())
+    }
 }
 
 /// Outcome of sending a request.
@@ -342,6 +362,12 @@
         }
         _ if !at_build => SendOutcome::Unknown("another build's answer"),
         _ => SendOutcome::Answer(Box::new(LiveAnswer {
+            // Only prompts with shared parts need it.
+            witness: job
+                .prompt
+                .as_ref()
+                .filter(|p| !head.delimited && !p.shared().is_empty())
+                .map(|_| Witness::open(pick.addr)),
             response,
             head,
             connection,
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -24,7 +24,7 @@
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use super::request::Job;
-use super::send::{self, SentTo};
+use super::send::{self, SentTo, Witness};
 use super::{crashing_parts, Ctx};
 use crate::log::{self, Event};
 use crate::update::{self, Strike, Update};
@@ -188,7 +188,13 @@
 
 /// Records the end of a successful answer from a target. If it has neither a length nor chunks, only
 /// the target's state shows whether it was complete.
-pub(super) fn record_end(ctx: &Ctx, job: &Job, delimited: bool, to: SentTo) {
+pub(super) fn record_end(
+    ctx: &Ctx,
+    job: &Job,
+    delimited: bool,
+    to: SentTo,
+    witness: Option<Witness>,
+) {
     if delimited {
         return clear(ctx, &Run::new(ctx, job, to.at));
     }
@@ -201,17 +207,32 @@
         true => strike_all(ctx, &[run.request], run.crash),
         // Evidence on prompt parts can't wait until a crash would be known.
         false if !run.request.parts.is_empty() => {
-            tokio::task::spawn_local(check_target(Rc::clone(ctx), to, run.at));
+            tokio::task::spawn_local(check_target(Rc::clone(ctx), to, run.at, witness));
         }
         false => {}
     }
 }
 
-/// Checks whether a target still accepts connections after an answer that has ended with its own at
-/// `at`, and keeps the new one for the next request.
-async fn check_target(ctx: Ctx, to: SentTo, at: Micros) {
+/// Checks whether a target still runs after an answer that has ended with its connection at `at`, and
+/// keeps the witness's connection for the next request.
+async fn check_target(ctx: Ctx, to: SentTo, at: Micros, witness: Option<Witness>) {
     sleep(CHECK_DELAY).await;
-    let reached = send::reach(&ctx, to.key).await;
+    let connection = match witness {
+        Some(witness) => witness.connection().await,
+        None => None,
+    };
+    let reached = connection.is_some();
+    match connection {
+        Some(connection) => {
+            if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(to.key) {
+                r.connections.keep(connection);
+            }
+        }
+        // The target may have started anew, or have closed the idle connection: whether its end
+        // becomes known decides.
+        None if send::reach(&ctx, to.key).await => return,
+        None => {}
+    }
     let complete = {
         let mut suspects = ctx.suspects.borrow_mut();
         let target = crash(&to.boot);
--- a/crates/policy/src/crash_attribution.rs
+++ b/crates/policy/src/crash_attribution.rs
@@ -10,8 +10,8 @@
 //! that was sent after the end was known can't have caused it.
 //!
 //! An answer without a length or chunks ends with its connection, whether it is complete or its target has
-//! crashed. Such an answer counts as complete if its target is reached right after, or hasn't ended for
-//! as long. If the target has ended, only the last answers from it can have been broken by that.
+//! crashed. Such an answer counts as complete if a connection opened before its end stays open, or its
+//! target hasn't ended for as long. If the target has ended, only the last answers from it can have been broken by that.
 //!
 //! The platform's list drops a silent target some three seconds after its last heartbeat, and is read within
 //! one more second; five seconds cover both. A break and an end that fall into these five seconds by chance
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Records whether a target was reached right after an answer that had ended with its connection at
-    /// `at`. Returns the request if the answer was complete; otherwise it counts as broken.
+    /// Records whether a target outlived an answer that had ended with its connection at `at`, or can't
+    /// be reached any more. Returns the request if the answer was complete; otherwise it counts as broken.
     pub fn target_checked(&mut self, target: Crash, at: Micros, reached: bool) -> Vec<R> {
         let is_checked = |c: &BrokenAnswer<R>| c.crash == target && c.at == at;
         let checked = self.closed.iter().filter(|c| is_checked(c));
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -61,6 +61,19 @@
     WithinEvent,
     /// At the end of the first event.
     AfterEvent,
+    /// At the end of the third event, so that a caller and an entry have seen several whole events.
+    BetweenEvents,
+}
+
+impl CrashPoint {
+    /// Number of whole events before the crash.
+    fn events(self) -> u64 {
+        match self {
+            Self::BeforeHead | Self::WithinEvent => 0,
+            Self::AfterEvent => 1,
+            Self::BetweenEvents => 3,
+        }
+    }
 }
 
 /// A request that a replica received.
@@ -591,7 +604,7 @@
                 if cut_off {
                     return Some((Err(CutOff), (u64::MAX, running, build)));
                 }
-                if crash.is_some() && n > first {
+                if crash.is_some_and(|point| n >= first + point.events().max(1)) {
                     replica.crash();
                     return Some((Err(CutOff), (u64::MAX, running, build)));
                 }
