Bound what slow readers cost an entry, and don't blame their targets

Cause: an entry reads from a target as its caller reads, but the HTTP library read up to 408 KiB ahead, and the kernel's buffers grew to its limits (32 MiB here) before the target had to wait. A resumable stream whose event has no end was collected without a bound. A target that cut off an answer which had stayed unread was recorded as failed, so a few slow readers ejected it for all.

The break still counts as evidence if the target turns out to have ended. The stand-in cuts off unread answers, fills events up, and states a pace.

What an entry holds for all callers together is still neither counted nor shed by urgency.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -80,6 +80,15 @@
         of_kind.cloned().collect()
     }
 
+    /// Memory in KiB that the process has resident.
+    pub fn resident_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the state of the process");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let figure = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+        figure.expect("its memory")
+    }
+
     /// The log lines on one request, on the start and stop of the process and on lines that were
     /// dropped, for failure messages.
     pub fn log_of_request(&self, id: &str) -> String {
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -18,6 +18,7 @@
 mod rest;
 mod restore;
 mod slots;
+mod slow_readers;
 mod soak;
 mod store;
 mod weights;
--- /dev/null
+++ b/crates/daemon/tests/hosted/slow_readers.rs
@@ -0,0 +1,90 @@
+//! Callers that read slowly, and engines that cut off answers that stay unread.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use standin::hosted::replica::{Replica, EVENT_SIZE};
+use tokio::time::timeout;
+
+use crate::fleet::{request, Platform, MODEL, TIMEOUT};
+
+/// Number of callers that read slowly at the same time.
+const READERS: usize = 8;
+/// Events of a stream and their length; together more than the buffers of the sockets hold.
+const EVENTS: u64 = 6_000;
+const SIZE: usize = 4 << 10;
+/// How long an engine lets an answer stay unread.
+const UNREAD_LIMIT: Duration = Duration::from_millis(700);
+/// Most memory in KiB that an entry may need for each of these callers.
+const MAX_CALLER_KIB: u64 = 160;
+
+#[tokio::test]
+async fn callers_that_read_slowly_fill_no_memory_and_eject_no_engine() {
+    // Guards against entries that collect what their callers don't read, and against ejecting engines
+    // that cut off such answers, which leaves the other callers without engines.
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "stream that may be resumed", path: "/probe/1" },
+        Case { name: "stream that may not be resumed", path: "/code/1" },
+    ];
+    for case in cases {
+        let mut platform = Platform::start().await;
+        let engine = Replica::new("e1", EVENTS, Duration::ZERO);
+        engine.set_version(MODEL, 1);
+        engine.set_unread_limit(Some(UNREAD_LIMIT));
+        platform.replica(&engine, "engines").await;
+        let entry = platform.entry("front-1", 1).await;
+        let before = entry.process.resident_kib();
+        let mut answers = Vec::new();
+        for n in 0..READERS {
+            let call = request(&entry, case.path, &format!("slow-{n}"));
+            let call = call.header(EVENT_SIZE, SIZE.to_string());
+            answers.push(call.send().await.expect("the head of an answer"));
+        }
+        let cuts = timeout(TIMEOUT, engine.wait_unread_cuts(READERS));
+        cuts.await.expect("engines that wait for the entry");
+        let needed = entry.process.resident_kib().saturating_sub(before);
+        let allowed = READERS as u64 * MAX_CALLER_KIB;
+        assert!(
+            needed <= allowed,
+            "{}: {needed} of {allowed} KiB",
+            case.name
+        );
+        for answer in answers {
+            let rest = timeout(TIMEOUT, answer.into_body().collect()).await;
+            assert!(rest.expect("an end").is_err(), "{}", case.name);
+        }
+        for n in 0..READERS {
+            let id = format!("slow-{n}");
+            let ended = entry
+                .process
+                .wait_for_event("streamed", |e| e["request"] == id);
+            assert_eq!(ended.await["end"], "cut", "{}", case.name);
+        }
+        let ejected = entry.process.events("left_out");
+        assert!(ejected.is_empty(), "{}: {ejected:?}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn event_that_never_ends_is_cut_off() {
+    // Guards against collecting the bytes of one event until the entry's memory is used up.
+    let mut platform = Platform::start().await;
+    let engine = Replica::new("e1", 1, Duration::ZERO);
+    engine.set_version(MODEL, 1);
+    platform.replica(&engine, "engines").await;
+    let entry = platform.entry("front-1", 1).await;
+    let call = request(&entry, "/probe/1", "endless");
+    let call = call.header(EVENT_SIZE, (32 << 20).to_string());
+    let answer = call.send().await.expect("the head of an answer");
+    let rest = timeout(TIMEOUT, answer.into_body().collect()).await;
+    assert!(rest.expect("an end").is_err());
+    let tried = entry
+        .process
+        .wait_for_event("tried", |e| e["request"] == "endless");
+    assert_eq!(tried.await["reason"], "event too long");
+}
--- a/crates/gate/src/entry/listen.rs
+++ b/crates/gate/src/entry/listen.rs
@@ -143,7 +143,9 @@
             }
         };
         // A connection whose options can't be set has already ended.
-        if platform::call::enable_dead_peer_detection(&tcp).is_err() {
+        let set_options = platform::call::enable_dead_peer_detection(&tcp)
+            .and_then(|()| platform::call::bound_buffers(&tcp));
+        if set_options.is_err() {
             continue;
         }
         match port {
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::Response;
+use model::Micros;
 use platform::replica;
 use policy::retry_budget::{Budget, RetryReason};
 use tokio::time::timeout;
@@ -35,6 +36,15 @@
 /// without a goal for the gap.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
+/// Pause of a caller's reading after which a target may cut off the answer. Targets do so after
+/// seconds; less would excuse targets that break under ordinary load.
+const UNREAD_TIME: Duration = Duration::from_millis(500);
+/// Reason of a break that the caller's reading explains.
+const UNREAD: &str = "cut off unread";
+/// Most bytes of an incomplete event that are kept. Events have some hundred bytes; without a bound, an
+/// event that never ends is collected until the entry's memory is used up.
+const MAX_EVENT: usize = 1 << 20;
+
 /// Length in bytes of the longest delimiter of events.
 const MAX_DELIMITER: usize = 4;
 
@@ -79,6 +89,10 @@
     ignores_silence: bool,
     /// Whether the last replica's answer has a length or chunks.
     delimited: Option<bool>,
+    /// When the last bytes were passed on.
+    passed_at: Micros,
+    /// Whether the caller has left the current replica's answer unread for [`UNREAD_TIME`].
+    unread: bool,
     end: End,
 }
 
@@ -100,12 +114,19 @@
         events: 0,
         first_event_after: None,
         ignores_silence: false,
+        passed_at: ctx.now(),
+        unread: false,
         end: End::Left,
     };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
+        let paused: Duration = relay.ctx.now().since(relay.passed_at).into();
+        relay.unread |= paused > UNREAD_TIME;
         match relay.next().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Ok(Some(bytes)) => {
+                relay.passed_at = relay.ctx.now();
+                Some((Ok(Frame::data(bytes)), Some(relay)))
+            }
             Ok(None) => None,
             Err(cut) => Some((Err(cut), None)),
         }
@@ -197,9 +218,12 @@
             // A stream without a stated length ends with its connection. If that happens within an
             // event, the stream is incomplete, and the caller would lose the rest if it counted as
             // complete.
+            None if self.within_event() && self.unread => Received::Broken(UNREAD),
             None if self.within_event() => Received::Broken("ended within an event"),
             None => Received::Whole,
+            Some(Err(_)) if self.unread => Received::Broken(UNREAD),
             Some(Err(_)) => Received::Broken("stream broken"),
+            Some(Ok(_)) if self.tail.len() > MAX_EVENT => Received::Broken("event too long"),
             Some(Ok(f)) => f
                 .into_data()
                 .map_or(Received::Bytes(Bytes::new()), Received::Bytes),
@@ -339,7 +363,9 @@
             let key = live.in_flight.key();
             attempts::log_failed(&self.job, &live.in_flight.boot, reason, None, true);
             let mut fleet = self.ctx.fleet.borrow_mut();
-            fleet.record_failure(self.ctx.now(), key, reason);
+            if reason != UNREAD {
+                fleet.record_failure(self.ctx.now(), key, reason);
+            }
             fleet.record_break(key);
             drop(fleet);
             suspects::record_broken_answer(
@@ -404,6 +430,7 @@
                 let succeeded = live.response.status().is_success();
                 if succeeded && live.head.signed && !live.head.encoded {
                     self.delimited = Some(live.head.delimited);
+                    self.unread = false;
                     self.live = Some(*live);
                     return ResumeOutcome::Resumed;
                 }
--- a/crates/standin/src/hosted/mod.rs
+++ b/crates/standin/src/hosted/mod.rs
@@ -11,6 +11,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +23,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -33,6 +35,17 @@
 #[error("cut off on purpose")]
 pub struct CutOff;
 
+/// Cuts off the connection of a request, which has it among its extensions.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionCut(Arc<Notify>);
+
+impl ConnectionCut {
+    /// Closes the connection, also while bytes of an answer wait to be read.
+    pub fn cut(&self) {
+        self.0.notify_one();
+    }
+}
+
 /// The body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, CutOff>;
 
@@ -101,15 +114,20 @@
             continue;
         };
         let answer = answer.clone();
-        let service = service_fn(move |r| {
+        let cut = ConnectionCut::default();
+        let given = cut.clone();
+        let service = service_fn(move |mut r: Request<Incoming>| {
+            r.extensions_mut().insert(given.clone());
             let answered = answer(r);
             async move { answered.await.ok_or(CutOff) }
         });
         connections.spawn(async move {
+            let served = http1::Builder::new().serve_connection(TokioIo::new(tcp), service);
             // A connection that is cut off deliberately ends with an error.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(tcp), service)
-                .await;
+            tokio::select! {
+                _ = served => {}
+                () = cut.0.notified() => {}
+            }
         });
     }
 }
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -13,17 +13,21 @@
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
 use hyper::{Request, Response, StatusCode, Version};
 use serde_json::{json, Value};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::prompt_cache::PromptCache;
-use super::{reply, serve_while, Body, CutOff};
+use super::{reply, serve_while, Body, ConnectionCut, CutOff};
 use crate::lock;
 
 /// Version of the software of a replica without another one.
 const FIRST_BUILD: &str = "v1";
 
+/// Header in which a caller states the length that the events of its stream are filled up to with
+/// spaces.
+pub const EVENT_SIZE: &str = "x-event-size";
+
 /// A fault of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -139,6 +143,12 @@
     running: usize,
     /// Number of requests whose caller disconnected before the end.
     abandoned: usize,
+    /// How long an answer may stay unread before the replica cuts it off.
+    unread_limit: Option<Duration>,
+    /// Number of answers cut off unread.
+    unread_cuts: usize,
+    /// Pace that the replica states with its load, and by which its pauses are longer.
+    pace: Option<u32>,
 }
 
 /// A load of weights.
@@ -399,6 +409,49 @@
         lock(&self.state).abandoned
     }
 
+    /// From now on cuts off answers of which nothing could be sent for this long.
+    pub fn set_unread_limit(&self, limit: Option<Duration>) {
+        lock(&self.state).unread_limit = limit;
+    }
+
+    /// Sets the pace, in percent of the usual duration, that the replica keeps and states.
+    pub fn set_pace(&self, pace: Option<u32>) {
+        lock(&self.state).pace = pace;
+    }
+
+    /// Waits until this many answers have been cut off unread.
+    pub async fn wait_unread_cuts(&self, cuts: usize) {
+        loop {
+            let changed = self.changed.notified();
+            if lock(&self.state).unread_cuts >= cuts {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Cuts off a connection if its answer stays unread for too long. `waits` has the time since when
+    /// bytes of the answer wait to be sent.
+    async fn cut_if_unread(
+        self: Arc<Self>,
+        limit: Duration,
+        mut waits: watch::Receiver<Option<Instant>>,
+        connection: ConnectionCut,
+    ) {
+        loop {
+            let since = *waits.borrow_and_update();
+            let left = since.map_or(Duration::MAX, |at| limit.saturating_sub(at.elapsed()));
+            match timeout(left, waits.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => break,
+            }
+        }
+        connection.cut();
+        lock(&self.state).unread_cuts += 1;
+        self.changed.notify_waiters();
+    }
+
     /// Waits until a request is being run.
     pub async fn wait_running(&self) {
         loop {
@@ -427,6 +480,10 @@
         if let Some(limit) = state.limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
+        if let Some(pace) = state.pace {
+            let load = format!("{},0,8,{pace}", state.running);
+            set_header(&mut answer, "server-load", &load);
+        }
         if state.leaving {
             set_header(&mut answer, "server-leaving", "1");
         }
@@ -535,7 +592,17 @@
         let mut answer = match fault {
             Fault::Vague => reply(StatusCode::SERVICE_UNAVAILABLE, "busy"),
             Fault::Error => reply(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-            _ if streams => self.stream(text("last-event-id"), fault, crash),
+            _ if streams => {
+                let connection = parts.extensions.get::<ConnectionCut>().cloned();
+                let event_size = text(EVENT_SIZE).and_then(|n| n.parse().ok());
+                let form = StreamForm {
+                    after: text("last-event-id").and_then(|n| n.parse().ok()),
+                    event_size: event_size.unwrap_or_default(),
+                    fault,
+                    crash,
+                };
+                self.stream(form, connection.unwrap_or_default())
+            }
             _ => reply(StatusCode::OK, [b"echo ".as_slice(), &body].concat()),
         };
         let echoed = if fault == Fault::Crossed {
@@ -561,26 +628,31 @@
         Some(answer)
     }
 
-    fn stream(
-        self: &Arc<Self>,
-        after: Option<String>,
-        fault: Fault,
-        crash: Option<CrashPoint>,
-    ) -> Response<Body> {
-        let first = after.and_then(|a| a.parse::<u64>().ok()).unwrap_or(0) + 1;
+    fn stream(self: &Arc<Self>, form: StreamForm, connection: ConnectionCut) -> Response<Body> {
+        let (fault, crash, event_size) = (form.fault, form.crash, form.event_size);
+        let first = form.after.unwrap_or(0) + 1;
         let running = RunningRequest::new(self);
-        let (last, pause) = (self.events, self.pause);
+        let (unread_limit, pace) = {
+            let state = lock(&self.state);
+            (state.unread_limit, state.pace)
+        };
+        let (last, pause) = (self.events, self.pause * pace.unwrap_or(100) / 100);
+        let (waits, waiting) = watch::channel(None);
+        if let Some(limit) = unread_limit {
+            tokio::spawn(Arc::clone(self).cut_if_unread(limit, waiting, connection));
+        }
         let build = lock(&self.state).build.clone();
         let build = build.map_or_else(String::new, |b| format!(" by {b}"));
         let crashes = lock(&self.state).crashes.len();
         let short = fault == Fault::Short;
         let cut = (short || fault == Fault::Cut).then_some(first + 3);
         let events = stream::unfold(
-            (first, running, build),
-            move |(n, running, build)| async move {
+            (first, running, build, waits),
+            move |(n, running, build, waits)| async move {
+                waits.send_replace(None);
                 if cut == Some(n) {
                     let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
-                    return Some((Ok(half), (u64::MAX, running, build)));
+                    return Some((Ok(half), (u64::MAX, running, build, waits)));
                 }
                 if n == u64::MAX && short {
                     return None;
@@ -589,7 +661,7 @@
                     // The pause lets the half event leave before the connection breaks. The stream ends
                     // with the error, which drops `running`.
                     sleep(pause).await;
-                    return Some((Err(CutOff), (n, running, build)));
+                    return Some((Err(CutOff), (n, running, build, waits)));
                 }
                 if n > last {
                     running.end();
@@ -602,18 +674,22 @@
                     () = sleep(pause) => false,
                 };
                 if cut_off {
-                    return Some((Err(CutOff), (u64::MAX, running, build)));
+                    return Some((Err(CutOff), (u64::MAX, running, build, waits)));
                 }
                 if crash.is_some_and(|point| n >= first + point.events().max(1)) {
                     replica.crash();
-                    return Some((Err(CutOff), (u64::MAX, running, build)));
+                    return Some((Err(CutOff), (u64::MAX, running, build, waits)));
                 }
                 if crash == Some(CrashPoint::WithinEvent) {
                     let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
-                    return Some((Ok(half), (n + 1, running, build)));
+                    return Some((Ok(half), (n + 1, running, build, waits)));
                 }
-                let event = Bytes::from(format!("id: {n}\ndata: token {n}{build}\n\n"));
-                Some((Ok(Frame::data(event)), (n + 1, running, build)))
+                let mut event = format!("id: {n}\ndata: token {n}{build}").into_bytes();
+                event.resize(event_size.max(event.len()), b' ');
+                event.extend_from_slice(b"\n\n");
+                let event = Bytes::from(event);
+                waits.send_replace(Some(Instant::now()));
+                Some((Ok(Frame::data(event)), (n + 1, running, build, waits)))
             },
         );
         let mut answer = Response::new(StreamBody::new(events).boxed_unsync());
@@ -673,6 +749,16 @@
     }
 }
 
+/// The stream that a request gets.
+struct StreamForm {
+    /// Number of the last event that the caller has.
+    after: Option<u64>,
+    /// Length in bytes that events are filled up to.
+    event_size: usize,
+    fault: Fault,
+    crash: Option<CrashPoint>,
+}
+
 /// Counts a request as being run until dropped; if dropped before `end`, the caller has
 /// disconnected.
 struct RunningRequest {
