--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -80,6 +80,11 @@
         of_kind.cloned().collect()
     }
 
+    /// All log lines up to now.
+    pub fn lines(&self) -> Vec<Value> {
+        self.lines.lock().expect("lines").clone()
+    }
+
     /// Memory in KiB that the process has resident.
     pub fn resident_kib(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
