--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{json, Value};
 use standin::hosted::replica::{CrashPoint, Fault, ReceivedRequest, Replica};
 use standin::hosted::row_store;
 use standin::link::{Link, LinkFault};
@@ -14,7 +14,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
-use crate::fleet::{config, Entry, Platform, Process, MODEL};
+use crate::fleet::{self, Entry, Platform, Process, KEY, MODEL};
 
 /// Number of entries.
 pub const ENTRIES: usize = 3;
@@ -29,6 +29,12 @@
 pub const BUILDS: [&str; 2] = ["v1", "v2"];
 /// Prompt part that crashes engines in some runs.
 pub const BAD_PART: &str = "bad1";
+/// Names and keys of two teams that always send more than their limits allow.
+pub const LIMITED_TEAMS: [(&str, &str); 2] = [("east", "key-east"), ("west", "key-west")];
+/// Requests a second, and at once, of each of these teams; their callers send several times as many.
+const LIMITED_RATE: f64 = 5.0;
+/// How long a replica lets an answer stay unread.
+const UNREAD_LIMIT: Duration = Duration::from_millis(300);
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 12;
 /// Time limit for the end of a process after a signal: its grace period and the time for which it
@@ -46,6 +52,18 @@
     tokio::task::block_in_place(call)
 }
 
+/// The sample configuration with two limited teams.
+fn config(version: u64) -> Value {
+    let mut config = fleet::config(version);
+    let teams = config["tenants"].as_array_mut().expect("teams");
+    let limited = LIMITED_TEAMS.map(|(name, key)| {
+        json!({"name": name, "api_keys": [key], "priority": 1, "isolated": false,
+            "rate_per_s": LIMITED_RATE, "burst": LIMITED_RATE})
+    });
+    teams.extend(limited);
+    config
+}
+
 /// A replica and the link through which it is reached.
 pub struct LinkedReplica {
     pub replica: Arc<Replica>,
@@ -204,6 +222,7 @@
     /// Starts the processes and replicas of a seed's run.
     pub async fn start(seed: u64) -> Arc<Self> {
         let mut platform = Platform::start().await;
+        platform.store.write("op", "config", &config(1));
         let switch = Switch::new(seed);
         platform.store.set_switch(Arc::clone(&switch));
         let mut links = Vec::new();
@@ -212,6 +231,10 @@
             let service = if n < ENGINES { "engines" } else { "plain" };
             let replica = Replica::new(&format!("r{n}"), EVENTS, EVENT_INTERVAL);
             replica.set_version(MODEL, 1);
+            replica.set_unread_limit(Some(UNREAD_LIMIT));
+            if n % 2 == 1 {
+                replica.set_born(1);
+            }
             replica.set_build(BUILDS[n % BUILDS.len()]);
             if Self::has_bad_part(seed) {
                 let points = [
@@ -292,6 +315,9 @@
     pub fn restart_replica(&self, n: usize) {
         let linked = &self.replicas[n];
         linked.replica.restart();
+        if n % 2 == 1 {
+            linked.replica.set_born(linked.replica.restarts() + 1);
+        }
         linked.link.reset();
         self.list(linked, "ready");
     }
@@ -317,6 +343,14 @@
         self.restart_replica(n);
     }
 
+    /// The key with which a caller sends its requests: two of them belong to teams at their limits.
+    pub fn key(caller: u64) -> &'static str {
+        match LIMITED_TEAMS.get(caller as usize) {
+            Some((_, key)) => key,
+            None => KEY,
+        }
+    }
+
     /// Announces newer weights and a newer configuration.
     pub fn announce_version(&self) {
         let mut version = self.version.lock().expect("a version");
@@ -405,6 +439,7 @@
             linked.replica.set_fault(Fault::None);
             linked.replica.set_limit(None);
             linked.replica.set_undelimited(false);
+            linked.replica.set_pace(None);
         }
         // Only the next start ends what a replica has said about itself.
         for n in 0..self.replicas.len() {
--- a/crates/daemon/tests/hosted/soak/faults.rs
+++ b/crates/daemon/tests/hosted/soak/faults.rs
@@ -49,6 +49,18 @@
 const BUILD_MASK: u64 = 1 << 60;
 /// Seed mask that gives what replicas say about themselves a random sequence of its own.
 const NOTICE_MASK: u64 = 1 << 59;
+/// Seed mask that gives paces and rows of other writers a random sequence of their own.
+const PACE_MASK: u64 = 1 << 57;
+/// Paces that replicas may state, in percent of the usual duration.
+const PACES: [Option<u32>; 5] = [None, Some(55), Some(100), Some(120), Some(250)];
+/// Rows of other writers: unreadable, of another type, without fields, with unknown values.
+const ROWS: [&[u8]; 5] = [
+    b"\xff\xfe",
+    b"[]",
+    b"{}",
+    br#"{"service": 5, "address": null}"#,
+    br#"{"service": "unknown", "address": "127.0.0.1:1", "zone": "a", "slots": 1, "state": "odd"}"#,
+];
 /// Seconds of rest that replicas may ask for.
 const RESTS: [&str; 5] = ["0.3", "2", "0", "soon", "1e30"];
 /// Requests a second that replicas may state.
@@ -151,6 +163,21 @@
     }
 }
 
+/// Changes the speed that replicas keep and state, and writes rows that name no target, at random
+/// times until `end`. It has a random sequence of its own.
+pub async fn vary_paces(cluster: Arc<Cluster>, seed: u64, end: Instant) {
+    let mut rng = StdRng::seed_from_u64(seed ^ PACE_MASK);
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.random_range(50..600))).await;
+        let replica = &cluster.replicas[rng.random_range(0..REPLICAS)].replica;
+        replica.set_pace(*PACES.choose(&mut rng).expect("a pace"));
+        let row = *ROWS.choose(&mut rng).expect("a row");
+        // Keys sort before and after those of the replicas.
+        let key = ["a0", "r00", "z0"].choose(&mut rng).expect("a key");
+        cluster.platform.store.write_raw("servers", key, row);
+    }
+}
+
 /// Restarts replicas under their ids, often at another build, at random times until `end`. It has a
 /// random sequence of its own.
 pub async fn vary_builds(cluster: Arc<Cluster>, seed: u64, end: Instant) {
