--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -14,6 +14,7 @@
 use platform::replica::{self, AddedHeaders, AnswerHead};
 use policy::prefill_priority;
 use site::{Boot, Part};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,6 +31,10 @@
 /// Time limit for a connection that shows that a target is running.
 const REACH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most bytes of an answer that are read ahead of its caller. By default the HTTP library reads up to
+/// 408 KiB ahead, of which 200 callers that read slowly fill the memory of a small entry.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
 /// Accounting of a request that is in flight at a target. Dropping it removes the request from the
 /// target's counts.
 #[derive(Debug)]
@@ -178,6 +183,25 @@
     pub(super) connection: Connection,
     /// Accounting of the request at the target.
     pub(super) in_flight: InFlight,
+    /// Shows whether the target outlives an answer that has neither a length nor chunks.
+    pub(super) witness: Option<Witness>,
+}
+
+/// A connection that is opened while an answer arrives. It breaks with the target's process, while a
+/// connection that is opened after the answer may reach the next start of the target.
+#[derive(Debug)]
+pub(super) struct Witness(JoinHandle<Option<Connection>>);
+
+impl Witness {
+    fn open(addr: SocketAddr) -> Self {
+        Self(tokio::task::spawn_local(connect(addr)))
+    }
+
+    /// The connection, if it was opened and hasn't been closed.
+    pub(super) async fn connection(self) -> Option<Connection> {
+        let opened = timeout(REACH_TIMEOUT, self.0).await.ok()?;
+        opened.ok()?.filter(|c| !c.send.is_closed())
+    }
 }
 
 /// Outcome of sending a request.
@@ -284,7 +308,12 @@
 
 async fn connect(addr: SocketAddr) -> Option<Connection> {
     let tcp = platform::call::connect(addr).await.ok()?;
-    let (send, conn) = http1::handshake(TokioIo::new(tcp)).await.ok()?;
+    platform::call::bound_buffers(&tcp).ok()?;
+    let (send, conn) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER)
+        .handshake(TokioIo::new(tcp))
+        .await
+        .ok()?;
     metrics::counter!(meter::TARGET_CONNECTIONS).increment(1);
     let task = tokio::task::spawn_local(async move {
         // The error is also returned to the request that waits for an answer on this connection.
@@ -342,6 +371,12 @@
         }
         _ if !at_build => SendOutcome::Unknown("another build's answer"),
         _ => SendOutcome::Answer(Box::new(LiveAnswer {
+            // Only prompts with shared parts need it.
+            witness: job
+                .prompt
+                .as_ref()
+                .filter(|p| !head.delimited && !p.shared().is_empty())
+                .map(|_| Witness::open(pick.addr)),
             response,
             head,
             connection,
