Decide when a request without an event moves to another target

A quarter of a pool can go silent without closing connections. The time after which a request moves is set when it is sent, and is the deadline if no retry was left at that moment.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,7 +25,8 @@
 //!   rate that a target states.
 //! - Streams: [`stream_origin`] finds the build at which a stream may go on.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
-//! - Retries: [`retry_budget`] keeps all entries together within one budget.
+//! - Retries: [`retry_budget`] keeps all entries together within one budget, and [`stall`] decides when a
+//!   request that has shown nothing moves to another target.
 //! - What targets say about themselves: [`leaving`] excludes those that leave, and [`rest`] those that have
 //!   asked for rest.
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
@@ -78,6 +79,7 @@
 pub mod rollout;
 pub mod row_expiry;
 pub mod slots;
+pub mod stall;
 pub mod stream_origin;
 pub mod subscription;
 pub mod target_limit;
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -68,6 +68,9 @@
     NotRun,
     /// The request has run, and its answer is missing or incomplete.
     HasRun,
+    /// The request runs at a target that shows life, and is only late. Its retry is neither borrowed nor
+    /// a reason to borrow.
+    Late,
 }
 
 /// One entry's share of a pool's retry budget.
@@ -114,16 +117,19 @@
     /// Spends a retry and returns true, if one is left for this reason.
     pub fn spend(&mut self, now: Micros, reason: RetryReason) -> bool {
         self.expire(now);
-        self.needed_at = Some(now);
+        let is_late = reason == RetryReason::Late;
+        if !is_late {
+            self.needed_at = Some(now);
+        }
         let reserved = match reason {
             RetryReason::HasRun => 0.0,
-            RetryReason::NotRun => self.earned() * RESERVED,
+            RetryReason::NotRun | RetryReason::Late => self.earned() * RESERVED,
         };
         if self.own_remaining() >= 1.0 + reserved {
             self.retries.push_back(now);
             return true;
         }
-        self.borrowed.pop_front().is_some()
+        !is_late && self.borrowed.pop_front().is_some()
     }
 
     /// Retries left.
