Move stuck requests whenever a retry becomes free

The time after which a request moved was set when it was sent. If no retry was left at that moment, it waited for a silent target until its deadline, and a silent stream was requested elsewhere once at most.

Ask policy::stall for a decision for as long as an answer hasn't begun. A move checks for another working target and takes the team's units and the retry before the first target is given up. A target without a sign of life is ejected at once, one that refuses a request as full gets none for a drawn time, and one whose sidecar has stopped reporting is the last choice. Requests that have run wait for a retry or a target for up to half of their time, and a retry whose attempt reached no target is kept for the next.

--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -244,7 +244,11 @@
 
     /// Starts an entry that uses the store at an address, without waiting until it is ready.
     pub async fn start_entry(&self, name: &str, store: SocketAddr) -> Entry {
-        let mut lines = settings(name, store);
+        self.start_entry_with(settings(name, store)).await
+    }
+
+    /// Starts an entry with these settings, without waiting until it is ready.
+    pub async fn start_entry_with(&self, mut lines: Vec<String>) -> Entry {
         lines.push("listen.front=127.0.0.1:0".to_owned());
         lines.push("listen.ready=127.0.0.2:0".to_owned());
         // The start may wait for the disk, and other tasks must go on meanwhile.
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -19,5 +19,6 @@
 mod restore;
 mod slots;
 mod soak;
+mod stalled;
 mod store;
 mod weights;
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -13,14 +13,14 @@
 use platform::replica;
 use policy::loading::RemainingLoad;
 use policy::retry_budget::RetryReason;
-use site::{Boot, Mode};
+use site::Boot;
 use tokio::time::{sleep, timeout};
 
 use super::pick::{self, Pick};
 use super::refuse::Reason;
 use super::request::Job;
 use super::send::{self, LiveAnswer, SendOutcome};
-use super::{crashing_parts, limits, suspects, Ctx};
+use super::{crashing_parts, limits, stalled, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -29,14 +29,6 @@
 /// Maximum size of an answer that is collected before it is passed on; plain services answer with
 /// kilobytes.
 const MAX_ANSWER: usize = 4 << 20;
-/// Fraction of the latency goal after which an idempotent request is sent to another target. Usual
-/// requests take a fifth of the goal, and the second target needs time too.
-const IDEMPOTENT_SHARE: f64 = 0.6;
-/// Time beyond twice the estimate after which a resumable stream without an event moves to another
-/// replica. A replica that is merely slow must keep the stream: with 0.6 s in total, four in ten
-/// streams of a fleet in which a quarter of the engines were unreachable were started twice, which
-/// doubled the load of the others.
-const STREAM_SLACK: Duration = Duration::from_millis(1_200);
 /// Least remaining time for an attempt; no target answers in less.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
@@ -93,6 +85,11 @@
                 continue;
             }
             Err(reason) if job.run_count == 0 => return Err(reason),
+            // The job has run and has its retry; a target may become free.
+            Err(_) if last.is_none() && stalled::is_worth_waiting(job, ctx.now()) => {
+                sleep(LOADING_POLL_INTERVAL).await;
+                continue;
+            }
             Err(_) => return last.map(FirstAnswer::Whole).ok_or(Reason::Unknown),
         };
         if !limits::start_run(job, ctx.now()) {
@@ -119,7 +116,7 @@
             }
         };
         log_failed(job, &pick.boot, reason, status, ran);
-        if !may_retry(ctx, job, delivered, ran) {
+        if !may_retry(ctx, job, delivered, ran).await {
             let reason = match job.run_count {
                 0 => Reason::NotRun,
                 _ if job.time_left(ctx.now()) < MIN_TIME_LEFT => Reason::Overdue,
@@ -175,8 +172,8 @@
     });
 }
 
-/// Whether a job may be sent again.
-fn may_retry(ctx: &Ctx, job: &Job, delivered: bool, ran: bool) -> bool {
+/// Whether a job may be sent again. A job that has run waits for a retry if none is left.
+async fn may_retry(ctx: &Ctx, job: &mut Job, delivered: bool, ran: bool) -> bool {
     if ran && !job.route.mode.may_rerun() {
         return false;
     }
@@ -188,39 +185,24 @@
         return false;
     }
     // A retry after an attempt that reached no target isn't taken from the budget.
-    let retry_reason = match job.run_count {
-        0 => RetryReason::NotRun,
-        _ => RetryReason::HasRun,
+    let spent = match job.run_count {
+        _ if !delivered => true,
+        0 => ctx.retry_budget(&job.pool, |b| b.spend(ctx.now(), RetryReason::NotRun)),
+        _ => stalled::wait_for_retry(ctx, job).await,
     };
-    let spent = !delivered || ctx.retry_budget(&job.pool, |b| b.spend(ctx.now(), retry_reason));
     if !spent {
         log_no_retry(job, "no retry left");
     }
     spent
 }
 
-/// How long an attempt waits for the head of an answer.
-fn head_timeout(ctx: &Ctx, job: &Job, pick: &Pick) -> Duration {
-    let end = job.time_left(ctx.now()) + ANSWER_GRACE;
-    // Without a retry left, giving up on this target would lose its answer, however soon it came.
-    let has_retry = ctx.retry_budget(&job.pool, |b| b.remaining() >= 1.0);
-    let can_retry = has_retry && job.run_count + 1 < job.route.max_attempts;
-    match job.route.mode {
-        Mode::Idempotent if can_retry => job.route.latency_goal.mul_f64(IDEMPOTENT_SHARE).min(end),
-        Mode::Resumable if can_retry => {
-            let estimate = Duration::from_secs_f64(pick.estimate.clamp(0.0, 60_000.0) / 1e3);
-            (STREAM_SLACK + estimate * 2).min(end)
-        }
-        _ => end,
-    }
-}
-
 async fn attempt(ctx: &Ctx, job: &mut Job, pick: &Pick) -> AttemptOutcome {
     job.attempted.push(pick.key);
     job.send_count += 1;
     let sent_at = ctx.now();
     send::log_send(ctx, job, pick, job.time_left(sent_at));
-    let sent = send::send(ctx, job, pick, head_timeout(ctx, job, pick)).await;
+    let head_timeout = job.time_left(sent_at) + ANSWER_GRACE;
+    let sent = send::send(ctx, job, pick, head_timeout).await;
     let now = ctx.now();
     match sent {
         SendOutcome::Answer(live) => handle_answer(ctx, job, *live).await,
@@ -230,7 +212,11 @@
         },
         SendOutcome::NotRun(reason) => {
             if reason == "full" {
-                ctx.fleet.borrow_mut().record_failure(now, pick.key, reason);
+                let mut fleet = ctx.fleet.borrow_mut();
+                fleet.record_failure(now, pick.key, reason);
+                if let Some(r) = fleet.replicas.get_mut(pick.key) {
+                    r.history.full(now, rand::random());
+                }
             }
             if has_newer_weights(ctx, job, pick) {
                 job.attempted.retain(|k| *k != pick.key);
@@ -240,6 +226,15 @@
                 reason,
             }
         }
+        SendOutcome::Stalled => {
+            job.has_retry = true;
+            stalled::record_moved(ctx, pick.key);
+            suspects::record_broken_answer(ctx, job, &pick.boot, sent_at);
+            AttemptOutcome::Ran {
+                reason: "silent",
+                answer: None,
+            }
+        }
         SendOutcome::Unknown(reason) => {
             ctx.fleet.borrow_mut().record_failure(now, pick.key, reason);
             suspects::record_broken_answer(ctx, job, &pick.boot, sent_at);
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -364,12 +364,28 @@
         }
     }
 
+    /// Records that a target shows no sign of life, which opens its circuit breaker at once: each request
+    /// sent there would wait until it is given up.
+    pub(super) fn record_silent(&mut self, now: Micros, key: ReplicaKey) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let was_usable = replica.breaker.usable(now);
+        replica
+            .breaker
+            .unreachable(&circuit_breaker::Config::default(), now);
+        if was_usable {
+            log_ejected(replica, "silent");
+        }
+    }
+
     /// Records that a target can't be reached.
     pub fn record_unreachable(&mut self, now: Micros, key: ReplicaKey, reason: &str) {
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
         replica.connections.clear();
+        replica.history.refuse(now);
         replica.record_break();
         let was_usable = replica.breaker.usable(now);
         replica
--- a/crates/gate/src/entry/limits.rs
+++ b/crates/gate/src/entry/limits.rs
@@ -4,6 +4,7 @@
 //! waits for a target. A run at a target uses them; if the target proves that the request did not
 //! run, they are kept for the next attempt, and returned if there is none.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -79,7 +80,7 @@
     team: LimitKey,
     units: u64,
     /// Whether the units are taken and no run has used them yet.
-    held: bool,
+    held: Cell<bool>,
 }
 
 impl Charge {
@@ -89,11 +90,11 @@
             ctx: Rc::clone(ctx),
             team: team_key(team),
             units,
-            held: false,
+            held: Cell::new(false),
         }
     }
 
-    fn take(&mut self, purpose: Purpose, time_left: Micros) -> Result<(), Refusal> {
+    fn take(&self, purpose: Purpose, time_left: Micros) -> Result<(), Refusal> {
         let now = self.ctx.now();
         let mut limits = self.ctx.limits.borrow_mut();
         if let Some(plan) = self.ctx.node.plan() {
@@ -107,14 +108,14 @@
             Err(_) => "refused",
         };
         meter::add(meter::LIMIT_UNITS, "outcome", outcome, self.units);
-        self.held = taken.is_ok();
+        self.held.set(taken.is_ok());
         taken
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        if self.held {
+        if self.held.get() {
             meter::add(meter::LIMIT_UNITS, "outcome", "returned", self.units);
             let now = self.ctx.now();
             let mut limits = self.ctx.limits.borrow_mut();
@@ -126,7 +127,7 @@
 /// Takes the units of a request's first run, if its team has a limit.
 pub(super) fn admit(job: &mut Job, now: Micros) -> Result<(), Refusal> {
     let time_left = job.time_left(now).into();
-    match &mut job.charge {
+    match &job.charge {
         Some(c) => c.take(Purpose::First, time_left),
         None => Ok(()),
     }
@@ -135,18 +136,26 @@
 /// Counts a run of a request, just before it is sent. Returns false if it must not run again.
 pub(super) fn start_run(job: &mut Job, now: Micros) -> bool {
     let time_left = job.time_left(now).into();
-    let Some(charge) = &mut job.charge else {
+    let Some(charge) = &job.charge else {
         return true;
     };
-    let allowed = charge.held || charge.take(Purpose::Rerun, time_left).is_ok();
-    charge.held = false;
+    let allowed = charge.held.get() || charge.take(Purpose::Rerun, time_left).is_ok();
+    charge.held.set(false);
     allowed
 }
 
+/// Takes the units of a request's next run while it still runs at a target. Returns false if it must not
+/// run again.
+pub(super) fn hold_run(job: &Job, now: Micros) -> bool {
+    let time_left = job.time_left(now).into();
+    let hold = |c: &Charge| c.held.get() || c.take(Purpose::Rerun, time_left).is_ok();
+    job.charge.as_ref().is_none_or(hold)
+}
+
 /// Keeps the units of a run that did not take place for the next one.
 pub(super) fn keep(job: &mut Job) {
-    if let Some(c) = &mut job.charge {
-        c.held = true;
+    if let Some(c) = &job.charge {
+        c.held.set(true);
     }
 }
 
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -14,16 +14,19 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::Response;
+use model::Micros;
 use platform::replica;
-use policy::retry_budget::{Budget, RetryReason};
-use tokio::time::timeout;
+use policy::stall;
+use tokio::time::{sleep, timeout};
 
 use super::attempts::{self, ANSWER_GRACE};
+use super::events::{last_event_end, last_id, MAX_DELIMITER};
 use super::listen::ConnectionState;
 use super::origins::Origin;
 use super::pick;
 use super::request::{AnswerBody, IncompleteAnswer, Job};
 use super::send::{self, LiveAnswer, SendOutcome};
+use super::stalled::{self, Stall};
 use super::{limits, origins, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
@@ -35,8 +38,9 @@
 /// without a goal for the gap.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-/// Length in bytes of the longest delimiter of events.
-const MAX_DELIMITER: usize = 4;
+/// Interval between two requests for another replica if none has taken the stream. Each that is refused
+/// costs a retry.
+const RACE_INTERVAL: Micros = Micros::from_millis(1_000);
 
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,9 +78,11 @@
     events: u64,
     /// Time from the arrival of the request to the first event.
     first_event_after: Option<Duration>,
-    /// Whether a silent replica is waited for until the deadline, because another replica has been
-    /// requested already.
-    ignores_silence: bool,
+    /// Until when a silent replica is waited for. Once another replica has been requested, that is until
+    /// the deadline.
+    waits_until: Micros,
+    /// Decisions on a silent replica.
+    stall: Stall,
     /// Whether the last replica's answer has a length or chunks.
     delimited: Option<bool>,
     end: End,
@@ -99,7 +105,8 @@
         tail: BytesMut::new(),
         events: 0,
         first_event_after: None,
-        ignores_silence: false,
+        waits_until: Micros::ZERO,
+        stall: Stall::default(),
         end: End::Left,
     };
     let events = stream::unfold(Some(relay), |relay| async {
@@ -171,7 +178,8 @@
             .mul_f64(SILENCE_FACTOR)
             .max(MIN_SILENCE);
         let wait = if self.may_move() {
-            silence.min(end)
+            let rest = self.waits_until.since(self.ctx.now());
+            silence.max(rest.into()).min(end)
         } else {
             end
         };
@@ -189,7 +197,7 @@
     fn may_move(&self) -> bool {
         self.job.route.mode == site::Mode::Resumable
             && self.job.run_count + 1 < self.job.route.max_attempts
-            && !self.ignores_silence
+            && self.waits_until < self.job.deadline
     }
 
     fn classify(&self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
@@ -224,6 +232,9 @@
         if bytes.is_empty() {
             return None;
         }
+        if let Some(live) = &self.live {
+            stalled::record_bytes(&self.ctx, live.in_flight.key());
+        }
         if self.first_event_after.is_none() {
             self.record_first_event();
         }
@@ -293,13 +304,13 @@
     /// others are full or no retry is left: callers lost answers that were still being generated,
     /// also when a process was stopped as planned.
     async fn race_other_replica(&mut self) -> Received {
-        self.ignores_silence = true;
-        let spend = |b: &mut Budget| b.spend(self.ctx.now(), RetryReason::HasRun);
-        let convicted = suspects::is_convicted(&self.ctx, &self.job);
-        if convicted || !self.ctx.retry_budget(&self.job.pool, spend) {
-            attempts::log_no_retry(&self.job, "silent, and no retry left");
+        let now = self.ctx.now();
+        if let Some(wait) = self.time_until_race() {
+            self.waits_until = now + wait;
             return Received::Silent;
         }
+        self.job.has_retry = false;
+        self.waits_until = Micros::MAX;
         let Some(mut old) = self.live.take() else {
             return Received::Broken("no replica");
         };
@@ -326,12 +337,35 @@
                 return Received::Silent;
             }
             ResumeOutcome::Ran => self.job.run_count += 1,
-            ResumeOutcome::NotRun | ResumeOutcome::NoReplica => {}
+            ResumeOutcome::OverLimit => {}
+            refused => {
+                self.job.has_retry = !matches!(refused, ResumeOutcome::NotRun);
+                self.waits_until = self.ctx.now() + RACE_INTERVAL;
+            }
         }
         self.live = Some(old);
         Received::Silent
     }
 
+    /// Time until another replica may be requested because the replica is silent, or `None` if it is
+    /// requested now; its retry is spent then.
+    fn time_until_race(&mut self) -> Option<Micros> {
+        let recheck = stall::Config::default().recheck;
+        if let Some(live) = self.live.as_ref().filter(|_| self.events == 0) {
+            return (self.stall).step(&self.ctx, &self.job, &live.in_flight.sent());
+        }
+        if suspects::is_convicted(&self.ctx, &self.job) {
+            return Some(recheck);
+        }
+        if self.stall.take_retry(&self.ctx, &self.job) {
+            return None;
+        }
+        if self.waits_until == Micros::ZERO {
+            attempts::log_no_retry(&self.job, "silent, and no retry left");
+        }
+        Some(recheck)
+    }
+
     /// Resumes the stream on another replica; returns whether that succeeded.
     async fn continue_elsewhere(&mut self, reason: &'static str) -> bool {
         if let Some(live) = self.live.take() {
@@ -356,14 +390,15 @@
         if !self.job.may_run_again() {
             attempts::log_no_retry(&self.job, "no try left");
         }
+        let now = self.ctx.now();
+        // A replica that becomes free in half of the remaining time can still serve the rest.
+        let give_up = now + Micros::from(self.job.time_left(now) / 2);
         while self.job.may_run_again() && !self.job.time_left(self.ctx.now()).is_zero() {
             if suspects::is_convicted(&self.ctx, &self.job) {
                 attempts::log_no_retry(&self.job, "quarantined");
                 return false;
             }
-            let spend = |b: &mut Budget| b.spend(self.ctx.now(), RetryReason::HasRun);
-            let spent = self.ctx.retry_budget(&self.job.pool, spend);
-            if !spent {
+            if !stalled::wait_for_retry(&self.ctx, &mut self.job).await {
                 attempts::log_no_retry(&self.job, "no retry left");
                 return false;
             }
@@ -371,6 +406,12 @@
                 ResumeOutcome::Resumed => return true,
                 ResumeOutcome::NotRun => {}
                 ResumeOutcome::Ran => self.job.run_count += 1,
+                ResumeOutcome::NotDelivered => self.job.has_retry = true,
+                ResumeOutcome::NoReplica if self.ctx.now() < give_up => {
+                    self.job.has_retry = true;
+                    sleep(stall::Config::default().recheck.into()).await;
+                }
+                ResumeOutcome::OverLimit => return false,
                 ResumeOutcome::NoReplica => {
                     attempts::log_no_retry(&self.job, "no other replica");
                     return false;
@@ -390,7 +431,7 @@
         };
         if !limits::start_run(&mut self.job, self.ctx.now()) {
             attempts::log_no_retry(&self.job, "over the team's limit");
-            return ResumeOutcome::NoReplica;
+            return ResumeOutcome::OverLimit;
         }
         self.job.attempted.push(pick.key);
         self.job.send_count += 1;
@@ -408,10 +449,20 @@
                 }
                 ResumeOutcome::Ran
             }
-            SendOutcome::NotDelivered(_) | SendOutcome::NotRun(_) => {
+            SendOutcome::NotDelivered(_) => {
+                limits::keep(&mut self.job);
+                ResumeOutcome::NotDelivered
+            }
+            SendOutcome::NotRun(_) => {
                 limits::keep(&mut self.job);
                 ResumeOutcome::NotRun
             }
+            SendOutcome::Stalled => {
+                self.job.has_retry = true;
+                stalled::record_moved(&self.ctx, pick.key);
+                suspects::record_broken_answer(&self.ctx, &self.job, &pick.boot, sent_at);
+                ResumeOutcome::Ran
+            }
             SendOutcome::Unknown(_) => {
                 suspects::record_broken_answer(&self.ctx, &self.job, &pick.boot, sent_at);
                 ResumeOutcome::Ran
@@ -425,7 +476,10 @@
     Resumed,
     NotRun,
     Ran,
+    /// The replica wasn't reached, so that the retry isn't used.
+    NotDelivered,
     NoReplica,
+    OverLimit,
 }
 
 impl Drop for Relay {
@@ -443,21 +497,3 @@
         });
     }
 }
-
-/// End of the last complete event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2);
-    let crlf = bytes
-        .windows(4)
-        .rposition(|w| w == b"\r\n\r\n")
-        .map(|i| i + 4);
-    lf.max(crlf)
-}
-
-/// Id of the last event that has one.
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| *b == b'\n').rev();
-    let id = lines.filter_map(|l| l.strip_prefix(b"id:")).next()?;
-    let text = std::str::from_utf8(id).ok()?;
-    Some(text.trim().to_owned())
-}
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -10,6 +10,7 @@
 use policy::loading::RemainingLoad;
 use policy::misdirected::Exclusion;
 use policy::prefill_priority;
+use policy::stall::History;
 use site::{Part, PartId, Target};
 use tokio::time::Instant;
 
@@ -121,6 +122,8 @@
     expected: HashMap<(u64, PartId), (u32, Micros)>,
     /// Circuit breaker of the target.
     pub breaker: CircuitBreaker,
+    /// Requests and answers of the target.
+    pub(super) history: History,
     /// Until when the target is kept although the list lacks it.
     pub(super) missing_until: Option<Micros>,
     /// Exclusion of the target after another one has answered at its address.
@@ -157,6 +160,7 @@
             held: HashMap::new(),
             expected: HashMap::new(),
             breaker: CircuitBreaker::default(),
+            history: History::default(),
             missing_until: None,
             exclusion: Exclusion::default(),
             renewed_at_end: None,
--- a/crates/gate/src/entry/request.rs
+++ b/crates/gate/src/entry/request.rs
@@ -124,6 +124,8 @@
     pub(super) attempted: Vec<ReplicaKey>,
     /// Targets that refused the request.
     pub(super) refused_by: Vec<ReplicaKey>,
+    /// Whether a retry was spent for the request that no attempt has used.
+    pub(super) has_retry: bool,
     /// How often the request was sent.
     pub(super) send_count: u32,
     /// How often it was sent and may have run.
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use model::Micros;
 use platform::replica::{self, AddedHeaders, AnswerHead};
-use policy::prefill_priority;
+use policy::{prefill_priority, stall};
 use site::{Boot, Part};
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,10 +21,12 @@
 use super::fleet::ReplicaKey;
 use super::pick::Pick;
 use super::request::Job;
+use super::stalled::{self, Sent, Stall};
 use super::{leaving, origins, rests, suspects, target_limits, Ctx};
 use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
+use crate::stall::watch;
 use crate::update::PromptNote;
 
 /// Time limit for a connection that shows that a target is running.
@@ -51,6 +53,8 @@
     pub(super) boot: Boot,
     /// When the request was sent to the target.
     pub(super) sent_at: Micros,
+    /// Estimated milliseconds until the first token.
+    estimate: f64,
 }
 
 impl InFlight {
@@ -66,6 +70,7 @@
         if let Some(r) = fleet.replicas.get_mut(pick.key) {
             r.record_send(now, pick.prefill_tokens);
             r.suspects += u32::from(suspect);
+            r.history.send(now);
             let request = xxh3_64(job.id.as_bytes());
             let agent = r.agent_report.map(|report| (report.agent, request));
             reported_to = agent.filter(|_| expected.is_some());
@@ -103,6 +108,16 @@
             suspect,
             boot: pick.boot.clone(),
             sent_at: now,
+            estimate: pick.estimate,
+        }
+    }
+
+    /// The request, for decisions on its stall.
+    pub(super) fn sent(&self) -> Sent {
+        Sent {
+            key: self.key,
+            at: self.sent_at,
+            estimate: self.estimate,
         }
     }
 
@@ -152,6 +167,7 @@
         if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
             r.inflight = r.inflight.saturating_sub(1);
             r.suspects -= u32::from(self.suspect);
+            r.history.end(self.sent_at);
         }
     }
 }
@@ -191,6 +207,8 @@
     NotRun(&'static str),
     /// The request may have run.
     Unknown(&'static str),
+    /// The request may have run, and moves to another target; the retry for that is spent.
+    Stalled,
 }
 
 /// Sends a request and waits up to `head_timeout` for the head of its answer.
@@ -231,13 +249,21 @@
     if leaving::is_leaving(ctx, &pick.boot) || rests::left(ctx, ctx.now(), &pick.boot).is_some() {
         return SendOutcome::NotDelivered("target leaves or rests");
     }
-    match timeout(
-        head_timeout,
-        exchange(ctx, job, pick, connection, in_flight, request),
-    )
-    .await
-    {
-        Ok(outcome) => outcome,
+    let (sent, mut stall) = (in_flight.sent(), Stall::default());
+    let exchange = exchange(ctx, job, pick, connection, in_flight, request);
+    let route = &job.route;
+    let first = match stalled::may_move(job) {
+        true => stall::Config::default()
+            .first_wait(route.mode.is_stream(), route.latency_goal.into())
+            .into(),
+        false => Duration::MAX,
+    };
+    let watched = watch(exchange, first, || {
+        stall.step(ctx, job, &sent).map(Duration::from)
+    });
+    match timeout(head_timeout, watched).await {
+        Ok(Some(outcome)) => outcome,
+        Ok(None) => SendOutcome::Stalled,
         Err(_) => SendOutcome::Unknown("silent"),
     }
 }
@@ -318,7 +344,8 @@
     if let Some(timeout) = head.idle_timeout {
         connection.set_idle_timeout(timeout);
     }
-    record_head(ctx, pick, job, &head);
+    let began = response.status().is_success().then_some(in_flight.sent_at);
+    record_head(ctx, pick, job, &head, began);
     let mut rests = false;
     let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     // Without the right id, a misdirected answer is of another process at the address.
@@ -391,13 +418,18 @@
     SendOutcome::NotRun("other weights")
 }
 
-/// Records what the head of an answer says about its target.
-fn record_head(ctx: &Ctx, pick: &Pick, job: &Job, head: &AnswerHead) {
+/// Records what the head of an answer says about its target, and when the request was sent, if its
+/// answer has begun with success.
+fn record_head(ctx: &Ctx, pick: &Pick, job: &Job, head: &AnswerHead, began: Option<Micros>) {
     let now = ctx.now();
     let mut fleet = ctx.fleet.borrow_mut();
     let Some(r) = fleet.replicas.get_mut(pick.key) else {
         return;
     };
+    match began {
+        Some(sent_at) => r.history.answer(now, sent_at),
+        None => r.history.bytes(now),
+    }
     if let Some(load) = head.load {
         r.load = Some((load, now));
     }
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -159,6 +159,7 @@
         deadline: received_at + wait.into(),
         attempted: Vec::new(),
         refused_by: Vec::new(),
+        has_retry: false,
         send_count: 0,
         run_count: 0,
         route: Rc::new(route),
--- a/crates/gate/src/entry/usable.rs
+++ b/crates/gate/src/entry/usable.rs
@@ -2,13 +2,14 @@
 
 use model::Micros;
 use policy::loading::RemainingLoad;
-use policy::{engine_load, subscription};
+use policy::{engine_load, stall, subscription};
 use site::State;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::fleet::{Fleet, ReplicaKey};
 use super::replica::Replica;
 use super::request::Job;
+use super::stalled::reported_at;
 
 /// Maximum age of an agent's report for it to be used.
 pub(super) const REPORT_LIFETIME: Micros = Micros::from_millis(1_500);
@@ -42,7 +43,7 @@
         (!passed.is_empty()).then_some(passed)
     };
     let untried = |c: &(ReplicaKey, &Replica)| !job.attempted.contains(&c.0);
-    let usable = |c: &(ReplicaKey, &Replica)| c.1.breaker.usable(now) && accepts_requests(c.1, now);
+    let usable = |c: &(ReplicaKey, &Replica)| is_usable(c.1, now);
     let no_other_suspect = |c: &(ReplicaKey, &Replica)| !suspect || c.1.suspects == 0;
     let not_due = |c: &(ReplicaKey, &Replica)| !is_due_to_load(c.1, now);
     passing(&|c| untried(c) && usable(c) && not_due(c) && no_other_suspect(c))
@@ -55,6 +56,15 @@
         .unwrap_or_default()
 }
 
+/// Whether a target works and takes requests, as far as known.
+pub(super) fn is_usable(replica: &Replica, now: Micros) -> bool {
+    let signs = replica.history.signs(now, reported_at(replica));
+    replica.breaker.usable(now)
+        && accepts_requests(replica, now)
+        && !replica.history.is_full(now)
+        && !stall::Config::default().is_quiet(&signs)
+}
+
 /// Whether a recent report, if there is one, says that the engine is alive and not loading weights.
 /// An engine that loads weights refuses all new requests.
 pub(super) fn accepts_requests(replica: &Replica, now: Micros) -> bool {
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -318,6 +318,27 @@
         /// Whether the request may have run on the target.
         ran: bool,
     },
+    /// A request that has shown nothing for too long moves to another target, or stays for a reason.
+    Stalled {
+        /// Id of the request.
+        request: &'a str,
+        /// Id of the target where it is.
+        target: &'a str,
+        /// Outcome: moved, no_retry, no_target, none_better, cut_off, over_limit or quarantined.
+        outcome: &'a str,
+        /// Milliseconds since it was sent there.
+        waited_ms: u64,
+        /// Estimated milliseconds until the first token.
+        estimate_ms: f64,
+        /// Milliseconds since the target's last sign of life.
+        heard_ms: Option<u64>,
+        /// Whether the target refuses connections.
+        refuses: bool,
+        /// Number of other targets that answer requests sent later.
+        answering: usize,
+        /// Number of other targets where requests wait as long.
+        stuck: usize,
+    },
     /// A request was answered.
     Answered {
         /// Id of the request.
@@ -418,6 +439,7 @@
             Self::Answered { .. } => ("answered", true),
             Self::Streamed { .. } => ("streamed", true),
             Self::Tried { .. } => ("tried", false),
+            Self::Stalled { .. } => ("stalled", false),
             Self::Refused { .. } => ("refused", false),
             Self::Target { .. } => ("target", false),
             Self::Listed { .. } => ("listed", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -41,6 +41,8 @@
 pub const REFUSALS: &str = "clementinestep_refusals_total";
 /// Failed attempts, by reason.
 pub const FAILED_ATTEMPTS: &str = "clementinestep_failed_tries_total";
+/// Requests that showed nothing for too long, by what came of it.
+pub const STALLED: &str = "clementinestep_stalled_requests_total";
 /// Units of teams' limits, by whether they were admitted, refused or returned unused.
 pub const LIMIT_UNITS: &str = "clementinestep_limit_units_total";
 /// Targets that state a limit.
@@ -97,6 +99,10 @@
     describe_counter!(ANSWERS, "requests answered, by status");
     describe_counter!(REFUSALS, "requests refused or failed here, by reason");
     describe_counter!(FAILED_ATTEMPTS, "tries that came to nothing, by reason");
+    describe_counter!(
+        STALLED,
+        "requests that showed nothing for too long: moved, no_retry, no_target, none_better, cut_off, over_limit, quarantined"
+    );
     describe_counter!(
         LIMIT_UNITS,
         "units of teams' limits: admitted, refused, returned"
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -59,8 +59,23 @@
 }
 
 impl Config {
+    /// Time in which every decision on a request is to wait.
+    pub fn first_wait(&self, is_stream: bool, goal: Micros) -> Micros {
+        let patience = self.patience(is_stream, goal, Micros::ZERO);
+        patience.min(self.refused_silence)
+    }
+
+    /// Whether a target whose sidecar has reported shows no life. A target without a sidecar isn't quiet,
+    /// nor is one whose sidecar has been gone for long. Two lost reports are borne, since the target has
+    /// no request that waits.
+    pub fn is_quiet(&self, signs: &Signs) -> bool {
+        let long = Micros(self.silence.0 * 3 / 2);
+        let known = signs.reported.is_some_and(|age| age < self.report_memory);
+        known && signs.age().is_some_and(|age| age >= long)
+    }
+
     /// Time after which a request at a target that shows life is late.
-    pub fn patience(&self, is_stream: bool, goal: Micros, estimate: Micros) -> Micros {
+    fn patience(&self, is_stream: bool, goal: Micros, estimate: Micros) -> Micros {
         match is_stream {
             true => self.slack + estimate + estimate,
             false => Micros((goal.0 as f64 * self.goal_share) as u64),
@@ -222,10 +237,12 @@
 pub struct Evidence {
     /// Time since the request was sent.
     pub waited: Micros,
-    /// Estimate of the time to the first event, from when it was sent.
+    /// Whether the answer is a stream.
+    pub is_stream: bool,
+    /// Latency goal of the route.
+    pub goal: Micros,
+    /// Estimate of the time to the first event, from when it was sent; zero if there is none.
     pub estimate: Micros,
-    /// [`Config::patience`] for the request.
-    pub patience: Micros,
     /// Time left until the deadline.
     pub time_left: Micros,
     /// Signs of life of its target.
@@ -267,11 +284,12 @@
     let quiet = e.target.age().map_or(e.waited, |age| age.min(e.waited));
     let silence = match e.target.reported {
         _ if e.refuses => config.refused_silence,
-        Some(_) => config.silence,
+        Some(_) => config.silence.max(e.estimate),
         // A target without a sidecar may be working on a queue.
         None => config.silence.max(e.estimate + e.estimate),
     };
-    let remaining = (silence - quiet).min(e.patience - e.waited);
+    let patience = config.patience(e.is_stream, e.goal, e.estimate);
+    let remaining = (silence - quiet).min(patience - e.waited);
     if remaining > Micros::ZERO {
         return Decision::Wait {
             until: remaining,
@@ -280,7 +298,7 @@
     }
     let is_silent = quiet >= silence;
     let in_progress = e.target.answered.is_some_and(|a| a < config.silence);
-    let is_better = match in_progress && !is_silent {
+    let is_better = match e.is_stream && in_progress && !is_silent {
         true => e.others.answering > e.others.stuck,
         // Without requests elsewhere, nothing speaks against the others.
         false => e.others.answering >= e.others.stuck,
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -68,7 +68,8 @@
         let evidence = Evidence {
             waited: ms(c.waited),
             estimate: ms(c.estimate),
-            patience: config.patience(true, ms(500), ms(c.estimate)),
+            is_stream: true,
+            goal: ms(500),
             time_left: ms(15_000 - c.waited),
             target: signs(c.reported, c.answered),
             refuses: c.refuses,
@@ -164,7 +165,8 @@
             let evidence = Evidence {
                 waited: now.since(r.sent_at),
                 estimate: ms(100),
-                patience: config.patience(true, ms(500), ms(100)),
+                is_stream: true,
+                goal: ms(500),
                 time_left: (r.arrived + DEADLINE).since(now),
                 target: targets[r.target].signs(now, reported_at(r.target)),
                 refuses: targets[r.target].refuses(),
