--- a/crates/gate/src/entry/limits.rs
+++ b/crates/gate/src/entry/limits.rs
@@ -111,11 +111,10 @@
         self.held.set(taken.is_ok());
         taken
     }
-}
 
-impl Drop for Charge {
-    fn drop(&mut self) {
-        if self.held.get() {
+    /// Returns units that no run has used.
+    fn release(&self) {
+        if self.held.replace(false) {
             meter::add(meter::LIMIT_UNITS, "outcome", "returned", self.units);
             let now = self.ctx.now();
             let mut limits = self.ctx.limits.borrow_mut();
@@ -124,6 +123,12 @@
     }
 }
 
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 /// Takes the units of a request's first run, if its team has a limit.
 pub(super) fn admit(job: &mut Job, now: Micros) -> Result<(), Refusal> {
     let time_left = job.time_left(now).into();
@@ -152,6 +157,11 @@
     job.charge.as_ref().is_none_or(hold)
 }
 
+/// Returns the units that [`hold_run`] has taken, as the request stays at its target.
+pub(super) fn release_run(job: &Job) {
+    job.charge.iter().for_each(Charge::release);
+}
+
 /// Keeps the units of a run that did not take place for the next one.
 pub(super) fn keep(job: &mut Job) {
     if let Some(c) = &job.charge {
--- a/crates/gate/src/entry/stalled.rs
+++ b/crates/gate/src/entry/stalled.rs
@@ -69,7 +69,7 @@
         if suspects::is_convicted(ctx, job) {
             return Err("quarantined");
         }
-        let may_spend = ctx.retry_budget(&job.pool, |b| self.need.may_spend(now, b));
+        let may_spend = ctx.retry_budget(&job.pool, |b| self.need.may_spend(now, b, reason));
         if !job.has_retry && !may_spend {
             return Err("no_retry");
         }
@@ -82,7 +82,10 @@
         let spent = |b: &mut _| self.need.spend(now, b, reason);
         match job.has_retry || ctx.retry_budget(&job.pool, spent) {
             true => Ok(()),
-            false => Err("no_retry"),
+            false => {
+                limits::release_run(job);
+                Err("no_retry")
+            }
         }
     }
 }
--- a/crates/gate/src/stall.rs
+++ b/crates/gate/src/stall.rs
@@ -20,19 +20,20 @@
 
 impl Need {
     /// Whether an attempt to spend a retry may succeed, or is due so that loans are asked for.
-    pub(crate) fn may_spend(&self, now: Micros, budget: &Budget) -> bool {
-        budget.remaining() >= 1.0
-            || self
-                .spent_at
+    pub(crate) fn may_spend(&self, now: Micros, budget: &Budget, reason: RetryReason) -> bool {
+        let is_due = || {
+            self.spent_at
                 .is_none_or(|at| now.since(at) >= NEED_INTERVAL)
+        };
+        budget.allows(reason) || reason != RetryReason::Late && is_due()
     }
 
     /// Spends a retry and returns true, if one is left for this reason.
     pub(crate) fn spend(&mut self, now: Micros, budget: &mut Budget, reason: RetryReason) -> bool {
-        if !self.may_spend(now, budget) {
+        if !self.may_spend(now, budget, reason) {
             return false;
         }
-        if budget.remaining() < 1.0 {
+        if !budget.allows(reason) {
             self.spent_at = Some(now);
         }
         budget.spend(now, reason)
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -118,19 +118,27 @@
     /// Spends a retry and returns true, if one is left for this reason.
     pub fn spend(&mut self, now: Micros, reason: RetryReason) -> bool {
         self.expire(now);
-        let is_late = reason == RetryReason::Late;
-        if !is_late {
+        if reason != RetryReason::Late {
             self.needed_at = Some(now);
         }
+        if self.has_own(reason) {
+            self.retries.push_back(now);
+            return true;
+        }
+        reason != RetryReason::Late && self.borrowed.pop_front().is_some()
+    }
+
+    /// Whether a retry is left for this reason.
+    pub fn allows(&self, reason: RetryReason) -> bool {
+        self.has_own(reason) || reason != RetryReason::Late && !self.borrowed.is_empty()
+    }
+
+    fn has_own(&self, reason: RetryReason) -> bool {
         let reserved = match reason {
             RetryReason::HasRun => 0.0,
             RetryReason::NotRun | RetryReason::Late => self.earned() * RESERVED,
         };
-        if self.own_remaining() >= 1.0 + reserved {
-            self.retries.push_back(now);
-            return true;
-        }
-        !is_late && self.borrowed.pop_front().is_some()
+        self.own_remaining() >= 1.0 + reserved
     }
 
     /// Retries left.
