Policy: fractions of a domain's work for other domains, and copies of rising openings

If every entry follows the last reports, which are up to a second old, all move their work to the same domain at once. Copies of a hot opening were made only when a holder's queue cost more than the copy.

domain_balance computes the fraction of each domain's work that goes elsewhere, as an integral of the difference of loads, with a gain that is divided by the age of the reports. opening_demand forecasts the rate of an opening from own and reported requests.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,8 @@
 //!   ([`engine_load`]) and the prefill rate of the pool ([`prefill_rate`]). [`prefill_priority`] ranks
 //!   requests at an engine, [`backlog`] counts the prefill that an engine has pending, and [`length_partition`]
 //!   keeps long prompts on engines of their own.
+//! - Uneven demand: [`domain_balance`] computes the fraction of a domain's work that goes to others, and
+//!   [`opening_demand`] when an opening needs one more copy.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
 //!   long a request waits while all engines load weights.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
@@ -51,6 +53,7 @@
 pub mod crash_attribution;
 pub mod crashing_parts;
 pub mod delegate;
+pub mod domain_balance;
 pub mod drain;
 pub mod engine_load;
 pub mod health;
@@ -62,6 +65,7 @@
 pub mod liveness;
 pub mod loading;
 pub mod misdirected;
+pub mod opening_demand;
 pub mod pollers;
 pub mod pool_peers;
 pub mod prefill_priority;
