Balance demand between domains, and copy openings whose rate rises

An entry compared all engines of all domains by reports that are up to a second old, so that all entries moved to the same domain at once. A hot opening was copied only after a queue had built up at its holder.

If it would be refused as late, all engines are compared without these penalties. Fetches between domains cost their bytes. With a cost or with the contract pressure, an engine without the opening becomes cheaper if the opening's forecast rate exceeds what its holders serve; entries report their requests for openings to each other (tag 48).

--- a/crates/gate/src/entry/candidates.rs
+++ b/crates/gate/src/entry/candidates.rs
@@ -17,10 +17,11 @@
 use super::replica::{held_prefix, Replica};
 use super::request::Job;
 use super::usable::{failure_factor, is_fetchable, start_index, REPORT_LIFETIME};
+use crate::domains::Penalties;
 use crate::node::domain_key;
 
 /// Time in which an entry's note on a prompt reaches a sidecar and comes back in an update.
-const REPORT_DELAY: Micros = Micros::from_millis(5);
+pub(super) const REPORT_DELAY: Micros = Micros::from_millis(5);
 /// Network delay in milliseconds that is assumed between failure domains.
 const CROSS_DOMAIN_DELAY: f64 = 3.0;
 /// Cost of the tokens that a new token evicts, as a fraction of the time to prefill a token.
@@ -44,6 +45,10 @@
     pub(super) max_order_penalty: f64,
     /// Milliseconds to prefill a token.
     pub(super) prefill_per_token: f64,
+    /// Cost of a megabyte between domains in milliseconds, if it is stated.
+    pub(super) domain_cost: Option<f64>,
+    /// Penalties of the domains in milliseconds.
+    pub(super) domains: &'a Penalties,
     /// Ids of the engines that are reserved for long prompts, if any.
     pub(super) long_engines: Option<HashSet<String>>,
 }
@@ -66,10 +71,11 @@
         let load = self.load(r, self.prompt.input_tokens.saturating_sub(held));
         let version = r.weights.get(&self.prompt.model);
         let outdated = version.and_then(|v| self.announced.outdated(self.now, *v));
+        let domain = domain_key(&r.target.domain);
         Candidate {
             key,
             addr: r.target.addr,
-            domain: domain_key(&r.target.domain),
+            domain,
             wait: load.wait(
                 self.prompt.input_tokens + self.prompt.max_output_tokens,
                 self.prefill_per_token,
@@ -78,7 +84,7 @@
             held,
             eviction_cost: self.prefill_per_token * EVICTION_COST_SHARE,
             network_delay: delay,
-            penalty: mismatch + self.order_penalty(r),
+            penalty: mismatch + self.order_penalty(r) + self.domains.of(domain),
             cost_factor: failure_factor(r, self.now)
                 * engine_load::outdated_weights_factor(outdated),
         }
@@ -164,6 +170,10 @@
                 fetch_setup: FETCH_SETUP,
             })
         });
-        Sources::new(engines.chain(stores))
+        let mut sources = Sources::new(engines.chain(stores));
+        if let Some(cost) = self.domain_cost {
+            sources.set_cross_domain_cost(cost * self.engine.token_bytes as f64 / 1e6);
+        }
+        sources
     }
 }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod suspects;
 mod target_limits;
+mod uneven_demand;
 mod usable;
 
 use std::cell::{Cell, RefCell};
@@ -45,6 +46,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::agent::AgentId;
+use crate::domains::Domains;
 use crate::kv_stores;
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
@@ -105,6 +107,8 @@
     target_limits: RefCell<target_limits::State>,
     /// Prefill rates of engines, by pool.
     prefill_rates: RefCell<HashMap<String, PrefillRate>>,
+    /// Balance between domains, and demand for openings.
+    domains: RefCell<Domains>,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
     /// Whether new requests are refused because the process is about to exit.
@@ -201,6 +205,7 @@
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
+        domains: RefCell::default(),
         socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
@@ -212,6 +217,7 @@
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(uneven_demand::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
@@ -327,6 +333,10 @@
             target_limits::receive(&ctx, from, used);
             continue;
         }
+        if let Some(demand) = &update.opening_demand {
+            ctx.domains.borrow_mut().apply_report(now, demand);
+            continue;
+        }
         if let Some(note) = update.note {
             delegate::receive_note(&ctx, update.delegate, note);
             continue;
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -7,7 +7,7 @@
 use model::Micros;
 use policy::latency_admission::{self, Decision, Estimate};
 use policy::length_partition;
-use policy::ttft_placement::{self, Sources};
+use policy::ttft_placement::{self, Candidate, Choice, Sources};
 use policy::versions;
 use site::{Boot, Engine, Plan, Prompt, Scope};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -19,7 +19,7 @@
 use super::replica::{held_prefix, Replica};
 use super::request::Job;
 use super::usable::{all_loading, eligible_targets, with_recent_report};
-use super::{leaving, origins, rests, suspects, target_limits, Ctx};
+use super::{leaving, origins, rests, suspects, target_limits, uneven_demand, Ctx};
 
 /// Largest penalty, in milliseconds, for an engine's position in a subject's own order of engines.
 /// With this order, entries that have no data on one another's choices prefill a new opening on the
@@ -66,6 +66,8 @@
     /// Estimated milliseconds until the first token; for a plain service, the share of the target's
     /// slots in use, with penalties for distance and failures.
     pub(super) estimate: f64,
+    /// Whether the request makes a copy of an opening whose rate rises.
+    pub(super) is_copy: bool,
     /// Whether the engine is idle and fetches nothing for this prompt, so that the time to the
     /// first token measures the prefill rate.
     pub(super) measures_prefill: bool,
@@ -91,9 +93,10 @@
     engine: Engine,
 ) -> Result<Pick, Reason> {
     let now = ctx.now();
-    let (domain, allowed) = {
+    let (domain, allowed, domain_cost) = {
         let s = ctx.node.settings.borrow();
-        (s.domain.clone(), Micros::from(s.bounds.weights_deadline))
+        let allowed = Micros::from(s.bounds.weights_deadline);
+        (s.domain.clone(), allowed, s.domain_cost)
     };
     let announced = ctx
         .node
@@ -145,6 +148,7 @@
             )
     });
     let prefill_per_token = ctx.prefill_rate(&job.pool, |p| p.ms_per_token());
+    let domains = uneven_demand::place_at_engines(ctx, &fleet, job, &engine, prefill_per_token);
     let builder = CandidateBuilder {
         now,
         domain: &domain,
@@ -156,6 +160,8 @@
         max_order_penalty: MAX_ORDER_PENALTY
             + f64::from(missing) * prefill_per_token * COLD_PENALTY_SHARE,
         prefill_per_token,
+        domain_cost,
+        domains: &domains,
     };
     // Engines with the same weights share their sources; rarely more than two or three versions are
     // loaded at the same time.
@@ -174,17 +180,37 @@
         let wait = Micros::from_millis(candidate.wait as u64);
         may_begin(r, wait).then_some((candidate, sources.get(&scope)?))
     });
-    let choice = ttft_placement::choose(prompt.input_tokens, candidates).ok_or(Reason::NoTarget)?;
-    let estimate = Estimate {
+    let mut candidates: Vec<_> = candidates.collect();
+    let copy = uneven_demand::copy(ctx, &fleet, job, prompt, &candidates);
+    if let Some((copy, c)) = copy.and_then(|copy| Some((copy, candidates.get_mut(copy.index)?))) {
+        c.0.penalty -= copy.discount;
+    }
+    let choose = |penalized: bool| {
+        let candidates = candidates.iter().map(|(c, sources)| {
+            let relief = if penalized { 0.0 } else { domains.of(c.domain) };
+            let penalty = c.penalty - relief;
+            (Candidate { penalty, ..*c }, *sources)
+        });
+        ttft_placement::choose(prompt.input_tokens, candidates).ok_or(Reason::NoTarget)
+    };
+    let estimate = |choice: &Choice<ReplicaKey, SocketAddr>| Estimate {
         wait: choice.wait,
         prefill: (choice.ttft - choice.wait).max(0.0),
         latency_goal: job.route.latency_goal.as_secs_f64() * 1e3,
         time_left: job.time_left(now).as_secs_f64() * 1e3,
     };
+    let mut choice = choose(true)?;
+    let mut decision = latency_admission::decide(&estimate(&choice));
+    let is_late = matches!(decision, Decision::Refuse(_));
+    if is_late && domains.is_in_force() {
+        // A surplus of another domain is used before a request is refused.
+        choice = choose(false)?;
+        decision = latency_admission::decide(&estimate(&choice));
+    }
     // A request that has run isn't refused for being late: its caller gets the rest of the answer
     // now, even if late, or never.
     let not_run_yet = job.run_count == 0;
-    if let (Decision::Refuse(excess), true) = (latency_admission::decide(&estimate), not_run_yet) {
+    if let (Decision::Refuse(excess), true) = (decision, not_run_yet) {
         return Err(Reason::Late {
             wait: Micros::from_millis(choice.wait as u64),
             excess: Micros::from_millis(excess as u64),
@@ -196,6 +222,17 @@
     let held = scope
         .as_ref()
         .map_or(0, |s| r.will_hold(now, s.key(), &prompt.parts));
+    let copy = copy.filter(|copy| {
+        candidates
+            .get(copy.index)
+            .is_some_and(|c| c.0.key == choice.key)
+    });
+    if let Some(copy) = copy {
+        uneven_demand::log_copy(job, r, subject, copy);
+    }
+    if domains.is_in_force() {
+        uneven_demand::count_placed(&domain, r, is_late);
+    }
     Ok(Pick {
         key: choice.key,
         addr: r.target.addr,
@@ -210,6 +247,7 @@
         held,
         shared_prefill_tokens: choice.prefill_tokens.saturating_sub(own),
         prefill_tokens: choice.prefill_tokens,
+        is_copy: copy.is_some(),
         measures_prefill: choice.fetch.is_none() && choice.wait <= MAX_IDLE_WAIT_MS,
         estimate: choice.ttft,
         load_age: r.agent_report.map(|report| now.since(report.at)),
--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -8,7 +8,8 @@
 use super::replica::Replica;
 use super::request::Job;
 use super::usable::{eligible_targets, failure_factor, start_index};
-use super::{leaving, rests, suspects, target_limits, Ctx};
+use super::{leaving, rests, suspects, target_limits, uneven_demand, Ctx};
+use crate::node::domain_key;
 
 /// Maximum age of the load that a target has stated itself.
 const LOAD_LIFETIME: Micros = Micros::from_millis(400);
@@ -28,13 +29,20 @@
             && target_limits::admits(ctx, now, boot)
     };
     let eligible = eligible_targets(&fleet, job, now, suspect, accepted);
+    let domains = uneven_demand::place_at_plain(ctx, &fleet, job, |r| requests(r, now));
     let start = start_index(job, eligible.len());
     let candidates = eligible[start..].iter().chain(&eligible[..start]);
     let best = candidates
-        .map(|(key, r)| (*key, *r, plain_cost(r, &domain, now)))
+        .map(|(key, r)| {
+            let penalty = domains.of(domain_key(&r.target.domain));
+            (*key, *r, plain_cost(r, &domain, penalty, now))
+        })
         .min_by(|a, b| a.2.total_cmp(&b.2));
     let none_left = || target_limits::no_target(ctx, &fleet, job, is_usable);
     let (key, r, cost) = best.ok_or_else(none_left)?;
+    if domains.is_in_force() {
+        uneven_demand::count_placed(&domain, r, false);
+    }
     Ok(Pick {
         key,
         addr: r.target.addr,
@@ -47,19 +55,25 @@
         held: 0,
         shared_prefill_tokens: 0,
         prefill_tokens: 0,
+        is_copy: false,
         measures_prefill: false,
         estimate: cost,
         load_age: r.load.map(|(_, at)| now.since(at)),
     })
 }
 
-/// Share of a target's slots that would be in use, with penalties for distance and failures.
-fn plain_cost(r: &Replica, domain: &str, now: Micros) -> f64 {
+/// Requests at a target, as far as known.
+fn requests(r: &Replica, now: Micros) -> u32 {
     let load = r.load.filter(|(_, at)| now.since(*at) < LOAD_LIFETIME);
-    let requests = load
-        .map_or(0, |(l, _)| l.running + l.waiting)
-        .max(r.inflight);
+    load.map_or(0, |(l, _)| l.running + l.waiting)
+        .max(r.inflight)
+}
+
+/// Share of a target's slots that would be in use, with penalties for distance and failures.
+/// `domain_penalty` is that of the balance between domains.
+fn plain_cost(r: &Replica, domain: &str, domain_penalty: f64, now: Micros) -> f64 {
     let slots = f64::from(r.target.slots.max(1));
     let distance_penalty = if r.target.domain == domain { 0.0 } else { 0.1 };
-    ((f64::from(requests) + 1.0) / slots + distance_penalty) * failure_factor(r, now)
+    let share = (f64::from(requests(r, now)) + 1.0) / slots;
+    (share + distance_penalty + domain_penalty) * failure_factor(r, now)
 }
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -89,7 +89,7 @@
             ctx.report_prompt(agent, note);
         }
         if let (Some((_, parts)), Some(scope)) = (&expected, pick.scope.as_ref()) {
-            if pick.shared_prefill_tokens > 0 {
+            if pick.shared_prefill_tokens > 0 || pick.is_copy {
                 ctx.announce_expected(pick.addr, scope, parts);
             }
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod agent;
 pub mod cache;
+pub mod domains;
 pub mod entry;
 pub mod follow;
 pub mod kv_stores;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -401,6 +401,26 @@
         /// Number of agents that were skipped because they didn't answer slot queries.
         silent: usize,
     },
+    /// The fraction of a domain's work that goes to other domains has changed.
+    DomainShare {
+        /// Name of the pool.
+        pool: &'a str,
+        /// Fraction of this domain's work for other domains.
+        away: f64,
+        /// Load of this domain, where 1 is full use; `None` if it has no targets.
+        load: Option<f64>,
+    },
+    /// A request was sent to an engine that doesn't hold its opening, since the opening's rate rises.
+    OpeningCopy {
+        /// Id of the request.
+        request: &'a str,
+        /// Id of the target.
+        target: &'a str,
+        /// Id of the prompt's last shared part, in hexadecimal.
+        subject: String,
+        /// Number of engines that hold the opening or are about to.
+        holders: usize,
+    },
     /// Log lines of one kind were dropped.
     Dropped {
         /// Kind of the lines.
@@ -428,6 +448,8 @@
             Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
             Self::Delegate { .. } => ("delegate", false),
+            Self::DomainShare { .. } => ("domain_share", false),
+            Self::OpeningCopy { .. } => ("opening_copy", true),
             Self::BadRow { .. } => ("bad_row", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
             _ => ("process", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -92,6 +92,12 @@
 pub const CONFIGURATION_VERSION: &str = "clementinestep_configuration_version";
 /// Other processes known.
 pub const MEMBERS: &str = "clementinestep_members";
+/// Fraction of the home domain's work for other domains, by pool.
+pub const DOMAIN_SHARE: &str = "clementinestep_domain_share";
+/// Requests placed by the balance between domains, by domain: home, other, or other instead of a refusal.
+pub const DOMAIN_REQUESTS: &str = "clementinestep_domain_requests_total";
+/// Requests that made a copy of an opening whose rate rises.
+pub const OPENING_COPIES: &str = "clementinestep_opening_copies_total";
 
 fn describe() {
     describe_counter!(ANSWERS, "requests answered, by status");
@@ -144,6 +150,9 @@
         "version of the configuration in force"
     );
     describe_gauge!(MEMBERS, "other processes known");
+    describe_gauge!(DOMAIN_SHARE, "fraction of work for other domains, by pool");
+    describe_counter!(DOMAIN_REQUESTS, "requests placed, by home or other domain");
+    describe_counter!(OPENING_COPIES, "copies of openings whose rate rises");
 }
 
 /// Increments a counter by one.
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -22,6 +22,11 @@
 /// is read in microseconds.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Flag that states the cost of bytes between failure domains; it wins over the environment variable.
+const DOMAIN_COST_FLAG: &str = "--domain-cost";
+/// Environment variable that states the cost of bytes between failure domains.
+const DOMAIN_COST_VARIABLE: &str = "CLEMENTINESTEP_DOMAIN_COST";
+
 /// Error that prevents a process from starting.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -31,6 +36,9 @@
     /// The settings file is invalid.
     #[error("the settings file `{0}`: {1}")]
     Settings(PathBuf, #[source] SettingsError),
+    /// The cost of bytes between failure domains is invalid.
+    #[error("the cost of bytes between domains, `{0}`, isn't a number of milliseconds per megabyte from 0 on")]
+    DomainCost(String),
     /// The operating system has denied a resource.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -90,7 +98,38 @@
 
 fn read_settings(path: &Path) -> Result<Settings, StartError> {
     let text = std::fs::read_to_string(path).map_err(|e| StartError::File(path.to_owned(), e))?;
-    parse_settings(&text).map_err(|e| StartError::Settings(path.to_owned(), e))
+    let settings = parse_settings(&text).map_err(|e| StartError::Settings(path.to_owned(), e))?;
+    let variable = std::env::var(DOMAIN_COST_VARIABLE).ok();
+    Ok(Settings {
+        domain_cost: domain_cost(std::env::args(), variable)?,
+        ..settings
+    })
+}
+
+/// Cost of a megabyte between failure domains in milliseconds, from the command line or an environment variable; `None`
+/// if neither states it.
+pub fn domain_cost(
+    args: impl IntoIterator<Item = String>,
+    variable: Option<String>,
+) -> Result<Option<f64>, StartError> {
+    let mut args = args.into_iter();
+    let mut flag = None;
+    while let Some(arg) = args.next() {
+        // The platform's own arguments are ignored.
+        match arg.strip_prefix(DOMAIN_COST_FLAG) {
+            Some("") => flag = Some(args.next().unwrap_or_default()),
+            Some(rest) if rest.starts_with('=') => flag = Some(rest[1..].to_owned()),
+            _ => {}
+        }
+    }
+    let Some(text) = flag.or(variable.filter(|v| !v.trim().is_empty())) else {
+        return Ok(None);
+    };
+    let cost = text.trim().parse::<f64>().ok();
+    match cost.filter(|c| c.is_finite() && *c >= 0.0) {
+        Some(cost) => Ok(Some(cost)),
+        None => Err(StartError::DomainCost(text)),
+    }
 }
 
 async fn run_process(path: PathBuf, settings: Settings) -> Result<(), StartError> {
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -148,6 +148,28 @@
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
+    /// Requests for openings that an entry has received.
+    #[prost(message, optional, tag = "48")]
+    pub opening_demand: Option<OpeningDemand>,
+}
+
+/// Requests for openings that an entry has received since its last report.
+#[derive(Clone, PartialEq, Message)]
+pub struct OpeningDemand {
+    /// The openings with the most requests.
+    #[prost(message, repeated, tag = "1")]
+    pub counts: Vec<OpeningCount>,
+}
+
+/// Requests for one opening.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct OpeningCount {
+    /// Id of the opening's last part.
+    #[prost(fixed64, tag = "1")]
+    pub opening: u64,
+    /// Number of requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
 }
 
 /// An entry's use of the teams' limits, as in [`policy::limit::Report`].
--- /dev/null
+++ b/crates/gate/tests/domains.rs
@@ -0,0 +1,82 @@
+//! Setting and driver of the balance between domains.
+
+use gate::domains::{Domains, TargetLoad};
+use gate::start::domain_cost;
+use model::Micros;
+
+/// Guards against a start with a cost that can't be read, and against an environment variable that wins over the flag.
+#[test]
+fn invalid_cost_is_accepted_or_the_flag_is_ignored() {
+    struct Case {
+        args: &'static [&'static str],
+        variable: Option<&'static str>,
+        cost: Result<Option<f64>, &'static str>,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { args: &[], variable: None, cost: Ok(None) },
+        Case { args: &["entry", "--other"], variable: Some(" "), cost: Ok(None) },
+        Case { args: &[], variable: Some("20"), cost: Ok(Some(20.0)) },
+        Case { args: &["--domain-cost", "0"], variable: Some("20"), cost: Ok(Some(0.0)) },
+        Case { args: &["--domain-cost=1.5"], variable: Some("x"), cost: Ok(Some(1.5)) },
+        Case { args: &["--domain-cost"], variable: None, cost: Err("``") },
+        Case { args: &[], variable: Some("dear"), cost: Err("`dear`") },
+        Case { args: &["--domain-cost=-1"], variable: None, cost: Err("`-1`") },
+        Case { args: &["--domain-cost=inf"], variable: None, cost: Err("`inf`") },
+    ];
+    for c in cases {
+        let args = c.args.iter().map(|a| (*a).to_owned());
+        let found = domain_cost(args, c.variable.map(str::to_owned));
+        match (found, c.cost) {
+            (Ok(found), Ok(cost)) => assert_eq!(found, cost, "{:?}", c.args),
+            (Err(e), Err(text)) => assert!(e.to_string().contains(text), "{e}"),
+            (found, cost) => panic!("{:?}: {found:?} instead of {cost:?}", c.args),
+        }
+    }
+}
+
+/// Guards against requests that all follow a report which shows another domain as idle, and against requests that stay
+/// although they are drawn for another domain.
+#[test]
+fn request_follows_a_report_or_stays_although_it_is_drawn_for_another_domain() {
+    struct Case {
+        name: &'static str,
+        /// Load of the home domain; its wait is 100 ms at 1.
+        home: f64,
+        /// Cost of the request's bytes.
+        cost: f64,
+        draw: f64,
+        /// Penalties of home and of the other domain, whose load is 0.2.
+        penalties: (f64, f64),
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "home", home: 0.5, cost: 500.0, draw: 0.0, penalties: (0.0, 530.0) },
+        Case { name: "home is short, not drawn", home: 1.5, cost: 500.0, draw: 0.95, penalties: (0.0, 630.0) },
+        Case { name: "home is short, drawn", home: 1.5, cost: 500.0, draw: 0.0, penalties: (0.0, 0.0) },
+        Case { name: "cheap, drawn", home: 0.8, cost: 0.0, draw: 0.0, penalties: (0.0, 0.0) },
+        Case { name: "cheap, not drawn", home: 0.8, cost: 0.0, draw: 0.95, penalties: (0.0, 60.0) },
+    ];
+    for c in cases {
+        let mut domains = Domains::default();
+        // The mean cost of the pool's requests is known before the fractions are computed.
+        (0..200).for_each(|_| drop(domains.place("pool", 1, 0.9, c.cost)));
+        for step in 1..20 {
+            let now = Micros::from_millis(step * 100);
+            let load = |domain: u64, demand: f64| TargetLoad {
+                domain,
+                demand,
+                capacity: 1.0,
+                wait: demand * 100.0,
+                at: Some(now),
+            };
+            let targets = [load(1, c.home), load(2, 0.2)];
+            domains.update(now, "pool", 1, 100.0, targets.into_iter());
+        }
+        let placed = domains.place("pool", 1, c.draw, c.cost);
+        let found = (placed.of(1), placed.of(2));
+        let near = |a: f64, b: f64| (a - b).abs() < 1e-6;
+        let same = near(found.0, c.penalties.0) && near(found.1, c.penalties.1);
+        assert!(same, "{}: {found:?}", c.name);
+    }
+}
--- a/crates/policy/src/ttft_placement.rs
+++ b/crates/policy/src/ttft_placement.rs
@@ -78,6 +78,8 @@
 pub struct Sources<A> {
     held: Vec<Source<A>>,
     soon: Vec<Source<A>>,
+    /// Cost of moving a token between domains, in milliseconds that aren't waited for.
+    cross_domain_cost: f64,
 }
 
 impl<A: Copy> Sources<A> {
@@ -87,6 +89,7 @@
         let mut sources = Self {
             held: Vec::new(),
             soon: Vec::new(),
+            cross_domain_cost: 0.0,
         };
         for s in all {
             keep(&mut sources.held, s, |s| s.held);
@@ -95,6 +98,11 @@
         sources
     }
 
+    /// Sets the cost of moving a token between failure domains, in milliseconds that aren't waited for.
+    pub fn set_cross_domain_cost(&mut self, cost: f64) {
+        self.cross_domain_cost = cost;
+    }
+
     /// Number of sources that each candidate is compared with.
     pub fn count(&self) -> usize {
         self.held.len() + self.soon.len()
@@ -157,18 +165,21 @@
         wait: c.wait,
         prefill_tokens: missing,
     };
+    let mut bytes = 0.0;
     for s in sources.held.iter().filter(|s| s.addr != c.addr) {
         let moved = s.held.saturating_sub(c.held);
         let prefill_tokens = missing - moved.min(missing);
-        let far = if s.domain == c.domain {
-            1.0
+        let (far, charge) = if s.domain == c.domain {
+            (1.0, 0.0)
         } else {
-            CROSS_DOMAIN_FACTOR
+            (CROSS_DOMAIN_FACTOR, sources.cross_domain_cost)
         };
+        let charge = f64::from(moved) * charge;
         let cost = s.fetch_setup
             + f64::from(moved) * s.fetch_per_token * far
             + f64::from(prefill_tokens) * c.prefill_per_token;
-        if moved > 0 && cost < best.cost {
+        if moved > 0 && cost + charge < best.cost + bytes {
+            bytes = charge;
             best = Choice {
                 fetch: Some(s.addr),
                 cost,
@@ -181,7 +192,7 @@
     let eviction = f64::from(missing) * c.eviction_cost;
     Choice {
         fetch: best.fetch.or_else(|| likely_source(&c, sources)),
-        cost: (ttft + eviction + c.penalty) * c.cost_factor,
+        cost: (ttft + bytes + eviction + c.penalty) * c.cost_factor,
         ttft,
         ..best
     }
@@ -193,7 +204,10 @@
     sources: &Sources<A>,
 ) -> Option<A> {
     let others = sources.soon.iter().filter(|s| s.addr != c.addr);
-    let more = others.filter(|s| s.held_soon > c.held);
+    // Bytes that cost more than the prefill that they save aren't moved.
+    let is_worth =
+        |s: &&Source<A>| s.domain == c.domain || sources.cross_domain_cost < c.prefill_per_token;
+    let more = others.filter(|s| s.held_soon > c.held).filter(is_worth);
     let best = more.max_by_key(|s| (s.held_soon, s.domain == c.domain))?;
     Some(best.addr)
 }
--- a/crates/policy/tests/ttft_placement.rs
+++ b/crates/policy/tests/ttft_placement.rs
@@ -211,6 +211,44 @@
     assert_eq!(choice.fetch, Some(6));
 }
 
+#[test]
+fn costly_bytes_between_domains_are_moved_or_count_as_time() {
+    // Guards against fetching an opening from another failure domain where its bytes cost more than prefill, and
+    // against a cost that isn't waited for in the estimated time to the first token.
+    struct Case {
+        cost: f64,
+        fetch: Option<usize>,
+    }
+    let cases = [
+        Case {
+            cost: 0.0,
+            fetch: Some(6),
+        },
+        Case {
+            cost: PREFILL / 2.0,
+            fetch: Some(6),
+        },
+        Case {
+            cost: PREFILL * 2.0,
+            fetch: None,
+        },
+    ];
+    for c in cases {
+        let holder = Source {
+            domain: 1,
+            ..source(6, &engine(0.0, 6_000))
+        };
+        let mut sources = Sources::new([holder]);
+        sources.set_cross_domain_cost(c.cost);
+        let lacking = candidate(0, &engine(0.0, 0), 0.0);
+        let choice = choose(7_000, [(lacking, &sources)]).expect("a choice");
+        assert_eq!(choice.fetch, c.fetch, "cost {}", c.cost);
+        let moved = if c.fetch.is_some() { 6_000.0 } else { 0.0 };
+        let charge = choice.cost - choice.ttft;
+        assert!((charge - moved * c.cost).abs() < 1e-6, "cost {}", c.cost);
+    }
+}
+
 #[test]
 fn an_engine_without_time_memory_or_current_weights_costs_more() {
     // Guards against preferring an engine with no prompts to prefill that loads weights, has no free memory, or
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -60,6 +60,9 @@
     pub store: SocketAddr,
     /// Whether the deployment's engines run short of room at times, so that entries share it out.
     pub pressure: bool,
+    /// Cost of a megabyte between failure domains, in milliseconds of a request's time to its first token; `None` if
+    /// demand isn't balanced between domains.
+    pub domain_cost: Option<f64>,
     /// Interval at which a target renews its entry in the store.
     pub heartbeat: Duration,
     /// Limits that the platform guarantees or requires.
