Assume a load for plain replicas that haven't answered, and count openings by pool and isolated team

An entry without a recent answer of a replica took it for idle. Two full domains would have sent work to each other.

Pools and isolated teams hold copies of their own, so the rate of an opening is counted for each.

--- a/crates/gate/src/entry/plain.rs
+++ b/crates/gate/src/entry/plain.rs
@@ -29,7 +29,7 @@
             && target_limits::admits(ctx, now, boot)
     };
     let eligible = eligible_targets(&fleet, job, now, suspect, accepted);
-    let domains = uneven_demand::place_at_plain(ctx, &fleet, job, |r| requests(r, now));
+    let domains = uneven_demand::place_at_plain(ctx, &fleet, job);
     let start = start_index(job, eligible.len());
     let candidates = eligible[start..].iter().chain(&eligible[..start]);
     let best = candidates
@@ -62,18 +62,15 @@
     })
 }
 
-/// Requests at a target, as far as known.
-fn requests(r: &Replica, now: Micros) -> u32 {
-    let load = r.load.filter(|(_, at)| now.since(*at) < LOAD_LIFETIME);
-    load.map_or(0, |(l, _)| l.running + l.waiting)
-        .max(r.inflight)
-}
-
 /// Share of a target's slots that would be in use, with penalties for distance and failures.
 /// `domain_penalty` is that of the balance between domains.
 fn plain_cost(r: &Replica, domain: &str, domain_penalty: f64, now: Micros) -> f64 {
+    let load = r.load.filter(|(_, at)| now.since(*at) < LOAD_LIFETIME);
+    let requests = load
+        .map_or(0, |(l, _)| l.running + l.waiting)
+        .max(r.inflight);
     let slots = f64::from(r.target.slots.max(1));
     let distance_penalty = if r.target.domain == domain { 0.0 } else { 0.1 };
-    let share = (f64::from(requests(r, now)) + 1.0) / slots;
+    let share = (f64::from(requests) + 1.0) / slots;
     (share + distance_penalty + domain_penalty) * failure_factor(r, now)
 }
--- a/crates/gate/src/entry/uneven_demand.rs
+++ b/crates/gate/src/entry/uneven_demand.rs
@@ -27,6 +27,9 @@
 const WAIT_SHARE: f64 = 0.5;
 /// Bytes of an answer for each output token: an event with its framing.
 const EVENT_BYTES: f64 = 64.0;
+/// Load that a plain target without a recent answer is assumed to have. Its domain gets some work once the home domain is
+/// short, and its answers then show the load. If it counted as idle, two full domains would send work to each other.
+const ASSUMED_LOAD: f64 = 0.75;
 /// Greatest wait of an engine for a new copy, as a fraction of the time to compute the opening.
 const COPY_WAIT_SHARE: f64 = 0.5;
 
@@ -48,21 +51,21 @@
 }
 
 /// Penalties of the domains for a job at a plain service, as shares of a target's slots.
-pub(super) fn place_at_plain(
-    ctx: &Ctx,
-    fleet: &Fleet,
-    job: &Job,
-    requests: impl Fn(&Replica) -> u32,
-) -> Penalties {
-    let load = |r: &Replica, now, _| {
-        let (demand, slots) = (f64::from(requests(r)), f64::from(r.target.slots.max(1)));
+pub(super) fn place_at_plain(ctx: &Ctx, fleet: &Fleet, job: &Job) -> Penalties {
+    let load = |r: &Replica, now: Micros, _| {
+        let slots = f64::from(r.target.slots.max(1));
+        let stated = r.load.filter(|(_, at)| now.since(*at) < REPORT_LIFETIME);
+        let (demand, at) = match stated {
+            Some((l, at)) => (f64::from(l.running + l.waiting), at),
+            None => (ASSUMED_LOAD * slots, now),
+        };
+        let demand = demand.max(f64::from(r.inflight));
         TargetLoad {
             domain: domain_key(&r.target.domain),
             demand,
             capacity: slots,
             wait: demand / slots,
-            // Without a load of its own, a target counts by the requests that this entry has sent.
-            at: Some(now),
+            at: Some(at),
         }
     };
     let bytes = job.body.len() as f64;
@@ -196,6 +199,10 @@
         s.domain_cost.map(|_| domain_key(&s.domain))
     };
     let subject = prompt.shared().last()?.id.0;
+    // Pools and isolated teams have copies of their own.
+    let team = job.team.as_deref().filter(|_| job.isolated);
+    let owner = xxh3_64_with_seed(team.unwrap_or_default().as_bytes(), subject);
+    let opening = xxh3_64_with_seed(job.pool.as_bytes(), owner);
     let tokens = prompt.shared_tokens();
     if tokens < domains::MIN_OPENING_TOKENS {
         return None;
@@ -203,7 +210,7 @@
     let now = ctx.now();
     let mut domains = ctx.domains.borrow_mut();
     if job.send_count == 0 {
-        domains.record_opening(now, subject);
+        domains.record_opening(now, opening);
     }
     let own = prompt.input_tokens.saturating_sub(tokens);
     let holds = |c: &Candidate<ReplicaKey, SocketAddr>| c.held >= tokens;
@@ -213,7 +220,7 @@
         count: holders,
         work,
     };
-    if !domains.needs_copy(now, subject, &needed) {
+    if !domains.needs_copy(now, opening, &needed) {
         return None;
     }
     let rank = |key: ReplicaKey| {
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -164,7 +164,7 @@
 /// Requests for one opening.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct OpeningCount {
-    /// Id of the opening's last part.
+    /// Hash of the opening's last part, the pool and, if it is isolated, the team.
     #[prost(fixed64, tag = "1")]
     pub opening: u64,
     /// Number of requests.
