Placement: subtract the discount for a copy after the cost factor

The discount was part of the penalty. Where it exceeds the other costs, the sum is below zero, and a factor above 1 made a failing engine cheaper.

--- a/crates/gate/src/entry/candidates.rs
+++ b/crates/gate/src/entry/candidates.rs
@@ -85,6 +85,7 @@
             eviction_cost: self.prefill_per_token * EVICTION_COST_SHARE,
             network_delay: delay,
             penalty: mismatch + self.order_penalty(r) + self.domains.of(domain),
+            discount: 0.0,
             cost_factor: failure_factor(r, self.now)
                 * engine_load::outdated_weights_factor(outdated),
         }
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -183,7 +183,7 @@
     let mut candidates: Vec<_> = candidates.collect();
     let copy = uneven_demand::copy(ctx, &fleet, job, prompt, &candidates);
     if let Some((copy, c)) = copy.and_then(|copy| Some((copy, candidates.get_mut(copy.index)?))) {
-        c.0.penalty -= copy.discount;
+        c.0.discount = copy.discount;
     }
     let choose = |penalized: bool| {
         let candidates = candidates.iter().map(|(c, sources)| {
--- a/crates/policy/src/ttft_placement.rs
+++ b/crates/policy/src/ttft_placement.rs
@@ -52,6 +52,8 @@
     /// Milliseconds that count against it without being waited for, such as by its place in the subject's own order
     /// of engines.
     pub penalty: f64,
+    /// Milliseconds by which it is cheaper, whatever its cost factor, since it should get a copy of the opening.
+    pub discount: f64,
     /// Factor on the cost; above 1 for engines that failed recently or whose answers are worth less.
     pub cost_factor: f64,
 }
@@ -192,7 +194,8 @@
     let eviction = f64::from(missing) * c.eviction_cost;
     Choice {
         fetch: best.fetch.or_else(|| likely_source(&c, sources)),
-        cost: (ttft + bytes + eviction + c.penalty) * c.cost_factor,
+        // The discount isn't multiplied: a sum below zero would make a failing engine the cheapest.
+        cost: (ttft + bytes + eviction + c.penalty) * c.cost_factor - c.discount,
         ttft,
         ..best
     }
--- a/crates/policy/tests/engine_load.rs
+++ b/crates/policy/tests/engine_load.rs
@@ -52,6 +52,7 @@
                 eviction_cost: READ * 0.8,
                 network_delay: 0.0,
                 penalty: 0.0,
+                discount: 0.0,
                 cost_factor: 1.0,
             };
             (candidate, &sources)
--- a/crates/policy/tests/ttft_placement.rs
+++ b/crates/policy/tests/ttft_placement.rs
@@ -36,6 +36,7 @@
         eviction_cost: room,
         network_delay: 0.0,
         penalty: 0.0,
+        discount: 0.0,
         cost_factor: e.cost_factor,
     }
 }
@@ -249,6 +250,23 @@
     }
 }
 
+#[test]
+fn discount_makes_a_failing_engine_the_cheapest() {
+    // Guards against a discount for a copy that is multiplied by the cost factor, so that an engine is the cheaper the
+    // more it fails.
+    let sources = Sources::new([source(0, &engine(100.0, 7_000))]);
+    let cost = |cost_factor| {
+        let lacking = Candidate {
+            discount: 7_000.0 * PREFILL,
+            cost_factor,
+            ..candidate(1, &engine(0.0, 0), 0.0)
+        };
+        choose(7_000, [(lacking, &sources)]).expect("a choice").cost
+    };
+    assert!(cost(1.0) < 0.0, "{}", cost(1.0));
+    assert!(cost(2.0) > cost(1.0), "{} {}", cost(2.0), cost(1.0));
+}
+
 #[test]
 fn an_engine_without_time_memory_or_current_weights_costs_more() {
     // Guards against preferring an engine with no prompts to prefill that loads weights, has no free memory, or
