Entry: refuse no request as late because it was to make a copy

The discount could draw a request to an engine where it was late while a holder would have been in time. Without a cost of bytes between domains the request was then refused without a second comparison.

--- a/crates/gate/src/domains.rs
+++ b/crates/gate/src/domains.rs
@@ -10,6 +10,7 @@
 use model::Micros;
 use policy::domain_balance::{self, Balance, Domain};
 use policy::opening_demand::{self, Holders, Openings};
+use policy::ttft_placement::Candidate;
 
 use crate::log::{self, Event};
 use crate::meter;
@@ -68,6 +69,15 @@
         }
     }
 
+    /// A candidate without its domain's penalty and without a discount for a copy of an opening.
+    pub fn undo<K: Copy, A: Copy>(&self, c: &Candidate<K, A>) -> Candidate<K, A> {
+        Candidate {
+            penalty: c.penalty - self.of(c.domain),
+            discount: 0.0,
+            ..*c
+        }
+    }
+
     /// Whether any domain has a penalty.
     pub fn is_in_force(&self) -> bool {
         self.home != 0
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -7,7 +7,7 @@
 use model::Micros;
 use policy::latency_admission::{self, Decision, Estimate};
 use policy::length_partition;
-use policy::ttft_placement::{self, Candidate, Choice, Sources};
+use policy::ttft_placement::{self, Choice, Sources};
 use policy::versions;
 use site::{Boot, Engine, Plan, Prompt, Scope};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -185,11 +185,10 @@
     if let Some((copy, c)) = copy.and_then(|copy| Some((copy, candidates.get_mut(copy.index)?))) {
         c.0.discount = copy.discount;
     }
-    let choose = |penalized: bool| {
+    let choose = |balanced: bool| {
         let candidates = candidates.iter().map(|(c, sources)| {
-            let relief = if penalized { 0.0 } else { domains.of(c.domain) };
-            let penalty = c.penalty - relief;
-            (Candidate { penalty, ..*c }, *sources)
+            let c = if balanced { *c } else { domains.undo(c) };
+            (c, *sources)
         });
         ttft_placement::choose(prompt.input_tokens, candidates).ok_or(Reason::NoTarget)
     };
@@ -202,8 +201,8 @@
     let mut choice = choose(true)?;
     let mut decision = latency_admission::decide(&estimate(&choice));
     let is_late = matches!(decision, Decision::Refuse(_));
-    if is_late && domains.is_in_force() {
-        // A surplus of another domain is used before a request is refused.
+    if is_late && (domains.is_in_force() || copy.is_some()) {
+        // A surplus of another domain is used before a request is refused, and no request is refused to make a copy.
         choice = choose(false)?;
         decision = latency_admission::decide(&estimate(&choice));
     }
--- a/crates/gate/tests/domains.rs
+++ b/crates/gate/tests/domains.rs
@@ -1,8 +1,9 @@
 //! Setting and driver of the balance between domains.
 
-use gate::domains::{Domains, TargetLoad};
+use gate::domains::{Domains, Penalties, TargetLoad};
 use gate::start::domain_cost;
 use model::Micros;
+use policy::ttft_placement::{choose, Candidate, Sources};
 
 /// Guards against a start with a cost that can't be read, and against an environment variable that wins over the flag.
 #[test]
@@ -80,3 +81,34 @@
         assert!(same, "{}: {found:?}", c.name);
     }
 }
+
+/// Guards against refusing a request as late since it was to make a copy or to stay in its domain, although another engine
+/// would be in time.
+#[test]
+fn discount_or_penalty_remains_in_the_choice_before_a_refusal() {
+    let mut domains = Domains::default();
+    let penalties = domains.place("pool", 1, 0.9, 500.0);
+    for (name, penalties) in [("no cost", Penalties::default()), ("cost", penalties)] {
+        let engine = |key: usize, domain: u64, wait: f64, discount: f64| Candidate {
+            key,
+            addr: key,
+            domain,
+            wait,
+            prefill_per_token: 0.02,
+            held: 7_000,
+            eviction_cost: 0.0,
+            network_delay: 0.0,
+            penalty: penalties.of(domain),
+            discount,
+            cost_factor: 1.0,
+        };
+        let all = [engine(0, 2, 100.0, 0.0), engine(1, 1, 200.0, 140.0)];
+        let sources = Sources::new([]);
+        let chosen = |c: [Candidate<usize, usize>; 2]| {
+            let choice = choose(7_000, c.map(|c| (c, &sources)));
+            choice.map(|c| c.key)
+        };
+        assert_eq!(chosen(all), Some(1), "{name}");
+        assert_eq!(chosen(all.map(|c| penalties.undo(&c))), Some(0), "{name}");
+    }
+}
