--- a/crates/gate/src/domains.rs
+++ b/crates/gate/src/domains.rs
@@ -91,8 +91,8 @@
     updated: Option<Micros>,
     /// Mean wait by domain, of domains with recent reports.
     waits: BTreeMap<u64, f64>,
-    /// Mean cost of the bytes of a request, in the unit of the penalties.
-    cost: f64,
+    /// Mean cost of the bytes of a request, in the unit of the penalties; `None` before the first request.
+    cost: Option<f64>,
     /// Fraction of the home domain's work for other domains when it was last logged.
     logged: f64,
 }
@@ -128,7 +128,7 @@
         let waits = sums.iter().filter(|(_, s)| s.reported > 0.0);
         state.waits = waits.map(|(d, s)| (*d, s.wait / s.reported)).collect();
         let config = domain_balance::Config::default();
-        let band = state.cost / limit.max(f64::MIN_POSITIVE);
+        let band = state.cost.unwrap_or_default() / limit.max(f64::MIN_POSITIVE);
         state.balance.update(&config, now, band, &domains);
         state.updated = Some(now);
         let away = state.balance.sent_away(home);
@@ -151,7 +151,9 @@
     /// difference of waits, which may be out of date, moves work only through the fractions.
     pub fn place(&mut self, pool: &str, home: u64, draw: f64, cost: f64) -> Penalties {
         let state = self.pools.entry(pool.to_owned()).or_default();
-        state.cost += (cost - state.cost) * COST_SMOOTHING;
+        // If the mean began at 0, expensive bytes would count as cheap for the first dozens of requests.
+        let mean = state.cost.unwrap_or(cost);
+        state.cost = Some(mean + (cost - mean) * COST_SMOOTHING);
         let drawn = state.balance.destination(home, draw);
         let wait = state.waits.get(&drawn).copied().unwrap_or_default();
         let penalty = |domain: u64| {
--- a/crates/gate/tests/domains.rs
+++ b/crates/gate/tests/domains.rs
@@ -36,8 +36,8 @@
     }
 }
 
-/// Guards against requests that all follow a report which shows another domain as idle, and against requests that stay
-/// although they are drawn for another domain.
+/// Guards against requests that all follow a report which shows another domain as idle, against requests that stay
+/// although they are drawn for another domain, and against expensive bytes that count as cheap after a start.
 #[test]
 fn request_follows_a_report_or_stays_although_it_is_drawn_for_another_domain() {
     struct Case {
@@ -53,6 +53,7 @@
     #[rustfmt::skip]
     let cases = [
         Case { name: "home", home: 0.5, cost: 500.0, draw: 0.0, penalties: (0.0, 530.0) },
+        Case { name: "home is busier but not short", home: 0.85, cost: 500.0, draw: 0.0, penalties: (0.0, 565.0) },
         Case { name: "home is short, not drawn", home: 1.5, cost: 500.0, draw: 0.95, penalties: (0.0, 630.0) },
         Case { name: "home is short, drawn", home: 1.5, cost: 500.0, draw: 0.0, penalties: (0.0, 0.0) },
         Case { name: "cheap, drawn", home: 0.8, cost: 0.0, draw: 0.0, penalties: (0.0, 0.0) },
@@ -60,8 +61,7 @@
     ];
     for c in cases {
         let mut domains = Domains::default();
-        // The mean cost of the pool's requests is known before the fractions are computed.
-        (0..200).for_each(|_| drop(domains.place("pool", 1, 0.9, c.cost)));
+        drop(domains.place("pool", 1, 0.9, c.cost));
         for step in 1..20 {
             let now = Micros::from_millis(step * 100);
             let load = |domain: u64, demand: f64| TargetLoad {
