--- a/crates/gate/src/domains.rs
+++ b/crates/gate/src/domains.rs
@@ -32,6 +32,10 @@
 /// than 64 reports per second.
 const MAX_REPORTERS: usize = 32;
 
+/// Wait that counts as a load of 1, as a fraction of the shortest latency goal of a pool's routes. The other half is for
+/// the request's own prefill.
+const WAIT_SHARE: f64 = 0.5;
+
 /// Load of one target, in a unit that is the same for the whole pool.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetLoad {
@@ -208,6 +212,13 @@
     REPORT_INTERVAL * entries.div_ceil(MAX_REPORTERS).max(1) as u32
 }
 
+/// Wait in milliseconds that counts as a load of 1 in a pool whose routes have these latency goals. Routes without a goal
+/// state 0; if none has one, `timeout` takes its place.
+pub fn wait_limit(goals: impl Iterator<Item = Duration>, timeout: Duration) -> f64 {
+    let goal = goals.filter(|g| !g.is_zero()).min().unwrap_or(timeout);
+    (goal.as_secs_f64() * 1e3 * WAIT_SHARE).max(1.0)
+}
+
 /// Sums over the targets of a domain.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
--- a/crates/gate/src/entry/uneven_demand.rs
+++ b/crates/gate/src/entry/uneven_demand.rs
@@ -22,9 +22,6 @@
 use crate::node::domain_key;
 use crate::update::{self, Update};
 
-/// Wait that counts as a load of 1, as a fraction of the shortest latency goal of a pool's routes. The other half is for
-/// the request's own prefill.
-const WAIT_SHARE: f64 = 0.5;
 /// Bytes of an answer for each output token: an event with its framing.
 const EVENT_BYTES: f64 = 64.0;
 /// Load that a plain target without a recent answer is assumed to have. Its domain gets some work once the home domain is
@@ -117,10 +114,8 @@
 /// Wait in milliseconds that counts as a load of 1 for a job's pool.
 fn wait_limit(ctx: &Ctx, job: &Job) -> f64 {
     let plan = ctx.node.plan();
-    let goals = plan.iter().flat_map(|p| p.routes_to(&job.pool));
-    let goal = goals.map(|r| r.latency_goal).min();
-    let goal = goal.unwrap_or(job.route.latency_goal);
-    (goal.as_secs_f64() * 1e3 * WAIT_SHARE).max(1.0)
+    let routes = plan.iter().flat_map(|p| p.routes_to(&job.pool));
+    domains::wait_limit(routes.map(|r| r.latency_goal), job.route.timeout)
 }
 
 /// Load of an engine: the part in use of whatever is scarcest there.
--- a/crates/gate/tests/domains.rs
+++ b/crates/gate/tests/domains.rs
@@ -1,6 +1,8 @@
 //! Setting and driver of the balance between domains.
 
-use gate::domains::{Domains, Penalties, TargetLoad};
+use std::time::Duration;
+
+use gate::domains::{wait_limit, Domains, Penalties, TargetLoad};
 use gate::start::domain_cost;
 use model::Micros;
 use policy::ttft_placement::{choose, Candidate, Sources};
@@ -112,3 +114,18 @@
         assert_eq!(chosen(all.map(|c| penalties.undo(&c))), Some(0), "{name}");
     }
 }
+
+/// Guards against a route without a latency goal, due to which each wait counts as full use and no work moves.
+#[test]
+fn route_without_a_goal_makes_all_domains_count_as_full() {
+    for (goals, limit) in [
+        (&[500, 1_500][..], 250.0),
+        (&[0, 500], 250.0),
+        (&[0], 5_000.0),
+        (&[], 5_000.0),
+    ] {
+        let durations = goals.iter().copied().map(Duration::from_millis);
+        let found = wait_limit(durations, Duration::from_secs(10));
+        assert_eq!(found, limit, "{goals:?}");
+    }
+}
