Start: accept arguments that aren't Unicode

Reading the cost of bytes between domains stopped each process with such an argument, also without that setting. A value of the environment variable that isn't Unicode counted as none.

--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -1,5 +1,6 @@
 //! Start and stop of a process: settings, signals and the tasks common to all roles.
 
+use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -99,9 +100,9 @@
 fn read_settings(path: &Path) -> Result<Settings, StartError> {
     let text = std::fs::read_to_string(path).map_err(|e| StartError::File(path.to_owned(), e))?;
     let settings = parse_settings(&text).map_err(|e| StartError::Settings(path.to_owned(), e))?;
-    let variable = std::env::var(DOMAIN_COST_VARIABLE).ok();
+    let variable = std::env::var_os(DOMAIN_COST_VARIABLE);
     Ok(Settings {
-        domain_cost: domain_cost(std::env::args(), variable)?,
+        domain_cost: domain_cost(std::env::args_os(), variable)?,
         ..settings
     })
 }
@@ -109,10 +110,13 @@
 /// Cost of a megabyte between failure domains in milliseconds, from the command line or an environment variable; `None`
 /// if neither states it.
 pub fn domain_cost(
-    args: impl IntoIterator<Item = String>,
-    variable: Option<String>,
+    args: impl IntoIterator<Item = OsString>,
+    variable: Option<OsString>,
 ) -> Result<Option<f64>, StartError> {
-    let mut args = args.into_iter();
+    // The platform's own arguments may be other than Unicode.
+    let text = |s: OsString| s.to_string_lossy().into_owned();
+    let variable = variable.map(text);
+    let mut args = args.into_iter().map(text);
     let mut flag = None;
     while let Some(arg) = args.next() {
         // The platform's own arguments are ignored.
--- a/crates/gate/tests/domains.rs
+++ b/crates/gate/tests/domains.rs
@@ -1,5 +1,7 @@
 //! Setting and driver of the balance between domains.
 
+use std::ffi::OsString;
+use std::os::unix::ffi::OsStringExt;
 use std::time::Duration;
 
 use gate::domains::{wait_limit, Domains, Penalties, TargetLoad};
@@ -28,8 +30,8 @@
         Case { args: &["--domain-cost=inf"], variable: None, cost: Err("`inf`") },
     ];
     for c in cases {
-        let args = c.args.iter().map(|a| (*a).to_owned());
-        let found = domain_cost(args, c.variable.map(str::to_owned));
+        let args = c.args.iter().map(OsString::from);
+        let found = domain_cost(args, c.variable.map(OsString::from));
         match (found, c.cost) {
             (Ok(found), Ok(cost)) => assert_eq!(found, cost, "{:?}", c.args),
             (Err(e), Err(text)) => assert!(e.to_string().contains(text), "{e}"),
@@ -38,6 +40,15 @@
     }
 }
 
+/// Guards against a start that fails because of an argument that isn't Unicode, and against an unreadable cost that counts
+/// as none.
+#[test]
+fn text_that_is_not_unicode_stops_the_start_or_counts_as_no_cost() {
+    let text = || OsString::from_vec(vec![b'/', 0xff]);
+    assert!(matches!(domain_cost([text()], None), Ok(None)));
+    assert!(domain_cost([], Some(text())).is_err());
+}
+
 /// Guards against requests that all follow a report which shows another domain as idle, against requests that stay
 /// although they are drawn for another domain, and against expensive bytes that count as cheap after a start.
 #[test]
