--- a/crates/gate/src/entry/uneven_demand.rs
+++ b/crates/gate/src/entry/uneven_demand.rs
@@ -53,7 +53,7 @@
         let slots = f64::from(r.target.slots.max(1));
         let stated = r.load.filter(|(_, at)| now.since(*at) < REPORT_LIFETIME);
         let (demand, at) = match stated {
-            Some((l, at)) => (f64::from(l.running + l.waiting), at),
+            Some((l, at)) => (f64::from(l.running) + f64::from(l.waiting), at),
             None => (ASSUMED_LOAD * slots, now),
         };
         let demand = demand.max(f64::from(r.inflight));
@@ -139,7 +139,7 @@
     };
     let unread = r.with_unreported(report.unread_tokens, report.at - REPORT_DELAY);
     let tokens: f64 = unread.iter().map(|t| f64::from(*t)).sum();
-    let requests = f64::from(report.unread_prompts + report.running);
+    let requests = f64::from(report.unread_prompts) + f64::from(report.running);
     let memory = match report.memory_total {
         0 => 0.0,
         total => (f64::from(report.memory_used) + tokens) / f64::from(total),
