--- a/crates/gate/tests/domains.rs
+++ b/crates/gate/tests/domains.rs
@@ -6,8 +6,10 @@
 
 use gate::domains::{wait_limit, Domains, Penalties, TargetLoad};
 use gate::start::domain_cost;
+use gate::update::{Update, MAX_DATAGRAM};
 use model::Micros;
 use policy::ttft_placement::{choose, Candidate, Sources};
+use prost::Message;
 
 /// Guards against a start with a cost that can't be read, and against an environment variable that wins over the flag.
 #[test]
@@ -140,3 +142,19 @@
         assert_eq!(found, limit, "{goals:?}");
     }
 }
+
+/// Guards against reports on openings that are fragmented.
+#[test]
+fn report_on_openings_exceeds_one_datagram() {
+    let mut domains = Domains::default();
+    let now = Micros::from_secs(10);
+    // From 16,384 requests on, a count takes three bytes.
+    (0..60 * 16_384).for_each(|i| domains.record_opening(now, u64::MAX - i % 60));
+    let update = Update {
+        entry: true,
+        opening_demand: domains.take_report(),
+        ..Update::default()
+    };
+    let size = update.encoded_len();
+    assert!((500..=MAX_DATAGRAM).contains(&size), "{size} bytes");
+}
