--- a/crates/gate/src/entry/uneven_demand.rs
+++ b/crates/gate/src/entry/uneven_demand.rs
@@ -269,10 +269,10 @@
     loop {
         let entries = ctx.node.cluster.borrow().entries().count() + 1;
         sleep(domains::report_interval(entries)).await;
-        if !is_in_force(&ctx.node.settings.borrow()) {
-            continue;
-        }
-        let Some(report) = ctx.domains.borrow_mut().take_report() else {
+        // Counts from before a change of the settings are dropped, as they would be reported as new later.
+        let report = ctx.domains.borrow_mut().take_report();
+        let in_force = is_in_force(&ctx.node.settings.borrow());
+        let Some(report) = report.filter(|_| in_force) else {
             continue;
         };
         let update = Update {
