--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod stalled;
 mod suspects;
 mod target_limits;
+mod uneven_demand;
 mod usable;
 
 use std::cell::{Cell, RefCell};
@@ -48,6 +49,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::agent::AgentId;
+use crate::domains::Domains;
 use crate::kv_stores;
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
@@ -110,6 +112,8 @@
     prefill_rates: RefCell<HashMap<String, PrefillRate>>,
     /// Durations of engines' answers, by pool.
     answer_times: RefCell<HashMap<String, AnswerTime>>,
+    /// Balance between domains, and demand for openings.
+    domains: RefCell<Domains>,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
     /// Whether new requests are refused because the process is about to exit.
@@ -207,6 +211,7 @@
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
         answer_times: RefCell::default(),
+        domains: RefCell::default(),
         socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
@@ -218,6 +223,7 @@
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(uneven_demand::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
@@ -333,6 +339,10 @@
             target_limits::receive(&ctx, from, used);
             continue;
         }
+        if let Some(demand) = &update.opening_demand {
+            ctx.domains.borrow_mut().apply_report(now, demand);
+            continue;
+        }
         if let Some(note) = update.note {
             delegate::receive_note(&ctx, update.delegate, note);
             continue;
