Divide the capacity of a short pool by rank and team (decisions)

Each entry decides alone whether a prompt is late, by the wait at the best engine, so the capacity of a short pool goes to whoever comes first at an entry, and long prompts keep urgent ones waiting.

policy::fair_share divides a capacity by rank, then by weighted max-min shares of teams. policy::room estimates the capacity from first events while prompts wait, sums up the demand that entries report, and decides per request; long and short prompts of a team and rank are admitted in the same proportion.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,8 @@
 //!   keeps long prompts on engines of their own.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
 //!   long a request waits while all engines load weights.
+//! - Room: [`room`] admits requests to a pool that is short by rank and team, in the shares that
+//!   [`fair_share`] computes.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
 //!   rate that a target states.
 //! - Streams: [`stream_origin`] finds the build at which a stream may go on.
@@ -53,6 +55,7 @@
 pub mod delegate;
 pub mod drain;
 pub mod engine_load;
+pub mod fair_share;
 pub mod health;
 pub mod holder;
 pub mod latency_admission;
@@ -76,6 +79,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod rollout;
+pub mod room;
 pub mod row_expiry;
 pub mod slots;
 pub mod stream_origin;
