Refuse requests for room where the settings name pressure

Entries decided alone whether a pool is short, so a hot team or long prompts took the capacity from whoever came later.

gate::room drives policy::room: before the first attempt of a request to an engine pool an entry admits it or answers 503 no_room with a retry time. Entries send each other their demand, first events and waits twice a second per pool (tag 45). Fractions are corrected for the trend of a rank's demand, which is known a second late.

Without the contract pressure nothing is sent, counted or refused.

No run with processes.

--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -20,7 +20,7 @@
 use super::refuse::Reason;
 use super::request::Job;
 use super::send::{self, LiveAnswer, SendOutcome};
-use super::{crashing_parts, limits, suspects, Ctx};
+use super::{crashing_parts, limits, room, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -68,6 +68,7 @@
 
 /// Sends a job to one target after another until one answers it or no further attempt is possible.
 pub(super) async fn first_answer(ctx: &Ctx, job: &mut Job) -> Result<FirstAnswer, Reason> {
+    room::admit(ctx, job)?;
     let mut last: Option<Response<Bytes>> = None;
     loop {
         let plan = ctx.node.plan().ok_or(Reason::Unconfigured)?;
@@ -80,6 +81,7 @@
             Err(remaining) => return Err(Reason::Quarantined { remaining }),
         };
         let picked = pick::pick(ctx, &plan, job);
+        room::record_pick(ctx, job, &picked);
         if is_trial && picked.is_err() {
             crashing_parts::return_trial(ctx, job);
         }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod restored_list;
 mod rests;
 mod retries;
+mod room;
 mod send;
 mod serve;
 mod suspects;
@@ -48,6 +49,7 @@
 use crate::kv_stores;
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
+use crate::room::Rooms;
 use crate::update::{self, HeldPart, Incarnation, PromptNote, Update};
 use site::{Part, Scope};
 
@@ -105,6 +107,8 @@
     target_limits: RefCell<target_limits::State>,
     /// Prefill rates of engines, by pool.
     prefill_rates: RefCell<HashMap<String, PrefillRate>>,
+    /// Room in engine pools.
+    rooms: Rooms,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
     /// Whether new requests are refused because the process is about to exit.
@@ -201,6 +205,7 @@
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
+        rooms: Rooms::default(),
         socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
@@ -212,6 +217,7 @@
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(room::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
@@ -319,6 +325,10 @@
             limits::receive(&ctx, from, used);
             continue;
         }
+        if let Some(room) = &update.room {
+            room::receive(&ctx, room);
+            continue;
+        }
         if let Some(origin) = &update.origin {
             origins::receive(&ctx, from, origin);
             continue;
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -52,6 +52,11 @@
         /// Time until the first of them may get the request.
         wait: Micros,
     },
+    /// The pool is short, and other requests go first.
+    NoRoom {
+        /// Time after which a retry is useful; it differs between callers.
+        wait: Micros,
+    },
     /// The build that began the stream is unknown.
     BuildUnknown,
     /// No target has the build that began the stream.
@@ -98,6 +103,7 @@
             Self::OverLimit(_) => "over_limit",
             Self::TargetLimits { .. } => "target_limits",
             Self::Resting { .. } => "resting",
+            Self::NoRoom { .. } => "no_room",
             Self::BuildUnknown => "build_unknown",
             Self::BuildGone => "build_gone",
             Self::NoTarget => "no_target",
@@ -122,6 +128,7 @@
             | Self::Stopping
             | Self::TargetLimits { .. }
             | Self::Resting { .. }
+            | Self::NoRoom { .. }
             | Self::BuildUnknown
             | Self::BuildGone
             | Self::NoTarget
@@ -219,7 +226,9 @@
         Reason::Quarantined { remaining } => Some(remaining.into()),
         // Each refused request gets its own time.
         Reason::OverLimit(refusal) => Some(refusal.wait.into()),
-        Reason::TargetLimits { wait } | Reason::Resting { wait } => Some(wait.into()),
+        Reason::TargetLimits { wait } | Reason::Resting { wait } | Reason::NoRoom { wait } => {
+            Some(wait.into())
+        }
         _ => r
             .reason
             .retry_after()
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -24,7 +24,7 @@
 use super::pick;
 use super::request::{AnswerBody, IncompleteAnswer, Job};
 use super::send::{self, LiveAnswer, SendOutcome};
-use super::{limits, origins, suspects, Ctx};
+use super::{limits, origins, room, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -253,6 +253,7 @@
         let after = self.ctx.now().since(self.job.received_at).into();
         self.first_event_after = Some(after);
         meter::record_duration(meter::FIRST_EVENT, after);
+        room::record_first_event(&self.ctx, &self.job);
         let Some(live) = &mut self.live else {
             return;
         };
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -25,7 +25,7 @@
 use super::refuse::{self, Reason};
 use super::relay;
 use super::request::{AnswerBody, Job};
-use super::{suspects, Ctx};
+use super::{room, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -194,6 +194,9 @@
         }
         Ok(FirstAnswer::Whole(response)) => {
             record_answer(ctx, &job, response.status());
+            if response.status().is_success() {
+                room::record_first_event(ctx, &job);
+            }
             meter::record_duration(meter::ANSWER_END, ctx.now().since(job.received_at).into());
             let (parts, body) = response.into_parts();
             let body = Full::new(body).map_err(|e| match e {});
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod meter;
 pub mod node;
 pub mod peer;
+pub mod room;
 pub mod sidecar;
 pub mod start;
 mod stream_origins;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -401,6 +401,21 @@
         /// Number of agents that were skipped because they didn't answer slot queries.
         silent: usize,
     },
+    /// A pool has become short, or is no longer; amounts are in tokens per second.
+    Room {
+        /// Name of the pool.
+        pool: &'a str,
+        /// Whether requests are refused for room from now on.
+        short: bool,
+        /// Demand at all entries in contact.
+        offered: u64,
+        /// What they admit.
+        admitted: u64,
+        /// What the pool serves, if known.
+        capacity: Option<u64>,
+        /// Number of other entries that have reported recently.
+        entries: usize,
+    },
     /// Log lines of one kind were dropped.
     Dropped {
         /// Kind of the lines.
@@ -428,6 +443,7 @@
             Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
             Self::Delegate { .. } => ("delegate", false),
+            Self::Room { .. } => ("room", false),
             Self::BadRow { .. } => ("bad_row", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
             _ => ("process", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -90,6 +90,10 @@
 pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
 /// Version of the configuration in force.
 pub const CONFIGURATION_VERSION: &str = "clementinestep_configuration_version";
+/// Tokens of requests to engine pools that may be short, by whether they were admitted or refused.
+pub const ROOM_TOKENS: &str = "clementinestep_room_tokens_total";
+/// Tokens per second that a pool is observed to serve; 0 if unknown.
+pub const ROOM_CAPACITY: &str = "clementinestep_room_capacity";
 /// Other processes known.
 pub const MEMBERS: &str = "clementinestep_members";
 
@@ -143,6 +147,11 @@
         CONFIGURATION_VERSION,
         "version of the configuration in force"
     );
+    describe_counter!(
+        ROOM_TOKENS,
+        "tokens asked of engine pools: admitted, refused"
+    );
+    describe_gauge!(ROOM_CAPACITY, "tokens per second that a pool serves");
     describe_gauge!(MEMBERS, "other processes known");
 }
 
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -145,6 +145,9 @@
     /// Hashes of the incarnations of targets that have said to an entry that they leave.
     #[prost(fixed64, repeated, tag = "44")]
     pub leaving: Vec<u64>,
+    /// Demand for an engine pool at an entry, and what the pool serves.
+    #[prost(message, optional, tag = "45")]
+    pub room: Option<RoomUse>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
@@ -285,6 +288,52 @@
     pub lent: u32,
 }
 
+/// Demand for an engine pool at an entry, as in [`policy::room::Report`].
+#[derive(Clone, PartialEq, Message)]
+pub struct RoomUse {
+    /// Random number of the process.
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    /// When the report was made, in microseconds since the start of the process.
+    #[prost(uint64, tag = "2")]
+    pub sent_us: u64,
+    /// Hash of the pool's name.
+    #[prost(fixed64, tag = "3")]
+    pub pool: u64,
+    /// Tokens per second whose first events arrived.
+    #[prost(uint32, tag = "4")]
+    pub served: u32,
+    /// Recent requests for which an engine was looked for, in hundredths.
+    #[prost(uint32, tag = "5")]
+    pub picked: u32,
+    /// Those of them for which all engines had a wait, in hundredths.
+    #[prost(uint32, tag = "6")]
+    pub waited: u32,
+    /// Tokens per second that an engine serves, if the sender has observed it.
+    #[prost(uint32, optional, tag = "7")]
+    pub capacity: Option<u32>,
+    /// Active teams and ranks, the largest first.
+    #[prost(message, repeated, tag = "8")]
+    pub flows: Vec<RoomFlow>,
+}
+
+/// Recent tokens per second of a team at a rank.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RoomFlow {
+    /// Hash of the team's name; 0 for the teams that the report leaves out.
+    #[prost(fixed64, tag = "1")]
+    pub team: u64,
+    /// Rank.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Tokens offered.
+    #[prost(uint32, tag = "3")]
+    pub offered: u32,
+    /// Tokens admitted.
+    #[prost(uint32, tag = "4")]
+    pub admitted: u32,
+}
+
 /// A prompt part and an age.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct AgedPart {
--- a/crates/gate/tests/update.rs
+++ b/crates/gate/tests/update.rs
@@ -1,11 +1,14 @@
 //! Sizes of updates between agents.
 
+use gate::room::encode;
 use gate::update::{
     AgedPart, ClaimConfirmation, LimitUse, LoadedWeights, OriginKind, PartEvidence, RelayedState,
     RelayedWeights, RetryLoan, SlotQuery, StatedRate, StreamOrigin, TargetUse, TeamUse, Update,
     MAX_DATAGRAM,
 };
+use model::Micros;
 use policy::crashing_parts::MAX_PARTS;
+use policy::room::{Config, FlowKey, Room, REST};
 use policy::slots::{MAX_CONFIRMED, MAX_RELAYS};
 use prost::Message;
 
@@ -252,3 +255,28 @@
         assert!(update.encoded_len() <= 20);
     }
 }
+
+/// Guards against reports on room that are fragmented, or that leave out the largest teams.
+#[test]
+fn report_on_room_exceeds_one_datagram() {
+    let mut room = Room::new(Micros::ZERO, Config::default(), u64::MAX);
+    let now = Micros(DAY_US);
+    for team in 1..=1_100_u64 {
+        for rank in 0..6 {
+            let key = FlowKey {
+                team: u64::MAX - team,
+                rank,
+            };
+            room.offer(now, key, u64::from(u32::MAX) - team, Micros::ZERO, 0.0);
+        }
+    }
+    let mut report = room.poll(now).expect("a report");
+    report.served = f64::from(u32::MAX);
+    report.capacity = Some(report.served);
+    let update = encode(u64::MAX, &report);
+    println!("{} bytes", update.encoded_len());
+    assert!(update.encoded_len() <= MAX_DATAGRAM);
+    let flows = update.room.expect("room").flows;
+    assert_eq!(flows[0].team, u64::MAX - 1);
+    assert_eq!(flows.iter().filter(|f| f.team == REST).count(), 6);
+}
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// Share of the capacity that is admitted while prompts wait. With 0.85, a queue that urgent requests
-/// met took three times as long to work off.
+/// Share of the capacity that is admitted while prompts wait and the pool is short. With 0.85, 1,129
+/// of 42,000 urgent requests were late after a step of their demand in virtual time; with 0.75, none.
 const DRAIN_SHARE: f64 = 0.75;
 /// Share of the requests that must have waited for the pool to count as saturated.
 const SATURATED_SHARE: f64 = 0.3;
@@ -72,6 +72,10 @@
 /// Factor on the difference from that mean that extrapolates a steady rise by 1.5 s: a rate is a
 /// second old, and its report up to half a second.
 const TREND_FACTOR: f64 = 0.5;
+/// Bounds of the expected change of a rank's demand that a fraction is corrected for. Without it, less
+/// was admitted than may be while demand fell, and callers that return kept the pool short for longer.
+const MIN_CHANGE: f64 = 0.5;
+const MAX_CHANGE: f64 = 1.5;
 /// Shortest time in seconds over whose second half the refused callers return. With 0.2 s, callers
 /// came back so often that a demand of twice the capacity became one of 35 times the capacity.
 const MIN_SPAN: f64 = 1.0;
@@ -435,13 +439,17 @@
         let smoothing = 1.0 - (-elapsed / TREND_WINDOW).exp();
         let means = &mut self.means;
         let mut needs = 0.0;
+        // Demand that is expected until the next update, relative to the present one.
+        let mut expected = BTreeMap::new();
         let given = fair_share::divide(
             capacity.unwrap_or(f64::MAX) * share,
             &claims,
             |rank, demand| {
                 let mean = means.entry(rank).or_insert(demand);
                 *mean += (demand - *mean) * smoothing;
-                let forecast = demand + (demand - *mean).max(0.0) * TREND_FACTOR;
+                let trend = (demand - *mean) * TREND_FACTOR;
+                expected.insert(rank, 1.0 + trend / demand.max(MIN_RATE));
+                let forecast = demand + trend.max(0.0);
                 needs += forecast;
                 forecast
             },
@@ -466,7 +474,10 @@
             if *given <= 0.0 && claim.demand > 0.0 {
                 self.closed = Some(self.closed.map_or(key.rank, |c| c.min(key.rank)));
             } else if *given < claim.demand {
-                self.fractions.insert(*key, given / claim.demand);
+                let change = expected.get(&key.rank).copied().unwrap_or(1.0);
+                let change = f64::clamp(change, MIN_CHANGE, MAX_CHANGE);
+                self.fractions
+                    .insert(*key, (given / claim.demand / change).min(1.0));
             }
         }
     }
--- a/crates/policy/tests/room/sim.rs
+++ b/crates/policy/tests/room/sim.rs
@@ -10,7 +10,7 @@
 /// Length of a step of virtual time.
 const STEP: Micros = Micros::from_millis(10);
 /// Interval between updates of the shares.
-const UPDATE: Micros = Micros::from_millis(100);
+const UPDATE: Micros = Micros::from_millis(250);
 /// Share of the reports that are lost.
 const LOSS: f64 = 1.0 / 3.0;
 /// Seconds after the last counted arrival by which it has been served.
