Test room with two entries and an engine

Nothing showed that first events, waits, settings and datagrams of real processes reach the decision.

The test overloads one engine through two entries: without the contract pressure no request is refused for room; with it both refuse, state a retry time, and have each other's reports.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod rest;
 mod restore;
+mod room;
 mod slots;
 mod soak;
 mod store;
