Refuse less urgent ranks without demand yet while a rank is cut

The first requests of a less urgent rank were admitted until the next update of the shares, up to 250 ms, although more urgent requests were refused. Test: policy/tests/room, 10 passed.

--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -471,14 +471,17 @@
             return;
         }
         for ((key, claim), given) in keys.iter().zip(&claims).zip(&given) {
-            if *given <= 0.0 && claim.demand > 0.0 {
-                self.closed = Some(self.closed.map_or(key.rank, |c| c.min(key.rank)));
-            } else if *given < claim.demand {
-                let change = expected.get(&key.rank).copied().unwrap_or(1.0);
-                let change = f64::clamp(change, MIN_CHANGE, MAX_CHANGE);
-                self.fractions
-                    .insert(*key, (given / claim.demand / change).min(1.0));
+            if *given >= claim.demand {
+                continue;
             }
+            // Also less urgent ranks without demand yet: their first requests would be admitted until
+            // the next update.
+            let closed = key.rank.checked_add(u8::from(*given > 0.0));
+            self.closed = self.closed.into_iter().chain(closed).min();
+            let change = expected.get(&key.rank).copied().unwrap_or(1.0);
+            let change = f64::clamp(change, MIN_CHANGE, MAX_CHANGE);
+            self.fractions
+                .insert(*key, (given / claim.demand / change).min(1.0));
         }
     }
 
--- a/crates/policy/tests/room/main.rs
+++ b/crates/policy/tests/room/main.rs
@@ -214,6 +214,15 @@
     assert!(*most <= waits.len() / 8, "{tenths:?}");
 }
 
+#[test]
+fn first_requests_of_a_less_urgent_rank_are_admitted_while_an_urgent_one_is_cut() {
+    // Guards against work that may wait which is admitted until its demand is known.
+    let mut room = short_room(0.9);
+    let key = FlowKey { team: 2, rank: 2 };
+    let decision = room.offer(START, key, 100, TIME_LEFT, 0.0);
+    assert_ne!(decision, Decision::Admit);
+}
+
 #[test]
 fn entry_that_has_just_started_refuses_requests() {
     // Guards against a decision on the demand of one entry as if it were that of all.
