--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -24,6 +24,7 @@
 
 mod capacity;
 mod peers;
+mod rate;
 
 use std::collections::BTreeMap;
 
@@ -32,6 +33,7 @@
 use crate::fair_share::{self, Claim};
 use capacity::Capacity;
 use peers::Peers;
+use rate::Rate;
 
 /// How room is computed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -160,25 +162,6 @@
     pub reporters: usize,
 }
 
-/// A quantity per second that decays exponentially.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    sum: f64,
-    at: Micros,
-}
-
-impl Rate {
-    fn add(&mut self, now: Micros, window: Micros, amount: f64) {
-        self.sum = (self.get(now, window) * window.as_secs_f64() + amount).max(0.0);
-        self.at = now;
-    }
-
-    fn get(&self, now: Micros, window: Micros) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / window.as_secs_f64();
-        self.sum * (-age).exp() / window.as_secs_f64()
-    }
-}
-
 /// Requests of one flow at this entry.
 #[derive(Clone, Copy, Debug, Default)]
 struct Flow {
