--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -19,6 +19,7 @@
 mod rest;
 mod restarts;
 mod restore;
+mod room;
 mod slots;
 mod slow_readers;
 mod soak;
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod restored_list;
 mod rests;
 mod retries;
+mod room;
 mod send;
 mod serve;
 mod stalled;
@@ -53,6 +54,7 @@
 use crate::kv_stores;
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
+use crate::room::Rooms;
 use crate::update::{self, HeldPart, Incarnation, PromptNote, Update};
 use site::{Part, Scope};
 
@@ -114,6 +116,8 @@
     answer_times: RefCell<HashMap<String, AnswerTime>>,
     /// Balance between domains, and demand for openings.
     domains: RefCell<Domains>,
+    /// Room in engine pools.
+    rooms: Rooms,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
     /// Whether new requests are refused because the process is about to exit.
@@ -212,6 +216,7 @@
         prefill_rates: RefCell::default(),
         answer_times: RefCell::default(),
         domains: RefCell::default(),
+        rooms: Rooms::default(),
         socket: Rc::new(socket),
         closing: Cell::new(false),
         connections: RefCell::default(),
@@ -224,6 +229,7 @@
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(uneven_demand::report(Rc::clone(&ctx)));
+    tokio::task::spawn_local(room::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
@@ -331,6 +337,10 @@
             limits::receive(&ctx, from, used);
             continue;
         }
+        if let Some(room) = &update.room {
+            room::receive(&ctx, room);
+            continue;
+        }
         if let Some(origin) = &update.origin {
             origins::receive(&ctx, from, origin);
             continue;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod meter;
 pub mod node;
 pub mod peer;
+pub mod room;
 pub mod sidecar;
 mod stall;
 pub mod start;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -442,6 +442,21 @@
         /// Number of engines that hold the opening or are about to.
         holders: usize,
     },
+    /// A pool has become short, or is no longer; amounts are in tokens per second.
+    Room {
+        /// Name of the pool.
+        pool: &'a str,
+        /// Whether requests are refused for room from now on.
+        short: bool,
+        /// Demand at all entries in contact.
+        offered: u64,
+        /// What they admit.
+        admitted: u64,
+        /// What the pool serves, if known.
+        capacity: Option<u64>,
+        /// Number of other entries that have reported recently.
+        entries: usize,
+    },
     /// Log lines of one kind were dropped.
     Dropped {
         /// Kind of the lines.
@@ -472,6 +487,7 @@
             Self::Delegate { .. } => ("delegate", false),
             Self::DomainShare { .. } => ("domain_share", false),
             Self::OpeningCopy { .. } => ("opening_copy", true),
+            Self::Room { .. } => ("room", false),
             Self::BadRow { .. } => ("bad_row", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
             _ => ("process", false),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,8 @@
 //!   [`opening_demand`] when an opening needs one more copy.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
 //!   long a request waits while all engines load weights.
+//! - Room: [`room`] admits requests to a pool that is short by rank and team, in the shares that
+//!   [`fair_share`] computes.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
 //!   rate that a target states.
 //! - Streams: [`stream_origin`] finds the build at which a stream may go on.
@@ -57,6 +59,7 @@
 pub mod domain_balance;
 pub mod drain;
 pub mod engine_load;
+pub mod fair_share;
 pub mod health;
 pub mod holder;
 pub mod latency_admission;
@@ -82,6 +85,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod rollout;
+pub mod room;
 pub mod row_expiry;
 pub mod slots;
 pub mod stall;
