Add decisions on the speed of engines

Cause: engines are permanently at 0.55 to 1.3 of the usual speed, and some take 2.5 times as long for 600 ms, while one prefill rate is used for a whole pool.

Change: engine_speed learns a factor for each target, shrunk towards 1, and pace weighs the momentary figure that a target states by its age. The backlog tells which prompts found no other one waiting, as only those measure an engine.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -8,11 +8,12 @@
 //! neither prefilled nor cancelled stops counting after a time, so that a lost update doesn't make an engine
 //! look busy forever.
 //!
-//! The speed of each engine isn't estimated: the backlog of a slow engine grows here and diverts prompts by
-//! itself. With estimates from these updates, the estimates differed more than the engines did, prompts moved
+//! The speed of each engine isn't estimated from these updates: the backlog of a slow engine grows here and
+//! diverts prompts by itself. With estimates from these updates, the estimates differed more than the engines did, prompts moved
 //! from engines that held their openings to engines that were thought faster, and the value of the answers at
-//! 52 and 56 engines fell from 0.42 and 0.50 to 0.31 and 0.36. Only one prefill speed for all engines is
-//! estimated ([`crate::prefill_rate`]).
+//! 52 and 56 engines fell from 0.42 and 0.50 to 0.31 and 0.36. Elsewhere
+//! one prefill speed is estimated for all engines ([`crate::prefill_rate`]), and, where engines are known to
+//! be uneven, each one's factor on it, shrunk towards 1 ([`crate::engine_speed`]).
 //!
 //! An expiry of 3 s is longer than the wait of nearly all prompts, and short relative to the time in which
 //! load shifts.
@@ -34,6 +35,8 @@
 struct UnreadPrompt {
     tokens: u32,
     step: usize,
+    /// Whether no other prompt was waiting when it came.
+    alone: bool,
     until: Micros,
 }
 
@@ -51,6 +54,7 @@
         let open = UnreadPrompt {
             tokens,
             step: prefill_priority::tier(tokens),
+            alone: self.open.is_empty(),
             until: now + EXPIRY,
         };
         self.open.insert(request, open);
@@ -62,6 +66,11 @@
         self.take(request);
     }
 
+    /// Whether a prompt that waits for its prefill found no other one waiting.
+    pub fn was_alone(&self, request: u64) -> bool {
+        self.open.get(&request).is_some_and(|o| o.alone)
+    }
+
     fn take(&mut self, request: u64) -> Option<UnreadPrompt> {
         let open = self.open.remove(&request)?;
         let unread = &mut self.unread[open.step];
--- a/crates/policy/src/engine_load.rs
+++ b/crates/policy/src/engine_load.rs
@@ -12,6 +12,8 @@
 
 use model::Micros;
 
+use crate::engine_speed::Factors;
+
 /// Milliseconds that each running request costs a new one: its part of a step.
 const MS_PER_RUNNING: f64 = 0.5;
 /// Least milliseconds that each request with pending prefill costs a new one, in case the messages with
@@ -52,11 +54,16 @@
     /// Milliseconds until the prefill of a prompt starts that needs `memory` tokens of memory, when a
     /// token takes `prefill_per_token` milliseconds to compute.
     pub fn wait(&self, memory: u32, prefill_per_token: f64) -> f64 {
+        self.wait_at(memory, prefill_per_token, Factors::default())
+    }
+
+    /// The same at an engine of another speed; `prefill_per_token` is that of its pool.
+    pub fn wait_at(&self, memory: u32, prefill_per_token: f64, speed: Factors) -> f64 {
         let prefill = (self.tokens_ahead * prefill_per_token)
             .max(f64::from(self.unread_prompts) * MS_PER_UNREAD);
-        prefill
-            + f64::from(self.running) * MS_PER_RUNNING
-            + self.memory_wait(memory)
+        prefill * speed.prefill
+            + f64::from(self.running) * MS_PER_RUNNING * speed.decode
+            + self.memory_wait(memory) * speed.decode
             + self.loading_ms
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //!   ([`engine_load`]) and the prefill rate of the pool ([`prefill_rate`]). [`prefill_priority`] ranks
 //!   requests at an engine, [`backlog`] counts the prefill that an engine has pending, and [`length_partition`]
 //!   keeps long prompts on engines of their own.
+//!   [`engine_speed`] and [`pace`] weigh the permanent and the momentary speed of each target.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
 //!   long a request waits while all engines load weights.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
@@ -53,6 +54,7 @@
 pub mod delegate;
 pub mod drain;
 pub mod engine_load;
+pub mod engine_speed;
 pub mod health;
 pub mod holder;
 pub mod latency_admission;
@@ -62,6 +64,7 @@
 pub mod liveness;
 pub mod loading;
 pub mod misdirected;
+pub mod pace;
 pub mod pollers;
 pub mod pool_peers;
 pub mod prefill_priority;
--- a/crates/policy/src/prefill_rate.rs
+++ b/crates/policy/src/prefill_rate.rs
@@ -66,4 +66,12 @@
         let slope = (common + INITIAL_WEIGHT * INITIAL_MS_PER_TOKEN) / (spread + INITIAL_WEIGHT);
         slope.clamp(BOUNDS.0, BOUNDS.1)
     }
+
+    /// Milliseconds by which the time to the first token exceeds the estimate for a prompt; `None`
+    /// before any prompt.
+    pub fn excess(&self, tokens: u32, time: f64) -> Option<f64> {
+        let mean = |sum: f64| sum / self.prompts;
+        let line = mean(self.time) + (f64::from(tokens) - mean(self.tokens)) * self.ms_per_token();
+        (self.prompts > 0.0).then_some(time - line)
+    }
 }
