Weigh the speed of each target where it counts

Cause: entries choose targets as if all of a pool were equally fast.

Change: entries observe prefill, gaps between events and, at plain services, durations, and send them to the engine's agent in the note at a first event. The agent repeats factors (tag 47) and the newest stated pace (tag 46) in updates that it sends anyway. Candidates and plain targets count by their factors where a pool states its pace or the settings have `pressure`.

Result: 18 bytes more for an update, 19 at most for a note (gate test speed).

--- a/crates/gate/src/agent/mod.rs
+++ b/crates/gate/src/agent/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::cache::Cache;
 use crate::node::SharedNode;
+use crate::speed::AgentSpeed;
 use crate::update::{HeldPart, PromptNote, Update};
 use weights::Rollout;
 
@@ -108,6 +109,8 @@
     rollout: Rollout,
     /// Prompts that the engine hasn't read yet.
     pub(crate) backlog: Backlog,
+    /// The speed of the engine's incarnation.
+    speed: AgentSpeed,
     /// The entries that the agent reports to.
     pub(crate) subscribers: Subscribers,
 }
@@ -134,6 +137,7 @@
             part_changes: Vec::new(),
             rollout: Rollout::new(Holder::new(lease)),
             backlog: Backlog::default(),
+            speed: AgentSpeed::default(),
             subscribers: Subscribers::default(),
         }
     }
@@ -200,6 +204,10 @@
 
     /// Records an entry's note on a prompt that it has sent to the engine.
     pub(crate) fn record_prompt(&mut self, now: Micros, note: PromptNote) {
+        if let Some(speed) = &note.speed {
+            let alone = self.backlog.was_alone(note.request);
+            self.speed.record(now, speed, alone);
+        }
         match note.tokens {
             Some(tokens) => self.backlog.add(now, note.request, tokens),
             None => self.backlog.remove(note.request),
@@ -238,6 +246,7 @@
         let started = |b: &Boot| report.born.is_none_or(|at| b.born == 0 || b.born == at);
         if self.boot.as_ref().is_some_and(|b| !started(b)) {
             self.previous = self.boot.take();
+            self.speed = AgentSpeed::default();
         }
         if let (Some(id), Some(born)) = (&report.id, report.born) {
             self.boot = Some(Boot {
@@ -260,6 +269,7 @@
         if self.ended {
             // The next incarnation shares no state with this one.
             self.report = None;
+            self.speed = AgentSpeed::default();
             self.previous = self.boot.take().or(self.previous.take());
         }
         if let Ok(report) = report {
--- a/crates/gate/src/agent/report.rs
+++ b/crates/gate/src/agent/report.rs
@@ -51,6 +51,7 @@
         update.unread = a.backlog.unread_prompts();
     }
     a.rollout.fill_update(now, &mut update);
+    a.speed.fill_update(now, &mut update);
     // The engine counts as busy once it was ordered, before its report shows the load.
     update.busy |= update.loading_ms.is_some();
     update
@@ -110,14 +111,16 @@
     update::send_parts(socket, update.clone(), &held, to);
 }
 
-/// Copy of an update without its times, which change constantly, for comparison with earlier
-/// updates.
+/// Copy of an update without its times and speeds, which change constantly, for comparison with
+/// earlier updates.
 pub(super) fn without_times(update: &Update) -> Update {
     Update {
         due_ms: update.due_ms.map(|_| 0),
         loading_ms: update.loading_ms.map(|_| 0),
         ordered_ms: update.ordered_ms.map(|_| 0),
         sent_us: 0,
+        pace: None,
+        speed: None,
         confirmed: relay::claims_without_times(&update.confirmed),
         relays: relay::without_times(&update.relays),
         ..update.clone()
--- a/crates/gate/src/agent/run.rs
+++ b/crates/gate/src/agent/run.rs
@@ -15,6 +15,7 @@
 use crate::cache::Follower;
 use crate::log::Dependency;
 use crate::meter;
+use crate::speed::AgentSpeed;
 use crate::update::{self, Update};
 
 /// Pause between two rounds of the agent's loop; a request's first token takes about as long.
@@ -48,6 +49,7 @@
             // A new incarnation of the engine starts with an empty cache and no prompts.
             a.part_changes.clear();
             a.backlog.clear();
+            a.speed = AgentSpeed::default();
         }
         a.part_changes.extend(changes);
     }
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -283,6 +283,7 @@
     let left = job.time_left(ctx.now()) + ANSWER_GRACE;
     let sent_to = live.in_flight.sent_to();
     let (not_run, delimited) = (live.head.not_run, live.head.delimited);
+    let waited = live.head.load.is_none_or(|l| l.waiting > 0);
     let whole = match timeout(left, collect(ctx, live)).await {
         Ok(Some(w)) => w,
         _ => {
@@ -301,6 +302,13 @@
         true => fleet.record_success(key),
         false => fleet.record_failure(ctx.now(), key, "error answer"),
     }
+    if succeeded && job.prompt.is_none() && !waited {
+        let (now, pressure) = (ctx.now(), ctx.node.settings.borrow().pressure);
+        let took = now.since(sent_to.at);
+        fleet.with_speed(key, |s, target| {
+            s.record_duration(now, pressure, target, took)
+        });
+    }
     drop(fleet);
     match status {
         s if s.is_success() => suspects::record_end(ctx, job, delimited, sent_to),
--- a/crates/gate/src/entry/candidates.rs
+++ b/crates/gate/src/entry/candidates.rs
@@ -6,6 +6,7 @@
 
 use model::Micros;
 use policy::engine_load::{self, Load};
+use policy::engine_speed::Factors;
 use policy::length_partition;
 use policy::prefill_priority;
 use policy::ttft_placement::{Candidate, Source, Sources};
@@ -18,6 +19,7 @@
 use super::request::Job;
 use super::usable::{failure_factor, is_fetchable, start_index, REPORT_LIFETIME};
 use crate::node::domain_key;
+use crate::speed::Pool;
 
 /// Time in which an entry's note on a prompt reaches a sidecar and comes back in an update.
 const REPORT_DELAY: Micros = Micros::from_millis(5);
@@ -46,6 +48,10 @@
     pub(super) prefill_per_token: f64,
     /// Ids of the engines that are reserved for long prompts, if any.
     pub(super) long_engines: Option<HashSet<String>>,
+    /// Usual speeds of the pool, if those of its engines count.
+    pub(super) speeds: Option<&'a Pool>,
+    /// Longest gap between events that the route allows in milliseconds, or 0.
+    pub(super) event_gap_goal: f64,
 }
 
 impl CandidateBuilder<'_> {
@@ -63,6 +69,9 @@
                 long.contains(&r.target.boot.id),
             )
         });
+        let speed = self
+            .speeds
+            .map_or_else(Factors::default, |s| s.factors(self.now, &r.speed));
         let load = self.load(r, self.prompt.input_tokens.saturating_sub(held));
         let version = r.weights.get(&self.prompt.model);
         let outdated = version.and_then(|v| self.announced.outdated(self.now, *v));
@@ -70,15 +79,16 @@
             key,
             addr: r.target.addr,
             domain: domain_key(&r.target.domain),
-            wait: load.wait(
+            wait: load.wait_at(
                 self.prompt.input_tokens + self.prompt.max_output_tokens,
                 self.prefill_per_token,
+                speed,
             ),
-            prefill_per_token: self.prefill_per_token,
+            prefill_per_token: self.prefill_per_token * speed.prefill,
             held,
             eviction_cost: self.prefill_per_token * EVICTION_COST_SHARE,
             network_delay: delay,
-            penalty: mismatch + self.order_penalty(r),
+            penalty: mismatch + self.order_penalty(r) + self.pause_cost(r),
             cost_factor: failure_factor(r, self.now)
                 * engine_load::outdated_weights_factor(outdated),
         }
@@ -111,6 +121,15 @@
         }
     }
 
+    /// Penalty in milliseconds for pauses of the answer, for an engine whose streams are slow.
+    fn pause_cost(&self, r: &Replica) -> f64 {
+        let tokens = f64::from(self.prompt.max_output_tokens);
+        let events = tokens / f64::from(self.engine.tokens_per_event.max(1));
+        self.speeds.map_or(0.0, |s| {
+            s.pause_cost(self.now, &r.speed, events, self.event_gap_goal)
+        })
+    }
+
     /// Penalty in milliseconds for the engine's position in the subject's own order.
     fn order_penalty(&self, r: &Replica) -> f64 {
         let hash = xxh3_64_with_seed(r.target.boot.id.as_bytes(), self.subject);
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -16,6 +16,7 @@
 use super::usable::REPORT_LIFETIME;
 use crate::agent::AgentId;
 use crate::log::{self, Event};
+use crate::speed::{Pools, Subject};
 use crate::update::{HeldPart, Update};
 
 new_key_type! {
@@ -44,6 +45,8 @@
 pub struct Fleet {
     /// The targets.
     pub replicas: SlotMap<ReplicaKey, Replica>,
+    /// Usual speeds of the pools.
+    pub speeds: Pools,
     /// Keys of the targets, by incarnation.
     keys: HashMap<Boot, ReplicaKey>,
     /// When the list was last read or confirmed to be unchanged.
@@ -299,6 +302,17 @@
             return;
         }
         replica.agent_report = Some(AgentReport::new(now, update, from));
+        self.speeds.receive(now, speed_subject(replica), update);
+    }
+
+    /// Calls `f` with the speeds of the pools and of a target.
+    pub(super) fn with_speed<T>(
+        &mut self,
+        key: ReplicaKey,
+        f: impl FnOnce(&mut Pools, Subject<'_>) -> T,
+    ) -> Option<T> {
+        let replica = self.replicas.get_mut(key)?;
+        Some(f(&mut self.speeds, speed_subject(replica)))
     }
 
     /// Incarnation of the engine that the sidecar at this address reports on.
@@ -381,6 +395,14 @@
     }
 }
 
+fn speed_subject(replica: &mut Replica) -> Subject<'_> {
+    Subject {
+        pool: &replica.target.pool,
+        id: &replica.target.boot.id,
+        speed: &mut replica.speed,
+    }
+}
+
 fn expected_part(held: &HeldPart) -> Part {
     Part {
         id: PartId(held.part),
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -126,6 +126,11 @@
         meter::set(meter::RUNNING, running.into());
         let limited = self.target_limits.borrow().limited();
         meter::set(meter::LIMITED_TARGETS, limited as f64);
+        let slow = fleet
+            .replicas
+            .values()
+            .filter(|r| r.speed.is_slow(self.now()));
+        meter::set(meter::SLOW_TARGETS, slow.count() as f64);
         meter::set(meter::LEAVING_TARGETS, self.leaving.borrow().len() as f64);
         meter::set(
             meter::CONVICTED_PARTS,
--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -71,6 +71,8 @@
     pub(super) measures_prefill: bool,
     /// Age of the load data that the choice is based on.
     pub(super) load_age: Option<Micros>,
+    /// Duration of the target's work as a multiple of its pool's, where that counts.
+    pub(super) speed: Option<f64>,
 }
 
 /// Chooses a target for a job.
@@ -91,9 +93,10 @@
     engine: Engine,
 ) -> Result<Pick, Reason> {
     let now = ctx.now();
-    let (domain, allowed) = {
+    let (domain, allowed, pressure) = {
         let s = ctx.node.settings.borrow();
-        (s.domain.clone(), Micros::from(s.bounds.weights_deadline))
+        let allowed = Micros::from(s.bounds.weights_deadline);
+        (s.domain.clone(), allowed, s.pressure)
     };
     let announced = ctx
         .node
@@ -145,6 +148,7 @@
             )
     });
     let prefill_per_token = ctx.prefill_rate(&job.pool, |p| p.ms_per_token());
+    let speeds = fleet.speeds.get(&job.pool, pressure);
     let builder = CandidateBuilder {
         now,
         domain: &domain,
@@ -156,6 +160,8 @@
         max_order_penalty: MAX_ORDER_PENALTY
             + f64::from(missing) * prefill_per_token * COLD_PENALTY_SHARE,
         prefill_per_token,
+        speeds,
+        event_gap_goal: job.route.event_gap_goal.as_secs_f64() * 1e3,
     };
     // Engines with the same weights share their sources; rarely more than two or three versions are
     // loaded at the same time.
@@ -213,6 +219,7 @@
         measures_prefill: choice.fetch.is_none() && choice.wait <= MAX_IDLE_WAIT_MS,
         estimate: choice.ttft,
         load_age: r.agent_report.map(|report| now.since(report.at)),
+        speed: speeds.map(|s| s.factors(now, &r.speed).prefill),
     })
 }
 
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::attempts::{self, ANSWER_GRACE};
+use super::fleet::ReplicaKey;
 use super::listen::ConnectionState;
 use super::origins::Origin;
 use super::pick;
@@ -27,6 +28,7 @@
 use super::{limits, origins, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
+use crate::speed::Gaps;
 
 /// Multiple of the route's goal for the gap between events; after a silence of that length, a
 /// resumable stream is requested from another replica as well.
@@ -71,6 +73,8 @@
     /// Received bytes of an incomplete event; for a stream that isn't resumable, the last few bytes
     /// that were passed on.
     tail: BytesMut,
+    /// Gaps between the replica's events.
+    gaps: Gaps<ReplicaKey>,
     events: u64,
     /// Time from the arrival of the request to the first event.
     first_event_after: Option<Duration>,
@@ -97,6 +101,7 @@
         delimited: Some(live.head.delimited),
         live: Some(live),
         tail: BytesMut::new(),
+        gaps: Gaps::default(),
         events: 0,
         first_event_after: None,
         ignores_silence: false,
@@ -178,8 +183,15 @@
         let Some(live) = &mut self.live else {
             return Received::Broken("no replica");
         };
+        let asked = self.ctx.now();
         match timeout(wait, live.response.body_mut().frame()).await {
-            Ok(frame) => self.classify(frame),
+            Ok(frame) => {
+                if matches!(&frame, Some(Ok(f)) if f.is_data()) {
+                    let key = live.in_flight.key();
+                    self.gaps.record(key, asked, self.ctx.now());
+                }
+                self.classify(frame)
+            }
             Err(_) if wait < end => Received::Silent,
             Err(_) => Received::Overdue,
         }
@@ -256,13 +268,27 @@
         let Some(live) = &mut self.live else {
             return;
         };
-        live.in_flight.record_prefilled();
+        let mut prefill = None;
         if let Some(tokens) = live.in_flight.measured_tokens.take() {
             let took = self.ctx.now().since(live.in_flight.sent_at);
             let time = took.as_secs_f64() * 1e3;
-            self.ctx
-                .prefill_rate(&self.job.pool, |p| p.record(tokens, time));
+            prefill = self.ctx.prefill_rate(&self.job.pool, |p| {
+                let expected = f64::from(tokens) * p.ms_per_token();
+                let excess = p.excess(tokens, time);
+                p.record(tokens, time);
+                Some((expected, excess?))
+            });
         }
+        if self.job.prompt.is_some() {
+            let (now, key) = (self.ctx.now(), live.in_flight.key());
+            let pressure = self.ctx.node.settings.borrow().pressure;
+            let mut fleet = self.ctx.fleet.borrow_mut();
+            let note = fleet.with_speed(key, |s, target| {
+                s.record_first_event(now, pressure, target, prefill)
+            });
+            live.in_flight.speed = note.flatten();
+        }
+        live.in_flight.record_prefilled();
         self.ctx
             .fleet
             .borrow_mut()
@@ -276,6 +302,11 @@
             let sent_to = live.in_flight.sent_to();
             suspects::record_end(&self.ctx, &self.job, live.head.delimited, sent_to);
             let mut fleet = self.ctx.fleet.borrow_mut();
+            if let Some(gap) = self.gaps.mean().filter(|_| self.job.prompt.is_some()) {
+                let pressure = self.ctx.node.settings.borrow().pressure;
+                let key = live.in_flight.key();
+                fleet.with_speed(key, |s, target| s.record_gap(pressure, target, gap));
+            }
             let replica = fleet.replicas.get_mut(live.in_flight.key());
             if let (Some(r), false) = (replica, live.head.closes) {
                 r.connections.keep(live.connection);
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -15,6 +15,7 @@
 
 use super::connection_pool::ConnectionPool;
 use crate::agent::AgentId;
+use crate::speed::TargetSpeed;
 use crate::update::{HeldPart, Update};
 
 /// How long an engine is expected to have the parts of a prompt sent to it; covers a long prompt in
@@ -110,6 +111,8 @@
     pub recent_prompts: VecDeque<(Micros, u32)>,
     /// The load that the target itself stated in an answer, and when that was received.
     pub load: Option<(Load, Micros)>,
+    /// The speed of this incarnation.
+    pub speed: TargetSpeed,
     /// Last report of the target's agent.
     pub agent_report: Option<AgentReport>,
     /// Versions of the loaded weights by model.
@@ -153,6 +156,7 @@
             unread_tokens: 0,
             recent_prompts: VecDeque::new(),
             load: None,
+            speed: TargetSpeed::default(),
             agent_report: None,
             held: HashMap::new(),
             expected: HashMap::new(),
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -25,7 +25,7 @@
 use crate::agent::AgentId;
 use crate::log::{self, Event};
 use crate::meter;
-use crate::update::PromptNote;
+use crate::update::{PromptNote, SpeedNote};
 
 /// Time limit for a connection that shows that a target is running.
 const REACH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,6 +45,8 @@
     expected: Option<(u64, Vec<Part>)>,
     /// Tokens that an idle engine prefills for the first event, if that measures the prefill rate.
     pub(super) measured_tokens: Option<u32>,
+    /// What the first event shows of the engine's speed.
+    pub(super) speed: Option<SpeedNote>,
     /// Whether the request is suspected of crashing targets.
     suspect: bool,
     /// Incarnation of the target.
@@ -85,6 +87,7 @@
             let note = PromptNote {
                 request,
                 tokens: Some(pick.prefill_tokens),
+                speed: None,
             };
             ctx.report_prompt(agent, note);
         }
@@ -100,6 +103,7 @@
             unread_tokens: Some(pick.prefill_tokens),
             expected,
             measured_tokens: pick.measures_prefill.then_some(pick.prefill_tokens),
+            speed: None,
             suspect,
             boot: pick.boot.clone(),
             sent_at: now,
@@ -140,6 +144,7 @@
             let note = PromptNote {
                 request,
                 tokens: None,
+                speed: self.speed.take(),
             };
             self.ctx.report_prompt(agent, note);
         }
@@ -404,6 +409,11 @@
     if let (Some(version), Some(prompt)) = (head.weights, &job.prompt) {
         r.raise_weights(now, &prompt.model, version);
     }
+    // Another process at the address may have answered.
+    let own = head.matches_request && head.target_id.as_ref().is_none_or(|t| *t == pick.boot.id);
+    if let Some(percent) = head.load.and_then(|l| l.pace).filter(|_| own) {
+        fleet.with_speed(pick.key, |s, target| s.record_pace(now, target, percent));
+    }
 }
 
 fn subject_id(job: &Job) -> Option<String> {
@@ -429,6 +439,14 @@
         );
         meter::add(meter::PROMPT_TOKENS, "way", "fetched", fetched.into());
     }
+    if let Some(speed) = pick.speed {
+        let kind = match speed {
+            s if s < 0.9 => "fast",
+            s if s < 1.1 => "usual",
+            _ => "slow",
+        };
+        meter::increment(meter::SPEED_CHOICES, "speed", kind);
+    }
     let list_age = ctx.now().since(ctx.fleet.borrow().list_confirmed_at);
     meter::record_duration(meter::LIST_AGE, list_age.into());
     log::event(&Event::Sent {
@@ -447,5 +465,6 @@
         weights: pick.weights,
         age_ms: pick.load_age.map(model::Micros::as_millis),
         list_ms: list_age.as_millis(),
+        speed: pick.speed,
     });
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod peer;
 pub mod sidecar;
+pub mod speed;
 pub mod start;
 mod stream_origins;
 pub mod target_list;
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -269,6 +269,17 @@
         /// Outcome: claimed, outdated or unknown.
         outcome: &'a str,
     },
+    /// The learnt speed of a target has changed by a tenth of the pool's.
+    Speed {
+        /// Target id.
+        target: &'a str,
+        /// Duration of its prefill, or of its work in a plain service, as a multiple of the pool's.
+        prefill: f64,
+        /// Gaps between events of its streams, as a multiple of the pool's.
+        decode: f64,
+        /// Source of the information: own or agent.
+        source: &'a str,
+    },
     /// A request was sent to a target.
     Sent {
         /// Id of the request.
@@ -302,6 +313,10 @@
         age_ms: Option<u64>,
         /// Milliseconds since the list of targets was last read or confirmed as unchanged.
         list_ms: u64,
+        /// Duration of the target's work, learnt and momentary, as a multiple of its pool's, where
+        /// that counts.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        speed: Option<f64>,
     },
     /// An attempt at a request has failed.
     Tried {
@@ -425,6 +440,7 @@
             Self::Suspected { .. } => ("suspected", false),
             Self::Rest { .. } | Self::BadRest { .. } => ("rest", false),
             Self::Leaving { .. } => ("leaving", false),
+            Self::Speed { .. } => ("speed", true),
             Self::Part { .. } | Self::Trial { .. } => ("part", false),
             Self::Ordered { .. } => ("ordered", false),
             Self::Delegate { .. } => ("delegate", false),
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -90,6 +90,12 @@
 pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
 /// Version of the configuration in force.
 pub const CONFIGURATION_VERSION: &str = "clementinestep_configuration_version";
+/// Observations of the speed of targets, by kind.
+pub const SPEED_OBSERVATIONS: &str = "clementinestep_speed_observations_total";
+/// Requests sent where the speed of targets counts, by how the target's factor compares to the pool.
+pub const SPEED_CHOICES: &str = "clementinestep_speed_choices_total";
+/// Targets that are permanently much slower than their pool.
+pub const SLOW_TARGETS: &str = "clementinestep_slow_targets";
 /// Other processes known.
 pub const MEMBERS: &str = "clementinestep_members";
 
@@ -144,6 +150,15 @@
         "version of the configuration in force"
     );
     describe_gauge!(MEMBERS, "other processes known");
+    describe_counter!(
+        SPEED_OBSERVATIONS,
+        "observations of targets' speed, by kind"
+    );
+    describe_counter!(
+        SPEED_CHOICES,
+        "requests sent, by the target's speed: usual, fast, slow"
+    );
+    describe_gauge!(SLOW_TARGETS, "targets much slower than their pool");
 }
 
 /// Increments a counter by one.
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -145,6 +145,12 @@
     /// Hashes of the incarnations of targets that have said to an entry that they leave.
     #[prost(fixed64, repeated, tag = "44")]
     pub leaving: Vec<u64>,
+    /// Newest pace that the engine has stated, if it isn't old.
+    #[prost(message, optional, tag = "46")]
+    pub pace: Option<StatedPace>,
+    /// Factors that the agent has learnt from entries' observations; `None` while they are 1.
+    #[prost(message, optional, tag = "47")]
+    pub speed: Option<StatedFactors>,
     /// Parts of a prompt that an entry has just sent to the engine.
     #[prost(message, repeated, tag = "13")]
     pub expected: Vec<HeldPart>,
@@ -428,6 +434,48 @@
     /// it.
     #[prost(uint32, optional, tag = "2")]
     pub tokens: Option<u32>,
+    /// What the entry has observed of the engine's speed.
+    #[prost(message, optional, tag = "3")]
+    pub speed: Option<SpeedNote>,
+}
+
+/// Observations of an engine's speed.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SpeedNote {
+    /// Newest pace that the engine has stated, if it isn't old.
+    #[prost(message, optional, tag = "1")]
+    pub pace: Option<StatedPace>,
+    /// Duration of the prompt's prefill, in thousandths of the pool's.
+    #[prost(uint32, optional, tag = "2")]
+    pub prefill: Option<u32>,
+    /// Weight of that observation, in thousandths.
+    #[prost(uint32, tag = "3")]
+    pub weight: u32,
+    /// Gap between events of an earlier answer, in thousandths of the pool's.
+    #[prost(uint32, optional, tag = "4")]
+    pub decode: Option<u32>,
+}
+
+/// Momentary pace that an engine has stated.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StatedPace {
+    /// Duration of work, in percent of the usual one.
+    #[prost(uint32, tag = "1")]
+    pub percent: u32,
+    /// Age in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+/// Learnt durations of an engine's work, in thousandths of the pool's.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StatedFactors {
+    /// Prefill.
+    #[prost(uint32, tag = "1")]
+    pub prefill: u32,
+    /// Generation of tokens.
+    #[prost(uint32, tag = "2")]
+    pub decode: u32,
 }
 
 /// Loaded weights of a model.
--- /dev/null
+++ b/crates/gate/tests/speed.rs
@@ -0,0 +1,211 @@
+//! Speeds of targets at entries and at the agents of engines.
+
+use gate::entry::Fleet;
+use gate::speed::{AgentSpeed, Gaps, Pools, Subject, TargetSpeed};
+use gate::update::{
+    HeldPart, SpeedNote, StatedFactors, StatedPace, Update, MAX_DATAGRAM, MAX_PARTS,
+};
+use model::{Micros, Position};
+use policy::engine_speed::Factors;
+use policy::row_expiry;
+use prost::Message;
+use site::{Boot, State, Target};
+
+const POOL: &str = "engines";
+
+fn at(ms: u64) -> Micros {
+    Micros::from_millis(100_000 + ms)
+}
+
+fn subject(speed: &mut TargetSpeed) -> Subject<'_> {
+    Subject {
+        pool: POOL,
+        id: "e",
+        speed,
+    }
+}
+
+fn note(prefill: u32) -> SpeedNote {
+    SpeedNote {
+        prefill: Some(prefill),
+        weight: 1_000,
+        ..SpeedNote::default()
+    }
+}
+
+fn update(percent: u32, age_ms: u32) -> Update {
+    Update {
+        pace: Some(StatedPace { percent, age_ms }),
+        ..Update::default()
+    }
+}
+
+#[test]
+fn speeds_count_where_nobody_asks_for_it() {
+    // Guards against other placement where targets state no pace and the settings lack `pressure`.
+    for (pressure, states_pace, counts) in [
+        (false, false, false),
+        (false, true, true),
+        (true, false, true),
+    ] {
+        let (mut pools, mut speed) = (Pools::default(), TargetSpeed::default());
+        if states_pace {
+            pools.record_pace(at(0), subject(&mut speed), 100);
+        }
+        pools.record_gap(pressure, subject(&mut speed), Micros::from_millis(9));
+        pools.record_duration(
+            at(0),
+            pressure,
+            subject(&mut speed),
+            Micros::from_millis(15),
+        );
+        let note =
+            pools.record_first_event(at(0), pressure, subject(&mut speed), Some((60.0, 30.0)));
+        assert_eq!(note.is_some(), counts, "{pressure} {states_pace}");
+        assert_eq!(pools.get(POOL, pressure).is_some(), counts);
+    }
+}
+
+#[test]
+fn late_or_lost_updates_bring_back_an_old_pace() {
+    // Guards against reordered datagrams, and against figures that outlive their engine's pace.
+    let cases = [
+        ("only its age counts", vec![(0, 250, 20)], 0, true),
+        (
+            "an older one comes later",
+            vec![(0, 250, 20), (30, 100, 90)],
+            30,
+            true,
+        ),
+        (
+            "a newer one replaces it",
+            vec![(0, 250, 20), (30, 50, 10)],
+            30,
+            false,
+        ),
+        ("no further update", vec![(0, 250, 20)], 300, false),
+    ];
+    for (name, updates, now, slow) in cases {
+        let (mut pools, mut speed) = (Pools::default(), TargetSpeed::default());
+        pools.record_pace(at(0), subject(&mut TargetSpeed::default()), 100);
+        for (ms, percent, age) in updates {
+            pools.receive(at(ms), subject(&mut speed), &update(percent, age));
+        }
+        let pool = pools.get(POOL, false).expect("a pool");
+        assert_eq!(pool.factors(at(now), &speed).prefill > 1.05, slow, "{name}");
+    }
+}
+
+#[test]
+fn a_lost_update_or_a_restart_keeps_the_wrong_factors() {
+    // Guards against factors that end with one lost update, and against ones of the former process.
+    let (mut pools, mut speed) = (Pools::default(), TargetSpeed::default());
+    let stated = Update {
+        speed: Some(StatedFactors {
+            prefill: 1_400,
+            decode: 1_200,
+        }),
+        ..Update::default()
+    };
+    pools.receive(at(0), subject(&mut speed), &stated);
+    for (ms, prefill, decode) in [(0, 1.4, 1.2), (5_000, 1.4, 1.2), (31_000, 1.0, 1.0)] {
+        assert_eq!(speed.learnt(at(ms)), Factors { prefill, decode }, "{ms}");
+    }
+    let mut fleet = Fleet::default();
+    let config = row_expiry::Config {
+        heartbeat: Micros::from_millis(1_200),
+        reentry: Micros::from_millis(2_200),
+    };
+    for (born, updated, expected) in [(1, true, 1.4), (2, false, 1.0)] {
+        let target = Target {
+            boot: Boot {
+                id: "e".to_owned(),
+                born,
+            },
+            pool: POOL.to_owned(),
+            addr: "127.0.0.1:9000".parse().expect("an address"),
+            domain: "a".to_owned(),
+            state: State::Ready,
+            build: String::new(),
+            slots: 8,
+            renewed: Position::new(1, born),
+            weights: Vec::new(),
+        };
+        fleet.apply_list(at(born), Position::new(1, born), vec![target], &config);
+        if updated {
+            let update = Update {
+                engine: "127.0.0.1:9000".to_owned(),
+                alive: true,
+                ..stated.clone()
+            };
+            fleet.apply_update(at(1), &update, "127.0.0.1:1".parse().expect("an address"));
+        }
+        let factors = fleet
+            .replicas
+            .values()
+            .map(|r| r.speed.learnt(at(2)).prefill);
+        assert_eq!(factors.collect::<Vec<_>>(), [expected], "{born}");
+    }
+}
+
+#[test]
+fn prompts_that_found_others_waiting_make_an_engine_look_slow() {
+    // Guards against waits that count as prefill, and against updates with factors of 1.
+    for (alone, slow) in [(true, true), (false, false)] {
+        let mut agent = AgentSpeed::default();
+        (0..100).for_each(|_| agent.record(at(0), &note(1_800), alone));
+        let mut update = Update::default();
+        agent.fill_update(at(0), &mut update);
+        assert_eq!(update.speed.is_some_and(|s| s.prefill > 1_300), slow);
+        assert_eq!(update.speed.is_none(), !slow);
+    }
+}
+
+#[test]
+fn a_slow_caller_makes_an_engine_look_slow() {
+    // Guards against gaps between events that the caller has caused.
+    let mut gaps = Gaps::default();
+    let mut now = 0;
+    for i in 0..20 {
+        let asked = if i % 2 == 0 { now } else { now + 300 };
+        now = asked + 10;
+        gaps.record(1, at(asked), at(now));
+    }
+    assert_eq!(gaps.mean(), Some(Micros::from_millis(10)));
+    gaps.record(2, at(now), at(now + 10));
+    assert_eq!(gaps.mean(), None, "another target");
+}
+
+#[test]
+fn updates_with_speeds_exceed_a_datagram() {
+    // Guards against fragments: speeds take at most 19 bytes of an update with all its parts.
+    let part = HeldPart {
+        scope: u64::MAX,
+        part: u64::MAX,
+        tokens: 100_000,
+    };
+    let plain = Update {
+        engine: "255.255.255.255:65535".to_owned(),
+        parts: vec![part; MAX_PARTS],
+        ..Update::default()
+    };
+    let full = Update {
+        pace: Some(StatedPace {
+            percent: 1_000,
+            age_ms: 299,
+        }),
+        speed: Some(StatedFactors {
+            prefill: 3_000,
+            decode: 3_000,
+        }),
+        ..plain.clone()
+    };
+    assert!(full.encoded_len() <= MAX_DATAGRAM, "{}", full.encoded_len());
+    assert_eq!(full.encoded_len() - plain.encoded_len(), 18);
+    let note = SpeedNote {
+        pace: full.pace,
+        decode: Some(3_000),
+        ..note(3_000)
+    };
+    assert_eq!(note.encoded_len(), 17);
+}
