--- a/crates/gate/src/entry/pick.rs
+++ b/crates/gate/src/entry/pick.rs
@@ -73,6 +73,8 @@
     pub(super) measures_prefill: bool,
     /// Age of the load data that the choice is based on.
     pub(super) load_age: Option<Micros>,
+    /// Duration of the target's work as a multiple of its pool's, where that counts.
+    pub(super) speed: Option<f64>,
 }
 
 /// Chooses a target for a job.
@@ -149,6 +151,7 @@
     });
     let prefill_per_token = ctx.prefill_rate(&job.pool, |p| p.ms_per_token());
     let domains = uneven_demand::place_at_engines(ctx, &fleet, job, &engine, prefill_per_token);
+    let speeds = fleet.speeds.get(&job.pool, pressure);
     let builder = CandidateBuilder {
         now,
         domain: &domain,
@@ -164,6 +167,8 @@
         latency_goal: job.route.latency_goal.as_secs_f64() * 1e3,
         domain_cost,
         domains: &domains,
+        speeds,
+        event_gap_goal: job.route.event_gap_goal.as_secs_f64() * 1e3,
     };
     // Engines with the same weights share their sources; rarely more than two or three versions are
     // loaded at the same time.
@@ -252,6 +257,7 @@
         measures_prefill: choice.fetch.is_none() && choice.wait <= MAX_IDLE_WAIT_MS,
         estimate: choice.ttft,
         load_age: r.agent_report.map(|report| now.since(report.at)),
+        speed: speeds.map(|s| s.factors(now, &r.speed).prefill),
     })
 }
 
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -28,7 +28,7 @@
 use crate::log::{self, Event};
 use crate::meter;
 use crate::stall::watch;
-use crate::update::PromptNote;
+use crate::update::{PromptNote, SpeedNote};
 
 /// Time limit for a connection that shows that a target is running.
 const REACH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -52,6 +52,8 @@
     expected: Option<(u64, Vec<Part>)>,
     /// Tokens that an idle engine prefills for the first event, if that measures the prefill rate.
     pub(super) measured_tokens: Option<u32>,
+    /// What the first event shows of the engine's speed.
+    pub(super) speed: Option<SpeedNote>,
     /// Whether the request is suspected of crashing targets.
     suspect: bool,
     /// Incarnation of the target.
@@ -95,6 +97,7 @@
             let note = PromptNote {
                 request,
                 tokens: Some(pick.prefill_tokens),
+                speed: None,
             };
             ctx.report_prompt(agent, note);
         }
@@ -110,6 +113,7 @@
             unread_tokens: Some(pick.prefill_tokens),
             expected,
             measured_tokens: pick.measures_prefill.then_some(pick.prefill_tokens),
+            speed: None,
             suspect,
             boot: pick.boot.clone(),
             sent_at: now,
@@ -160,6 +164,7 @@
             let note = PromptNote {
                 request,
                 tokens: None,
+                speed: self.speed.take(),
             };
             self.ctx.report_prompt(agent, note);
         }
@@ -471,6 +476,11 @@
     if let (Some(version), Some(prompt)) = (head.weights, &job.prompt) {
         r.raise_weights(now, &prompt.model, version);
     }
+    // Another process at the address may have answered.
+    let own = head.matches_request && head.target_id.as_ref().is_none_or(|t| *t == pick.boot.id);
+    if let Some(percent) = head.load.and_then(|l| l.pace).filter(|_| own) {
+        fleet.with_speed(pick.key, |s, target| s.record_pace(now, target, percent));
+    }
 }
 
 fn subject_id(job: &Job) -> Option<String> {
@@ -496,6 +506,14 @@
         );
         meter::add(meter::PROMPT_TOKENS, "way", "fetched", fetched.into());
     }
+    if let Some(speed) = pick.speed {
+        let kind = match speed {
+            s if s < 0.9 => "fast",
+            s if s < 1.1 => "usual",
+            _ => "slow",
+        };
+        meter::increment(meter::SPEED_CHOICES, "speed", kind);
+    }
     let list_age = ctx.now().since(ctx.fleet.borrow().list_confirmed_at);
     meter::record_duration(meter::LIST_AGE, list_age.into());
     log::event(&Event::Sent {
@@ -514,5 +532,6 @@
         weights: pick.weights,
         age_ms: pick.load_age.map(model::Micros::as_millis),
         list_ms: list_age.as_millis(),
+        speed: pick.speed,
     });
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer;
 pub mod room;
 pub mod sidecar;
+pub mod speed;
 mod stall;
 pub mod start;
 mod stream_origins;
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -96,6 +96,12 @@
 pub const ROOM_TOKENS: &str = "clementinestep_room_tokens_total";
 /// Tokens per second that a pool is observed to serve; 0 if unknown.
 pub const ROOM_CAPACITY: &str = "clementinestep_room_capacity";
+/// Observations of the speed of targets, by kind.
+pub const SPEED_OBSERVATIONS: &str = "clementinestep_speed_observations_total";
+/// Requests sent where the speed of targets counts, by how the target's factor compares to the pool.
+pub const SPEED_CHOICES: &str = "clementinestep_speed_choices_total";
+/// Targets that are permanently much slower than their pool.
+pub const SLOW_TARGETS: &str = "clementinestep_slow_targets";
 /// Other processes known.
 pub const MEMBERS: &str = "clementinestep_members";
 /// Fraction of the home domain's work for other domains, by pool.
@@ -168,6 +174,15 @@
     describe_gauge!(DOMAIN_SHARE, "fraction of work for other domains, by pool");
     describe_counter!(DOMAIN_REQUESTS, "requests placed, by home or other domain");
     describe_counter!(OPENING_COPIES, "copies of openings whose rate rises");
+    describe_counter!(
+        SPEED_OBSERVATIONS,
+        "observations of targets' speed, by kind"
+    );
+    describe_counter!(
+        SPEED_CHOICES,
+        "requests sent, by the target's speed: usual, fast, slow"
+    );
+    describe_gauge!(SLOW_TARGETS, "targets much slower than their pool");
 }
 
 /// Increments a counter by one.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,8 @@
 //!   ([`engine_load`]) and the prefill rate of the pool ([`prefill_rate`]). [`prefill_priority`] ranks
 //!   requests at an engine, [`backlog`] counts the prefill that an engine has pending, and [`length_partition`]
 //!   keeps long prompts on engines of their own.
+//!   [`engine_speed`] and [`pace`] weigh the permanent and the momentary speed of each target, and
+//!   [`load_overlap`] the answers that a load of weights would interrupt.
 //! - Uneven demand: [`domain_balance`] computes the fraction of a domain's work that goes to others, and
 //!   [`opening_demand`] when an opening needs one more copy.
 //! - Admission: [`latency_admission`] refuses prompts that would be late, and [`loading`] bounds how
@@ -59,6 +61,7 @@
 pub mod domain_balance;
 pub mod drain;
 pub mod engine_load;
+pub mod engine_speed;
 pub mod fair_share;
 pub mod health;
 pub mod holder;
@@ -71,6 +74,7 @@
 pub mod loading;
 pub mod misdirected;
 pub mod opening_demand;
+pub mod pace;
 pub mod pollers;
 pub mod pool_peers;
 pub mod prefill_priority;
