--- a/crates/daemon/tests/hosted/rest.rs
+++ b/crates/daemon/tests/hosted/rest.rs
@@ -122,8 +122,10 @@
         target.set_fault(Fault::Full);
         target.set_rest(Some(text));
         let _ = fetch(&entry, "/check/1", &format!("bad-{n}")).await;
-        let is_bad = |r: &serde_json::Value| r["target"] == "r0";
-        entry.process.wait_for_event("bad_rest", is_bad).await;
+        let is_new = |r: &serde_json::Value| {
+            r["target"] == "r0" && entry.process.events("bad_rest").len() > n
+        };
+        entry.process.wait_for_event("bad_rest", is_new).await;
         target.set_fault(Fault::None);
         let answer = fetch(&entry, "/check/1", &format!("good-{n}")).await;
         assert_eq!(answer.expect("an answer").status, 200, "{text}");
