Forget a target's speed when its engine's epoch changes

A restarted engine is listed before its sidecar notices the restart. An update sent in between brought the former process's factors to the new incarnation, where they counted for 30 s, as the sidecar sends none after its own reset.

--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -186,6 +186,9 @@
         let known = std::mem::replace(&mut self.known_epoch, epoch);
         if known != 0 && known != epoch {
             self.record_break();
+            // A target is listed before its agent notices the restart, and until then the agent
+            // reports the factors of the former process.
+            self.speed = TargetSpeed::default();
         }
     }
 
--- a/crates/gate/tests/speed.rs
+++ b/crates/gate/tests/speed.rs
@@ -40,6 +40,28 @@
     }
 }
 
+fn list_target(fleet: &mut Fleet, born: u64) {
+    let config = row_expiry::Config {
+        heartbeat: Micros::from_millis(1_200),
+        reentry: Micros::from_millis(2_200),
+    };
+    let target = Target {
+        boot: Boot {
+            id: "e".to_owned(),
+            born,
+        },
+        pool: POOL.to_owned(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+        domain: "a".to_owned(),
+        state: State::Ready,
+        build: String::new(),
+        slots: 8,
+        renewed: Position::new(1, born),
+        weights: Vec::new(),
+    };
+    fleet.apply_list(at(born), Position::new(1, born), vec![target], &config);
+}
+
 #[test]
 fn speeds_count_where_nobody_asks_for_it() {
     // Guards against other placement where targets state no pace and the settings lack `pressure`.
@@ -112,26 +134,8 @@
         assert_eq!(speed.learnt(at(ms)), Factors { prefill, decode }, "{ms}");
     }
     let mut fleet = Fleet::default();
-    let config = row_expiry::Config {
-        heartbeat: Micros::from_millis(1_200),
-        reentry: Micros::from_millis(2_200),
-    };
     for (born, updated, expected) in [(1, true, 1.4), (2, false, 1.0)] {
-        let target = Target {
-            boot: Boot {
-                id: "e".to_owned(),
-                born,
-            },
-            pool: POOL.to_owned(),
-            addr: "127.0.0.1:9000".parse().expect("an address"),
-            domain: "a".to_owned(),
-            state: State::Ready,
-            build: String::new(),
-            slots: 8,
-            renewed: Position::new(1, born),
-            weights: Vec::new(),
-        };
-        fleet.apply_list(at(born), Position::new(1, born), vec![target], &config);
+        list_target(&mut fleet, born);
         if updated {
             let update = Update {
                 engine: "127.0.0.1:9000".to_owned(),
@@ -148,6 +152,38 @@
     }
 }
 
+#[test]
+fn an_agent_that_misses_a_restart_passes_on_the_former_factors() {
+    // Guards against factors of the former process that count for 30 s after the agent notices the
+    // restart, and against a restart of the agent alone that drops them.
+    for (name, epochs, expected) in [
+        ("the engine has restarted", vec![7, 8], 1.0),
+        ("the agent has restarted", vec![7, 0, 7], 1.4),
+    ] {
+        let mut fleet = Fleet::default();
+        list_target(&mut fleet, 1);
+        for (i, epoch) in epochs.into_iter().enumerate() {
+            let factors = StatedFactors {
+                prefill: 1_400,
+                decode: 1_200,
+            };
+            let update = Update {
+                engine: "127.0.0.1:9000".to_owned(),
+                alive: true,
+                epoch,
+                speed: (i == 0).then_some(factors),
+                ..Update::default()
+            };
+            fleet.apply_update(at(1), &update, "127.0.0.1:1".parse().expect("an address"));
+        }
+        let factors = fleet
+            .replicas
+            .values()
+            .map(|r| r.speed.learnt(at(2)).prefill);
+        assert_eq!(factors.collect::<Vec<_>>(), [expected], "{name}");
+    }
+}
+
 #[test]
 fn prompts_that_found_others_waiting_make_an_engine_look_slow() {
     // Guards against waits that count as prefill, and against updates with factors of 1.
