Don't count a repeated pace as a new one

Agents repeat the newest pace in their updates. As the stated age leaves out the time on the way, each repetition had a later time than the one before, was recorded again, and pulled the pool's mean towards the engines that had answered last.

--- a/crates/gate/src/speed.rs
+++ b/crates/gate/src/speed.rs
@@ -25,6 +25,9 @@
 const MAX_CALLER_DELAY: Micros = Micros::from_millis(2);
 /// Least and greatest pace that a target is taken to have.
 const PACE_BOUNDS: (f64, f64) = (0.1, 10.0);
+/// Least time between two paces of a target that count as two. Agents repeat a pace in each update, and
+/// as ages leave out the time on the way, each repetition looks a little newer.
+const MIN_PACE_INTERVAL: Micros = Micros::from_millis(5);
 /// Change of a factor that is logged.
 const LOGGED_CHANGE: f64 = 0.1;
 /// Learnt factor from which a target counts as slow in the metrics.
@@ -104,7 +107,7 @@
 
     /// Records a pace unless a newer one of the target is known.
     fn record_pace(&mut self, speed: &mut TargetSpeed, stated: Stated) {
-        if speed.pace.is_none_or(|known| known.at < stated.at) {
+        if is_newer(speed.pace, stated) {
             self.pace.record(stated.ratio);
             speed.pace = Some(stated);
         }
@@ -287,7 +290,7 @@
         }
         if let Some(pace) = note.pace {
             let pace = stated(now, pace.percent, pace.age_ms);
-            if self.pace.is_none_or(|known| known.at < pace.at) {
+            if is_newer(self.pace, pace) {
                 self.pace = Some(pace);
             }
         }
@@ -340,6 +343,11 @@
     }
 }
 
+/// Whether a pace was stated after the known one.
+fn is_newer(known: Option<Stated>, stated: Stated) -> bool {
+    known.is_none_or(|k| k.at + MIN_PACE_INTERVAL < stated.at)
+}
+
 fn thousandths(value: f64) -> u32 {
     (value * 1e3).round() as u32
 }
--- a/crates/gate/tests/speed.rs
+++ b/crates/gate/tests/speed.rs
@@ -118,6 +118,22 @@
     }
 }
 
+#[test]
+fn a_repeated_pace_moves_the_mean_of_the_pool() {
+    // Guards against repetitions of one pace that count as new ones because of their time on the way.
+    let (mut pools, mut speed) = (Pools::default(), TargetSpeed::default());
+    pools.record_pace(at(0), subject(&mut TargetSpeed::default()), 100);
+    for i in 0..20 {
+        // Each repetition took 0.1 ms longer than the one before.
+        let received = at(u64::from(i) * 5) + Micros(u64::from(i) * 100);
+        pools.receive(received, subject(&mut speed), &update(250, 20 + i * 5));
+    }
+    let pool = pools.get(POOL, false).expect("a pool");
+    // The mean of 1 and 2.5 is 1.75, and a figure of 120 ms weighs 0.6.
+    let factor = pool.factors(at(100), &speed).prefill;
+    assert!((factor - 1.257).abs() < 0.01, "{factor}");
+}
+
 #[test]
 fn a_lost_update_or_a_restart_keeps_the_wrong_factors() {
     // Guards against factors that end with one lost update, and against ones of the former process.
