Ignore gaps of zero between events

A stream whose events were all read at once gave the ratio 0 / 0 while the pool had no mean. The agent got it as 0 and recorded its least ratio, so an engine could look faster than it is.

--- a/crates/gate/src/speed.rs
+++ b/crates/gate/src/speed.rs
@@ -187,6 +187,11 @@
 
     /// Records the mean gap between the events of an answer.
     pub fn record_gap(&mut self, pressure: bool, target: Subject<'_>, gap: Micros) {
+        // Events that were read all at once show nothing of the engine, and a mean of 0 would make the
+        // ratio undefined.
+        if gap == Micros::ZERO {
+            return;
+        }
         let Some(pool) = self.active(target.pool, pressure) else {
             return;
         };
--- a/crates/gate/tests/speed.rs
+++ b/crates/gate/tests/speed.rs
@@ -228,6 +228,15 @@
     assert_eq!(gaps.mean(), None, "another target");
 }
 
+#[test]
+fn events_read_all_at_once_make_an_engine_look_fast() {
+    // Guards against gaps of 0, whose undefined ratio went to the agent as the least possible one.
+    let (mut pools, mut speed) = (Pools::default(), TargetSpeed::default());
+    pools.record_gap(true, subject(&mut speed), Micros::ZERO);
+    let note = pools.record_first_event(at(0), true, subject(&mut speed), None);
+    assert_eq!(note, None);
+}
+
 #[test]
 fn updates_with_speeds_exceed_a_datagram() {
     // Guards against fragments: speeds take at most 19 bytes of an update with all its parts.
