Measure a target's silence from when the request was sent

A target that had been idle for a second counted as silent as soon as one late request moved away from it, which opened its circuit breaker at once.

--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -228,7 +228,7 @@
         }
         SendOutcome::Stalled => {
             job.has_retry = true;
-            stalled::record_moved(ctx, pick.key);
+            stalled::record_moved(ctx, pick.key, sent_at);
             suspects::record_broken_answer(ctx, job, &pick.boot, sent_at);
             AttemptOutcome::Ran {
                 reason: "silent",
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -459,7 +459,7 @@
             }
             SendOutcome::Stalled => {
                 self.job.has_retry = true;
-                stalled::record_moved(&self.ctx, pick.key);
+                stalled::record_moved(&self.ctx, pick.key, sent_at);
                 suspects::record_broken_answer(&self.ctx, &self.job, &pick.boot, sent_at);
                 ResumeOutcome::Ran
             }
--- a/crates/gate/src/entry/stalled.rs
+++ b/crates/gate/src/entry/stalled.rs
@@ -98,15 +98,15 @@
     }
 }
 
-/// Records at a target's circuit breaker that a request has moved away from it.
-pub(super) fn record_moved(ctx: &Ctx, key: ReplicaKey) {
+/// Records at a target's circuit breaker that a request sent at `sent_at` has moved away from it.
+pub(super) fn record_moved(ctx: &Ctx, key: ReplicaKey, sent_at: Micros) {
     let now = ctx.now();
     let mut fleet = ctx.fleet.borrow_mut();
     let Some(r) = fleet.replicas.get(key) else {
         return;
     };
-    let age = r.history.signs(now, reported_at(r)).age();
-    match age.is_none_or(|age| age >= Config::default().silence) {
+    let signs = r.history.signs(now, reported_at(r));
+    match signs.silent_for(now.since(sent_at)) >= Config::default().silence {
         true => fleet.record_silent(now, key),
         false => fleet.record_failure(now, key, "silent"),
     }
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Time for which a target that has had a request for `waited` has shown no life. Silence before the
+    /// request was sent says nothing, since the target may have had no request.
+    pub fn silent_for(&self, waited: Micros) -> Micros {
+        self.age().map_or(waited, |age| age.min(waited))
+    }
+
     /// Adds the signs of another target.
     pub fn merge(&mut self, other: Self) {
         let latest = |a: Option<Micros>, b: Option<Micros>| a.into_iter().chain(b).min();
@@ -281,7 +287,7 @@
 
 /// Decides whether a request moves to another target.
 pub fn decide(config: &Config, e: &Evidence) -> Decision {
-    let quiet = e.target.age().map_or(e.waited, |age| age.min(e.waited));
+    let quiet = e.target.silent_for(e.waited);
     let silence = match e.target.reported {
         _ if e.refuses => config.refused_silence,
         Some(_) => config.silence.max(e.estimate),
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -211,6 +211,28 @@
     }
 }
 
+#[test]
+fn idle_target_counts_as_silent_after_one_late_request() {
+    // Guards against a target that is ejected at once because it had no request before the late one.
+    struct Case {
+        reported: Option<u64>,
+        answered: Option<u64>,
+        waited: u64,
+        expected: u64,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { reported: None, answered: Some(60_000), waited: 72, expected: 72 },
+        Case { reported: None, answered: None, waited: 72, expected: 72 },
+        Case { reported: None, answered: Some(60_000), waited: 1_000, expected: 1_000 },
+        Case { reported: Some(20), answered: Some(60_000), waited: 1_000, expected: 20 },
+    ];
+    for c in cases {
+        let silent_for = signs(c.reported, c.answered).silent_for(ms(c.waited));
+        assert_eq!(silent_for, ms(c.expected));
+    }
+}
+
 #[test]
 fn late_requests_leave_retries_to_those_that_fail_otherwise() {
     // Guards against requests that are only late and use up the budget before others fail.
