Keep a second replica's request if no attempt is left after it

While a silent replica's stream raced with another replica, the run at the silent one wasn't counted. The other request could be given up with a retry that no attempt could use, and the caller waited at the silent replica.

--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -304,9 +304,8 @@
     /// others are full or no retry is left: callers lost answers that were still being generated,
     /// also when a process was stopped as planned.
     async fn race_other_replica(&mut self) -> Received {
-        let now = self.ctx.now();
         if let Some(wait) = self.time_until_race() {
-            self.waits_until = now + wait;
+            self.waits_until = self.ctx.now() + wait;
             return Received::Silent;
         }
         self.job.has_retry = false;
@@ -314,11 +313,12 @@
         let Some(mut old) = self.live.take() else {
             return Received::Broken("no replica");
         };
+        // The silent replica's run counts, so that the other one isn't given up without an attempt left.
+        self.job.run_count += 1;
         let resumed = tokio::select! {
             biased;
             frame = old.response.body_mut().frame() => {
                 // Dropping the other replica's in-flight request ends whatever it may have started.
-                self.job.run_count += 1;
                 self.live = Some(old);
                 return self.classify(frame);
             }
@@ -327,18 +327,18 @@
         match resumed {
             ResumeOutcome::Resumed => {
                 attempts::log_failed(&self.job, &old.in_flight.boot, "silent", None, true);
-                let key = old.in_flight.key();
-                self.ctx
-                    .fleet
-                    .borrow_mut()
-                    .record_failure(self.ctx.now(), key, "silent");
+                let mut fleet = self.ctx.fleet.borrow_mut();
+                fleet.record_failure(self.ctx.now(), old.in_flight.key(), "silent");
+                drop(fleet);
                 self.tail.clear();
-                self.job.run_count += 1;
                 return Received::Silent;
             }
-            ResumeOutcome::Ran => self.job.run_count += 1,
-            ResumeOutcome::OverLimit => {}
+            // The other replica was given up as well, and a retry was spent for the next one.
+            ResumeOutcome::Ran if self.job.has_retry => self.waits_until = self.ctx.now(),
+            ResumeOutcome::Ran => {}
+            ResumeOutcome::OverLimit => self.job.run_count -= 1,
             refused => {
+                self.job.run_count -= 1;
                 self.job.has_retry = !matches!(refused, ResumeOutcome::NotRun);
                 self.waits_until = self.ctx.now() + RACE_INTERVAL;
             }
