Count the idle time of a connection opened beside an answer from its opening

Such a connection was kept as if just used after an answer of up to 15 s, while its target counts its idle time from the opening. A request that runs at most once, sent just before the target closes it, ended unknown.

--- a/crates/gate/src/entry/connection_pool.rs
+++ b/crates/gate/src/entry/connection_pool.rs
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Adds a connection on which nothing has been sent. Its idle time counts from its opening, as it
+    /// does at the target: a request that is sent just before the target closes it ends unknown.
+    pub(super) fn keep_unused(&mut self, connection: Connection) {
+        if self.0.len() < MAX_CONNECTIONS && !connection.send.is_closed() {
+            let at = self
+                .0
+                .partition_point(|c| c.last_used <= connection.last_used);
+            self.0.insert(at, connection);
+        }
+    }
+
     /// Closes all connections.
     pub(super) fn clear(&mut self) {
         self.0.clear();
--- a/crates/gate/src/entry/suspects.rs
+++ b/crates/gate/src/entry/suspects.rs
@@ -225,7 +225,7 @@
     match connection {
         Some(connection) => {
             if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(to.key) {
-                r.connections.keep(connection);
+                r.connections.keep_unused(connection);
             }
         }
         // The target may have started anew, or have closed the idle connection: whether its end
