Soak: draw slow readers from a random sequence of their own

They were drawn from the sequence of the crashing parts, so that regression seeds put these parts into other requests than when the seeds had failed.

--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -57,6 +57,7 @@
 ) -> Vec<Outcome> {
     let mut rng = StdRng::seed_from_u64(seed * 1_000 + caller);
     let mut parts = StdRng::seed_from_u64((seed * 1_000 + caller) ^ PART_MASK);
+    let mut reading = StdRng::seed_from_u64((seed * 1_000 + caller) ^ READING_MASK);
     let mut kept: Vec<Option<SendRequest<Full<Bytes>>>> = (0..ENTRIES).map(|_| None).collect();
     let mut outcomes = Vec::new();
     let mut broken: Option<BrokenStream> = None;
@@ -74,7 +75,8 @@
             && taken_up.is_none()
             && Cluster::has_bad_part(seed)
             && parts.random_range(0..BAD_SHARE) == 0;
-        let slow = path != "/log/1" && path != "/check/1" && parts.random_range(0..SLOW_SHARE) == 0;
+        let slow =
+            path != "/log/1" && path != "/check/1" && reading.random_range(0..SLOW_SHARE) == 0;
         let attempt = Attempt {
             bad,
             slow,
@@ -125,8 +127,11 @@
 /// Length of the events of such a stream, and the pause before its second one.
 const SLOW_EVENT_SIZE: usize = 512 << 10;
 const READING_PAUSE: Duration = Duration::from_millis(700);
-/// Seed mask that gives these streams a random sequence of their own.
+/// Seed mask that gives streams with the crashing part a random sequence of their own.
 const PART_MASK: u64 = 1 << 58;
+/// Seed mask that gives streams that are read slowly one of their own, so that earlier seeds keep
+/// their crashing parts.
+const READING_MASK: u64 = 1 << 56;
 /// Path of streams that may be resumed.
 const RESUMABLE_PATH: &str = "/probe/1";
 
