--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -295,7 +295,13 @@
 
 /// A stream without the spaces that its events are filled up with.
 fn unfilled(stream: &[u8]) -> Vec<u8> {
-    let lines = stream.split(|b| *b == b'\n').map(|l| l.trim_ascii_end());
+    let lines = stream.split(|b| *b == b'\n').map(|l| {
+        let end = l
+            .iter()
+            .rposition(|b| *b != b' ')
+            .map_or(0, |last| last + 1);
+        &l[..end]
+    });
     lines.collect::<Vec<_>>().join(&b'\n')
 }
 
