--- a/crates/policy/tests/engine_speed.rs
+++ b/crates/policy/tests/engine_speed.rs
@@ -129,6 +129,7 @@
                 eviction_cost: 0.0,
                 network_delay: 0.0,
                 penalty: rng.random_range(0.0..12.0),
+                discount: 0.0,
                 cost_factor: 1.0,
             };
             (candidate, &none)
