Lengthen the interval of room reports with the number of entries

With 100 entries, largest reports took 212 KB/s each way; the budget for control is 28 KB/s. Above 31 entries, each further entry lengthens the interval by 108 ms, and expiry follows. Reports of one pool take 27.4 KB/s both ways at 100 entries (computed).

--- a/crates/gate/tests/update.rs
+++ b/crates/gate/tests/update.rs
@@ -280,3 +280,20 @@
     assert_eq!(flows[0].team, u64::MAX - 1);
     assert_eq!(flows.iter().filter(|f| f.team == REST).count(), 6);
 }
+
+/// Guards against reports on room that exceed the budget for control, or that are sent less often
+/// than twice a second in the first deployment.
+#[test]
+fn reports_on_room_exceed_the_budget_of_a_process() {
+    // Largest report, with the headers of IP and UDP.
+    const BYTES: f64 = 1_073.0 + 28.0;
+    let mut room = Room::new(Micros::ZERO, Config::default(), 1);
+    room.set_entries(30);
+    assert_eq!(room.interval(), Micros::from_millis(500));
+    for entries in [100, 200, 350] {
+        let others = entries - 1;
+        room.set_entries(others);
+        let both_ways = 2.0 * others as f64 * BYTES / room.interval().as_secs_f64();
+        assert!(both_ways <= 28e3, "{entries} entries: {both_ways} B/s");
+    }
+}
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -38,7 +38,7 @@
 /// How room is computed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
-    /// Interval between reports; 500 ms.
+    /// Interval between reports; 500 ms. It grows with the number of entries above 31.
     pub interval: Micros,
     /// Time constant of the rates; 1 s. With less, bursts of a few prompts look like a shortage.
     pub window: Micros,
@@ -86,6 +86,11 @@
 const WAIT_SHARE: f64 = 0.5;
 /// Fractional part of the golden ratio; its multiples modulo 1 are spread evenly at every length.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// Number of entries up to which reports are sent at the configured interval.
+const FULL_RATE_ENTRIES: usize = 31;
+/// Increase of the interval for each further entry. With 100 entries, largest reports (1,073 bytes
+/// and 28 of headers) take 27.4 KB/s sent and received; the budget for control is 28 KB/s.
+const INTERVAL_STEP: Micros = Micros::from_millis(108);
 /// Maximum number of ranks in a report for which flows are left out.
 const MAX_RESTS: usize = 6;
 /// Tokens per second below which a flow counts as ended.
@@ -316,9 +321,15 @@
         self.peers.receive(now, report, own);
     }
 
+    /// Interval between reports for this number of entries.
+    pub fn interval(&self) -> Micros {
+        let further = (self.peers.listed() + 1).saturating_sub(FULL_RATE_ENTRIES);
+        Micros(self.config.interval.0 + INTERVAL_STEP.0 * further as u64)
+    }
+
     /// The report that is due now, if there is demand.
     pub fn poll(&mut self, now: Micros) -> Option<Report> {
-        if self.flows.is_empty() || now.since(self.reported_at) < self.config.interval {
+        if self.flows.is_empty() || now.since(self.reported_at) < self.interval() {
             return None;
         }
         self.reported_at = now;
@@ -368,7 +379,7 @@
         self.updated_at = now;
         self.flows
             .retain(|_, f| f.offered.get(now, window) >= MIN_RATE);
-        let lifetime = Micros(self.config.interval.0 * u64::from(self.config.lifetime));
+        let lifetime = Micros(self.interval().0 * u64::from(self.config.lifetime));
         self.peers.expire(now, lifetime);
         let part = self.peers.part();
         let (served, picked, waited) = self.peers.sums();
@@ -437,9 +448,7 @@
                 forecast
             },
         );
-        let may_refuse = self
-            .peers
-            .may_decide(now, self.started, self.config.interval);
+        let may_refuse = self.peers.may_decide(now, self.started, self.interval());
         let capacity = capacity.filter(|_| may_refuse);
         self.status = Status {
             short: capacity.is_some_and(|c| needs > c),
--- a/crates/policy/src/room/peers.rs
+++ b/crates/policy/src/room/peers.rs
@@ -46,6 +46,11 @@
         self.listed = listed;
     }
 
+    /// The number of other entries that was set.
+    pub(super) fn listed(&self) -> usize {
+        self.listed
+    }
+
     fn remove(&mut self, process: u64) {
         let Some((_, report)) = self.reports.remove(&process) else {
             return;
