Forget rooms while the settings don't ask for them

After pressure was removed from the settings, fractions and reports of others were kept without expiry; when it came back, old fractions refused requests until the next update.

--- a/crates/gate/src/entry/room.rs
+++ b/crates/gate/src/entry/room.rs
@@ -84,6 +84,7 @@
             continue;
         };
         if !ctx.node.settings.borrow().pressure {
+            ctx.rooms.clear();
             continue;
         }
         let now = ctx.now();
--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -88,6 +88,12 @@
         self.with(r.pool, |room| room.record_first_event(now, r.tokens));
     }
 
+    /// Forgets all pools, while the settings don't ask for room. Otherwise old fractions would refuse
+    /// requests once they do again.
+    pub fn clear(&self) {
+        self.rooms.borrow_mut().clear();
+    }
+
     fn with<T>(&self, pool: &str, f: impl FnOnce(&mut Room) -> T) -> Option<T> {
         self.rooms.borrow_mut().get_mut(&pool_key(pool)).map(f)
     }
