Report room from entries without demand of their own

An entry that was offered nothing stopped reporting. An entry that got all requests then counted itself as cut off: right after a shortage it refused what exceeded its last part of the capacity. Entries now report while any entry has demand for the pool.

--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -327,9 +327,10 @@
         Micros(self.config.interval.0 + INTERVAL_STEP.0 * further as u64)
     }
 
-    /// The report that is due now, if there is demand.
+    /// The report that is due now, if any entry has demand; one that doesn't report counts as lost.
     pub fn poll(&mut self, now: Micros) -> Option<Report> {
-        if self.flows.is_empty() || now.since(self.reported_at) < self.interval() {
+        let idle = self.flows.is_empty() && self.peers.offered().is_empty();
+        if idle || now.since(self.reported_at) < self.interval() {
             return None;
         }
         self.reported_at = now;
--- a/crates/policy/tests/room/main.rs
+++ b/crates/policy/tests/room/main.rs
@@ -214,6 +214,29 @@
     assert!(*most <= waits.len() / 8, "{tenths:?}");
 }
 
+#[test]
+fn entry_without_demand_counts_as_lost() {
+    // Guards against entries that take the silence of idle ones for being cut off, and then refuse
+    // what exceeds a part of the capacity.
+    let mut idle = Room::new(Micros::ZERO, Config::default(), 1);
+    assert_eq!(idle.poll(START), None, "no entry has demand");
+    idle.receive(START, report(2, 1, 0.4));
+    let sent = idle.poll(START).expect("a report");
+    assert_eq!(sent.flows, []);
+
+    let mut busy = short_room(0.4);
+    busy.set_entries(1);
+    let second = START + Micros::from_secs(4);
+    busy.receive(second, sent);
+    busy.update(second, 1);
+    assert_eq!(busy.status().reporters, 1);
+    busy.update(second + Micros::from_secs(4), 1);
+    assert_eq!(busy.status().reporters, 0);
+    // Without another entry's demand, reports end.
+    idle.update(START + Micros::from_secs(4), 1);
+    assert_eq!(idle.poll(START + Micros::from_secs(4)), None);
+}
+
 #[test]
 fn first_requests_of_a_less_urgent_rank_are_admitted_while_an_urgent_one_is_cut() {
     // Guards against work that may wait which is admitted until its demand is known.
