Spread the first refused callers of different teams

The place in the span of returns depended on the process and the number of refusals of a flow, so the first refusals of all teams at an entry got the same retry time.

--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -86,6 +86,8 @@
 const WAIT_SHARE: f64 = 0.5;
 /// Fractional part of the golden ratio; its multiples modulo 1 are spread evenly at every length.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// Odd multiplier that spreads the differences between flows over the upper bits.
+const HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Number of entries up to which reports are sent at the configured interval.
 const FULL_RATE_ENTRIES: usize = 31;
 /// Increase of the interval for each further entry. With 100 entries, largest reports (1,073 bytes
@@ -274,7 +276,8 @@
         let excess = window.as_secs_f64() * (1.0 - fraction) / fraction.max(0.01);
         let longest = (time_left.as_secs_f64() * WAIT_SHARE).max(MIN_SPAN);
         let span = excess.clamp(MIN_SPAN, longest);
-        let phase = (self.process >> 32) as f64 / f64::from(u32::MAX);
+        let hash = (self.process ^ key.team ^ u64::from(key.rank)).wrapping_mul(HASH_FACTOR);
+        let phase = (hash >> 32) as f64 / f64::from(u32::MAX);
         let place = (phase + flow.refused as f64 * GOLDEN).fract();
         let wait = span * (1.0 + place) / 2.0;
         Decision::Refuse {
--- a/crates/policy/tests/room/main.rs
+++ b/crates/policy/tests/room/main.rs
@@ -214,6 +214,23 @@
     assert!(*most <= waits.len() / 8, "{tenths:?}");
 }
 
+#[test]
+fn first_refused_callers_of_all_teams_return_at_the_same_moment() {
+    // Guards against a place in the span of returns that is the same for the first refusal of each
+    // team.
+    let mut room = short_room(0.9);
+    let mut tenths = [0; 10];
+    for team in 1..=200 {
+        let key = FlowKey { team, rank: 2 };
+        match room.offer(START, key, 100, TIME_LEFT, 0.0) {
+            Decision::Admit => panic!("admitted"),
+            // The span is half of the time left, 3 s, of which the second half is used.
+            Decision::Refuse { wait } => tenths[((wait.as_millis() - 1_500) / 151) as usize] += 1,
+        }
+    }
+    assert!(tenths.iter().all(|n| *n <= 40), "{tenths:?}");
+}
+
 #[test]
 fn entry_without_demand_counts_as_lost() {
     // Guards against entries that take the silence of idle ones for being cut off, and then refuse
