--- a/crates/policy/tests/room/main.rs
+++ b/crates/policy/tests/room/main.rs
@@ -164,7 +164,7 @@
         ("waves", vec![long(1, 0.7)], waves.collect(), 0.0),
         ("engines lost", teams(0.6), lost, 0.0),
         ("large prompts", vec![chunky], vec![], 0.0),
-        ("after a burst", vec![long(1, 0.8)], burst, 17.0),
+        ("after a burst", vec![long(1, 0.8)], burst, 15.0),
     ];
     for (name, streams, faults, from) in cases {
         let case = case(16, streams, faults);
