Limit the parts of an update to those that fit a datagram

A part takes 26 bytes with its tag and length, not 24. With the speeds a delegate's update that has all other fields and 40 parts took 1,225 bytes, over the limit of 1,200. The test covers those fields now.

--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -13,8 +13,10 @@
 
 /// Maximum size of a datagram in bytes; larger ones might be fragmented on the way.
 pub const MAX_DATAGRAM: usize = 1_200;
-/// Maximum number of parts in one datagram, each of at most 24 bytes.
+/// Maximum number of parts in one datagram, each of `PART_BYTES`.
 pub const MAX_PARTS: usize = 40;
+/// Size in bytes of an encoded part of up to 2 million tokens, with its tag and length.
+const PART_BYTES: usize = 26;
 
 /// Content of a datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -512,6 +514,12 @@
     }
 }
 
+/// Number of parts that fit into one datagram with an update that has none yet.
+pub fn parts_per_datagram(update: &Update) -> usize {
+    let room = MAX_DATAGRAM.saturating_sub(update.encoded_len());
+    (room / PART_BYTES).clamp(1, MAX_PARTS)
+}
+
 /// Sends an update with parts to the given addresses, in as many datagrams as the parts need.
 pub fn send_parts(
     socket: &UdpSocket,
@@ -519,7 +527,7 @@
     parts: &[HeldPart],
     to: impl IntoIterator<Item = SocketAddr> + Clone,
 ) {
-    let mut chunks = parts.chunks(MAX_PARTS);
+    let mut chunks = parts.chunks(parts_per_datagram(&update));
     loop {
         let parts = chunks.next().unwrap_or_default().to_vec();
         let update = Update {
--- a/crates/gate/tests/speed.rs
+++ b/crates/gate/tests/speed.rs
@@ -3,7 +3,8 @@
 use gate::entry::Fleet;
 use gate::speed::{AgentSpeed, Gaps, Pools, Subject, TargetSpeed};
 use gate::update::{
-    HeldPart, SpeedNote, StatedFactors, StatedPace, Update, MAX_DATAGRAM, MAX_PARTS,
+    parts_per_datagram, HeldPart, LoadedWeights, SpeedNote, StatedFactors, StatedPace, Update,
+    MAX_DATAGRAM, MAX_PARTS,
 };
 use model::{Micros, Position};
 use policy::engine_speed::Factors;
@@ -239,7 +240,7 @@
 
 #[test]
 fn updates_with_speeds_exceed_a_datagram() {
-    // Guards against fragments: speeds take at most 19 bytes of an update with all its parts.
+    // Guards against fragments: speeds add 18 bytes to a delegate's update with all other fields.
     let part = HeldPart {
         scope: u64::MAX,
         part: u64::MAX,
@@ -247,7 +248,26 @@
     };
     let plain = Update {
         engine: "255.255.255.255:65535".to_owned(),
-        parts: vec![part; MAX_PARTS],
+        alive: true,
+        busy: true,
+        weights: vec![LoadedWeights {
+            model: "a model with a name of 40 characters....".to_owned(),
+            version: 1_000_000,
+        }],
+        unread: 1_000,
+        used: 1_000_000,
+        total: 1_000_000,
+        loading_ms: Some(3_600_000),
+        load_ms: Some(3_600_000),
+        wanted: 1_000_000,
+        claims: true,
+        process: u64::MAX,
+        sent_us: 86_400_000_000,
+        delegate: u64::MAX,
+        ordered_ms: Some(3_600_000),
+        fence: 1_000_000,
+        epoch: u64::MAX,
+        tokens: vec![1_000_000; policy::prefill_priority::TIERS],
         ..Update::default()
     };
     let full = Update {
@@ -261,7 +281,14 @@
         }),
         ..plain.clone()
     };
-    assert!(full.encoded_len() <= MAX_DATAGRAM, "{}", full.encoded_len());
+    let with_parts = Update {
+        parts: vec![part; parts_per_datagram(&full)],
+        ..full.clone()
+    };
+    let size = with_parts.encoded_len();
+    assert!(size <= MAX_DATAGRAM, "{size}");
+    assert!(with_parts.parts.len() >= 38, "{}", with_parts.parts.len());
+    assert_eq!(parts_per_datagram(&Update::default()), MAX_PARTS);
     assert_eq!(full.encoded_len() - plain.encoded_len(), 18);
     let note = SpeedNote {
         pace: full.pace,
