Count a stream as answered from its first bytes, not from its head

A target may send the head at once. Each target of a slow pool then counted as one that answers later requests, so that all streams could be sent twice.

--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -232,8 +232,8 @@
         if bytes.is_empty() {
             return None;
         }
-        if let Some(live) = &self.live {
-            stalled::record_bytes(&self.ctx, live.in_flight.key());
+        if let Some(live) = &mut self.live {
+            live.in_flight.record_bytes();
         }
         if self.first_event_after.is_none() {
             self.record_first_event();
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -55,6 +55,8 @@
     pub(super) sent_at: Micros,
     /// Estimated milliseconds until the first token.
     estimate: f64,
+    /// Whether bytes of a stream have arrived.
+    has_bytes: bool,
 }
 
 impl InFlight {
@@ -109,6 +111,19 @@
             boot: pick.boot.clone(),
             sent_at: now,
             estimate: pick.estimate,
+            has_bytes: false,
+        }
+    }
+
+    /// Records that bytes of a stream have arrived. The first ones begin the answer: targets may send the
+    /// head at once, so that a head doesn't show that the target serves the request.
+    pub(super) fn record_bytes(&mut self) {
+        let now = self.ctx.now();
+        if let Some(r) = self.ctx.fleet.borrow_mut().replicas.get_mut(self.key) {
+            match std::mem::replace(&mut self.has_bytes, true) {
+                false => r.history.answer(now, self.sent_at),
+                true => r.history.bytes(now),
+            }
         }
     }
 
@@ -344,7 +359,8 @@
     if let Some(timeout) = head.idle_timeout {
         connection.set_idle_timeout(timeout);
     }
-    let began = response.status().is_success().then_some(in_flight.sent_at);
+    let is_whole = response.status().is_success() && !job.route.mode.is_stream();
+    let began = is_whole.then_some(in_flight.sent_at);
     record_head(ctx, pick, job, &head, began);
     let mut rests = false;
     let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -418,8 +434,8 @@
     SendOutcome::NotRun("other weights")
 }
 
-/// Records what the head of an answer says about its target, and when the request was sent, if its
-/// answer has begun with success.
+/// Records what the head of an answer says about its target, and when the request was sent, if the head
+/// shows that the answer has begun.
 fn record_head(ctx: &Ctx, pick: &Pick, job: &Job, head: &AnswerHead, began: Option<Micros>) {
     let now = ctx.now();
     let mut fleet = ctx.fleet.borrow_mut();
--- a/crates/gate/src/entry/stalled.rs
+++ b/crates/gate/src/entry/stalled.rs
@@ -90,14 +90,6 @@
     }
 }
 
-/// Records that bytes have arrived from a target.
-pub(super) fn record_bytes(ctx: &Ctx, key: ReplicaKey) {
-    let now = ctx.now();
-    if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(key) {
-        r.history.bytes(now);
-    }
-}
-
 /// Records at a target's circuit breaker that a request sent at `sent_at` has moved away from it.
 pub(super) fn record_moved(ctx: &Ctx, key: ReplicaKey, sent_at: Micros) {
     let now = ctx.now();
