--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -118,7 +118,7 @@
             }
         };
         log_failed(job, &pick.boot, reason, status, ran);
-        if !may_retry(ctx, job, delivered, ran).await {
+        if !may_retry(ctx, job, delivered, ran, last.is_some()).await {
             let reason = match job.run_count {
                 0 => Reason::NotRun,
                 _ if job.time_left(ctx.now()) < MIN_TIME_LEFT => Reason::Overdue,
@@ -174,8 +174,9 @@
     });
 }
 
-/// Whether a job may be sent again. A job that has run waits for a retry if none is left.
-async fn may_retry(ctx: &Ctx, job: &mut Job, delivered: bool, ran: bool) -> bool {
+/// Whether a job may be sent again. A job that has run and has no answer waits for a retry if none is
+/// left; one that has the target's error as its answer gets it at once.
+async fn may_retry(ctx: &Ctx, job: &mut Job, delivered: bool, ran: bool, answered: bool) -> bool {
     if ran && !job.route.mode.may_rerun() {
         return false;
     }
@@ -190,6 +191,9 @@
     let spent = match job.run_count {
         _ if !delivered => true,
         0 => ctx.retry_budget(&job.pool, |b| b.spend(ctx.now(), RetryReason::NotRun)),
+        _ if answered && !job.has_retry => {
+            ctx.retry_budget(&job.pool, |b| b.spend(ctx.now(), RetryReason::HasRun))
+        }
         _ => stalled::wait_for_retry(ctx, job).await,
     };
     if !spent {
