--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -16,7 +16,7 @@
 use super::usable::REPORT_LIFETIME;
 use crate::agent::AgentId;
 use crate::log::{self, Event};
-use crate::speed::{Pools, Subject};
+use crate::speed::{ObservedTarget, Pools};
 use crate::update::{HeldPart, Update};
 
 new_key_type! {
@@ -309,7 +309,7 @@
     pub(super) fn with_speed<T>(
         &mut self,
         key: ReplicaKey,
-        f: impl FnOnce(&mut Pools, Subject<'_>) -> T,
+        f: impl FnOnce(&mut Pools, ObservedTarget<'_>) -> T,
     ) -> Option<T> {
         let replica = self.replicas.get_mut(key)?;
         Some(f(&mut self.speeds, speed_subject(replica)))
@@ -411,8 +411,8 @@
     }
 }
 
-fn speed_subject(replica: &mut Replica) -> Subject<'_> {
-    Subject {
+fn speed_subject(replica: &mut Replica) -> ObservedTarget<'_> {
+    ObservedTarget {
         pool: &replica.target.pool,
         id: &replica.target.boot.id,
         speed: &mut replica.speed,
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -475,7 +475,7 @@
 }
 
 /// Records what the head of an answer says about its target, and when the request was sent, if the head
-/// shows that the answer has begun.
+/// shows that the answer has started.
 fn record_head(ctx: &Ctx, pick: &Pick, job: &Job, head: &AnswerHead, began: Option<Micros>) {
     let now = ctx.now();
     let mut fleet = ctx.fleet.borrow_mut();
--- a/crates/gate/src/entry/stalled.rs
+++ b/crates/gate/src/entry/stalled.rs
@@ -13,7 +13,7 @@
 use crate::meter;
 use crate::stall::Need;
 
-/// Whether a job may move to another target while its answer hasn't begun.
+/// Whether a job may move to another target while its answer hasn't started.
 pub(super) fn may_move(job: &Job) -> bool {
     job.route.mode.may_rerun() && job.run_count + 1 < job.route.max_attempts
 }
--- a/crates/gate/src/speed.rs
+++ b/crates/gate/src/speed.rs
@@ -65,7 +65,7 @@
 
 /// A target and its speed.
 #[derive(Debug)]
-pub struct Subject<'a> {
+pub struct ObservedTarget<'a> {
     /// Name of the target's pool.
     pub pool: &'a str,
     /// Id of the target.
@@ -135,14 +135,14 @@
     }
 
     /// Records the pace in an answer.
-    pub fn record_pace(&mut self, now: Micros, target: Subject<'_>, percent: u32) {
+    pub fn record_pace(&mut self, now: Micros, target: ObservedTarget<'_>, percent: u32) {
         if let Some(pool) = self.active(target.pool, true) {
             pool.record_pace(target.speed, stated(now, percent, 0));
         }
     }
 
     /// Records an agent's update.
-    pub fn receive(&mut self, now: Micros, target: Subject<'_>, update: &Update) {
+    pub fn receive(&mut self, now: Micros, target: ObservedTarget<'_>, update: &Update) {
         if let Some(pace) = update.pace {
             if let Some(pool) = self.active(target.pool, true) {
                 pool.record_pace(target.speed, stated(now, pace.percent, pace.age_ms));
@@ -161,7 +161,7 @@
         &mut self,
         now: Micros,
         pressure: bool,
-        target: Subject<'_>,
+        target: ObservedTarget<'_>,
         prefill: Option<(f64, f64)>,
     ) -> Option<SpeedNote> {
         let config = Config::default();
@@ -186,7 +186,7 @@
     }
 
     /// Records the mean gap between the events of an answer.
-    pub fn record_gap(&mut self, pressure: bool, target: Subject<'_>, gap: Micros) {
+    pub fn record_gap(&mut self, pressure: bool, target: ObservedTarget<'_>, gap: Micros) {
         // Events that were read all at once show nothing of the engine, and a mean of 0 would make the
         // ratio undefined.
         if gap == Micros::ZERO {
@@ -210,7 +210,7 @@
         &mut self,
         now: Micros,
         pressure: bool,
-        target: Subject<'_>,
+        target: ObservedTarget<'_>,
         took: Micros,
     ) {
         let Some(pool) = self.active(target.pool, pressure) else {
@@ -358,7 +358,7 @@
 }
 
 /// Logs a target's learnt factors if they differ much from those that were last logged.
-fn log_change(now: Micros, target: Subject<'_>, source: &'static str) {
+fn log_change(now: Micros, target: ObservedTarget<'_>, source: &'static str) {
     let learnt = target.speed.learnt(now);
     let logged = target.speed.logged;
     let change = (learnt.prefill - logged.prefill)
--- a/crates/gate/src/stall.rs
+++ b/crates/gate/src/stall.rs
@@ -1,4 +1,4 @@
-//! Drives [`policy::stall`]: waits for an answer and asks for decisions while it hasn't begun.
+//! Drives [`policy::stall`]: waits for an answer and asks for decisions while it hasn't started.
 
 use std::future::Future;
 use std::pin::pin;
--- a/crates/gate/tests/speed.rs
+++ b/crates/gate/tests/speed.rs
@@ -1,7 +1,7 @@
 //! Speeds of targets at entries and at the agents of engines.
 
 use gate::entry::Fleet;
-use gate::speed::{AgentSpeed, Gaps, Pools, Subject, TargetSpeed};
+use gate::speed::{AgentSpeed, Gaps, ObservedTarget, Pools, TargetSpeed};
 use gate::update::{
     parts_per_datagram, HeldPart, LoadedWeights, SpeedNote, StatedFactors, StatedPace, Update,
     MAX_DATAGRAM, MAX_PARTS,
@@ -18,8 +18,8 @@
     Micros::from_millis(100_000 + ms)
 }
 
-fn subject(speed: &mut TargetSpeed) -> Subject<'_> {
-    Subject {
+fn subject(speed: &mut TargetSpeed) -> ObservedTarget<'_> {
+    ObservedTarget {
         pool: POOL,
         id: "e",
         speed,
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -9,11 +9,11 @@
 //! look busy forever.
 //!
 //! The speed of each engine isn't estimated from these updates: the backlog of a slow engine grows here and
-//! diverts prompts by itself. With estimates from these updates, the estimates differed more than the engines did, prompts moved
-//! from engines that held their openings to engines that were thought faster, and the value of the answers at
-//! 52 and 56 engines fell from 0.42 and 0.50 to 0.31 and 0.36. Elsewhere
-//! one prefill speed is estimated for all engines ([`crate::prefill_rate`]), and, where engines are known to
-//! be uneven, each one's factor on it, shrunk towards 1 ([`crate::engine_speed`]).
+//! diverts prompts by itself. With estimates from these updates, the estimates differed more than the engines
+//! did, prompts moved from engines that held their openings to engines that were thought faster, and the value
+//! of the answers at 52 and 56 engines fell from 0.42 and 0.50 to 0.31 and 0.36. One prefill speed is estimated
+//! for all engines ([`crate::prefill_rate`]) and, where engines are known to be uneven, each one's factor on it,
+//! shrunk towards 1 ([`crate::engine_speed`]).
 //!
 //! An expiry of 3 s is longer than the wait of nearly all prompts, and short relative to the time in which
 //! load shifts.
--- a/crates/policy/src/engine_speed.rs
+++ b/crates/policy/src/engine_speed.rs
@@ -1,7 +1,7 @@
 //! The permanent speed of each target relative to its pool, learnt from answers.
 //!
 //! Load pattern: some targets are permanently at 0.55 to 1.3 of the usual speed, and all of them vary
-//! from one answer to the next by a similar amount, because of waits that nobody reports and of their
+//! from one answer to the next by a similar amount, because of waits that no process reports and of their
 //! momentary pace ([`crate::pace`]). Estimates without shrinkage differed more than the engines did, and
 //! moved prompts away from the engines that held their openings (see [`crate::backlog`]).
 //!
--- a/crates/policy/src/load_overlap.rs
+++ b/crates/policy/src/load_overlap.rs
@@ -5,7 +5,7 @@
 //! two versions and is worth nothing to callers. With 57 engines, each of which answers ten questions at a
 //! time, a tenth of the value of all answers was lost in this way.
 //!
-//! Engines load in an order that their sidecars know, so a sidecar can tell when its engine's turn comes. A
+//! Engines load in an order that their sidecars know, so a sidecar can estimate when its engine's turn comes. A
 //! prompt with a long answer goes to an engine that has loaded already, or that loads late; one with a short
 //! answer is done before. Engines aren't kept idle and loads aren't delayed: if all other engines are busier by
 //! more than the loss is worth, the engine still gets the prompt.
--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// Ages of what was heard from one or more targets; `None` if nothing ever was.
+/// Ages of the signs received from one or more targets; `None` if nothing ever was.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Signs {
     /// Age of the last report in which a sidecar says that its engine answers.
@@ -138,7 +138,7 @@
         self.waiting.push(now);
     }
 
-    /// Records that the answer to a request sent at `sent_at` has begun.
+    /// Records that the answer to a request sent at `sent_at` has started.
     pub fn answer(&mut self, now: Micros, sent_at: Micros) {
         self.bytes(now);
         self.end(sent_at);
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Whether the target has begun to answer a request sent no earlier than `sent_at`.
+    /// Whether the target has started to answer a request sent no earlier than `sent_at`.
     fn has_answered_since(&self, sent_at: Micros) -> bool {
         self.served.is_some_and(|(latest, _)| latest >= sent_at)
     }
@@ -215,7 +215,7 @@
 pub struct Others {
     /// Latest signs of any of them.
     pub signs: Signs,
-    /// Number of them that have begun to answer a request sent no earlier than this one.
+    /// Number of them that have started to answer a request sent no earlier than this one.
     pub answering: usize,
     /// Number of the rest that let a request wait at least half as long as this one.
     pub stuck: usize,
--- a/crates/policy/tests/opening_demand.rs
+++ b/crates/policy/tests/opening_demand.rs
@@ -79,7 +79,7 @@
             late += usize::from(is_late);
             let wanted = forecast && entry.needs_copy(&config, now, 7, &holders_now);
             if (wanted || is_late) && pending.is_none() {
-                // The engine is the same for all entries, so a copy that is on its way isn't begun elsewhere.
+                // The engine is the same for all entries, so a copy that is on its way isn't started elsewhere.
                 pending = Some(time + COPY_TIME);
                 copies += 1;
             } else {
