Don't keep callers that don't read waiting for another replica

A stream whose target had cut it off because its caller didn't read waited for a free replica for up to half of its time; the caller's connection ended first and the stream was logged as left by its caller.

--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -464,8 +464,14 @@
             attempts::log_no_retry(&self.job, "no try left");
         }
         let now = self.ctx.now();
-        // A replica that becomes free in half of the remaining time can still serve the rest.
-        let give_up = now + Micros::from(self.job.time_left(now) / 2);
+        // A replica that becomes free in half of the remaining time can still serve the rest. A caller
+        // that doesn't read isn't kept waiting for one: its connection may count as lost meanwhile, and
+        // it couldn't take up the stream.
+        let longest = match reason {
+            UNREAD => Micros::ZERO,
+            _ => Micros::from(self.job.time_left(now) / 2),
+        };
+        let give_up = now + longest;
         while self.job.may_run_again() && !self.job.time_left(self.ctx.now()).is_zero() {
             if suspects::is_convicted(&self.ctx, &self.job) {
                 attempts::log_no_retry(&self.job, "quarantined");
