--- a/review/bed/process.rs
+++ b/review/bed/process.rs
@@ -154,8 +154,8 @@
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            Command::new("kill").args(["-s", name, &id]).status()?;
+            let kill = format!("kill -s {name} {}", child.id());
+            Command::new("sh").args(["-c", &kill]).status()?;
         }
         Ok(())
     }
