Log each held call for a table's changes

When an entry kept using a revoked key, its lines couldn't show whether the change hadn't arrived or wasn't applied: a held call left no line unless it failed, and then without the time that it had been held.

The event `feed` states the table, the version after which changes were requested, how long the call was held, its rows and its error.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use site::Role;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 use crate::log::{self, Dependency, Event};
 use crate::meter;
@@ -120,11 +120,13 @@
         log_reread(&node, OPERATOR_TABLE, &rows, 0);
         apply_rows(&node, rows, Source::Table);
         loop {
+            let called = Instant::now();
             let changes = tokio::select! {
                 biased;
                 changes = store.changes(OPERATOR_TABLE, after, MAX_HOLD) => changes,
                 _ = era.changed() => Err(StoreError::Gone),
             };
+            log_feed(OPERATOR_TABLE, after, called, &changes);
             record_answer(&node, &mut store, &mut dependency, &changes);
             match changes {
                 Ok(rows) => {
@@ -153,6 +155,17 @@
     }
 }
 
+/// Logs the end of a held call for the changes of a table.
+fn log_feed(table: &str, after: Position, called: Instant, result: &Result<Rows, StoreError>) {
+    log::event(&Event::Feed {
+        table,
+        after: after.version,
+        held_ms: called.elapsed().as_millis() as u64,
+        rows: result.as_ref().map_or(0, |r| r.rows.len()),
+        error: result.as_ref().err().map(StoreError::to_string),
+    });
+}
+
 /// Logs that a table was read, if the store has been restored.
 fn log_reread(node: &SharedNode, table: &str, rows: &Rows, written: usize) {
     if node.restored.get() {
@@ -247,11 +260,13 @@
         record_era(node, store);
     }
     loop {
+        let called = Instant::now();
         let changes = tokio::select! {
             biased;
             changes = store.changes(MEMBERS_TABLE, after, MAX_HOLD) => changes,
             _ = era.changed() => Err(StoreError::Gone),
         };
+        log_feed(MEMBERS_TABLE, after, called, &changes);
         record_era(node, store);
         let changes = match changes {
             Err(StoreError::Gone | StoreError::OutdatedEra(..)) => {
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -129,6 +129,19 @@
         /// Number of this process's rows that were missing and are written again.
         written: usize,
     },
+    /// A held call for the changes of a table has ended.
+    Feed {
+        /// Name of the table.
+        table: &'a str,
+        /// Version after which changes were requested.
+        after: u64,
+        /// Milliseconds from the call to its end.
+        held_ms: u64,
+        /// Number of changed rows in the answer.
+        rows: usize,
+        /// Why the call has no answer that can be used, if it has none.
+        error: Option<String>,
+    },
     /// The era in an answer of the store can't be used.
     BadEra {
         /// What is wrong with the era: missing, unreadable or outdated.
@@ -505,6 +518,7 @@
             Self::OpeningCopy { .. } => ("opening_copy", true),
             Self::Room { .. } => ("room", false),
             Self::BadRow { .. } => ("bad_row", false),
+            Self::Feed { .. } => ("feed", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
             _ => ("process", false),
         }
