Check followed tables whose held call may be silent

Cause: each process follows the operator's rows and the members by one call that the store holds for up to 20 s, and only the end of that call, at 21.5 s, showed that its connection no longer delivers. Other calls to the store and the peers' newer state were not used as evidence. The kernel's probes don't help, as the store's host is alive.

Fix: a copy of the operator's rows without a confirmation for 1.2 s is checked by a short read on a new connection (policy::staleness). Ends of held calls and checks confirm the copy; the process that has them sends its positions to the others, so that about one check in 1.2 s is made for all processes, by the one that checked last, and by the others if it falls silent. A process that receives a position above its own checks as well; that alone is used for the members, to which only the processes write. A check that finds changes replaces the silent connection. While the rows are unconfirmed a process also queries its peers for them.

The bound holds for one, some or all processes, for a fault of any length and in series: nothing depends on the silent call's end, and a check doesn't use an old connection.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -20,6 +20,7 @@
 mod restarts;
 mod restore;
 mod room;
+mod silent_connections;
 mod slots;
 mod slow_readers;
 mod soak;
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -55,6 +55,7 @@
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
 use crate::room::Rooms;
+use crate::table_checks;
 use crate::update::{self, HeldPart, Incarnation, PromptNote, Update};
 use site::{Part, Scope};
 
@@ -200,7 +201,7 @@
 /// Runs an entry until `stop` completes and the accepted requests have been served.
 pub async fn run(
     node: SharedNode,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     stop: impl Future<Output = Instant>,
 ) -> io::Result<()> {
     let ctx: Ctx = Rc::new(Entry {
@@ -222,7 +223,7 @@
         answer_times: RefCell::default(),
         domains: RefCell::default(),
         rooms: Rooms::default(),
-        socket: Rc::new(socket),
+        socket,
         closing: Cell::new(false),
         connections: RefCell::default(),
     });
@@ -310,6 +311,10 @@
         let (update, from) = update::receive(&ctx.socket).await;
         let now = ctx.now();
         delegate::record_datagram(&ctx, from);
+        if let Some(positions) = &update.tables {
+            table_checks::receive(&ctx.node, &ctx.socket, from, positions);
+            continue;
+        }
         if let Some(listed) = update.list {
             let known = ctx.node.era.borrow().unwrap_or_default();
             if listed.era < known {
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -2,9 +2,11 @@
 //!
 //! Both tables change rarely, so each process keeps a call open that the store answers at the next
 //! change. A failed call is retried after a short random pause, so that the processes don't all
-//! call the store at the same time.
+//! call the store at the same time. Since a held call whose connection is silent doesn't fail,
+//! [`crate::table_checks`] decides when its result is checked.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use platform::store::{MEMBERS_TABLE, OPERATOR_TABLE};
@@ -12,11 +14,14 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use site::Role;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{sleep, Instant};
 
 use crate::log::{self, Dependency, Event};
 use crate::meter;
 use crate::node::{domain_key, Member, OperatorRow, SharedNode, Source};
+use crate::table_checks::{self, Table};
 
 /// How long the store may hold a call. Long holds keep the number of calls low; broken connections
 /// are detected by the kernel's probes, not by this timeout.
@@ -81,37 +86,124 @@
 }
 
 /// Records whether the store answers this process, and logs when that changes.
-fn record_answer<T>(
-    node: &SharedNode,
-    store: &mut Store,
-    dependency: &mut Dependency,
-    result: &Result<T, StoreError>,
-) {
-    record_era(node, store);
-    // With these errors the store has answered, so they don't count as a loss of the store.
-    let answered = matches!(
-        result,
-        Err(StoreError::Gone | StoreError::OutdatedEra(..) | StoreError::MissingEra)
-    );
-    if answered {
+fn record_answer<T>(node: &SharedNode, feed: &mut Feed, result: &Result<T, StoreError>) {
+    record_era(node, &mut feed.store);
+    if result.as_ref().is_err_and(is_answer) {
         return;
     }
-    dependency.record(result);
+    feed.dependency.record(result);
     let now = node.now();
     let lost_since = &mut node.cluster.borrow_mut().store_lost_since;
     *lost_since = result.is_err().then(|| lost_since.unwrap_or(now));
 }
 
+/// The changes of a table that every process follows.
+struct Feed {
+    node: SharedNode,
+    socket: Rc<UdpSocket>,
+    table: Table,
+    store: Store,
+    dependency: Dependency,
+    era: watch::Receiver<Option<u64>>,
+}
+
+impl Feed {
+    fn new(node: &SharedNode, socket: Rc<UdpSocket>, table: Table, name: &'static str) -> Self {
+        Self {
+            store: Store::new(node.settings.borrow().store),
+            dependency: Dependency::new(name),
+            era: node.era.subscribe(),
+            node: Rc::clone(node),
+            socket,
+            table,
+        }
+    }
+
+    /// Reads the whole table.
+    async fn read(&mut self) -> Result<Rows, StoreError> {
+        self.era.mark_unchanged();
+        self.store.rows(self.table.name()).await
+    }
+
+    /// Waits for the changes after a position, by a held call and, whenever the copy has to be checked, by
+    /// a short read on a new connection. If that read finds changes, the held call's connection is silent
+    /// and the new one takes its place.
+    async fn changes(&mut self, after: Position) -> Result<Rows, StoreError> {
+        let Self {
+            node,
+            socket,
+            table,
+            store,
+            dependency,
+            era,
+        } = self;
+        let called = Instant::now();
+        let mut spare = Store::new(node.settings.borrow().store);
+        let (changes, by_check) = {
+            let held = store.changes(table.name(), after, MAX_HOLD);
+            tokio::pin!(held);
+            loop {
+                tokio::select! {
+                    biased;
+                    changes = &mut held => break (changes, false),
+                    _ = era.changed() => break (Err(StoreError::Gone), false),
+                    () = table_checks::check_due(node, *table) => {}
+                }
+                let started = node.now();
+                spare = Store::new(node.settings.borrow().store);
+                spare.raise_era(node.era.borrow().unwrap_or_default());
+                let check = tokio::select! {
+                    biased;
+                    changes = &mut held => break (changes, false),
+                    check = spare.changes(table.name(), after, Duration::ZERO) => check,
+                };
+                record_era(node, &mut spare);
+                match check {
+                    Ok(rows) if rows.rows.is_empty() => {
+                        dependency.record(&Ok::<_, StoreError>(()));
+                        table_checks::record_check(node, socket, *table, started);
+                    }
+                    Err(e) if !is_answer(&e) => {
+                        dependency.record(&Err::<(), _>(e));
+                        table_checks::record_failure(node, *table);
+                    }
+                    changes => break (changes, true),
+                }
+            }
+        };
+        log_feed(
+            table.name(),
+            after,
+            called,
+            by_check && changes.is_ok(),
+            &changes,
+        );
+        if by_check {
+            *store = spare;
+        }
+        changes
+    }
+
+    /// Records that the table's rows were applied up to the store's last answer.
+    fn confirm(&self) {
+        table_checks::confirm(&self.node, &self.socket, self.table);
+    }
+}
+
+/// Whether the store has answered a call with this error, so that it isn't lost.
+fn is_answer(error: &StoreError) -> bool {
+    matches!(
+        error,
+        StoreError::Gone | StoreError::OutdatedEra(..) | StoreError::MissingEra
+    )
+}
+
 /// Follows the operator's rows for as long as the process runs.
-pub async fn follow_operator_rows(node: SharedNode) {
-    let addr = node.settings.borrow().store;
-    let mut store = Store::new(addr);
-    let mut dependency = Dependency::new("store");
-    let mut era = node.era.subscribe();
+pub async fn follow_operator_rows(node: SharedNode, socket: Rc<UdpSocket>) {
+    let mut feed = Feed::new(&node, socket, Table::Operator, "store");
     loop {
-        era.mark_unchanged();
-        let table = store.rows(OPERATOR_TABLE).await;
-        record_answer(&node, &mut store, &mut dependency, &table);
+        let table = feed.read().await;
+        record_answer(&node, &mut feed, &table);
         let Ok(rows) = table else {
             retry_pause().await;
             continue;
@@ -119,19 +211,15 @@
         let mut after = rows.at;
         log_reread(&node, OPERATOR_TABLE, &rows, 0);
         apply_rows(&node, rows, Source::Table);
+        feed.confirm();
         loop {
-            let called = Instant::now();
-            let changes = tokio::select! {
-                biased;
-                changes = store.changes(OPERATOR_TABLE, after, MAX_HOLD) => changes,
-                _ = era.changed() => Err(StoreError::Gone),
-            };
-            log_feed(OPERATOR_TABLE, after, called, &changes);
-            record_answer(&node, &mut store, &mut dependency, &changes);
+            let changes = feed.changes(after).await;
+            record_answer(&node, &mut feed, &changes);
             match changes {
                 Ok(rows) => {
                     after = after.max(rows.at);
                     apply_rows(&node, rows, Source::Feed);
+                    feed.confirm();
                 }
                 // The changes in between are no longer available, so the whole table is read again;
                 // the random pause keeps the processes from doing so all at the same time.
@@ -156,11 +244,18 @@
 }
 
 /// Logs the end of a held call for the changes of a table.
-fn log_feed(table: &str, after: Position, called: Instant, result: &Result<Rows, StoreError>) {
+fn log_feed(
+    table: &str,
+    after: Position,
+    called: Instant,
+    silent: bool,
+    result: &Result<Rows, StoreError>,
+) {
     log::event(&Event::Feed {
         table,
         after: after.version,
         held_ms: called.elapsed().as_millis() as u64,
+        silent,
         rows: result.as_ref().map_or(0, |r| r.rows.len()),
         error: result.as_ref().err().map(StoreError::to_string),
     });
@@ -192,8 +287,8 @@
 }
 
 /// Adds this process to the list of members and follows the list.
-pub async fn follow_members(node: SharedNode) {
-    let (addr, host, own) = {
+pub async fn follow_members(node: SharedNode, socket: Rc<UdpSocket>) {
+    let (host, own) = {
         let s = node.settings.borrow();
         let own = MemberDoc {
             addr: s.peer,
@@ -201,14 +296,13 @@
             domain: s.domain.clone(),
             engine: s.engine,
         };
-        (s.store, s.host.clone(), own)
+        (s.host.clone(), own)
     };
     let value = serde_json::to_vec(&own).unwrap_or_default();
-    let mut store = Store::new(addr);
-    let mut dependency = Dependency::new("members");
+    let mut feed = Feed::new(&node, socket, Table::Members, "members");
     loop {
-        let written = store.put(MEMBERS_TABLE, &host, &value).await;
-        dependency.record(&written);
+        let written = feed.store.put(MEMBERS_TABLE, &host, &value).await;
+        feed.dependency.record(&written);
         if written.is_ok() {
             break;
         }
@@ -217,9 +311,9 @@
     }
     let mut last_read = None;
     loop {
-        let read = sync_members(&node, &mut store, &host, &value, &mut last_read).await;
-        record_era(&node, &mut store);
-        dependency.record(&read);
+        let read = sync_members(&mut feed, &host, &value, &mut last_read).await;
+        record_era(&node, &mut feed.store);
+        feed.dependency.record(&read);
         if read.is_err() {
             sleep(MAX_RETRY_PAUSE).await;
             retry_pause().await;
@@ -230,19 +324,18 @@
 /// Reads the list of members, adds this process again if it is missing, then follows the list's
 /// changes until a call fails.
 async fn sync_members(
-    node: &SharedNode,
-    store: &mut Store,
+    feed: &mut Feed,
     own: &str,
     value: &[u8],
     last_read: &mut Option<Position>,
 ) -> Result<(), StoreError> {
-    let mut era = node.era.subscribe();
-    era.mark_unchanged();
-    let table = store.rows(MEMBERS_TABLE).await?;
-    record_era(node, store);
+    let node = Rc::clone(&feed.node);
+    let table = feed.read().await?;
+    record_era(&node, &mut feed.store);
     let mut after = table.at;
     let listed = table.rows.iter().any(|r| r.key == own);
-    log_reread(node, MEMBERS_TABLE, &table, usize::from(!listed));
+    log_reread(&node, MEMBERS_TABLE, &table, usize::from(!listed));
+    let newest = newest_row(&table);
     let mut members: HashMap<_, _> = table.rows.into_iter().filter_map(parse_member).collect();
     if last_read.replace(after).is_some_and(|l| after.era > l.era) {
         // Members whose rows were lost in the restore write them again; until then their last known
@@ -253,21 +346,18 @@
         });
     }
     members.remove(own);
-    set_members(node, members);
-    if !listed {
+    set_members(&node, members, newest);
+    feed.confirm();
+    if listed {
+        table_checks::announce_start(&node, &feed.socket);
+    } else {
         rewrite_pause().await;
-        store.put(MEMBERS_TABLE, own, value).await?;
-        record_era(node, store);
+        feed.store.put(MEMBERS_TABLE, own, value).await?;
+        record_era(&node, &mut feed.store);
     }
     loop {
-        let called = Instant::now();
-        let changes = tokio::select! {
-            biased;
-            changes = store.changes(MEMBERS_TABLE, after, MAX_HOLD) => changes,
-            _ = era.changed() => Err(StoreError::Gone),
-        };
-        log_feed(MEMBERS_TABLE, after, called, &changes);
-        record_era(node, store);
+        let changes = feed.changes(after).await;
+        record_era(&node, &mut feed.store);
         let changes = match changes {
             Err(StoreError::Gone | StoreError::OutdatedEra(..)) => {
                 retry_pause().await;
@@ -283,16 +373,25 @@
         // Many processes start together. Without this delay every process would make another call
         // for each one that starts.
         sleep(BATCH_DELAY).await;
+        let newest = newest_row(&changes);
         let changed = changes.rows.into_iter().filter_map(parse_member);
         let mut members = node.cluster.borrow().members.clone();
         members.extend(changed.filter(|(h, _)| h != own));
-        set_members(node, members);
+        set_members(&node, members, newest);
+        feed.confirm();
     }
 }
 
+/// Position of the newest of some rows.
+fn newest_row(rows: &Rows) -> Position {
+    let positions = rows.rows.iter().map(|r| r.at);
+    positions.max().unwrap_or_default()
+}
+
 /// Replaces the known members, and logs their number if they have changed.
-fn set_members(node: &SharedNode, members: HashMap<String, Member>) {
+fn set_members(node: &SharedNode, members: HashMap<String, Member>, newest: Position) {
     let mut cluster = node.cluster.borrow_mut();
+    cluster.members_position = cluster.members_position.max(newest);
     if cluster.members == members {
         return;
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,6 +24,7 @@
 mod stall;
 pub mod start;
 mod stream_origins;
+pub mod table_checks;
 pub mod target_list;
 pub mod update;
 
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -137,6 +137,8 @@
         after: u64,
         /// Milliseconds from the call to its end.
         held_ms: u64,
+        /// Whether a check has ended the call, as the store had changes that it hadn't delivered.
+        silent: bool,
         /// Number of changed rows in the answer.
         rows: usize,
         /// Why the call has no answer that can be used, if it has none.
--- a/crates/gate/src/node.rs
+++ b/crates/gate/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::log::{self, Event};
 use crate::meter;
+use crate::table_checks::TableChecks;
 use crate::target_list::TargetList;
 
 /// Time after the start of a process within which it first reads the state from before its start,
@@ -46,11 +47,14 @@
     pub era: watch::Sender<Option<u64>>,
     /// Whether the store has been restored since the process started.
     pub restored: Cell<bool>,
+    /// Until when the copies of followed tables are confirmed.
+    pub tables: TableChecks,
 }
 
 impl Node {
     /// Creates the state of a process that has received nothing yet.
     pub fn new(settings: Settings) -> Self {
+        let tables = TableChecks::new(&settings.host);
         Self {
             settings: RefCell::new(settings),
             cluster: RefCell::default(),
@@ -58,6 +62,7 @@
             stopping: Cell::new(false),
             era: watch::Sender::new(None),
             restored: Cell::new(false),
+            tables,
         }
     }
 
@@ -159,6 +164,8 @@
     pub operator_rows: HashMap<String, OperatorRow>,
     /// Other processes, by host.
     pub members: HashMap<String, Member>,
+    /// Position of the newest row in the list of members.
+    pub members_position: Position,
     /// The list of targets as last read from the store, by this process or by another entry.
     pub targets: Option<TargetList>,
     /// Since when the store hasn't answered this process; `None` while it answers.
@@ -201,6 +208,12 @@
         self.operator_rows.insert(key.to_owned(), row);
     }
 
+    /// Position of the newest of the operator's rows.
+    pub fn operator_position(&self) -> Position {
+        let positions = self.operator_rows.values().map(|r| r.at);
+        positions.max().unwrap_or_default()
+    }
+
     fn apply_configuration(
         &mut self,
         value: &Bytes,
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -370,12 +370,14 @@
     }
 }
 
-/// Queries other processes for the operator's rows while the store doesn't answer.
+/// Queries other processes for the operator's rows while the store doesn't answer, or the rows lack a
+/// confirmation.
 pub async fn query_while_store_is_lost(node: SharedNode) {
     loop {
         sleep(ROUND_INTERVAL).await;
         let lost = node.cluster.borrow().store_lost_since.is_some();
-        if lost || node.plan().is_none() {
+        let unconfirmed = node.tables.is_unconfirmed(node.now());
+        if lost || unconfirmed || node.plan().is_none() {
             let queries = random_peers(&node)
                 .into_iter()
                 .map(|a| query_rows(&node, a));
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -14,7 +14,7 @@
 
 use crate::agent::{self, Agent, AgentId, Env, SharedAgent};
 use crate::node::SharedNode;
-use crate::{kv_stores, peer, stream_origins, update};
+use crate::{kv_stores, peer, stream_origins, table_checks, update};
 
 /// Interval of queries to entries while the engine's incarnation is unknown.
 const IDENTITY_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,7 +27,7 @@
 /// Runs a sidecar until `stop` completes.
 pub async fn run(
     node: SharedNode,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     stop: impl Future<Output = Instant>,
 ) -> io::Result<()> {
     let (addr, lease, bootstrap) = {
@@ -44,7 +44,6 @@
         agent.record_first_start();
     }
     let agent = Rc::new(RefCell::new(agent));
-    let socket = Rc::new(socket);
     let stores = kv_stores::FollowedStores::default();
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&node),
@@ -77,6 +76,10 @@
     let origins = RefCell::default();
     loop {
         let (update, from) = update::receive(socket).await;
+        if let Some(positions) = &update.tables {
+            table_checks::receive(node, socket, from, positions);
+            continue;
+        }
         if let Some(incarnation) = update.life.as_ref().filter(|i| !i.id.is_empty()) {
             agent.borrow_mut().identify(Boot {
                 id: incarnation.id.clone(),
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -143,6 +143,7 @@
     let role = settings.role;
     log::started(&settings);
     let (listener, socket) = wire::bind_both(settings.peer).await?;
+    let socket = Rc::new(socket);
     let settings = Settings {
         peer: listener.local_addr()?,
         ..settings
@@ -150,8 +151,11 @@
     let node: SharedNode = Rc::new(Node::new(settings));
     meter::serve(&node).await?;
     tokio::task::spawn_local(reload(Rc::clone(&node), path, hup));
-    tokio::task::spawn_local(follow::follow_operator_rows(Rc::clone(&node)));
-    tokio::task::spawn_local(follow::follow_members(Rc::clone(&node)));
+    tokio::task::spawn_local(follow::follow_operator_rows(
+        Rc::clone(&node),
+        Rc::clone(&socket),
+    ));
+    tokio::task::spawn_local(follow::follow_members(Rc::clone(&node), Rc::clone(&socket)));
     tokio::task::spawn_local(peer::query_while_store_is_lost(Rc::clone(&node)));
     peer::serve(&node, listener);
     let stop = wait_for_stop(term, int);
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -165,6 +165,43 @@
     /// Requests for openings that an entry has received.
     #[prost(message, optional, tag = "48")]
     pub opening_demand: Option<OpeningDemand>,
+    /// What the sender knows of the tables that every process follows.
+    #[prost(message, optional, tag = "50")]
+    pub tables: Option<TablePositions>,
+}
+
+/// What a process knows of the tables that every process follows.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TablePositions {
+    /// Rank of the process among those that check the tables.
+    #[prost(fixed64, tag = "1")]
+    pub rank: u64,
+    /// Milliseconds since its copy of the operator's rows was last confirmed.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Newest of the operator's rows, if any is known.
+    #[prost(message, optional, tag = "3")]
+    pub operator: Option<RowPosition>,
+    /// Newest row of the list of members, if any is known.
+    #[prost(message, optional, tag = "4")]
+    pub members: Option<RowPosition>,
+    /// Whether this answers lower positions of the receiver.
+    #[prost(bool, tag = "5")]
+    pub reply: bool,
+    /// Whether the process has checked the operator's rows last.
+    #[prost(bool, tag = "6")]
+    pub checked: bool,
+}
+
+/// Position of a row in the store.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RowPosition {
+    /// Era of the store.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Version within the era.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 /// Requests for openings that an entry has received since its last report.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,7 +38,8 @@
 //! - Targets to avoid or keep: [`circuit_breaker`] ejects targets that fail, [`misdirected`] decides how long
 //!   a target isn't used whose address answered for another, and [`row_expiry`] which targets are retained
 //!   although the list lacks them.
-//! - Sources of state: [`subscription`] selects the engines that an entry subscribes to, and [`pollers`]
+//! - Sources of state: [`staleness`] decides when the copy of a table is checked, [`subscription`] selects the
+//!   engines that an entry subscribes to, and [`pollers`]
 //!   the processes that read a list for all.
 //! - Weights: [`rollout`] decides which engines load new weights, [`slots`] when an engine does so, by
 //!   the answers of its peers ([`contact`]) and the states that they relay ([`relay`]), and [`versions`] how long weights have been out of date.
@@ -92,6 +93,7 @@
 pub mod room;
 pub mod row_expiry;
 pub mod slots;
+pub mod staleness;
 pub mod stall;
 pub mod stream_origin;
 pub mod subscription;
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,7 +1,8 @@
 //! A TCP proxy on this machine that injects the faults of real network links.
 //!
 //! Bytes are held back, not lost, just as TCP retransmits lost segments: once the fault is over,
-//! they are delivered. A reset ends all connections of the link at once.
+//! they are delivered. A reset ends all connections of the link at once. A silenced connection stays
+//! open and delivers nothing more, while new connections work.
 
 use std::future::Future;
 use std::io;
@@ -55,6 +56,7 @@
     far_addr: Mutex<SocketAddr>,
     fault: watch::Sender<LinkFault>,
     resets: watch::Sender<u64>,
+    silences: watch::Sender<u64>,
 }
 
 impl Link {
@@ -85,6 +87,7 @@
             far_addr: Mutex::new(to),
             fault: watch::channel(LinkFault::None).0,
             resets: watch::channel(0).0,
+            silences: watch::channel(0).0,
         });
         let accept = accept(Arc::clone(&link), listener);
         Ok((link, accept))
@@ -109,6 +112,11 @@
     pub fn reset(&self) {
         self.resets.send_modify(|n| *n += 1);
     }
+
+    /// Leaves all connections open without delivering any more bytes on them.
+    pub fn silence(&self) {
+        self.silences.send_modify(|n| *n += 1);
+    }
 }
 
 async fn accept(link: Arc<Link>, listener: TcpListener) {
@@ -131,6 +139,7 @@
 
 async fn forward(link: Arc<Link>, mut near: TcpStream) {
     let mut resets = link.resets.subscribe();
+    let mut silences = link.silences.subscribe();
     let to = *lock(&link.far_addr);
     let Ok(mut far) = TcpStream::connect(to).await else {
         reset_on_close(&near);
@@ -146,10 +155,15 @@
         let up = copy_bytes(&link, near_in, far_out, true);
         let down = copy_bytes(&link, far_in, near_out, false);
         tokio::select! {
-            ended = async { tokio::try_join!(up, down) } => ended.is_ok(),
-            _ = resets.changed() => false,
+            ended = async { tokio::try_join!(up, down) } => Some(ended.is_ok()),
+            _ = resets.changed() => Some(false),
+            _ = silences.changed() => None,
         }
     };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => resets.changed().await.is_err(),
+    };
     if !ended {
         reset_on_close(&near);
         reset_on_close(&far);
