Use a changed address of the store without a restart

Cause: the tasks that follow the store read its address once, at their start; the settings were replaced, but no task looked at them again.

Fix: the state of a process publishes the address; a held call ends when it changes, and every read and write uses the present one.

Test: changed_address_of_the_store_is_used_without_a_restart, with and without a signal, with a former address that refuses or stays silent, for the configuration, weights, members and targets.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod losses;
 mod moved_callers;
+mod moved_store;
 mod pace;
 mod pool;
 mod rest;
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -83,11 +83,8 @@
 
 /// Follows the list for as long as the process runs.
 pub(super) async fn follow(ctx: Ctx) {
-    let (addr, rank) = {
-        let s = ctx.node.settings.borrow();
-        (s.store, xxh3_64(s.host.as_bytes()))
-    };
-    let mut store = Store::new(addr);
+    let rank = xxh3_64(ctx.node.settings.borrow().host.as_bytes());
+    let mut store = Store::new(*ctx.node.store.borrow());
     let mut dependency = Dependency::new("list");
     let mut era = ctx.node.era.subscribe();
     loop {
@@ -97,6 +94,7 @@
                 continue;
             }
         }
+        store.move_to(*ctx.node.store.borrow());
         let started = ctx.now();
         // A call may hang for longer than a leaving target may still be used, so a change reported
         // by another entry meanwhile is fetched from that entry.
--- a/crates/gate/src/entry/part_store.rs
+++ b/crates/gate/src/entry/part_store.rs
@@ -71,6 +71,7 @@
     let mut store = client(&ctx);
     let mut dependency = Dependency::new("crashing_parts");
     let rows = loop {
+        store.move_to(*ctx.node.store.borrow());
         let rows = store.rows(PARTS_TABLE).await;
         dependency.record(&rows);
         match rows {
@@ -97,6 +98,7 @@
     let mut dependency = Dependency::new("crashing_parts");
     let key = name(change.part);
     for _ in 0..MAX_WRITES {
+        store.move_to(*ctx.node.store.borrow());
         let written = match change.convicted {
             true => store.put_if(PARTS_TABLE, &key, &encode(&ctx, 0), 0).await,
             false => store.remove(PARTS_TABLE, &key).await,
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -6,6 +6,7 @@
 //! [`crate::table_checks`] decides when its result is checked.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,24 +106,34 @@
     store: Store,
     dependency: Dependency,
     era: watch::Receiver<Option<u64>>,
+    addr: watch::Receiver<SocketAddr>,
 }
 
 impl Feed {
     fn new(node: &SharedNode, socket: Rc<UdpSocket>, table: Table, name: &'static str) -> Self {
         Self {
-            store: Store::new(node.settings.borrow().store),
+            store: Store::new(*node.store.borrow()),
             dependency: Dependency::new(name),
             era: node.era.subscribe(),
+            addr: node.store.subscribe(),
             node: Rc::clone(node),
             socket,
             table,
         }
     }
 
+    /// The client of the store, at the address that the settings state now.
+    fn store(&mut self) -> &mut Store {
+        let addr = *self.addr.borrow_and_update();
+        self.store.move_to(addr);
+        &mut self.store
+    }
+
     /// Reads the whole table.
     async fn read(&mut self) -> Result<Rows, StoreError> {
         self.era.mark_unchanged();
-        self.store.rows(self.table.name()).await
+        let table = self.table.name();
+        self.store().rows(table).await
     }
 
     /// Waits for the changes after a position, by a held call and, whenever the copy has to be checked, by
@@ -136,9 +147,10 @@
             store,
             dependency,
             era,
+            addr,
         } = self;
         let called = Instant::now();
-        let mut spare = Store::new(node.settings.borrow().store);
+        let mut spare = Store::new(store.addr());
         let (changes, by_check) = {
             let held = store.changes(table.name(), after, MAX_HOLD);
             tokio::pin!(held);
@@ -147,10 +159,11 @@
                     biased;
                     changes = &mut held => break (changes, false),
                     _ = era.changed() => break (Err(StoreError::Gone), false),
+                    _ = addr.changed() => break (Err(StoreError::Gone), false),
                     () = table_checks::check_due(node, *table) => {}
                 }
                 let started = node.now();
-                spare = Store::new(node.settings.borrow().store);
+                spare = Store::new(spare.addr());
                 spare.raise_era(node.era.borrow().unwrap_or_default());
                 let check = tokio::select! {
                     biased;
@@ -221,7 +234,7 @@
                     apply_rows(&node, rows, Source::Feed);
                     feed.confirm();
                 }
-                // The changes in between are no longer available, so the whole table is read again;
+                // The changes in between are no longer available, or the store has moved, so the whole table is read again;
                 // the random pause keeps the processes from doing so all at the same time.
                 Err(StoreError::Gone | StoreError::OutdatedEra(..)) => {
                     retry_pause().await;
@@ -301,7 +314,7 @@
     let value = serde_json::to_vec(&own).unwrap_or_default();
     let mut feed = Feed::new(&node, socket, Table::Members, "members");
     loop {
-        let written = feed.store.put(MEMBERS_TABLE, &host, &value).await;
+        let written = feed.store().put(MEMBERS_TABLE, &host, &value).await;
         feed.dependency.record(&written);
         if written.is_ok() {
             break;
--- a/crates/gate/src/node.rs
+++ b/crates/gate/src/node.rs
@@ -43,6 +43,8 @@
     pub origin: Instant,
     /// Whether the process has received a signal to stop.
     pub stopping: Cell<bool>,
+    /// Address of the store in the settings.
+    pub store: watch::Sender<SocketAddr>,
     /// Highest era of the store that was read or received.
     pub era: watch::Sender<Option<u64>>,
     /// Whether the store has been restored since the process started.
@@ -56,6 +58,7 @@
     pub fn new(settings: Settings) -> Self {
         let tables = TableChecks::new(&settings.host);
         Self {
+            store: watch::Sender::new(settings.store),
             settings: RefCell::new(settings),
             cluster: RefCell::default(),
             origin: Instant::now(),
@@ -92,6 +95,14 @@
         }
     }
 
+    /// Puts changed settings in force.
+    pub fn set_settings(&self, settings: Settings) {
+        let store = settings.store;
+        self.settings.replace(settings);
+        self.store
+            .send_if_modified(|known| std::mem::replace(known, store) != store);
+    }
+
     /// Current time since the start of the process.
     pub fn now(&self) -> Micros {
         self.origin.elapsed().into()
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -183,15 +183,19 @@
         match read_settings_again(&path).await {
             Ok(new) => {
                 // The bound addresses stay in use until the process restarts.
-                let mut settings = node.settings.borrow_mut();
-                let changed = Settings {
-                    peer: settings.peer,
-                    ..new
+                let (changed, is_new) = {
+                    let settings = node.settings.borrow();
+                    let changed = Settings {
+                        peer: settings.peer,
+                        ..new
+                    };
+                    let is_new = changed != *settings;
+                    (changed, is_new)
                 };
-                if signaled || changed != *settings {
+                if signaled || is_new {
                     log::reloaded(signaled);
                 }
-                *settings = changed;
+                node.set_settings(changed);
             }
             Err(e) => log::not_reloaded(&e.to_string()),
         }
