Give a held call that begins time to answer before its table is checked

A process that waits for further members before its next call was checked as soon as that call began, although the call returns the same changes at once: two calls for each batch of members at a start.

The grace period of a check now also counts from the start of the held call.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -150,6 +150,7 @@
             addr,
         } = self;
         let called = Instant::now();
+        table_checks::record_call(node, *table);
         let mut spare = Store::new(store.addr());
         let (changes, by_check) = {
             let held = store.changes(table.name(), after, MAX_HOLD);
--- a/crates/gate/src/table_checks.rs
+++ b/crates/gate/src/table_checks.rs
@@ -104,6 +104,12 @@
     }
 }
 
+/// Records that a held call for a table begins.
+pub fn record_call(node: &SharedNode, table: Table) {
+    let checks = node.tables.of(table);
+    checks.staleness.borrow_mut().call(node.now());
+}
+
 /// Waits until the copy of a table has to be checked.
 pub async fn check_due(node: &SharedNode, table: Table) {
     let checks = node.tables.of(table);
--- a/crates/policy/src/staleness.rs
+++ b/crates/policy/src/staleness.rs
@@ -83,8 +83,8 @@
     ahead: Option<Ahead>,
     /// Whether this process has checked last.
     checked_last: bool,
-    /// Earliest time of the next check after a failed one.
-    retry_at: Micros,
+    /// Earliest time of the next check, after a failed one or the start of a held call.
+    not_before: Micros,
     /// Random part of the delay of the next check, from 0 to 1.
     draw: f64,
     /// Age of the last confirmation by a check when it arrived: how long the check took.
@@ -101,7 +101,7 @@
             checked_to: Position::default(),
             ahead: None,
             checked_last: false,
-            retry_at: Micros::ZERO,
+            not_before: Micros::ZERO,
             draw: draw.clamp(0.0, 1.0),
             delay: Micros::ZERO,
         }
@@ -134,7 +134,12 @@
     /// Records that a check has failed.
     pub fn failed(&mut self, now: Micros) {
         self.checked_last = false;
-        self.retry_at = now + self.config.retry;
+        self.not_before = now + self.config.retry;
+    }
+
+    /// Records that a held call begins, which returns at once if there are changes.
+    pub fn call(&mut self, now: Micros) {
+        self.not_before = self.not_before.max(now + self.config.grace);
     }
 
     /// Records what another process knows. `draw` is a random number from 0 to 1.
@@ -188,7 +193,7 @@
             .map(|max| self.confirmed_at + max + delay);
         let ahead = self.ahead.map(|a| a.since + self.config.grace);
         let next = aged.into_iter().chain(ahead).min()?;
-        Some(next.max(self.retry_at))
+        Some(next.max(self.not_before))
     }
 
     /// Whether neither this process nor another one has confirmed the copy in the time for that.
--- a/crates/policy/tests/staleness.rs
+++ b/crates/policy/tests/staleness.rs
@@ -204,6 +204,7 @@
         if delivered && (p.version < newest || now >= p.held_until) {
             p.version = newest;
             p.held_until = now + HOLD;
+            p.staleness.call(now);
             return p.staleness.confirm(now, at(newest));
         }
         match p.check {
