End streams at their deadline while bytes keep arriving

Callers of a stream whose engine sends bytes without end got them for as long as they read: 20 s and more for a deadline of 3 s, when the test gave up. If such bytes broke the framing at once, the caller's connection closed without an answer, which looks as if the request hadn't been read and may be repeated.

Cause: the wait for the next bytes was bounded by the time left until the deadline, at least 100 ms, so it never ran out while bytes came more often. The HTTP library sends an answer's head only once its body has to be waited for.

Fix: nothing is read after the deadline and its grace; a stream that is cut lets the library send the head first.

Test: endless.rs, with an engine, a service, an engine's own interface and the store that send a status line, a header, headers, informational answers, a body, chunks, a chunk extension, trailers or empty events without end.

--- /dev/null
+++ b/crates/daemon/tests/hosted/endless.rs
@@ -0,0 +1,214 @@
+//! Servers that answer with bytes without end, in a head or a body.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use http_body_util::BodyExt;
+use serde_json::json;
+use standin::endless::{Endless, EndlessServer};
+use standin::hosted::replica::Replica;
+use standin::link::Link;
+use tokio::time::{sleep, timeout};
+
+use crate::fleet::{config, fetch, request, Entry, Platform, Process, MODEL, TIMEOUT};
+
+/// Memory of the smallest host for entries, in KiB.
+const ENTRY_MEMORY: u64 = 110_000;
+/// Memory of the smallest host for sidecars, in KiB.
+const SIDECAR_MEMORY: u64 = 192_000;
+/// Requests at the same time on each route.
+const REQUESTS: usize = 24;
+/// Deadline that requests state, and how much later their answers may end.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+const SLACK: Duration = Duration::from_millis(500);
+/// Time within which a call to the store or to an engine's own interface is closed.
+const CALL_LIMIT: Duration = Duration::from_millis(2_000);
+/// Time within which a change is in force after the store is back.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// Follows a process's memory while a future runs; returns the maximum in KiB.
+async fn max_resident(process: &Process, work: impl std::future::Future<Output = ()>) -> u64 {
+    tokio::pin!(work);
+    let mut most = process.resident_kib();
+    loop {
+        tokio::select! {
+            () = &mut work => return most.max(process.resident_kib()),
+            () = sleep(Duration::from_millis(10)) => most = most.max(process.resident_kib()),
+        }
+    }
+}
+
+async fn wait_until_closed(server: &EndlessServer) {
+    while server.open() > 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Sends a request and checks that its answer is true.
+async fn check_request(case: Endless, entry: &Entry, path: &str, id: &str, ends: &EndlessServer) {
+    let began = Instant::now();
+    let exchange = async {
+        let answer = request(entry, path, id).send().await?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await;
+        Ok::<_, standin::call::CallError>((status, body))
+    };
+    let ended = timeout(TIMEOUT, exchange).await;
+    let took = began.elapsed();
+    assert!(took < DEADLINE + SLACK, "{case:?}: {path} took {took:?}");
+    let Ok((status, body)) = ended.expect("an end") else {
+        panic!("{case:?}: {path} has no answer");
+    };
+    let (once, passed) = (path.starts_with("/log/"), ends.has_received(id));
+    // Refusals promise that the request has not run.
+    let refused = [408, 421, 429, 503].contains(&status);
+    assert!(!(once && passed && refused), "{case:?}: {id}: {status}");
+    // An answer that arrives whole is the sound target's.
+    if status == 200 && once && passed {
+        assert!(body.is_err(), "{case:?}: {id} looks complete");
+    }
+    if let (200, Ok(body)) = (status, body) {
+        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        assert!(!text.contains("xxxx"), "{case:?}: {id} looks complete");
+    }
+}
+
+async fn check_targets(case: Endless) {
+    let mut platform = Platform::start().await;
+    let (endless, _tasks) = EndlessServer::start(case).await.expect("a server");
+    for (service, sound, other) in [("plain", "p1", "p2"), ("engines", "e1", "e2")] {
+        for (name, at) in [(sound, None), (other, Some(endless.addr()))] {
+            let replica = Replica::new(name, 3, Duration::ZERO);
+            replica.set_version(MODEL, 1);
+            match at {
+                None => drop(platform.replica(&replica, service).await),
+                Some(at) => platform.list(&replica, service, at, "ready"),
+            }
+        }
+    }
+    let entry = platform.entry("front-1", 4).await;
+    let load = async {
+        let requests = ["/check/1", "/log/1", "/code/1", "/probe/1"]
+            .iter()
+            .flat_map(|path| (0..REQUESTS).map(move |n| (path, n)))
+            .map(|(path, n)| {
+                let (entry, endless) = (&entry, &endless);
+                let id = format!("{n}-{}", &path[1..4]);
+                async move { check_request(case, entry, path, &id, endless).await }
+            });
+        join_all(requests).await;
+    };
+    let most = max_resident(&entry.process, load).await;
+    assert!(endless.received() > 0, "{case:?}");
+    assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
+    let closed = timeout(SLACK, wait_until_closed(&endless)).await;
+    assert!(closed.is_ok(), "{case:?}: {} are open", endless.open());
+    assert!(endless.longest() < DEADLINE + SLACK, "{case:?}");
+    let served = async {
+        let mut n = 0;
+        while fetch(&entry, "/check/1", &format!("later-{n}"))
+            .await
+            .is_ok_and(|a| a.status != 200)
+        {
+            n += 1;
+        }
+    };
+    let served = timeout(CONTACT, served).await;
+    assert!(served.is_ok(), "{case:?}: no service");
+}
+
+#[tokio::test]
+async fn target_that_sends_without_end_fills_no_memory_and_gets_no_false_answer() {
+    // Guards against answers that are collected or waited for without a bound.
+    for case in Endless::ALL {
+        check_targets(case).await;
+    }
+}
+
+async fn check_engine_interface(case: Endless) {
+    let mut platform = Platform::start().await;
+    let (endless, _tasks) = EndlessServer::start(case).await.expect("a server");
+    let engine = Replica::new("e1", 3, Duration::ZERO);
+    engine.set_version(MODEL, 1);
+    let at = platform.start_replica(&engine).await;
+    let (link, _links) = Link::start(at).await.expect("a link");
+    platform.list(&engine, "engines", link.addr(), "ready");
+    let sidecar = platform.sidecar("side-1", link.addr());
+    let weights = |version: u64| {
+        let row = json!({"model": MODEL, "version": version});
+        platform.store.write("op", "version/lekha", &row);
+    };
+    weights(2);
+    sidecar
+        .wait_for_event("ordered", |e| e["outcome"] == "begun")
+        .await;
+    link.redirect(endless.addr());
+    link.reset();
+    let load = sleep(CONTACT);
+    let most = max_resident(&sidecar, load).await;
+    assert!(endless.received() > 0, "{case:?}");
+    assert!(most < SIDECAR_MEMORY, "{case:?}: {most} KiB");
+    assert!(
+        endless.longest() < CALL_LIMIT,
+        "{case:?}: {:?}",
+        endless.longest()
+    );
+    link.redirect(at);
+    link.reset();
+    weights(3);
+    sidecar
+        .wait_for_event("ordered", |e| e["outcome"] == "begun" && e["version"] == 3)
+        .await;
+}
+
+#[tokio::test]
+async fn engine_interface_that_sends_without_end_fills_no_memory_and_stops_no_sidecar() {
+    // Guards against reports and events of an engine that are collected without a bound.
+    join_all(Endless::ALL.map(check_engine_interface)).await;
+}
+
+async fn check_store(case: Endless) {
+    let mut platform = Platform::start().await;
+    let (endless, _tasks) = EndlessServer::start(case).await.expect("a server");
+    let plain: Arc<Replica> = Replica::new("p1", 0, Duration::ZERO);
+    platform.replica(&plain, "plain").await;
+    let (link, _links) = Link::start(platform.store_addr).await.expect("a link");
+    let entry = platform.entry_on("front-1", link.addr(), 1).await;
+    link.redirect(endless.addr());
+    link.reset();
+    let load = async {
+        let end = Instant::now() + CONTACT;
+        let mut n = 0;
+        while Instant::now() < end {
+            let answer = fetch(&entry, "/log/1", &format!("meanwhile-{n}")).await;
+            assert_eq!(answer.expect("an answer").status, 200, "{case:?}");
+            n += 1;
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let most = max_resident(&entry.process, load).await;
+    assert!(endless.received() > 0, "{case:?}");
+    assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
+    assert!(
+        endless.longest() < CALL_LIMIT,
+        "{case:?}: {:?}",
+        endless.longest()
+    );
+    let mut revoked = config(2);
+    revoked["tenants"][0]["api_keys"] = json!(["another"]);
+    platform.store.write("op", "config", &revoked);
+    link.redirect(platform.store_addr);
+    link.reset();
+    let in_force = entry
+        .process
+        .wait_for_event("configured", |e| e["version"] == 2);
+    let in_force = timeout(CONTACT, in_force).await;
+    assert!(in_force.is_ok(), "{case:?}: not in force");
+}
+
+#[tokio::test]
+async fn store_that_sends_without_end_fills_no_memory_and_stops_no_service() {
+    // Guards against answers of the store that are collected or waited for without a bound.
+    join_all(Endless::ALL.map(check_store)).await;
+}
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod crashing_parts;
 mod delegates;
+mod endless;
 mod fatal;
 mod fleet;
 mod held;
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -17,6 +17,7 @@
 use model::Micros;
 use platform::replica;
 use policy::stall;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 use super::attempts::{self, ANSWER_GRACE};
@@ -176,25 +177,33 @@
                     self.finish();
                     return Ok(None);
                 }
-                Received::Overdue => return self.cut(End::Overdue),
+                Received::Overdue => return self.cut(End::Overdue).await,
                 Received::Broken(reason) => {
                     if !self.continue_elsewhere(reason).await {
-                        return self.cut(End::Cut);
+                        return self.cut(End::Cut).await;
                     }
                 }
             }
         }
     }
 
-    fn cut(&mut self, end: End) -> Result<Option<Bytes>, IncompleteAnswer> {
+    async fn cut(&mut self, end: End) -> Result<Option<Bytes>, IncompleteAnswer> {
         self.end = end;
         self.live = None;
+        // The HTTP library sends the head once the body has to be waited for. A connection that closes
+        // without it looks as if the request hadn't been read.
+        yield_now().await;
         Err(IncompleteAnswer)
     }
 
     /// Waits for the next bytes from the replica.
     async fn receive(&mut self) -> Received {
-        let end = self.job.time_left(self.ctx.now()) + ANSWER_GRACE;
+        let overdue = self.job.deadline + ANSWER_GRACE.into();
+        let end: Duration = overdue.since(self.ctx.now()).into();
+        // A replica that never pauses would keep the wait below from running out.
+        if end.is_zero() {
+            return Received::Overdue;
+        }
         let silence = self
             .job
             .route
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod call;
 pub mod delayed_value;
+pub mod endless;
 pub mod engine;
 pub mod freeze;
 pub mod hosted;
