Bound the memory of all answers that are collected

Callers of an entry could lose all requests there: a service that sends bodies without end to 200 callers at the same time took 733 MB of the entry's memory, where a small host has 110 MB and the process is killed beyond that.

Cause: each collected answer had a limit of its own (4 MiB), but not all of them together, and small chunks kept the buffers in which they were read: an answer of the store in chunks of eight bytes took some 40 MB to reach its 8 MiB.

Fix: what an answer or an incomplete event has beyond 64 KiB is taken from one budget of 16 MiB for the entry, and an answer that doesn't fit counts as broken off: true for a request that may have run, and others are served. Bodies are copied out of the buffers that they were read into. Answers of engines' own interfaces have at most 4 MiB.

--- a/crates/daemon/tests/hosted/endless.rs
+++ b/crates/daemon/tests/hosted/endless.rs
@@ -19,6 +19,8 @@
 const SIDECAR_MEMORY: u64 = 192_000;
 /// Requests at the same time on each route.
 const REQUESTS: usize = 24;
+/// Requests at the same time to one service.
+const MANY_REQUESTS: usize = 200;
 /// Deadline that requests state, and how much later their answers may end.
 const DEADLINE: Duration = Duration::from_millis(3_000);
 const SLACK: Duration = Duration::from_millis(500);
@@ -126,6 +128,26 @@
     }
 }
 
+#[tokio::test]
+async fn many_answers_without_end_fill_no_memory_together() {
+    // Guards against a bound for each answer alone, which many answers at the same time exceed.
+    let platform = Platform::start().await;
+    let (endless, _tasks) = EndlessServer::start(Endless::Body).await.expect("a server");
+    let service = Replica::new("p1", 0, Duration::ZERO);
+    platform.list(&service, "plain", endless.addr(), "ready");
+    let entry = platform.entry("front-1", 1).await;
+    let load = async {
+        let requests = (0..MANY_REQUESTS).map(|n| {
+            let (entry, endless) = (&entry, &endless);
+            let id = format!("log-{n}");
+            async move { check_request(Endless::Body, entry, "/log/1", &id, endless).await }
+        });
+        join_all(requests).await;
+    };
+    let most = max_resident(&entry.process, load).await;
+    assert!(most < ENTRY_MEMORY, "{most} KiB");
+}
+
 async fn check_engine_interface(case: Endless) {
     let mut platform = Platform::start().await;
     let (endless, _tasks) = EndlessServer::start(case).await.expect("a server");
--- a/crates/gate/src/agent/run.rs
+++ b/crates/gate/src/agent/run.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use platform::call::MAX_ENGINE_ANSWER;
 use platform::replica;
 use platform::Conn;
 use tokio::time::{sleep, Instant};
@@ -34,7 +35,7 @@
 
 /// Follows the parts that the engine's cache stores and evicts.
 pub(crate) async fn follow_cache(agent: SharedAgent, addr: SocketAddr) {
-    let mut follower = Follower::new(Conn::new(addr));
+    let mut follower = Follower::new(Conn::new(addr, MAX_ENGINE_ANSWER));
     loop {
         let Ok(changes) = follower.changes().await else {
             agent.borrow_mut().events_failed = true;
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode};
 use model::Micros;
 use platform::replica;
@@ -348,11 +347,9 @@
         witness: _,
     } = live;
     let (mut parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
+    let mut memory = ctx.answer_memory.reserve();
+    let accepts = |len| len <= MAX_ANSWER && memory.resize(len);
+    let body = platform::call::collect(body, accepts).await?;
     if !head.closes {
         if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(in_flight.key()) {
             r.connections.keep(connection);
--- a/crates/gate/src/entry/delegate.rs
+++ b/crates/gate/src/entry/delegate.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use model::Micros;
+use platform::call::MAX_ENGINE_ANSWER;
 use platform::Conn;
 use policy::delegate::{self, Config, Engine, Reporter};
 use site::{Boot, Role, State};
@@ -265,7 +266,7 @@
     };
     tokio::join!(
         agent::follow_cache(Rc::clone(&agent), addr),
-        agent::run(env, Conn::new(addr)),
+        agent::run(env, Conn::new(addr, MAX_ENGINE_ANSWER)),
     );
 }
 
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: the process that receives callers' requests and sends them to targets directly.
 
+mod answer_memory;
 mod attempts;
 mod candidates;
 mod connection_pool;
@@ -49,6 +50,7 @@
 use tokio::time::{sleep, timeout_at, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use self::answer_memory::AnswerMemory;
 use crate::agent::AgentId;
 use crate::domains::Domains;
 use crate::kv_stores;
@@ -121,6 +123,8 @@
     rooms: Rooms,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
+    /// Memory for answers that are collected.
+    answer_memory: AnswerMemory,
     /// Whether new requests are refused because the process is about to exit.
     closing: Cell<bool>,
     /// Connections of callers.
@@ -224,6 +228,7 @@
         domains: RefCell::default(),
         rooms: Rooms::default(),
         socket,
+        answer_memory: AnswerMemory::default(),
         closing: Cell::new(false),
         connections: RefCell::default(),
     });
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -20,6 +20,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
+use super::answer_memory::Reservation;
 use super::attempts::{self, ANSWER_GRACE};
 use super::events::{last_event_end, last_id, MAX_DELIMITER};
 use super::fleet::ReplicaKey;
@@ -86,6 +87,8 @@
     /// Received bytes of an incomplete event; for a stream that isn't resumable, the last few bytes
     /// that were passed on.
     tail: BytesMut,
+    /// Memory for an incomplete event.
+    memory: Reservation,
     /// Gaps between the replica's events.
     gaps: Gaps<ReplicaKey>,
     events: u64,
@@ -120,6 +123,7 @@
         delimited: Some(live.head.delimited),
         live: Some(live),
         tail: BytesMut::new(),
+        memory: ctx.answer_memory.reserve(),
         gaps: Gaps::default(),
         events: 0,
         first_event_after: None,
@@ -240,7 +244,7 @@
             && self.waits_until < self.job.deadline
     }
 
-    fn classify(&self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
+    fn classify(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
         match frame {
             // A stream without a stated length ends with its connection. If that happens within an
             // event, the stream is incomplete, and the caller would lose the rest if it counted as
@@ -250,7 +254,9 @@
             None => Received::Whole,
             Some(Err(_)) if self.unread => Received::Broken(UNREAD),
             Some(Err(_)) => Received::Broken("stream broken"),
-            Some(Ok(_)) if self.tail.len() > MAX_EVENT => Received::Broken("event too long"),
+            Some(Ok(_)) if self.tail.len() > MAX_EVENT || !self.memory.resize(self.tail.len()) => {
+                Received::Broken("event too long")
+            }
             Some(Ok(f)) => f
                 .into_data()
                 .map_or(Received::Bytes(Bytes::new()), Received::Bytes),
--- a/crates/gate/src/kv_stores.rs
+++ b/crates/gate/src/kv_stores.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use platform::call::MAX_ENGINE_ANSWER;
 use platform::Conn;
 use site::Role;
 use tokio::net::UdpSocket;
@@ -147,7 +148,7 @@
     stores: FollowedStores,
     addr: SocketAddr,
 ) {
-    let mut follower = Follower::new(Conn::new(addr));
+    let mut follower = Follower::new(Conn::new(addr, MAX_ENGINE_ANSWER));
     let mut last_full = Instant::now();
     let mut dependency = Dependency::new("kept cache");
     loop {
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use platform::call::MAX_ENGINE_ANSWER;
 use platform::Conn;
 use site::Boot;
 use tokio::net::UdpSocket;
@@ -58,7 +59,7 @@
     tokio::select! {
         () = identify(&node, &agent, addr) => {}
         () = agent::follow_cache(Rc::clone(&agent), addr) => {}
-        () = agent::run(env, Conn::new(addr)) => {}
+        () = agent::run(env, Conn::new(addr, MAX_ENGINE_ANSWER)) => {}
         () = receive(env, stores) => {}
         _ = stop => {}
     }
