Bound responses and events behind the product's own interface

The client of engines and of the platform collected responses of any length for as long as a call may take, and a sidecar any length of one event.

Responses have at most 32 MiB and are copied out of their buffers; an event has at most 1 MiB and counts as a lost target beyond that.

--- a/crates/daemon/src/sidecar/target.rs
+++ b/crates/daemon/src/sidecar/target.rs
@@ -30,6 +30,8 @@
 /// does so in pieces and decodes between them, so its pauses are short. A connection that has
 /// failed silently would otherwise keep a caller waiting until they hang up.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Most bytes of an incomplete event that are kept; events have some hundred bytes.
+const MAX_EVENT: usize = 1 << 20;
 /// The event with which an engine ends a complete stream.
 const FINAL_EVENT: &[u8] = b"data: [DONE]";
 /// Timeout for connecting to the target, which runs on the same host.
@@ -127,6 +129,9 @@
             final_event_seen = events::trimmed(&events).ends_with(FINAL_EVENT);
             job.active.push(events).await;
         }
+        if buffered.len() > MAX_EVENT {
+            return Err(Code::TargetLost);
+        }
     }
     // A regular end of the transfer doesn't show that the answer is complete: without a length the
     // transfer also ends regularly when the target's process exits or a proxy closes the
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -114,7 +114,16 @@
     ///
     /// If no port can be bound.
     pub async fn start(kind: Endless) -> io::Result<(Arc<Self>, JoinSet<()>)> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), kind).await
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn start_at(at: SocketAddr, kind: Endless) -> io::Result<(Arc<Self>, JoinSet<()>)> {
+        let listener = TcpListener::bind(at).await?;
         let server = Arc::new(Self {
             kind,
             addr: listener.local_addr()?,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -4,14 +4,18 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::{Method, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client as Legacy;
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
+/// Maximum size of a response; the longest ones list the whole cache of an engine.
+pub const MAX_RESPONSE: usize = 32 << 20;
+
 /// Error of a call that got no response.
 #[derive(Debug, Error)]
 pub enum HttpError {
@@ -27,6 +31,9 @@
     /// There was no response in time; the call may have been executed.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
+    /// The response is longer than [`MAX_RESPONSE`]; the call may have been executed.
+    #[error("the answer is longer than {MAX_RESPONSE} bytes")]
+    TooLong,
 }
 
 impl HttpError {
@@ -110,9 +117,7 @@
         let whole = async {
             let res = self.inner.request(req).await.map_err(send_error)?;
             let status = res.status();
-            let body = res.into_body().collect().await;
-            let body = body.map_err(|e| HttpError::Lost(e.to_string()))?;
-            Ok((status, body.to_bytes()))
+            Ok((status, collect(res.into_body()).await?))
         };
         tokio::time::timeout(call.timeout, whole)
             .await
@@ -120,6 +125,20 @@
     }
 }
 
+/// Collects a response. The bytes are copied, since frames keep the buffers in which they were read.
+async fn collect(mut body: Incoming) -> Result<Bytes, HttpError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| HttpError::Lost(e.to_string()))?;
+        let data = frame.into_data().unwrap_or_default();
+        if whole.len() + data.len() > MAX_RESPONSE {
+            return Err(HttpError::TooLong);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 fn send_error(e: hyper_util::client::legacy::Error) -> HttpError {
     match e.is_connect() {
         true => HttpError::Connect(e),
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -137,7 +137,9 @@
             Ok((StatusCode::CONFLICT, _)) => Reply::Conflict,
             Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => Reply::Down,
             Err(HttpError::Connect(_) | HttpError::Call(_)) => Reply::Down,
-            Ok(_) | Err(HttpError::Lost(_) | HttpError::Timeout(_)) => Reply::Lost,
+            Ok(_) | Err(HttpError::Lost(_) | HttpError::Timeout(_) | HttpError::TooLong) => {
+                Reply::Lost
+            }
         }
     }
 }
