Export the age of the operator's rows

`clementinestep_operator_rows_age_seconds` is the time since a process's copy was last known to be complete, at the time of the scrape. It shows a process whose rows nobody confirms before a change shows it.

--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -235,8 +235,9 @@
                     apply_rows(&node, rows, Source::Feed);
                     feed.confirm();
                 }
-                // The changes in between are no longer available, or the store has moved, so the whole table is read again;
-                // the random pause keeps the processes from doing so all at the same time.
+                // The changes in between are no longer available, or the store has moved, so the
+                // whole table is read again; the random pause keeps the processes from doing so all
+                // at the same time.
                 Err(StoreError::Gone | StoreError::OutdatedEra(..)) => {
                     retry_pause().await;
                     break;
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -4,6 +4,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -90,6 +91,8 @@
 pub const STORE_ERAS: &str = "clementinestep_store_eras_total";
 /// Malformed datagrams.
 pub const BAD_UPDATES: &str = "clementinestep_bad_updates_total";
+/// Seconds since the copy of the operator's rows was last confirmed as complete.
+pub const TABLE_AGE: &str = "clementinestep_operator_rows_age_seconds";
 /// Version of the configuration in force.
 pub const CONFIGURATION_VERSION: &str = "clementinestep_configuration_version";
 /// Tokens of requests to engine pools that may be short, by whether they were admitted or refused.
@@ -161,6 +164,11 @@
         "restores of the store, and eras that can't be used"
     );
     describe_counter!(BAD_UPDATES, "datagrams that can't be read");
+    describe_gauge!(
+        TABLE_AGE,
+        Unit::Seconds,
+        "age of the last confirmation of the operator's rows"
+    );
     describe_gauge!(
         CONFIGURATION_VERSION,
         "version of the configuration in force"
@@ -233,7 +241,7 @@
         }
     };
     tokio::task::spawn_local(upkeep(handle.clone()));
-    tokio::task::spawn_local(accept(listener, handle));
+    tokio::task::spawn_local(accept(listener, handle, Rc::clone(node)));
     Ok(())
 }
 
@@ -244,16 +252,22 @@
     }
 }
 
-async fn accept(listener: TcpListener, handle: PrometheusHandle) {
+async fn accept(listener: TcpListener, handle: PrometheusHandle, node: SharedNode) {
     loop {
         let Ok((tcp, _)) = listener.accept().await else {
             tokio::time::sleep(UPKEEP_INTERVAL).await;
             continue;
         };
-        let handle = handle.clone();
+        let (handle, node) = (handle.clone(), Rc::clone(&node));
         let service = service_fn(move |r: hyper::Request<hyper::body::Incoming>| {
             let (status, text) = match r.uri().path() {
-                PATH => (StatusCode::OK, handle.render()),
+                PATH => {
+                    set(
+                        TABLE_AGE,
+                        node.tables.operator_age(node.now()).as_secs_f64(),
+                    );
+                    (StatusCode::OK, handle.render())
+                }
                 _ => (StatusCode::NOT_FOUND, String::new()),
             };
             let mut response = Response::new(Full::new(Bytes::from(text)));
