Stand-in: break all connections of a crashed replica together

Cause: the stand-in looked every 2 ms, or after a connection, whether the replica was down. A replica that was back within that time never broke its connections, and one that wasn't closed the crashing answer up to 2 ms before the others. No process ends like that: an entry knows a crash between two events by the connections that end with it.

Change, in the stand-in only: connections belong to one start of the replica and end with it, and the answer that crashes ends with them.

--- a/crates/standin/src/hosted/mod.rs
+++ b/crates/standin/src/hosted/mod.rs
@@ -69,16 +69,17 @@
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: std::future::Future<Output = Option<Response<Body>>> + Send + 'static,
 {
-    serve_while(answer, || true).await
+    serve_while(answer, || Some(0)).await
 }
 
-/// Like [`serve`], but as if the process had ended while `is_up` returns false: all connections
-/// break, and new ones are refused.
-pub async fn serve_while<F, A, U>(answer: F, is_up: U) -> std::io::Result<(SocketAddr, JoinSet<()>)>
+/// Like [`serve`], but as a process that ends and starts again. `start` returns the number of its
+/// current start, or `None` while it has ended: all connections of a start break together at its
+/// end, and new ones are refused until the next start.
+pub async fn serve_while<F, A, U>(answer: F, start: U) -> std::io::Result<(SocketAddr, JoinSet<()>)>
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: std::future::Future<Output = Option<Response<Body>>> + Send + 'static,
-    U: Fn() -> bool + Send + Sync + 'static,
+    U: Fn() -> Option<usize> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let at = listener.local_addr()?;
@@ -86,9 +87,9 @@
     tasks.spawn(async move {
         let mut listener = listener;
         loop {
-            accept_while(&listener, answer.clone(), &is_up).await;
+            accept_while(&listener, answer.clone(), &start).await;
             drop(listener);
-            while !is_up() {
+            while start().is_none() {
                 sleep(STATE_INTERVAL).await;
             }
             listener = loop {
@@ -102,14 +103,15 @@
     Ok((at, tasks))
 }
 
-/// Accepts connections and answers their requests while `is_up` returns true.
-async fn accept_while<F, A>(listener: &TcpListener, answer: F, is_up: &impl Fn() -> bool)
+/// Accepts connections and answers their requests until the current start ends.
+async fn accept_while<F, A>(listener: &TcpListener, answer: F, start: &impl Fn() -> Option<usize>)
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: std::future::Future<Output = Option<Response<Body>>> + Send + 'static,
 {
     let mut connections = JoinSet::new();
-    while is_up() {
+    let current = start();
+    while current.is_some() && start() == current {
         let Ok(Ok((tcp, _))) = timeout(STATE_INTERVAL, listener.accept()).await else {
             continue;
         };
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -1,6 +1,7 @@
 //! A replica of a service or a model, with the faults that its callers encounter.
 
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -196,7 +197,7 @@
             let replica = Arc::clone(&replica);
             async move { replica.answer(r).await }
         };
-        let (addr, served) = serve_while(answer, move || !state.is_down()).await?;
+        let (addr, served) = serve_while(answer, move || state.current_start()).await?;
         lock(&self.state).addr = Some(addr);
         Ok((addr, served))
     }
@@ -255,6 +256,12 @@
         lock(&self.state).down
     }
 
+    /// Number of crashes before the current start; `None` while the replica is down.
+    fn current_start(&self) -> Option<usize> {
+        let state = lock(&self.state);
+        (!state.down).then_some(state.crashes.len())
+    }
+
     /// Lets a replica that has crashed answer again.
     pub fn recover(&self) {
         lock(&self.state).down = false;
@@ -668,17 +675,16 @@
                     return None;
                 }
                 let replica = Arc::clone(&running.replica);
-                let cut_off = tokio::select! {
+                // The connections of a replica that crashes break together, so that none of them
+                // outlives another.
+                tokio::select! {
                     biased;
-                    () = replica.wait_for_crash(crashes) => true,
-                    () = sleep(pause) => false,
-                };
-                if cut_off {
-                    return Some((Err(CutOff), (u64::MAX, running, build, waits)));
+                    () = replica.wait_for_crash(crashes) => pending().await,
+                    () = sleep(pause) => {}
                 }
                 if crash.is_some_and(|point| n >= first + point.events().max(1)) {
                     replica.crash();
-                    return Some((Err(CutOff), (u64::MAX, running, build, waits)));
+                    return pending().await;
                 }
                 if crash == Some(CrashPoint::WithinEvent) {
                     let half = Frame::data(Bytes::from(format!("id: {n}\nda")));
