Test of slow readers: read each answer as soon as its engine has cut it off

Cause: the test read nothing until all eight engines had cut off their answers. An entry disconnects a caller that reads nothing for 2 s (UNACKED_TIMEOUT, docs/CAPACITY.md), and on a busy machine the eight starts and cuts took longer.

Change: the callers run at the same time, and each reads once its own engine has cut it off. The bounds stay; the memory is taken at the first cut, when all callers are stalled.

--- a/crates/daemon/tests/hosted/endless.rs
+++ b/crates/daemon/tests/hosted/endless.rs
@@ -11,7 +11,7 @@
 use standin::link::Link;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{config, fetch, request, Entry, Platform, Process, MODEL, TIMEOUT};
+use crate::fleet::{config, fetch, max_resident, request, Entry, Platform, MODEL, TIMEOUT};
 
 /// Memory of the smallest host for entries, in KiB.
 const ENTRY_MEMORY: u64 = 110_000;
@@ -29,18 +29,6 @@
 /// Time within which a change is in force after the store is back.
 const CONTACT: Duration = Duration::from_millis(3_000);
 
-/// Follows a process's memory while a future runs; returns the maximum in KiB.
-async fn max_resident(process: &Process, work: impl std::future::Future<Output = ()>) -> u64 {
-    tokio::pin!(work);
-    let mut most = process.resident_kib();
-    loop {
-        tokio::select! {
-            () = &mut work => return most.max(process.resident_kib()),
-            () = sleep(Duration::from_millis(10)) => most = most.max(process.resident_kib()),
-        }
-    }
-}
-
 async fn wait_until_closed(server: &EndlessServer) {
     while server.open() > 0 {
         sleep(Duration::from_millis(10)).await;
@@ -101,7 +89,7 @@
             });
         join_all(requests).await;
     };
-    let most = max_resident(&entry.process, load).await;
+    let (most, ()) = max_resident(&entry.process, load).await;
     assert!(endless.received() > 0, "{case:?}");
     assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
     let closed = timeout(SLACK, wait_until_closed(&endless)).await;
@@ -144,7 +132,7 @@
         });
         join_all(requests).await;
     };
-    let most = max_resident(&entry.process, load).await;
+    let (most, ()) = max_resident(&entry.process, load).await;
     assert!(most < ENTRY_MEMORY, "{most} KiB");
 }
 
@@ -168,7 +156,7 @@
     link.redirect(endless.addr());
     link.reset();
     let load = sleep(CONTACT);
-    let most = max_resident(&sidecar, load).await;
+    let (most, ()) = max_resident(&sidecar, load).await;
     assert!(endless.received() > 0, "{case:?}");
     assert!(most < SIDECAR_MEMORY, "{case:?}: {most} KiB");
     assert!(
@@ -209,7 +197,7 @@
             sleep(Duration::from_millis(50)).await;
         }
     };
-    let most = max_resident(&entry.process, load).await;
+    let (most, ()) = max_resident(&entry.process, load).await;
     assert!(endless.received() > 0, "{case:?}");
     assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
     assert!(
--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -1,5 +1,6 @@
 //! A hosted platform within the test process, and the daemon's binary as child processes.
 
+use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -169,6 +170,18 @@
     }
 }
 
+/// Follows a process's memory while a future runs; returns the most in KiB, and the future's output.
+pub async fn max_resident<T>(process: &Process, work: impl Future<Output = T>) -> (u64, T) {
+    tokio::pin!(work);
+    let mut most = process.resident_kib();
+    loop {
+        tokio::select! {
+            output = &mut work => return (most.max(process.resident_kib()), output),
+            () = sleep(POLL_INTERVAL) => most = most.max(process.resident_kib()),
+        }
+    }
+}
+
 /// An entry and its addresses.
 pub struct Entry {
     pub process: Process,
--- a/crates/daemon/tests/hosted/slow_readers.rs
+++ b/crates/daemon/tests/hosted/slow_readers.rs
@@ -1,7 +1,9 @@
 //! Callers that read slowly, and engines that cut off answers that stay unread.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 
+use futures::future::join_all;
 use http_body_util::BodyExt;
 use standin::hosted::replica::{Replica, EVENT_SIZE};
 use tokio::time::timeout;
@@ -40,25 +42,31 @@
         platform.replica(&engine, "engines").await;
         let entry = platform.entry("front-1", 1).await;
         let before = entry.process.resident_kib();
-        let mut answers = Vec::new();
-        for n in 0..READERS {
-            let call = request(&entry, case.path, &format!("slow-{n}"));
-            let call = call.header(EVENT_SIZE, SIZE.to_string());
-            answers.push(call.send().await.expect("the head of an answer"));
-        }
-        let cuts = timeout(TIMEOUT, engine.wait_unread_cuts(READERS));
-        cuts.await.expect("engines that wait for the entry");
-        let needed = entry.process.resident_kib().saturating_sub(before);
+        let needed = OnceCell::new();
+        // A caller that reads nothing for longer than its engine waits is disconnected itself.
+        let callers = (0..READERS).map(|n| {
+            let (entry, engine, needed) = (&entry, &engine, &needed);
+            async move {
+                let id = format!("slow-{n}");
+                let call = request(entry, case.path, &id);
+                let call = call.header(EVENT_SIZE, SIZE.to_string());
+                let answer = call.send().await.expect("the head of an answer");
+                engine.wait_unread_cut(&id).await;
+                // No answer has been read yet when the first one is cut off.
+                needed.get_or_init(|| entry.process.resident_kib().saturating_sub(before));
+                answer.into_body().collect().await.is_err()
+            }
+        });
+        let cut = timeout(TIMEOUT, join_all(callers)).await;
+        let cut = cut.expect("engines that wait for the entry, and an end");
+        assert_eq!(cut, [true; READERS], "{}", case.name);
+        let needed = needed.into_inner().expect("the memory of the entry");
         let allowed = READERS as u64 * MAX_CALLER_KIB;
         assert!(
             needed <= allowed,
             "{}: {needed} of {allowed} KiB",
             case.name
         );
-        for answer in answers {
-            let rest = timeout(TIMEOUT, answer.into_body().collect()).await;
-            assert!(rest.expect("an end").is_err(), "{}", case.name);
-        }
         for n in 0..READERS {
             let id = format!("slow-{n}");
             let ended = entry
--- a/crates/standin/src/hosted/replica.rs
+++ b/crates/standin/src/hosted/replica.rs
@@ -146,8 +146,8 @@
     abandoned: usize,
     /// How long an answer may stay unread before the replica cuts it off.
     unread_limit: Option<Duration>,
-    /// Number of answers cut off unread.
-    unread_cuts: usize,
+    /// Ids of the requests whose answers were cut off unread.
+    unread_cuts: Vec<String>,
     /// Pace that the replica states with its load, and by which its pauses are longer.
     pace: Option<u32>,
 }
@@ -426,11 +426,11 @@
         lock(&self.state).pace = pace;
     }
 
-    /// Waits until this many answers have been cut off unread.
-    pub async fn wait_unread_cuts(&self, cuts: usize) {
+    /// Waits until the answer to the request with this id has been cut off unread.
+    pub async fn wait_unread_cut(&self, id: &str) {
         loop {
             let changed = self.changed.notified();
-            if lock(&self.state).unread_cuts >= cuts {
+            if lock(&self.state).unread_cuts.iter().any(|i| i == id) {
                 return;
             }
             changed.await;
@@ -444,6 +444,7 @@
         limit: Duration,
         mut waits: watch::Receiver<Option<Instant>>,
         connection: ConnectionCut,
+        id: String,
     ) {
         loop {
             let since = *waits.borrow_and_update();
@@ -455,7 +456,7 @@
             }
         }
         connection.cut();
-        lock(&self.state).unread_cuts += 1;
+        lock(&self.state).unread_cuts.push(id);
         self.changed.notify_waiters();
     }
 
@@ -603,6 +604,7 @@
                 let connection = parts.extensions.get::<ConnectionCut>().cloned();
                 let event_size = text(EVENT_SIZE).and_then(|n| n.parse().ok());
                 let form = StreamForm {
+                    id: id.clone(),
                     after: text("last-event-id").and_then(|n| n.parse().ok()),
                     event_size: event_size.unwrap_or_default(),
                     fault,
@@ -646,7 +648,7 @@
         let (last, pause) = (self.events, self.pause * pace.unwrap_or(100) / 100);
         let (waits, waiting) = watch::channel(None);
         if let Some(limit) = unread_limit {
-            tokio::spawn(Arc::clone(self).cut_if_unread(limit, waiting, connection));
+            tokio::spawn(Arc::clone(self).cut_if_unread(limit, waiting, connection, form.id));
         }
         let build = lock(&self.state).build.clone();
         let build = build.map_or_else(String::new, |b| format!(" by {b}"));
@@ -757,6 +759,8 @@
 
 /// The stream that a request gets.
 struct StreamForm {
+    /// Id of the request.
+    id: String,
     /// Number of the last event that the caller has.
     after: Option<u64>,
     /// Length in bytes that events are filled up to.
