--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -24,8 +24,8 @@
 use crate::node::{domain_key, Member, OperatorRow, SharedNode, Source};
 use crate::table_checks::{self, Table};
 
-/// How long the store may hold a call. Long holds keep the number of calls low; broken connections
-/// are detected by the kernel's probes, not by this timeout.
+/// How long the store may hold a call. Long holds keep the number of calls low; dead hosts are
+/// detected by the kernel's probes and silent connections by checks, not by this timeout.
 const MAX_HOLD: Duration = Duration::from_secs(20);
 /// Shortest pause before a failed call is retried.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(80);
