review: a stream runs at two replicas for up to 2 s

Cause: an entry that moves a silent stream waits for the confirmation of the second replica's build before it leaves the first replica. Change: case 6; the stand-ins give each machine a port that it keeps.

--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -723,6 +723,8 @@
     pub store: Store,
     store_addr: SocketAddr,
     dir: PathBuf,
+    /// Ports for the processes' own traffic, by machine; a machine keeps its port over a restart.
+    ports: Mutex<BTreeMap<String, u16>>,
 }
 
 impl Deployment {
@@ -736,6 +738,7 @@
         let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         Ok(Self {
+            ports: Mutex::default(),
             store,
             store_addr,
             dir,
@@ -766,11 +769,28 @@
         Ok(process)
     }
 
+    /// A port of a machine that is free for TCP and UDP.
+    fn port(&self, name: &str) -> io::Result<u16> {
+        let mut ports = lock(&self.ports);
+        if let Some(port) = ports.get(name) {
+            return Ok(*port);
+        }
+        loop {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let addr = listener.local_addr()?;
+            if UdpSocket::bind(addr).is_ok() && !ports.values().any(|p| *p == addr.port()) {
+                ports.insert(name.to_owned(), addr.port());
+                return Ok(addr.port());
+            }
+        }
+    }
+
     fn process(&self, name: &str, lines: &[&str]) -> Result<Process, String> {
+        let port = self.port(name).map_err(|e| e.to_string())?;
         let program = Path::new("target/release/clementinestepd");
         let (settings, log) = (self.dir.join(name), self.dir.join(format!("{name}.log")));
         let common = format!(
-            "node={name}\nzone=a\nregion=r\nzones.a=r\nip=127.0.0.1\nport_range=0,0\nbootstrap=true\n\
+            "node={name}\nzone=a\nregion=r\nzones.a=r\nip=127.0.0.1\nport_range={port},{port}\nbootstrap=true\n\
              heartbeat_ms={HEARTBEAT_MS}\ncontracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants,platform\n\
              bounds.contact_ms=3000\nbounds.drain_ms=2000\nbounds.grace_s=8\nbounds.config_apply_ms=2000\n\
              bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.retry_budget_slack=56\n\
