--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,4 +1,4 @@
-//! Consumers that read long answers slowly, but without a pause.
+//! Consumers that read slowly, but without a pause, over channels with a small window.
 
 #[path = "../bed-2/bed.rs"]
 #[allow(dead_code)]
@@ -10,20 +10,22 @@
 use std::thread;
 
 use bed::{
-    answer, connect, lock, note, read_body, read_head, request_head, route, sleep_ms, Call,
+    answer, connect_small, lock, note, read_body, read_head, request_head, route, sleep_ms, Call,
     Deployment, Replica,
 };
 
 /// Number of consumers, each with a channel of its own.
 const CONSUMERS: usize = 8;
 /// Length of the long answers.
-const LENGTH: usize = 400_000;
+const LENGTH: usize = 4_800;
+/// Receive buffer of a consumer's channel; the kernel doubles it, to 2,304 at least.
+const BUFFER: i32 = 1_024;
 /// A consumer that reads slowly takes this many bytes at a time.
-const PIECE: usize = 4_000;
-/// Pause of a consumer that reads slowly after each piece; the whole answer takes 10 s.
-const PAUSE_MS: u64 = 100;
+const PIECE: usize = 400;
+/// Pause of a consumer that reads slowly after each piece; the whole answer takes 3.6 s.
+const PAUSE_MS: u64 = 300;
 /// How long the consumers wait for an answer.
-const DEADLINE_MS: u64 = 12_000;
+const DEADLINE_MS: u64 = 4_000;
 /// Answers that the rule allows to be lost.
 const ALLOWED: usize = 3;
 
@@ -80,7 +82,7 @@
 /// Sends a small request and then one with a long answer on the same channel; returns how much of the long
 /// answer arrived, and in which time.
 fn consume(entry: SocketAddr, n: usize, id: &str, slow: bool) -> io::Result<(usize, u64)> {
-    let mut from = BufReader::with_capacity(PIECE, connect(entry)?);
+    let mut from = BufReader::with_capacity(PIECE, connect_small(entry, BUFFER)?);
     let mut to = from.get_ref().try_clone()?;
     let head = request_head("POST", "/log/x", &format!("first-{n}"), DEADLINE_MS, &[], 2);
     to.write_all((head + "{}").as_bytes())?;
--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::FromRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -882,6 +883,48 @@
     Ok(tcp)
 }
 
+extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+}
+
+/// Connects to an entry as a consumer whose channel has a small window: its receive buffer is set before
+/// the connection is opened.
+pub fn connect_small(entry: SocketAddr, buffer: i32) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM_CLOEXEC: i32 = 1 | 0x8_0000;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let SocketAddr::V4(to) = entry else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    // SAFETY: the call takes no pointers.
+    let fd = unsafe { socket(AF_INET, SOCK_STREAM_CLOEXEC, 0) };
+    if fd < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    // SAFETY: the descriptor was opened just now and has no other owner.
+    let tcp = unsafe { TcpStream::from_raw_fd(fd) };
+    // SAFETY: the pointer is valid for the length during the call.
+    if unsafe { setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &raw const buffer, 4) } != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    let mut addr = [0_u8; 16];
+    addr[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    addr[2..4].copy_from_slice(&to.port().to_be_bytes());
+    addr[4..8].copy_from_slice(&to.ip().octets());
+    extern "C" {
+        fn connect(fd: i32, addr: *const u8, len: u32) -> i32;
+    }
+    // SAFETY: the address is a `sockaddr_in` of 16 bytes, valid during the call.
+    if unsafe { connect(fd, addr.as_ptr(), 16) } != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    tcp.set_nodelay(true)?;
+    tcp.set_read_timeout(Some(Duration::from_secs(20)))?;
+    Ok(tcp)
+}
+
 /// Reads as much of a file as there is, for diagnosis.
 pub fn tail(text: &str, lines: usize) -> String {
     let all: Vec<_> = text.lines().collect();
