--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -18,25 +18,30 @@
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of streams in each test; by chance all of them stay at their build once in 2^16 times.
-const STREAMS: usize = 16;
+pub const STREAMS: usize = 16;
 /// Time within which an entry reads the list again.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The builds of the engines, two of each.
 const BUILDS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 
-struct Fleet {
-    platform: Platform,
-    engines: Vec<Arc<Replica>>,
-    entries: Vec<Entry>,
+pub struct Fleet {
+    pub platform: Platform,
+    pub engines: Vec<Arc<Replica>>,
+    pub entries: Vec<Entry>,
     _sidecars: Vec<Process>,
 }
 
 impl Fleet {
-    async fn start(entries: usize, with_sidecars: bool) -> Self {
+    pub async fn start(entries: usize, with_sidecars: bool) -> Self {
+        Self::start_at(entries, with_sidecars, BUILDS).await
+    }
+
+    /// Starts a fleet whose engines have these builds.
+    pub async fn start_at(entries: usize, with_sidecars: bool, builds: [&str; 4]) -> Self {
         let mut platform = Platform::start().await;
         let mut engines = Vec::new();
         let mut sidecars = Vec::new();
-        for (n, build) in BUILDS.iter().enumerate() {
+        for (n, build) in builds.iter().enumerate() {
             let engine = Replica::new(&format!("e{n}"), EVENTS, EVENT_INTERVAL);
             engine.set_version(MODEL, 1);
             engine.set_build(build);
@@ -69,13 +74,13 @@
         self.platform.list(engine, "engines", addr, "ready");
     }
 
-    async fn add_entry(&mut self, name: &str) {
+    pub async fn add_entry(&mut self, name: &str) {
         let entry = self.platform.entry(name, BUILDS.len()).await;
         self.platform.wait_for_member(name).await;
         self.entries.push(entry);
     }
 
-    async fn wait_for_peers(&self, entry: &Entry, count: usize) {
+    pub async fn wait_for_peers(&self, entry: &Entry, count: usize) {
         let knows = |e: &serde_json::Value| e["entries"].as_u64() >= Some(count as u64);
         if count > 0 {
             entry.process.wait_for_event("members", knows).await;
@@ -83,7 +88,7 @@
     }
 
     /// Starts a stream and receives its first events.
-    async fn begin(&self, entry: usize, id: &str) -> Stream {
+    pub async fn begin(&self, entry: usize, id: &str) -> Stream {
         let response = request(&self.entries[entry], "/probe/1", id).send().await;
         let mut response = response.expect("an answer");
         let events = next_event(&mut response).await;
@@ -95,7 +100,7 @@
     }
 
     /// Takes a stream up with a new attempt; returns its status and events.
-    async fn take_up(&self, entry: usize, stream: &Stream, attempt: &str) -> (u16, String) {
+    pub async fn take_up(&self, entry: usize, stream: &Stream, attempt: &str) -> (u16, String) {
         let mut call = request(&self.entries[entry], "/probe/1", attempt);
         call.headers.push(("last-event-id", stream.last_id()));
         call.headers.push(("resumes", stream.id.clone()));
@@ -105,17 +110,17 @@
     }
 
     /// Replicas that received an attempt.
-    fn received(&self, id: &str) -> Vec<&Arc<Replica>> {
+    pub fn received(&self, id: &str) -> Vec<&Arc<Replica>> {
         let received = |r: &&Arc<Replica>| r.requests().iter().any(|s| s.id == id);
         self.engines.iter().filter(received).collect()
     }
 }
 
 /// A stream of which a caller has received some events.
-struct Stream {
-    id: String,
+pub struct Stream {
+    pub id: String,
     response: Response<Incoming>,
-    events: String,
+    pub events: String,
 }
 
 impl Stream {
@@ -166,7 +171,7 @@
 }
 
 /// Checks that events are a complete stream of one build.
-fn assert_one_build(events: &str, context: &str) {
+pub fn assert_one_build(events: &str, context: &str) {
     let complete = ["v1", "v2"].iter().any(|b| events == written_by(b));
     assert!(complete, "{context}: {events}");
 }
--- a/crates/daemon/tests/hosted/fleet.rs
+++ b/crates/daemon/tests/hosted/fleet.rs
@@ -271,7 +271,10 @@
 
     /// Starts an entry that uses the store at an address, without waiting until it is ready.
     pub async fn start_entry(&self, name: &str, store: SocketAddr) -> Entry {
-        self.start_entry_with(settings(name, store)).await
+        let mut lines = settings(name, store);
+        let is_first_start = self.store.read("members", name).is_none();
+        lines.push(format!("bootstrap={is_first_start}"));
+        self.start_entry_with(lines).await
     }
 
     /// Starts an entry with these settings, without waiting until it is ready.
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
+mod all_killed;
 mod answers;
 mod builds;
 mod callers;
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -109,6 +109,8 @@
     limits: RefCell<limits::Limits>,
     /// Builds that began streams.
     origins: RefCell<stream_origin::Origins>,
+    /// Such builds on their way to other processes.
+    deliveries: origins::Deliveries,
     /// Searches for such builds.
     inquiries: origins::Inquiries,
     /// Limits that targets state.
@@ -155,6 +157,8 @@
             self.crashing_parts.convicted() as f64,
         );
         meter::set(meter::STREAM_ORIGINS, self.origins.borrow().len() as f64);
+        let silent = self.deliveries.silent();
+        meter::set(meter::SILENT_HOLDERS, silent as f64);
         for (pool, budget) in self.retry_budgets.borrow().iter() {
             metrics::gauge!(meter::RETRIES_LEFT, "pool" => pool.clone()).set(budget.remaining());
         }
@@ -221,6 +225,7 @@
         recent_work: RefCell::default(),
         limits: RefCell::default(),
         origins: RefCell::default(),
+        deliveries: origins::Deliveries::default(),
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
@@ -236,6 +241,7 @@
     tokio::task::spawn_local(receive_updates(Rc::clone(&ctx)));
     tokio::task::spawn_local(subscribe(Rc::clone(&ctx)));
     tokio::task::spawn_local(delegate::run(Rc::clone(&ctx)));
+    tokio::task::spawn_local(origins::deliver(Rc::clone(&ctx)));
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -1,18 +1,20 @@
 //! Where streams may go on: at the build that began them.
 //!
 //! A job carries its [`Origin`]. `record` sets it with the first event that is passed on and sends
-//! it to other processes, `resolve` finds it for a caller that takes a stream up, and `pick` chooses
+//! it to other processes, `deliver` replaces those that don't confirm that, `resolve` finds it for a caller that takes a stream up, and `pick` chooses
 //! only targets that it accepts. The list says which build a target has; `confirm_build` checks
 //! that the process which answers is the listed one.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use model::Micros;
-use policy::stream_origin::{self, BuildKey, Config, Inquiry, Step, StreamKey};
+use model::{Micros, Position};
+use policy::stream_origin::{
+    BuildKey, Config, Delivery, Inquiry, Members, Silent, Step, StreamKey,
+};
 use site::{State, Target};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
@@ -22,10 +24,11 @@
 use super::refuse::Reason;
 use super::replica::Replica;
 use super::request::Job;
+use super::serve::{MAX_STARTUP_WAIT, POLL_INTERVAL};
 use super::{leaving, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::stream_origins::{encode, members, receive as receive_origin};
+use crate::stream_origins::{encode, members, receive as receive_origin, Statement};
 use crate::update::{self, OriginKind, StreamOrigin};
 
 /// Time for which an origin is kept after the caller has given up, as its clock differs.
@@ -60,6 +63,21 @@
     }
 }
 
+/// Records of this entry that holders have yet to confirm.
+#[derive(Debug, Default)]
+pub(super) struct Deliveries {
+    pending: RefCell<HashMap<StreamKey, Delivery>>,
+    silent: RefCell<Silent>,
+    added: Notify,
+}
+
+impl Deliveries {
+    /// Number of processes that have confirmed no record lately.
+    pub(super) fn silent(&self) -> usize {
+        self.silent.borrow().len()
+    }
+}
+
 /// Searches of this entry, with what wakes them when an answer arrives.
 pub(super) type Inquiries = RefCell<HashMap<StreamKey, Rc<Search>>>;
 
@@ -101,6 +119,7 @@
     if !takes_up || !job.route.mode.is_stream() {
         return Ok(());
     }
+    wait_for_members(ctx).await;
     let known = match job.resumes {
         Some(_) => find(ctx, stream_key(job)).await,
         // Callers that don't name the first attempt expect a pool with a single build.
@@ -121,6 +140,14 @@
     Ok(())
 }
 
+/// Waits until an entry that has just started knows which processes it can query.
+async fn wait_for_members(ctx: &Ctx) {
+    let knows_members = || ctx.node.cluster.borrow().members_position != Position::default();
+    while ctx.now() < MAX_STARTUP_WAIT && !knows_members() {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Why a stream can't go on anywhere, if no target has its build.
 pub(super) fn check(ctx: &Ctx, job: &Job) -> Result<(), Reason> {
     match job.origin {
@@ -208,32 +235,87 @@
     let keep: Micros = (Duration::from(job.gives_up.since(now)) + KEEP_MARGIN).into();
     let mut origins = ctx.origins.borrow_mut();
     origins.record(now, stream, build, now + keep);
-    let holders = stream_origin::holders(stream, &members(&ctx.node.cluster.borrow()));
+    let deliveries = &ctx.deliveries;
+    let members = deliveries
+        .silent
+        .borrow()
+        .without(now, current_members(ctx));
+    let (delivery, holders) = Delivery::new(&Config::default(), now, stream, &members);
+    deliveries.pending.borrow_mut().insert(stream, delivery);
+    deliveries.added.notify_one();
     let record = encode(OriginKind::Record, stream, Some((build, keep)));
     update::send(&ctx.socket, &record, holders);
 }
 
-/// Receives a record, query or answer of another process.
+/// The other processes, without sidecars whose engine isn't listed.
+fn current_members(ctx: &Ctx) -> Members {
+    let fleet = ctx.fleet.borrow();
+    let engines: HashSet<_> = fleet.replicas.values().map(|r| r.target.addr).collect();
+    members(&ctx.node.cluster.borrow(), |a| engines.contains(&a))
+}
+
+/// Sends records to further processes for as long as holders don't confirm them.
+pub(super) async fn deliver(ctx: Ctx) {
+    let config = Config::default();
+    loop {
+        if ctx.deliveries.pending.borrow().is_empty() {
+            ctx.deliveries.added.notified().await;
+        }
+        sleep(config.confirm.into()).await;
+        let now = ctx.now();
+        let mut pending = ctx.deliveries.pending.borrow_mut();
+        for (stream, delivery) in pending.iter_mut() {
+            let (next, silent) = delivery.replace_silent(&config, now);
+            for addr in silent {
+                ctx.deliveries
+                    .silent
+                    .borrow_mut()
+                    .record(&config, now, addr);
+            }
+            let known = ctx.origins.borrow_mut().get(now, *stream);
+            if let Some((build, until)) = known {
+                let record = Some((build, until.since(now)));
+                let record = encode(OriginKind::Record, *stream, record);
+                update::send(&ctx.socket, &record, next);
+            }
+        }
+        pending.retain(|_, d| !d.is_complete());
+    }
+}
+
+/// Receives a record, confirmation, query or answer of another process.
 pub(super) fn receive(ctx: &Ctx, from: SocketAddr, received: &StreamOrigin) {
     let now = ctx.now();
-    let answer = receive_origin(&ctx.origins, now, &ctx.socket, from, received);
-    let Some(answer) = answer else {
-        return;
-    };
-    if let Some(search) = ctx.inquiries.borrow().get(&answer.stream) {
-        if !answer.known {
-            search.inquiry.borrow_mut().record_unknown(now, from);
+    let stream = StreamKey(received.stream);
+    match receive_origin(&ctx.origins, now, &ctx.socket, from, received) {
+        None => {}
+        Some(Statement::Answer { known }) => {
+            if let Some(search) = ctx.inquiries.borrow().get(&stream) {
+                if !known {
+                    search.inquiry.borrow_mut().record_unknown(now, from);
+                }
+                search.answered.notify_waiters();
+            }
+        }
+        Some(Statement::Confirmation) => {
+            ctx.deliveries.silent.borrow_mut().clear(from);
+            let mut pending = ctx.deliveries.pending.borrow_mut();
+            if let Some(delivery) = pending.get_mut(&stream) {
+                delivery.confirm(from);
+                if delivery.is_complete() {
+                    pending.remove(&stream);
+                }
+            }
         }
-        search.answered.notify_waiters();
     }
 }
 
 /// The build that began a stream, as this entry or another process knows it.
 async fn find(ctx: &Ctx, stream: StreamKey) -> Option<BuildKey> {
     let search = {
-        let cluster = ctx.node.cluster.borrow();
+        let members = current_members(ctx);
         let new = || {
-            let inquiry = Inquiry::new(ctx.now(), Config::default(), stream, &members(&cluster));
+            let inquiry = Inquiry::new(ctx.now(), Config::default(), stream, &members);
             Rc::new(Search {
                 inquiry: RefCell::new(inquiry),
                 answered: Notify::new(),
@@ -263,6 +345,7 @@
     log::event(&Event::Origin {
         stream: format!("{:x}", stream.0),
         known: found.is_some(),
+        unanswered: search.inquiry.borrow().unanswered(),
         after_ms: ctx.now().since(started).as_millis(),
     });
     found
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -31,9 +31,9 @@
 
 /// Time after the process's start up to which requests wait for a configuration and a list of
 /// targets; a slow store answers both calls within that time.
-const MAX_STARTUP_WAIT: Micros = Micros::from_millis(400);
+pub(super) const MAX_STARTUP_WAIT: Micros = Micros::from_millis(400);
 /// Interval between checks for a configuration and a list of targets during startup.
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A request whose body never arrived completely; its connection is closed without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -213,6 +213,8 @@
         stream: String,
         /// Whether it was found.
         known: bool,
+        /// Number of processes that were queried and didn't answer.
+        unanswered: usize,
         /// Milliseconds that the search took.
         after_ms: u64,
     },
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -52,6 +52,8 @@
 pub const LEAVING_TARGETS: &str = "clementinestep_leaving_targets";
 /// Origins of streams that the process keeps.
 pub const STREAM_ORIGINS: &str = "clementinestep_stream_origins";
+/// Processes that haven't confirmed the origin of a stream lately.
+pub const SILENT_HOLDERS: &str = "clementinestep_silent_holders";
 /// Prompt parts that an entry refuses because they crash targets.
 pub const CONVICTED_PARTS: &str = "clementinestep_convicted_parts";
 /// Streams that callers have taken up, by whether the build that began them was known.
@@ -129,6 +131,10 @@
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
     describe_gauge!(LEAVING_TARGETS, "targets that say that they leave");
     describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
+    describe_gauge!(
+        SILENT_HOLDERS,
+        "processes that confirm no origin of a stream"
+    );
     describe_gauge!(
         CONVICTED_PARTS,
         "prompt parts refused because they crash targets"
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -263,7 +263,7 @@
 /// Which build began a stream.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct StreamOrigin {
-    /// Whether this is a record, a query or the answer to one.
+    /// Whether this is a record, its confirmation, a query or the answer to one.
     #[prost(enumeration = "OriginKind", tag = "1")]
     pub kind: i32,
     /// Hash of the id of the attempt that brought the first event.
@@ -287,6 +287,8 @@
     Query = 1,
     /// The sender answers a query.
     Answer = 2,
+    /// The sender keeps what a record said.
+    Confirmation = 3,
 }
 
 /// An entry's use of the rates that targets state, as in [`policy::target_limit::Report`].
--- a/crates/policy/src/stream_origin.rs
+++ b/crates/policy/src/stream_origin.rs
@@ -5,10 +5,13 @@
 //! up with a new attempt at any entry.
 //!
 //! The entry that passes on a stream's first event sends the build to [`holders`] before: one entry
-//! and one sidecar that the stream's key selects among all processes. An entry that doesn't know
-//! the origin of a stream queries the processes that may be its holders, and then all entries
-//! ([`Inquiry`]). Without an answer the origin is unknown, and the stream doesn't go on. Origins
-//! are kept for as long as the caller waits, up to a fixed number ([`Origins`]).
+//! and two sidecars of different failure domains that the stream's key selects among all processes.
+//! The list of processes also names some that have ended, so each holder confirms the record, and
+//! one that doesn't is replaced by the next process in the stream's order ([`Delivery`]). An entry
+//! that doesn't know the origin of a stream queries the processes that may be its holders, and then
+//! all entries and more sidecars ([`Inquiry`]). Without an answer the origin is unknown, and the
+//! stream doesn't go on. Origins are kept for as long as the caller waits, up to a fixed number
+//! ([`Origins`]).
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -29,11 +32,20 @@
 pub struct Config {
     /// Number of origins that a process keeps; 50,000.
     pub capacity: usize,
+    /// Sidecars that hold an origin, each in another failure domain; 2.
+    pub sidecars: usize,
     /// Processes of each kind that are queried first, as members may have come and gone since the
     /// holders were selected; 3.
     pub candidates: usize,
-    /// Time after which a query is repeated, and all entries are queried; 50 ms.
+    /// Most sidecars that are queried; 64.
+    pub most: usize,
+    /// Time after which a query is repeated, all entries are queried, and four times as many sidecars;
+    /// 50 ms.
     pub repeat: Micros,
+    /// Time after which a holder that hasn't confirmed its record is replaced; 50 ms.
+    pub confirm: Micros,
+    /// Time for which a process that hasn't confirmed a record is passed over; 10 s.
+    pub passed_over: Micros,
     /// Time after which the origin is unknown; 250 ms.
     pub timeout: Micros,
 }
@@ -42,8 +54,12 @@
     fn default() -> Self {
         Self {
             capacity: 50_000,
+            sidecars: 2,
             candidates: 3,
+            most: 64,
             repeat: Micros::from_millis(50),
+            confirm: Micros::from_millis(50),
+            passed_over: Micros::from_secs(10),
             timeout: Micros::from_millis(250),
         }
     }
@@ -107,39 +123,146 @@
     }
 }
 
-/// The other processes of the system.
+/// Another process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of the process.
+    pub addr: SocketAddr,
+    /// Key of its failure domain.
+    pub domain: u64,
+}
+
+/// The other processes of the system. Some of them may have ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Members {
-    /// Addresses of entries.
-    pub entries: Vec<SocketAddr>,
-    /// Addresses of sidecars.
-    pub sidecars: Vec<SocketAddr>,
+    /// The entries.
+    pub entries: Vec<Peer>,
+    /// The sidecars.
+    pub sidecars: Vec<Peer>,
 }
 
-/// The first processes of a list in a stream's order.
-fn first(stream: StreamKey, processes: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
-    let mut ranked = processes.to_vec();
-    let rank = |a: &SocketAddr| xxh3_64_with_seed(a.to_string().as_bytes(), stream.0);
-    let count = count.min(ranked.len());
-    if count > 0 {
-        ranked.select_nth_unstable_by_key(count - 1, rank);
-        ranked.truncate(count);
-    }
+/// Processes in a stream's order.
+fn ranked(stream: StreamKey, peers: &[Peer]) -> Vec<Peer> {
+    let mut ranked = peers.to_vec();
+    ranked.sort_by_cached_key(|p| xxh3_64_with_seed(p.addr.to_string().as_bytes(), stream.0));
     ranked
 }
 
-/// The processes that a stream's origin is sent to: an entry and a sidecar, or two entries if there
+/// The first processes of a list that are in different failure domains, as far as there are enough.
+fn spread(ranked: &[Peer], count: usize) -> Vec<SocketAddr> {
+    let mut domains = BTreeSet::new();
+    let (apart, rest): (Vec<&Peer>, Vec<&Peer>) =
+        ranked.iter().partition(|p| domains.insert(p.domain));
+    let spread = apart.into_iter().chain(rest).take(count);
+    spread.map(|p| p.addr).collect()
+}
+
+/// The processes that a stream's origin is sent to: an entry and sidecars, or several entries if there
 /// are no sidecars.
-pub fn holders(stream: StreamKey, members: &Members) -> Vec<SocketAddr> {
+pub fn holders(config: &Config, stream: StreamKey, members: &Members) -> Vec<SocketAddr> {
     let entries = match members.sidecars.is_empty() {
-        true => 2,
+        true => 1 + config.sidecars,
         false => 1,
     };
-    let mut holders = first(stream, &members.entries, entries);
-    holders.extend(first(stream, &members.sidecars, 1));
+    let mut holders = spread(&ranked(stream, &members.entries), entries);
+    holders.extend(spread(&ranked(stream, &members.sidecars), config.sidecars));
     holders
 }
 
+/// Processes that have not confirmed a record, and are passed over for a time.
+#[derive(Debug, Default)]
+pub struct Silent(HashMap<SocketAddr, Micros>);
+
+impl Silent {
+    /// Records that a process hasn't confirmed a record.
+    pub fn record(&mut self, config: &Config, now: Micros, addr: SocketAddr) {
+        self.0.retain(|_, until| *until > now);
+        self.0.insert(addr, now + config.passed_over);
+    }
+
+    /// Records that a process has confirmed a record.
+    pub fn clear(&mut self, addr: SocketAddr) {
+        self.0.remove(&addr);
+    }
+
+    /// Number of processes that are passed over.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether no process is passed over.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The processes that aren't passed over.
+    pub fn without(&self, now: Micros, members: Members) -> Members {
+        let answers = |p: &Peer| self.0.get(&p.addr).is_none_or(|until| *until <= now);
+        Members {
+            entries: members.entries.into_iter().filter(answers).collect(),
+            sidecars: members.sidecars.into_iter().filter(answers).collect(),
+        }
+    }
+}
+
+/// A record on its way to the holders.
+#[derive(Clone, Debug)]
+pub struct Delivery {
+    /// Holders that haven't confirmed the record, and when it was sent to them.
+    waiting: Vec<(SocketAddr, Micros)>,
+    /// Processes that replace holders, in their order; sidecars before entries.
+    spare: std::vec::IntoIter<SocketAddr>,
+}
+
+impl Delivery {
+    /// Starts the delivery of a record; returns the holders to send it to as well.
+    pub fn new(
+        config: &Config,
+        now: Micros,
+        stream: StreamKey,
+        members: &Members,
+    ) -> (Self, Vec<SocketAddr>) {
+        let holders = holders(config, stream, members);
+        let sidecars = ranked(stream, &members.sidecars);
+        let spare = sidecars
+            .into_iter()
+            .chain(ranked(stream, &members.entries))
+            .map(|p| p.addr)
+            .filter(|a| !holders.contains(a));
+        let delivery = Self {
+            waiting: holders.iter().map(|a| (*a, now)).collect(),
+            spare: spare.collect::<Vec<_>>().into_iter(),
+        };
+        (delivery, holders)
+    }
+
+    /// Records that a process has confirmed the record.
+    pub fn confirm(&mut self, from: SocketAddr) {
+        self.waiting.retain(|(a, _)| *a != from);
+    }
+
+    /// Whether all holders have confirmed the record, or no process is left that could.
+    pub fn is_complete(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Replaces holders that haven't confirmed the record in time; returns the processes to send it to,
+    /// and those that are replaced.
+    pub fn replace_silent(
+        &mut self,
+        config: &Config,
+        now: Micros,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let late = |sent: &Micros| now.since(*sent) >= config.confirm;
+        let silent = self.waiting.iter().filter(|(_, sent)| late(sent));
+        let silent: Vec<_> = silent.map(|(a, _)| *a).collect();
+        self.waiting.retain(|(_, sent)| !late(sent));
+        let next: Vec<_> = self.spare.by_ref().take(silent.len()).collect();
+        self.waiting.extend(next.iter().map(|a| (*a, now)));
+        (next, silent)
+    }
+}
+
 /// What to do next about a stream of unknown origin.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -160,23 +283,42 @@
     next_query: Micros,
     /// Processes that haven't answered yet.
     waiting: Vec<SocketAddr>,
-    /// Processes that are queried next.
-    rest: Vec<SocketAddr>,
+    /// Entries that are queried in the second round.
+    entries: Vec<SocketAddr>,
+    /// Sidecars that are queried in later rounds, in the stream's order.
+    sidecars: Vec<SocketAddr>,
+    /// Sidecars queried up to now.
+    queried: usize,
 }
 
 impl Inquiry {
     /// Starts a search.
     pub fn new(now: Micros, config: Config, stream: StreamKey, members: &Members) -> Self {
-        let mut waiting = first(stream, &members.entries, config.candidates);
-        let rest = members.entries.iter().filter(|a| !waiting.contains(a));
-        let rest = rest.copied().collect();
-        waiting.extend(first(stream, &members.sidecars, config.candidates));
+        let mut waiting = holders(&config, stream, members);
+        let add = |waiting: &mut Vec<SocketAddr>, ranked: &[SocketAddr]| {
+            for addr in ranked.iter().take(config.candidates) {
+                if !waiting.contains(addr) {
+                    waiting.push(*addr);
+                }
+            }
+        };
+        let order = |peers: &[Peer]| -> Vec<_> {
+            let ranked = ranked(stream, peers);
+            ranked.into_iter().map(|p| p.addr).collect()
+        };
+        let (mut entries, mut sidecars) = (order(&members.entries), order(&members.sidecars));
+        add(&mut waiting, &entries);
+        add(&mut waiting, &sidecars);
+        entries.retain(|a| !waiting.contains(a));
+        sidecars.retain(|a| !waiting.contains(a));
         Self {
             config,
             end: now + config.timeout,
             next_query: now,
             waiting,
-            rest,
+            entries,
+            sidecars,
+            queried: config.candidates,
         }
     }
 
@@ -188,6 +330,20 @@
         }
     }
 
+    /// Number of processes that have been queried and haven't answered.
+    pub fn unanswered(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Adds the processes of the next round.
+    fn widen(&mut self) {
+        self.waiting.append(&mut self.entries);
+        let count = (self.queried * 3).min(self.config.most.saturating_sub(self.queried));
+        let count = count.min(self.sidecars.len());
+        self.waiting.extend(self.sidecars.drain(..count));
+        self.queried += count;
+    }
+
     /// The next step.
     pub fn next(&mut self, now: Micros) -> Step {
         match () {
@@ -196,7 +352,7 @@
             () => {
                 // The first round has been answered, or some of its processes are slow or gone.
                 if self.next_query > self.end - self.config.timeout || self.waiting.is_empty() {
-                    self.waiting.append(&mut self.rest);
+                    self.widen();
                 }
                 if self.waiting.is_empty() {
                     return Step::Unknown;
