--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -4,13 +4,11 @@
 use std::net::SocketAddr;
 
 use model::{Micros, Position};
-use policy::stream_origin::BuildKey;
 use policy::{circuit_breaker, row_expiry};
 use site::{Boot, Part, PartId, State, Target};
 use slotmap::{new_key_type, SlotMap};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::origins::build_key;
 use super::replica::{apply_parts, AgentReport, KvStoreContents, Replica};
 use super::restored_list::RestoredList;
 use super::usable::REPORT_LIFETIME;
@@ -35,8 +33,6 @@
     }
 }
 
-/// Time for which a build is remembered after no target has had it; longer than streams last.
-const BUILD_MEMORY: Micros = Micros::from_secs(120);
 /// Weight of a new answer in a pool's usual failure rate.
 const USUAL_RATE_SMOOTHING: f64 = 0.02;
 
@@ -62,8 +58,6 @@
     pub(super) ended_targets: Vec<Boot>,
     /// Usual share of failed answers, by pool.
     usual_failure_rates: HashMap<String, f64>,
-    /// When builds were last listed, by pool.
-    builds: HashMap<String, HashMap<BuildKey, Micros>>,
     /// State that keeps a restored list from overriding what is known.
     restored_list: RestoredList,
 }
@@ -169,32 +163,7 @@
         }
     }
 
-    /// The only build that a pool has had for as long as a stream may last; `None` if it has had
-    /// several, or the list names none.
-    pub(super) fn sole_build(&self, now: Micros, pool: &str) -> Option<BuildKey> {
-        let builds = self.builds.get(pool)?.iter();
-        let mut recent = builds.filter(|(_, at)| now.since(**at) < BUILD_MEMORY);
-        match (recent.next(), recent.next()) {
-            (Some((build, _)), None) => Some(*build),
-            _ => None,
-        }
-    }
-
-    fn record_build(&mut self, now: Micros, target: &Target) {
-        let Some(build) = build_key(target) else {
-            return;
-        };
-        if !self.builds.contains_key(&target.pool) {
-            self.builds.insert(target.pool.clone(), HashMap::new());
-        }
-        if let Some(builds) = self.builds.get_mut(&target.pool) {
-            builds.insert(build, now);
-            builds.retain(|_, at| now.since(*at) < BUILD_MEMORY);
-        }
-    }
-
     fn upsert(&mut self, now: Micros, target: Target) {
-        self.record_build(now, &target);
         self.restored_list.record_listed(&target.boot);
         let Some(key) = self.keys.get(&target.boot).copied() else {
             log_state(&target, "ready");
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use super::{leaving, suspects, Ctx};
+use super::{build_history, leaving, suspects, Ctx};
 use crate::follow::{record_era, retry_pause};
 use crate::log::{self, Dependency, Event};
 use crate::meter;
@@ -204,6 +204,7 @@
     };
     let listed = targets.len();
     let previous = ctx.list.own_hash.replace(list_hash(&targets));
+    build_history::record(ctx, &targets);
     let config = row_expiry_config(ctx);
     ctx.fleet
         .borrow_mut()
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_memory;
 mod attempts;
+mod build_history;
 mod candidates;
 mod connection_pool;
 mod crashing_parts;
@@ -107,6 +108,8 @@
     recent_work: RefCell<length_partition::RecentWork>,
     /// Limits of teams.
     limits: RefCell<limits::Limits>,
+    /// Builds that pools have had lately.
+    builds: build_history::State,
     /// Builds that began streams.
     origins: RefCell<stream_origin::Origins>,
     /// Such builds on their way to other processes.
@@ -224,6 +227,7 @@
         delegates: RefCell::default(),
         recent_work: RefCell::default(),
         limits: RefCell::default(),
+        builds: build_history::State::default(),
         origins: RefCell::default(),
         deliveries: origins::Deliveries::default(),
         inquiries: RefCell::default(),
@@ -248,6 +252,7 @@
     tokio::task::spawn_local(uneven_demand::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(room::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(part_store::restore(Rc::clone(&ctx)));
+    tokio::task::spawn_local(build_history::restore(Rc::clone(&ctx)));
     tokio::task::spawn_local(kv_stores::follow(
         Rc::clone(&ctx.node),
         Rc::clone(&ctx.socket),
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -25,7 +25,7 @@
 use super::replica::Replica;
 use super::request::Job;
 use super::serve::{MAX_STARTUP_WAIT, POLL_INTERVAL};
-use super::{leaving, Ctx};
+use super::{build_history, leaving, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 use crate::stream_origins::{encode, members, receive as receive_origin, Statement};
@@ -120,11 +120,12 @@
         return Ok(());
     }
     wait_for_members(ctx).await;
-    let known = match job.resumes {
+    let found = match job.resumes {
         Some(_) => find(ctx, stream_key(job)).await,
-        // Callers that don't name the first attempt expect a pool with a single build.
-        None => ctx.fleet.borrow().sole_build(ctx.now(), &job.pool),
+        // Callers of the earlier interface don't name the first attempt.
+        None => None,
     };
+    let known = found.or_else(|| sole_build(ctx, job));
     job.origin = known.map_or(Origin::Unknown, Origin::Build);
     let outcome = if known.is_some() { "known" } else { "unknown" };
     meter::increment(meter::RESUMED_STREAMS, "origin", outcome);
@@ -140,14 +141,22 @@
     Ok(())
 }
 
-/// Waits until an entry that has just started knows which processes it can query.
+/// Waits until an entry that has just started knows which processes it can query, and which builds
+/// pools have had.
 async fn wait_for_members(ctx: &Ctx) {
     let knows_members = || ctx.node.cluster.borrow().members_position != Position::default();
-    while ctx.now() < MAX_STARTUP_WAIT && !knows_members() {
+    while ctx.now() < MAX_STARTUP_WAIT && !(knows_members() && ctx.builds.is_read()) {
         sleep(POLL_INTERVAL).await;
     }
 }
 
+/// The only build at which a stream can have begun, if its route leads to one pool.
+fn sole_build(ctx: &Ctx, job: &Job) -> Option<BuildKey> {
+    let is_sole = job.route.shares.iter().all(|s| s.pool == job.pool);
+    let build = || build_history::sole_build(ctx, &job.pool);
+    is_sole.then(build).flatten()
+}
+
 /// Why a stream can't go on anywhere, if no target has its build.
 pub(super) fn check(ctx: &Ctx, job: &Job) -> Result<(), Reason> {
     match job.origin {
@@ -214,7 +223,7 @@
     let (build, from) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
-    let is_sole = || fleet.sole_build(ctx.now(), &replica.target.pool) == Some(build);
+    let is_sole = || build_history::sole_build(ctx, &replica.target.pool) == Some(build);
     let certain = !replica.may_be_replaced(opened) || has_read_since(ctx, from) || is_sole();
     certain.then_some(build)
 }
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -207,6 +207,13 @@
         /// Description of the error.
         error: &'a str,
     },
+    /// The store's row on the builds of pools was written.
+    PoolBuilds {
+        /// Number of pools.
+        pools: usize,
+        /// Number of builds that they have, or have had lately.
+        builds: usize,
+    },
     /// The build that began a stream was searched for.
     Origin {
         /// Hash of the attempt that brought the stream's first event, in hexadecimal.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,7 +29,8 @@
 //!   [`fair_share`] computes.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
 //!   rate that a target states.
-//! - Streams: [`stream_origin`] finds the build at which a stream may go on.
+//! - Streams: [`stream_origin`] finds the build at which a stream may go on, and [`build_history`] whether
+//!   its pool has had only one.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget, and [`stall`] decides when a
 //!   request that has shown nothing moves to another target.
@@ -51,6 +52,7 @@
 
 pub mod admit;
 pub mod backlog;
+pub mod build_history;
 pub mod circuit_breaker;
 pub mod concurrency;
 pub mod connection_reuse;
--- a/crates/policy/src/stream_origin.rs
+++ b/crates/policy/src/stream_origin.rs
@@ -24,7 +24,7 @@
 pub struct StreamKey(pub u64);
 
 /// Hash of a service's name and its software's version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BuildKey(pub u64);
 
 /// How origins are kept and found.
