--- a/crates/daemon/tests/hosted/slow_readers.rs
+++ b/crates/daemon/tests/hosted/slow_readers.rs
@@ -6,9 +6,11 @@
 use futures::future::join_all;
 use http_body_util::BodyExt;
 use standin::hosted::replica::{Replica, EVENT_SIZE};
-use tokio::time::timeout;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio::time::{sleep, timeout};
 
-use crate::fleet::{request, Platform, MODEL, TIMEOUT};
+use crate::fleet::{request, Platform, HOST, KEY, MODEL, TIMEOUT};
 
 /// Number of callers that read slowly at the same time.
 const READERS: usize = 8;
@@ -79,6 +81,47 @@
     }
 }
 
+/// Receive buffer of a caller with a small window; the kernel doubles it.
+const SMALL_WINDOW: u32 = 1_024;
+/// Length of an answer that doesn't fit in such a window.
+const LONG: usize = 4_800;
+/// How much of it the caller reads at a time, and the pause after that.
+const PIECE: usize = 400;
+const PAUSE: Duration = Duration::from_millis(300);
+
+#[tokio::test]
+async fn answer_is_whole_although_its_caller_reads_slowly_over_a_small_window() {
+    // Guards against a connection that the kernel ends because the caller's window stays closed for
+    // longer than a far end that has vanished is waited for.
+    let mut platform = Platform::start().await;
+    let plain = Replica::new("p1", 0, Duration::ZERO);
+    platform.replica(&plain, "plain").await;
+    let entry = platform.entry("front-1", 1).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_WINDOW)
+        .expect("a small window");
+    let mut tcp = socket.connect(entry.callers).await.expect("a connection");
+    let head = format!(
+        "POST /log/1 HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: a\r\ncredential: {KEY}\r\n\
+         deadline-ms: 4000\r\ncontent-length: {LONG}\r\n\r\n"
+    );
+    tcp.write_all(head.as_bytes()).await.expect("a head");
+    tcp.write_all(&[b'x'; LONG]).await.expect("a body");
+    let (mut received, mut piece) = (Vec::new(), [0; PIECE]);
+    let is_whole = |bytes: &[u8]| {
+        let head = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+        head.is_some_and(|head| bytes.len() >= head + 4 + LONG)
+    };
+    while !is_whole(&received) {
+        match tcp.read(&mut piece).await {
+            Ok(n) if n > 0 => received.extend_from_slice(&piece[..n]),
+            end => panic!("{end:?} after {} bytes", received.len()),
+        }
+        sleep(PAUSE).await;
+    }
+}
+
 #[tokio::test]
 async fn event_that_never_ends_is_cut_off() {
     // Guards against collecting the bytes of one event until the entry's memory is used up.
--- a/crates/gate/src/entry/listen.rs
+++ b/crates/gate/src/entry/listen.rs
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use platform::call::{set_unacked_timeout, UNACKED_TIMEOUT};
 use slab::Slab;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,6 +34,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Longest time for which a caller may leave its window closed.
+const MAX_PATIENCE: Duration = Duration::from_secs(600);
 /// Least buffer for a head that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8_192;
 /// Longest accepted head while there is no configuration.
@@ -54,6 +57,8 @@
 pub(super) struct ConnectionState {
     phase: Cell<Phase>,
     close: Notify,
+    /// How long the caller may leave its window closed.
+    patience: Cell<Duration>,
 }
 
 impl ConnectionState {
@@ -62,6 +67,12 @@
         self.phase.set(Phase::Busy);
     }
 
+    /// Keeps the connection for as long as its caller waits, although the caller may read slowly.
+    pub(super) fn keep_for(&self, wait: Duration) {
+        let wait = (wait + UNACKED_TIMEOUT).min(MAX_PATIENCE);
+        self.patience.set(self.patience.get().max(wait));
+    }
+
     /// Records that an answer has ended.
     pub(super) fn set_idle(&self) {
         self.phase.set(Phase::Idle(Instant::now()));
@@ -193,6 +204,7 @@
     let state = Rc::new(ConnectionState {
         phase: Cell::new(Phase::Idle(Instant::now())),
         close: Notify::new(),
+        patience: Cell::new(UNACKED_TIMEOUT),
     });
     let key = ctx.connections.borrow_mut().0.insert(Rc::clone(&state));
     drive(&ctx, tcp, &state).await;
@@ -202,6 +214,7 @@
 async fn drive(ctx: &Ctx, tcp: TcpStream, state: &Rc<ConnectionState>) {
     let io = TokioIo::new(MonitoredStream {
         tcp,
+        patience: UNACKED_TIMEOUT,
         state: Rc::clone(state),
     });
     let head = ctx
@@ -229,12 +242,26 @@
     }
 }
 
-/// A caller's connection that records when a head begins to arrive.
+/// A caller's connection that records when a head begins to arrive, and is kept while its caller waits.
 struct MonitoredStream {
     tcp: TcpStream,
+    /// Time for which the kernel keeps the connection while the caller's window is closed.
+    patience: Duration,
     state: Rc<ConnectionState>,
 }
 
+impl MonitoredStream {
+    /// The connection, for writing.
+    fn writer(&mut self) -> Pin<&mut TcpStream> {
+        let patience = self.state.patience.get();
+        // A connection whose options can't be set has ended, as the write shows.
+        if patience > self.patience && set_unacked_timeout(&self.tcp, patience).is_ok() {
+            self.patience = patience;
+        }
+        Pin::new(&mut self.tcp)
+    }
+}
+
 impl AsyncRead for MonitoredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -256,7 +283,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        self.writer().poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -272,7 +299,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        self.writer().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -65,15 +65,18 @@
     wait_for_startup(&ctx).await;
     let mut response = match prepare(&ctx, received_at, parts, head) {
         Err(reason) => refuse::without_job(&ctx, &connection, &id, received_at, reason),
-        Ok((plan, mut job)) => match read_body(&plan, body).await {
-            Err(ReadError::Incomplete) => return Err(IncompleteRequest),
-            Err(ReadError::TooLarge) => refuse::job(&ctx, &connection, &job, Reason::TooLarge),
-            Ok(body) => {
-                job.body = body;
-                job.fingerprint = suspects::fingerprint(&job);
-                answer(&ctx, &connection, job).await
+        Ok((plan, mut job)) => {
+            connection.keep_for(job.gives_up.since(received_at).into());
+            match read_body(&plan, body).await {
+                Err(ReadError::Incomplete) => return Err(IncompleteRequest),
+                Err(ReadError::TooLarge) => refuse::job(&ctx, &connection, &job, Reason::TooLarge),
+                Ok(body) => {
+                    job.body = body;
+                    job.fingerprint = suspects::fingerprint(&job);
+                    answer(&ctx, &connection, job).await
+                }
             }
-        },
+        }
     };
     // After a body of unstated length, the bytes that follow might be read as another request
     // although they belong to that body, so the connection is closed.
