--- a/crates/daemon/tests/hosted/endless.rs
+++ b/crates/daemon/tests/hosted/endless.rs
@@ -9,6 +9,7 @@
 use standin::endless::{Endless, EndlessServer};
 use standin::hosted::replica::Replica;
 use standin::link::Link;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{config, fetch, max_resident, request, Entry, Platform, MODEL, TIMEOUT};
@@ -77,18 +78,18 @@
             }
         }
     }
-    let entry = platform.entry("front-1", 4).await;
-    let load = async {
-        let requests = ["/check/1", "/log/1", "/code/1", "/probe/1"]
-            .iter()
-            .flat_map(|path| (0..REQUESTS).map(move |n| (path, n)))
-            .map(|(path, n)| {
-                let (entry, endless) = (&entry, &endless);
-                let id = format!("{n}-{}", &path[1..4]);
-                async move { check_request(case, entry, path, &id, endless).await }
-            });
-        join_all(requests).await;
-    };
+    let entry = Arc::new(platform.entry("front-1", 4).await);
+    let endless = Arc::new(endless);
+    // Each caller is a task of its own, as one task for all of them reads later than the entry sends.
+    let mut requests = JoinSet::new();
+    for path in ["/check/1", "/log/1", "/code/1", "/probe/1"] {
+        for n in 0..REQUESTS {
+            let (entry, endless) = (Arc::clone(&entry), Arc::clone(&endless));
+            let id = format!("{n}-{}", &path[1..4]);
+            requests.spawn(async move { check_request(case, &entry, path, &id, &endless).await });
+        }
+    }
+    let load = async { drop(requests.join_all().await) };
     let (most, ()) = max_resident(&entry.process, load).await;
     assert!(endless.received() > 0, "{case:?}");
     assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
@@ -108,7 +109,7 @@
     assert!(served.is_ok(), "{case:?}: no service");
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn target_that_sends_without_end_fills_no_memory_and_gets_no_false_answer() {
     // Guards against answers that are collected or waited for without a bound.
     for case in Endless::ALL {
