--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::body::Body as _;
 use hyper::{Response, StatusCode};
 use model::Micros;
 use platform::replica;
@@ -15,6 +16,7 @@
 use site::Boot;
 use tokio::time::{sleep, timeout};
 
+use super::memory::Reservation;
 use super::pick::{self, Pick};
 use super::refuse::Reason;
 use super::request::Job;
@@ -40,6 +42,8 @@
     Stream(Box<LiveAnswer>),
     /// A complete answer.
     Whole(Response<Bytes>),
+    /// An answer that is too long to be collected, and is passed on as it arrives.
+    Long(Box<LiveAnswer>),
 }
 
 /// Outcome of one attempt.
@@ -280,12 +284,16 @@
     if succeeded && job.route.mode.is_stream() {
         return AttemptOutcome::Answered(FirstAnswer::Stream(Box::new(live)));
     }
+    let mut memory = ctx.body_memory.reserve();
+    if succeeded && stated_length(&live).is_some_and(|len| !memory.grow(len)) {
+        return AttemptOutcome::Answered(FirstAnswer::Long(Box::new(live)));
+    }
     let left = job.time_left(ctx.now()) + ANSWER_GRACE;
     let sent_to = live.in_flight.sent_to();
     let (not_run, delimited) = (live.head.not_run, live.head.delimited);
     let witness = live.witness.take();
     let waited = live.head.load.is_none_or(|l| l.waiting > 0);
-    let whole = match timeout(left, collect(ctx, live)).await {
+    let whole = match timeout(left, collect(ctx, live, memory)).await {
         Ok(Some(w)) => w,
         _ => {
             ctx.fleet
@@ -337,8 +345,15 @@
     }
 }
 
+/// Length of an answer, if its head states one.
+fn stated_length(live: &LiveAnswer) -> Option<usize> {
+    let len = live.response.body().size_hint().exact()?;
+    // A length that no memory holds counts as the longest.
+    Some(usize::try_from(len).unwrap_or(usize::MAX))
+}
+
 /// Collects a complete answer and returns its connection to the pool.
-async fn collect(ctx: &Ctx, live: LiveAnswer) -> Option<Response<Bytes>> {
+async fn collect(ctx: &Ctx, live: LiveAnswer, mut memory: Reservation) -> Option<Response<Bytes>> {
     let LiveAnswer {
         response,
         head,
@@ -347,9 +362,9 @@
         witness: _,
     } = live;
     let (mut parts, body) = response.into_parts();
-    let mut memory = ctx.answer_memory.reserve();
-    let accepts = |len| len <= MAX_ANSWER && memory.resize(len);
+    let accepts = |len| len <= MAX_ANSWER && memory.grow(len);
     let body = platform::call::collect(body, accepts).await?;
+    let body = memory.hold(body);
     if !head.closes {
         if let Some(r) = ctx.fleet.borrow_mut().replicas.get_mut(in_flight.key()) {
             r.connections.keep(connection);
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -1,6 +1,5 @@
 //! The entry: the process that receives callers' requests and sends them to targets directly.
 
-mod answer_memory;
 mod attempts;
 mod build_history;
 mod candidates;
@@ -13,8 +12,10 @@
 mod limits;
 mod list;
 mod listen;
+mod memory;
 mod origins;
 mod part_store;
+mod pass_through;
 mod pick;
 mod plain;
 mod refuse;
@@ -51,7 +52,7 @@
 use tokio::time::{sleep, timeout_at, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use self::answer_memory::AnswerMemory;
+use self::memory::BodyMemory;
 use crate::agent::AgentId;
 use crate::domains::Domains;
 use crate::kv_stores;
@@ -128,8 +129,8 @@
     rooms: Rooms,
     /// Socket for updates.
     socket: Rc<UdpSocket>,
-    /// Memory for answers that are collected.
-    answer_memory: AnswerMemory,
+    /// Memory for the bodies of requests and answers.
+    body_memory: BodyMemory,
     /// Whether new requests are refused because the process is about to exit.
     closing: Cell<bool>,
     /// Connections of callers.
@@ -165,6 +166,7 @@
         for (pool, budget) in self.retry_budgets.borrow().iter() {
             metrics::gauge!(meter::RETRIES_LEFT, "pool" => pool.clone()).set(budget.remaining());
         }
+        meter::set(meter::BODY_MEMORY, self.body_memory.used() as f64);
         let cluster = self.node.cluster.borrow();
         meter::set(meter::MEMBERS, cluster.members.len() as f64);
         let version = cluster.plan.as_ref().map_or(0, |p| p.version());
@@ -215,6 +217,7 @@
     socket: Rc<UdpSocket>,
     stop: impl Future<Output = Instant>,
 ) -> io::Result<()> {
+    let memory_limit = node.settings.borrow().memory;
     let ctx: Ctx = Rc::new(Entry {
         node,
         fleet: RefCell::default(),
@@ -237,7 +240,7 @@
         domains: RefCell::default(),
         rooms: Rooms::default(),
         socket,
-        answer_memory: AnswerMemory::default(),
+        body_memory: BodyMemory::new(memory_limit),
         closing: Cell::new(false),
         connections: RefCell::default(),
     });
--- a/crates/gate/src/entry/refuse.rs
+++ b/crates/gate/src/entry/refuse.rs
@@ -40,6 +40,8 @@
     NoKey,
     /// The body is larger than allowed.
     TooLarge,
+    /// The bodies of other requests take up the memory.
+    NoMemory,
     /// The team is over its limit.
     OverLimit(Refusal),
     /// The targets that could serve the request have got as many as they state.
@@ -100,6 +102,7 @@
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
+            Self::NoMemory => "no_memory",
             Self::OverLimit(_) => "over_limit",
             Self::TargetLimits { .. } => "target_limits",
             Self::Resting { .. } => "resting",
@@ -126,6 +129,7 @@
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Unconfigured
             | Self::Stopping
+            | Self::NoMemory
             | Self::TargetLimits { .. }
             | Self::Resting { .. }
             | Self::NoRoom { .. }
@@ -147,6 +151,8 @@
         match self {
             // A configuration is read within a few round trips to the store.
             Self::Unconfigured => Some(Duration::from_millis(400)),
+            // Targets read long bodies within some seconds, and other entries may have memory.
+            Self::NoMemory => Some(Duration::from_millis(500)),
             // The caller's next connection goes to another process.
             Self::Stopping => Some(Duration::from_millis(50)),
             // A target registers in the list with its next heartbeat.
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -20,11 +20,11 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-use super::answer_memory::Reservation;
 use super::attempts::{self, ANSWER_GRACE};
 use super::events::{last_event_end, last_id, MAX_DELIMITER};
 use super::fleet::ReplicaKey;
 use super::listen::ConnectionState;
+use super::memory::Reservation;
 use super::origins::Origin;
 use super::pick;
 use super::request::{AnswerBody, IncompleteAnswer, Job};
@@ -123,7 +123,7 @@
         delimited: Some(live.head.delimited),
         live: Some(live),
         tail: BytesMut::new(),
-        memory: ctx.answer_memory.reserve(),
+        memory: ctx.body_memory.reserve(),
         gaps: Gaps::default(),
         events: 0,
         first_event_after: None,
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -25,7 +25,7 @@
 use super::refuse::{self, Reason};
 use super::relay;
 use super::request::{AnswerBody, Job};
-use super::{room, suspects, Ctx};
+use super::{pass_through, room, suspects, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
 
@@ -47,7 +47,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, IncompleteRequest> {
     let received_at = ctx.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = match caller::decode_request_head(&parts) {
         Ok(h) => h,
         Err(_) => {
@@ -67,9 +67,9 @@
         Err(reason) => refuse::without_job(&ctx, &connection, &id, received_at, reason),
         Ok((plan, mut job)) => {
             connection.keep_for(job.gives_up.since(received_at).into());
-            match read_body(&plan, body).await {
+            match read_body(&ctx, &plan, &mut body).await {
                 Err(ReadError::Incomplete) => return Err(IncompleteRequest),
-                Err(ReadError::TooLarge) => refuse::job(&ctx, &connection, &job, Reason::TooLarge),
+                Err(ReadError::Refused(reason)) => refuse::job(&ctx, &connection, &job, reason),
                 Ok(body) => {
                     job.body = body;
                     job.fingerprint = suspects::fingerprint(&job);
@@ -100,16 +100,29 @@
 /// Why a body couldn't be read.
 enum ReadError {
     Incomplete,
-    TooLarge,
+    /// It is too large by itself or together with the bodies of others.
+    Refused(Reason),
 }
 
-async fn read_body(plan: &Plan, body: Incoming) -> Result<Bytes, ReadError> {
-    let limited = Limited::new(body, plan.limits().max_body);
-    match limited.collect().await {
-        Ok(b) => Ok(b.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Incomplete),
+async fn read_body(ctx: &Ctx, plan: &Plan, body: &mut Incoming) -> Result<Bytes, ReadError> {
+    let max = plan.limits().max_body;
+    let mut memory = ctx.body_memory.reserve();
+    let mut check = |len| match () {
+        () if len > max => Err(ReadError::Refused(Reason::TooLarge)),
+        () if !memory.grow(len) => Err(ReadError::Refused(Reason::NoMemory)),
+        () => Ok(len),
+    };
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    // The bytes are copied, as frames are slices of longer buffers.
+    let mut whole = BytesMut::with_capacity(check(stated)?);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ReadError::Incomplete)?;
+        if let Ok(data) = frame.into_data() {
+            check(whole.len() + data.len())?;
+            whole.extend_from_slice(&data);
+        }
     }
+    Ok(memory.hold(whole.freeze()))
 }
 
 /// Determines a request's route and team, and creates its job.
@@ -206,6 +219,10 @@
             let body = Full::new(body).map_err(|e| match e {});
             Response::from_parts(parts, AnswerBody::new(body, Rc::clone(connection)))
         }
+        Ok(FirstAnswer::Long(live)) => {
+            record_answer(ctx, &job, live.response.status());
+            pass_through::pass_through(ctx, connection, job, *live)
+        }
         Err(reason) => refuse::job(ctx, connection, &job, reason),
     }
 }
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -107,6 +107,8 @@
 pub const SPEED_CHOICES: &str = "clementinestep_speed_choices_total";
 /// Targets that are permanently much slower than their pool.
 pub const SLOW_TARGETS: &str = "clementinestep_slow_targets";
+/// Bytes of long request bodies and answers that are kept.
+pub const BODY_MEMORY: &str = "clementinestep_body_bytes";
 /// Other processes known.
 pub const MEMBERS: &str = "clementinestep_members";
 /// Fraction of the home domain's work for other domains, by pool.
@@ -128,6 +130,11 @@
         LIMIT_UNITS,
         "units of teams' limits: admitted, refused, returned"
     );
+    describe_gauge!(
+        BODY_MEMORY,
+        Unit::Bytes,
+        "long request bodies and answers that are kept"
+    );
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
     describe_gauge!(LEAVING_TARGETS, "targets that say that they leave");
     describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -63,6 +63,8 @@
     /// Cost of a megabyte between failure domains, in milliseconds of a request's time to its first token; `None` if
     /// demand isn't balanced between domains.
     pub domain_cost: Option<f64>,
+    /// Memory limit of the process in bytes, if it has one.
+    pub memory: Option<usize>,
     /// Interval at which a target renews its entry in the store.
     pub heartbeat: Duration,
     /// Limits that the platform guarantees or requires.
