--- a/crates/daemon/tests/hosted/callers.rs
+++ b/crates/daemon/tests/hosted/callers.rs
@@ -119,6 +119,44 @@
     assert!(!seen.iter().any(|p| p == "/log/1"), "{seen:?}");
 }
 
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_is_still_sending_its_body() {
+    // Guards against a connection that is reset by the bytes that arrive after the refusal.
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        more: &'static str,
+        body: usize,
+        status: &'static str,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "no route", path: "/none/", more: "", body: 90_000, status: "HTTP/1.1 404" },
+        Case { name: "unknown key", path: "/log/1", more: "credential: none\r\n", body: 90_000, status: "HTTP/1.1 401" },
+        Case { name: "too large", path: "/log/1", more: "credential: key-north\r\n", body: 300_000, status: "HTTP/1.1 413" },
+    ];
+    let (_platform, _plain, entry) = fleet(1, Duration::ZERO).await;
+    for c in cases {
+        let mut tcp = TcpStream::connect(entry.callers)
+            .await
+            .expect("a connection");
+        let head = format!(
+            "POST {} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: a\r\n{}content-length: {}\r\n\r\n",
+            c.path, c.more, c.body
+        );
+        tcp.write_all(head.as_bytes()).await.expect(c.name);
+        for piece in vec![b'x'; c.body].chunks(30_000) {
+            sleep(Duration::from_millis(50)).await;
+            tcp.write_all(piece).await.expect(c.name);
+        }
+        let mut answer = [0; 64];
+        let read = timeout(TIMEOUT, tcp.read(&mut answer)).await;
+        let n = read.expect("an answer").expect(c.name);
+        let answer = String::from_utf8_lossy(&answer[..n]);
+        assert!(answer.starts_with(c.status), "{}: {answer}", c.name);
+    }
+}
+
 #[tokio::test]
 async fn reserved_headers_from_callers_are_not_passed_on() {
     // A caller sends headers that the system uses towards replicas. If they were passed on, the
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -14,6 +14,7 @@
 mod held;
 mod leaving;
 mod limits;
+mod long_bodies;
 mod losses;
 mod moved_callers;
 mod moved_store;
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::header::{HeaderValue, CONNECTION, EXPECT};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use model::Micros;
@@ -16,7 +16,7 @@
 use rules::Facts;
 use site::{Plan, Route};
 use thiserror::Error;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::attempts::{self, FirstAnswer};
 use super::limits::{self, Charge};
@@ -32,6 +32,8 @@
 /// Time after the process's start up to which requests wait for a configuration and a list of
 /// targets; a slow store answers both calls within that time.
 pub(super) const MAX_STARTUP_WAIT: Micros = Micros::from_millis(400);
+/// Longest time for which the rest of a refused request's body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for a configuration and a list of targets during startup.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -48,6 +50,8 @@
 ) -> Result<Response<AnswerBody>, IncompleteRequest> {
     let received_at = ctx.now();
     let (parts, mut body) = request.into_parts();
+    // A caller that waits for permission to send its body needs the answer instead.
+    let sends_body = !parts.headers.contains_key(EXPECT);
     let head = match caller::decode_request_head(&parts) {
         Ok(h) => h,
         Err(_) => {
@@ -64,12 +68,18 @@
     let id = head.id.clone();
     wait_for_startup(&ctx).await;
     let mut response = match prepare(&ctx, received_at, parts, head) {
-        Err(reason) => refuse::without_job(&ctx, &connection, &id, received_at, reason),
+        Err(reason) => {
+            discard(&mut body, sends_body).await;
+            refuse::without_job(&ctx, &connection, &id, received_at, reason)
+        }
         Ok((plan, mut job)) => {
             connection.keep_for(job.gives_up.since(received_at).into());
             match read_body(&ctx, &plan, &mut body).await {
                 Err(ReadError::Incomplete) => return Err(IncompleteRequest),
-                Err(ReadError::Refused(reason)) => refuse::job(&ctx, &connection, &job, reason),
+                Err(ReadError::Refused(reason)) => {
+                    discard(&mut body, sends_body).await;
+                    refuse::job(&ctx, &connection, &job, reason)
+                }
                 Ok(body) => {
                     job.body = body;
                     job.fingerprint = suspects::fingerprint(&job);
@@ -97,6 +107,17 @@
     }
 }
 
+/// Reads and drops what a caller still sends, so that the refusal reaches it: a connection that is closed
+/// with unread bytes is reset, and the caller may lose the answer.
+async fn discard(body: &mut Incoming, sends_body: bool) {
+    if !sends_body || body.is_end_stream() {
+        return;
+    }
+    let dropped = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that is still sending then is refused all the same.
+    let _ = timeout(DISCARD_TIME, dropped).await;
+}
+
 /// Why a body couldn't be read.
 enum ReadError {
     Incomplete,
