--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -29,5 +29,6 @@
 mod slow_readers;
 mod soak;
 mod stalled;
+mod stops;
 mod store;
 mod weights;
--- a/crates/gate/src/entry/listen.rs
+++ b/crates/gate/src/entry/listen.rs
@@ -1,9 +1,12 @@
 //! Connections of callers: accepting, monitoring and closing them.
 //!
-//! A connection is idle, receives a head or is busy. Idle connections are closed after the
+//! A connection is new, idle, receives a head or is busy. Idle connections are closed after the
 //! configured idle timeout, and connections on which a head takes too long are closed too; neither
 //! may happen to a request whose head has been read. A single task checks all connections, so that
 //! no connection needs a timer.
+//!
+//! A process that stops closes connections as they become idle. One that is new, or on which a head
+//! arrives, gets an answer first, and so do those that the kernel has accepted.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -24,7 +27,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
 use super::{serve, Ctx};
@@ -34,6 +37,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time that the first request on a new connection may be on its way while the process stops.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Longest time for which a caller may leave its window closed.
 const MAX_PATIENCE: Duration = Duration::from_secs(600);
 /// Least buffer for a head that the HTTP library accepts.
@@ -44,6 +49,8 @@
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
+    /// Without a request since it was opened at the given time.
+    New(Instant),
     /// Idle since the given time.
     Idle(Instant),
     /// Receiving the head of a request since the given time.
@@ -89,16 +96,25 @@
         self.0.is_empty()
     }
 
-    /// Closes connections without a request, and the others once they have answered theirs.
+    /// Closes idle connections, and the others once they have answered their request.
     pub(super) fn close_idle(&self) {
-        self.0.iter().for_each(|(_, c)| c.close.notify_one());
+        for (_, c) in &self.0 {
+            let close = match c.phase.get() {
+                Phase::New(since) => since.elapsed() > FIRST_REQUEST_TIME,
+                Phase::Arriving(_) => false,
+                Phase::Idle(_) | Phase::Busy => true,
+            };
+            if close {
+                c.close.notify_one();
+            }
+        }
     }
 
     /// Closes connections that have been idle, or receiving a head, for too long.
     fn close_late(&self, limits: site::Limits) {
         for (_, c) in &self.0 {
             let late = match c.phase.get() {
-                Phase::Idle(since) => since.elapsed() > limits.idle_timeout,
+                Phase::New(since) | Phase::Idle(since) => since.elapsed() > limits.idle_timeout,
                 Phase::Arriving(since) => since.elapsed() > limits.head_timeout,
                 Phase::Busy => false,
             };
@@ -109,9 +125,9 @@
     }
 }
 
-/// Starts to accept connections of callers and the platform's readiness checks. Aborting the
-/// returned handle stops accepting callers.
-pub(super) async fn serve(ctx: &Ctx) -> io::Result<AbortHandle> {
+/// Starts to accept connections of callers and the platform's readiness checks. The returned task accepts
+/// callers until [`super::Entry::closing`].
+pub(super) async fn serve(ctx: &Ctx) -> io::Result<JoinHandle<()>> {
     let (callers, ready) = {
         let s = ctx.node.settings.borrow();
         (s.callers, s.ready)
@@ -125,47 +141,61 @@
     if let Some(ready) = ready.filter(|r| *r != callers) {
         let listener = TcpListener::bind(ready).await?;
         ready_addr = listener.local_addr()?;
-        tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Ready));
+        tokio::task::spawn_local(accept_readiness_checks(Rc::clone(ctx), listener));
     }
     log::event(&Event::Listening {
         callers: callers.to_string(),
         ready: ready_addr.to_string(),
         peer: ctx.node.settings.borrow().peer.to_string(),
     });
-    let listening = tokio::task::spawn_local(accept(Rc::clone(ctx), listener, Port::Callers));
+    let listening = tokio::task::spawn_local(accept_callers(Rc::clone(ctx), listener));
     tokio::task::spawn_local(close_late_connections(Rc::clone(ctx)));
-    Ok(listening.abort_handle())
+    Ok(listening)
 }
 
-/// Purpose of a port.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Port {
-    Callers,
-    Ready,
+/// Accepts a connection and sets its options.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            // A connection whose options can't be set has already ended.
+            Ok((tcp, _)) if set_options(&tcp).is_ok() => return tcp,
+            Ok(_) => {}
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+}
+
+fn set_options(tcp: &TcpStream) -> io::Result<()> {
+    platform::call::enable_dead_peer_detection(tcp)?;
+    platform::call::bound_buffers(tcp)
 }
 
-async fn accept(ctx: Ctx, listener: TcpListener, port: Port) {
+async fn accept_readiness_checks(ctx: Ctx, listener: TcpListener) {
     loop {
-        let tcp = match listener.accept().await {
-            Ok((tcp, _)) => tcp,
-            Err(_) => {
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        // A connection whose options can't be set has already ended.
-        let set_options = platform::call::enable_dead_peer_detection(&tcp)
-            .and_then(|()| platform::call::bound_buffers(&tcp));
-        if set_options.is_err() {
-            continue;
+        let tcp = accept(&listener).await;
+        tokio::task::spawn_local(serve_readiness(Rc::clone(&ctx), tcp));
+    }
+}
+
+async fn accept_callers(ctx: Ctx, listener: TcpListener) {
+    let mut closing = ctx.closing.subscribe();
+    loop {
+        tokio::select! {
+            biased;
+            _ = closing.wait_for(|c| *c) => break,
+            tcp = accept(&listener) => handle_connection(&ctx, tcp),
         }
-        match port {
-            Port::Callers => {
-                tokio::task::spawn_local(handle_connection(Rc::clone(&ctx), tcp));
-            }
-            Port::Ready => {
-                tokio::task::spawn_local(serve_readiness(Rc::clone(&ctx), tcp));
-            }
+    }
+    // The kernel would reset the connections in the backlog.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((tcp, _)) = listener.accept() {
+        let tcp = tcp
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(tcp));
+        if let Ok(tcp) = tcp.and_then(|t| set_options(&t).map(|()| t)) {
+            handle_connection(&ctx, tcp);
         }
     }
 }
@@ -200,15 +230,24 @@
     }
 }
 
-async fn handle_connection(ctx: Ctx, tcp: TcpStream) {
+fn is_head_late(ctx: &Ctx, since: Instant) -> bool {
+    let plan = ctx.node.plan();
+    plan.is_some_and(|p| since.elapsed() > p.limits().head_timeout)
+}
+
+/// Handles a connection in a task of its own.
+fn handle_connection(ctx: &Ctx, tcp: TcpStream) {
     let state = Rc::new(ConnectionState {
-        phase: Cell::new(Phase::Idle(Instant::now())),
+        phase: Cell::new(Phase::New(Instant::now())),
         close: Notify::new(),
         patience: Cell::new(UNACKED_TIMEOUT),
     });
     let key = ctx.connections.borrow_mut().0.insert(Rc::clone(&state));
-    drive(&ctx, tcp, &state).await;
-    ctx.connections.borrow_mut().0.remove(key);
+    let ctx = Rc::clone(ctx);
+    tokio::task::spawn_local(async move {
+        drive(&ctx, tcp, &state).await;
+        ctx.connections.borrow_mut().0.remove(key);
+    });
 }
 
 async fn drive(ctx: &Ctx, tcp: TcpStream, state: &Rc<ConnectionState>) {
@@ -235,8 +274,10 @@
             // read completely is logged elsewhere.
             _ = &mut conn => return,
             () = state.close.notified() => match state.phase.get() {
-                Phase::Arriving(_) => return,
-                Phase::Idle(_) | Phase::Busy => conn.as_mut().graceful_shutdown(),
+                Phase::Arriving(since) if is_head_late(ctx, since) => return,
+                // The head began to arrive after the decision to close an idle connection.
+                Phase::Arriving(_) => {}
+                Phase::New(_) | Phase::Idle(_) | Phase::Busy => conn.as_mut().graceful_shutdown(),
             }
         }
     }
@@ -270,7 +311,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
-        if buf.filled().len() > before && matches!(self.state.phase.get(), Phase::Idle(_)) {
+        if buf.filled().len() > before
+            && matches!(self.state.phase.get(), Phase::New(_) | Phase::Idle(_))
+        {
             self.state.phase.set(Phase::Arriving(Instant::now()));
         }
         polled
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -34,7 +34,7 @@
 mod uneven_demand;
 mod usable;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -48,7 +48,8 @@
 use policy::subscription::{self, Sidecar};
 use policy::{length_partition, retry_budget, stream_origin};
 use tokio::net::UdpSocket;
-use tokio::task::AbortHandle;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -132,7 +133,7 @@
     /// Memory for the bodies of requests and answers.
     body_memory: BodyMemory,
     /// Whether new requests are refused because the process is about to exit.
-    closing: Cell<bool>,
+    closing: watch::Sender<bool>,
     /// Connections of callers.
     connections: RefCell<listen::CallerConnections>,
 }
@@ -241,7 +242,7 @@
         rooms: Rooms::default(),
         socket,
         body_memory: BodyMemory::new(memory_limit),
-        closing: Cell::new(false),
+        closing: watch::Sender::new(false),
         connections: RefCell::default(),
     });
     tokio::task::spawn_local(list::follow(Rc::clone(&ctx)));
@@ -263,7 +264,7 @@
     ));
     let listening = listen::serve(&ctx).await?;
     let stopped_at = stop.await;
-    shut_down(&ctx, stopped_at, &listening).await;
+    shut_down(&ctx, stopped_at, listening).await;
     Ok(())
 }
 
@@ -399,12 +400,13 @@
 /// idle. A load balancer without another healthy process in the domain keeps sending to one that
 /// isn't ready, so a request accepted too late to finish within the grace period would be cut off
 /// when the process exits.
-async fn shut_down(ctx: &Ctx, stopped_at: Instant, listening: &AbortHandle) {
+async fn shut_down(ctx: &Ctx, stopped_at: Instant, listening: JoinHandle<()>) {
     ctx.node.stopping.set(true);
     let end = stopped_at + ctx.node.settings.borrow().bounds.grace - EXIT_MARGIN;
     sleep(LAME_DUCK_PERIOD).await;
-    ctx.closing.set(true);
-    listening.abort();
+    ctx.closing.send_replace(true);
+    // Waits until the connections in the backlog are accepted; a failed task has accepted none.
+    let _ = listening.await;
     ctx.connections.borrow().close_idle();
     let emptied = async {
         while !ctx.connections.borrow().is_empty() {
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -153,7 +153,7 @@
     parts: Parts,
     head: Head,
 ) -> Result<(Rc<Plan>, Job), Reason> {
-    if ctx.closing.get() {
+    if *ctx.closing.borrow() {
         return Err(Reason::Stopping);
     }
     let plan = ctx.node.plan().ok_or(Reason::Unconfigured)?;
