--- a/crates/daemon/tests/hosted/stops.rs
+++ b/crates/daemon/tests/hosted/stops.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{config, Entry, Platform, HOST, KEY, TIMEOUT};
+use crate::fleet::{config, request, Entry, Platform, HOST, KEY, TIMEOUT};
 
 /// Grace period in the settings of the entry.
 const GRACE_S: u64 = 5;
@@ -58,6 +58,36 @@
     }
 }
 
+#[tokio::test]
+async fn request_in_progress_at_the_end_of_the_grace_period_is_answered() {
+    // Guards against connections that end without an answer because the process exits.
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        Case { name: "once-only request at a target that hangs", path: "/log/1" },
+        Case { name: "idempotent request at a target that hangs", path: "/check/1" },
+    ];
+    for c in cases {
+        let (_platform, mut entry) = start(Fault::Hang).await;
+        let mut call = request(&entry, c.path, "held");
+        call.headers.retain(|(n, _)| *n != "deadline-ms");
+        call.headers.push(("deadline-ms", "20000".to_owned()));
+        let answer = tokio::spawn(async move { call.send().await.map(|a| a.status().as_u16()) });
+        let sent = |e: &serde_json::Value| e["request"] == "held";
+        entry.process.wait_for_event("sent", sent).await;
+        entry.process.signal("TERM");
+        let answer = timeout(TIMEOUT, answer)
+            .await
+            .expect("an end")
+            .expect("a task");
+        assert!(matches!(answer, Ok(502)), "{}: {answer:?}", c.name);
+        assert!(entry.process.wait_for_end(), "{}", c.name);
+    }
+}
+
 #[tokio::test]
 async fn connection_that_waits_to_be_accepted_when_an_entry_closes_is_answered() {
     // Guards against connections that are reset because they lie in the backlog of the socket.
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -50,7 +50,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use self::memory::BodyMemory;
@@ -73,6 +73,9 @@
 /// Time at the end of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Part of it for the last answers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
 /// Interval between checks for known sidecars during startup; short relative to the wait of a first
 /// request.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -134,6 +137,8 @@
     body_memory: BodyMemory,
     /// Whether new requests are refused because the process is about to exit.
     closing: watch::Sender<bool>,
+    /// Whether requests in progress are given up because the process exits.
+    exiting: watch::Sender<bool>,
     /// Connections of callers.
     connections: RefCell<listen::CallerConnections>,
 }
@@ -243,6 +248,7 @@
         socket,
         body_memory: BodyMemory::new(memory_limit),
         closing: watch::Sender::new(false),
+        exiting: watch::Sender::new(false),
         connections: RefCell::default(),
     });
     tokio::task::spawn_local(list::follow(Rc::clone(&ctx)));
@@ -414,7 +420,11 @@
             ctx.connections.borrow().close_idle();
         }
     };
-    // The platform kills the process a moment later anyway, so requests that run longer are cut
-    // off.
-    let _ = timeout_at(end, emptied).await;
+    tokio::pin!(emptied);
+    // The platform kills the process a moment later anyway, so requests that run longer are given up,
+    // and those without an answer get that as their answer.
+    if timeout_at(end, &mut emptied).await.is_err() {
+        ctx.exiting.send_replace(true);
+        let _ = timeout(ANSWER_MARGIN, emptied).await;
+    }
 }
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -225,7 +225,17 @@
         return refuse::job(ctx, connection, &job, reason);
     }
     meter::record_duration(meter::WAITING, ctx.now().since(job.received_at).into());
-    match attempts::first_answer(ctx, &mut job).await {
+    let mut exiting = ctx.exiting.subscribe();
+    let first = tokio::select! {
+        biased;
+        first = attempts::first_answer(ctx, &mut job) => Some(first),
+        _ = exiting.wait_for(|e| *e) => None,
+    };
+    let given_up = match job.send_count {
+        0 => Reason::Stopping,
+        _ => Reason::Unknown,
+    };
+    match first.unwrap_or(Err(given_up)) {
         Ok(FirstAnswer::Stream(live)) => {
             record_answer(ctx, &job, live.response.status());
             relay::relay(ctx, connection, job, *live)
