--- a/crates/daemon/tests/hosted/soak/callers.rs
+++ b/crates/daemon/tests/hosted/soak/callers.rs
@@ -102,10 +102,12 @@
             Ok(_) => String::new(),
         };
         let events = events.into_inner().expect("events");
-        let is_broken = matches!(result, Ok(None)) && !events.is_empty();
-        if is_broken && path == RESUMABLE_PATH && taken_up.is_none() {
-            let id = id.clone();
-            broken = Some(BrokenStream { id, events });
+        let is_whole = matches!(&result, Ok(Some(a)) if a.status == 200);
+        if path == RESUMABLE_PATH && !is_whole {
+            broken = match &taken_up {
+                Some(stream) => stream.with(&events),
+                None => BrokenStream::new(&id, events, Instant::now()),
+            };
         }
         outcomes.push(Outcome {
             id,
@@ -115,6 +117,9 @@
             log,
             answer: result.ok().flatten(),
         });
+        if broken.is_some() {
+            sleep(TAKE_UP_DELAY).await;
+        }
         sleep(Duration::from_millis(rng.random_range(0..20))).await;
     }
     outcomes
@@ -132,18 +137,37 @@
 /// Seed mask that gives streams that are read slowly one of their own, so that earlier seeds keep
 /// their crashing parts.
 const READING_MASK: u64 = 1 << 56;
+/// Time for which a broken stream is taken up again, and the pause before.
+const TAKE_UP_TIME: Duration = Duration::from_millis(2_000);
+const TAKE_UP_DELAY: Duration = Duration::from_millis(100);
 /// Path of streams that may be resumed.
-const RESUMABLE_PATH: &str = "/probe/1";
+pub const RESUMABLE_PATH: &str = "/probe/1";
 
 /// A stream that broke after some events.
 struct BrokenStream {
-    /// Id of the attempt that brought them.
+    /// Id of the attempt that brought the first of them.
     id: String,
     /// The complete events.
     events: String,
+    /// When the stream broke first.
+    broken: Instant,
 }
 
 impl BrokenStream {
+    /// The stream, if its caller has events of it.
+    fn new(id: &str, events: String, broken: Instant) -> Option<Self> {
+        let id = id.to_owned();
+        let stream = Self { id, events, broken };
+        (!stream.events.is_empty()).then_some(stream)
+    }
+
+    /// The stream after another attempt, while its caller takes it up again.
+    fn with(&self, more: &str) -> Option<Self> {
+        let events = format!("{}{more}", self.events);
+        let stream = Self::new(&self.id, events, self.broken)?;
+        (stream.broken.elapsed() < TAKE_UP_TIME).then_some(stream)
+    }
+
     fn last_id(&self) -> &str {
         let mut ids = self.events.lines().rev();
         ids.find_map(|l| l.strip_prefix("id: ")).unwrap_or_default()
--- a/crates/daemon/tests/hosted/soak/check.rs
+++ b/crates/daemon/tests/hosted/soak/check.rs
@@ -306,7 +306,7 @@
 }
 
 /// The complete stream as one build writes it.
-fn written_by(build: &str) -> Vec<u8> {
+pub fn written_by(build: &str) -> Vec<u8> {
     let event = |n| format!("id: {n}\ndata: token {n} by {build}\n\n");
     (1..=EVENTS).map(event).collect::<String>().into()
 }
--- a/crates/daemon/tests/hosted/soak/cluster.rs
+++ b/crates/daemon/tests/hosted/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! The processes, replicas and links of a soak run.
 
+use std::collections::{BTreeMap, HashSet};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -322,6 +323,26 @@
         self.list(linked, "ready");
     }
 
+    /// Writes a replica's row again, as its heartbeat does.
+    pub fn renew(&self, n: usize) {
+        self.list(&self.replicas[n], "ready");
+    }
+
+    /// Why the entries that run now refused some requests, with the number of each reason.
+    pub fn refusals<'a>(&self, ids: impl Iterator<Item = &'a str>) -> BTreeMap<String, usize> {
+        let ids: HashSet<_> = ids.collect();
+        let mut reasons = BTreeMap::new();
+        for entry in &self.entries {
+            let refused = entry.host.with_process(|p| p.events("refused"));
+            let of_ids = |e: &&Value| e["request"].as_str().is_some_and(|id| ids.contains(id));
+            for event in refused.iter().filter(of_ids) {
+                let reason = event["reason"].as_str().unwrap_or_default();
+                *reasons.entry(reason.to_owned()).or_default() += 1;
+            }
+        }
+        reasons
+    }
+
     /// Whether some prompts of a seed have a part that crashes engines. Their answers have a length or
     /// chunks, as nothing else shows that a stream was cut between two events.
     pub fn has_bad_part(seed: u64) -> bool {
--- a/crates/daemon/tests/hosted/soak/mod.rs
+++ b/crates/daemon/tests/hosted/soak/mod.rs
@@ -18,6 +18,7 @@
 mod check;
 mod cluster;
 mod faults;
+mod taken_up;
 
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
@@ -98,6 +99,7 @@
     check::check_departed_target(seed, &cluster, faults_cleared).await;
     check::check_stated_limit(seed, &cluster).await;
     check::check_team_limits(seed, &cluster).await;
+    taken_up::check_taken_up(seed, &cluster).await;
     check::check_promises(seed, &cluster, &outcomes);
     // The processes end here, and not on a worker while the next seed runs.
     stalls.shutdown().await;
@@ -106,11 +108,19 @@
     let taken_up: Vec<_> = outcomes.iter().filter(|o| !o.earlier.is_empty()).collect();
     let status = |o: &callers::Outcome| o.answer.as_ref().map_or(0, |a| a.status);
     let over_limit = outcomes.iter().filter(|o| status(o) == 429).count();
+    let new_streams = outcomes
+        .iter()
+        .filter(|o| o.path == callers::RESUMABLE_PATH && o.earlier.is_empty());
+    let new_streams: Vec<_> = new_streams.collect();
     println!(
-        "seed {seed}: {served} of {} requests answered 200, {over_limit} over limits, {} of {} streams taken up went on",
+        "seed {seed}: {served} of {} requests answered 200, {over_limit} over limits, {} of {} new streams served, \
+         {} of {} attempts that take streams up, refused: {:?}",
         outcomes.len(),
+        new_streams.iter().copied().filter(is_served).count(),
+        new_streams.len(),
         taken_up.iter().copied().filter(is_served).count(),
-        taken_up.len()
+        taken_up.len(),
+        cluster.refusals(taken_up.iter().map(|o| o.id.as_str()))
     );
 }
 
--- a/crates/policy/src/stream_origin.rs
+++ b/crates/policy/src/stream_origin.rs
@@ -157,15 +157,13 @@
     spread.map(|p| p.addr).collect()
 }
 
-/// The processes that a stream's origin is sent to: an entry and sidecars, or several entries if there
-/// are no sidecars.
+/// The processes that a stream's origin is sent to: an entry and sidecars, and more entries if there are
+/// too few sidecars.
 pub fn holders(config: &Config, stream: StreamKey, members: &Members) -> Vec<SocketAddr> {
-    let entries = match members.sidecars.is_empty() {
-        true => 1 + config.sidecars,
-        false => 1,
-    };
+    let mut sidecars = spread(&ranked(stream, &members.sidecars), config.sidecars);
+    let entries = 1 + config.sidecars - sidecars.len();
     let mut holders = spread(&ranked(stream, &members.entries), entries);
-    holders.extend(spread(&ranked(stream, &members.sidecars), config.sidecars));
+    holders.append(&mut sidecars);
     holders
 }
 
--- a/crates/policy/tests/stream_origin.rs
+++ b/crates/policy/tests/stream_origin.rs
@@ -170,6 +170,7 @@
     let cases = [
         Case { name: "few sidecars", members: members_in(4, 4, 2) },
         Case { name: "many sidecars", members: members_in(29, 52, 4) },
+        Case { name: "one sidecar", members: members_in(6, 1, 3) },
         Case { name: "no sidecars", members: members_in(6, 0, 3) },
     ];
     for c in cases {
@@ -177,6 +178,7 @@
         let domain = |a: &SocketAddr| all.clone().find(|p| p.addr == *a).map(|p| p.domain);
         for n in 0..500 {
             let held = holders_of(StreamKey(n), &c.members);
+            assert_eq!(held.len(), 3, "{}", c.name);
             let apart: HashSet<_> = held.iter().map(domain).collect();
             assert!(apart.len() >= 2, "{}: {held:?}", c.name);
         }
