--- a/crates/daemon/tests/hosted/all_killed.rs
+++ b/crates/daemon/tests/hosted/all_killed.rs
@@ -58,7 +58,7 @@
         sleep(DELIVERY_TIME).await;
         let mut streams = Vec::new();
         for n in 0..STREAMS {
-            streams.push(fleet.begin(0, &format!("begun-{n}")).await);
+            streams.push(fleet.begin(0, &format!("started-{n}")).await);
         }
         kill_entries(&mut fleet);
         fleet.add_entry("front-new").await;
@@ -92,9 +92,9 @@
     let cases = [
         Case { name: "left before", unseen: false, resumes: None, released: true, status: 503 },
         Case { name: "left meanwhile", unseen: true, resumes: None, released: true, status: 503 },
-        Case { name: "unknown attempt", unseen: false, resumes: Some("never-begun"), released: true, status: 503 },
+        Case { name: "unknown attempt", unseen: false, resumes: Some("never-started"), released: true, status: 503 },
         Case { name: "one build", unseen: false, resumes: None, released: false, status: 200 },
-        Case { name: "one build, unknown attempt", unseen: false, resumes: Some("never-begun"), released: false, status: 200 },
+        Case { name: "one build, unknown attempt", unseen: false, resumes: Some("never-started"), released: false, status: 200 },
     ];
     for c in cases {
         let (builds, former) = match c.released {
--- a/crates/daemon/tests/hosted/soak/taken_up.rs
+++ b/crates/daemon/tests/hosted/soak/taken_up.rs
@@ -35,7 +35,7 @@
 /// A stream that began, and what its caller has of it.
 struct Stream {
     id: String,
-    begun: Instant,
+    started: Instant,
     events: String,
     whole: bool,
 }
@@ -84,37 +84,37 @@
     }
 }
 
-/// Lets streams begin at an entry, and kills it, another entry and a sidecar once all have begun.
+/// Lets streams begin at an entry, and kills it, another entry and a sidecar once all have started.
 async fn break_streams(cluster: &Arc<Cluster>, round: usize) -> Vec<Stream> {
-    let begun = Arc::new(AtomicUsize::new(0));
+    let started = Arc::new(AtomicUsize::new(0));
     let mut streams = JoinSet::new();
     for n in 0..STREAMS {
-        let (cluster, begun) = (Arc::clone(cluster), Arc::clone(&begun));
+        let (cluster, started) = (Arc::clone(cluster), Arc::clone(&started));
         streams.spawn(async move {
-            let id = format!("begun-{round}-{n}");
+            let id = format!("started-{round}-{n}");
             let mut stream = Stream {
                 id: id.clone(),
-                begun: Instant::now(),
+                started: Instant::now(),
                 events: String::new(),
                 whole: false,
             };
             let counted = AtomicUsize::new(0);
             let first = || {
                 if counted.fetch_add(1, Ordering::Relaxed) == 0 {
-                    begun.fetch_add(1, Ordering::Relaxed);
+                    started.fetch_add(1, Ordering::Relaxed);
                 }
             };
             stream.attempt(&cluster, 0, &id, first).await;
             stream
         });
     }
-    let all_begun = async {
-        while begun.load(Ordering::Relaxed) < STREAMS {
+    let all_started = async {
+        while started.load(Ordering::Relaxed) < STREAMS {
             sleep(Duration::from_millis(1)).await;
         }
     };
     // Streams that are refused break nothing.
-    let _ = timeout(STREAM_TIME / 10, all_begun).await;
+    let _ = timeout(STREAM_TIME / 10, all_started).await;
     let sidecar = async {
         if !cluster.sidecars.is_empty() {
             cluster.replace_sidecar(0, "KILL").await;
@@ -131,7 +131,7 @@
 /// Takes a stream up until it is whole or its time has passed; returns the statuses of the attempts.
 async fn take_up(cluster: &Cluster, stream: &mut Stream) -> Vec<u16> {
     let mut statuses = Vec::new();
-    while !stream.whole && stream.begun.elapsed() < STREAM_TIME {
+    while !stream.whole && stream.started.elapsed() < STREAM_TIME {
         let id = format!("taken-{}-{}", stream.id, statuses.len());
         statuses.push(stream.attempt(cluster, SURVIVOR, &id, || {}).await);
         sleep(RETRY_DELAY).await;
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -150,7 +150,7 @@
     }
 }
 
-/// The only build at which a stream can have begun, if its route leads to one pool.
+/// The only build at which a stream can have started, if its route leads to one pool.
 fn sole_build(ctx: &Ctx, job: &Job) -> Option<BuildKey> {
     let is_sole = job.route.shares.iter().all(|s| s.pool == job.pool);
     let build = || build_history::sole_build(ctx, &job.pool);
