Streams taken up: holders that end later are replaced

Callers that took a stream up after entries and sidecars had been replaced one after the other got 503 build_unknown, although processes that knew its origin had always been running.

Cause: an origin was sent to its holders once, with the stream's first event. No holder that ended later was replaced. Class: what must outlast a process is copied once and not kept up.

Each process that knows an origin now keeps which others hold it, and replaces one that has ended: its row is written anew, its host or engine leaves the lists, it confirms nothing twice, or it says that it stops. Origins for one process share datagrams, which are confirmed. Nothing is sent while no process ends.

Log event origins_sent and a counter show what is handed over.

--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::Response;
+use standin::call::Call;
 use standin::hosted::replica::{Fault, Replica};
 use tokio::time::{sleep, timeout};
 
@@ -28,7 +29,7 @@
     pub platform: Platform,
     pub engines: Vec<Arc<Replica>>,
     pub entries: Vec<Entry>,
-    _sidecars: Vec<Process>,
+    pub sidecars: Vec<Process>,
 }
 
 impl Fleet {
@@ -37,7 +38,11 @@
     }
 
     /// Starts a fleet whose engines have these builds.
-    pub async fn start_at(entries: usize, with_sidecars: bool, builds: [&str; 4]) -> Self {
+    pub async fn start_at<const N: usize>(
+        entries: usize,
+        with_sidecars: bool,
+        builds: [&str; N],
+    ) -> Self {
         let mut platform = Platform::start().await;
         let mut engines = Vec::new();
         let mut sidecars = Vec::new();
@@ -57,7 +62,7 @@
             platform,
             engines,
             entries: Vec::new(),
-            _sidecars: sidecars,
+            sidecars,
         };
         for n in 0..entries {
             fleet.add_entry(&format!("front-{n}")).await;
@@ -74,8 +79,14 @@
         self.platform.list(engine, "engines", addr, "ready");
     }
 
+    /// Number of engines that are listed.
+    pub fn listed(&self) -> usize {
+        let is_listed = |e: &&Arc<Replica>| self.platform.store.read("servers", &e.id).is_some();
+        self.engines.iter().filter(is_listed).count()
+    }
+
     pub async fn add_entry(&mut self, name: &str) {
-        let entry = self.platform.entry(name, BUILDS.len()).await;
+        let entry = self.platform.entry(name, self.listed()).await;
         self.platform.wait_for_member(name).await;
         self.entries.push(entry);
     }
@@ -89,8 +100,20 @@
 
     /// Starts a stream and receives its first events.
     pub async fn begin(&self, entry: usize, id: &str) -> Stream {
-        let response = request(&self.entries[entry], "/probe/1", id).send().await;
-        let mut response = response.expect("an answer");
+        self.begin_call(request(&self.entries[entry], "/probe/1", id), id)
+            .await
+    }
+
+    /// Like [`Self::begin`], for a caller that waits for a time in milliseconds.
+    pub async fn begin_within(&self, entry: usize, id: &str, time_ms: u64) -> Stream {
+        let mut call = request(&self.entries[entry], "/probe/1", id);
+        call.headers.retain(|(n, _)| *n != "deadline-ms");
+        call.headers.push(("deadline-ms", time_ms.to_string()));
+        self.begin_call(call, id).await
+    }
+
+    async fn begin_call(&self, call: Call, id: &str) -> Stream {
+        let mut response = call.send().await.expect("an answer");
         let events = next_event(&mut response).await;
         Stream {
             id: id.to_owned(),
@@ -307,7 +330,7 @@
         platform,
         engines: vec![Arc::clone(&engine)],
         entries: vec![entry],
-        _sidecars: Vec::new(),
+        sidecars: Vec::new(),
     };
     engine.set_fault(Fault::Cut);
     let mut stream = fleet.begin(0, "begun").await;
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -20,6 +20,7 @@
 mod moved_store;
 mod pace;
 mod pool;
+mod replaced_in_series;
 mod rest;
 mod restarts;
 mod restore;
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -211,6 +211,9 @@
         .apply_list(at, position, targets, &config);
     suspects::record_ended_targets(ctx);
     leaving::retain_listed(ctx);
+    if ctx.list.own_hash.get() != previous {
+        ctx.node.processes_changed.notify_one();
+    }
     let missing = ctx.fleet.borrow().missing_count() > 0;
     if missing || ctx.list.own_hash.get() != previous {
         log_listed(ctx, source, listed, at, true);
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -46,7 +46,7 @@
 use policy::load_overlap::AnswerTime;
 use policy::prefill_rate::PrefillRate;
 use policy::subscription::{self, Sidecar};
-use policy::{length_partition, retry_budget, stream_origin};
+use policy::{length_partition, retry_budget};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -60,6 +60,7 @@
 use crate::meter;
 use crate::node::{domain_key, SharedNode, Source};
 use crate::room::Rooms;
+use crate::stream_origins::StreamOrigins;
 use crate::table_checks;
 use crate::update::{self, HeldPart, Incarnation, PromptNote, Update};
 use site::{Part, Scope};
@@ -94,7 +95,7 @@
     /// State that all kinds of processes have.
     pub node: SharedNode,
     /// The targets, with the data on each.
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
     /// This entry's share of each pool's retry budget.
     retry_budgets: RefCell<HashMap<String, retry_budget::Budget>>,
     /// State of following the platform's list of targets.
@@ -116,9 +117,7 @@
     /// Builds that pools have had lately.
     builds: build_history::State,
     /// Builds that began streams.
-    origins: RefCell<stream_origin::Origins>,
-    /// Such builds on their way to other processes.
-    deliveries: origins::Deliveries,
+    origins: Rc<StreamOrigins>,
     /// Searches for such builds.
     inquiries: origins::Inquiries,
     /// Limits that targets state.
@@ -166,9 +165,7 @@
             meter::CONVICTED_PARTS,
             self.crashing_parts.convicted() as f64,
         );
-        meter::set(meter::STREAM_ORIGINS, self.origins.borrow().len() as f64);
-        let silent = self.deliveries.silent();
-        meter::set(meter::SILENT_HOLDERS, silent as f64);
+        self.origins.update_gauges();
         for (pool, budget) in self.retry_budgets.borrow().iter() {
             metrics::gauge!(meter::RETRIES_LEFT, "pool" => pool.clone()).set(budget.remaining());
         }
@@ -224,9 +221,14 @@
     stop: impl Future<Output = Instant>,
 ) -> io::Result<()> {
     let memory_limit = node.settings.borrow().memory;
+    let fleet = Rc::<RefCell<Fleet>>::default();
+    let listed = Rc::clone(&fleet);
+    let origins = StreamOrigins::new(&node, &socket, move || {
+        Some(origins::lasting_engines(&listed.borrow()))
+    });
     let ctx: Ctx = Rc::new(Entry {
         node,
-        fleet: RefCell::default(),
+        fleet,
         retry_budgets: RefCell::default(),
         list: list::ListState::default(),
         suspects: RefCell::default(),
@@ -237,8 +239,7 @@
         recent_work: RefCell::default(),
         limits: RefCell::default(),
         builds: build_history::State::default(),
-        origins: RefCell::default(),
-        deliveries: origins::Deliveries::default(),
+        origins,
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
@@ -255,7 +256,7 @@
     tokio::task::spawn_local(receive_updates(Rc::clone(&ctx)));
     tokio::task::spawn_local(subscribe(Rc::clone(&ctx)));
     tokio::task::spawn_local(delegate::run(Rc::clone(&ctx)));
-    tokio::task::spawn_local(origins::deliver(Rc::clone(&ctx)));
+    tokio::task::spawn_local(Rc::clone(&ctx.origins).follow());
     tokio::task::spawn_local(limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(target_limits::report(Rc::clone(&ctx)));
     tokio::task::spawn_local(crashing_parts::report(Rc::clone(&ctx)));
@@ -381,6 +382,10 @@
             origins::receive(&ctx, from, origin);
             continue;
         }
+        if let Some(batch) = &update.origin_batch {
+            ctx.origins.receive_batch(from, batch);
+            continue;
+        }
         if let Some(used) = &update.target_use {
             target_limits::receive(&ctx, from, used);
             continue;
@@ -408,6 +413,7 @@
 /// when the process exits.
 async fn shut_down(ctx: &Ctx, stopped_at: Instant, listening: JoinHandle<()>) {
     ctx.node.stopping.set(true);
+    ctx.origins.leave();
     let end = stopped_at + ctx.node.settings.borrow().bounds.grace - EXIT_MARGIN;
     sleep(LAME_DUCK_PERIOD).await;
     ctx.closing.send_replace(true);
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -1,8 +1,8 @@
 //! Where streams may go on: at the build that began them.
 //!
 //! A job carries its [`Origin`]. `record` sets it with the first event that is passed on and sends
-//! it to other processes, `deliver` replaces those that don't confirm that, `resolve` finds it for a caller that takes a stream up, and `pick` chooses
-//! only targets that it accepts. The list says which build a target has; `confirm_build` checks
+//! it to other processes ([`crate::stream_origins`]), `resolve` finds it for a caller that takes a
+//! stream up, and `pick` chooses only targets that it accepts. The list says which build a target has; `confirm_build` checks
 //! that the process which answers is the listed one.
 
 use std::cell::RefCell;
@@ -12,15 +12,13 @@
 use std::time::Duration;
 
 use model::{Micros, Position};
-use policy::stream_origin::{
-    BuildKey, Config, Delivery, Inquiry, Members, Silent, Step, StreamKey,
-};
+use policy::stream_origin::{BuildKey, Config, Inquiry, Step, StreamKey};
 use site::{State, Target};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::fleet::ReplicaKey;
+use super::fleet::{Fleet, ReplicaKey};
 use super::refuse::Reason;
 use super::replica::Replica;
 use super::request::Job;
@@ -28,7 +26,7 @@
 use super::{build_history, leaving, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::stream_origins::{encode, members, receive as receive_origin, Statement};
+use crate::stream_origins::{encode, Statement};
 use crate::update::{self, OriginKind, StreamOrigin};
 
 /// Time for which an origin is kept after the caller has given up, as its clock differs.
@@ -63,21 +61,6 @@
     }
 }
 
-/// Records of this entry that holders have yet to confirm.
-#[derive(Debug, Default)]
-pub(super) struct Deliveries {
-    pending: RefCell<HashMap<StreamKey, Delivery>>,
-    silent: RefCell<Silent>,
-    added: Notify,
-}
-
-impl Deliveries {
-    /// Number of processes that have confirmed no record lately.
-    pub(super) fn silent(&self) -> usize {
-        self.silent.borrow().len()
-    }
-}
-
 /// Searches of this entry, with what wakes them when an answer arrives.
 pub(super) type Inquiries = RefCell<HashMap<StreamKey, Rc<Search>>>;
 
@@ -239,90 +222,36 @@
     let Origin::Build(build) = job.origin else {
         return;
     };
-    let now = ctx.now();
-    let stream = stream_key(job);
-    let keep: Micros = (Duration::from(job.gives_up.since(now)) + KEEP_MARGIN).into();
-    let mut origins = ctx.origins.borrow_mut();
-    origins.record(now, stream, build, now + keep);
-    let deliveries = &ctx.deliveries;
-    let members = deliveries
-        .silent
-        .borrow()
-        .without(now, current_members(ctx));
-    let (delivery, holders) = Delivery::new(&Config::default(), now, stream, &members);
-    deliveries.pending.borrow_mut().insert(stream, delivery);
-    deliveries.added.notify_one();
-    let record = encode(OriginKind::Record, stream, Some((build, keep)));
-    update::send(&ctx.socket, &record, holders);
+    let keep = Duration::from(job.gives_up.since(ctx.now())) + KEEP_MARGIN;
+    ctx.origins.begin(stream_key(job), build, keep.into());
 }
 
-/// The other processes, without sidecars whose engine isn't listed.
-fn current_members(ctx: &Ctx) -> Members {
-    let fleet = ctx.fleet.borrow();
-    let engines: HashSet<_> = fleet.replicas.values().map(|r| r.target.addr).collect();
-    members(&ctx.node.cluster.borrow(), |a| engines.contains(&a))
-}
-
-/// Sends records to further processes for as long as holders don't confirm them.
-pub(super) async fn deliver(ctx: Ctx) {
-    let config = Config::default();
-    loop {
-        if ctx.deliveries.pending.borrow().is_empty() {
-            ctx.deliveries.added.notified().await;
-        }
-        sleep(config.confirm.into()).await;
-        let now = ctx.now();
-        let mut pending = ctx.deliveries.pending.borrow_mut();
-        for (stream, delivery) in pending.iter_mut() {
-            let (next, silent) = delivery.replace_silent(&config, now);
-            for addr in silent {
-                ctx.deliveries
-                    .silent
-                    .borrow_mut()
-                    .record(&config, now, addr);
-            }
-            let known = ctx.origins.borrow_mut().get(now, *stream);
-            if let Some((build, until)) = known {
-                let record = Some((build, until.since(now)));
-                let record = encode(OriginKind::Record, *stream, record);
-                update::send(&ctx.socket, &record, next);
-            }
-        }
-        pending.retain(|_, d| !d.is_complete());
-    }
+/// Engines that run on for a while, and their sidecars with them.
+pub(super) fn lasting_engines(fleet: &Fleet) -> HashSet<SocketAddr> {
+    let replicas = fleet.replicas.values();
+    let ready = replicas.filter(|r| r.target.state == State::Ready);
+    ready.map(|r| r.target.addr).collect()
 }
 
 /// Receives a record, confirmation, query or answer of another process.
 pub(super) fn receive(ctx: &Ctx, from: SocketAddr, received: &StreamOrigin) {
-    let now = ctx.now();
+    let Some(Statement::Answer { known }) = ctx.origins.receive(from, received) else {
+        return;
+    };
     let stream = StreamKey(received.stream);
-    match receive_origin(&ctx.origins, now, &ctx.socket, from, received) {
-        None => {}
-        Some(Statement::Answer { known }) => {
-            if let Some(search) = ctx.inquiries.borrow().get(&stream) {
-                if !known {
-                    search.inquiry.borrow_mut().record_unknown(now, from);
-                }
-                search.answered.notify_waiters();
-            }
-        }
-        Some(Statement::Confirmation) => {
-            ctx.deliveries.silent.borrow_mut().clear(from);
-            let mut pending = ctx.deliveries.pending.borrow_mut();
-            if let Some(delivery) = pending.get_mut(&stream) {
-                delivery.confirm(from);
-                if delivery.is_complete() {
-                    pending.remove(&stream);
-                }
-            }
+    if let Some(search) = ctx.inquiries.borrow().get(&stream) {
+        if !known {
+            let mut inquiry = search.inquiry.borrow_mut();
+            inquiry.record_unknown(ctx.now(), from);
         }
+        search.answered.notify_waiters();
     }
 }
 
 /// The build that began a stream, as this entry or another process knows it.
 async fn find(ctx: &Ctx, stream: StreamKey) -> Option<BuildKey> {
     let search = {
-        let members = current_members(ctx);
+        let members = ctx.origins.members();
         let new = || {
             let inquiry = Inquiry::new(ctx.now(), Config::default(), stream, &members);
             Rc::new(Search {
@@ -336,7 +265,7 @@
     let started = ctx.now();
     let found = loop {
         let now = ctx.now();
-        if let Some((build, _)) = ctx.origins.borrow_mut().get(now, stream) {
+        if let Some(build) = ctx.origins.get(stream) {
             break Some(build);
         }
         let answered = search.answered.notified();
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -21,7 +21,7 @@
 
 use crate::log::{self, Dependency, Event};
 use crate::meter;
-use crate::node::{domain_key, Member, OperatorRow, SharedNode, Source};
+use crate::node::{domain_key, Member, OperatorRow, SharedNode, Source, Start};
 use crate::table_checks::{self, Table};
 
 /// How long the store may hold a call. Long holds keep the number of calls low; dead hosts are
@@ -410,6 +410,10 @@
     if cluster.members == members {
         return;
     }
+    node.starts
+        .borrow_mut()
+        .extend(starts(&cluster.members, &members));
+    node.processes_changed.notify_one();
     cluster.members = members;
     let entries = cluster.entries().count();
     log::event(&Event::Members {
@@ -418,6 +422,22 @@
     });
 }
 
+/// The processes whose rows are newer than the known ones. After a restore of the store, all processes
+/// write their rows again.
+fn starts<'a>(
+    known: &'a HashMap<String, Member>,
+    members: &'a HashMap<String, Member>,
+) -> impl Iterator<Item = Start> + 'a {
+    members.iter().filter_map(|(host, member)| {
+        let former = known.get(host);
+        let is_start = former.is_none_or(|f| f.at.era == member.at.era && f.at < member.at);
+        is_start.then_some(Start {
+            member: *member,
+            former: former.map(|f| f.addr),
+        })
+    })
+}
+
 /// Parses a row of the list of members; `None` if it is deleted or malformed.
 fn parse_member(row: Row) -> Option<(String, Member)> {
     let parsed = serde_json::from_slice::<MemberDoc>(&row.value?);
@@ -440,6 +460,7 @@
         role,
         domain: domain_key(&doc.domain),
         engine: doc.engine,
+        at: row.at,
     };
     Some((row.key, member))
 }
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -225,6 +225,15 @@
         /// Milliseconds that the search took.
         after_ms: u64,
     },
+    /// Origins of streams were sent to further processes.
+    OriginsSent {
+        /// Why: ended, unconfirmed or stopping.
+        reason: &'a str,
+        /// Number of processes that they were sent to.
+        processes: usize,
+        /// Number of records.
+        records: usize,
+    },
     /// A target was ejected after failures.
     LeftOut {
         /// Id of the target.
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -54,6 +54,8 @@
 pub const STREAM_ORIGINS: &str = "clementinestep_stream_origins";
 /// Processes that haven't confirmed the origin of a stream lately.
 pub const SILENT_HOLDERS: &str = "clementinestep_silent_holders";
+/// Origins of streams sent to further processes, by the reason.
+pub const ORIGINS_SENT: &str = "clementinestep_origins_sent_total";
 /// Prompt parts that an entry refuses because they crash targets.
 pub const CONVICTED_PARTS: &str = "clementinestep_convicted_parts";
 /// Streams that callers have taken up, by whether the build that began them was known.
@@ -142,6 +144,10 @@
         SILENT_HOLDERS,
         "processes that confirm no origin of a stream"
     );
+    describe_counter!(
+        ORIGINS_SENT,
+        "origins of streams sent to further processes, by reason"
+    );
     describe_gauge!(
         CONVICTED_PARTS,
         "prompt parts refused because they crash targets"
--- a/crates/gate/src/node.rs
+++ b/crates/gate/src/node.rs
@@ -9,7 +9,7 @@
 use model::{Micros, Position};
 use policy::versions::Versions;
 use site::{Plan, Role, Settings};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -51,6 +51,10 @@
     pub restored: Cell<bool>,
     /// Until when the copies of followed tables are confirmed.
     pub tables: TableChecks,
+    /// Other processes that have started since this was last read.
+    pub starts: RefCell<Vec<Start>>,
+    /// Notified when other processes have started or a target has come or gone.
+    pub processes_changed: Notify,
 }
 
 impl Node {
@@ -66,6 +70,8 @@
             era: watch::Sender::new(None),
             restored: Cell::new(false),
             tables,
+            starts: RefCell::default(),
+            processes_changed: Notify::new(),
         }
     }
 
@@ -155,6 +161,17 @@
     pub domain: u64,
     /// Address of the engine on the same host, if the process is a sidecar.
     pub engine: Option<SocketAddr>,
+    /// Position of the row that the process wrote when it started.
+    pub at: Position,
+}
+
+/// A process that has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The process.
+    pub member: Member,
+    /// Address of its former incarnation; `None` on a new host.
+    pub former: Option<SocketAddr>,
 }
 
 /// Hash of a failure domain's name, as the policies compare it.
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -15,7 +15,8 @@
 
 use crate::agent::{self, Agent, AgentId, Env, SharedAgent};
 use crate::node::SharedNode;
-use crate::{kv_stores, peer, stream_origins, table_checks, update};
+use crate::stream_origins::StreamOrigins;
+use crate::{kv_stores, peer, table_checks, update};
 
 /// Interval of queries to entries while the engine's incarnation is unknown.
 const IDENTITY_INTERVAL: Duration = Duration::from_millis(100);
@@ -56,25 +57,31 @@
         agent: &agent,
         socket: &socket,
     };
+    let origins = StreamOrigins::new(&node, &socket, || None);
+    let stop = async {
+        stop.await;
+        origins.leave();
+        origins.confirmed().await;
+    };
     tokio::select! {
         () = identify(&node, &agent, addr) => {}
         () = agent::follow_cache(Rc::clone(&agent), addr) => {}
         () = agent::run(env, Conn::new(addr, MAX_ENGINE_ANSWER)) => {}
-        () = receive(env, stores) => {}
-        _ = stop => {}
+        () = Rc::clone(&origins).follow() => {}
+        () = receive(env, stores, &origins) => {}
+        () = stop => {}
     }
     Ok(())
 }
 
 /// Receives updates: incarnations, subscriptions, prompts and origins of streams from entries, and
 /// slot queries, answers and states from other agents.
-async fn receive(env: Env<'_>, stores: kv_stores::FollowedStores) {
+async fn receive(env: Env<'_>, stores: kv_stores::FollowedStores, origins: &StreamOrigins) {
     let Env {
         node,
         agent,
         socket,
     } = env;
-    let origins = RefCell::default();
     loop {
         let (update, from) = update::receive(socket).await;
         if let Some(positions) = &update.tables {
@@ -96,7 +103,11 @@
             continue;
         }
         if let Some(origin) = &update.origin {
-            stream_origins::receive(&origins, node.now(), socket, from, origin);
+            origins.receive(from, origin);
+            continue;
+        }
+        if let Some(batch) = &update.origin_batch {
+            origins.receive_batch(from, batch);
             continue;
         }
         if update.entry {
--- a/crates/gate/src/update.rs
+++ b/crates/gate/src/update.rs
@@ -168,6 +168,9 @@
     /// What the sender knows of the tables that every process follows.
     #[prost(message, optional, tag = "50")]
     pub tables: Option<TablePositions>,
+    /// Origins of streams whose holders have ended.
+    #[prost(message, optional, tag = "51")]
+    pub origin_batch: Option<OriginBatch>,
 }
 
 /// What a process knows of the tables that every process follows.
@@ -277,6 +280,20 @@
     pub keep_ms: u32,
 }
 
+/// Origins of several streams.
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginBatch {
+    /// Key of the batch at its sender.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// The origins, each a record.
+    #[prost(message, repeated, tag = "2")]
+    pub records: Vec<StreamOrigin>,
+    /// Whether this confirms the batch.
+    #[prost(bool, tag = "3")]
+    pub confirms: bool,
+}
+
 /// Kind of a [`StreamOrigin`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,8 +29,8 @@
 //!   [`fair_share`] computes.
 //! - Limits: [`limit`] keeps all entries together within a team's limit, and [`target_limit`] within the
 //!   rate that a target states.
-//! - Streams: [`stream_origin`] finds the build at which a stream may go on, and [`build_history`] whether
-//!   its pool has had only one.
+//! - Streams: [`stream_origin`] finds the build at which a stream may go on, [`origin_keeper`] keeps that
+//!   while processes end, and [`build_history`] shows whether a pool has had only one build.
 //! - Connections: [`connection_reuse`] bounds how long an idle one may be used.
 //! - Retries: [`retry_budget`] keeps all entries together within one budget, and [`stall`] decides when a
 //!   request that has shown nothing moves to another target.
@@ -77,6 +77,7 @@
 pub mod loading;
 pub mod misdirected;
 pub mod opening_demand;
+pub mod origin_keeper;
 pub mod pace;
 pub mod pollers;
 pub mod pool_peers;
--- a/crates/policy/src/stream_origin.rs
+++ b/crates/policy/src/stream_origin.rs
@@ -100,6 +100,11 @@
         self.kept.get(&stream).copied()
     }
 
+    /// Whether an origin is kept, or was until just now.
+    pub fn contains(&self, stream: StreamKey) -> bool {
+        self.kept.contains_key(&stream)
+    }
+
     /// Number of origins kept.
     pub fn len(&self) -> usize {
         self.kept.len()
@@ -142,7 +147,7 @@
 }
 
 /// Processes in a stream's order.
-fn ranked(stream: StreamKey, peers: &[Peer]) -> Vec<Peer> {
+pub(crate) fn ranked(stream: StreamKey, peers: &[Peer]) -> Vec<Peer> {
     let mut ranked = peers.to_vec();
     ranked.sort_by_cached_key(|p| xxh3_64_with_seed(p.addr.to_string().as_bytes(), stream.0));
     ranked
--- a/crates/standin/src/hosted/row_store.rs
+++ b/crates/standin/src/hosted/row_store.rs
@@ -136,7 +136,7 @@
     }
 
     /// Version of a row; 0 if it does not exist.
-    fn version(&self, table: &str, key: &str) -> u64 {
+    pub fn row_version(&self, table: &str, key: &str) -> u64 {
         let state = lock(&self.state);
         let row = state.rows.get(&(table.to_owned(), key.to_owned()));
         row.filter(|(_, value)| value.is_some())
@@ -307,7 +307,7 @@
         };
         let changed = tx["expected"].as_array().into_iter().flatten().any(|row| {
             let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
-            row["ver"].as_u64() != Some(self.version(&text("table"), &text("key")))
+            row["ver"].as_u64() != Some(self.row_version(&text("table"), &text("key")))
         });
         if changed {
             return reply(StatusCode::PRECONDITION_FAILED, "");
