Odd rows of another writer cost only themselves

Operators of other systems saw machines end or stop following a list because of one odd row.

Not shown by a test before: a sidecar took the id of a target of an unknown pool at its engine's address; a process whose own row was replaced was lost to the others.

Not found here: processes that end, or that stop following a table.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -18,6 +18,7 @@
 mod losses;
 mod moved_callers;
 mod moved_store;
+mod odd_rows;
 mod pace;
 mod pool;
 mod replaced_in_series;
--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -302,6 +302,7 @@
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
+        replica.served = true;
         replica.breaker.success(&circuit_breaker::Config::default());
         let usual_rate = self
             .usual_failure_rates
@@ -332,10 +333,18 @@
     /// Records that another target answers at a target's address. The list contains the former
     /// target for some seconds more, and each request sent to it would be refused and cost a retry.
     pub fn record_misdirected(&mut self, now: Micros, key: ReplicaKey) {
-        if let Some(replica) = self.replicas.get_mut(key) {
-            replica.exclusion.exclude(now);
-            replica.connections.clear();
-            log_ejected(replica, "another target has its address");
+        let addr = self.replicas.get(key).map(|r| r.target.addr);
+        let others = self.replicas.iter().filter(|(k, _)| *k != key);
+        let mut others = others.filter(|(_, r)| Some(r.target.addr) == addr);
+        // Rows of another writer would each cost a refusal before the target that has served is used again.
+        let has_served = others.any(|(_, r)| r.served && !r.exclusion.is_excluded());
+        for (k, replica) in &mut self.replicas {
+            let is_unknown = has_served && !replica.served && Some(replica.target.addr) == addr;
+            if k == key || is_unknown {
+                replica.exclusion.exclude(now);
+                replica.connections.clear();
+                log_ejected(replica, "another target has its address");
+            }
         }
         self.mark_superseded();
     }
--- a/crates/gate/src/entry/replica.rs
+++ b/crates/gate/src/entry/replica.rs
@@ -134,6 +134,8 @@
     pub(super) missing_until: Option<Micros>,
     /// Exclusion of the target after another one has answered at its address.
     pub exclusion: Exclusion,
+    /// Whether the target has served a request that named it.
+    pub(super) served: bool,
     /// Position of the target's last heartbeat at the time when its agent found that the process
     /// had ended.
     pub(super) renewed_at_end: Option<Position>,
@@ -159,6 +161,7 @@
             connections: ConnectionPool::default(),
             inflight: 0,
             suspects: 0,
+            served: false,
             unread_tokens: 0,
             recent_prompts: VecDeque::new(),
             load: None,
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -348,7 +348,7 @@
     let table = feed.read().await?;
     record_era(&node, &mut feed.store);
     let mut after = table.at;
-    let listed = table.rows.iter().any(|r| r.key == own);
+    let listed = table.rows.iter().any(|r| r.key == own && is_member(r));
     log_reread(&node, MEMBERS_TABLE, &table, usize::from(!listed));
     let newest = newest_row(&table);
     let mut members: HashMap<_, _> = table.rows.into_iter().filter_map(parse_member).collect();
@@ -389,14 +389,25 @@
         // for each one that starts.
         sleep(BATCH_DELAY).await;
         let newest = newest_row(&changes);
+        let is_lost = changes.rows.iter().any(|r| r.key == own && !is_member(r));
         let changed = changes.rows.into_iter().filter_map(parse_member);
         let mut members = node.cluster.borrow().members.clone();
         members.extend(changed.filter(|(h, _)| h != own));
         set_members(&node, members, newest);
         feed.confirm();
+        if is_lost {
+            // Another writer has deleted or replaced this process's row; it is read and added again.
+            return Ok(());
+        }
     }
 }
 
+/// Whether a row is that of a process.
+fn is_member(row: &Row) -> bool {
+    let value = row.value.as_deref();
+    value.is_some_and(|v| serde_json::from_slice::<MemberDoc>(v).is_ok())
+}
+
 /// Position of the newest of some rows.
 fn newest_row(rows: &Rows) -> Position {
     let positions = rows.rows.iter().map(|r| r.at);
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -234,7 +234,9 @@
         .flat_map(TargetList::rows)
         .filter(mentions_addr);
     let mut rows: Vec<_> = rows.map(ReplyRow::from_list).collect();
-    rows.retain(|r| parse_target(r).is_some_and(|t| t.addr == addr));
+    // Another writer may have written rows of unknown pools.
+    let knows = |pool: &str| cluster.plan.as_ref().is_none_or(|p| p.pool(pool).is_some());
+    rows.retain(|r| parse_target(r).is_some_and(|t| t.addr == addr && knows(&t.pool)));
     let last_report = cluster.delegate_reports.get(&addr).copied();
     Reply {
         rows,
--- a/crates/gate/tests/fleet.rs
+++ b/crates/gate/tests/fleet.rs
@@ -104,6 +104,34 @@
     assert_eq!(there(&fleet, now), ["good"]);
 }
 
+/// Guards against losing an engine whose address is in many wrong rows of the list: a refusal for one
+/// of them shows that the others are wrong as well if the engine has served.
+#[test]
+fn wrong_rows_with_the_address_of_a_target_that_has_served_are_excluded_by_one_refusal() {
+    let now = Micros::from_secs(100);
+    let mut fleet = Fleet::default();
+    list(&mut fleet, now, vec![target("good", 5)]);
+    let key = |fleet: &Fleet, id: &str| {
+        let mut replicas = fleet.replicas.iter();
+        replicas
+            .find(|(_, r)| r.target.boot.id == id)
+            .map(|(k, _)| k)
+    };
+    let good = key(&fleet, "good").expect("the good one");
+    fleet.record_success(good);
+    let names: Vec<_> = (0..500).map(|n| format!("false-{n}")).collect();
+    let false_ones = names.iter().zip(9..).map(|(n, at)| target(n, at));
+    list(
+        &mut fleet,
+        now,
+        false_ones.chain([target("good", 5)]).collect(),
+    );
+    assert_eq!(there(&fleet, now), ["false-499"]);
+    let last = key(&fleet, "false-499").expect("the last one");
+    fleet.record_misdirected(now, last);
+    assert_eq!(there(&fleet, now), ["good"]);
+}
+
 /// Guards against sending requests to an ended engine until its row expires seconds later: its
 /// successor at the address refuses them, and tens of streams exhausted the retry budget.
 #[test]
--- a/crates/policy/src/build_history.rs
+++ b/crates/policy/src/build_history.rs
@@ -115,8 +115,13 @@
             let own = self.pools.get(pool);
             for (build, left) in kept.iter_mut() {
                 let at = own.and_then(|b| b.get(build)).copied().unwrap_or_default();
-                if left.is_none() && self.listed_at.since(at) >= self.config.absence {
-                    *left = Some(clock_ms);
+                match *left {
+                    None if self.listed_at.since(at) >= self.config.absence => {
+                        *left = Some(clock_ms);
+                    }
+                    // A time that lies ahead would keep the build for good.
+                    Some(at) if at > clock_ms => *left = Some(clock_ms),
+                    _ => {}
                 }
             }
             kept.retain(|_, left| self.is_remembered(clock_ms, *left));
--- a/crates/policy/tests/build_history.rs
+++ b/crates/policy/tests/build_history.rs
@@ -89,3 +89,19 @@
     ];
     assert_eq!(writes, expected);
 }
+
+#[test]
+fn time_of_leaving_that_lies_ahead_ends_with_the_memory() {
+    // Guards against a row of another writer that keeps a pool from having a sole build for good.
+    for ahead in [CLOCK + 3_600_000, u64::MAX] {
+        let mut kept = stored(&[(OLD, Some(ahead)), (NEW, None)]);
+        let mut history = History::default();
+        for second in 1..=130 {
+            history.record(at(second), [(POOL, NEW)]);
+            let clock = CLOCK + second * 1_000;
+            kept = history.update(clock, &kept).unwrap_or(kept);
+        }
+        let clock = CLOCK + 130_000;
+        assert_eq!(history.sole(at(130), clock, Some(&kept), POOL), Some(NEW));
+    }
+}
--- a/crates/standin/src/hosted/row_store.rs
+++ b/crates/standin/src/hosted/row_store.rs
@@ -21,6 +21,9 @@
 /// The table in which processes of the router write their own addresses.
 const MEMBERS_TABLE: &str = "members";
 
+/// Separates a part's name from the key of a row; keys of the part without a name have none.
+const PART_SEPARATOR: char = '\u{1}';
+
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -126,6 +129,12 @@
         self.put(table, key, Some(base64(value)));
     }
 
+    /// Writes a row of a part with a name, as another writer may do.
+    pub fn write_in_part(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        let key = format!("{part}{PART_SEPARATOR}{key}");
+        self.put(table, &key, Some(base64(value)));
+    }
+
     /// Reads the value of a row, if the row exists and its value is JSON.
     pub fn read(&self, table: &str, key: &str) -> Option<Value> {
         use base64::Engine as _;
@@ -264,6 +273,7 @@
     fn read_table(&self, table: &str) -> Response<Body> {
         let state = lock(&self.state);
         let rows = rows(&state, table, 0).filter(|r| r["deleted"].is_null());
+        let rows = rows.filter(|r| r["part"] == "");
         self.page(rows.collect(), state.version)
     }
 
@@ -335,9 +345,12 @@
 fn rows<'a>(state: &'a State, table: &'a str, after: u64) -> impl Iterator<Item = Value> + 'a {
     let rows = state.rows.iter();
     let changed = rows.filter(move |((t, _), (v, _))| t == table && *v > after);
-    changed.map(|((t, key), (version, value))| match value {
-        Some(v) => json!({"table": t, "part": "", "key": key, "value": v, "ver": version}),
-        None => json!({"table": t, "part": "", "key": key, "ver": version, "deleted": true}),
+    changed.map(|((t, key), (version, value))| {
+        let (part, key) = key.split_once(PART_SEPARATOR).unwrap_or(("", key));
+        match value {
+            Some(v) => json!({"table": t, "part": part, "key": key, "value": v, "ver": version}),
+            None => json!({"table": t, "part": part, "key": key, "ver": version, "deleted": true}),
+        }
     })
 }
 
