Streams that end with their connection and have no event are broken

A stream has events, so that an end without one is the target's. A resumable stream is now requested from another target, and any other one is cut off.

Cut heads were errors before as well.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -7,6 +7,7 @@
 mod builds;
 mod callers;
 mod crashing_parts;
+mod cut_answers;
 mod delegates;
 mod endless;
 mod fatal;
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -251,6 +251,11 @@
             // complete.
             None if self.within_event() && self.unread => Received::Broken(UNREAD),
             None if self.within_event() => Received::Broken("ended within an event"),
+            // The end of a connection ends an answer that states no other end, but a stream has events:
+            // the replica has stopped after the head.
+            None if self.events == 0 && self.delimited == Some(false) => {
+                Received::Broken("ended without an event")
+            }
             None => Received::Whole,
             Some(Err(_)) if self.unread => Received::Broken(UNREAD),
             Some(Err(_)) => Received::Broken("stream broken"),
