Streams that begin after a break get their origin from the target's next row

Streams that began at a target whose connection had just broken couldn't be taken up again (503 build_unknown), however long their entry lived on: between a break and the target's next row it is uncertain which incarnation answers, and only later events of the stream were used to settle that. Connections break with every release, crash and cut answer.

An entry now keeps which incarnation such a stream's request named, and records the origin once that incarnation has written its row. An incarnation that has ended stays unknown.

--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -147,6 +147,11 @@
 }
 
 impl Stream {
+    /// Receives the rest of the stream, if it is complete.
+    pub async fn finish(self) -> Option<String> {
+        rest(self.response).await
+    }
+
     /// Id of the last event received.
     fn last_id(&self) -> String {
         let mut ids = self
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -34,4 +34,5 @@
 mod stalled;
 mod stops;
 mod store;
+mod uncertain_builds;
 mod weights;
--- a/crates/gate/src/entry/list.rs
+++ b/crates/gate/src/entry/list.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
-use super::{build_history, leaving, suspects, Ctx};
+use super::{build_history, leaving, origins, suspects, Ctx};
 use crate::follow::{record_era, retry_pause};
 use crate::log::{self, Dependency, Event};
 use crate::meter;
@@ -116,6 +116,7 @@
             Ok(list) => {
                 apply(&ctx, list, "store");
                 ctx.fleet.borrow_mut().list_read_from = started;
+                origins::settle_uncertain(&ctx);
                 announce(&ctx, rank);
                 wait(&ctx, rank, &mut era).await;
             }
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -118,6 +118,8 @@
     builds: build_history::State,
     /// Builds that began streams.
     origins: Rc<StreamOrigins>,
+    /// Streams whose origin isn't certain yet.
+    uncertain: RefCell<Vec<origins::Uncertain>>,
     /// Searches for such builds.
     inquiries: origins::Inquiries,
     /// Limits that targets state.
@@ -240,6 +242,7 @@
         limits: RefCell::default(),
         builds: build_history::State::default(),
         origins,
+        uncertain: RefCell::default(),
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -13,7 +13,7 @@
 
 use model::{Micros, Position};
 use policy::stream_origin::{BuildKey, Config, Inquiry, Step, StreamKey};
-use site::{State, Target};
+use site::{Boot, State, Target};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -38,6 +38,9 @@
 /// Interval of checks whether it is.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Most streams that are kept for as long as the build of their target is uncertain.
+const MAX_UNCERTAIN: usize = 1_000;
+
 /// Where a job may run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -200,8 +203,8 @@
 }
 
 /// The build that has sent a stream's first event on a connection opened at this time. After a
-/// connection broke, the list counts only if it has been read since, or if the pool has no other
-/// build.
+/// connection broke, the list counts only if it has been read since, or if
+/// the pool has no other build.
 fn beginning_build(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
     let (build, from) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
@@ -219,11 +222,77 @@
         let build = beginning_build(ctx, key, opened);
         job.origin = build.map_or(Origin::Unknown, Origin::Build);
     }
-    let Origin::Build(build) = job.origin else {
+    match job.origin {
+        Origin::Build(build) => {
+            ctx.origins
+                .begin(stream_key(job), build, keep_time(ctx, job.gives_up))
+        }
+        _ => record_uncertain(ctx, job, key, opened),
+    }
+}
+
+/// Time for which the origin of a stream is kept whose caller gives up at a given time.
+fn keep_time(ctx: &Ctx, gives_up: Micros) -> Micros {
+    (Duration::from(gives_up.since(ctx.now())) + KEEP_MARGIN).into()
+}
+
+/// A stream that began while the build of its target was uncertain.
+#[derive(Debug)]
+pub(super) struct Uncertain {
+    stream: StreamKey,
+    key: ReplicaKey,
+    /// Incarnation that the request named.
+    boot: Boot,
+    /// When the connection was opened.
+    opened: Instant,
+    gives_up: Micros,
+}
+
+fn record_uncertain(ctx: &Ctx, job: &Job, key: ReplicaKey, opened: Instant) {
+    let fleet = ctx.fleet.borrow();
+    let Some(replica) = fleet.replicas.get(key) else {
         return;
     };
-    let keep = Duration::from(job.gives_up.since(ctx.now())) + KEEP_MARGIN;
-    ctx.origins.begin(stream_key(job), build, keep.into());
+    let stream = stream_key(job);
+    let mut uncertain = ctx.uncertain.borrow_mut();
+    if uncertain.is_empty() {
+        tokio::task::spawn_local(read_after_heartbeat(Rc::clone(ctx)));
+    }
+    if uncertain.len() < MAX_UNCERTAIN && !uncertain.iter().any(|u| u.stream == stream) {
+        uncertain.push(Uncertain {
+            stream,
+            key,
+            boot: replica.target.boot.clone(),
+            opened,
+            gives_up: job.gives_up,
+        });
+    }
+}
+
+/// Reads the list once all targets have written their rows.
+async fn read_after_heartbeat(ctx: Ctx) {
+    let heartbeat = ctx.node.settings.borrow().heartbeat;
+    sleep(heartbeat).await;
+    ctx.list.request_read();
+}
+
+/// Records the origins of streams whose target's build the list shows by now: the incarnation that the
+/// request named has written its row since.
+pub(super) fn settle_uncertain(ctx: &Ctx) {
+    let streams = ctx.uncertain.take();
+    for u in streams {
+        let fleet = ctx.fleet.borrow();
+        let is_same = |r: &Replica| r.target.boot == u.boot;
+        let runs_on = fleet.replicas.get(u.key).is_some_and(is_same);
+        drop(fleet);
+        match beginning_build(ctx, u.key, u.opened) {
+            _ if !runs_on || ctx.now() >= u.gives_up => {}
+            Some(build) => ctx
+                .origins
+                .begin(u.stream, build, keep_time(ctx, u.gives_up)),
+            None => ctx.uncertain.borrow_mut().push(u),
+        }
+    }
 }
 
 /// Engines that run on for a while, and their sidecars with them.
