A row that a restore has brought back doesn't confirm a build

Cause: a read of the list confirmed a target's build although the restored list named the row of its former incarnation; the row of the one that runs was lost with the restore. Only a row that the target has written since the restore counts now, and until then the build is uncertain.

--- a/crates/gate/src/entry/fleet.rs
+++ b/crates/gate/src/entry/fleet.rs
@@ -349,6 +349,11 @@
         self.mark_superseded();
     }
 
+    /// Whether a target's row has been written since the store was last restored.
+    pub(super) fn is_current(&self, replica: &Replica) -> bool {
+        !self.restored_list.may_be_copied(&replica.target)
+    }
+
     /// Records that a connection to a target broke, so that another process may take its place.
     pub(super) fn record_break(&mut self, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -175,10 +175,13 @@
     Some((build_key(&replica.target)?, opened + delay))
 }
 
-/// Whether this entry has read the list since a given time. What other entries report of the list
-/// doesn't count, as it may be delayed.
-fn has_read_since(ctx: &Ctx, time: Instant) -> bool {
-    ctx.node.origin + Duration::from(ctx.fleet.borrow().list_read_from) >= time
+/// Whether this entry has read the list since a given time, and with it a row that the target has
+/// written. What other entries report of the list doesn't count, as it may be delayed.
+fn has_read_since(ctx: &Ctx, key: ReplicaKey, time: Instant) -> bool {
+    let fleet = ctx.fleet.borrow();
+    let replica = fleet.replicas.get(key);
+    let is_current = replica.is_some_and(|r| fleet.is_current(r));
+    is_current && ctx.node.origin + Duration::from(fleet.list_read_from) >= time
 }
 
 /// Whether a target that answers on a connection opened at this time has the build at which a job
@@ -190,7 +193,9 @@
     let end = ctx.now() + CONFIRM_TIMEOUT.min(job.time_left(ctx.now()).into());
     loop {
         match build_on(ctx, key, opened) {
-            Some((build, from)) if build == origin && has_read_since(ctx, from) => return true,
+            Some((build, from)) if build == origin && has_read_since(ctx, key, from) => {
+                return true
+            }
             Some((build, from)) if build == origin && ctx.now() < end => {
                 if Instant::now() >= from {
                     ctx.list.request_read();
@@ -203,14 +208,15 @@
 }
 
 /// The build that has sent a stream's first event on a connection opened at this time. After a
-/// connection broke, the list counts only if it has been read since, or if
+/// connection broke or the store was restored, the list counts only if it has been read since, or if
 /// the pool has no other build.
 fn beginning_build(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
     let (build, from) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
     let is_sole = || build_history::sole_build(ctx, &replica.target.pool) == Some(build);
-    let certain = !replica.may_be_replaced(opened) || has_read_since(ctx, from) || is_sole();
+    let is_listed = !replica.may_be_replaced(opened) && fleet.is_current(replica);
+    let certain = is_listed || has_read_since(ctx, key, from) || is_sole();
     certain.then_some(build)
 }
 
--- a/crates/gate/src/entry/restored_list.rs
+++ b/crates/gate/src/entry/restored_list.rs
@@ -63,6 +63,12 @@
         left.is_some_and(|(renewed, _)| target.renewed <= *renewed)
     }
 
+    /// Whether a row may come from the copy. Such a row doesn't show which incarnation runs.
+    pub(super) fn may_be_copied(&self, target: &Target) -> bool {
+        let era = self.first_list.map_or(0, |f| f.era);
+        self.restored_at.is_some() && target.renewed.era < era
+    }
+
     /// When the first list after a restore was read.
     pub(super) fn restored_at(&self) -> Option<Micros> {
         self.restored_at
