--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -225,8 +225,8 @@
     let memory_limit = node.settings.borrow().memory;
     let fleet = Rc::<RefCell<Fleet>>::default();
     let listed = Rc::clone(&fleet);
-    let origins = StreamOrigins::new(&node, &socket, move || {
-        Some(origins::lasting_engines(&listed.borrow()))
+    let origins = StreamOrigins::new(&node, &socket, move |purpose| {
+        Some(origins::engines(&listed.borrow(), purpose))
     });
     let ctx: Ctx = Rc::new(Entry {
         node,
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -26,7 +26,7 @@
 use super::{build_history, leaving, Ctx};
 use crate::log::{self, Event};
 use crate::meter;
-use crate::stream_origins::{encode, Statement};
+use crate::stream_origins::{encode, Purpose, Statement};
 use crate::update::{self, OriginKind, StreamOrigin};
 
 /// Time for which an origin is kept after the caller has given up, as its clock differs.
@@ -38,6 +38,8 @@
 /// Interval of checks whether it is.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Number of ready engines from which on the sidecars of draining ones hold no origins.
+const MIN_READY_ENGINES: usize = 3;
 /// Most streams that are kept for as long as the build of their target is uncertain.
 const MAX_UNCERTAIN: usize = 1_000;
 
@@ -301,11 +303,18 @@
     }
 }
 
-/// Engines that run on for a while, and their sidecars with them.
-pub(super) fn lasting_engines(fleet: &Fleet) -> HashSet<SocketAddr> {
-    let replicas = fleet.replicas.values();
-    let ready = replicas.filter(|r| r.target.state == State::Ready);
-    ready.map(|r| r.target.addr).collect()
+/// Engines whose sidecars can hold origins, or answer what they hold. Sidecars end with their engines, so
+/// that those of draining engines hold origins only while there are few others.
+pub(super) fn engines(fleet: &Fleet, purpose: Purpose) -> HashSet<SocketAddr> {
+    let addrs = |accepts: &dyn Fn(&&Replica) -> bool| -> HashSet<_> {
+        let replicas = fleet.replicas.values().filter(accepts);
+        replicas.map(|r| r.target.addr).collect()
+    };
+    let ready = addrs(&|r| r.target.state == State::Ready);
+    match purpose {
+        Purpose::Hold if ready.len() >= MIN_READY_ENGINES => ready,
+        _ => addrs(&|_| true),
+    }
 }
 
 /// Receives a record, confirmation, query or answer of another process.
@@ -326,7 +335,7 @@
 /// The build that began a stream, as this entry or another process knows it.
 async fn find(ctx: &Ctx, stream: StreamKey) -> Option<BuildKey> {
     let search = {
-        let members = ctx.origins.members();
+        let members = ctx.origins.queried();
         let new = || {
             let inquiry = Inquiry::new(ctx.now(), Config::default(), stream, &members);
             Rc::new(Search {
--- a/crates/gate/src/sidecar.rs
+++ b/crates/gate/src/sidecar.rs
@@ -57,7 +57,7 @@
         agent: &agent,
         socket: &socket,
     };
-    let origins = StreamOrigins::new(&node, &socket, || None);
+    let origins = StreamOrigins::new(&node, &socket, |_| None);
     let stop = async {
         stop.await;
         origins.leave();
--- a/crates/gate/src/stream_origins.rs
+++ b/crates/gate/src/stream_origins.rs
@@ -42,7 +42,16 @@
     /// The other processes that can be holders.
     members: RefCell<Rc<Members>>,
     /// Engines whose sidecars can be holders; `None` if this process doesn't know which engines run.
-    engines: Box<dyn Fn() -> Option<HashSet<SocketAddr>>>,
+    engines: Box<dyn Fn(Purpose) -> Option<HashSet<SocketAddr>>>,
+}
+
+/// What a set of processes is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// To hold origins: for as long as streams last.
+    Hold,
+    /// To answer what they hold: while they run.
+    Query,
 }
 
 impl std::fmt::Debug for StreamOrigins {
@@ -53,11 +62,11 @@
 
 impl StreamOrigins {
     /// Creates the state of a process that keeps no origins. A sidecar of another engine than `engines` has
-    /// ended with it.
+    /// ended with it, or soon does.
     pub(crate) fn new(
         node: &SharedNode,
         socket: &Rc<UdpSocket>,
-        engines: impl Fn() -> Option<HashSet<SocketAddr>> + 'static,
+        engines: impl Fn(Purpose) -> Option<HashSet<SocketAddr>> + 'static,
     ) -> Rc<Self> {
         Rc::new(Self {
             node: Rc::clone(node),
@@ -69,11 +78,16 @@
         })
     }
 
-    /// The other processes.
-    pub(crate) fn members(&self) -> Rc<Members> {
+    /// The other processes that can be holders.
+    fn members(&self) -> Rc<Members> {
         Rc::clone(&self.members.borrow())
     }
 
+    /// The other processes that may know an origin.
+    pub(crate) fn queried(&self) -> Members {
+        members(&self.node.cluster.borrow(), (self.engines)(Purpose::Query))
+    }
+
     /// The build that began a stream.
     pub(crate) fn get(&self, stream: StreamKey) -> Option<BuildKey> {
         let known = self.keeper.borrow_mut().get(self.node.now(), stream);
@@ -190,7 +204,10 @@
     /// Replaces the processes that have started again or are no members any more.
     fn replace_ended(&self) {
         let now = self.node.now();
-        let members = Rc::new(members(&self.node.cluster.borrow(), (self.engines)()));
+        let members = Rc::new(members(
+            &self.node.cluster.borrow(),
+            (self.engines)(Purpose::Hold),
+        ));
         let former = self.members.replace(Rc::clone(&members));
         let (known, running) = (holders(&former), holders(&members));
         let starts = self.node.starts.take();
