--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -1,7 +1,7 @@
 //! Where streams may go on: at the build that began them.
 //!
-//! A job carries its [`Origin`]. `record` sets it with the first event that is passed on and sends
-//! it to other processes ([`crate::stream_origins`]), `resolve` finds it for a caller that takes a
+//! A job carries its [`Origin`]. `record` sets it with the first event that is passed on, or keeps
+//! what shows it later (`settle_uncertain`), and sends it to other processes ([`crate::stream_origins`]), `resolve` finds it for a caller that takes a
 //! stream up, and `pick` chooses only targets that it accepts. The list says which build a target has; `confirm_build` checks
 //! that the process which answers is the listed one.
 
--- a/crates/gate/src/stream_origins.rs
+++ b/crates/gate/src/stream_origins.rs
@@ -1,5 +1,6 @@
 //! Origins of streams that a process keeps and sends to others: drives [`policy::origin_keeper`] with
-//! datagrams. Entries and sidecars are holders.
+//! datagrams. Entries and sidecars are holders. A process learns that another one has ended from the
+//! table of members, from the list of targets if it reads that, and from confirmations that don't come.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
--- a/crates/policy/src/origin_keeper.rs
+++ b/crates/policy/src/origin_keeper.rs
@@ -11,14 +11,14 @@
 //! process that stops hands over all origins that it keeps. As long as one process that knows an
 //! origin outlives the others by the time that this takes, the origin isn't lost.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use model::Micros;
 use slab::Slab;
 
 use crate::stream_origin::{
-    holders, ranked, BuildKey, Config, Delivery, Members, Origins, Silent, StreamKey,
+    holders, ranked, BuildKey, Config, Delivery, Members, Origins, Peer, Silent, StreamKey,
 };
 
 /// Most origins in one message; as many as fit into a datagram.
@@ -283,7 +283,7 @@
         ended: &[SocketAddr],
         members: &Members,
     ) -> Vec<Outgoing> {
-        let is_ended = |p: &crate::stream_origin::Peer| ended.contains(&p.addr);
+        let is_ended = |p: &Peer| ended.contains(&p.addr);
         let mut rest = members.clone();
         rest.entries.retain(|p| !is_ended(p));
         rest.sidecars.retain(|p| !is_ended(p));
@@ -303,7 +303,7 @@
         // Entries of dropped origins are removed once they are the larger part.
         if holders.len() > 2 * origins.len() + MAX_BATCH {
             holders.retain(|s, _| origins.contains(*s));
-            let used: std::collections::HashSet<_> = holders.values().flatten().copied().collect();
+            let used: HashSet<_> = holders.values().flatten().copied().collect();
             self.peers.retain(|k| used.contains(&k));
         }
     }
