Processes that were silent hold origins if there are too few others

Cause: a process that hasn't confirmed a record or question in time is passed over for 10 s. With few processes, a moment in which the others are paused or busy left none, and streams that began within those seconds had no holder at all. The exclusion is older; questions and batches made it more frequent. If fewer processes than holders are left, all get the record.

Test: no receiver of two before, both now.

--- a/crates/policy/src/origin_keeper.rs
+++ b/crates/policy/src/origin_keeper.rs
@@ -143,7 +143,7 @@
     pub fn begin(&mut self, now: Micros, record: Record, members: &Members) -> Outgoing {
         let stream = record.stream;
         self.insert(now, record);
-        let members = self.silent.without(now, members.clone());
+        let members = self.reachable(now, members);
         let (delivery, to) = Delivery::new(&self.config, now, stream, &members);
         self.hold(stream, &to);
         self.deliveries.insert(stream, delivery);
@@ -224,7 +224,7 @@
 
     /// Hands over all origins, as this process stops.
     pub fn leave(&mut self, now: Micros, members: &Members) -> Vec<Outgoing> {
-        let members = self.silent.without(now, members.clone());
+        let members = self.reachable(now, members);
         let kept: Vec<_> = self.holders.keys().map(|s| (*s, 1)).collect();
         self.add_holders(now, &kept, &members)
     }
@@ -276,6 +276,16 @@
         out
     }
 
+    /// The processes that have confirmed what they were sent, or all if these are too few: those that were
+    /// silent may have been paused.
+    fn reachable(&self, now: Micros, members: &Members) -> Members {
+        let rest = self.silent.without(now, members.clone());
+        match rest.entries.len() + rest.sidecars.len() {
+            few if few <= self.config.sidecars => members.clone(),
+            _ => rest,
+        }
+    }
+
     /// Replaces processes that have confirmed neither a record nor a batch.
     fn replace_silent(
         &mut self,
--- a/crates/policy/tests/origin_keeper.rs
+++ b/crates/policy/tests/origin_keeper.rs
@@ -574,3 +574,30 @@
     let distinct: HashSet<_> = members.entries.iter().map(|p| p.addr).collect();
     assert_eq!(keeper.silent(), distinct.len());
 }
+
+#[test]
+fn processes_that_were_silent_get_records_if_there_are_too_few_others() {
+    // Guards against streams without any holder after all other processes were paused for a moment.
+    let mut keeper = Keeper::default();
+    let members = Members {
+        entries: (1..3)
+            .map(|n| Peer {
+                addr: addr(n, 0),
+                domain: 0,
+            })
+            .collect(),
+        sidecars: Vec::new(),
+    };
+    let record = |stream| Record {
+        stream: StreamKey(stream),
+        build: BUILD,
+        keep: KEEP,
+    };
+    keeper.begin(at(0), record(1), &members);
+    for round in 1..10 {
+        keeper.check(at(round * CHECK_MS), &members);
+    }
+    assert_eq!(keeper.silent(), 2);
+    let out = keeper.begin(at(1_000), record(2), &members);
+    assert_eq!(out.to.len(), 2);
+}
