Slow readers keep their connections: a caller has vanished when it acknowledges nothing

Cause: three limits that some reader meets, whatever their values. TCP_USER_TIMEOUT, the request's time and 2 s, which Linux applies while a window is closed although each probe is acknowledged, from a moment that depends on the kernel; the account's own ends of an unread answer (the request's time and the idle timeout) and of a connection that is idle for the process while the kernel still holds its answer; and the deadline of streams and of answers that are passed on, which counted time spent on their caller.

Change: the new crate tcp decides by what the far end acknowledges (TCP_INFO): something outstanding and nothing acknowledged for 5 s and two probes. The decision stands alone, with a test in virtual time; pauses of the process count only if nothing was acknowledged in them. Callers of gate and daemon share it, and so do connections to targets (2 s as before). TCP_USER_TIMEOUT stays only where a kernel states no times. While there is room a caller is closed after ten minutes in which it takes nothing; a stream's deadline doesn't count the time in which its caller keeps it waiting, for 4 MiB at most.

The account's test of time limits had an end of unread answers at the request's time, which is the fault; in its place stand cases with and without progress, and of connections that are idle while the kernel holds the rest.

--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -34,8 +34,6 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Interval between checks whether a stopping process has answered all requests.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
-/// How long a caller that has vanished is waited for; one that reads slowly may be kept for longer.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time limits of connections that aren't callers'.
 pub(crate) const OTHER_TIMEOUTS: Timeouts = Timeouts {
@@ -67,6 +65,10 @@
     if name == CALLERS {
         overload::meter::set_usage(&usage);
     }
+    if closed.vanished > 0 {
+        let n = closed.vanished;
+        spdlog::info!(logger: log::entry(), "{n} connections of {name} closed: their far ends acknowledged nothing");
+    }
     if closed.evicted + closed.refused == 0 {
         return;
     }
@@ -123,9 +125,11 @@
     let Ok(from) = tcp.peer_addr() else {
         return;
     };
-    let _ = tcp.set_nodelay(true);
+    // A connection whose options can't be set has ended.
+    let Ok(stream) = AccountedStream::new(tcp, conn.clone()) else {
+        return;
+    };
     let responder = Responder::<SocketAddr>::new(tree, Some(from));
-    let stream = AccountedStream::new(tcp, conn.clone(), UNACKED_TIMEOUT);
     let service = service_fn(|mut request: Request<Incoming>| {
         conn.set_phase(Phase::Work);
         request.extensions_mut().insert(conn.clone());
--- a/crates/daemon/src/settings/args.rs
+++ b/crates/daemon/src/settings/args.rs
@@ -128,6 +128,10 @@
     caller_memory_mb,
     /// open connections of callers; 0 for half of the descriptors (default 0)
     caller_connections,
+    /// how long a caller may acknowledge nothing before it counts as vanished, in milliseconds (default 5000)
+    caller_unacked_ms,
+    /// how long a caller may take nothing of an answer, in milliseconds (default 600000)
+    caller_unread_ms,
     /// longest time for the head of a request in milliseconds (default 10000)
     head_timeout_ms,
     /// longest time without a request on a connection in milliseconds (default 75000)
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -172,7 +172,7 @@
             "ours, round-robin, least-loaded or consistent-hash",
         );
         let callers = self.callers();
-        let timeouts = self.timeouts();
+        let timeouts = self.timeouts(callers.map_or(Duration::MAX, |c| c.unread));
         let operator_key = self.secret("OPERATOR_KEY", "operator_key_file");
         Some(Entry {
             listen: listen?,
@@ -191,11 +191,17 @@
         let bytes = self.above_zero("caller_memory_mb", "0", "a number of MiB");
         let expected = "a number of connections";
         let connections = self.above_zero("caller_connections", "0", expected);
+        let expected = "a number of milliseconds";
+        let unacked = self.above_zero("caller_unacked_ms", "5000", expected);
+        let unread = self.above_zero("caller_unread_ms", "600000", expected);
+        let ms = |n: usize| Duration::from_millis(n as u64);
         let mib = |n: usize| n.saturating_mul(1 << 20);
         let limits = overload::Config::for_process(memory?.map(mib), descriptors?);
         Some(overload::Config {
             bytes: bytes?.map_or(limits.bytes, mib),
             connections: connections?.unwrap_or(limits.connections),
+            unacked: unacked?.map_or(limits.unacked, ms),
+            unread: unread?.map_or(limits.unread, ms),
             ..limits
         })
     }
@@ -207,14 +213,13 @@
     }
 
     /// Time limits of callers' connections.
-    fn timeouts(&mut self) -> Option<Timeouts> {
+    fn timeouts(&mut self, unread: Duration) -> Option<Timeouts> {
         let head = self.value("head_timeout_ms", "10000", "a number of milliseconds");
         let idle = self.value("idle_timeout_ms", "75000", "a number of milliseconds");
-        let idle = Micros::from_millis(idle?);
         Some(Timeouts {
             head: Micros::from_millis(head?),
-            idle,
-            unread: idle,
+            idle: Micros::from_millis(idle?),
+            unread: unread.into(),
         })
     }
 
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -29,6 +29,8 @@
 mod room;
 mod silent_connections;
 mod slots;
+#[path = "../common/slow_reader.rs"]
+mod slow_reader;
 mod slow_readers;
 mod soak;
 mod stalled;
--- a/crates/gate/src/entry/listen.rs
+++ b/crates/gate/src/entry/listen.rs
@@ -17,7 +17,6 @@
 use hyper::{Request, Response, StatusCode};
 use model::Micros;
 use overload::{accept, AccountedStream, Callers, Connection, Phase, Timeouts};
-use platform::call::{enable_dead_peer_detection, UNACKED_TIMEOUT};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
@@ -34,16 +33,11 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Connections of readiness checks at a time; the platform has one.
 const READINESS_CONNECTIONS: usize = 8;
-/// Longest time for which a caller may leave its window closed.
-pub(super) const MAX_PATIENCE: Duration = Duration::from_secs(600);
 /// Longest accepted head while there is no configuration.
 const DEFAULT_MAX_HEAD: usize = 16_384;
 /// Time limits while there is no configuration.
-const DEFAULT_TIMEOUTS: Timeouts = Timeouts {
-    head: Micros::from_secs(10),
-    idle: Micros::from_secs(60),
-    unread: Micros::from_secs(60),
-};
+const DEFAULT_HEAD_TIMEOUT: Micros = Micros::from_secs(10);
+const DEFAULT_IDLE_TIMEOUT: Micros = Micros::from_secs(60);
 
 /// Closes idle connections, and the others once they have answered their request.
 pub(super) fn close_idle(callers: &Callers) {
@@ -118,12 +112,11 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let limits = ctx.node.plan().map(|p| p.limits());
-        let timeouts = limits.map(|l| Timeouts {
-            head: l.head_timeout.into(),
-            idle: l.idle_timeout.into(),
-            unread: l.idle_timeout.into(),
+        ctx.callers.check(Timeouts {
+            head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |l| l.head_timeout.into()),
+            idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout.into()),
+            unread: ctx.callers.config().unread.into(),
         });
-        ctx.callers.check(timeouts.unwrap_or(DEFAULT_TIMEOUTS));
         if reported.is_none_or(|at| at.elapsed() >= REPORT_INTERVAL)
             && listener::report("callers", &ctx.callers)
         {
@@ -135,13 +128,12 @@
 /// Handles a connection in a task of its own.
 fn handle_connection(ctx: &Ctx, tcp: TcpStream, conn: Connection) {
     // A connection whose options can't be set has already ended.
-    if enable_dead_peer_detection(&tcp).is_ok() {
-        tokio::task::spawn_local(drive(Rc::clone(ctx), tcp, conn));
+    if let Ok(stream) = AccountedStream::new(tcp, conn.clone()) {
+        tokio::task::spawn_local(drive(Rc::clone(ctx), stream, conn));
     }
 }
 
-async fn drive(ctx: Ctx, tcp: TcpStream, conn: Connection) {
-    let stream = AccountedStream::new(tcp, conn.clone(), UNACKED_TIMEOUT);
+async fn drive(ctx: Ctx, stream: AccountedStream, conn: Connection) {
     let plan = ctx.node.plan();
     let head = plan.map_or(DEFAULT_MAX_HEAD, |p| p.limits().max_head);
     let service = service_fn(|request: Request<Incoming>| {
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -227,6 +227,8 @@
         Config {
             bytes: s.caller_bytes.unwrap_or(limits.bytes),
             connections: s.caller_connections.unwrap_or(limits.connections),
+            unacked: s.caller_unacked.unwrap_or(limits.unacked),
+            unread: s.caller_unread.unwrap_or(limits.unread),
             ..limits
         }
     };
--- a/crates/gate/src/entry/pass_through.rs
+++ b/crates/gate/src/entry/pass_through.rs
@@ -27,8 +27,10 @@
     ctx: Ctx,
     job: Job,
     live: LiveAnswer,
-    /// When the answer is cut off.
+    /// When the answer is cut off, if its target isn't done by then.
     end: Micros,
+    /// When the last bytes were passed on.
+    passed_at: Micros,
 }
 
 /// Passes an answer on to its caller.
@@ -44,10 +46,10 @@
         headers.insert(CONTENT_LENGTH, HeaderValue::from(len));
     }
     let end = job.gives_up.max(job.deadline) + ANSWER_GRACE.into();
-    connection.set_end(end.since(ctx.now()).into());
     let answer = PassThrough {
         ctx: Rc::clone(ctx),
         end,
+        passed_at: ctx.now(),
         job,
         live,
     };
@@ -75,8 +77,13 @@
 impl PassThrough {
     /// The next bytes, the reason why there are none, or `None` at the end of the answer.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, &'static str>> {
-        let left: Duration = self.end.since(self.ctx.now()).into();
-        match timeout(left, self.live.response.body_mut().frame()).await {
+        // The time in which the caller kept the answer waiting isn't its target's.
+        let now = self.ctx.now();
+        self.end = self.end + now.since(self.passed_at);
+        let left: Duration = self.end.since(now).into();
+        let frame = timeout(left, self.live.response.body_mut().frame()).await;
+        self.passed_at = self.ctx.now();
+        match frame {
             Ok(frame) => Some(frame?.map_err(|_| "cut answer")),
             Err(_) => Some(Err("overdue")),
         }
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -60,6 +60,9 @@
 const PIECES_AT_ONCE: u32 = 16;
 /// Most bytes that are collected in that time.
 const MAX_COLLECTED: usize = 16 << 10;
+/// Most bytes that are passed on after the deadline, to a caller that has kept the stream waiting. A replica that
+/// sends without end would else be read for as long as its caller reads slowly.
+const MAX_LATE: usize = 4 << 20;
 /// Interval between two requests for another replica if none has taken the stream. Each that is refused
 /// costs a retry.
 const RACE_INTERVAL: Micros = Micros::from_millis(1_000);
@@ -123,6 +126,10 @@
     delimited: Option<bool>,
     /// When the last bytes were passed on.
     passed_at: Micros,
+    /// How long the caller has kept the stream waiting; the deadline is for the replica only.
+    held: Micros,
+    /// Bytes passed on after the deadline.
+    late_bytes: usize,
     /// Whether the caller has left the current replica's answer unread for [`UNREAD_TIME`].
     unread: bool,
     end: End,
@@ -137,9 +144,6 @@
 ) -> Response<AnswerBody> {
     let status = live.response.status();
     let headers = replica::answer_headers(live.response.headers());
-    // The deadline also ends a stream that isn't read.
-    let left = (job.deadline + ANSWER_GRACE.into()).since(ctx.now());
-    connection.set_end(left.into());
     let relay = Relay {
         ctx: Rc::clone(ctx),
         job,
@@ -153,6 +157,8 @@
         events: 0,
         first_event_after: None,
         passed_at: ctx.now(),
+        held: Micros::ZERO,
+        late_bytes: 0,
         unread: false,
         waits_until: Micros::ZERO,
         stall: Stall::default(),
@@ -160,11 +166,10 @@
     };
     let events = stream::unfold(Some(relay), |relay| async {
         let mut relay = relay?;
-        let paused: Duration = relay.ctx.now().since(relay.passed_at).into();
-        relay.unread |= paused > UNREAD_TIME;
+        relay.record_pause();
         match relay.next().await {
             Ok(Some(bytes)) => {
-                relay.passed_at = relay.ctx.now();
+                relay.record_passed(bytes.len());
                 Some((Ok(Frame::data(bytes)), Some(relay)))
             }
             Ok(None) => None,
@@ -188,6 +193,32 @@
 }
 
 impl Relay {
+    /// Records for how long the caller has kept the stream waiting.
+    fn record_pause(&mut self) {
+        let paused = self.ctx.now().since(self.passed_at);
+        self.held = self.held + paused;
+        self.unread |= Duration::from(paused) > UNREAD_TIME;
+    }
+
+    /// Records bytes that are passed on.
+    fn record_passed(&mut self, bytes: usize) {
+        let now = self.ctx.now();
+        self.passed_at = now;
+        if now > self.job.deadline {
+            self.late_bytes += bytes;
+        }
+    }
+
+    /// When the stream is overdue: a replica has the time up to the deadline, and that in which the caller has
+    /// kept it waiting.
+    fn end(&self) -> Micros {
+        let end = self.job.deadline + ANSWER_GRACE.into();
+        match self.late_bytes > MAX_LATE {
+            true => end,
+            false => end + self.held,
+        }
+    }
+
     /// The next bytes for the caller; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, IncompleteAnswer> {
         loop {
@@ -227,8 +258,7 @@
 
     /// Waits for the next bytes from the replica.
     async fn receive(&mut self) -> Received {
-        let overdue = self.job.deadline + ANSWER_GRACE.into();
-        let end: Duration = overdue.since(self.ctx.now()).into();
+        let end: Duration = self.end().since(self.ctx.now()).into();
         // A replica that never pauses would keep the wait below from running out.
         if end.is_zero() {
             return Received::Overdue;
@@ -311,7 +341,7 @@
     fn may_move(&self) -> bool {
         self.job.route.mode == site::Mode::Resumable
             && self.job.run_count + 1 < self.job.route.max_attempts
-            && self.waits_until < self.job.deadline
+            && self.waits_until.max(self.ctx.now()) < self.job.deadline
     }
 
     fn classify(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
@@ -662,7 +692,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         self.end = match self.end {
-            End::Left if self.ctx.now() > self.job.deadline + ANSWER_GRACE.into() => End::Overdue,
+            End::Left if self.ctx.now() > self.end() => End::Overdue,
             End::Left if self.job.connection.is_evicted() => End::Evicted,
             end => end,
         };
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -12,7 +12,6 @@
 use model::Micros;
 use overload::body::{collect, discard, BodyError};
 use overload::Connection;
-use platform::call::UNACKED_TIMEOUT;
 use platform::caller::{self, Head};
 use policy::quarantine::Fingerprint;
 use rand::Rng;
@@ -23,7 +22,6 @@
 
 use super::attempts::{self, FirstAnswer};
 use super::limits::{self, Charge};
-use super::listen::MAX_PATIENCE;
 use super::origins::{self, Origin};
 use super::refuse::{self, Reason};
 use super::relay;
@@ -76,13 +74,10 @@
             refuse::without_job(&ctx, &connection, &id, received_at, reason)
         }
         Ok((plan, mut job)) => {
-            let wait = Duration::from(job.gives_up.since(received_at)).min(MAX_PATIENCE);
-            connection.keep_for((wait + UNACKED_TIMEOUT).min(MAX_PATIENCE));
+            connection.keep_for(job.gives_up.since(received_at).into());
             let (max, time) = (plan.limits().max_body, job.time_left(ctx.now()));
             match collect(&connection, &mut body, max, time).await {
                 Ok(body) => {
-                    // The caller may read an answer for as long as it may be idle after that.
-                    connection.set_end(wait + plan.limits().idle_timeout);
                     job.body = body;
                     job.fingerprint = suspects::fingerprint(&job);
                     answer(&ctx, &connection, job).await
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, Response};
 use model::Micros;
 use overload::{accept, AccountedStream, Callers, Config, Connection, Timeouts};
-use platform::call::{enable_dead_peer_detection, UNACKED_TIMEOUT};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::interval;
 
@@ -53,7 +52,7 @@
             tokio::select! {
                 (tcp, conn) = accept::accept(&self.listener, &self.conns) => {
                     // A connection whose options can't be set has already ended.
-                    if enable_dead_peer_detection(&tcp).is_ok() {
+                    if tcp::options::set_common(&tcp).is_ok() {
                         handle(tcp, conn);
                     }
                 }
@@ -86,7 +85,10 @@
 ) where
     B: Body<Data = bytes::Bytes, Error = Infallible> + 'static,
 {
-    let stream = AccountedStream::new(tcp, conn.clone(), UNACKED_TIMEOUT);
+    // A connection whose options can't be set has already ended.
+    let Ok(stream) = AccountedStream::new(tcp, conn.clone()) else {
+        return;
+    };
     let service = service_fn(|request| {
         let response = answer(request);
         conn.set_answered();
@@ -95,12 +97,19 @@
     overload::serve::serve(stream, &conn, MAX_HEAD, service).await;
 }
 
-/// Logs how many connections were closed for others, or refused, since the last report; returns whether there were
-/// any.
+/// Logs how many connections were closed for others, refused or left by vanished far ends since the last report;
+/// returns whether there were any.
 pub(crate) fn report(listener: &str, conns: &Callers) -> bool {
     let closed = conns.take_closed();
+    if closed.vanished > 0 {
+        let connections = closed.vanished;
+        log::event(&Event::Vanished {
+            listener,
+            connections,
+        });
+    }
     if closed.evicted + closed.refused == 0 {
-        return false;
+        return closed.vanished > 0;
     }
     let usage = conns.usage();
     log::event(&Event::Overloaded {
--- a/crates/gate/src/log.rs
+++ b/crates/gate/src/log.rs
@@ -505,6 +505,13 @@
         /// Number of other entries that have reported recently.
         entries: usize,
     },
+    /// Connections were closed because their far ends acknowledged nothing.
+    Vanished {
+        /// Listener of the connections.
+        listener: &'a str,
+        /// Number of connections since the last such line.
+        connections: usize,
+    },
     /// Connections were closed or refused because too much is held for those who connect.
     Overloaded {
         /// Listener of the connections.
@@ -565,6 +572,7 @@
             Self::OpeningCopy { .. } => ("opening_copy", true),
             Self::Room { .. } => ("room", false),
             Self::Overloaded { .. } => ("overloaded", false),
+            Self::Vanished { .. } => ("vanished", false),
             Self::BadRow { .. } => ("bad_row", false),
             Self::Feed { .. } => ("feed", false),
             Self::Lost { .. } | Self::Regained { .. } => ("dependency", false),
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -28,10 +28,13 @@
 /// Environment variable that states the cost of bytes between failure domains.
 const DOMAIN_COST_VARIABLE: &str = "CLEMENTINESTEP_DOMAIN_COST";
 
-/// Flags and environment variables that state the memory held for callers in MiB, and their connections; the flag wins.
+/// Flags and environment variables that state the memory held for callers in MiB, their connections, and how long they
+/// may acknowledge or take nothing, in milliseconds; the flag wins.
 const CALLER_MEMORY: (&str, &str) = ("--caller-memory-mb", "CLEMENTINESTEP_CALLER_MEMORY_MB");
 const CALLER_CONNECTIONS: (&str, &str) =
     ("--caller-connections", "CLEMENTINESTEP_CALLER_CONNECTIONS");
+const CALLER_UNACKED: (&str, &str) = ("--caller-unacked-ms", "CLEMENTINESTEP_CALLER_UNACKED_MS");
+const CALLER_UNREAD: (&str, &str) = ("--caller-unread-ms", "CLEMENTINESTEP_CALLER_UNREAD_MS");
 
 /// Error that prevents a process from starting.
 #[derive(Debug, Error)]
@@ -113,10 +116,13 @@
         caller_limit(flag, std::env::args_os(), std::env::var_os(variable))
     };
     let mib = |n: usize| n.saturating_mul(1 << 20);
+    let ms = |n: usize| Duration::from_millis(n as u64);
     Ok(Settings {
         domain_cost: domain_cost(std::env::args_os(), variable)?,
         caller_bytes: limit(CALLER_MEMORY)?.map(mib),
         caller_connections: limit(CALLER_CONNECTIONS)?,
+        caller_unacked: limit(CALLER_UNACKED)?.map(ms),
+        caller_unread: limit(CALLER_UNREAD)?.map(ms),
         ..settings
     })
 }
--- a/crates/overload/src/account.rs
+++ b/crates/overload/src/account.rs
@@ -8,6 +8,8 @@
 //! 2. those that are idle after an answer;
 //! 3. those that are behind by a part of it and haven't sent a whole head yet.
 //!
+//! While there is room, a caller keeps its connection for as long as it takes any of an answer, however slowly.
+//!
 //! Within each, the one that is furthest behind or longest idle goes first, and of several the one that holds
 //! most. A request that waits for a target isn't behind, and its connection is never closed for others.
 //!
@@ -55,7 +57,7 @@
     pub head: Micros,
     /// Longest time without a request.
     pub idle: Micros,
-    /// By how much a caller that reads an answer may be behind, if the answer has no end by itself.
+    /// Longest time in which a caller takes nothing of an answer.
     pub unread: Micros,
 }
 
@@ -88,8 +90,10 @@
     bytes: usize,
     /// Bytes of bodies among them.
     content: usize,
-    /// When the request, or reading its answer, ends at the latest.
-    end: Option<Micros>,
+    /// When the caller last took some of an answer.
+    taken_at: Micros,
+    /// Whether the kernel still has bytes for which the caller has no room.
+    unsent: bool,
     closing: bool,
 }
 
@@ -253,7 +257,8 @@
             answered: false,
             bytes: 0,
             content: 0,
-            end: None,
+            taken_at: now,
+            unsent: false,
             closing: false,
         });
         self.all.connections += 1;
@@ -410,9 +415,10 @@
             _ => Micros::ZERO,
         };
         conn.behind_at = now;
-        if phase == Phase::Head {
-            conn.answered = false;
-            conn.end = None;
+        match phase {
+            Phase::Head => conn.answered = false,
+            Phase::Unread => conn.taken_at = now,
+            Phase::New | Phase::Idle | Phase::Body | Phase::Work => {}
         }
         conn.phase = phase;
         conn.since = now;
@@ -442,6 +448,9 @@
             .lag(now)
             .since(Micros(bytes as u64 * 1_000_000 / min_rate));
         conn.behind_at = now;
+        if !received {
+            conn.taken_at = now;
+        }
         match conn.phase {
             Phase::Unread if !received && conn.answered => self.set_phase(now, key, Phase::Idle),
             Phase::Unread if !received => self.set_phase(now, key, Phase::Work),
@@ -456,22 +465,25 @@
         }
     }
 
-    /// Sets when the request on a connection, or reading its answer, ends at the latest.
-    pub fn set_end(&mut self, key: ConnKey, end: Micros) {
-        if let Some(conn) = self.conns.get_mut(key) {
-            conn.end = Some(end);
+    /// Records whether a caller has acknowledged bytes since the last time, and whether it has no room for the rest.
+    pub fn record_acked(&mut self, now: Micros, key: ConnKey, progress: bool, unsent: bool) {
+        let Some(conn) = self.conns.get_mut(key) else {
+            return;
+        };
+        if progress {
+            conn.taken_at = now;
         }
+        conn.unsent = unsent;
     }
 
     /// Connections whose time has run out. Requests that a target works on aren't among them.
     pub fn overdue(&mut self, now: Micros, timeouts: Timeouts) -> Vec<ConnKey> {
         let late = |c: &Conn| match c.phase {
-            Phase::New | Phase::Idle => now.since(c.since) > timeouts.idle,
+            Phase::Idle if c.unsent => now.since(c.taken_at) > timeouts.unread,
+            Phase::Idle => now.since(c.since.max(c.taken_at)) > timeouts.idle,
+            Phase::New => now.since(c.since) > timeouts.idle,
             Phase::Head => now.since(c.since) > timeouts.head,
-            Phase::Unread => match c.end {
-                Some(end) => now > end,
-                None => c.lag(now) > timeouts.unread,
-            },
+            Phase::Unread => now.since(c.taken_at) > timeouts.unread,
             // A body has a time limit of its own, and a target that of its request.
             Phase::Body | Phase::Work => false,
         };
--- a/crates/overload/src/config.rs
+++ b/crates/overload/src/config.rs
@@ -39,6 +39,10 @@
     /// Bytes that an answer counts for in addition while its caller doesn't read it: what the kernel receives of it
     /// then. Default: 96 KiB.
     pub unread_bytes: usize,
+    /// How long a caller may acknowledge nothing of what it was sent before it counts as vanished. Default: 5 s.
+    pub unacked: Duration,
+    /// How long a caller may take nothing of an answer while there is room. Default: 10 minutes.
+    pub unread: Duration,
 }
 
 impl Default for Config {
@@ -54,6 +58,8 @@
             connection_bytes: 32 << 10,
             request_bytes: 64 << 10,
             unread_bytes: 96 << 10,
+            unacked: Duration::from_secs(5),
+            unread: Duration::from_secs(600),
         }
     }
 }
--- a/crates/overload/src/connection.rs
+++ b/crates/overload/src/connection.rs
@@ -66,6 +66,8 @@
     pub evicted: usize,
     /// Closed as their time had run out.
     pub late: usize,
+    /// Closed as their caller had vanished.
+    pub vanished: usize,
     /// Connections and requests that were refused.
     pub refused: usize,
 }
@@ -273,8 +275,13 @@
         self.0.close.send_if_modified(|c| c.take().is_some());
     }
 
-    /// Keeps the connection for as long as its caller waits, although its window may be closed.
-    pub fn keep_for(&self, patience: Duration) {
+    /// Keeps the connection for as long as its caller waits, although its window may be closed, if the kernel
+    /// doesn't tell whether the caller acknowledges.
+    pub fn keep_for(&self, wait: Duration) {
+        let Config {
+            unacked, unread, ..
+        } = self.0.callers.config();
+        let patience = wait.saturating_add(unacked).min(unread);
         let ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
         self.0.patience_ms.fetch_max(ms, Ordering::Relaxed);
     }
@@ -313,9 +320,22 @@
         self.with(|a, _, key| a.set_team(key, team));
     }
 
-    /// Sets the time from now after which the request, or reading its answer, ends at the latest.
-    pub fn set_end(&self, after: Duration) {
-        self.with(|a, now, key| a.set_end(key, now + after.into()));
+    pub(crate) fn record_acked(&self, progress: bool, unsent: bool) {
+        self.with(|a, now, key| a.record_acked(now, key, progress, unsent));
+    }
+
+    /// Limits of the far end of the connection.
+    pub(crate) fn liveness(&self) -> tcp::Config {
+        tcp::Config {
+            unacked: self.0.callers.config().unacked,
+            ..tcp::Config::default()
+        }
+    }
+
+    /// Records that the caller has vanished.
+    pub(crate) fn record_vanished(&self) {
+        self.0.callers.lock().closed.vanished += 1;
+        meter::count_closed("vanished", 1);
     }
 
     pub(crate) fn record(&self, received: bool, bytes: usize) {
--- a/crates/overload/src/meter.rs
+++ b/crates/overload/src/meter.rs
@@ -10,7 +10,7 @@
 pub const CONNECTIONS: &str = "clementinestep_caller_connections";
 /// Connections of callers that the process waits for.
 pub const WAITING: &str = "clementinestep_caller_connections_waiting";
-/// Connections that were closed or refused, by reason: evicted, late, refused.
+/// Connections that were closed or refused, by reason: evicted, late, vanished, refused.
 pub const CLOSED: &str = "clementinestep_caller_connections_closed_total";
 
 /// Registers the descriptions.
@@ -20,7 +20,7 @@
     describe_gauge!(WAITING, "connections of callers that are waited for");
     describe_counter!(
         CLOSED,
-        "connections of callers closed, by reason: evicted, late, refused"
+        "connections of callers closed, by reason: evicted, late, vanished, refused"
     );
 }
 
--- a/crates/overload/src/stream.rs
+++ b/crates/overload/src/stream.rs
@@ -9,7 +9,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use socket2::SockRef;
+use tcp::{options, Watch};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
@@ -31,32 +31,63 @@
     blocked: bool,
     /// What is read ahead of the caller meanwhile.
     unread: Option<Charge>,
-    /// Time for which the kernel keeps the connection while the caller's window is closed.
+    /// Whether the caller still acknowledges.
+    watch: Watch,
+    /// Bytes that it has acknowledged.
+    acked: u64,
+    /// Time for which a kernel that ends the connection itself keeps it while the caller's window is closed.
     patience: Duration,
     /// End of the time in which bytes are dropped at the end of the connection.
     linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl AccountedStream {
-    /// Wraps a connection that the kernel keeps for a time while the caller's window is closed.
-    pub fn new(tcp: TcpStream, conn: Connection, patience: Duration) -> Self {
-        Self {
+    /// Wraps a connection.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has ended.
+    pub fn new(tcp: TcpStream, conn: Connection) -> io::Result<Self> {
+        let limits = conn.liveness();
+        Ok(Self {
+            watch: Watch::new(&tcp, "caller", limits)?,
+            acked: 0,
+            patience: limits.unacked,
             tcp,
             conn,
             blocked: false,
             unread: None,
-            patience,
             linger: None,
+        })
+    }
+
+    /// Checks whether the caller still acknowledges, if it is time to.
+    fn check(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        match self.watch.poll(cx, &self.tcp) {
+            Ok(Some(acks)) => {
+                let progress = acks.acked > self.acked;
+                self.acked = acks.acked;
+                self.conn.record_acked(progress, acks.unsent > 0);
+            }
+            Ok(None) => {}
+            Err(e) => {
+                if e.kind() == io::ErrorKind::TimedOut {
+                    self.conn.record_vanished();
+                }
+                return Err(e);
+            }
         }
+        Ok(())
     }
 
     /// The connection, for writing.
     fn writer(&mut self) -> Pin<&mut TcpStream> {
-        let patience = self.conn.patience();
-        let socket = SockRef::from(&self.tcp);
-        // A connection whose options can't be set has ended, as the write shows.
-        if patience > self.patience && socket.set_tcp_user_timeout(Some(patience)).is_ok() {
-            self.patience = patience;
+        if self.watch.is_left_to_kernel() {
+            let patience = self.conn.patience();
+            // A connection whose options can't be set has ended, as the write shows.
+            if patience > self.patience && options::set_user_timeout(&self.tcp, patience).is_ok() {
+                self.patience = patience;
+            }
         }
         Pin::new(&mut self.tcp)
     }
@@ -65,6 +96,7 @@
         match polled {
             Poll::Ready(Ok(n)) => {
                 self.conn.record(false, *n);
+                self.watch.record_sent();
                 self.blocked = false;
                 self.unread = None;
             }
@@ -84,6 +116,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.check(cx)?;
         // The task is woken once the caller takes more, and reads again then. While a request is in progress, its
         // caller may leave.
         if self.blocked && !self.conn.is_serving() {
@@ -107,17 +140,24 @@
     ) -> Poll<io::Result<usize>> {
         let polled = self.writer().poll_write(cx, buf);
         self.record_write(&polled);
+        self.check(cx)?;
         polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check(cx)?;
         Pin::new(&mut self.tcp).poll_flush(cx)
     }
 
-    /// Ends what is sent, and drops what has been received or still arrives: the kernel resets a connection that
-    /// is closed with unread bytes, and the caller may lose the answer.
+    /// Ends what is sent, waits while the caller has no room for it, and drops what has been received or still
+    /// arrives: the kernel resets a connection that is closed with unread bytes, and the caller may lose the answer.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
+        self.watch.record_sent();
+        self.check(cx)?;
+        if self.watch.unsent(&self.tcp) > 0 {
+            return Poll::Pending;
+        }
         let mut dropped = [0; DROPPED_AT_ONCE];
         for _ in 0..DROPS_PER_POLL {
             let mut buf = ReadBuf::new(&mut dropped);
@@ -144,6 +184,7 @@
     ) -> Poll<io::Result<usize>> {
         let polled = self.writer().poll_write_vectored(cx, bufs);
         self.record_write(&polled);
+        self.check(cx)?;
         polled
     }
 
@@ -151,3 +192,11 @@
         self.tcp.is_write_vectored()
     }
 }
+
+impl Drop for AccountedStream {
+    fn drop(&mut self) {
+        if !self.watch.is_left_to_kernel() {
+            options::probe_rarely(&self.tcp);
+        }
+    }
+}
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -71,6 +71,10 @@
     pub caller_bytes: Option<usize>,
     /// Connections of callers that may be open; `None` for a part of the descriptors.
     pub caller_connections: Option<usize>,
+    /// How long a caller may acknowledge nothing; `None` for the default.
+    pub caller_unacked: Option<Duration>,
+    /// How long a caller may take nothing of an answer; `None` for the default.
+    pub caller_unread: Option<Duration>,
     /// Interval at which a target renews its entry in the store.
     pub heartbeat: Duration,
     /// Limits that the platform guarantees or requires.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod platform;
 pub mod reply;
+pub mod scripted;
 pub mod service;
 pub mod switch;
 
