Answers with a status that isn't a final one of HTTP are no answers

Callers got answers of targets in trouble with status 101, 600, 700 or 999 as the answer (MIXED), on all routes, and through the product's own interface.

Cause: the HTTP library accepts 100 to 999 and takes 101 for final; outcomes were decided by classes of statuses, and what belonged to none was passed on.

Change: a status outside 200 to 599 is decided first, in the head's decoding: the request may have run. Idempotent requests go to another target, others are answered 502, the target counts as faulty. Sidecars of the own interface report a bad answer.

--- a/crates/daemon/src/sidecar/target.rs
+++ b/crates/daemon/src/sidecar/target.rs
@@ -69,7 +69,7 @@
     if is_busy(job, &res) {
         return Err(Code::NoTarget);
     }
-    if ends_on_close(&res) {
+    if ends_on_close(&res) || !is_final(&res) {
         return Err(Code::BadAnswer);
     }
     job.active.set_head(answer_head(&res, job.waited));
@@ -158,6 +158,11 @@
     !chunked && res.body().size_hint().exact().is_none()
 }
 
+/// Whether the status is a final one of HTTP; anything else is no answer.
+fn is_final(res: &Response<Incoming>) -> bool {
+    (200..600).contains(&res.status().as_u16())
+}
+
 fn is_event_stream(res: &Response<Incoming>) -> bool {
     let kind = res.headers().get("content-type");
     let kind = kind.and_then(|v| v.to_str().ok());
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod long_bodies;
 mod losses;
+mod mixed;
 mod moved_callers;
 mod moved_store;
 mod odd_rows;
--- a/crates/gate/src/entry/send.rs
+++ b/crates/gate/src/entry/send.rs
@@ -388,6 +388,10 @@
         }
     };
     let head = replica::decode_answer_head(response.status(), response.headers(), &job.id);
+    if !head.is_final {
+        // Nothing else in it counts either.
+        return SendOutcome::Unknown("no final status");
+    }
     if let Some(timeout) = head.idle_timeout {
         connection.set_idle_timeout(timeout);
     }
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -37,13 +37,30 @@
     }
 }
 
-/// Starts a target on a port of 127.0.0.1, which ends when the task set is dropped. It passes the first request on each
-/// connection to `answer`, which has a receive buffer of this size if one is given.
+/// Starts a target on a port of 127.0.0.1, as [`start_at`] does.
 ///
 /// # Errors
 ///
 /// If no port can be bound.
 pub async fn start<F, Fut>(buffer: Option<u32>, answer: F) -> io::Result<(SocketAddr, JoinSet<()>)>
+where
+    F: Fn(Received) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = io::Result<()>> + Send + 'static,
+{
+    start_at((Ipv4Addr::LOCALHOST, 0).into(), buffer, answer).await
+}
+
+/// Starts a target at an address, which ends when the task set is dropped. It passes the first request on each
+/// connection to `answer`. Connections have a receive buffer of this size if one is given.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub async fn start_at<F, Fut>(
+    at: SocketAddr,
+    buffer: Option<u32>,
+    answer: F,
+) -> io::Result<(SocketAddr, JoinSet<()>)>
 where
     F: Fn(Received) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = io::Result<()>> + Send + 'static,
@@ -52,7 +69,8 @@
     if let Some(buffer) = buffer {
         socket.set_recv_buffer_size(buffer)?;
     }
-    socket.bind((Ipv4Addr::LOCALHOST, 0).into())?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
     let listener = socket.listen(BACKLOG)?;
     let addr = listener.local_addr()?;
     let mut tasks = JoinSet::new();
