A process that stops starts only requests that end before it does

Callers whose requests came late in the grace of a planned stop got them passed on and cut at its end: a stream without its end, or 502 for a request that ran and may not run twice (LOST).

Cause: everything was taken for 2.6 s after the signal, whatever it would take, and bodies or retries that came later as well.

Change: before each attempt the expected end is compared with that of the process (policy::late_start, alone and tested as a table): the longest recent answer of the route, or the deadline. What would end later is refused as stopping, not run.

Evidence: hosted/late_in_grace, grace 5 s, requests 2 s after the signal. Before, 16 of 16 requests of 3.5 s ran and lost their answers, and 4 of 4 with a late body; now none of them runs, and short ones are still served. Entries paused in the grace refused before as well.

--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -13,6 +13,7 @@
 mod fatal;
 mod fleet;
 mod held;
+mod late_in_grace;
 mod leaving;
 mod limits;
 mod long_bodies;
--- a/crates/gate/src/entry/attempts.rs
+++ b/crates/gate/src/entry/attempts.rs
@@ -72,6 +72,12 @@
         if job.time_left(ctx.now()) < MIN_TIME_LEFT {
             return last.map(FirstAnswer::Whole).ok_or(timed_out(job));
         }
+        if !ctx.ends_in_time(job) {
+            return match job.run_count {
+                0 => Err(Reason::Stopping),
+                _ => last.map(FirstAnswer::Whole).ok_or(Reason::Unknown),
+            };
+        }
         let is_trial = match suspects::may_run(ctx, job) {
             Ok(is_trial) => is_trial,
             Err(_) if job.run_count > 0 => return Err(Reason::Unknown),
--- a/crates/gate/src/entry/mod.rs
+++ b/crates/gate/src/entry/mod.rs
@@ -33,7 +33,7 @@
 mod uneven_demand;
 mod usable;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -43,6 +43,7 @@
 
 use model::Micros;
 use overload::{Callers, Config};
+use policy::late_start::{ends_in_time, RecentMax};
 use policy::load_overlap::AnswerTime;
 use policy::prefill_rate::PrefillRate;
 use policy::subscription::{self, Sidecar};
@@ -125,6 +126,10 @@
     target_limits: RefCell<target_limits::State>,
     /// Prefill rates of engines, by pool.
     prefill_rates: RefCell<HashMap<String, PrefillRate>>,
+    /// When the process ends, if it stops: what isn't answered by then is cut off.
+    exit_at: Cell<Option<Micros>>,
+    /// Longest recent times from a request to the end of its answer, by route.
+    durations: RefCell<HashMap<String, RecentMax>>,
     /// Durations of engines' answers, by pool.
     answer_times: RefCell<HashMap<String, AnswerTime>>,
     /// Balance between domains, and demand for openings.
@@ -205,6 +210,25 @@
         update::send(&self.socket, &update, self.node.cluster.borrow().entries());
     }
 
+    /// Records how long a job took that has been answered.
+    fn record_duration(&self, job: &request::Job) {
+        let now = self.now();
+        let mut durations = self.durations.borrow_mut();
+        let longest = durations.entry(job.route.name.clone()).or_default();
+        longest.record(now, now.since(job.received_at));
+    }
+
+    /// Whether a job that starts now is expected to end before the process does.
+    fn ends_in_time(&self, job: &request::Job) -> bool {
+        let Some(exit) = self.exit_at.get() else {
+            return true;
+        };
+        let now = self.now();
+        let mut durations = self.durations.borrow_mut();
+        let expected = durations.get_mut(&job.route.name).and_then(|d| d.get(now));
+        ends_in_time(now, exit, job.deadline, expected)
+    }
+
     /// Calls `f` with the prefill rate of a pool.
     fn prefill_rate<T>(&self, pool: &str, f: impl FnOnce(&mut PrefillRate) -> T) -> T {
         let mut prefill_rates = self.prefill_rates.borrow_mut();
@@ -255,6 +279,8 @@
         inquiries: RefCell::default(),
         target_limits: RefCell::default(),
         prefill_rates: RefCell::default(),
+        exit_at: Cell::new(None),
+        durations: RefCell::default(),
         answer_times: RefCell::default(),
         domains: RefCell::default(),
         rooms: Rooms::default(),
@@ -426,6 +452,9 @@
     ctx.node.stopping.set(true);
     ctx.origins.leave();
     let end = stopped_at + ctx.node.settings.borrow().bounds.grace - EXIT_MARGIN;
+    let exit = end.saturating_duration_since(ctx.node.origin);
+    ctx.exit_at
+        .set(Some(exit.saturating_sub(EXIT_MARGIN).into()));
     sleep(LAME_DUCK_PERIOD).await;
     ctx.closing.send_replace(true);
     // Waits until the connections in the backlog are accepted; a failed task has accepted none.
--- a/crates/gate/src/entry/pass_through.rs
+++ b/crates/gate/src/entry/pass_through.rs
@@ -108,6 +108,7 @@
             ..
         } = self.live;
         let sent_to = in_flight.sent_to();
+        self.ctx.record_duration(&self.job);
         suspects::record_end(&self.ctx, &self.job, head.delimited, sent_to, witness);
         let mut fleet = self.ctx.fleet.borrow_mut();
         fleet.record_success(in_flight.key());
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -475,6 +475,7 @@
     fn finish(&mut self) {
         self.end = End::Whole;
         self.record_answer_time();
+        self.ctx.record_duration(&self.job);
         if let Some(mut live) = self.live.take() {
             let (sent_to, witness) = (live.in_flight.sent_to(), live.witness.take());
             let delimited = live.head.delimited;
--- a/crates/gate/src/entry/serve.rs
+++ b/crates/gate/src/entry/serve.rs
@@ -219,6 +219,7 @@
             record_answer(ctx, &job, response.status());
             if response.status().is_success() {
                 room::record_first_event(ctx, &job);
+                ctx.record_duration(&job);
             }
             meter::record_duration(meter::ANSWER_END, ctx.now().since(job.received_at).into());
             let (parts, body) = response.into_parts();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod fair_share;
 pub mod health;
 pub mod holder;
+pub mod late_start;
 pub mod latency_admission;
 pub mod leaving;
 pub mod length_partition;
