A pool's only build is confirmed by reads that are newer than the request

Cause: that a pool has a single build was decided from a list and a row of the store of any age.

Change: both have to be read from the store after the request came, else they are read again, for 2 s at most, and the request is refused if that fails. The build of a first event after a broken connection needs a read since the connection was opened, which is requested at once.

--- a/crates/daemon/tests/hosted/builds.rs
+++ b/crates/daemon/tests/hosted/builds.rs
@@ -153,7 +153,7 @@
     }
 
     /// Id of the last event received.
-    fn last_id(&self) -> String {
+    pub fn last_id(&self) -> String {
         let mut ids = self
             .events
             .lines()
--- a/crates/daemon/tests/hosted/main.rs
+++ b/crates/daemon/tests/hosted/main.rs
@@ -22,6 +22,7 @@
 mod moved_callers;
 mod moved_store;
 mod odd_rows;
+mod out_of_step;
 mod pace;
 mod pool;
 mod replaced_in_series;
--- a/crates/gate/src/entry/build_history.rs
+++ b/crates/gate/src/entry/build_history.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::Micros;
 use platform::store::BUILDS_TABLE;
 use platform::{Rows, Store, StoreError};
 use policy::build_history::{Config, History, PoolBuilds, Stored};
@@ -47,6 +48,10 @@
     kept: RefCell<Option<Kept>>,
     /// Whether the row is about to be checked.
     checking: Cell<bool>,
+    /// When the last read of the row began.
+    read_from: Cell<Micros>,
+    /// Whether it is being read.
+    reading: Cell<bool>,
 }
 
 /// Value of the row: builds by pool, in hexadecimal, with the store's clock when they had left.
@@ -84,17 +89,46 @@
     pub(super) fn is_read(&self) -> bool {
         self.kept.borrow().is_some()
     }
+
+    /// Whether the last read of the row began at a time or later.
+    pub(super) fn is_read_since(&self, time: Micros) -> bool {
+        self.is_read() && self.read_from.get() >= time
+    }
+}
+
+/// Reads the row again, unless that is under way.
+pub(super) fn request_read(ctx: &Ctx) {
+    if ctx.builds.reading.replace(true) {
+        return;
+    }
+    let ctx = Rc::clone(ctx);
+    tokio::task::spawn_local(async move {
+        let (began, mut store) = (ctx.now(), client(&ctx));
+        let read = store.rows(BUILDS_TABLE).await;
+        match read {
+            // The row may have been read and changed meanwhile.
+            Ok(rows) if ctx.builds.read_from.get() <= began => {
+                apply(&ctx, &rows);
+                ctx.builds.read_from.set(began);
+            }
+            Ok(_) => {}
+            Err(e) => Dependency::new("builds").record(&Err::<(), _>(e)),
+        }
+        ctx.builds.reading.set(false);
+    });
 }
 
 /// Reads the row from before the start of the process.
 pub(super) async fn restore(ctx: Ctx) {
     let mut dependency = Dependency::new("builds");
     loop {
+        let began = ctx.now();
         let read = client(&ctx).rows(BUILDS_TABLE).await;
         dependency.record(&read);
         match read {
             Ok(rows) => {
                 apply(&ctx, &rows);
+                ctx.builds.read_from.set(began);
                 break;
             }
             Err(_) => retry_pause().await,
@@ -173,8 +207,9 @@
 }
 
 async fn check_once(ctx: &Ctx) -> Result<(), StoreError> {
-    let mut store = client(ctx);
+    let (began, mut store) = (ctx.now(), client(ctx));
     let version = apply(ctx, &store.rows(BUILDS_TABLE).await?);
+    ctx.builds.read_from.set(began);
     let Some(stored) = update(ctx) else {
         return Ok(());
     };
--- a/crates/gate/src/entry/origins.rs
+++ b/crates/gate/src/entry/origins.rs
@@ -113,7 +113,10 @@
         // Callers of the earlier interface don't name the first attempt.
         None => None,
     };
-    let known = found.or_else(|| sole_build(ctx, job));
+    let known = match found {
+        Some(build) => Some(build),
+        None => confirmed_sole_build(ctx, job).await,
+    };
     job.origin = known.map_or(Origin::Unknown, Origin::Build);
     let outcome = if known.is_some() { "known" } else { "unknown" };
     meter::increment(meter::RESUMED_STREAMS, "origin", outcome);
@@ -138,6 +141,30 @@
     }
 }
 
+/// The only build at which a stream can have started, as the store shows after the request came. A process that was
+/// paused or cut off doesn't know of builds that have joined meanwhile.
+async fn confirmed_sole_build(ctx: &Ctx, job: &Job) -> Option<BuildKey> {
+    let end = ctx.now() + CONFIRM_TIMEOUT.min(job.time_left(ctx.now()).into());
+    loop {
+        let build = sole_build(ctx, job)?;
+        let is_list_read = ctx.fleet.borrow().list_read_from >= job.received_at;
+        let is_row_read = ctx.builds.is_read_since(job.received_at);
+        if is_list_read && is_row_read {
+            return Some(build);
+        }
+        if ctx.now() >= end {
+            return None;
+        }
+        if !is_list_read {
+            ctx.list.request_read();
+        }
+        if !is_row_read {
+            build_history::request_read(ctx);
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
 /// The only build at which a stream can have started, if its route leads to one pool.
 fn sole_build(ctx: &Ctx, job: &Job) -> Option<BuildKey> {
     let is_sole = job.route.shares.iter().all(|s| s.pool == job.pool);
@@ -210,13 +237,15 @@
 }
 
 /// The build that has sent a stream's first event on a connection opened at this time. After a
-/// connection broke or the store was restored, the list counts only if it has been read since, or if
-/// the pool has no other build.
+/// connection broke or the store was restored, the list counts only if it has been read since its target may have
+/// registered, or at least since the connection was opened if the pool has no other build.
 fn beginning_build(ctx: &Ctx, key: ReplicaKey, opened: Instant) -> Option<BuildKey> {
     let (build, from) = build_on(ctx, key, opened)?;
     let fleet = ctx.fleet.borrow();
     let replica = fleet.replicas.get(key)?;
-    let is_sole = || build_history::sole_build(ctx, &replica.target.pool) == Some(build);
+    let is_list_read = ctx.node.origin + Duration::from(fleet.list_read_from) >= opened;
+    let is_sole =
+        || is_list_read && build_history::sole_build(ctx, &replica.target.pool) == Some(build);
     let is_listed = !replica.may_be_replaced(opened) && fleet.is_current(replica);
     let certain = is_listed || has_read_since(ctx, key, from) || is_sole();
     certain.then_some(build)
@@ -264,6 +293,7 @@
     let stream = stream_key(job);
     let mut uncertain = ctx.uncertain.borrow_mut();
     if uncertain.is_empty() {
+        ctx.list.request_read();
         tokio::task::spawn_local(read_after_heartbeat(Rc::clone(ctx)));
     }
     if uncertain.len() < MAX_UNCERTAIN && !uncertain.iter().any(|u| u.stream == stream) {
