Queries between processes have 256 KiB at most

Bytes without end (LOST): a sender on the port for other processes could fill an entry's memory, which ends all its requests.

Cause: the limit of a message was that of the longest answer, 8 MiB, for queries too, on each of 32 connections.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -51,7 +51,11 @@
         // Neither informational answers nor small chunks reach a length soon.
         let is_slow = matches!(
             kind,
-            Endless::Informational | Endless::Chunks | Endless::EmptyEvents
+            Endless::Informational
+                | Endless::Continue
+                | Endless::EmptyLines
+                | Endless::Chunks
+                | Endless::EmptyEvents
         );
         let limit = match is_slow {
             true => Duration::from_millis(500),
@@ -64,7 +68,9 @@
             Client::default().call(call).await
         });
         match kind {
-            Endless::Body => assert_matches!(answer, Err(HttpError::TooLong)),
+            Endless::Body | Endless::HugeChunk | Endless::LongHead => {
+                assert_matches!(answer, Err(HttpError::TooLong))
+            }
             _ if is_slow => assert_matches!(answer, Err(_), "{kind:?}"),
             _ => assert_matches!(answer, Err(HttpError::Lost(_)), "{kind:?}"),
         }
--- a/crates/daemon/tests/hosted/endless.rs
+++ b/crates/daemon/tests/hosted/endless.rs
@@ -1,5 +1,6 @@
 //! Servers that answer with bytes without end, in a head or a body.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,12 @@
 use standin::endless::{Endless, EndlessServer};
 use standin::hosted::replica::Replica;
 use standin::link::Link;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::fleet::{config, fetch, max_resident, request, Entry, Platform, MODEL, TIMEOUT};
+use crate::fleet::{config, fetch, max_resident, request, Entry, Platform, KEY, MODEL, TIMEOUT};
 
 /// Memory of the smallest host for entries, in KiB.
 const ENTRY_MEMORY: u64 = 110_000;
@@ -117,11 +120,9 @@
     }
 }
 
-#[tokio::test]
-async fn many_answers_without_end_fill_no_memory_together() {
-    // Guards against a bound for each answer alone, which many answers at the same time exceed.
+async fn check_many(case: Endless) {
     let platform = Platform::start().await;
-    let (endless, _tasks) = EndlessServer::start(Endless::Body).await.expect("a server");
+    let (endless, _tasks) = EndlessServer::start(case).await.expect("a server");
     let service = Replica::new("p1", 0, Duration::ZERO);
     platform.list(&service, "plain", endless.addr(), "ready");
     let entry = platform.entry("front-1", 1).await;
@@ -129,12 +130,137 @@
         let requests = (0..MANY_REQUESTS).map(|n| {
             let (entry, endless) = (&entry, &endless);
             let id = format!("log-{n}");
-            async move { check_request(Endless::Body, entry, "/log/1", &id, endless).await }
+            async move { check_request(case, entry, "/log/1", &id, endless).await }
         });
         join_all(requests).await;
     };
     let (most, ()) = max_resident(&entry.process, load).await;
-    assert!(most < ENTRY_MEMORY, "{most} KiB");
+    assert!(most < ENTRY_MEMORY, "{case:?}: {most} KiB");
+}
+
+#[tokio::test]
+async fn many_answers_without_end_fill_no_memory_together() {
+    // Guards against a bound for each answer alone, which many answers at the same time exceed.
+    for case in [Endless::Body, Endless::HugeChunk, Endless::LongHead] {
+        check_many(case).await;
+    }
+}
+
+/// What a caller or another process sends without end, before it and again and again.
+struct Sender {
+    name: &'static str,
+    start: Vec<u8>,
+    block: &'static [u8],
+}
+
+/// Connections of senders at the same time, and how long they send.
+const SENDERS: usize = 48;
+const SENDING_TIME: Duration = Duration::from_millis(2_500);
+
+/// Sends on many connections, which are opened again once they are closed, while other requests are served.
+async fn check_senders(entry: &Entry, to: SocketAddr, sender: &Sender) {
+    let end = Instant::now() + SENDING_TIME;
+    let send = async || {
+        while Instant::now() < end {
+            let Ok(mut tcp) = TcpStream::connect(to).await else {
+                continue;
+            };
+            let block = sender.block.repeat((32 << 10) / sender.block.len());
+            if tcp.write_all(&sender.start).await.is_err() {
+                continue;
+            }
+            while Instant::now() < end {
+                let sent = timeout(Duration::from_millis(500), tcp.write_all(&block)).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    break;
+                }
+                tokio::task::yield_now().await;
+            }
+        }
+    };
+    let load = async {
+        let senders = join_all((0..SENDERS).map(|_| send()));
+        let ordinary = async {
+            let mut served = 0;
+            while Instant::now() < end {
+                let answer = fetch(entry, "/check/1", &format!("beside-{served}")).await;
+                served += usize::from(answer.is_ok_and(|a| a.status == 200));
+                sleep(Duration::from_millis(50)).await;
+            }
+            served
+        };
+        futures::future::join(senders, ordinary).await.1
+    };
+    let (most, served) = max_resident(&entry.process, load).await;
+    assert!(most < ENTRY_MEMORY, "{}: {most} KiB", sender.name);
+    assert!(served > 0, "{}: no service", sender.name);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn caller_or_process_that_sends_without_end_fills_no_memory() {
+    // Guards against heads, bodies and messages that are kept without a bound, or with one for each connection alone.
+    let head = format!(
+        "POST /log/1 HTTP/1.1\r\nhost: poll.example\r\nattempt-id: a\r\ncredential: {KEY}\r\n"
+    );
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let callers = [
+        Sender {
+            name: "empty lines",
+            start: Vec::new(),
+            block: b"\r\n",
+        },
+        Sender {
+            name: "a method",
+            start: Vec::new(),
+            block: b"x",
+        },
+        Sender {
+            name: "a value",
+            start: format!("{head}x-more: ").into(),
+            block: b"x",
+        },
+        Sender {
+            name: "fields",
+            start: head.clone().into(),
+            block: b"x-more: x\r\n",
+        },
+        Sender {
+            name: "a huge chunk",
+            start: format!("{head}{chunked}fffffffffffff\r\n").into(),
+            block: b"x",
+        },
+        Sender {
+            name: "small chunks",
+            start: format!("{head}{chunked}").into(),
+            block: b"1\r\nx\r\n",
+        },
+        Sender {
+            name: "a chunk's extension",
+            start: format!("{head}{chunked}4;x=").into(),
+            block: b"x",
+        },
+        Sender {
+            name: "trailers",
+            start: format!("{head}{chunked}4\r\nbody\r\n0\r\n").into(),
+            block: b"x-more: x\r\n",
+        },
+    ];
+    let mut platform = Platform::start().await;
+    let plain = Replica::new("p1", 0, Duration::ZERO);
+    platform.replica(&plain, "plain").await;
+    let entry = platform.entry("front-1", 1).await;
+    for sender in &callers {
+        check_senders(&entry, entry.callers, sender).await;
+    }
+    let peer = platform.wait_for_member("front-1").await;
+    // A length just below the longest, and the bytes of such a message.
+    let length = ((8 << 20) - 1_u32).to_be_bytes().to_vec();
+    let message = Sender {
+        name: "a message",
+        start: length,
+        block: b"x",
+    };
+    check_senders(&entry, peer, &message).await;
 }
 
 async fn check_engine_interface(case: Endless) {
--- a/crates/gate/src/peer.rs
+++ b/crates/gate/src/peer.rs
@@ -27,6 +27,7 @@
 
 use crate::listener::Listener;
 use crate::log::{self, Event};
+use crate::meter;
 use crate::node::{OperatorRow, SharedNode, Source};
 use crate::target_list::TargetList;
 
@@ -42,8 +43,10 @@
 const MAX_LIST_AGE: Micros = Micros::from_millis(5_000);
 /// Connections of other processes at a time; each lasts for one query.
 const CONNECTIONS: usize = 32;
-/// Maximum size of a message in bytes; the maximum size of a configuration is 4 MB.
-const MAX_MESSAGE: usize = 8 << 20;
+/// Maximum size of an answer in bytes; the maximum size of a configuration is 4 MB.
+const MAX_ANSWER: usize = 8 << 20;
+/// Maximum size of a query in bytes, which names the operator's rows. All connections may send one at a time.
+const MAX_QUERY: usize = 256 << 10;
 
 /// Query for rows newer than those that the querying process has.
 #[derive(Clone, PartialEq, Message)]
@@ -163,9 +166,10 @@
     Timeout,
 }
 
-fn framed(tcp: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+/// Messages of a connection, of `max` bytes at most.
+fn framed(tcp: TcpStream, max: usize) -> Framed<TcpStream, LengthDelimitedCodec> {
     let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE)
+        .max_frame_length(max)
         .new_codec();
     Framed::new(tcp, codec)
 }
@@ -182,7 +186,9 @@
                     let answer = timeout(ROUND_INTERVAL * 4, answer(&node, tcp));
                     // After a failure the querying process queries another one.
                     tokio::select! {
-                        _ = answer => {}
+                        answered = answer => if let Ok(Err(PeerError::Io(e))) = answered {
+                            record_bad_query(&e);
+                        },
                         () = conn.evicted() => {}
                     }
                 });
@@ -191,9 +197,16 @@
     });
 }
 
+/// Counts queries that are too long.
+fn record_bad_query(e: &io::Error) {
+    if e.kind() == io::ErrorKind::InvalidData {
+        meter::increment(meter::BAD_UPDATES, "reason", "query");
+    }
+}
+
 /// Answers one request on a connection.
 async fn answer(node: &SharedNode, tcp: TcpStream) -> Result<(), PeerError> {
-    let mut frames = framed(tcp);
+    let mut frames = framed(tcp, MAX_QUERY);
     let message = frames.next().await.ok_or(PeerError::Ended)??;
     let request = Request::decode(message)?;
     let reply = match request.target.parse() {
@@ -201,6 +214,7 @@
         Err(_) if request.targets => list_reply(node, request.position()),
         Err(_) => newer_rows(node, &request),
     };
+    frames.codec_mut().set_max_frame_length(MAX_ANSWER);
     frames.send(Bytes::from(reply.encode_to_vec())).await?;
     Ok(())
 }
@@ -437,7 +451,7 @@
 
 /// Sends a request to a process and waits for the reply.
 async fn query(addr: SocketAddr, request: &Request) -> Result<Reply, PeerError> {
-    let mut frames = framed(platform::call::connect(addr).await?);
+    let mut frames = framed(platform::call::connect(addr).await?, MAX_ANSWER);
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let reply = frames.next().await.ok_or(PeerError::Ended)??;
     Ok(Reply::decode(reply)?)
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -15,6 +15,9 @@
 /// Size of the blocks that are sent, and the pause between two of them: some 60 MB a second.
 const BLOCK: usize = 64 << 10;
 const PAUSE: Duration = Duration::from_millis(1);
+/// Fields of a long head, and length of its longest value; less than 64 KiB together.
+const LONG_HEAD_FIELDS: usize = 60;
+const LONG_HEAD_VALUE: usize = 60_000;
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// Header that is repeated in the answer.
@@ -41,11 +44,19 @@
     Trailers,
     /// Empty lines of an event stream in chunks.
     EmptyEvents,
+    /// A chunk of a size that no body has.
+    HugeChunk,
+    /// Empty lines before the status line.
+    EmptyLines,
+    /// Answers that ask for the body.
+    Continue,
+    /// A head of nearly the longest length, and then a body.
+    LongHead,
 }
 
 impl Endless {
     /// All kinds.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 13] = [
         Self::StatusLine,
         Self::HeaderValue,
         Self::Headers,
@@ -55,6 +66,10 @@
         Self::ChunkExtension,
         Self::Trailers,
         Self::EmptyEvents,
+        Self::HugeChunk,
+        Self::EmptyLines,
+        Self::Continue,
+        Self::LongHead,
     ];
 
     /// The bytes before those without end, in an answer to the request with this id.
@@ -68,7 +83,13 @@
             Self::StatusLine => "HTTP/1.1 200 ".to_owned(),
             Self::HeaderValue => format!("{head}x-more: "),
             Self::Headers => head,
-            Self::Informational => String::new(),
+            Self::Informational | Self::EmptyLines | Self::Continue => String::new(),
+            Self::HugeChunk => format!("{head}{chunked}fffffffffffff\r\n"),
+            Self::LongHead => {
+                let fields = "x-more: xxxxxxxxxxxxxxxxxxxxxxxx\r\n".repeat(LONG_HEAD_FIELDS);
+                let long = "y".repeat(LONG_HEAD_VALUE);
+                format!("{head}{fields}x-long: {long}\r\nconnection: close\r\n\r\n")
+            }
             Self::Body => format!("{head}connection: close\r\n\r\n"),
             Self::Chunks | Self::EmptyEvents => format!("{head}{chunked}"),
             Self::ChunkExtension => format!("{head}{chunked}4;x="),
@@ -79,7 +100,14 @@
     /// The bytes that are repeated.
     fn block(self) -> Vec<u8> {
         let unit = match self {
-            Self::StatusLine | Self::HeaderValue | Self::Body | Self::ChunkExtension => "x",
+            Self::StatusLine
+            | Self::HeaderValue
+            | Self::Body
+            | Self::ChunkExtension
+            | Self::HugeChunk
+            | Self::LongHead => "x",
+            Self::EmptyLines => "\r\n",
+            Self::Continue => "HTTP/1.1 100 Continue\r\n\r\n",
             Self::Headers | Self::Trailers => "x-more: x\r\n",
             Self::Informational => "HTTP/1.1 103 Early Hints\r\n\r\n",
             Self::Chunks => "8\r\nxxxxxxxx\r\n",
