Idle connections are probed for as long as their far end may acknowledge nothing

Cause: two keep-alive probes for all connections. Now as many as the limit has seconds: one for targets, which are given 2 s as before, four for callers.

Evidence: connections_outlive_a_short_outage fails with two probes (idle connection reset) and passes with the new number; a caller that has vanished while idle is still closed in time.

--- a/crates/daemon/tests/common/slow_reader.rs
+++ b/crates/daemon/tests/common/slow_reader.rs
@@ -48,9 +48,14 @@
     }
 
     /// Reads a whole answer of this length at least; the error says how much there was.
-    pub async fn read(&self, mut tcp: TcpStream) -> Result<(), String> {
+    pub async fn read(&self, tcp: TcpStream) -> Result<(), String> {
+        self.read_on(tcp, Vec::new()).await
+    }
+
+    /// Reads the rest of an answer.
+    pub async fn read_on(&self, mut tcp: TcpStream, mut answer: Vec<u8>) -> Result<(), String> {
         let began = Instant::now();
-        let (mut answer, mut piece) = (Vec::new(), vec![0; self.piece]);
+        let mut piece = vec![0; self.piece];
         while !self.is_whole(&answer) {
             let end = match tcp.read(&mut piece).await {
                 Ok(n) if n > 0 => {
@@ -83,6 +88,11 @@
     attached.expect("a filter");
 }
 
+/// Ends [`vanish`].
+pub fn reappear(tcp: &TcpStream) {
+    SockRef::from(tcp).detach_filter().expect("no filter");
+}
+
 /// Number of sockets that a process has open.
 pub fn open_sockets(process: u32) -> usize {
     let files = std::fs::read_dir(format!("/proc/{process}/fd")).expect("its files");
--- a/crates/daemon/tests/hosted/slow_readers.rs
+++ b/crates/daemon/tests/hosted/slow_readers.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::fleet::{config, request, Entry, Platform, HOST, KEY, MODEL, TIMEOUT};
-use crate::slow_reader::{open_sockets, vanish, SlowReader};
+use crate::slow_reader::{open_sockets, reappear, vanish, SlowReader};
 
 /// Number of callers that read slowly at the same time.
 const READERS: usize = 8;
@@ -156,8 +156,14 @@
 
 /// A platform with a target for each kind of route, and an entry.
 async fn start() -> (Platform, Entry) {
+    start_with(Duration::from_millis(3_000)).await
+}
+
+/// Like [`start`], with this time limit of idle connections.
+async fn start_with(idle: Duration) -> (Platform, Entry) {
     let mut platform = Platform::start().await;
     let mut config = config(2);
+    config["limits"]["idle_timeout_ms"] = json!(idle.as_millis() as u64);
     config["limits"]["max_body_bytes"] = json!(4_000_000);
     platform.store.write("op", "config", &config);
     let plain = Replica::new("p1", 0, Duration::ZERO);
@@ -247,6 +253,7 @@
         SlowReader { name: "closed window", path: "/log/1", buffer: 1_024, length: 60_000, piece: 400, pause: ms(300) },
         SlowReader { name: "closed window for long", path: "/log/1", buffer: 1_024, length: 60_000, piece: 400, pause: ms(9_000) },
         SlowReader { name: "open window", path: "/code/1", buffer: 64 << 10, length: 600_000, piece: 20_000, pause: ms(300) },
+        SlowReader { name: "idle", path: "/log/1", buffer: 16 << 10, length: 400, piece: 400, pause: ms(300) },
     ];
     let (_platform, entry) = start().await;
     let mut callers = Vec::new();
@@ -289,6 +296,40 @@
     assert_eq!(tried.await["reason"], "event too long");
 }
 
+/// How long the network of a caller is out: less than a caller may acknowledge nothing.
+const OUTAGE: Duration = Duration::from_millis(3_500);
+
+#[tokio::test]
+async fn connections_outlive_a_short_outage() {
+    // Guards against keep-alive probes that give a caller less time than the limit says.
+    let ms = Duration::from_millis;
+    #[rustfmt::skip]
+    let readers = [
+        SlowReader { name: "idle", path: "/log/1", buffer: 16 << 10, length: 100, piece: 400, pause: ms(0) },
+        SlowReader { name: "in an answer", path: "/log/1", buffer: 1_024, length: 8_000, piece: 800, pause: ms(100) },
+        SlowReader { name: "in a stream", path: "/code/1", buffer: 64 << 10, length: 600_000, piece: 20_000, pause: ms(10) },
+    ];
+    let (_platform, entry) = start_with(ms(60_000)).await;
+    let ended = join_all(readers.iter().map(|r| async {
+        let mut tcp = r.send(entry.callers, &slow_request(r)).await;
+        let mut piece = vec![0; r.piece];
+        let read = tcp.read(&mut piece).await.expect("a piece");
+        // The last acknowledgement arrives.
+        sleep(ms(300)).await;
+        vanish(&tcp);
+        sleep(OUTAGE).await;
+        reappear(&tcp);
+        if r.name != "idle" {
+            return r.read_on(tcp, piece[..read].to_vec()).await;
+        }
+        let sent = tcp.write_all(&slow_request(r)).await;
+        sent.map_err(|e| e.to_string())?;
+        r.read(tcp).await
+    }));
+    let lost: Vec<_> = ended.await.into_iter().filter_map(Result::err).collect();
+    assert!(lost.is_empty(), "{lost:#?}");
+}
+
 /// Length of a request's body, and how a target takes it: over a closed window for longer than a target that has
 /// vanished is waited for.
 const UPLOAD: usize = 5_000;
--- a/crates/daemon/tests/slow_readers.rs
+++ b/crates/daemon/tests/slow_readers.rs
@@ -3,6 +3,7 @@
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod common;
+#[allow(dead_code, reason = "this program uses a part of it")]
 #[path = "common/slow_reader.rs"]
 mod slow_reader;
 
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -52,7 +52,7 @@
             tokio::select! {
                 (tcp, conn) = accept::accept(&self.listener, &self.conns) => {
                     // A connection whose options can't be set has already ended.
-                    if tcp::options::set_common(&tcp).is_ok() {
+                    if tcp::options::set_common(&tcp, conn.unacked()).is_ok() {
                         handle(tcp, conn);
                     }
                 }
--- a/crates/overload/src/connection.rs
+++ b/crates/overload/src/connection.rs
@@ -324,10 +324,15 @@
         self.with(|a, now, key| a.record_acked(now, key, progress, unsent));
     }
 
+    /// How long the far end may acknowledge nothing.
+    pub fn unacked(&self) -> Duration {
+        self.0.callers.config().unacked
+    }
+
     /// Limits of the far end of the connection.
     pub(crate) fn liveness(&self) -> tcp::Config {
         tcp::Config {
-            unacked: self.0.callers.config().unacked,
+            unacked: self.unacked(),
             ..tcp::Config::default()
         }
     }
--- a/crates/tcp/src/options.rs
+++ b/crates/tcp/src/options.rs
@@ -13,8 +13,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between two keep-alive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered probes after which the kernel closes a connection on which nothing is to be sent.
-const KEEPALIVE_RETRIES: u32 = 2;
+/// Most probes that the kernel accepts.
+const MAX_RETRIES: u64 = 127;
 /// `TCP_RTO_MAX_MS` of Linux 6.15 and later.
 const TCP_RTO_MAX_MS: c_int = 44;
 /// Longest time between two probes of a closed window, in milliseconds; by default it grows to two minutes, and a far
@@ -23,17 +23,20 @@
 /// The kernel's own maximum.
 const DEFAULT_PROBE_INTERVAL: c_int = 120_000;
 
-/// Sends small segments at once, and has the kernel probe a connection on which nothing is to be sent.
+/// Sends small segments at once, and has the kernel close a connection on which nothing is to be sent once the far
+/// end has left its probes unanswered for a time, in seconds from two on.
 ///
 /// # Errors
 ///
 /// If the connection has ended.
-pub fn set_common(tcp: &TcpStream) -> io::Result<()> {
+pub fn set_common(tcp: &TcpStream, unacked: Duration) -> io::Result<()> {
     tcp.set_nodelay(true)?;
+    let probed = unacked.saturating_sub(KEEPALIVE_IDLE);
+    let retries = (probed.as_secs() / KEEPALIVE_INTERVAL.as_secs()).clamp(1, MAX_RETRIES);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_retries(retries as u32);
     SockRef::from(tcp).set_tcp_keepalive(&probes)
 }
 
--- a/crates/tcp/src/watch.rs
+++ b/crates/tcp/src/watch.rs
@@ -42,7 +42,7 @@
     ///
     /// If the connection has ended.
     pub fn new(tcp: &TcpStream, kind: &'static str, config: Config) -> io::Result<Self> {
-        options::set_common(tcp)?;
+        options::set_common(tcp, config.unacked)?;
         let left_to_kernel = info::support() != Support::Timed;
         match left_to_kernel {
             true => options::set_user_timeout(tcp, config.unacked)?,
