--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -59,6 +59,7 @@
         let _ = metrics::set_global_recorder(recorder);
         meter::describe();
         overload::meter::describe();
+        tcp::meter::describe();
         handle
     });
 }
--- a/crates/gate/src/meter.rs
+++ b/crates/gate/src/meter.rs
@@ -137,6 +137,7 @@
         "long request bodies and answers that are kept"
     );
     overload::meter::describe();
+    tcp::meter::describe();
     describe_gauge!(LIMITED_TARGETS, "targets that state a limit");
     describe_gauge!(LEAVING_TARGETS, "targets that say that they leave");
     describe_gauge!(STREAM_ORIGINS, "origins of streams kept");
--- a/crates/gate/tests/pages.rs
+++ b/crates/gate/tests/pages.rs
@@ -5,9 +5,10 @@
 /// Source file that declares the events.
 const EVENTS: &str = include_str!("../src/log.rs");
 /// Source files that declare the metrics.
-const METRICS: [&str; 2] = [
+const METRICS: [&str; 3] = [
     include_str!("../src/meter.rs"),
     include_str!("../../overload/src/meter.rs"),
+    include_str!("../../tcp/src/meter.rs"),
 ];
 
 /// Converts a name to snake case, as in the log.
--- a/crates/tcp/src/lib.rs
+++ b/crates/tcp/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod info;
 pub mod liveness;
+pub mod meter;
 pub mod options;
 pub mod watch;
 
--- a/crates/tcp/src/watch.rs
+++ b/crates/tcp/src/watch.rs
@@ -8,17 +8,13 @@
 use std::task::Context;
 use std::time::{Duration, Instant};
 
-use metrics::counter;
 use model::Micros;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
 use crate::info::{self, Acks, Support};
 use crate::liveness::{Config, Liveness, Verdict};
-use crate::options;
-
-/// Connections closed because their far end had vanished, by kind.
-pub const VANISHED: &str = "clementinestep_vanished_connections_total";
+use crate::{meter, options};
 
 /// Watches one connection.
 #[derive(Debug)]
@@ -119,7 +115,7 @@
                     self.timer.as_mut().reset(at);
                 }
                 Verdict::Vanished => {
-                    counter!(VANISHED, "kind" => self.kind).increment(1);
+                    meter::count_vanished(self.kind);
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             }
