A stream's deadline leaves out only the time in which its caller has no room

Now the connection measures for how long writes find no room, the current one included, and only that is left out, for streams and for answers that are passed on.

Evidence: slow_readers and endless pass as before.

--- a/crates/gate/src/entry/pass_through.rs
+++ b/crates/gate/src/entry/pass_through.rs
@@ -29,8 +29,8 @@
     live: LiveAnswer,
     /// When the answer is cut off, if its target isn't done by then.
     end: Micros,
-    /// When the last bytes were passed on.
-    passed_at: Micros,
+    /// How long the caller had had no room at the beginning of the answer.
+    blocked_before: Micros,
 }
 
 /// Passes an answer on to its caller.
@@ -49,7 +49,7 @@
     let answer = PassThrough {
         ctx: Rc::clone(ctx),
         end,
-        passed_at: ctx.now(),
+        blocked_before: connection.blocked_time(),
         job,
         live,
     };
@@ -77,13 +77,11 @@
 impl PassThrough {
     /// The next bytes, the reason why there are none, or `None` at the end of the answer.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, &'static str>> {
-        // The time in which the caller kept the answer waiting isn't its target's.
-        let now = self.ctx.now();
-        self.end = self.end + now.since(self.passed_at);
-        let left: Duration = self.end.since(now).into();
-        let frame = timeout(left, self.live.response.body_mut().frame()).await;
-        self.passed_at = self.ctx.now();
-        match frame {
+        // The time in which the caller has no room isn't the target's.
+        let blocked = self.job.connection.blocked_time();
+        let end = self.end + blocked.since(self.blocked_before);
+        let left: Duration = end.since(self.ctx.now()).into();
+        match timeout(left, self.live.response.body_mut().frame()).await {
             Ok(frame) => Some(frame?.map_err(|_| "cut answer")),
             Err(_) => Some(Err("overdue")),
         }
--- a/crates/gate/src/entry/relay.rs
+++ b/crates/gate/src/entry/relay.rs
@@ -60,7 +60,7 @@
 const PIECES_AT_ONCE: u32 = 16;
 /// Most bytes that are collected in that time.
 const MAX_COLLECTED: usize = 16 << 10;
-/// Most bytes that are passed on after the deadline, to a caller that has kept the stream waiting. A replica that
+/// Most bytes that are passed on after the deadline, to a caller that reads slowly. A replica that
 /// sends without end would else be read for as long as its caller reads slowly.
 const MAX_LATE: usize = 4 << 20;
 /// Interval between two requests for another replica if none has taken the stream. Each that is refused
@@ -126,8 +126,9 @@
     delimited: Option<bool>,
     /// When the last bytes were passed on.
     passed_at: Micros,
-    /// How long the caller has kept the stream waiting; the deadline is for the replica only.
-    held: Micros,
+    /// How long the caller had had no room at the beginning of the stream. The deadline is for the replica: time in
+    /// which the caller has none isn't counted.
+    blocked_before: Micros,
     /// Bytes passed on after the deadline.
     late_bytes: usize,
     /// Whether the caller has left the current replica's answer unread for [`UNREAD_TIME`].
@@ -157,7 +158,7 @@
         events: 0,
         first_event_after: None,
         passed_at: ctx.now(),
-        held: Micros::ZERO,
+        blocked_before: connection.blocked_time(),
         late_bytes: 0,
         unread: false,
         waits_until: Micros::ZERO,
@@ -193,11 +194,10 @@
 }
 
 impl Relay {
-    /// Records for how long the caller has kept the stream waiting.
+    /// Records whether the caller has left the answer unread.
     fn record_pause(&mut self) {
-        let paused = self.ctx.now().since(self.passed_at);
-        self.held = self.held + paused;
-        self.unread |= Duration::from(paused) > UNREAD_TIME;
+        let paused: Duration = self.ctx.now().since(self.passed_at).into();
+        self.unread |= paused > UNREAD_TIME;
     }
 
     /// Records bytes that are passed on.
@@ -209,13 +209,16 @@
         }
     }
 
-    /// When the stream is overdue: a replica has the time up to the deadline, and that in which the caller has
-    /// kept it waiting.
+    /// When the stream is overdue: a replica has the time up to the deadline, and that in which the caller had no
+    /// room.
     fn end(&self) -> Micros {
         let end = self.job.deadline + ANSWER_GRACE.into();
         match self.late_bytes > MAX_LATE {
             true => end,
-            false => end + self.held,
+            false => {
+                let blocked = self.job.connection.blocked_time();
+                end + blocked.since(self.blocked_before)
+            }
         }
     }
 
--- a/crates/overload/src/connection.rs
+++ b/crates/overload/src/connection.rs
@@ -134,6 +134,7 @@
                     key,
                     close,
                     patience_ms: AtomicU64::new(0),
+                    blocked: Mutex::default(),
                 })))
             }
             Decision::Refused => {
@@ -232,6 +233,14 @@
     close: watch::Sender<Option<Close>>,
     /// How long the caller may leave its window closed, in milliseconds.
     patience_ms: AtomicU64,
+    blocked: Mutex<Blocked>,
+}
+
+/// Times in which a caller has no room for what is sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Blocked {
+    total: Micros,
+    since: Option<Micros>,
 }
 
 impl Drop for Open {
@@ -286,6 +295,34 @@
         self.0.patience_ms.fetch_max(ms, Ordering::Relaxed);
     }
 
+    /// For how long the caller has had no room for what was sent to it, since the connection was opened.
+    pub fn blocked_time(&self) -> Micros {
+        let blocked = *self.blocked();
+        let current = blocked.since.map(|s| self.0.callers.now().since(s));
+        blocked.total + current.unwrap_or_default()
+    }
+
+    /// Records whether the caller has room.
+    pub(crate) fn set_blocked(&self, is_blocked: bool) {
+        let now = self.0.callers.now();
+        let mut blocked = self.blocked();
+        match (blocked.since, is_blocked) {
+            (None, true) => blocked.since = Some(now),
+            (Some(since), false) => {
+                blocked.total = blocked.total + now.since(since);
+                blocked.since = None;
+            }
+            (None, false) | (Some(_), true) => {}
+        }
+    }
+
+    fn blocked(&self) -> MutexGuard<'_, Blocked> {
+        self.0
+            .blocked
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn patience(&self) -> Duration {
         Duration::from_millis(self.0.patience_ms.load(Ordering::Relaxed))
     }
--- a/crates/overload/src/stream.rs
+++ b/crates/overload/src/stream.rs
@@ -97,11 +97,14 @@
             Poll::Ready(Ok(n)) => {
                 self.conn.record(false, *n);
                 self.watch.record_sent();
-                self.blocked = false;
+                if std::mem::take(&mut self.blocked) {
+                    self.conn.set_blocked(false);
+                }
                 self.unread = None;
             }
             Poll::Pending if !self.blocked => {
                 self.blocked = true;
+                self.conn.set_blocked(true);
                 self.conn.record_blocked();
                 self.unread = Some(self.conn.charge_unread());
             }
