--- a/crates/daemon/tests/hosted/out_of_step.rs
+++ b/crates/daemon/tests/hosted/out_of_step.rs
@@ -4,7 +4,7 @@
 
 use futures::future::join_all;
 use http_body_util::BodyExt;
-use standin::hosted::replica::Replica;
+use standin::hosted::replica::{Fault, Replica};
 use tokio::time::{sleep, timeout};
 
 use crate::builds::{Fleet, Stream, STREAMS};
@@ -37,6 +37,9 @@
         process.wait_for_event("target", is_listed).await;
         fleet.engines.push(engine);
     }
+    // Else the engines that have the prompt in their cache may get all streams.
+    let former: Vec<_> = fleet.engines[..2].to_vec();
+    former.iter().for_each(|e| e.set_fault(Fault::Full));
     let mut streams = Vec::new();
     for n in 0..MAX_BEGUN {
         let stream = fleet.begin(entry, &format!("begun-{n}")).await;
@@ -47,6 +50,7 @@
             break;
         }
     }
+    former.iter().for_each(|e| e.set_fault(Fault::None));
     assert_eq!(streams.len(), STREAMS);
     streams
 }
